--- /dev/null
+++ b/dev/cluster.ts
@@ -0,0 +1,212 @@
+/** A small deployment of real processes on loopback: stand-ins, and the programs of the system. */
+import * as undici from 'undici';
+import * as boxes from '../src/core/boxes/index.js';
+import * as platform from '../src/core/platform/index.js';
+import * as processes from './processes.js';
+
+/** Shape of a deployment. */
+export interface ClusterOptions {
+	zones: string[];
+	entriesPerZone: number;
+	schedulersPerZone: number;
+	backendsPerZone: number;
+	workersPerZone: number;
+	/** Extra flags for schedulers, e.g. shorter leases. */
+	schedulerFlags?: string[];
+	/** Extra flags for entries. */
+	entryFlags?: string[];
+	/** Extra environment of backend servers. */
+	backendEnv?: Record<string, string>;
+	/** The address a program reaches something by, for a proxy between; the default is the address itself. */
+	via?: (from: string, to: string, address: string) => Promise<string> | string;
+}
+
+/** A backend server or worker with its address. */
+export interface Box {
+	id: string;
+	zone: string;
+	address: string;
+	/** The address by which the programs know it, if a proxy stands between. */
+	listedAddress: string;
+	state: 'live' | 'leaving';
+	process: processes.Started;
+}
+
+/** A program of the system with its addresses. */
+export interface Program {
+	box: string;
+	zone: string;
+	role: 'entry' | 'scheduler' | 'operator';
+	peer: string;
+	serves: string;
+	process: processes.Started;
+}
+
+/** Capacity of each stand-in worker. */
+export const workerCapacity = { cores: 32, memoryMb: 125_000, accelerators: 0 };
+
+/** Slots and connections of each stand-in backend server. */
+export const backendSlots = 8;
+const backendConnections = 64;
+
+/** Service that the backend servers run. */
+export const serviceName = 'guichet';
+
+/** Workers a rack. */
+const rackSize = 8;
+
+/** A running deployment. */
+export class Cluster {
+	readonly backends: Box[] = [];
+	readonly workers: Box[] = [];
+	readonly programs: Program[] = [];
+	platformAddress = '';
+	platform!: processes.Started;
+	private store!: platform.EtcdStore;
+	private nextBox = 1;
+
+	private constructor(readonly opts: ClusterOptions) {}
+
+	/** Starts everything and waits until each process listens. */
+	static async create(opts: ClusterOptions): Promise<Cluster> {
+		const cluster = new Cluster(opts);
+		cluster.platform = processes.start('platform', 'stand-ins/platform/main.js');
+		cluster.platformAddress = await processes.readyAddress(cluster.platform);
+		cluster.store = platform.EtcdStore.create(`http://${cluster.platformAddress}`);
+		await cluster.startBoxes();
+		for (const zone of opts.zones) await cluster.publish(zone);
+		const starting: Promise<unknown>[] = [];
+		for (const zone of opts.zones) {
+			for (let i = 0; i < opts.entriesPerZone; i += 1) starting.push(cluster.startProgram('entry', zone));
+			for (let i = 0; i < opts.schedulersPerZone; i += 1)
+				starting.push(cluster.startProgram('scheduler', zone));
+		}
+		starting.push(cluster.startProgram('operator', opts.zones[0] ?? ''));
+		await Promise.all(starting);
+		return cluster;
+	}
+
+	/** Starts one program and resolves once it listens. */
+	async startProgram(role: Program['role'], zone: string, flags: string[] = []): Promise<Program> {
+		const box = `${role}-${zone}-${this.nextBox}`;
+		this.nextBox += 1;
+		const extra = { scheduler: this.opts.schedulerFlags, entry: this.opts.entryFlags, operator: undefined }[
+			role
+		];
+		const origin = await this.via(box, 'platform', this.platformAddress);
+		const args = [
+			...['--box', box, '--zone', zone, '--zones', this.opts.zones.join(',')],
+			...['--platform', `http://${origin}`, '--log', 'json', '--log-level', 'debug'],
+			...(extra ?? []),
+			...flags,
+		];
+		const process = processes.start(box, `src/cli/${role}/main.js`, args);
+		const addresses = await processes.startedAddresses(process);
+		const program = { box, zone, role, ...addresses, process };
+		this.programs.push(program);
+		return program;
+	}
+
+	/** Starts a worker under an id, or starts it anew after it ended. */
+	async startWorker(id: string, zone: string): Promise<Box> {
+		const process = processes.start(id, 'stand-ins/worker/main.js', [], { BOX_ID: id });
+		const address = await processes.readyAddress(process);
+		const listedAddress = await this.via('scheduler', id, address);
+		return { id, zone, address, listedAddress, state: 'live', process };
+	}
+
+	/** Writes a zone's box lists, as the platform would. */
+	async publish(zone: string): Promise<void> {
+		const workers = this.workers.filter((box) => box.zone === zone);
+		const workerList: boxes.WorkerBox[] = workers.map((box, index) => ({
+			id: box.id,
+			address: box.listedAddress,
+			state: box.state,
+			rack: `${zone}-rack-${Math.floor(index / rackSize)}`,
+			...workerCapacity,
+		}));
+		const backends = this.backends.filter((box) => box.zone === zone);
+		const backendList: boxes.BackendBox[] = backends.map((box) => ({
+			id: box.id,
+			address: box.listedAddress,
+			state: box.state,
+			service: serviceName,
+			slots: backendSlots,
+			connections: backendConnections,
+		}));
+		await this.put(boxes.workersKey(zone), workerList);
+		await this.put(boxes.backendsKey(zone), backendList);
+	}
+
+	/** Programs of a role, of one zone if given. */
+	of(role: Program['role'], zone?: string): Program[] {
+		return this.programs.filter((one) => one.role === role && (zone === undefined || one.zone === zone));
+	}
+
+	/** Sets faults of the platform stand-in. */
+	async platformFault(fault: Record<string, unknown>): Promise<void> {
+		await post(this.platformAddress, '/fault', fault);
+	}
+
+	/** Ends every process. */
+	async close(): Promise<void> {
+		const all = [...this.programs, ...this.workers, ...this.backends].map((one) => one.process);
+		await Promise.all([...all, this.platform].map((one) => kill(one)));
+		await this.store.close();
+	}
+
+	private async startBoxes(): Promise<void> {
+		const starting: Promise<unknown>[] = [];
+		for (const zone of this.opts.zones) {
+			for (let i = 0; i < this.opts.backendsPerZone; i += 1) {
+				starting.push(this.startBackend(`backend-${zone}-${i}`, zone).then((box) => this.backends.push(box)));
+			}
+			for (let i = 0; i < this.opts.workersPerZone; i += 1) {
+				starting.push(this.startWorker(`worker-${zone}-${i}`, zone).then((box) => this.workers.push(box)));
+			}
+		}
+		await Promise.all(starting);
+		const byId = (a: Box, b: Box): number => (a.id < b.id ? -1 : 1);
+		this.backends.sort(byId);
+		this.workers.sort(byId);
+	}
+
+	private async startBackend(id: string, zone: string): Promise<Box> {
+		const process = processes.start(id, 'stand-ins/backend-server/main.js', [], {
+			SLOTS: String(backendSlots),
+			CONNECTIONS: String(backendConnections),
+			...this.opts.backendEnv,
+		});
+		const address = await processes.readyAddress(process);
+		const listedAddress = await this.via('entry', id, address);
+		return { id, zone, address, listedAddress, state: 'live', process };
+	}
+
+	private async via(from: string, to: string, address: string): Promise<string> {
+		return this.opts.via === undefined ? address : this.opts.via(from, to, address);
+	}
+
+	private async put(key: string, value: unknown): Promise<void> {
+		const current = await this.store.get(key);
+		if (!current.ok) throw new Error(`platform stand-in: ${current.err.reason}`);
+		const bytes = Buffer.from(JSON.stringify(value));
+		const put = await this.store.swap(key, bytes, current.value?.version ?? 0);
+		if (!put.ok || !put.value.swapped) throw new Error(`platform stand-in: ${key} not written`);
+	}
+}
+
+/** Kills a process, stopped ones included. */
+export async function kill(started: processes.Started): Promise<void> {
+	started.child.kill('SIGCONT');
+	await processes.stop(started, 'SIGKILL');
+}
+
+/** Posts JSON to a stand-in. */
+export async function post(address: string, path: string, body: unknown): Promise<unknown> {
+	const res = await undici.request(`http://${address}${path}`, {
+		method: 'POST',
+		headers: { 'content-type': 'application/json' },
+		body: JSON.stringify(body),
+	});
+	return res.body.json();
+}
--- /dev/null
+++ b/spec/run.ts
@@ -0,0 +1,2 @@
+/** Explores every model of `spec/` whole; filled in with the models. */
+process.exitCode = 0;
--- /dev/null
+++ b/src/core/boxes/index.ts
@@ -0,0 +1,71 @@
+/**
+ * The platform's lagging list of live and leaving boxes: one key a zone and kind, JSON.
+ * `platform/boxes/<zone>/workers` and `platform/boxes/<zone>/backend-servers`.
+ */
+import * as zod from 'zod';
+import type * as platform from '../platform/index.js';
+
+const z = zod.z;
+
+const common = {
+	id: z.string(),
+	/** `host:port`. */
+	address: z.string(),
+	state: z.enum(['live', 'leaving']),
+};
+
+const workerBox = z.object({
+	...common,
+	rack: z.string(),
+	cores: z.number(),
+	memoryMb: z.number(),
+	accelerators: z.number().int().default(0),
+});
+
+const backendBox = z.object({
+	...common,
+	service: z.string(),
+	/** Requests it runs at once. */
+	slots: z.number().int().min(1),
+	/** Connections it takes. */
+	connections: z.number().int().min(1),
+});
+
+/** A worker of the list. */
+export type WorkerBox = zod.infer<typeof workerBox>;
+
+/** A backend server of the list. */
+export type BackendBox = zod.infer<typeof backendBox>;
+
+/** Milliseconds between full reads of a list; changes come by watch in between. */
+export const boxesRelistMs = 10_000;
+
+/** Key of a zone's workers. */
+export function workersKey(zone: string): string {
+	return `platform/boxes/${zone}/workers`;
+}
+
+/** Key of a zone's backend servers. */
+export function backendsKey(zone: string): string {
+	return `platform/boxes/${zone}/backend-servers`;
+}
+
+function parseList<T>(item: platform.Stored | undefined, shape: zod.ZodType<T>): T[] | undefined {
+	if (item === undefined) return undefined;
+	try {
+		const parsed = z.array(shape).safeParse(JSON.parse(Buffer.from(item.value).toString('utf8')));
+		return parsed.success ? parsed.data : undefined;
+	} catch {
+		return undefined;
+	}
+}
+
+/** A zone's workers; undefined if the list is absent or malformed. */
+export function parseWorkers(item: platform.Stored | undefined): WorkerBox[] | undefined {
+	return parseList(item, workerBox);
+}
+
+/** A zone's backend servers; undefined if the list is absent or malformed. */
+export function parseBackends(item: platform.Stored | undefined): BackendBox[] | undefined {
+	return parseList(item, backendBox);
+}
--- /dev/null
+++ b/src/core/config/keys.ts
@@ -0,0 +1,81 @@
+/** The configuration's keys: what operators may set at run time, each with its default, unit and range. */
+import * as zod from 'zod';
+import * as errors from '../errors/index.js';
+import * as results from '../result.js';
+
+const z = zod.z;
+
+/** A value of the configuration. */
+export type ConfigValue = number | string | boolean;
+
+/** One key. */
+export interface ConfigKey {
+	schema: zod.ZodType<ConfigValue>;
+	default: ConfigValue;
+	/** What it does, with its unit and range. */
+	text: string;
+}
+
+/** Keys by name. */
+export const configKeys = {
+	'entry.deadlineMs': {
+		schema: z.coerce.number().int().min(50).max(120_000),
+		default: 10_000,
+		text: 'Milliseconds a caller is answered within, unless the request names less (50 to 120000).',
+	},
+	'entry.queuePerSlot': {
+		schema: z.coerce.number().min(0).max(100),
+		default: 4,
+		text: 'Requests that may wait for each slot this box holds (0 to 100).',
+	},
+	'entry.retryBudgetPercent': {
+		schema: z.coerce.number().min(0).max(50),
+		default: 5,
+		text: 'Second tries of safe requests, in per cent of first tries (0 to 50).',
+	},
+	'entry.overflowPercent': {
+		schema: z.coerce.number().min(0).max(50),
+		default: 10,
+		text: 'Part of the slots kept for requests from other availability zones, in per cent (0 to 50).',
+	},
+	'scheduler.placement': {
+		schema: z.enum(['spread', 'best-fit', 'pair-aware']),
+		default: 'pair-aware',
+		text: 'How workers are rated: spread, best-fit or pair-aware.',
+	},
+	'scheduler.msPerLoad': {
+		schema: z.coerce.number().positive().max(10_000),
+		default: 20,
+		text: "Milliseconds of added latency that weigh as much as a whole worker's load (above 0 to 10000).",
+	},
+} as const satisfies Record<string, ConfigKey>;
+
+/** Name of a key. */
+export type ConfigName = keyof typeof configKeys;
+
+/** Whether `name` is a key. */
+export function isConfigName(name: string): name is ConfigName {
+	return Object.hasOwn(configKeys, name);
+}
+
+/** Checks one value an operator wants to set. */
+export function checkValue(name: string, value: unknown): results.Result<ConfigValue, errors.Failure> {
+	if (!isConfigName(name)) {
+		const known = Object.keys(configKeys).join(', ');
+		return results.fail(errors.failure('ConfigInvalid', `unknown key ${name}; known keys: ${known}`));
+	}
+	const parsed = configKeys[name].schema.safeParse(value);
+	if (parsed.success) return results.ok(parsed.data);
+	const issue = parsed.error.issues[0]?.message ?? 'not allowed';
+	return results.fail(errors.failure('ConfigInvalid', `${name} = ${String(value)}: ${issue}`));
+}
+
+/** A key's value in a record, or its default. */
+export function valueOf(values: Record<string, ConfigValue>, name: ConfigName): ConfigValue {
+	return values[name] ?? configKeys[name].default;
+}
+
+/** A numeric key's value. */
+export function numberOf(values: Record<string, ConfigValue>, name: ConfigName): number {
+	return Number(valueOf(values, name));
+}
--- /dev/null
+++ b/src/core/config/store.ts
@@ -0,0 +1,101 @@
+/** Changes of the configuration record by compare-and-swap, with unanswered calls settled by reading back. */
+import * as crypto from 'node:crypto';
+import * as clocks from '../clock.js';
+import * as errors from '../errors/index.js';
+import * as keys from './keys.js';
+import * as results from '../result.js';
+import * as wire from '../wire/index.js';
+import type * as platform from '../platform/index.js';
+
+/** Where the record is kept. */
+export const configKey = 'woodcross/config/record';
+
+/** Changes kept in the record, newest last. */
+const historySize = 200;
+
+/** Wait before an unanswered call is repeated, in milliseconds. */
+const retryMs = 200;
+
+/** The record before the first change. */
+export const emptyRecord: wire.ConfigRecord = { version: 0, values: {}, history: [] };
+
+/** A change as an operator asks for it. */
+export interface ConfigChange {
+	key: string;
+	value: unknown;
+	by: string;
+	/** The version the operator saw; undefined: whatever is current. */
+	seen?: number;
+}
+
+/** Reads a stored record. */
+export function decodeRecord(item: platform.Stored | undefined): results.Result<wire.ConfigRecord, string> {
+	if (item === undefined) return results.ok(emptyRecord);
+	const raw = wire.decodeValue(item.value);
+	if (!raw.ok) return raw;
+	const parsed = wire.configRecord.safeParse(raw.value);
+	return parsed.success ? results.ok(parsed.data) : results.fail(parsed.error.message);
+}
+
+/** Whether the record holds the change with that nonce: then the change was stored, whatever became of the answer. */
+function holds(record: wire.ConfigRecord, nonce: string): boolean {
+	return record.history.some((change) => change.nonce === nonce);
+}
+
+function changed(
+	record: wire.ConfigRecord,
+	change: ConfigChange,
+	value: keys.ConfigValue,
+	nonce: string,
+	at: number,
+): wire.ConfigRecord {
+	const version = record.version + 1;
+	const entry = { version, at, by: change.by, key: change.key, value, nonce };
+	return {
+		version,
+		values: { ...record.values, [change.key]: value },
+		history: [...record.history, entry].slice(-historySize),
+	};
+}
+
+/**
+ * Stores a change. Accepted only once it is known to be stored. `OutcomeUnknown` if the time runs out while a
+ * write is unanswered; `PlatformUnavailable` if none was sent.
+ */
+export async function changeRecord(
+	store: platform.Store,
+	clock: clocks.Clock,
+	change: ConfigChange,
+	timeoutMs: number,
+): Promise<results.Result<wire.ConfigRecord, errors.Failure>> {
+	const checked = keys.checkValue(change.key, change.value);
+	if (!checked.ok) return checked;
+	const nonce = crypto.randomUUID();
+	const giveUpAt = clock.now() + timeoutMs;
+	let sent = false;
+	while (clock.now() < giveUpAt) {
+		const item = await store.get(configKey);
+		const record = item.ok ? decodeRecord(item.value) : undefined;
+		if (!item.ok || record?.ok !== true) {
+			await clocks.sleep(clock, retryMs);
+			continue;
+		}
+		if (holds(record.value, nonce)) return results.ok(record.value);
+		const current = record.value;
+		// With an unanswered write outstanding, "seen" was checked before it and only the swap decides.
+		if (change.seen !== undefined && current.version !== change.seen) return conflict(change, current);
+		const next = changed(current, change, checked.value, nonce, clock.wall());
+		const put = await store.swap(configKey, wire.encodeValue(next), item.value?.version ?? 0);
+		if (put.ok && put.value.swapped) return results.ok(next);
+		if (!put.ok && put.err.effect === 'unknown') sent = true;
+	}
+	const detail = `${change.key} = ${String(change.value)}`;
+	const retryAfterMs = 2_000;
+	if (sent) return results.fail(errors.failure('OutcomeUnknown', detail, { retryAfterMs }));
+	return results.fail(errors.failure('PlatformUnavailable', detail, { retryAfterMs }));
+}
+
+function conflict(change: ConfigChange, current: wire.ConfigRecord): results.Result<never, errors.Failure> {
+	const detail = `you saw version ${change.seen ?? 0}; it is ${current.version} now`;
+	return results.fail(errors.failure('ConfigConflict', detail));
+}
--- /dev/null
+++ b/src/core/entry/claims.ts
@@ -0,0 +1,103 @@
+/** Claims of callers' Idempotency-Keys, kept in the log of the shard that the key falls to. */
+import * as crypto from 'node:crypto';
+import * as clocks from '../clock.js';
+import * as errors from '../errors/index.js';
+import * as results from '../result.js';
+import * as shardCalls from '../operator/shard-calls.js';
+import * as shards from '../shard/index.js';
+import type * as scheduler from '../scheduler/index.js';
+
+/** What claims need. */
+export interface ClaimDeps extends shardCalls.ShardCallDeps {
+	zones: readonly string[];
+	shardsPerZone: number;
+	boot: string;
+}
+
+/** A key held for one request. */
+export interface Claim {
+	key: string;
+	shard: string;
+	holder: string;
+}
+
+/** What a claim came to: held now, or what the earlier request with this key came to. */
+export type ClaimOutcome =
+	{ kind: 'held'; claim: Claim } | { kind: 'answered'; answer: scheduler.ClaimAnswer };
+
+/** Wait before a key whose request still runs is asked for again, in milliseconds. */
+const againMs = 250;
+
+/** Time told to callers whose key can't be claimed, in milliseconds. */
+const retryAfterMs = 2_000;
+
+/** Milliseconds in which the end of a claim is told to the shard's owner. */
+const endMs = 10_000;
+
+/** A caller's key: scoped by service and caller, of fixed length. */
+export function claimKey(service: string, caller: string, key: string): string {
+	return crypto
+		.createHash('sha256')
+		.update(JSON.stringify([service, caller, key]))
+		.digest('hex');
+}
+
+/** Hash of everything that makes two requests the same. */
+export function requestHash(method: string, path: string, body: Buffer | undefined): string {
+	const hash = crypto.createHash('sha256').update(JSON.stringify([method, path]));
+	if (body !== undefined) hash.update(body);
+	return hash.digest('hex');
+}
+
+/** Claims the key before the request is sent; waits while an earlier request with it still runs. */
+export async function begin(
+	deps: ClaimDeps,
+	key: string,
+	bodyHash: string,
+	requestId: string,
+	deadlineAt: number,
+): Promise<results.Result<ClaimOutcome, errors.Failure>> {
+	const shard = shards.shardOfClaim(key, deps.zones, deps.shardsPerZone);
+	const holder = `${deps.boot}#${requestId}`;
+	const req = { type: 'claim.begin', shard, key, bodyHash, holder } as const;
+	for (;;) {
+		const left = deadlineAt - deps.clock.now();
+		if (left <= 0) break;
+		const res = await shardCalls.callShard<scheduler.ClaimReply>(deps, req, left);
+		if (!res.ok) return results.fail(unclaimed(res.err));
+		if (res.value.claim === 'granted') return results.ok({ kind: 'held', claim: { key, shard, holder } });
+		const known = earlier(res.value);
+		if (known !== undefined) return known;
+		await clocks.sleep(deps.clock, Math.min(againMs, Math.max(0, deadlineAt - deps.clock.now())));
+	}
+	const detail = 'the earlier request with this key is still running';
+	return results.fail(errors.failure('MayHaveRun', detail, { retryAfterMs, run: 'may-have-run' }));
+}
+
+/** Tells what became of the claimed request. Lost word leaves the claim as "running", which never allows a rerun. */
+export async function end(
+	deps: ClaimDeps,
+	claim: Claim,
+	outcome: 'done' | 'not-run' | 'may-have-run',
+	answer?: scheduler.ClaimAnswer,
+): Promise<void> {
+	await shardCalls.callShard(deps, { type: 'claim.end', ...claim, outcome, answer }, endMs);
+}
+
+/** Anything but a grant means that nothing was sent to a backend server for this request. */
+function unclaimed(err: errors.Failure): errors.Failure {
+	if (err.name === 'KeyReused') return err;
+	return errors.failure('ClaimUnavailable', err.detail, {
+		retryAfterMs: err.retryAfterMs ?? retryAfterMs,
+		run: 'not-run',
+	});
+}
+
+function earlier(
+	reply: Extract<scheduler.ClaimReply, { claim: 'taken' }>,
+): results.Result<ClaimOutcome, errors.Failure> | undefined {
+	if (reply.outcome === 'running') return undefined;
+	if (reply.answer !== undefined) return results.ok({ kind: 'answered', answer: reply.answer });
+	const name = reply.outcome === 'done' ? 'AlreadyRun' : 'MayHaveRun';
+	return results.fail(errors.failure(name, 'the earlier request with this key', { run: 'may-have-run' }));
+}
--- /dev/null
+++ b/src/core/entry/dispatcher.ts
@@ -0,0 +1,165 @@
+/**
+ * Gives requests a slot of a backend server: a free one of two picked at random, else a place in a short queue
+ * ordered by deadline. A request that can't make its deadline is refused at once.
+ */
+import * as backends from './backends.js';
+import * as errors from '../errors/index.js';
+import * as results from '../result.js';
+import type * as clocks from '../clock.js';
+
+/** A slot given; exactly one of the endings must be noted. */
+export interface Grant {
+	backend: backends.Backend;
+	end: (ended: 'answered' | 'refused' | 'failed') => void;
+}
+
+/** What the dispatcher needs. */
+export interface DispatcherDeps {
+	backends: backends.Backends;
+	clock: clocks.Clock;
+	zone: string;
+	/** Random numbers from 0 up to 1. */
+	random: () => number;
+	/** Requests that may wait for each slot held. */
+	queuePerSlot: () => number;
+}
+
+interface Waiting {
+	service: string;
+	deadlineAt: number;
+	avoid: string | undefined;
+	settle: (result: results.Result<Grant, errors.Failure>) => void;
+}
+
+/** Least time to come back told to a refused caller, in milliseconds. */
+const leastRetryAfterMs = 100;
+
+/** Answer time assumed before the first answer, in milliseconds. */
+const assumedMs = 20;
+
+/** Gives out slots. */
+export class Dispatcher {
+	private readonly queues = new Map<string, Waiting[]>();
+	private readonly running = new Map<string, number>();
+
+	private constructor(private readonly deps: DispatcherDeps) {}
+
+	static create(deps: DispatcherDeps): Dispatcher {
+		return new Dispatcher(deps);
+	}
+
+	/** Requests running and waiting, by service. */
+	demand(): Record<string, number> {
+		const demand: Record<string, number> = {};
+		for (const backend of this.deps.backends.all) demand[backend.box.service] ??= 0;
+		for (const [service, count] of this.running) demand[service] = count;
+		for (const [service, queue] of this.queues) demand[service] = (demand[service] ?? 0) + queue.length;
+		return demand;
+	}
+
+	/** Waits for a slot until the deadline at most. `avoid` names a backend server not to use. */
+	acquire(
+		service: string,
+		deadlineAt: number,
+		avoid?: string,
+	): Promise<results.Result<Grant, errors.Failure>> {
+		const mine = this.deps.backends.all.filter((one) => one.box.service === service && !one.gone);
+		if (mine.length === 0) {
+			return Promise.resolve(results.fail(errors.failure('ServiceUnknown', service, { run: 'not-run' })));
+		}
+		const waiting = this.queues.get(service)?.length ?? 0;
+		const backend = waiting === 0 ? this.pick(service, avoid) : undefined;
+		if (backend !== undefined) return Promise.resolve(results.ok(this.grant(backend)));
+		const refused = this.refusal(service, mine, deadlineAt);
+		if (refused !== undefined) return Promise.resolve(results.fail(refused));
+		return this.enqueue(service, deadlineAt, avoid);
+	}
+
+	/** Gives free slots to those who wait; called whenever a slot may have become free. */
+	pump(): void {
+		for (const [service, queue] of this.queues) {
+			while (queue.length > 0) {
+				const first = queue[0];
+				if (first === undefined) break;
+				const backend = this.pick(service, first.avoid);
+				if (backend === undefined) break;
+				queue.shift();
+				first.settle(results.ok(this.grant(backend)));
+			}
+		}
+	}
+
+	private grant(backend: backends.Backend): Grant {
+		const { service } = backend.box;
+		const startedAt = this.deps.clock.now();
+		backend.inFlight += 1;
+		this.running.set(service, (this.running.get(service) ?? 0) + 1);
+		return {
+			backend,
+			end: (ended) => {
+				this.running.set(service, (this.running.get(service) ?? 1) - 1);
+				this.deps.backends.note(backend, ended, this.deps.clock.now() - startedAt);
+				this.pump();
+			},
+		};
+	}
+
+	/** Own zone first; another zone only if none is free here. The better of two picked at random. */
+	private pick(service: string, avoid: string | undefined): backends.Backend | undefined {
+		const open = this.deps.backends.all.filter(
+			(one) => one.box.service === service && one.box.id !== avoid && this.deps.backends.open(one),
+		);
+		const near = open.filter((one) => one.zone === this.deps.zone);
+		const from = near.length > 0 ? near : open;
+		if (from.length <= 1) return from[0];
+		const first = from[Math.floor(this.deps.random() * from.length)];
+		const second = from[Math.floor(this.deps.random() * from.length)];
+		if (first === undefined || second === undefined) return first ?? second;
+		return cost(second) < cost(first) ? second : first;
+	}
+
+	private refusal(service: string, mine: backends.Backend[], deadlineAt: number): errors.Failure | undefined {
+		const slots = mine.reduce((sum, one) => sum + (one.leaving ? 0 : one.share.value), 0);
+		const queued = this.queues.get(service)?.length ?? 0;
+		const answerMs = mine.reduce((sum, one) => sum + (one.latencyMs || assumedMs), 0) / mine.length;
+		const waitMs = ((queued + 1) * answerMs) / Math.max(1, slots);
+		const left = deadlineAt - this.deps.clock.now();
+		const full = queued >= Math.max(1, Math.ceil(slots * this.deps.queuePerSlot()));
+		if (!full && waitMs + answerMs <= left) return undefined;
+		const reason = full ? `${queued} requests wait already` : `it would wait ${Math.round(waitMs)} ms`;
+		const retryAfterMs = Math.ceil(Math.max(leastRetryAfterMs, waitMs));
+		return errors.failure('Overloaded', `${service}: ${reason}`, { retryAfterMs, run: 'not-run' });
+	}
+
+	private enqueue(
+		service: string,
+		deadlineAt: number,
+		avoid: string | undefined,
+	): Promise<results.Result<Grant, errors.Failure>> {
+		const queue = this.queues.get(service) ?? [];
+		this.queues.set(service, queue);
+		return new Promise((resolve) => {
+			const timer = this.deps.clock.after(deadlineAt - this.deps.clock.now(), () => {
+				queue.splice(queue.indexOf(waiting), 1);
+				const extra = { retryAfterMs: leastRetryAfterMs, run: 'not-run' } as const;
+				resolve(
+					results.fail(
+						errors.failure('Overloaded', `${service}: its deadline passed while it waited`, extra),
+					),
+				);
+			});
+			const settle = (result: results.Result<Grant, errors.Failure>): void => {
+				timer.cancel();
+				resolve(result);
+			};
+			const waiting: Waiting = { service, deadlineAt, avoid, settle };
+			const index = queue.findIndex((one) => one.deadlineAt > deadlineAt);
+			queue.splice(index < 0 ? queue.length : index, 0, waiting);
+		});
+	}
+}
+
+/** Expected wait at a backend server: how full this box's share is, weighed by its recent answer time. */
+function cost(backend: backends.Backend): number {
+	return ((backend.inFlight + 1) / Math.max(1, backend.share.value)) * (backend.latencyMs + 1);
+}
--- /dev/null
+++ b/src/core/entry/process.ts
@@ -0,0 +1,313 @@
+/** `woodcross-entry`: answers callers by forwarding to the backend servers of its availability zone first. */
+import * as crypto from 'node:crypto';
+import type * as http from 'node:http';
+import * as h3 from 'h3';
+import * as backends from './backends.js';
+import * as boxes from '../boxes/index.js';
+import * as caller from './caller.js';
+import * as claims from './claims.js';
+import * as clocks from '../clock.js';
+import * as dispatcher from './dispatcher.js';
+import * as errors from '../errors/index.js';
+import * as forward from './forward.js';
+import * as node from '../node/index.js';
+import * as platform from '../platform/index.js';
+import * as results from '../result.js';
+import * as retries from './retry-budget.js';
+import * as shares from './shares.js';
+import type * as settings from './settings.js';
+import type * as wire from '../wire/index.js';
+
+/** Milliseconds between rounds of demand among the entry boxes of a zone. */
+const roundMs = 100;
+
+/** Rounds without word after which a box counts as gone from the shares. */
+const silentRounds = 10;
+
+/** Times a request is offered to backend servers at most, refusals included. */
+const maxTries = 4;
+
+/** Time told to callers of a stopping box, in milliseconds. */
+const stoppingRetryMs = 100;
+
+interface PeerDemand {
+	demand: Record<string, number>;
+	heardAt: number;
+}
+
+/** One request on its way. */
+interface Flight extends caller.Parsed {
+	req: forward.CallerRequest;
+	deadlineAt: number;
+}
+
+/** The entry process. */
+export class Entry {
+	private readonly node: node.Node;
+	private readonly backends: backends.Backends;
+	private readonly dispatcher: dispatcher.Dispatcher;
+	private readonly budget: retries.RetryBudget;
+	private readonly peerDemand = new Map<string, PeerDemand>();
+	private readonly lists: platform.Follower[] = [];
+	private sharing: clocks.Timer | undefined;
+	private inFlight = 0;
+	private idle: () => void = () => undefined;
+
+	private constructor(private readonly settings: settings.EntrySettings) {
+		this.node = node.Node.create(settings, {
+			role: 'entry',
+			onPeer: (req) =>
+				Promise.resolve(results.fail(errors.failure('InvalidRequest', `${req.type} is not for an entry`))),
+			gossip: () => ({ demand: this.dispatcher.demand(), leaving: this.leavingIds() }),
+			onGossip: (gossip) => {
+				this.onGossip(gossip);
+			},
+			gossipMs: roundMs,
+			partners: (members) => members.zonePeers('entry'),
+			routes: (app) => {
+				app.all(
+					'/services/**',
+					h3.fromNodeHandler((req, res) =>
+						this.serve(req as http.IncomingMessage, res as http.ServerResponse),
+					),
+				);
+			},
+			gauges: () => ({ in_flight: this.inFlight, backends: this.backends.all.length }),
+		});
+		this.backends = backends.Backends.create(this.node.clock, this.node.events);
+		this.dispatcher = dispatcher.Dispatcher.create({
+			backends: this.backends,
+			clock: this.node.clock,
+			zone: settings.zone,
+			random: Math.random,
+			queuePerSlot: () => this.node.config.number('entry.queuePerSlot'),
+		});
+		this.budget = retries.RetryBudget.create(() => this.node.config.number('entry.retryBudgetPercent'));
+	}
+
+	static create(given: settings.EntrySettings): Entry {
+		return new Entry(given);
+	}
+
+	async start(): Promise<void> {
+		await this.node.start();
+		for (const zone of this.settings.zones) this.lists.push(this.followZone(zone));
+		this.sharing = clocks.every(this.node.clock, roundMs, () => {
+			this.shareRound();
+		});
+	}
+
+	/** Planned stop: health says so first, then no new connection, then what is in flight is finished. */
+	async stop(): Promise<void> {
+		this.node.stopping = true;
+		this.node.events.emit('process.stopping', { inFlight: this.inFlight });
+		await clocks.sleep(this.node.clock, this.settings['drain-ms']);
+		this.node.httpServer.close();
+		this.node.httpServer.closeIdleConnections();
+		while (this.inFlight > 0) await new Promise<void>((resolve) => (this.idle = resolve));
+		this.sharing?.cancel();
+		for (const list of this.lists) list.stop();
+		await this.node.leave();
+		await this.backends.close();
+		await this.node.close();
+	}
+
+	private followZone(zone: string): platform.Follower {
+		return platform.Follower.create(this.node.store, this.node.clock, {
+			prefix: boxes.backendsKey(zone),
+			relistMs: boxes.boxesRelistMs,
+			onView: (view) => {
+				const listed = boxes.parseBackends(view.get(boxes.backendsKey(zone)));
+				if (listed === undefined) return;
+				this.backends.setZone(zone, listed);
+				this.shareRound();
+			},
+		});
+	}
+
+	private leavingIds(): string[] {
+		return this.backends.all.filter((one) => one.leaving).map((one) => one.box.id);
+	}
+
+	private onGossip(gossip: wire.Gossip): void {
+		if (gossip.role !== 'entry') return;
+		this.peerDemand.set(gossip.box, { demand: gossip.demand ?? {}, heardAt: this.node.clock.now() });
+		for (const id of gossip.leaving ?? []) this.backends.markLeaving(id);
+	}
+
+	/** Works out the shares anew from what the zone's entry boxes told last. */
+	private shareRound(): void {
+		const now = this.node.clock.now();
+		for (const [box, peer] of this.peerDemand) {
+			if (now - peer.heardAt > silentRounds * roundMs) this.peerDemand.delete(box);
+		}
+		const own = this.dispatcher.demand();
+		const percent = this.node.config.number('entry.overflowPercent');
+		const afar = this.node.members.members.filter((one) => one.role === 'entry');
+		for (const backend of this.backends.all) {
+			const { id, service, slots } = backend.box;
+			if (backend.zone === this.settings.zone) {
+				const demands = [{ box: this.node.boot, demand: own[service] ?? 0 }];
+				for (const [box, peer] of this.peerDemand) demands.push({ box, demand: peer.demand[service] ?? 0 });
+				const kept = this.settings.zones.length > 1 ? shares.keptForAfar(slots, percent) : 0;
+				const mine = shares.shareSlots(id, slots - kept, demands).get(this.node.boot) ?? 0;
+				backend.share.next(mine);
+				continue;
+			}
+			const foreign = afar.filter((one) => one.zone !== backend.zone).map((one) => one.boot);
+			const kept = shares.keptForAfar(slots, percent);
+			backend.share.next(shares.shareFromAfar(id, kept, foreign, this.node.boot));
+		}
+		this.dispatcher.pump();
+	}
+
+	private async serve(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+		const startedAt = this.node.clock.now();
+		const given = req.headers[forward.requestIdHeader];
+		const id = typeof given === 'string' && /^[\w.-]{1,128}$/.test(given) ? given : crypto.randomUUID();
+		this.inFlight += 1;
+		this.node.metrics.count('requests');
+		// Connections of a stopping box end with their answer, so that no request meets a closing connection.
+		if (this.node.stopping) res.setHeader('connection', 'close');
+		const err = await this.handle(req, res, id, startedAt);
+		if (err !== undefined) this.tellProblem(res, err, id);
+		this.node.metrics.time('request', this.node.clock.now() - startedAt);
+		this.inFlight -= 1;
+		if (this.inFlight === 0) this.idle();
+	}
+
+	private tellProblem(res: http.ServerResponse, err: errors.Failure, id: string): void {
+		const name = err.run === 'may-have-run' ? 'request.failed' : 'request.refused';
+		this.node.metrics.count(err.run === 'may-have-run' ? 'requests_may_have_run' : 'requests_not_run');
+		this.node.events.emit(name, { request: id, reason: `${err.name}: ${err.detail}` });
+		caller.writeProblem(res, err, id);
+	}
+
+	private async handle(
+		req: http.IncomingMessage,
+		res: http.ServerResponse,
+		id: string,
+		startedAt: number,
+	): Promise<errors.Failure | undefined> {
+		if (!this.node.config.known) {
+			const detail = 'the configuration is not known yet';
+			return errors.failure('Stopping', detail, { retryAfterMs: stoppingRetryMs, run: 'not-run' });
+		}
+		const parsed = caller.parseRequest(req, this.node.config.number('entry.deadlineMs'));
+		if (!parsed.ok) return parsed.err;
+		const body = await caller.readBody(req, this.settings['max-body-bytes']);
+		if (!body.ok) return body.err;
+		const { path, deadlineMs } = parsed.value;
+		const headers = forward.endToEnd(req.headers);
+		const flight: Flight = {
+			...parsed.value,
+			req: { id, method: req.method ?? 'GET', path, headers, body: body.value },
+			deadlineAt: startedAt + deadlineMs,
+		};
+		return flight.key === undefined ? this.run(flight, res) : this.runOnce(flight, flight.key, res);
+	}
+
+	/** A request under a caller's key: claimed first, sent at most once, its end told to the claim. */
+	private async runOnce(
+		flight: Flight,
+		key: string,
+		res: http.ServerResponse,
+	): Promise<errors.Failure | undefined> {
+		const deps = this.claimDeps();
+		const name = claims.claimKey(flight.service, flight.caller, key);
+		const hash = claims.requestHash(flight.req.method, flight.req.path, flight.req.body);
+		const begun = await claims.begin(deps, name, hash, flight.req.id, flight.deadlineAt);
+		if (!begun.ok) return begun.err;
+		if (begun.value.kind === 'answered') {
+			const { status, contentType, body } = begun.value.answer;
+			caller.writeWhole(res, flight.req.id, { status, headers: { 'content-type': contentType }, body });
+			return undefined;
+		}
+		const { claim } = begun.value;
+		let answer: { status: number; contentType: string; body: Uint8Array } | undefined;
+		const err = await this.run(flight, res, (whole) => {
+			answer = {
+				status: whole.status,
+				contentType: String(whole.headers['content-type'] ?? ''),
+				body: whole.body,
+			};
+		});
+		const outcome = err === undefined ? 'done' : (err.run ?? 'may-have-run');
+		void claims.end(deps, claim, outcome, answer);
+		return err;
+	}
+
+	/** Sends a request, a second time elsewhere if that is allowed and wanted, and writes the answer. */
+	private async run(
+		flight: Flight,
+		res: http.ServerResponse,
+		onWhole: (answer: Extract<forward.SendOutcome, { kind: 'whole' }>) => void = () => undefined,
+	): Promise<errors.Failure | undefined> {
+		this.budget.first();
+		let avoid: string | undefined;
+		let mayHaveRun = false;
+		for (let tries = 1; ; tries += 1) {
+			const granted = await this.dispatcher.acquire(flight.service, flight.deadlineAt, avoid);
+			if (!granted.ok) return mayHaveRun ? { ...granted.err, run: 'may-have-run' } : granted.err;
+			const { backend, end } = granted.value;
+			const outcome = await forward.send(backend.pool, flight.req, flight.deadlineAt - this.node.clock.now());
+			if (outcome.kind === 'whole') {
+				end('answered');
+				onWhole(outcome);
+				caller.writeWhole(res, flight.req.id, outcome);
+				return undefined;
+			}
+			if (outcome.kind === 'large') return this.passLarge(flight, res, outcome, end);
+			end(outcome.kind);
+			const notRun = outcome.kind === 'refused' || outcome.run === 'not-run';
+			if (outcome.kind === 'refused' && outcome.leaving) this.backends.markLeaving(backend.box.id);
+			mayHaveRun ||= !notRun;
+			const reason = outcome.kind === 'refused' ? 'refused: its slots are taken' : outcome.reason;
+			avoid = backend.box.id;
+			if (tries >= maxTries || !this.mayTryAgain(flight, notRun))
+				return this.failed(flight, backend.box.id, reason, mayHaveRun);
+			this.node.metrics.count('retries');
+			this.node.events.emit('request.retried', { request: flight.req.id, backend: avoid, reason });
+		}
+	}
+
+	/**
+	 * Another try needs time left. What was certainly not run may be tried again a few times, since it cost no backend
+	 * server any work; what may have run only if it is safe to repeat and the budget allows it.
+	 */
+	private mayTryAgain(flight: Flight, notRun: boolean): boolean {
+		if (this.node.clock.now() >= flight.deadlineAt) return false;
+		return notRun || (flight.repeatable && this.budget.second());
+	}
+
+	private failed(flight: Flight, backend: string, reason: string, mayHaveRun: boolean): errors.Failure {
+		const run = mayHaveRun ? 'may-have-run' : 'not-run';
+		const late = this.node.clock.now() >= flight.deadlineAt;
+		if (!mayHaveRun)
+			return errors.failure('NoBackend', `${backend}: ${reason}`, { retryAfterMs: 1_000, run });
+		return errors.failure(late ? 'DeadlineExceeded' : 'BackendFailed', `${backend}: ${reason}`, { run });
+	}
+
+	private async passLarge(
+		flight: Flight,
+		res: http.ServerResponse,
+		answer: Extract<forward.SendOutcome, { kind: 'large' }>,
+		end: dispatcher.Grant['end'],
+	): Promise<errors.Failure | undefined> {
+		const whole = await caller.writeLarge(res, flight.req.id, answer);
+		end(whole ? 'answered' : 'failed');
+		if (whole) return undefined;
+		return errors.failure('BackendFailed', 'a large answer broke off', { run: 'may-have-run' });
+	}
+
+	private claimDeps(): claims.ClaimDeps {
+		return {
+			peers: this.node.peers,
+			clock: this.node.clock,
+			members: () => this.node.members.members,
+			zones: this.settings.zones,
+			shardsPerZone: this.settings['shards-per-zone'],
+			boot: this.node.boot,
+		};
+	}
+}
--- /dev/null
+++ b/src/core/entry/retry-budget.ts
@@ -0,0 +1,28 @@
+/** Second tries may only be a few per cent of first tries, so that they never multiply a failing zone's load. */
+
+/** Second tries that may be saved up while none is needed. */
+const largestSaving = 10;
+
+/** A budget of second tries. */
+export class RetryBudget {
+	private saved = 1;
+
+	private constructor(private readonly percent: () => number) {}
+
+	/** `percent` is read at each first try, so that a configuration change holds at once. */
+	static create(percent: () => number): RetryBudget {
+		return new RetryBudget(percent);
+	}
+
+	/** Counts a first try. */
+	first(): void {
+		this.saved = Math.min(largestSaving, this.saved + this.percent() / 100);
+	}
+
+	/** Takes a second try, if one is left. */
+	second(): boolean {
+		if (this.saved < 1) return false;
+		this.saved -= 1;
+		return true;
+	}
+}
--- /dev/null
+++ b/src/core/entry/settings.ts
@@ -0,0 +1,23 @@
+/** Settings of `woodcross-entry`. */
+import * as common from '../settings/common.js';
+import * as settings from '../settings/index.js';
+
+/** The rows. */
+export const entrySettings = {
+	...common.commonSettings,
+	'max-body-bytes': settings.setting({
+		schema: common.count,
+		default: '8388608',
+		text: "Largest body of a caller's request, in bytes.",
+		example: '1048576',
+	}),
+	'drain-ms': settings.setting({
+		schema: common.milliseconds,
+		default: '2000',
+		text: 'Milliseconds of a planned stop in which the balancer learns that this box is stopping; requests are still taken.',
+		example: '5000',
+	}),
+} as const satisfies settings.SettingTable;
+
+/** Checked settings of the entry. */
+export type EntrySettings = settings.Settings<typeof entrySettings>;
--- /dev/null
+++ b/src/core/metrics/index.ts
@@ -0,0 +1,57 @@
+/** Counters and latency histograms of a process, shown as Prometheus text on `/metrics`. */
+import * as hdr from 'hdr-histogram-js';
+
+/** Quantiles shown of each histogram, in per cent. */
+const quantiles = [50, 90, 99, 99.9];
+
+/** Largest latency recorded, in microseconds. */
+const largestUs = 600_000_000;
+
+/** A process's metrics. */
+export class Metrics {
+	private readonly counters = new Map<string, number>();
+	private readonly histograms = new Map<string, hdr.Histogram>();
+
+	private constructor() {
+		// Built by `create`, like every class here.
+	}
+
+	static create(): Metrics {
+		return new Metrics();
+	}
+
+	/** Adds to a counter. */
+	count(name: string, by = 1): void {
+		this.counters.set(name, (this.counters.get(name) ?? 0) + by);
+	}
+
+	/** Records a latency in milliseconds. */
+	time(name: string, ms: number): void {
+		let histogram = this.histograms.get(name);
+		if (histogram === undefined) {
+			histogram = hdr.build({ numberOfSignificantValueDigits: 3, highestTrackableValue: largestUs });
+			this.histograms.set(name, histogram);
+		}
+		histogram.recordValue(Math.min(largestUs, Math.max(0, Math.round(ms * 1000))));
+	}
+
+	/** A counter's value. */
+	get(name: string): number {
+		return this.counters.get(name) ?? 0;
+	}
+
+	/** Prometheus text exposition format; `gauges` are read now. */
+	text(gauges: Record<string, number> = {}): string {
+		const lines: string[] = [];
+		for (const [name, value] of this.counters) lines.push(`woodcross_${name}_total ${value}`);
+		for (const [name, value] of Object.entries(gauges)) lines.push(`woodcross_${name} ${value}`);
+		for (const [name, histogram] of this.histograms) {
+			for (const quantile of quantiles) {
+				const ms = histogram.getValueAtPercentile(quantile) / 1000;
+				lines.push(`woodcross_${name}_ms{quantile="${quantile / 100}"} ${ms}`);
+			}
+			lines.push(`woodcross_${name}_ms_count ${histogram.totalCount}`);
+		}
+		return `${lines.join('\n')}\n`;
+	}
+}
--- /dev/null
+++ b/src/core/node/index.ts
@@ -0,0 +1,239 @@
+/** What the three long-running programs share: log, platform, peers, membership, configuration, health and metrics. */
+import * as crypto from 'node:crypto';
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import * as h3 from 'h3';
+import * as clocks from '../clock.js';
+import * as config from '../config/index.js';
+import * as errors from '../errors/index.js';
+import * as events from '../events/index.js';
+import * as membership from '../membership/index.js';
+import * as metrics from '../metrics/index.js';
+import * as platform from '../platform/index.js';
+import * as results from '../result.js';
+import * as wire from '../wire/index.js';
+import type * as common from '../settings/common.js';
+
+/** Milliseconds between gossip rounds of a process without demand of its own. */
+const gossipMs = 1_000;
+
+/** Milliseconds a gossip message may take. */
+const gossipTimeoutMs = 900;
+
+/** Largest header block of a request, in bytes. */
+const maxHeaderBytes = 16 * 1024;
+
+/** Milliseconds within which a caller must have sent its headers. */
+const headersTimeoutMs = 10_000;
+
+/** What a program adds to the shared part. */
+export interface NodeParts {
+	role: membership.Role;
+	/** Answers peers' requests beyond gossip, configuration and events. */
+	onPeer: (req: wire.PeerReq) => Promise<results.Result<unknown, errors.Failure>>;
+	onMembers?: () => void;
+	onConfig?: (record: wire.ConfigRecord) => void;
+	/** What this process adds to its gossip. */
+	gossip?: () => Partial<wire.Gossip>;
+	onGossip?: (gossip: wire.Gossip) => void;
+	gossipMs?: number;
+	/** Gossip partners; by default every process of the zone. */
+	partners?: (members: membership.Membership) => membership.Member[];
+	/** Routes beside `/healthz` and `/metrics`. */
+	routes?: (app: h3.H3) => void;
+	gauges?: () => Record<string, number>;
+	/** Where callers or operators connect, if that is not the HTTP address. */
+	serves?: string;
+}
+
+/** A running process of the system. */
+export class Node {
+	readonly clock = clocks.systemClock;
+	readonly metrics = metrics.Metrics.create();
+	readonly boot: string;
+	stopping = false;
+	readonly events: events.EventLog;
+	readonly store: platform.EtcdStore;
+	readonly peers: wire.PeerClient;
+	members!: membership.Membership;
+	config!: config.ConfigTask;
+	private server!: wire.PeerServer;
+	private http!: http.Server;
+	private gossiping: clocks.Timer | undefined;
+
+	private constructor(
+		readonly settings: common.CommonSettings,
+		private readonly parts: NodeParts,
+	) {
+		this.boot = `${settings.box}/${parts.role}/${crypto.randomUUID().slice(0, 8)}`;
+		this.events = events.EventLog.create(this.boot, this.clock, settings.log, settings['log-level']);
+		this.store = platform.EtcdStore.create(settings.platform);
+		this.peers = wire.PeerClient.create(this.clock, this.events);
+	}
+
+	/** Builds the process without its program's part, so that the part can hold the node. */
+	static create(settings: common.CommonSettings, parts: NodeParts): Node {
+		return new Node(settings, parts);
+	}
+
+	/** Listens, registers, and starts to follow members and configuration. */
+	async start(): Promise<void> {
+		const [peerHost, peerPort] = splitAddress(this.settings['peer-listen']);
+		this.server = await wire.PeerServer.create(peerHost, peerPort, this.events, (req) => this.onPeer(req));
+		const httpAddress = await this.listenHttp();
+		const self: membership.Member = {
+			box: this.settings.box,
+			role: this.parts.role,
+			zone: this.settings.zone,
+			boot: this.boot,
+			peer: this.server.address,
+			serves: this.parts.serves ?? httpAddress,
+		};
+		this.members = membership.Membership.create(self, this.store, this.clock, this.events, () => {
+			this.parts.onMembers?.();
+		});
+		this.config = config.ConfigTask.create({
+			store: this.store,
+			clock: this.clock,
+			events: this.events,
+			peers: this.peers,
+			zonePeers: () => this.peerAddresses(),
+			onApplied: (record) => this.parts.onConfig?.(record),
+		});
+		const partners = this.parts.partners ?? ((members: membership.Membership) => members.zonePeers());
+		this.gossiping = clocks.every(this.clock, this.parts.gossipMs ?? gossipMs, () => {
+			this.sendGossip(partners(this.members));
+		});
+		this.askSeeds();
+		this.events.emit('process.started', { peer: self.peer, serves: self.serves });
+	}
+
+	/** Stops taking part: peers and platform learn it at once. Callers' connections are the program's to finish. */
+	async leave(): Promise<void> {
+		this.gossiping?.cancel();
+		this.config.stop();
+		await this.members.leave();
+	}
+
+	/** Closes what is left. */
+	async close(): Promise<void> {
+		this.peers.close();
+		await this.server.close();
+		this.http.closeAllConnections();
+		await new Promise<void>((resolve) => {
+			this.http.close(() => {
+				resolve();
+			});
+		});
+		await this.store.close();
+		this.events.emit('process.stopped');
+	}
+
+	/** Addresses of the zone's other processes, and the seeds. */
+	peerAddresses(): string[] {
+		return [...new Set([...this.members.zonePeers().map((one) => one.peer), ...this.settings.peers])];
+	}
+
+	/** The plain HTTP server, for programs that count its connections. */
+	get httpServer(): http.Server {
+		return this.http;
+	}
+
+	private async listenHttp(): Promise<string> {
+		const app = new h3.H3();
+		app.get('/healthz', (event) => {
+			const ready = this.config.known && !this.stopping;
+			event.res.status = ready ? 200 : 503;
+			return { ready, stopping: this.stopping, configVersion: this.config.record.version, boot: this.boot };
+		});
+		app.get('/metrics', (event) => {
+			event.res.headers.set('content-type', 'text/plain; version=0.0.4');
+			const { rss } = process.memoryUsage();
+			const { user, system } = process.cpuUsage();
+			const own = { config_version: this.config.record.version, memory_bytes: rss, cpu_us: user + system };
+			return this.metrics.text({ ...own, ...this.parts.gauges?.() });
+		});
+		this.parts.routes?.(app);
+		const opts = { maxHeaderSize: maxHeaderBytes, headersTimeout: headersTimeoutMs, requestTimeout: 0 };
+		this.http = http.createServer(opts, h3.toNodeHandler(app));
+		const [host, port] = splitAddress(this.settings['http-listen']);
+		await new Promise<void>((resolve, reject) => {
+			this.http.once('error', reject);
+			this.http.listen(port, host, resolve);
+		});
+		const at = this.http.address() as net.AddressInfo;
+		return `${at.address}:${at.port}`;
+	}
+
+	/** While no record is known (the platform is out at the start), the seeds are asked for theirs. */
+	private askSeeds(): void {
+		if (this.config.known) return;
+		for (const seed of this.settings.peers) void this.config.heard(Infinity, seed);
+	}
+
+	private sendGossip(partners: membership.Member[]): void {
+		this.askSeeds();
+		const message: wire.Gossip = {
+			type: 'gossip',
+			box: this.boot,
+			role: this.parts.role,
+			configVersion: this.config.record.version,
+			...this.parts.gossip?.(),
+		};
+		for (const member of partners) {
+			void this.peers.call<{ configVersion: number }>(member.peer, message, gossipTimeoutMs).then((res) => {
+				if (res.ok && res.value.ok) void this.config.heard(res.value.value.configVersion, member.peer);
+			});
+		}
+	}
+
+	private async onPeer(req: wire.PeerReq): Promise<results.Result<unknown, errors.Failure>> {
+		switch (req.type) {
+			case 'gossip':
+				this.noteGossip(req);
+				return results.ok({ configVersion: this.config.record.version });
+			case 'config.push':
+				this.config.offer(req.record, false);
+				return results.ok({ version: this.config.record.version });
+			case 'config.get':
+				if (!this.config.known)
+					return results.fail(errors.failure('PlatformUnavailable', 'no record known yet'));
+				return results.ok(this.config.record);
+			case 'events':
+				return results.ok(this.selectEvents(req.about, req.limit));
+			default:
+				return this.parts.onPeer(req);
+		}
+	}
+
+	private noteGossip(gossip: wire.Gossip): void {
+		const sender = this.members.members.find((one) => one.boot === gossip.box);
+		if (sender !== undefined) void this.config.heard(gossip.configVersion, sender.peer);
+		this.parts.onGossip?.(gossip);
+	}
+
+	/** Events of this process about something; undefined: all. */
+	selectEvents(about: string | undefined, limit: number): events.LoggedEvent[] {
+		const wanted = (event: events.LoggedEvent): boolean =>
+			about === undefined || event.process.includes(about) || Object.values(event.fields).includes(about);
+		return this.events.select(wanted).slice(-limit);
+	}
+}
+
+/** Splits `host:port`. */
+export function splitAddress(address: string): [string, number] {
+	const cut = address.lastIndexOf(':');
+	return [address.slice(0, cut), Number(address.slice(cut + 1))];
+}
+
+/** Runs `stop` once on SIGTERM or SIGINT, then exits with 0. */
+export function stopOnSignals(stop: () => Promise<void>): void {
+	let stopping = false;
+	const once = (): void => {
+		if (stopping) return;
+		stopping = true;
+		void stop().then(() => process.exit(0));
+	};
+	process.on('SIGTERM', once);
+	process.on('SIGINT', once);
+}
--- /dev/null
+++ b/src/core/operator/index.ts
@@ -0,0 +1,6 @@
+/** Operators' remote procedure calls: the process that answers them, and the client. */
+export * from './client.js';
+export { Operator } from './process.js';
+export { operatorSettings } from './settings.js';
+export type { OperatorSettings } from './settings.js';
+export type * from './types.js';
--- /dev/null
+++ b/src/core/operator/jobs.ts
@@ -0,0 +1,108 @@
+/** Submitting, cancelling and looking up jobs over the shards that take care of their parts. */
+import * as errors from '../errors/index.js';
+import * as results from '../result.js';
+import * as shardCalls from './shard-calls.js';
+import * as shards from '../shard/index.js';
+import * as tasks from '../task/index.js';
+import type * as scheduler from '../scheduler/index.js';
+import type * as types from './types.js';
+
+/** What the calls need. */
+export interface JobDeps extends shardCalls.ShardCallDeps {
+	zones: readonly string[];
+	shardsPerZone: number;
+}
+
+/** Milliseconds a call may take in all. */
+const callMs = 8_000;
+
+/** Checks a declaration; names the path of the first fault. */
+export function parseSpec(
+	text: string,
+	zones: readonly string[],
+): results.Result<tasks.JobSpec, errors.Failure> {
+	const bad = (detail: string): results.Result<never, errors.Failure> =>
+		results.fail(errors.failure('InvalidSpec', detail));
+	let raw: unknown;
+	try {
+		raw = JSON.parse(text);
+	} catch (err) {
+		return bad(`not JSON: ${String(err)}`);
+	}
+	const parsed = tasks.jobSpec.safeParse(raw);
+	if (!parsed.success) {
+		const issues = parsed.error.issues.map(
+			(issue) => `${issue.path.join('.') || 'top level'}: ${issue.message}`,
+		);
+		return bad(issues.join('; '));
+	}
+	const unknown = (parsed.data.zones ?? []).filter((zone) => !zones.includes(zone));
+	if (unknown.length > 0) return bad(`zones: ${unknown.join(', ')} not known; zones are ${zones.join(', ')}`);
+	return results.ok(parsed.data);
+}
+
+/** Submits every part; idempotent, so an operator may repeat it after any failure. */
+export async function submitJob(
+	deps: JobDeps,
+	spec: tasks.JobSpec,
+): Promise<results.Result<types.PartsReply, errors.Failure>> {
+	const parts = shards.partsOf(spec, deps.zones);
+	const done = await Promise.all(parts.map((part) => submitPart(deps, part)));
+	return gather(done);
+}
+
+async function submitPart(
+	deps: JobDeps,
+	part: tasks.JobPart,
+): Promise<results.Result<types.Part, errors.Failure>> {
+	let shard = shards.shardOrder(part, deps.zones, deps.shardsPerZone)[0] ?? '';
+	for (;;) {
+		const req = { type: 'shard.submit', shard, job: part } as const;
+		const res = await shardCalls.callShard<scheduler.SubmitReply>(deps, req, callMs);
+		if (!res.ok) return res;
+		if (res.value.at === 'here') return results.ok({ id: part.id, shard, created: res.value.created });
+		shard = res.value.shard;
+	}
+}
+
+/** Cancels every part of a job. Parts are found as submit placed them. */
+export async function cancelJob(
+	deps: JobDeps,
+	job: string,
+): Promise<results.Result<types.PartsReply, errors.Failure>> {
+	const ids = [job, ...deps.zones.map((zone) => `${job}@${zone}`)];
+	const done = await Promise.all(ids.map((id) => cancelPart(deps, id)));
+	const found = done.filter((one) => one.ok || one.err.name !== 'JobUnknown');
+	if (found.length === 0) return results.fail(errors.failure('JobUnknown', job));
+	return gather(found);
+}
+
+async function cancelPart(deps: JobDeps, id: string): Promise<results.Result<types.Part, errors.Failure>> {
+	const req = (shard: string): shardCalls.ShardPeerReq => ({ type: 'shard.cancel', shard, job: id });
+	let unreachable: errors.Failure | undefined;
+	for (const shard of candidateShards(deps, id)) {
+		const res = await shardCalls.callShard<{ at: string; shard?: string }>(deps, req(shard), callMs);
+		if (res.ok && res.value.at === 'here') return results.ok({ id, shard, created: false });
+		if (!res.ok && res.err.name !== 'JobUnknown') unreachable = res.err;
+	}
+	return results.fail(unreachable ?? errors.failure('JobUnknown', id));
+}
+
+/** Shards that may hold a part known only by its id, likeliest first. */
+export function candidateShards(deps: JobDeps, id: string): string[] {
+	const zone = /@([^/]+)/.exec(id)?.[1];
+	const zones = zone === undefined ? deps.zones : [zone];
+	const spec = { zones: [...zones] } as tasks.JobSpec;
+	return shards.shardOrder({ id, spec, tasks: 1 }, deps.zones, deps.shardsPerZone);
+}
+
+function gather(
+	done: results.Result<types.Part, errors.Failure>[],
+): results.Result<types.PartsReply, errors.Failure> {
+	const parts: types.Part[] = [];
+	for (const one of done) {
+		if (!one.ok) return one;
+		parts.push(one.value);
+	}
+	return results.ok({ parts });
+}
--- /dev/null
+++ b/src/core/operator/process.ts
@@ -0,0 +1,182 @@
+/** `woodcross-operator`: answers operators' remote procedure calls. */
+import * as grpc from '@grpc/grpc-js';
+import * as config from '../config/index.js';
+import * as errors from '../errors/index.js';
+import * as jobs from './jobs.js';
+import * as node from '../node/index.js';
+import * as results from '../result.js';
+import * as schema from './schema.js';
+import * as views from './views.js';
+import type * as settings from './settings.js';
+import type * as types from './types.js';
+import type * as wire from '../wire/index.js';
+
+/** Milliseconds a configuration change may take to be stored. */
+const storeMs = 6_000;
+
+/** Milliseconds that processes get to confirm a new version before the operator is answered. */
+const confirmMs = 1_000;
+
+/** Events of a time line at most. */
+const maxEvents = 20_000;
+
+/** Events of a time line if the operator names no number. */
+const defaultEvents = 500;
+
+type Outcome<T> = Promise<results.Result<T, errors.Failure>>;
+
+/** The operator process. */
+export class Operator {
+	private node!: node.Node;
+	private readonly server = new grpc.Server({ 'grpc.max_receive_message_length': schema.maxMessageBytes });
+
+	private constructor(private readonly settings: settings.OperatorSettings) {}
+
+	static create(given: settings.OperatorSettings): Operator {
+		return new Operator(given);
+	}
+
+	async start(): Promise<void> {
+		this.server.addService(schema.loadService().service, {
+			submit: unary((req: types.SubmitRequest) => this.submit(req)),
+			cancel: unary((req: types.CancelRequest) => jobs.cancelJob(this.jobDeps(), req.job)),
+			status: unary(async (req: types.StatusRequest) =>
+				results.ok(await views.status(this.jobDeps(), req.team)),
+			),
+			explain: unary((req: types.ExplainRequest) => views.explain(this.jobDeps(), req.task)),
+			getConfig: unary(() => Promise.resolve(results.ok(this.getConfig()))),
+			setConfig: unary((req: types.SetConfigRequest) => this.setConfig(req)),
+			boxes: unary(async () => results.ok(await views.boxes(this.processDeps()))),
+			timeline: unary((req: types.TimelineRequest) => this.timeline(req)),
+		});
+		const address = await this.listen();
+		this.node = node.Node.create(this.settings, {
+			role: 'operator',
+			onPeer: (req) =>
+				Promise.resolve(results.fail(errors.failure('InvalidRequest', `${req.type} is not for an operator`))),
+			serves: address,
+		});
+		await this.node.start();
+	}
+
+	/** Planned stop: calls under way are finished. */
+	async stop(): Promise<void> {
+		this.node.stopping = true;
+		this.node.events.emit('process.stopping');
+		await this.node.leave();
+		await new Promise<void>((resolve) => {
+			this.server.tryShutdown(() => {
+				resolve();
+			});
+		});
+		await this.node.close();
+	}
+
+	private listen(): Promise<string> {
+		const [host] = node.splitAddress(this.settings['grpc-listen']);
+		return new Promise((resolve, reject) => {
+			this.server.bindAsync(
+				this.settings['grpc-listen'],
+				grpc.ServerCredentials.createInsecure(),
+				(err, port) => {
+					if (err) reject(err);
+					else resolve(`${host}:${port}`);
+				},
+			);
+		});
+	}
+
+	private async submit(req: types.SubmitRequest): Outcome<types.PartsReply> {
+		const spec = jobs.parseSpec(req.specJson, this.settings.zones);
+		if (!spec.ok) return spec;
+		return jobs.submitJob(this.jobDeps(), spec.value);
+	}
+
+	private getConfig(): types.ConfigReply {
+		const { record } = this.node.config;
+		const entries = Object.entries(config.configKeys).map(([key, row]) => ({
+			key,
+			value: JSON.stringify(record.values[key] ?? row.default),
+			isDefault: !(key in record.values),
+			text: row.text,
+		}));
+		const history = record.history.map((change) => ({ ...change, value: JSON.stringify(change.value) }));
+		return { version: record.version, entries, history };
+	}
+
+	private async setConfig(req: types.SetConfigRequest): Outcome<types.SetConfigReply> {
+		const { store, clock } = this.node;
+		const seen = req.seenVersion > 0 ? req.seenVersion : undefined;
+		const change = { key: req.key, value: req.value, by: req.by || 'unnamed', seen };
+		const stored = await config.changeRecord(store, clock, change, storeMs);
+		if (!stored.ok) return stored;
+		const { version } = stored.value;
+		this.node.events.emit('config.accepted', { version, key: req.key, reason: change.by });
+		this.node.config.offer(stored.value, false);
+		return results.ok({ version, ...(await this.push(stored.value)) });
+	}
+
+	/** Tells every known process at once, so that an outage right after the write does not hold the change back. */
+	private async push(record: wire.ConfigRecord): Promise<{ confirmed: string[]; unconfirmed: string[] }> {
+		const confirmed: string[] = [];
+		const unconfirmed: string[] = [];
+		const pushes = this.node.members.members.map(async (member) => {
+			const own = member.boot === this.node.boot;
+			const req = { type: 'config.push', record } as const;
+			const res = own
+				? undefined
+				: await this.node.peers.call<{ version: number }>(member.peer, req, confirmMs);
+			const version = res?.ok === true && res.value.ok ? res.value.value.version : 0;
+			(own || version >= record.version ? confirmed : unconfirmed).push(member.boot);
+		});
+		await Promise.all(pushes);
+		return { confirmed: confirmed.sort(), unconfirmed: unconfirmed.sort() };
+	}
+
+	private async timeline(req: types.TimelineRequest): Outcome<types.TimelineReply> {
+		const limit = req.limit === 0 ? defaultEvents : req.limit;
+		if (limit < 0 || limit > maxEvents) {
+			return results.fail(
+				errors.failure('InvalidRequest', `limit: ${limit} is not between 1 and ${maxEvents}`),
+			);
+		}
+		return results.ok(await views.timeline(this.processDeps(), req.about, limit));
+	}
+
+	private jobDeps(): jobs.JobDeps {
+		return {
+			peers: this.node.peers,
+			clock: this.node.clock,
+			members: () => this.node.members.members,
+			zones: this.settings.zones,
+			shardsPerZone: this.settings['shards-per-zone'],
+		};
+	}
+
+	private processDeps(): views.ProcessDeps {
+		return {
+			peers: this.node.peers,
+			members: () => this.node.members.members,
+			ownEvents: (about) => this.node.selectEvents(about, maxEvents),
+			self: this.node.members.self,
+			ownVersion: () => this.node.config.record.version,
+		};
+	}
+}
+
+/** Wraps a handler that returns an outcome as a gRPC method; the failure's catalogue row gives the status code. */
+function unary<Req, Res>(handler: (req: Req) => Outcome<Res>): grpc.handleUnaryCall<Req, Res> {
+	return (call, done) => {
+		void handler(call.request).then((outcome) => {
+			if (outcome.ok) done(null, outcome.value);
+			else done(toStatus(outcome.err));
+		});
+	};
+}
+
+function toStatus(err: errors.Failure): Partial<grpc.StatusObject> {
+	const metadata = new grpc.Metadata();
+	metadata.set('woodcross-error', err.name);
+	if (err.retryAfterMs !== undefined) metadata.set('woodcross-retry-after-ms', String(err.retryAfterMs));
+	return { code: grpc.status[errors.rowOf(err).grpc], details: errors.toLine(err), metadata };
+}
--- /dev/null
+++ b/src/core/operator/types.ts
@@ -0,0 +1,142 @@
+/** The messages of `proto/woodcross.proto`, as `@grpc/proto-loader` gives them with `longs: Number`. */
+import type * as grpc from '@grpc/grpc-js';
+
+export interface SubmitRequest {
+	specJson: string;
+}
+
+export interface Part {
+	id: string;
+	shard: string;
+	created: boolean;
+}
+
+export interface PartsReply {
+	parts: Part[];
+}
+
+export interface CancelRequest {
+	job: string;
+}
+
+export interface StatusRequest {
+	team: string;
+}
+
+export interface JobStatus {
+	id: string;
+	kind: string;
+	state: string;
+	counts: Record<string, number>;
+	submittedAt: number;
+	uncommitted: boolean;
+}
+
+export interface WorkerStatus {
+	id: string;
+	state: string;
+	tasks: number;
+	silentMs: number;
+}
+
+export interface ShardStatus {
+	shard: string;
+	owner: string;
+	epoch: number;
+	entries: number;
+	jobs: JobStatus[];
+	workers: WorkerStatus[];
+	problem: string;
+}
+
+export interface StatusReply {
+	shards: ShardStatus[];
+}
+
+export interface ExplainRequest {
+	task: string;
+}
+
+export interface ExplainReply {
+	task: string;
+	shard: string;
+	state: string;
+	attempt: number;
+	worker: string;
+	why: string;
+	waitsFor: string;
+	lastEnd: string;
+	failures: { attempt: number; worker: string; reason: string }[];
+	held: { attempt: number; worker: string }[];
+	uncommitted: boolean;
+}
+
+export interface ConfigReply {
+	version: number;
+	entries: { key: string; value: string; isDefault: boolean; text: string }[];
+	history: { version: number; at: number; by: string; key: string; value: string }[];
+}
+
+export interface SetConfigRequest {
+	key: string;
+	value: string;
+	by: string;
+	seenVersion: number;
+}
+
+export interface SetConfigReply {
+	version: number;
+	confirmed: string[];
+	unconfirmed: string[];
+}
+
+export interface BoxStatus {
+	boot: string;
+	box: string;
+	role: string;
+	zone: string;
+	reachable: boolean;
+	configVersion: number;
+	serves: string;
+}
+
+export interface BoxesReply {
+	boxes: BoxStatus[];
+}
+
+export interface TimelineRequest {
+	about: string;
+	limit: number;
+}
+
+export interface TimelineEvent {
+	id: number;
+	name: string;
+	ms: number;
+	count: number;
+	process: string;
+	fields: Record<string, string>;
+}
+
+export interface TimelineReply {
+	events: TimelineEvent[];
+	missing: string[];
+}
+
+/** Every call: request and reply by name. */
+export interface Calls {
+	submit: { req: SubmitRequest; res: PartsReply };
+	cancel: { req: CancelRequest; res: PartsReply };
+	status: { req: StatusRequest; res: StatusReply };
+	explain: { req: ExplainRequest; res: ExplainReply };
+	getConfig: { req: object; res: ConfigReply };
+	setConfig: { req: SetConfigRequest; res: SetConfigReply };
+	boxes: { req: object; res: BoxesReply };
+	timeline: { req: TimelineRequest; res: TimelineReply };
+}
+
+/** Name of a call. */
+export type CallName = keyof Calls;
+
+/** The loaded service. */
+export type ServiceClass = grpc.ServiceClientConstructor;
--- /dev/null
+++ b/src/core/operator/views.ts
@@ -0,0 +1,106 @@
+/** What operators look at: status, explanation, boxes and the time line, gathered from all processes. */
+import * as errors from '../errors/index.js';
+import * as events from '../events/index.js';
+import * as jobs from './jobs.js';
+import * as results from '../result.js';
+import * as shardCalls from './shard-calls.js';
+import * as shards from '../shard/index.js';
+import type * as membership from '../membership/index.js';
+import type * as scheduler from '../scheduler/index.js';
+import type * as types from './types.js';
+import type * as wire from '../wire/index.js';
+
+/** Milliseconds a look at one process or shard may take; what gives no answer by then is said to be missing. */
+const lookMs = 2_000;
+
+/** Every shard's status; a shard that can't be reached is listed with the problem. */
+export async function status(deps: jobs.JobDeps, team: string): Promise<types.StatusReply> {
+	const all = deps.zones.flatMap((zone) => shards.shardsOfZone(zone, deps.shardsPerZone));
+	const looked = await Promise.all(all.map((shard) => shardStatus(deps, shard, team)));
+	return { shards: looked };
+}
+
+async function shardStatus(deps: jobs.JobDeps, shard: string, team: string): Promise<types.ShardStatus> {
+	const res = await shardCalls.callShard<scheduler.ShardStatus>(
+		deps,
+		{ type: 'shard.status', shard },
+		lookMs,
+	);
+	if (!res.ok) {
+		return { shard, owner: '', epoch: 0, entries: 0, jobs: [], workers: [], problem: errors.toLine(res.err) };
+	}
+	const wanted = res.value.jobs.filter((job) => team === '' || job.id.startsWith(`${team}/`));
+	return { ...res.value, jobs: wanted, problem: '' };
+}
+
+/** Explains a task, wherever it is. */
+export async function explain(
+	deps: jobs.JobDeps,
+	task: string,
+): Promise<results.Result<types.ExplainReply, errors.Failure>> {
+	const job = task.replace(/\/\d+$/, '');
+	let problem: errors.Failure = errors.failure('JobUnknown', task);
+	for (const shard of jobs.candidateShards(deps, job)) {
+		const req = { type: 'shard.explain', shard, task } as const;
+		const res = await shardCalls.callShard<types.ExplainReply>(deps, req, lookMs);
+		if (res.ok) return res;
+		if (res.err.name !== 'JobUnknown') problem = res.err;
+	}
+	return results.fail(problem);
+}
+
+/** Who to ask beside the shards. */
+export interface ProcessDeps {
+	peers: wire.PeerClient;
+	members: () => readonly membership.Member[];
+	/** This process's own events, for the time line. */
+	ownEvents: (about: string | undefined) => events.LoggedEvent[];
+	self: membership.Member;
+	ownVersion: () => number;
+}
+
+/** Every known process, whether it answers, and its configuration version. */
+export async function boxes(deps: ProcessDeps): Promise<types.BoxesReply> {
+	const asked = deps.members().map(async (member): Promise<types.BoxStatus> => {
+		const version = member.boot === deps.self.boot ? deps.ownVersion() : await versionOf(deps, member);
+		const { boot, box, role, zone, serves } = member;
+		return { boot, box, role, zone, serves, reachable: version !== undefined, configVersion: version ?? 0 };
+	});
+	return { boxes: await Promise.all(asked) };
+}
+
+async function versionOf(deps: ProcessDeps, member: membership.Member): Promise<number | undefined> {
+	const res = await deps.peers.call<wire.ConfigRecord>(member.peer, { type: 'config.get' }, lookMs);
+	if (!res.ok) return undefined;
+	return res.value.ok ? res.value.value.version : 0;
+}
+
+/** The newest events about something, over all processes, in one order. */
+export async function timeline(
+	deps: ProcessDeps,
+	about: string,
+	limit: number,
+): Promise<types.TimelineReply> {
+	const wanted = about === '' ? undefined : about;
+	const missing: string[] = [];
+	const gathered = deps.members().map(async (member): Promise<events.LoggedEvent[]> => {
+		if (member.boot === deps.self.boot) return deps.ownEvents(wanted);
+		const req = { type: 'events', about: wanted, limit } as const;
+		const res = await deps.peers.call<events.LoggedEvent[]>(member.peer, req, lookMs);
+		if (res.ok && res.value.ok) return res.value.value;
+		missing.push(member.boot);
+		return [];
+	});
+	const all = (await Promise.all(gathered)).flat();
+	all.sort((a, b) => events.hlc.compareStamps(a.stamp, b.stamp) || (a.process < b.process ? -1 : 1));
+	return { events: all.slice(-limit).map(toTimelineEvent), missing };
+}
+
+function toTimelineEvent(event: events.LoggedEvent): types.TimelineEvent {
+	const fields: Record<string, string> = {};
+	for (const [key, value] of Object.entries(event.fields)) {
+		if (value !== undefined) fields[key] = String(value);
+	}
+	const { ms, count } = event.stamp;
+	return { id: event.id, name: event.name, ms, count, process: event.process, fields };
+}
--- /dev/null
+++ b/src/core/platform/index.ts
@@ -0,0 +1,5 @@
+/** The platform's key-value service: one typed interface, one adapter. */
+export { callTimeoutMs, EtcdStore } from './etcd.js';
+export { Follower } from './follow.js';
+export type { FollowOptions } from './follow.js';
+export type * from './types.js';
--- /dev/null
+++ b/src/core/scheduler/commands.ts
@@ -0,0 +1,98 @@
+/** What to tell a worker, from the committed state and its newest report. Pure. */
+import * as types from './types.js';
+import type * as shards from '../shard/index.js';
+import type * as workers from '../worker/index.js';
+
+/** What the owner wants of running tasks beyond the log; forgotten when the owner changes. */
+export interface Wishes {
+	/** Tasks told to checkpoint and give way, with the reason. */
+	evictions: ReadonlyMap<string, string>;
+	/** Part of the declared cores that a task may use. */
+	throttles: ReadonlyMap<string, number>;
+}
+
+/** One message's content. */
+export interface Orders {
+	renew: { task: string; attempt: number }[];
+	commands: workers.Command[];
+}
+
+/**
+ * Orders for one worker. Tasks in `uncommitted` are left alone: nothing is told before it is committed.
+ * With `mayRenew` false (past the horizon) no lease is renewed, nothing is started, and batch work is told to
+ * checkpoint and stop, so that little is lost when its lease ends.
+ */
+export function ordersFor(
+	state: shards.ShardState,
+	view: types.WorkerView,
+	wishes: Wishes,
+	uncommitted: ReadonlySet<string>,
+	mayRenew: boolean,
+	notAfter: number,
+): Orders {
+	const orders: Orders = { renew: [], commands: [] };
+	for (const task of state.tasks.values()) {
+		const here = task.worker === view.listed.id && task.incarnation === view.incarnation;
+		if (!here || uncommitted.has(task.id)) continue;
+		placedOrders(orders, state, task, view, wishes, mayRenew, notAfter);
+	}
+	for (const report of view.reports.values()) {
+		if (!uncommitted.has(report.task)) strayOrders(orders, state, report, view);
+	}
+	return orders;
+}
+
+function placedOrders(
+	orders: Orders,
+	state: shards.ShardState,
+	task: shards.TaskRecord,
+	view: types.WorkerView,
+	wishes: Wishes,
+	mayRenew: boolean,
+	notAfter: number,
+): void {
+	const job = state.jobs.get(task.job);
+	if (job === undefined) return;
+	const { spec } = job.part;
+	const ref = { task: task.id, attempt: task.attempt };
+	const report = view.reports.get(task.id);
+	const known = report?.attempt === task.attempt;
+	if (task.state === 'stopping') {
+		if (known && report.state === 'running') orders.commands.push({ type: 'stop', ...ref });
+		return;
+	}
+	if (!known) {
+		if (!mayRenew) return;
+		const { kind, needs, run } = spec;
+		const { checkpoint } = task;
+		orders.commands.push({ type: 'start', ...ref, kind, needs, run, checkpoint, notAfter });
+		return;
+	}
+	if (report.state !== 'running') return;
+	const pastHorizon = spec.kind === 'batch' && !mayRenew;
+	if (pastHorizon || wishes.evictions.has(task.id)) {
+		orders.commands.push({ type: 'stop', ...ref });
+		return;
+	}
+	if (spec.kind === 'batch') orders.renew.push(ref);
+	const share = wishes.throttles.get(task.id) ?? 1;
+	const last = view.throttled.get(types.attemptKey(task.id, task.attempt)) ?? 1;
+	if (share !== last) orders.commands.push({ type: 'throttle', ...ref, share });
+}
+
+/** Attempts on the worker that the log does not place there: stopped, or forgotten once they have ended. */
+function strayOrders(
+	orders: Orders,
+	state: shards.ShardState,
+	report: workers.TaskReport,
+	view: types.WorkerView,
+): void {
+	const task = state.tasks.get(report.task);
+	const current =
+		task?.worker === view.listed.id &&
+		task.incarnation === view.incarnation &&
+		task.attempt === report.attempt;
+	if (current) return;
+	const type = report.state === 'running' ? 'stop' : 'forget';
+	orders.commands.push({ type, task: report.task, attempt: report.attempt });
+}
--- /dev/null
+++ b/src/core/scheduler/index.ts
@@ -0,0 +1,8 @@
+/** The scheduler: owners of shards, and the process around them. */
+export * from './owner.js';
+export { Scheduler } from './process.js';
+export type { JobStatus, ShardStatus, TaskExplanation, WorkerStatus } from './report.js';
+export type { ClaimAnswer, ClaimReply, SubmitReply } from './requests.js';
+export { ownerOptions, schedulerSettings } from './settings.js';
+export type { SchedulerSettings } from './settings.js';
+export * from './types.js';
--- /dev/null
+++ b/src/core/scheduler/process.ts
@@ -0,0 +1,190 @@
+/** `woodcross-scheduler`: owns the shards of its zone that fall to it, and answers peers about them. */
+import * as boxes from '../boxes/index.js';
+import * as clocks from '../clock.js';
+import * as errors from '../errors/index.js';
+import * as membership from '../membership/index.js';
+import * as node from '../node/index.js';
+import * as owners from './owner.js';
+import * as placement from '../placement/index.js';
+import * as platform from '../platform/index.js';
+import * as results from '../result.js';
+import * as settings from './settings.js';
+import * as shards from '../shard/index.js';
+import * as workers from '../worker/index.js';
+import type * as types from './types.js';
+import type * as wire from '../wire/index.js';
+
+/** How often the shards to own are looked at, in milliseconds. */
+const electMs = 250;
+
+/** The scheduler process. */
+export class Scheduler {
+	private readonly node: node.Node;
+	private readonly owned = new Map<string, owners.ShardOwner>();
+	private readonly taking = new Set<string>();
+	private readonly client = workers.WorkerClient.create();
+	private readonly counters: owners.OwnerMetrics;
+	private listed: types.ListedWorker[] | undefined;
+	private electing: clocks.Timer | undefined;
+	private list: platform.Follower | undefined;
+
+	private constructor(private readonly settings: settings.SchedulerSettings) {
+		this.node = node.Node.create(settings, {
+			role: 'scheduler',
+			onPeer: (req) => this.onPeer(req),
+			gauges: () => this.gauges(),
+		});
+		this.counters = {
+			appends: 0,
+			decisions: 0,
+			bytes: 0,
+			exchanges: 0,
+			starts: 0,
+			recordCommitMs: (ms) => {
+				this.node.metrics.time('commit', ms);
+			},
+		};
+	}
+
+	static create(given: settings.SchedulerSettings): Scheduler {
+		return new Scheduler(given);
+	}
+
+	async start(): Promise<void> {
+		await this.node.start();
+		this.list = platform.Follower.create(this.node.store, this.node.clock, {
+			prefix: boxes.workersKey(this.settings.zone),
+			relistMs: boxes.boxesRelistMs,
+			onView: (view) => {
+				this.takeList(view.get(boxes.workersKey(this.settings.zone)));
+			},
+		});
+		this.electing = clocks.every(this.node.clock, electMs, () => this.elect());
+	}
+
+	/** Planned stop: hands every shard over, then leaves. */
+	async stop(): Promise<void> {
+		this.node.stopping = true;
+		this.node.events.emit('process.stopping', { shards: this.owned.size });
+		this.electing?.cancel();
+		this.list?.stop();
+		await Promise.all([...this.owned.values()].map((owner) => owner.release()));
+		await this.node.leave();
+		await this.node.close();
+		await this.client.close();
+	}
+
+	/** Takes over the shards that fall to this process, once the set of schedulers has held still. */
+	private async elect(): Promise<void> {
+		const { clock, members } = this.node;
+		if (!members.reachable || this.node.stopping) return;
+		if (clock.now() - members.changedAt < this.settings['takeover-ms']) return;
+		const mine = shards
+			.shardsOfZone(this.settings.zone, this.settings['shards-per-zone'])
+			.filter((shard) => this.fallsToMe(shard) && !this.owned.has(shard) && !this.taking.has(shard));
+		await Promise.all(mine.map((shard) => this.take(shard)));
+	}
+
+	private fallsToMe(shard: string): boolean {
+		const { members } = this.node;
+		return membership.preferredOwner(shard, members.members, this.settings.zone)?.boot === members.self.boot;
+	}
+
+	private async take(shard: string): Promise<void> {
+		this.taking.add(shard);
+		const taken = await owners.ShardOwner.take(this.ownerDeps(shard));
+		this.taking.delete(shard);
+		if (!taken.ok) return;
+		this.owned.set(shard, taken.value);
+		this.giveWorkers(shard, taken.value);
+	}
+
+	private ownerDeps(shard: string): owners.OwnerDeps {
+		return {
+			shard,
+			owner: this.node.boot,
+			store: this.node.store,
+			clock: this.node.clock,
+			events: this.node.events,
+			exchange: this.client.exchange,
+			opts: settings.ownerOptions(this.settings),
+			score: (task, box) => this.score()(task, box),
+			nextShard: (part) => this.nextShard(shard, part),
+			holderGone: (holder) => this.holderGone(holder),
+			onLost: () => this.owned.delete(shard),
+			metrics: this.counters,
+		};
+	}
+
+	private score(): placement.Score {
+		const chosen = this.node.config.value('scheduler.placement');
+		if (chosen === 'spread') return placement.spread;
+		if (chosen === 'best-fit') return placement.bestFit;
+		const msPerLoad = this.node.config.number('scheduler.msPerLoad');
+		return placement.pairAware({ cost: () => 0, msPerLoad });
+	}
+
+	private nextShard(shard: string, part: shards.JobRecord['part']): string | undefined {
+		const order = shards.shardOrder(part, this.settings.zones, this.settings['shards-per-zone']);
+		return order[order.indexOf(shard) + 1];
+	}
+
+	/** A claim's holder is `boot#request`; a boot that is not among the members while the platform answers is gone. */
+	private holderGone(holder: string): boolean {
+		const boot = holder.slice(0, holder.lastIndexOf('#'));
+		const { members, clock } = this.node;
+		const settled = clock.now() - members.changedAt > this.settings['takeover-ms'];
+		return members.reachable && settled && !members.members.some((one) => one.boot === boot);
+	}
+
+	private takeList(item: platform.Stored | undefined): void {
+		const parsed = boxes.parseWorkers(item);
+		if (parsed === undefined) return;
+		this.listed = parsed.map((box) => ({
+			id: box.id,
+			address: box.address,
+			rack: box.rack,
+			capacity: { cores: box.cores, memoryMb: box.memoryMb, accelerators: box.accelerators },
+			leaving: box.state === 'leaving',
+		}));
+		for (const [shard, owner] of this.owned) this.giveWorkers(shard, owner);
+	}
+
+	private giveWorkers(shard: string, owner: owners.ShardOwner): void {
+		if (this.listed === undefined) return;
+		const { zone } = this.settings;
+		const perZone = this.settings['shards-per-zone'];
+		owner.setWorkers(this.listed.filter((box) => shards.shardOfRack(zone, box.rack, perZone) === shard));
+	}
+
+	private async onPeer(req: wire.PeerReq): Promise<results.Result<unknown, errors.Failure>> {
+		if (!('shard' in req))
+			return results.fail(errors.failure('InvalidRequest', `${req.type} is not for a scheduler`));
+		const owner = this.owned.get(req.shard);
+		if (owner === undefined) {
+			return results.fail(errors.failure('NotOwner', req.shard, { retryAfterMs: 500, run: 'not-run' }));
+		}
+		switch (req.type) {
+			case 'shard.status':
+				return results.ok(owner.status());
+			case 'shard.explain': {
+				const explained = owner.explain(req.task);
+				return explained ? results.ok(explained) : results.fail(errors.failure('JobUnknown', req.task));
+			}
+			default:
+				return owner.request(req);
+		}
+	}
+
+	private gauges(): Record<string, number> {
+		const { appends, decisions, bytes, exchanges, starts } = this.counters;
+		return {
+			shards_owned: this.owned.size,
+			appends,
+			decisions,
+			log_bytes: bytes,
+			worker_exchanges: exchanges,
+			task_starts: starts,
+		};
+	}
+}
--- /dev/null
+++ b/src/core/scheduler/report.ts
@@ -0,0 +1,109 @@
+/** What operators are told of a shard: status and explanation. */
+import * as shards from '../shard/index.js';
+import * as types from './types.js';
+
+/** One job part in `status`. */
+export interface JobStatus {
+	id: string;
+	kind: 'service' | 'batch';
+	state: shards.JobState;
+	/** Tasks by what they do now. */
+	counts: Record<string, number>;
+	submittedAt: number;
+	/** True while the newest decision about it is not stored yet. */
+	uncommitted: boolean;
+}
+
+/** One worker in `status`. */
+export interface WorkerStatus {
+	id: string;
+	state: string;
+	tasks: number;
+	silentMs: number;
+}
+
+/** A shard in `status`. */
+export interface ShardStatus {
+	shard: string;
+	owner: string;
+	epoch: number;
+	entries: number;
+	jobs: JobStatus[];
+	workers: WorkerStatus[];
+}
+
+/** Where a task stands and why. */
+export interface TaskExplanation {
+	task: string;
+	shard: string;
+	state: string;
+	attempt: number;
+	worker: string;
+	why: string;
+	/** What it waits for, if it waits. */
+	waitsFor: string;
+	lastEnd: string;
+	failures: shards.FailedAttempt[];
+	held: shards.HeldPlace[];
+	uncommitted: boolean;
+}
+
+/** What the worker last said of the attempt that the log places there, or the committed state. */
+export function liveState(task: shards.TaskRecord, views: ReadonlyMap<string, types.WorkerView>): string {
+	if (task.state !== 'placed' || task.worker === undefined) return task.state;
+	const report = views.get(task.worker)?.reports.get(task.id);
+	if (report?.attempt !== task.attempt) return 'starting';
+	return report.state;
+}
+
+/** The jobs of a shard, with their tasks counted by live state. */
+export function jobStatuses(
+	state: shards.ShardState,
+	views: ReadonlyMap<string, types.WorkerView>,
+	uncommitted: ReadonlySet<string>,
+): JobStatus[] {
+	const statuses: JobStatus[] = [];
+	for (const job of state.jobs.values()) {
+		const ids = shards.taskIds(job.part);
+		const counts: Record<string, number> = {};
+		for (const id of ids) {
+			const task = state.tasks.get(id);
+			if (task === undefined) continue;
+			const live = liveState(task, views);
+			counts[live] = (counts[live] ?? 0) + 1;
+		}
+		statuses.push({
+			id: job.part.id,
+			kind: job.part.spec.kind,
+			state: shards.jobState(state, job),
+			counts,
+			submittedAt: job.submittedAt,
+			uncommitted: uncommitted.has(job.part.id) || ids.some((id) => uncommitted.has(id)),
+		});
+	}
+	return statuses;
+}
+
+/** Explains one task. */
+export function explainTask(
+	shard: string,
+	task: shards.TaskRecord,
+	views: ReadonlyMap<string, types.WorkerView>,
+	waitsFor: ReadonlyMap<string, string>,
+	uncommitted: ReadonlySet<string>,
+): TaskExplanation {
+	const pending = task.state === 'pending';
+	return {
+		task: task.id,
+		shard,
+		state: liveState(task, views),
+		attempt: task.attempt,
+		worker: task.worker ?? '',
+		why: pending ? '' : (task.why ?? ''),
+		waitsFor: pending ? (waitsFor.get(task.id) ?? 'waits for the next placement round') : '',
+		lastEnd: task.ended ?? '',
+		failures: task.failures,
+		held: task.held,
+		uncommitted: uncommitted.has(task.id) || uncommitted.has(task.job),
+	};
+}
--- /dev/null
+++ b/src/core/scheduler/reports.ts
@@ -0,0 +1,126 @@
+/** What a worker's newest report means for the committed state. Pure. */
+import * as types from './types.js';
+import type * as shards from '../shard/index.js';
+import type * as workers from '../worker/index.js';
+
+/** Changes that follow from what `view` reports of `tasks`, those that hold a place on the worker. */
+export function reportChanges(
+	state: shards.ShardState,
+	view: types.WorkerView,
+	tasks: readonly shards.TaskRecord[],
+): shards.Change[] {
+	if (!view.fenced || view.incarnation === undefined) return [];
+	const changes: shards.Change[] = [];
+	for (const task of tasks) {
+		if (task.worker === view.listed.id) changes.push(...placedChange(state, task, view));
+		for (const place of task.held) changes.push(...heldChange(task, place, view));
+	}
+	return changes;
+}
+
+function placedChange(
+	state: shards.ShardState,
+	task: shards.TaskRecord,
+	view: types.WorkerView,
+): shards.Change[] {
+	const report = view.reports.get(task.id);
+	const { id, attempt } = task;
+	if (task.incarnation !== view.incarnation) {
+		const checkpoint = report?.attempt === attempt ? report.checkpoint : undefined;
+		const proof = 'the worker came back with a new incarnation';
+		return [{ type: 'task.lost', task: id, attempt, checkpoint, proof, holds: false }];
+	}
+	if (report?.attempt !== attempt) return absentChange(task, view);
+	switch (report.state) {
+		case 'running':
+			return [];
+		case 'finished':
+			return [{ type: 'task.finished', task: id, attempt }];
+		case 'failed':
+			return [failedChange(state, task, report)];
+		case 'stopped':
+			if (task.state === 'stopping') return [{ type: 'task.stopped', task: id, attempt }];
+			return [
+				{
+					type: 'task.evicted',
+					task: id,
+					attempt,
+					checkpoint: report.checkpoint,
+					reason: report.reason ?? 'stopped by the worker',
+				},
+			];
+	}
+}
+
+/**
+ * A task to be stopped that the worker doesn't have: stopped, provided that no start of it can still arrive.
+ * The fence refuses everything sent before the answered exchange; a start sent later may be on its way.
+ */
+function absentChange(task: shards.TaskRecord, view: types.WorkerView): shards.Change[] {
+	if (task.state !== 'stopping') return [];
+	const startSeq = view.startSeq.get(types.attemptKey(task.id, task.attempt)) ?? 0;
+	if (startSeq > view.answeredSeq) return [];
+	return [{ type: 'task.stopped', task: task.id, attempt: task.attempt }];
+}
+
+function heldChange(
+	task: shards.TaskRecord,
+	place: shards.HeldPlace,
+	view: types.WorkerView,
+): shards.Change[] {
+	if (place.worker !== view.listed.id) return [];
+	const report = view.reports.get(task.id);
+	const running = report?.attempt === place.attempt && report.state === 'running';
+	if (place.incarnation === view.incarnation && running) return [];
+	return [{ type: 'place.cleared', task: task.id, attempt: place.attempt, worker: place.worker }];
+}
+
+function failedChange(
+	state: shards.ShardState,
+	task: shards.TaskRecord,
+	report: workers.TaskReport,
+): shards.Change {
+	const reason = report.reason ?? 'failed';
+	const final = failsForGood(state, task);
+	return { type: 'task.failed', task: task.id, attempt: task.attempt, reason, final };
+}
+
+/**
+ * A task fails for good once it failed on `maxFailures` distinct workers that are not in quarantine,
+ * or twice as often as that where there are too few workers to tell.
+ */
+function failsForGood(state: shards.ShardState, task: shards.TaskRecord): boolean {
+	const limit = state.jobs.get(task.job)?.part.spec.maxFailures ?? 1;
+	const counted = task.failures.filter((one) => !state.quarantined.has(one.worker));
+	const places = new Set(counted.map((one) => one.worker));
+	if (task.worker !== undefined && !state.quarantined.has(task.worker)) places.add(task.worker);
+	return places.size >= limit || counted.length + 1 >= limit * 2;
+}
+
+/** Workers on which several distinct jobs failed since their boot, and those that came back since. */
+export function quarantineChanges(
+	state: shards.ShardState,
+	views: ReadonlyMap<string, types.WorkerView>,
+	jobsLimit: number,
+): shards.Change[] {
+	const changes: shards.Change[] = [];
+	const failedJobs = new Map<string, Set<string>>();
+	for (const task of state.tasks.values()) {
+		for (const failure of task.failures) {
+			if (views.get(failure.worker)?.incarnation !== failure.incarnation) continue;
+			const jobs = failedJobs.get(failure.worker) ?? new Set();
+			failedJobs.set(failure.worker, jobs.add(task.job));
+		}
+	}
+	for (const [worker, jobs] of failedJobs) {
+		const incarnation = views.get(worker)?.incarnation;
+		if (jobs.size < jobsLimit || state.quarantined.has(worker) || incarnation === undefined) continue;
+		changes.push({ type: 'worker.quarantined', worker, incarnation, evidence: [...jobs].sort() });
+	}
+	for (const [worker, quarantine] of state.quarantined) {
+		const now = views.get(worker)?.incarnation;
+		if (now !== undefined && now !== quarantine.incarnation)
+			changes.push({ type: 'worker.released', worker });
+	}
+	return changes;
+}
--- /dev/null
+++ b/src/core/scheduler/requests.ts
@@ -0,0 +1,150 @@
+/** Requests to a shard, decided against its state. Pure: changes and reply, or a reply alone. */
+import * as errors from '../errors/index.js';
+import * as placement from '../placement/index.js';
+import * as results from '../result.js';
+import * as shards from '../shard/index.js';
+import type * as types from './types.js';
+import type * as wire from '../wire/index.js';
+
+/** Requests that may change a shard. */
+export type ShardReq = Extract<
+	wire.PeerReq,
+	{ type: 'shard.submit' | 'shard.cancel' | 'claim.begin' | 'claim.end' }
+>;
+
+/** Reply to a submit: taken care of here, or by the shard named. */
+export type SubmitReply = { at: 'here'; created: boolean } | { at: 'elsewhere'; shard: string };
+
+/** Reply to a claim: go ahead, or what became of the request that holds the key. */
+export type ClaimReply =
+	{ claim: 'granted' } | { claim: 'taken'; outcome: shards.ClaimOutcome; answer?: ClaimAnswer };
+
+/** An answer held in memory for a caller who asks again. */
+export interface ClaimAnswer {
+	status: number;
+	contentType: string;
+	body: Uint8Array;
+}
+
+/** A decision: what to commit first, and what to say then. */
+export interface Decision {
+	changes: shards.Change[];
+	reply: results.Result<unknown, errors.Failure>;
+}
+
+/** What the decision may look at beside the state. */
+export interface RequestContext {
+	views: ReadonlyMap<string, types.WorkerView>;
+	/** Whether the platform's box list has been read; before that nobody can say what fits. */
+	listRead: boolean;
+	/** The shard to try next for a job that can't fit here. */
+	nextShard: (part: shards.JobRecord['part']) => string | undefined;
+	answers: ReadonlyMap<string, ClaimAnswer>;
+	/** Whether the process that holds a claim is known to be gone. */
+	holderGone: (holder: string) => boolean;
+}
+
+const reply = (value: unknown): Decision => ({ changes: [], reply: results.ok(value) });
+
+const refuse = (err: errors.Failure): Decision => ({ changes: [], reply: results.fail(err) });
+
+/** Decides one request. */
+export function decideRequest(state: shards.ShardState, req: ShardReq, ctx: RequestContext): Decision {
+	switch (req.type) {
+		case 'shard.submit':
+			return decideSubmit(state, req.job, ctx);
+		case 'shard.cancel':
+			return decideCancel(state, req.job);
+		case 'claim.begin':
+			return decideClaim(state, req, ctx);
+		case 'claim.end':
+			return decideClaimEnd(state, req);
+	}
+}
+
+/** A submit is idempotent by the part's id: the same declaration again finds the job it made. */
+function decideSubmit(
+	state: shards.ShardState,
+	part: shards.JobRecord['part'],
+	ctx: RequestContext,
+): Decision {
+	const known = state.jobs.get(part.id);
+	if (known !== undefined) {
+		const same = JSON.stringify(known.part) === JSON.stringify(part);
+		if (!same)
+			return refuse(errors.failure('JobConflict', `job ${part.id} differs from the one declared before`));
+		return reply({ at: 'here', created: false } satisfies SubmitReply);
+	}
+	const forwarded = state.forwarded.get(part.id);
+	if (forwarded !== undefined) return reply({ at: 'elsewhere', shard: forwarded } satisfies SubmitReply);
+	if (!ctx.listRead) {
+		return refuse(
+			errors.failure('ShardUnavailable', 'the list of workers is not read yet', { retryAfterMs: 1000 }),
+		);
+	}
+	if (fitsSomewhere(part, ctx.views)) {
+		const submitted: shards.Change = { type: 'job.submitted', part };
+		return { changes: [submitted], reply: results.ok({ at: 'here', created: true } satisfies SubmitReply) };
+	}
+	const next = ctx.nextShard(part);
+	if (next === undefined) return refuse(errors.failure('NeverFits', describeNeed(part, ctx.views)));
+	const forward: shards.Change = { type: 'job.forwarded', job: part.id, to: next };
+	return { changes: [forward], reply: results.ok({ at: 'elsewhere', shard: next } satisfies SubmitReply) };
+}
+
+function fitsSomewhere(
+	part: shards.JobRecord['part'],
+	views: ReadonlyMap<string, types.WorkerView>,
+): boolean {
+	return [...views.values()].some((view) =>
+		placement.couldHold(view.listed.capacity, part.spec.needs, part.spec.maxShareOfBox),
+	);
+}
+
+function describeNeed(part: shards.JobRecord['part'], views: ReadonlyMap<string, types.WorkerView>): string {
+	const { cores, memoryMb, accelerators } = part.spec.needs;
+	const asked = `${cores} cores, ${memoryMb} MiB and ${accelerators} accelerators`;
+	const largest = Math.max(0, ...[...views.values()].map((view) => view.listed.capacity.cores));
+	return `${part.id} asks for ${asked} a task; the largest of ${views.size} workers in the last shard tried has ${largest} cores`;
+}
+
+function decideCancel(state: shards.ShardState, id: string): Decision {
+	const job = state.jobs.get(id);
+	if (job === undefined) {
+		const forwarded = state.forwarded.get(id);
+		if (forwarded !== undefined) return reply({ at: 'elsewhere', shard: forwarded });
+		return refuse(errors.failure('JobUnknown', id));
+	}
+	if (job.cancelled || job.endedAt !== undefined)
+		return reply({ at: 'here', state: shards.jobState(state, job) });
+	return {
+		changes: [{ type: 'job.cancelled', job: id }],
+		reply: results.ok({ at: 'here', state: 'cancelling' }),
+	};
+}
+
+function decideClaim(state: shards.ShardState, req: wire.ClaimBegin, ctx: RequestContext): Decision {
+	const { key, bodyHash, holder } = req;
+	const known = state.claims.get(key);
+	if (known === undefined || known.outcome === 'not-run') {
+		const begun: shards.Change = { type: 'claim.begun', key, bodyHash, holder };
+		return { changes: [begun], reply: results.ok({ claim: 'granted' } satisfies ClaimReply) };
+	}
+	if (known.bodyHash !== bodyHash) return refuse(errors.failure('KeyReused', key, { run: 'not-run' }));
+	// The same request asking again: its first answer was lost between the processes.
+	if (known.holder === holder) return reply({ claim: 'granted' } satisfies ClaimReply);
+	if (known.outcome === 'running' && ctx.holderGone(known.holder)) {
+		const ended: shards.Change = { type: 'claim.ended', key, holder: known.holder, outcome: 'may-have-run' };
+		const taken: ClaimReply = { claim: 'taken', outcome: 'may-have-run' };
+		return { changes: [ended], reply: results.ok(taken) };
+	}
+	const taken: ClaimReply = { claim: 'taken', outcome: known.outcome, answer: ctx.answers.get(key) };
+	return reply(taken);
+}
+
+function decideClaimEnd(state: shards.ShardState, req: wire.ClaimEnd): Decision {
+	const { key, holder, outcome } = req;
+	const known = state.claims.get(key);
+	if (known?.holder !== holder || known.outcome === outcome) return reply({});
+	return { changes: [{ type: 'claim.ended', key, holder, outcome }], reply: results.ok({}) };
+}
--- /dev/null
+++ b/src/core/wire/index.ts
@@ -0,0 +1,6 @@
+/** Messages between the project's own processes: cbor-x frames over TCP. */
+export * from './client.js';
+export { decodeValue, encodeFrame, encodeValue, FrameReader, maxFrameBytes } from './frame.js';
+export * from './server.js';
+export { configRecord, envelope, peerReq } from './types.js';
+export type { ClaimBegin, ClaimEnd, ConfigRecord, Envelope, Gossip, PeerReq } from './types.js';
--- /dev/null
+++ b/src/core/worker/types.ts
@@ -0,0 +1,80 @@
+/**
+ * What the scheduler and the platform's workers say to each other. One exchange carries the fence, the lease
+ * renewals and the commands; its answer is the heartbeat and carries everything the worker reports.
+ * The checks that a worker must make are listed in docs/PROOFS.md.
+ */
+import * as zod from 'zod';
+import * as jobs from '../task/spec.js';
+
+const z = zod.z;
+
+const taskRef = { task: z.string(), attempt: z.number().int().min(1) };
+
+const command = z.discriminatedUnion('type', [
+	z.object({
+		type: z.literal('start'),
+		...taskRef,
+		kind: z.enum(['service', 'batch']),
+		needs: jobs.needs,
+		run: z.record(z.string(), z.union([z.string(), z.number(), z.boolean()])),
+		/** Where an earlier attempt left off. */
+		checkpoint: z.string().optional(),
+		/** Time on the worker's own monotonic clock, in milliseconds, past which the start is refused. */
+		notAfter: z.number(),
+	}),
+	/** Checkpoint and stop; harmless at any time. */
+	z.object({ type: z.literal('stop'), ...taskRef }),
+	/** Limit the task to a part of its declared cores. */
+	z.object({ type: z.literal('throttle'), ...taskRef, share: z.number().gt(0).max(1) }),
+	/** The end of the attempt is committed; the worker may drop its record. */
+	z.object({ type: z.literal('forget'), ...taskRef }),
+]);
+
+/** A message to a worker. */
+export const exchangeReq = z.object({
+	shard: z.string(),
+	/** The fence: a worker refuses an (epoch, seq) that is not above the highest it has seen. */
+	epoch: z.number().int(),
+	seq: z.number().int(),
+	/** The worker's boot that this message is meant for; absent on the first contact, which carries nothing else. */
+	incarnation: z.string().optional(),
+	/** Batch attempts whose lease is renewed up to `until`, on the worker's clock. */
+	renew: z.object({ until: z.number(), tasks: z.array(z.object(taskRef)) }).optional(),
+	commands: z.array(command),
+});
+
+const taskReport = z.object({
+	...taskRef,
+	state: z.enum(['running', 'stopped', 'finished', 'failed']),
+	/** The newest checkpoint, from which a later attempt may go on. */
+	checkpoint: z.string().optional(),
+	reason: z.string().optional(),
+	/** Measured use, late by the worker's reporting lag. */
+	usage: z.object({ cores: z.number(), memoryMb: z.number() }).optional(),
+	/** A service's latency as it measures it, late: 99th percentile in milliseconds. */
+	latencyMs: z.number().optional(),
+});
+
+/** A worker's answer. */
+export const exchangeRes = z.object({
+	/** False: the fence or the incarnation did not match, and nothing of the message was done. */
+	accepted: z.boolean(),
+	incarnation: z.string(),
+	/** The worker's monotonic clock, in milliseconds. */
+	now: z.number(),
+	/** Highest epoch seen. */
+	epoch: z.number().int(),
+	tasks: z.array(taskReport),
+});
+
+/** A command to a worker. */
+export type Command = zod.infer<typeof command>;
+
+/** A message to a worker. */
+export type ExchangeReq = zod.infer<typeof exchangeReq>;
+
+/** A worker's answer. */
+export type ExchangeRes = zod.infer<typeof exchangeRes>;
+
+/** What a worker reports of one attempt. */
+export type TaskReport = zod.infer<typeof taskReport>;
--- /dev/null
+++ b/stand-ins/backend-server/main.ts
@@ -0,0 +1,96 @@
+/**
+ * Stand-in of a backend server (a runner of guichet or programari): a fixed number of slots, answers after a
+ * while, and a count of every run by key on standard output, where a kill can't take it back.
+ */
+import type * as http from 'node:http';
+import * as h3 from 'h3';
+import * as zod from 'zod';
+import * as standIn from '../http.js';
+
+const z = zod.z;
+
+const fault = z.strictObject({
+	/** Milliseconds a request takes. */
+	serviceMs: z.number().default(Number(process.env.SERVICE_MS ?? '5')),
+	/** Close the connection of the next requests: before reading, after running, or halfway through the answer. */
+	breakNext: z.enum(['none', 'before', 'after', 'halfway']).default('none'),
+	/** Requests that `breakNext` breaks. */
+	breakCount: z.number().int().default(1),
+	/** Refuses all new work, saying so. */
+	leaving: z.boolean().default(false),
+});
+
+const slots = Number(process.env.SLOTS ?? '8');
+let faults = fault.parse({});
+let running = 0;
+
+function broken(kind: 'before' | 'after' | 'halfway'): boolean {
+	if (faults.breakNext !== kind || faults.breakCount <= 0) return false;
+	faults.breakCount -= 1;
+	return true;
+}
+
+async function readAll(req: http.IncomingMessage): Promise<Buffer> {
+	const chunks: Buffer[] = [];
+	for await (const chunk of req as AsyncIterable<Buffer>) chunks.push(chunk);
+	return Buffer.concat(chunks);
+}
+
+function refuse(res: http.ServerResponse): void {
+	res.statusCode = 503;
+	res.setHeader('x-woodcross-not-run', '1');
+	if (faults.leaving) res.setHeader('x-woodcross-leaving', '1');
+	res.end();
+}
+
+/** Echoes the body, or `size` bytes of it where the query asks for more; broken off halfway on request. */
+async function answer(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+	if (broken('before')) {
+		res.socket?.destroy();
+		return;
+	}
+	const body = await readAll(req);
+	if (faults.leaving || running >= slots) {
+		refuse(res);
+		return;
+	}
+	running += 1;
+	const url = new URL(req.url ?? '/', 'http://backend');
+	const run = {
+		id: req.headers['x-request-id'],
+		key: req.headers['idempotency-key'] ?? '',
+		path: url.pathname,
+	};
+	process.stdout.write(`${JSON.stringify({ run: { ...run, at: Date.now(), running } })}\n`);
+	if (faults.serviceMs > 0) await new Promise((resolve) => setTimeout(resolve, faults.serviceMs));
+	running -= 1;
+	if (broken('after')) {
+		res.socket?.destroy();
+		return;
+	}
+	const size = Number(url.searchParams.get('size') ?? '0');
+	const out = size > 0 ? Buffer.alloc(size, body.length > 0 ? body : 'w') : body;
+	res.setHeader('content-type', 'application/octet-stream');
+	res.setHeader('x-request-id', req.headers['x-request-id'] ?? '');
+	res.setHeader('content-length', out.length);
+	if (broken('halfway')) {
+		res.write(out.subarray(0, Math.ceil(out.length / 2)), () => res.socket?.destroy());
+		return;
+	}
+	res.end(out);
+}
+
+const app = new h3.H3()
+	.post('/fault', async (event) => {
+		faults = fault.parse(await event.req.json());
+		return faults;
+	})
+	.get('/running', () => ({ running }))
+	.all(
+		'/**',
+		h3.fromNodeHandler((req, res) => answer(req as http.IncomingMessage, res as http.ServerResponse)),
+	);
+
+const { server, address } = await standIn.listen(app, Number(process.env.PORT ?? '0'));
+server.maxConnections = Number(process.env.CONNECTIONS ?? '64');
+standIn.announce(address);
--- /dev/null
+++ b/stand-ins/worker/machine.ts
@@ -0,0 +1,200 @@
+/** The stand-in worker's own rules: fence, incarnation, not-after, leases, and tasks that only count time. */
+import type * as workers from '../../src/core/worker/index.js';
+
+/** One line of the journal, the independent witness of what ran where and when. */
+export interface JournalLine {
+	worker: string;
+	incarnation: string;
+	task: string;
+	attempt: number;
+	what: 'start' | 'end';
+	how: string;
+	/** Wall milliseconds. */
+	at: number;
+	/** Milliseconds of the task's work done so far, over all attempts. */
+	progressMs: number;
+	cores: number;
+	memoryMb: number;
+}
+
+interface Attempt {
+	task: string;
+	attempt: number;
+	kind: 'service' | 'batch';
+	state: workers.TaskReport['state'];
+	needs: { cores: number; memoryMb: number };
+	run: Record<string, string | number | boolean>;
+	/** Work done before the last change of speed. */
+	doneMs: number;
+	/** Monotonic time of the last change of speed. */
+	since: number;
+	share: number;
+	leaseEnds: number;
+	reason?: string;
+}
+
+/** Faults that the stand-in plays on request. */
+export interface WorkerFaults {
+	/** Every task fails at once. */
+	failAll: boolean;
+}
+
+/** Settings of the machine. */
+export interface MachineOptions {
+	id: string;
+	incarnation: string;
+	/** Monotonic milliseconds. */
+	now: () => number;
+	wall: () => number;
+	journal: (line: JournalLine) => void;
+}
+
+/** Runs pretended tasks and keeps the worker's side of the promises. */
+export class Machine {
+	readonly faults: WorkerFaults = { failAll: false };
+	private readonly attempts = new Map<string, Attempt>();
+	private epoch = 0;
+	private seq = 0;
+
+	private constructor(private readonly opts: MachineOptions) {}
+
+	static create(opts: MachineOptions): Machine {
+		return new Machine(opts);
+	}
+
+	/** Takes one message; refuses it whole if its fence or incarnation does not match. */
+	exchange(req: workers.ExchangeReq): workers.ExchangeRes {
+		this.advance();
+		const accepted = this.admits(req);
+		if (accepted) {
+			this.epoch = req.epoch;
+			this.seq = req.seq;
+			this.renew(req);
+			for (const command of req.commands) this.obey(command);
+		}
+		const tasks = [...this.attempts.values()].map((attempt) => this.report(attempt));
+		return { accepted, incarnation: this.opts.incarnation, now: this.opts.now(), epoch: this.epoch, tasks };
+	}
+
+	/** Brings every task up to the present: ends and lapsed leases. */
+	advance(): void {
+		for (const attempt of this.attempts.values()) {
+			if (attempt.state === 'running') this.advanceOne(attempt);
+		}
+	}
+
+	private admits(req: workers.ExchangeReq): boolean {
+		if (req.epoch < this.epoch) return false;
+		if (req.epoch === this.epoch && req.seq <= this.seq) return false;
+		if (req.incarnation === undefined) return req.commands.length === 0 && req.renew === undefined;
+		return req.incarnation === this.opts.incarnation;
+	}
+
+	private renew(req: workers.ExchangeReq): void {
+		for (const ref of req.renew?.tasks ?? []) {
+			const attempt = this.attempts.get(ref.task);
+			if (attempt?.attempt === ref.attempt)
+				attempt.leaseEnds = Math.max(attempt.leaseEnds, req.renew?.until ?? 0);
+		}
+	}
+
+	private obey(command: workers.Command): void {
+		if (command.type === 'start') {
+			this.start(command);
+			return;
+		}
+		const attempt = this.attempts.get(command.task);
+		if (attempt?.attempt !== command.attempt) return;
+		if (command.type === 'stop' && attempt.state === 'running')
+			this.end(attempt, 'stopped', 'stopped by command');
+		if (command.type === 'throttle') this.throttle(attempt, command.share);
+		if (command.type === 'forget' && attempt.state !== 'running') this.attempts.delete(command.task);
+	}
+
+	private start(command: Extract<workers.Command, { type: 'start' }>): void {
+		const now = this.opts.now();
+		if (now > command.notAfter) return;
+		const known = this.attempts.get(command.task);
+		if (known !== undefined && known.attempt >= command.attempt) return;
+		if (known?.state === 'running') this.end(known, 'stopped', 'replaced by a later attempt');
+		const attempt: Attempt = {
+			task: command.task,
+			attempt: command.attempt,
+			kind: command.kind,
+			state: 'running',
+			needs: command.needs,
+			run: command.run,
+			doneMs: Number(command.checkpoint?.replace('done-ms:', '') ?? 0),
+			since: now,
+			share: 1,
+			leaseEnds: command.kind === 'batch' ? command.notAfter : Infinity,
+		};
+		this.attempts.set(command.task, attempt);
+		this.write(attempt, 'start', 'started');
+		if (this.faults.failAll || attempt.run.fails === true) this.end(attempt, 'failed', 'exit status 1');
+	}
+
+	private throttle(attempt: Attempt, share: number): void {
+		attempt.doneMs = this.progress(attempt);
+		attempt.since = this.opts.now();
+		attempt.share = share;
+	}
+
+	private advanceOne(attempt: Attempt): void {
+		const now = this.opts.now();
+		const duration = Number(attempt.run.durationMs ?? Infinity);
+		const finishesAt = attempt.since + (duration - attempt.doneMs) / attempt.share;
+		if (finishesAt <= Math.min(now, attempt.leaseEnds))
+			this.end(attempt, 'finished', 'exit status 0', finishesAt);
+		else if (attempt.leaseEnds <= now) this.end(attempt, 'stopped', 'lease lapsed', attempt.leaseEnds);
+	}
+
+	private progress(attempt: Attempt, at: number = this.opts.now()): number {
+		return attempt.doneMs + (at - attempt.since) * attempt.share;
+	}
+
+	private end(
+		attempt: Attempt,
+		state: 'stopped' | 'finished' | 'failed',
+		reason: string,
+		at = this.opts.now(),
+	): void {
+		attempt.doneMs = this.progress(attempt, at);
+		attempt.since = at;
+		attempt.state = state;
+		attempt.reason = reason;
+		this.write(attempt, 'end', reason, at);
+	}
+
+	private write(attempt: Attempt, what: 'start' | 'end', how: string, at = this.opts.now()): void {
+		this.opts.journal({
+			worker: this.opts.id,
+			incarnation: this.opts.incarnation,
+			task: attempt.task,
+			attempt: attempt.attempt,
+			what,
+			how,
+			at: this.opts.wall() - (this.opts.now() - at),
+			progressMs: Math.round(attempt.doneMs),
+			cores: attempt.needs.cores,
+			memoryMb: attempt.needs.memoryMb,
+		});
+	}
+
+	private report(attempt: Attempt): workers.TaskReport {
+		const running = attempt.state === 'running';
+		const done = running ? this.progress(attempt) : attempt.doneMs;
+		return {
+			task: attempt.task,
+			attempt: attempt.attempt,
+			state: attempt.state,
+			checkpoint: attempt.kind === 'batch' ? `done-ms:${Math.floor(done)}` : undefined,
+			reason: attempt.reason,
+			usage: {
+				cores: Number(attempt.run.usesCores ?? attempt.needs.cores) * attempt.share,
+				memoryMb: Number(attempt.run.usesMemoryMb ?? attempt.needs.memoryMb),
+			},
+			latencyMs: attempt.run.latencyMs === undefined ? undefined : Number(attempt.run.latencyMs),
+		};
+	}
+}
--- /dev/null
+++ b/test/chart.test.ts
@@ -0,0 +1,26 @@
+/** The chart interpreter against XState, over every state and event of every chart file. */
+import test from 'ava';
+import * as xstate from 'xstate';
+import * as tasks from '../src/core/task/index.js';
+
+const chartFiles = ['charts/task.json'];
+
+for (const file of chartFiles) {
+	test(`${file} reads the same to XState`, (t) => {
+		const chart = tasks.readChartFile(file);
+		const ours = tasks.loadChart<string, string>(file);
+		const machine = xstate.createMachine(chart as xstate.MachineConfig<object, xstate.EventObject>);
+		const events = new Set(Object.values(chart.states).flatMap((state) => Object.keys(state.on ?? {})));
+		const table: string[] = [];
+		for (const state of Object.keys(chart.states)) {
+			for (const event of events) {
+				const from = machine.resolveState({ value: state, context: {} });
+				const next = xstate.getNextSnapshot(machine, from, { type: event });
+				t.is(ours.next(state, event) ?? state, next.value as string, `${state} on ${event}`);
+				const taken = ours.next(state, event);
+				if (taken !== undefined) table.push(`${state} --${event}--> ${taken}`);
+			}
+		}
+		t.snapshot(table);
+	});
+}
