Models of the shard log and leases, of claims, and of the configuration; a late push no longer counts as knowing

Cause: the promises of DESIGN.md sections 2, 3, 5 and 6 had no proof. The configuration model, explored whole, found a trace in which a process that starts anew in an outage takes a push that was under way for long and serves version 1 after version 2 had been in force everywhere. Ruled out: taking a peer's answer as late too (it answers a question asked after the start, matched by id). ConfigTask.offer tells a push from an answer; a fresh process ignores pushes until it has asked.

--- /dev/null
+++ b/spec/checks.ts
@@ -0,0 +1,98 @@
+/** Every check that CI runs: the protocols within bounds, and each guard's mutant, which must be found wrong. */
+import * as claim from './claim.js';
+import * as config from './config.js';
+import * as lease from './lease.js';
+import type * as explore from './explore.js';
+
+/** One check. */
+export interface Check {
+	expect: 'holds' | 'wrong';
+	/** Explores the model; states differ in type from model to model. */
+	run: (explorer: <S>(model: explore.Model<S>) => explore.Verdict) => explore.Verdict;
+	name: string;
+	bounds: string;
+}
+
+function check<S>(expect: Check['expect'], model: explore.Model<S>): Check {
+	return { expect, name: model.name, bounds: model.bounds, run: (explorer) => explorer(model) };
+}
+
+type Bounds = Omit<lease.LeaseOptions, 'name' | 'guards'>;
+
+const base: Bounds = {
+	workers: 2,
+	tasks: 1,
+	attempts: 2,
+	epochs: 2,
+	restarts: 0,
+	late: 'none',
+	ends: true,
+	lost: false,
+};
+
+/** The lease model's bounds: each failure with two workers where the states allow, combined with one worker. */
+const leaseBounds = {
+	'late messages': { ...base, late: 'first', ends: false },
+	'lost answers': { ...base, lost: true },
+	restart: { ...base, restarts: 1 },
+	'restart and late messages': { ...base, workers: 1, restarts: 1, late: 'any' },
+	'two tasks': { ...base, workers: 1, tasks: 2 },
+	'two tasks, lost answers': { ...base, workers: 1, tasks: 2, attempts: 1, lost: true },
+} satisfies Record<string, Bounds>;
+
+/** For each guard, bounds within which leaving it out goes wrong. */
+const leaseMutants: Record<keyof lease.Guards, keyof typeof leaseBounds> = {
+	epoch: 'restart and late messages',
+	order: 'restart and late messages',
+	incarnation: 'restart and late messages',
+	notAfter: 'late messages',
+	horizon: 'late messages',
+	wait: 'late messages',
+	readBack: 'lost answers',
+	compareAndSwap: 'late messages',
+	reserve: 'two tasks',
+	commitFirst: 'restart and late messages',
+};
+
+function leaseChecks(): Check[] {
+	const holds = Object.entries(leaseBounds).map(([name, bounds]) =>
+		check('holds', lease.leaseModel({ ...bounds, name: `lease: ${name}`, guards: lease.allGuards })),
+	);
+	const mutants = Object.entries(leaseMutants).map(([guard, bounds]) => {
+		const guards = { ...lease.allGuards, [guard]: false };
+		return check(
+			'wrong',
+			lease.leaseModel({ ...leaseBounds[bounds], name: `lease without ${guard}`, guards }),
+		);
+	});
+	return [...holds, ...mutants];
+}
+
+/** Tries of one request in the claim model. */
+const tries = 3;
+
+function claimChecks(): Check[] {
+	const mutants = Object.keys(claim.allClaimGuards).map((guard) =>
+		check(
+			'wrong',
+			claim.claimModel(`claim without ${guard}`, tries, { ...claim.allClaimGuards, [guard]: false }),
+		),
+	);
+	return [check('holds', claim.claimModel('claim', tries, claim.allClaimGuards)), ...mutants];
+}
+
+/** Operators that race in the configuration model. */
+const operators = 2;
+
+function configChecks(): Check[] {
+	const mutants = Object.keys(config.allConfigGuards).map((guard) =>
+		check(
+			'wrong',
+			config.configModel(`config without ${guard}`, operators, { ...config.allConfigGuards, [guard]: false }),
+		),
+	);
+	return [check('holds', config.configModel('config', operators, config.allConfigGuards)), ...mutants];
+}
+
+/** All checks, the longest first. */
+export const checks: Check[] = [...leaseChecks(), ...claimChecks(), ...configChecks()];
--- /dev/null
+++ b/spec/config.ts
@@ -0,0 +1,214 @@
+/**
+ * Model of the configuration record: operators race with changes by compare-and-swap, answers are lost, processes
+ * learn versions from the platform and from each other, late pushes arrive, and a process starts anew in an outage.
+ * A version counts as settled once it has been in force everywhere, which the promise allows seconds for; before that
+ * a process that starts anew in an outage may learn an older one from a peer that has not heard yet.
+ */
+import type * as explore from './explore.js';
+
+/** The guards, all on in the protocol. */
+export interface ConfigGuards {
+	/** A write goes through only on the version it was made from. */
+	compareAndSwap: boolean;
+	/** An unanswered write is settled by looking for its nonce. */
+	readBack: boolean;
+	/** A process only moves to a higher version. */
+	onlyHigher: boolean;
+	/** A push, which may be late, does not count as knowing for a process that has just started. */
+	pushProvesNothing: boolean;
+	/** A process that has learnt no version serves nothing. */
+	knowBeforeServing: boolean;
+}
+
+/** Every guard on. */
+export const allConfigGuards: ConfigGuards = {
+	compareAndSwap: true,
+	readBack: true,
+	onlyHigher: true,
+	pushProvesNothing: true,
+	knowBeforeServing: true,
+};
+
+interface Operator {
+	/** The changes by nonce that the record had when it was read; null before. */
+	read: number[] | null;
+	phase: 'idle' | 'unanswered' | 'accepted' | 'refused' | 'unknown';
+}
+
+interface Process {
+	/** Changes of the version in force, oldest first; null: none known since its start. */
+	record: number[] | null;
+	/** Highest version that it served callers under since its start. */
+	served: number;
+}
+
+/** A state of the model. */
+export interface ConfigState {
+	/** The stored record: nonces of the changes, oldest first. Its length is the version. */
+	record: number[];
+	operators: Operator[];
+	processes: Process[];
+	/** A push under way to the first process. */
+	push: number[] | null;
+	restarts: number;
+	/** Highest version that has been in force everywhere. */
+	settled: number;
+	wrong: string;
+}
+
+/** The model with two processes and the given number of racing operators. */
+export function configModel(
+	name: string,
+	operators: number,
+	guards: ConfigGuards,
+): explore.Model<ConfigState> {
+	const initial: ConfigState = {
+		record: [],
+		operators: Array.from({ length: operators }, () => ({ read: null, phase: 'idle' })),
+		processes: [
+			{ record: [], served: 0 },
+			{ record: [], served: 0 },
+		],
+		push: null,
+		restarts: 0,
+		settled: 0,
+		wrong: '',
+	};
+
+	const judge = (next: ConfigState): void => {
+		for (const [nonce, one] of next.operators.entries()) {
+			const times = next.record.filter((stored) => stored === nonce).length;
+			if (one.phase === 'accepted' && times === 0) next.wrong = `accepted change ${nonce} is gone`;
+			if (one.phase === 'refused' && times > 0) next.wrong = `refused change ${nonce} is stored`;
+			if (times > 1) next.wrong = `change ${nonce} is stored twice`;
+		}
+	};
+
+	const offer = (next: ConfigState, index: number, record: number[]): void => {
+		const process = next.processes[index];
+		if (!process) return;
+		if (!guards.onlyHigher || process.record === null || record.length > process.record.length)
+			process.record = record;
+	};
+
+	type Add = (name: string, change: (next: ConfigState) => void) => void;
+
+	const steps = (state: ConfigState): { name: string; next: ConfigState }[] => {
+		const out: { name: string; next: ConfigState }[] = [];
+		if (state.wrong !== '') return out;
+		const add: Add = (step, change) => {
+			const next = structuredClone(state);
+			change(next);
+			judge(next);
+			out.push({ name: step, next });
+		};
+		for (const [nonce, one] of state.operators.entries()) operatorSteps(nonce, one, add);
+		for (const [index, process] of state.processes.entries()) processSteps(state, index, process, add);
+		if (state.push !== null) pushSteps(state.push, add);
+		const everywhere = state.processes.every((process) => process.record?.length === state.record.length);
+		if (everywhere && state.settled < state.record.length) {
+			add('the version is in force everywhere', (next) => {
+				next.settled = next.record.length;
+			});
+		}
+		return out;
+	};
+
+	const operatorSteps = (nonce: number, one: Operator, add: Add): void => {
+		if (one.phase === 'accepted' || one.phase === 'refused' || one.phase === 'unknown') return;
+		add(`operator ${nonce} reads`, (next) => {
+			const reader = next.operators[nonce];
+			if (!reader) return;
+			// What it reads shows whether an unanswered write of its own was stored.
+			if (guards.readBack && next.record.includes(nonce)) reader.phase = 'accepted';
+			reader.read = [...next.record];
+		});
+		if (one.phase === 'unanswered') {
+			add(`operator ${nonce} runs out of time`, (next) => {
+				const tired = next.operators[nonce];
+				if (tired) tired.phase = guards.readBack ? 'unknown' : 'refused';
+			});
+		}
+		if (one.read !== null) writeSteps(nonce, one.read, add);
+	};
+
+	const writeSteps = (nonce: number, read: number[], add: Add): void => {
+		const write = (next: ConfigState): boolean => {
+			const current = JSON.stringify(next.record) === JSON.stringify(read);
+			if (guards.compareAndSwap && !current) return false;
+			next.record = [...read, nonce];
+			return true;
+		};
+		add(`operator ${nonce} writes`, (next) => {
+			const writer = next.operators[nonce];
+			if (!writer) return;
+			const stored = write(next);
+			writer.read = null;
+			if (!stored) return;
+			writer.phase = 'accepted';
+			next.push = [...next.record];
+		});
+		add(`operator ${nonce} writes, the answer is lost`, (next) => {
+			const writer = next.operators[nonce];
+			write(next);
+			if (writer) Object.assign(writer, { phase: 'unanswered', read: null });
+		});
+		add(`operator ${nonce} writes, the request is lost`, (next) => {
+			const writer = next.operators[nonce];
+			if (writer) Object.assign(writer, { phase: 'unanswered', read: null });
+		});
+	};
+
+	const processSteps = (state: ConfigState, index: number, process: Process, add: Add): void => {
+		add(`process ${index} reads the platform`, (next) => {
+			offer(next, index, [...next.record]);
+		});
+		const peer = state.processes[1 - index]?.record;
+		if (peer) {
+			add(`process ${index} asks process ${1 - index}`, (next) => {
+				offer(next, index, [...peer]);
+			});
+		}
+		if (process.record !== null || !guards.knowBeforeServing) {
+			add(`process ${index} serves a caller`, (next) => {
+				const server = next.processes[index];
+				if (!server) return;
+				const version = server.record?.length ?? 0;
+				const least = Math.max(server.served, next.settled);
+				if (version < least) next.wrong = `process ${index} serves version ${version} after ${least}`;
+				server.served = Math.max(server.served, version);
+			});
+		}
+		if (state.restarts < 1 && index === 0) {
+			add(`process ${index} starts anew`, (next) => {
+				next.restarts += 1;
+				const restarted = next.processes[index];
+				if (restarted) Object.assign(restarted, { record: null, served: 0 });
+			});
+		}
+	};
+
+	const takePush = (next: ConfigState, push: number[]): void => {
+		const fresh = next.processes[0]?.record === null;
+		if (!fresh || !guards.pushProvesNothing) offer(next, 0, [...push]);
+	};
+
+	const pushSteps = (push: number[], add: Add): void => {
+		add('a push arrives', (next) => {
+			takePush(next, push);
+			next.push = null;
+		});
+		add('a push arrives, and will again', (next) => {
+			takePush(next, push);
+		});
+	};
+
+	return {
+		name,
+		bounds: `${operators} operators, 2 processes, 1 restart, answers and requests lost, pushes late or doubled`,
+		initial,
+		steps,
+		wrong: (state) => (state.wrong === '' ? undefined : state.wrong),
+		goal: (state) => state.processes.every((process) => process.record?.length === state.record.length),
+	};
+}
--- a/spec/run.ts
+++ b/spec/run.ts
@@ -1,2 +1,90 @@
-/** Explores every model of `spec/` whole; filled in with the models. */
-process.exitCode = 0;
+/**
+ * `npm run model-check`: explores every model whole, on as many threads as there are cores, prints counts and the
+ * mutants' shortest traces, and compares the counts with `spec/expected.json` (`--update` writes it anew).
+ */
+import * as fs from 'node:fs';
+import * as os from 'node:os';
+import * as threads from 'node:worker_threads';
+import * as url from 'node:url';
+import * as assets from '../src/core/assets.js';
+import * as catalogue from './checks.js';
+import * as explore from './explore.js';
+
+/** Memory that one exploration may take, in MiB. */
+const heapMb = 3_000;
+
+/** Threads at most. */
+const maxThreads = 6;
+
+const expectedFile = assets.assetPath('spec/expected.json');
+
+interface Counted {
+	name: string;
+	kind: explore.Verdict['kind'];
+	states: number;
+	steps?: number;
+	stuck?: number;
+	trace?: string[];
+}
+
+function explored(index: number): Promise<{ verdict: explore.Verdict; ms: number }> {
+	const startedAt = performance.now();
+	return new Promise((resolve, reject) => {
+		const thread = new threads.Worker(url.fileURLToPath(import.meta.url), {
+			workerData: index,
+			resourceLimits: { maxOldGenerationSizeMb: heapMb },
+		});
+		thread.once('message', (verdict: explore.Verdict) => {
+			resolve({ verdict, ms: performance.now() - startedAt });
+		});
+		thread.once('error', reject);
+	});
+}
+
+function count(name: string, verdict: explore.Verdict): Counted {
+	if (verdict.kind === 'wrong')
+		return { name, kind: verdict.kind, states: verdict.states, trace: verdict.trace };
+	return { name, kind: verdict.kind, states: verdict.states, steps: verdict.steps, stuck: verdict.stuck };
+}
+
+function print(check: catalogue.Check, verdict: explore.Verdict, ms: number, fine: boolean): void {
+	const mark = fine ? 'ok  ' : 'FAIL';
+	const took = `${(ms / 1000).toFixed(1)} s`;
+	if (verdict.kind === 'holds') {
+		const counts = `${verdict.states} states, ${verdict.steps} steps, ${verdict.stuck} without an end`;
+		console.log(`${mark} ${check.name}: holds; ${counts} (${check.bounds}; ${took})`);
+		return;
+	}
+	console.log(`${mark} ${check.name}: wrong after ${verdict.states} states: ${verdict.what} (${took})`);
+	for (const step of verdict.trace) console.log(`         ${step}`);
+}
+
+async function main(): Promise<void> {
+	const update = process.argv.includes('--update');
+	const expected = update ? [] : (JSON.parse(fs.readFileSync(expectedFile, 'utf8')) as Counted[]);
+	const results: Counted[] = [];
+	const queue = catalogue.checks.map((check, index) => ({ check, index }));
+	let failed = 0;
+	const work = async (): Promise<void> => {
+		for (let job = queue.shift(); job !== undefined; job = queue.shift()) {
+			const { verdict, ms } = await explored(job.index);
+			const counted = count(job.check.name, verdict);
+			results[job.index] = counted;
+			const right = verdict.kind === job.check.expect && (verdict.kind === 'wrong' || verdict.stuck === 0);
+			const same = update || JSON.stringify(expected[job.index]) === JSON.stringify(counted);
+			if (!right || !same) failed += 1;
+			print(job.check, verdict, ms, right && same);
+		}
+	};
+	await Promise.all(Array.from({ length: Math.min(maxThreads, os.availableParallelism()) }, work));
+	if (update) fs.writeFileSync(expectedFile, `${JSON.stringify(results, null, '\t')}\n`);
+	console.log(`${results.length - failed} checks passed, ${failed} failed`);
+	process.exitCode = failed === 0 ? 0 : 1;
+}
+
+if (threads.isMainThread) {
+	await main();
+} else {
+	const check = catalogue.checks[threads.workerData as number];
+	if (check !== undefined) threads.parentPort?.postMessage(check.run(explore.explore));
+}
--- a/src/core/config/task.ts
+++ b/src/core/config/task.ts
@@ -42,7 +42,7 @@
 			relistMs,
 			onView: (view) => {
 				const record = store.decodeRecord(view.get(store.configKey));
-				if (record.ok) task.offer(record.value, true);
+				if (record.ok) task.offer(record.value, 'platform');
 			},
 		});
 		return task;
@@ -58,15 +58,19 @@
 		return keys.valueOf(this.record.values, name);
 	}
 
-	/** Takes over a higher version; passes it on to the zone's peers once. */
-	offer(record: wire.ConfigRecord, relay: boolean): void {
+	/**
+	 * Takes over a higher version. One read from the platform is passed on to the zone's peers. A push may have been
+	 * under way for long, so to a process that has just started it proves nothing: it asks first (spec/config.ts).
+	 */
+	offer(record: wire.ConfigRecord, from: 'platform' | 'asked' | 'push'): void {
+		if (from === 'push' && !this.known) return;
 		const first = !this.known;
 		this.known = true;
 		if (record.version <= this.record.version && !(first && record.version === 0)) return;
 		this.record = record;
 		this.deps.events.emit('config.applied', { version: record.version });
 		this.deps.onApplied(record);
-		if (relay && record.version > 0) this.relay(record);
+		if (from === 'platform' && record.version > 0) this.relay(record);
 	}
 
 	/** A peer told of a higher version: ask it for the record. */
@@ -75,7 +79,7 @@
 		const res = await this.deps.peers.call<unknown>(address, { type: 'config.get' }, askMs);
 		if (!res.ok || !res.value.ok) return;
 		const parsed = wire.configRecord.safeParse(res.value.value);
-		if (parsed.success) this.offer(parsed.data, false);
+		if (parsed.success) this.offer(parsed.data, 'asked');
 	}
 
 	stop(): void {
--- a/src/core/node/index.ts
+++ b/src/core/node/index.ts
@@ -193,7 +193,7 @@
 				this.noteGossip(req);
 				return results.ok({ configVersion: this.config.record.version });
 			case 'config.push':
-				this.config.offer(req.record, false);
+				this.config.offer(req.record, 'push');
 				return results.ok({ version: this.config.record.version });
 			case 'config.get':
 				if (!this.config.known)
--- a/src/core/operator/process.ts
+++ b/src/core/operator/process.ts
@@ -112,7 +112,7 @@
 		if (!stored.ok) return stored;
 		const { version } = stored.value;
 		this.node.events.emit('config.accepted', { version, key: req.key, reason: change.by });
-		this.node.config.offer(stored.value, false);
+		this.node.config.offer(stored.value, 'asked');
 		return results.ok({ version, ...(await this.push(stored.value)) });
 	}
 
