Failure tests with real processes: owners, workers, callers' requests, leaving and planned stops

Cause: no promise had been tried against real processes under failure. Change: a fault-injecting TCP proxy; tests that kill or freeze the owner at each step, kill or cut off workers, break backend servers at three points of an answer, repeat keyed requests through other boxes, mark a backend server as leaving and stop each program under load. Judged by the journals of the worker and backend stand-ins. Ruled out: judging by the product's own status.

--- /dev/null
+++ b/stand-ins/proxy/index.ts
@@ -0,0 +1,95 @@
+/** A small TCP proxy that injects faults between two processes: cut, one-way cut, delay, freeze. Not shipped. */
+import * as net from 'node:net';
+
+/** What the proxy does with traffic. */
+export type ProxyMode =
+	/** Passes everything on. */
+	| { kind: 'pass' }
+	/** Ends connections and refuses new ones. */
+	| { kind: 'cut' }
+	/** Accepts and passes nothing on, either way. */
+	| { kind: 'freeze' }
+	/** Requests reach the target; answers are dropped. */
+	| { kind: 'drop-answers' }
+	/** Holds each piece back for so many milliseconds. */
+	| { kind: 'delay'; ms: number };
+
+/** One proxied target. */
+export class FaultProxy {
+	private mode: ProxyMode = { kind: 'pass' };
+	private readonly sockets = new Set<net.Socket>();
+
+	private constructor(
+		private readonly server: net.Server,
+		private readonly target: string,
+	) {}
+
+	/** Listens on a kernel-chosen port of loopback for `target`, `host:port`. */
+	static async create(target: string): Promise<FaultProxy> {
+		const server = net.createServer();
+		const proxy = new FaultProxy(server, target);
+		server.on('connection', (socket) => {
+			proxy.serve(socket);
+		});
+		await new Promise<void>((resolve) => {
+			server.listen(0, '127.0.0.1', resolve);
+		});
+		return proxy;
+	}
+
+	get address(): string {
+		return `127.0.0.1:${(this.server.address() as net.AddressInfo).port}`;
+	}
+
+	/** Changes what happens from now on; connections from before a cut or freeze are treated alike. */
+	set(mode: ProxyMode): void {
+		this.mode = mode;
+		if (mode.kind === 'cut') for (const socket of this.sockets) socket.destroy();
+		// What a frozen link held back must not come through later as if nothing had been.
+		if (mode.kind === 'pass') for (const socket of this.sockets) if (socket.isPaused()) socket.destroy();
+	}
+
+	close(): void {
+		this.server.close();
+		for (const socket of this.sockets) socket.destroy();
+	}
+
+	private serve(client: net.Socket): void {
+		if (this.mode.kind === 'cut') {
+			client.destroy();
+			return;
+		}
+		const cut = this.target.lastIndexOf(':');
+		const upstream = net.connect(Number(this.target.slice(cut + 1)), this.target.slice(0, cut));
+		this.pipe(client, upstream, 'request');
+		this.pipe(upstream, client, 'answer');
+	}
+
+	private pipe(from: net.Socket, to: net.Socket, direction: 'request' | 'answer'): void {
+		this.sockets.add(from);
+		from.setNoDelay(true);
+		from.on('data', (chunk: Buffer) => {
+			this.pass(from, to, chunk, direction);
+		});
+		from.on('error', () => to.destroy());
+		from.on('end', () => to.end());
+		from.on('close', () => {
+			this.sockets.delete(from);
+			to.destroy();
+		});
+	}
+
+	private pass(from: net.Socket, to: net.Socket, chunk: Buffer, direction: 'request' | 'answer'): void {
+		const { mode } = this;
+		if (mode.kind === 'freeze') {
+			from.pause();
+			return;
+		}
+		if (mode.kind === 'drop-answers' && direction === 'answer') return;
+		if (mode.kind === 'delay') {
+			setTimeout(() => to.write(chunk), mode.ms);
+			return;
+		}
+		to.write(chunk);
+	}
+}
--- a/test/chart.test.ts
+++ b/test/chart.test.ts
@@ -15,7 +15,7 @@
 		for (const state of Object.keys(chart.states)) {
 			for (const event of events) {
 				const from = machine.resolveState({ value: state, context: {} });
-				const next = xstate.getNextSnapshot(machine, from, { type: event });
+				const [next] = xstate.transition(machine, from, { type: event });
 				t.is(ours.next(state, event) ?? state, next.value as string, `${state} on ${event}`);
 				const taken = ours.next(state, event);
 				if (taken !== undefined) table.push(`${state} --${event}--> ${taken}`);
--- /dev/null
+++ b/test/requests.test.ts
@@ -0,0 +1,269 @@
+/** Callers' requests under failure, through real entry boxes; judged by hash and by the backend servers' journals. */
+import test from 'ava';
+import * as clusters from '../dev/cluster.js';
+import * as callers from './fixtures/callers.js';
+import * as operate from './fixtures/operate.js';
+import * as processes from '../dev/processes.js';
+
+const shape: clusters.ClusterOptions = {
+	zones: ['rennes'],
+	entriesPerZone: 2,
+	schedulersPerZone: 1,
+	backendsPerZone: 3,
+	workersPerZone: 1,
+	schedulerFlags: operate.fastFlags,
+};
+
+const callerCount = 200;
+const largestBody = 1024 * 1024;
+
+function only<T>(items: T[]): [T, T] {
+	const [first, second] = items;
+	if (first === undefined || second === undefined) throw new Error('two expected');
+	return [first, second];
+}
+
+/** Waits until an entry box knows its backend servers. */
+async function ready(entry: clusters.Program): Promise<void> {
+	await operate.until('an answer', async () => (await callers.ask(entry, { method: 'GET' })).status === 200);
+}
+
+async function start(
+	t: { teardown: (fn: () => Promise<void>) => void },
+	extra: Partial<clusters.ClusterOptions> = {},
+): Promise<clusters.Cluster> {
+	const cluster = await clusters.Cluster.create({ ...shape, ...extra });
+	t.teardown(() => cluster.close());
+	await Promise.all(cluster.of('entry').map(ready));
+	return cluster;
+}
+
+test.serial(
+	'200 callers at once with distinct bodies of up to 1 MB each get their own answer whole',
+	async (t) => {
+		const cluster = await start(t);
+		const [first, second] = only(cluster.of('entry'));
+		const asked = Array.from({ length: callerCount }, async (_, index) => {
+			const size = Math.round((largestBody * (index + 1)) / callerCount);
+			const body = callers.bytesOf(`caller ${index}`, size);
+			const id = `caller-${index}`;
+			const headers = {
+				'x-request-id': id,
+				'x-woodcross-repeat': 'safe',
+				'x-woodcross-deadline-ms': '60000',
+			};
+			const got = await callers.ask(index % 2 === 0 ? first : second, { body, headers });
+			return got.status === 200 && got.body.equals(body) && got.headers['x-request-id'] === id;
+		});
+		const whole = (await Promise.all(asked)).filter(Boolean).length;
+		t.is(whole, callerCount);
+		t.true(callers.backendRuns(cluster).every((run) => run.running <= clusters.backendSlots));
+	},
+);
+
+for (const [point, expected] of [
+	['before', 'may-have-run'],
+	['after', 'may-have-run'],
+	['halfway', 'may-have-run'],
+] as const) {
+	test.serial(
+		`a backend server breaks off ${point} its answer: never a short answer, never a false "not run"`,
+		async (t) => {
+			const cluster = await start(t);
+			const [entry] = only(cluster.of('entry'));
+			const breakAll = { breakNext: point, breakCount: 1 };
+			await Promise.all(cluster.backends.map((box) => clusters.post(box.address, '/fault', breakAll)));
+			const before = callers.backendRuns(cluster).length;
+			const unsafe = await callers.ask(entry, { body: Buffer.from('one booking') });
+			t.is(unsafe.status, 502);
+			t.is(unsafe.problem?.mayHaveRun === true ? 'may-have-run' : 'not-run', expected);
+			t.true(callers.backendRuns(cluster).length - before <= 1, 'an unsafe request is sent once');
+			const safe = await callers.ask(entry, {
+				body: Buffer.from('proof'),
+				headers: { 'x-woodcross-repeat': 'safe' },
+			});
+			// Two backend servers still break their next answer; the retry budget allows one more try.
+			t.true(safe.status === 200 ? safe.body.toString() === 'proof' : safe.problem?.mayHaveRun === true);
+			await Promise.all(cluster.backends.map((box) => clusters.post(box.address, '/fault', {})));
+			await operate.until(
+				'whole answers again',
+				async () => (await callers.ask(entry, { body: Buffer.from('x') })).body.toString() === 'x',
+			);
+			t.pass();
+		},
+	);
+}
+
+test.serial(
+	'a large answer that breaks off ends the connection: the caller never takes it for whole',
+	async (t) => {
+		const cluster = await start(t);
+		const [entry] = only(cluster.of('entry'));
+		const whole = await callers.ask(entry, { path: '/proof?size=3000000', body: Buffer.from('a') });
+		t.is(whole.body.length, 3_000_000);
+		await Promise.all(
+			cluster.backends.map((box) =>
+				clusters.post(box.address, '/fault', { breakNext: 'halfway', breakCount: 1 }),
+			),
+		);
+		const broken = await callers.ask(entry, { path: '/proof?size=3000000', body: Buffer.from('a') });
+		t.true(broken.status === 0 || broken.status === 502);
+	},
+);
+
+test.serial(
+	'a keyed request runs at most once, whatever the caller repeats through other boxes',
+	async (t) => {
+		const cluster = await start(t);
+		const [first, second] = only(cluster.of('entry'));
+		const client = operate.operatorOf(cluster);
+		await operate.settled(client);
+		client.close();
+		const body = Buffer.from('confirm slot 14');
+		const headersOf = (key: string): Record<string, string> => ({
+			'idempotency-key': key,
+			'x-woodcross-caller': 'agency-3',
+		});
+
+		// The same key at the same time through both boxes, many times.
+		const together = await Promise.all(
+			Array.from({ length: 10 }, (_, index) =>
+				callers.ask(index % 2 === 0 ? first : second, { body, headers: headersOf('k1') }),
+			),
+		);
+		t.true(together.every((got) => got.status === 200 && got.body.equals(body)));
+
+		// The backend server runs it and the answer is lost; the caller repeats it elsewhere.
+		await Promise.all(
+			cluster.backends.map((box) =>
+				clusters.post(box.address, '/fault', { breakNext: 'after', breakCount: 1 }),
+			),
+		);
+		const lost = await callers.ask(first, { body, headers: headersOf('k2') });
+		t.true(lost.problem?.mayHaveRun);
+		const again = await callers.ask(second, { body, headers: headersOf('k2') });
+		t.true(again.problem?.mayHaveRun);
+		t.is(again.problem?.type, 'urn:woodcross:error:MayHaveRun');
+
+		// Another request under a used key.
+		const other = await callers.ask(second, {
+			body: Buffer.from('confirm slot 15'),
+			headers: headersOf('k1'),
+		});
+		t.is(other.status, 422);
+		t.true(other.problem?.notRun);
+
+		// The box dies while the request runs; the caller repeats it through the other one.
+		await Promise.all(
+			cluster.backends.map((box) => clusters.post(box.address, '/fault', { serviceMs: 300 })),
+		);
+		const dying = callers.ask(first, { body, headers: headersOf('k3') });
+		await operate.until('the request running', () =>
+			callers.backendRuns(cluster).some((run) => run.key === 'k3'),
+		);
+		await clusters.kill(first.process);
+		t.is((await dying).status, 0);
+		const repeated = await callers.ask(second, { body, headers: headersOf('k3') });
+		t.true(repeated.problem?.mayHaveRun);
+
+		const runs = callers.backendRuns(cluster);
+		const counts = ['k1', 'k2', 'k3'].map((key) => runs.filter((run) => run.key === key).length);
+		t.deepEqual(counts, [1, 1, 1]);
+	},
+);
+
+test.serial(
+	'the platform is out: keyed requests are told "not run" and are not, others are served',
+	async (t) => {
+		const cluster = await start(t);
+		const [entry] = only(cluster.of('entry'));
+		const client = operate.operatorOf(cluster);
+		await operate.settled(client);
+		await cluster.platformFault({ down: true });
+		const headers = { 'idempotency-key': 'k9', 'x-woodcross-deadline-ms': '8000' };
+		const [keyed, plain] = await Promise.all([
+			callers.ask(entry, { body: Buffer.from('book'), headers }),
+			callers.ask(entry, { body: Buffer.from('proof') }),
+		]);
+		t.is(plain.status, 200);
+		t.is(keyed.status, 503);
+		t.true(keyed.problem?.notRun);
+		t.truthy(keyed.headers['retry-after']);
+		await cluster.platformFault({});
+		await operate.until(
+			'keyed requests run again',
+			async () => (await callers.ask(entry, { body: Buffer.from('book'), headers })).status === 200,
+		);
+		client.close();
+		t.is(callers.backendRuns(cluster).filter((run) => run.key === 'k9').length, 1);
+	},
+);
+
+test.serial(
+	'a leaving backend server gets no new request 3 s after the mark, and none is cut off',
+	async (t) => {
+		const cluster = await start(t, { backendEnv: { SERVICE_MS: '20' } });
+		const [entry] = only(cluster.of('entry'));
+		const leaving = cluster.backends[0];
+		t.truthy(leaving);
+		if (leaving === undefined) return;
+		let stop = false;
+		const failures: string[] = [];
+		const load = Array.from({ length: 8 }, async () => {
+			while (!stop) {
+				const got = await callers.ask(entry, { body: Buffer.from('proof') });
+				if (got.status !== 200) failures.push(`${got.status} ${got.problem?.detail ?? ''}`);
+			}
+		});
+		await operate.until('load on it', () =>
+			callers.backendRuns(cluster).some((run) => run.backend === leaving.id),
+		);
+		leaving.state = 'leaving';
+		await cluster.publish(leaving.zone);
+		const markedAt = Date.now();
+		await operate.until('4 s under load', () => Date.now() - markedAt > 4000);
+		stop = true;
+		await Promise.all(load);
+		const late = callers
+			.backendRuns(cluster)
+			.filter((run) => run.backend === leaving.id && run.at > markedAt + 3000);
+		t.deepEqual({ late: late.length, failures }, { late: 0, failures: [] });
+	},
+);
+
+for (const role of ['entry', 'scheduler', 'operator'] as const) {
+	test.serial(`a planned stop of ${role} under load: no caller sees an error`, async (t) => {
+		const cluster = await start(t, { schedulersPerZone: 2, backendEnv: { SERVICE_MS: '20' } });
+		const client = operate.operatorOf(cluster);
+		await operate.settled(client);
+		client.close();
+		const entries = cluster.of('entry');
+		const stopping = cluster.of(role)[0];
+		if (stopping === undefined) return;
+		let stop = false;
+		let drained = false;
+		let answered = 0;
+		const failures: string[] = [];
+		const load = Array.from({ length: 8 }, async (_, index) => {
+			while (!stop) {
+				// The balancer: a box whose health page fails gets nothing new.
+				const healthy = entries.filter((one) => one !== stopping || !drained);
+				const entry = healthy[index % healthy.length];
+				if (entry === undefined) return;
+				const got = await callers.ask(entry, { body: Buffer.from('proof') });
+				if (got.status === 200) answered += 1;
+				else failures.push(`${got.status} ${got.problem?.detail ?? 'broken connection'}`);
+			}
+		});
+		await operate.until('load', () => answered > 50);
+		const code = processes.stop(stopping.process);
+		await processes.waitLine(stopping.process, (line) => line.name === 'process.stopping');
+		drained = true;
+		t.is(await code, 0);
+		const before = answered;
+		await operate.until('load goes on', () => answered > before + 50);
+		stop = true;
+		await Promise.all(load);
+		t.deepEqual(failures, []);
+	});
+}
--- /dev/null
+++ b/test/scheduler-failures.test.ts
@@ -0,0 +1,187 @@
+/** Owners that die or freeze at each step, workers that die or are cut off; judged by the workers' journals. */
+import test from 'ava';
+import * as clusters from '../dev/cluster.js';
+import * as proxies from '../stand-ins/proxy/index.js';
+import * as journal from './fixtures/journal.js';
+import * as operate from './fixtures/operate.js';
+import * as processes from '../dev/processes.js';
+
+const shape: clusters.ClusterOptions = {
+	zones: ['rennes'],
+	entriesPerZone: 0,
+	schedulersPerZone: 2,
+	backendsPerZone: 0,
+	workersPerZone: 3,
+	schedulerFlags: operate.fastFlags,
+};
+
+const taskCount = 12;
+
+/** The scheduler that logs an event, as soon as it does. */
+async function firstToLog(cluster: clusters.Cluster, name: string): Promise<clusters.Program> {
+	const waiting = cluster.of('scheduler').map(async (program) => {
+		await processes.waitLine(program.process, (line) => line.name === name, 30_000);
+		return program;
+	});
+	return Promise.any(waiting);
+}
+
+const noFinishTwice = (ran: journal.Ran[]): string[] =>
+	Object.entries(journal.finishedCounts(ran))
+		.filter(([, count]) => count !== 1)
+		.map(([task, count]) => `${task} finished ${count} times`);
+
+for (const step of ['job.submitted', 'task.placed', 'task.running', 'task.finished']) {
+	test.serial(
+		`the owner is killed when it logs ${step}: every task still finishes, none in two places`,
+		async (t) => {
+			const cluster = await clusters.Cluster.create(shape);
+			t.teardown(() => cluster.close());
+			const client = operate.operatorOf(cluster);
+			await operate.settled(client);
+			const killed = firstToLog(cluster, step).then((owner) => clusters.kill(owner.process));
+			await client.call('submit', { specJson: JSON.stringify(operate.batch('night', taskCount, 800)) });
+			await killed;
+			await operate.submit(client, operate.batch('night', taskCount, 800));
+			await operate.until(
+				'the job finished',
+				async () => (await operate.jobState(client, 'press/night')) === 'finished',
+			);
+			client.close();
+			const ran = journal.ranFrom(journal.witnessesOf(cluster));
+			t.deepEqual(journal.faults(ran, clusters.workerCapacity.cores), []);
+			t.snapshot({ finished: Object.keys(journal.finishedCounts(ran)).sort() });
+		},
+	);
+}
+
+for (const step of ['task.placed', 'task.running', 'task.finished']) {
+	test.serial(`the owner freezes when it logs ${step}, past lease and horizon, and comes back`, async (t) => {
+		const cluster = await clusters.Cluster.create(shape);
+		t.teardown(() => cluster.close());
+		const client = operate.operatorOf(cluster);
+		await operate.settled(client);
+		const frozen = firstToLog(cluster, step).then((owner) => {
+			owner.process.child.kill('SIGSTOP');
+			return owner;
+		});
+		await client.call(
+			'submit',
+			{ specJson: JSON.stringify(operate.batch('night', taskCount, 6000)) },
+			15_000,
+		);
+		const owner = await frozen;
+		const other = cluster.of('scheduler').find((one) => one !== owner);
+		t.truthy(other);
+		if (other === undefined) return;
+		await processes.waitLine(other.process, (line) => line.name === 'shard.taken', 30_000);
+		owner.process.child.kill('SIGCONT');
+		await processes.waitLine(
+			owner.process,
+			(line) => line.name === 'shard.lost' || line.name === 'shard.taken',
+			30_000,
+		);
+		await operate.until(
+			'the job finished',
+			async () => (await operate.jobState(client, 'press/night')) === 'finished',
+		);
+		client.close();
+		const ran = journal.ranFrom(journal.witnessesOf(cluster));
+		t.deepEqual(journal.faults(ran, clusters.workerCapacity.cores), []);
+		t.deepEqual(noFinishTwice(ran), []);
+		t.is(Object.keys(journal.finishedCounts(ran)).length, taskCount);
+	});
+}
+
+test.serial('a worker is killed and comes back: its tasks resume, each once', async (t) => {
+	const cluster = await clusters.Cluster.create(shape);
+	t.teardown(() => cluster.close());
+	const client = operate.operatorOf(cluster);
+	await operate.settled(client);
+	await operate.submit(client, operate.batch('night', taskCount, 3000));
+	const victim = cluster.workers[0];
+	t.truthy(victim);
+	if (victim === undefined) return;
+	await processes.waitLine(victim.process, (line) => line.journal !== undefined);
+	const killedAt = Date.now();
+	await clusters.kill(victim.process);
+	const gone = { lines: victim.process.lines, killedAt };
+	const back = await cluster.startWorker(victim.id, victim.zone);
+	cluster.workers[0] = back;
+	await cluster.publish(victim.zone);
+	await operate.until(
+		'the job finished',
+		async () => (await operate.jobState(client, 'press/night')) === 'finished',
+	);
+	client.close();
+	const ran = journal.ranFrom(journal.witnessesOf(cluster, [gone]));
+	t.deepEqual(journal.faults(ran, clusters.workerCapacity.cores), []);
+	t.is(Object.keys(journal.finishedCounts(ran)).length, taskCount);
+	t.true(ran.some((one) => one.how === 'killed'));
+});
+
+test.serial(
+	'a worker is cut off while its tasks run: they stop by their lease before they run elsewhere',
+	async (t) => {
+		const cuts = new Map<string, proxies.FaultProxy>();
+		const cluster = await clusters.Cluster.create({
+			...shape,
+			via: async (from, to, address) => {
+				if (from !== 'scheduler') return address;
+				const proxy = await proxies.FaultProxy.create(address);
+				cuts.set(to, proxy);
+				return proxy.address;
+			},
+		});
+		t.teardown(async () => {
+			for (const proxy of cuts.values()) proxy.close();
+			await cluster.close();
+		});
+		const client = operate.operatorOf(cluster);
+		await operate.settled(client);
+		await operate.submit(client, operate.batch('night', taskCount, 4000));
+		const victim = cluster.workers[0];
+		if (victim === undefined) return;
+		await processes.waitLine(victim.process, (line) => line.journal !== undefined);
+		cuts.get(victim.id)?.set({ kind: 'drop-answers' });
+		await operate.until(
+			'the job finished',
+			async () => (await operate.jobState(client, 'press/night')) === 'finished',
+		);
+		cuts.get(victim.id)?.set({ kind: 'cut' });
+		cuts.get(victim.id)?.set({ kind: 'pass' });
+		await operate.settled(client);
+		client.close();
+		const ran = journal.ranFrom(journal.witnessesOf(cluster));
+		t.deepEqual(journal.faults(ran, clusters.workerCapacity.cores), []);
+		t.deepEqual(noFinishTwice(ran), []);
+		t.is(Object.keys(journal.finishedCounts(ran)).length, taskCount);
+		t.true(ran.some((one) => one.worker === victim.id && one.how === 'lease lapsed'));
+	},
+);
+
+test.serial('urgent work evicts batch work, which resumes from its checkpoint exactly once', async (t) => {
+	const cluster = await clusters.Cluster.create(shape);
+	t.teardown(() => cluster.close());
+	const client = operate.operatorOf(cluster);
+	await operate.settled(client);
+	const whole = { needs: { cores: 32, memoryMb: 1024 } };
+	await operate.submit(client, operate.batch('long', 3, 3000, whole));
+	await operate.until('the workers full', () =>
+		cluster.workers.every((box) => box.process.lines.some((line) => line.journal !== undefined)),
+	);
+	await operate.submit(client, operate.batch('urgent', 1, 500, { ...whole, urgent: true }));
+	const finished = async (): Promise<boolean> =>
+		(await operate.jobState(client, 'press/urgent')) === 'finished' &&
+		(await operate.jobState(client, 'press/long')) === 'finished';
+	await operate.until('both jobs finished', finished);
+	client.close();
+	const ran = journal.ranFrom(journal.witnessesOf(cluster));
+	t.deepEqual(journal.faults(ran, clusters.workerCapacity.cores), []);
+	t.snapshot(journal.finishedCounts(ran));
+	const evicted = ran.filter((one) => one.how === 'stopped by command');
+	t.is(evicted.length, 1);
+	const resumed = ran.find((one) => one.task === evicted[0]?.task && one.attempt === 2);
+	// It goes on where it stopped: the second attempt does not work for the whole time again.
+	t.true(resumed !== undefined && resumed.to - resumed.from < 3000 - (evicted[0]?.progressMs ?? 0) + 500);
+});
