Entry: requests go to the handler directly, not through h3; deadline timers end with their answer

Cause: a profile of the entry at half load showed 514 ms of 5.9 s busy in NodeError: h3's Node adapter ends every response a second time, and Node builds an error with its stack for that. AbortSignal.timeout also kept a timer for each request until its deadline. Ruled out: the dispatcher (under 3%), the shares (not in the profile). Change: the HTTP server hands /services/ to the entry itself; h3 serves health and metrics. One cleared timer a request.

--- a/dev/cluster.ts
+++ b/dev/cluster.ts
@@ -11,6 +11,10 @@
 	schedulersPerZone: number;
 	backendsPerZone: number;
 	workersPerZone: number;
+	/** Least severe events that programs print. */
+	logLevel?: 'debug' | 'info';
+	/** Operator processes: one, or none. */
+	operators?: 0 | 1;
 	/** Extra flags for schedulers, e.g. shorter leases. */
 	schedulerFlags?: string[];
 	/** Extra flags for entries. */
@@ -81,7 +85,7 @@
 			for (let i = 0; i < opts.schedulersPerZone; i += 1)
 				starting.push(cluster.startProgram('scheduler', zone));
 		}
-		starting.push(cluster.startProgram('operator', opts.zones[0] ?? ''));
+		if (opts.operators !== 0) starting.push(cluster.startProgram('operator', opts.zones[0] ?? ''));
 		await Promise.all(starting);
 		return cluster;
 	}
@@ -96,7 +100,7 @@
 		const origin = await this.via(box, 'platform', this.platformAddress);
 		const args = [
 			...['--box', box, '--zone', zone, '--zones', this.opts.zones.join(',')],
-			...['--platform', `http://${origin}`, '--log', 'json', '--log-level', 'debug'],
+			...['--platform', `http://${origin}`, '--log', 'json', '--log-level', this.opts.logLevel ?? 'debug'],
 			...(extra ?? []),
 			...flags,
 		];
@@ -186,7 +190,8 @@
 		return this.opts.via === undefined ? address : this.opts.via(from, to, address);
 	}
 
-	private async put(key: string, value: unknown): Promise<void> {
+	/** Writes a box list, as the platform would. */
+	async put(key: string, value: unknown): Promise<void> {
 		const current = await this.store.get(key);
 		if (!current.ok) throw new Error(`platform stand-in: ${current.err.reason}`);
 		const bytes = Buffer.from(JSON.stringify(value));
--- /dev/null
+++ b/dev/measure/load.ts
@@ -0,0 +1,108 @@
+/** Load on an HTTP address: a fixed number of callers, or a fixed rate. */
+import * as hdr from 'hdr-histogram-js';
+import * as undici from 'undici';
+
+/** What a run of load came to; times in milliseconds. */
+export interface LoadResult {
+	answered: number;
+	refused: number;
+	failed: number;
+	perSecond: number;
+	p50: number;
+	p99: number;
+	p999: number;
+}
+
+/** One request of a load. */
+export interface Target {
+	origins: string[];
+	path: string;
+	headers: Record<string, string>;
+	body: Buffer;
+}
+
+const connections = 128;
+
+class Recorder {
+	readonly histogram = hdr.build({ highestTrackableValue: 60_000_000, numberOfSignificantValueDigits: 3 });
+	answered = 0;
+	refused = 0;
+	failed = 0;
+
+	result(seconds: number): LoadResult {
+		const at = (quantile: number): number => this.histogram.getValueAtPercentile(quantile) / 1000;
+		const { answered, refused, failed } = this;
+		return {
+			answered,
+			refused,
+			failed,
+			perSecond: answered / seconds,
+			p50: at(50),
+			p99: at(99),
+			p999: at(99.9),
+		};
+	}
+}
+
+/** Sends requests through connection pools, origins in turn. */
+class Sender {
+	private turn = 0;
+	private readonly pools: undici.Pool[];
+
+	constructor(private readonly target: Target) {
+		this.pools = target.origins.map((origin) => new undici.Pool(origin, { connections, pipelining: 1 }));
+	}
+
+	async one(recorder: Recorder, dueAt: number): Promise<void> {
+		const pool = this.pools[this.turn % this.pools.length];
+		this.turn += 1;
+		if (pool === undefined) return;
+		try {
+			const { path, headers, body } = this.target;
+			const res = await pool.request({ path, method: 'POST', headers, body });
+			const answer = Buffer.from(await res.body.arrayBuffer());
+			if (res.statusCode === 503) recorder.refused += 1;
+			else if (res.statusCode !== 200 || !answer.equals(body)) recorder.failed += 1;
+			else {
+				recorder.answered += 1;
+				recorder.histogram.recordValue(Math.max(1, Math.round((performance.now() - dueAt) * 1000)));
+			}
+		} catch {
+			recorder.failed += 1;
+		}
+	}
+
+	async close(): Promise<void> {
+		await Promise.all(this.pools.map((pool) => pool.destroy()));
+	}
+}
+
+/** A number of callers who each ask again as soon as they are answered. */
+export async function closedLoad(target: Target, callers: number, seconds: number): Promise<LoadResult> {
+	const sender = new Sender(target);
+	const recorder = new Recorder();
+	const endAt = performance.now() + seconds * 1000;
+	const loops = Array.from({ length: callers }, async () => {
+		while (performance.now() < endAt) await sender.one(recorder, performance.now());
+	});
+	await Promise.all(loops);
+	await sender.close();
+	return recorder.result(seconds);
+}
+
+/** Requests at a fixed rate whatever the answers; times count from when each was due. */
+export async function openLoad(target: Target, perSecond: number, seconds: number): Promise<LoadResult> {
+	const sender = new Sender(target);
+	const recorder = new Recorder();
+	const total = Math.round(perSecond * seconds);
+	const startAt = performance.now();
+	const sent: Promise<void>[] = [];
+	while (sent.length < total) {
+		const due = Math.min(total, Math.floor(((performance.now() - startAt) / 1000) * perSecond));
+		while (sent.length < due) sent.push(sender.one(recorder, startAt + (sent.length / perSecond) * 1000));
+		await new Promise((resolve) => setTimeout(resolve, 1));
+	}
+	await Promise.all(sent);
+	await sender.close();
+	return recorder.result(seconds);
+}
--- /dev/null
+++ b/dev/measure/main.ts
@@ -0,0 +1,18 @@
+/** `npm run measure -- <name>`: prints a table and keeps it as JSON under measurements/. */
+import * as commit from './commit.js';
+import * as entry from './entry.js';
+import * as slopes from './slopes.js';
+
+const measurements: Record<string, () => Promise<void>> = {
+	commit: commit.measureCommit,
+	entry: entry.measureEntry,
+	slopes: slopes.measureSlopes,
+};
+
+const name = process.argv[2] ?? '';
+const run = measurements[name];
+if (run === undefined) {
+	console.error(`measure: '${name}' is not one of ${Object.keys(measurements).join(', ')}`);
+	process.exit(2);
+}
+await run();
--- a/dev/processes.ts
+++ b/dev/processes.ts
@@ -23,14 +23,15 @@
 	return url.fileURLToPath(new URL(relative, dist));
 }
 
-/** Starts a compiled program with Node. */
+/** Starts a compiled program with Node; `DEV_NODE_FLAGS` adds Node's own flags, e.g. for a profile. */
 export function start(
 	name: string,
 	relative: string,
 	args: string[] = [],
 	env: Record<string, string> = {},
 ): Started {
-	const child = childProcess.spawn(process.execPath, ['--enable-source-maps', program(relative), ...args], {
+	const flags = (process.env.DEV_NODE_FLAGS ?? '').split(' ').filter((flag) => flag.length > 0);
+	const child = childProcess.spawn(process.execPath, [...flags, program(relative), ...args], {
 		env: { ...process.env, ...env },
 		stdio: ['ignore', 'pipe', 'pipe'],
 	});
--- a/src/core/entry/forward.ts
+++ b/src/core/entry/forward.ts
@@ -69,19 +69,29 @@
 	req: CallerRequest,
 	timeoutMs: number,
 ): Promise<SendOutcome> {
+	const abort = new AbortController();
+	// AbortSignal.timeout() would keep its timer after the answer: thousands of them under load.
+	const timer = setTimeout(
+		() => {
+			abort.abort(new Error('no answer within the deadline'));
+		},
+		Math.max(1, timeoutMs),
+	);
 	try {
 		const res = await pool.request({
 			method: req.method,
 			path: req.path,
 			headers: { ...req.headers, [requestIdHeader]: req.id },
 			body: req.body,
-			signal: AbortSignal.timeout(Math.max(1, Math.floor(timeoutMs))),
+			signal: abort.signal,
 		});
 		return await take(req, res);
 	} catch (err) {
 		const code = errorCode(err);
 		const reason = err instanceof Error ? err.message : String(err);
 		return { kind: 'failed', run: unsentCodes.has(code) ? 'not-run' : 'may-have-run', reason };
+	} finally {
+		clearTimeout(timer);
 	}
 }
 
--- a/src/core/entry/process.ts
+++ b/src/core/entry/process.ts
@@ -1,7 +1,6 @@
 /** `woodcross-entry`: answers callers by forwarding to the backend servers of its availability zone first. */
 import * as crypto from 'node:crypto';
 import type * as http from 'node:http';
-import * as h3 from 'h3';
 import * as backends from './backends.js';
 import * as boxes from '../boxes/index.js';
 import * as caller from './caller.js';
@@ -64,14 +63,7 @@
 			},
 			gossipMs: roundMs,
 			partners: (members) => members.zonePeers('entry'),
-			routes: (app) => {
-				app.all(
-					'/services/**',
-					h3.fromNodeHandler((req, res) =>
-						this.serve(req as http.IncomingMessage, res as http.ServerResponse),
-					),
-				);
-			},
+			direct: { prefix: '/services/', serve: (req, res) => this.serve(req, res) },
 			gauges: () => ({ in_flight: this.inFlight, backends: this.backends.all.length }),
 		});
 		this.backends = backends.Backends.create(this.node.clock, this.node.events);
--- a/src/core/node/index.ts
+++ b/src/core/node/index.ts
@@ -39,8 +39,11 @@
 	gossipMs?: number;
 	/** Gossip partners; by default every process of the zone. */
 	partners?: (members: membership.Membership) => membership.Member[];
-	/** Routes beside `/healthz` and `/metrics`. */
-	routes?: (app: h3.H3) => void;
+	/**
+	 * Takes the requests under a path prefix from the Node server itself, before h3. Going through h3 ends each
+	 * response a second time, which cost a sixth of the entry's time (docs/decisions/0006-libraries.md).
+	 */
+	direct?: { prefix: string; serve: (req: http.IncomingMessage, res: http.ServerResponse) => Promise<void> };
 	gauges?: () => Record<string, number>;
 	/** Where callers or operators connect, if that is not the HTTP address. */
 	serves?: string;
@@ -153,9 +156,13 @@
 			const own = { config_version: this.config.record.version, memory_bytes: rss, cpu_us: user + system };
 			return this.metrics.text({ ...own, ...this.parts.gauges?.() });
 		});
-		this.parts.routes?.(app);
 		const opts = { maxHeaderSize: maxHeaderBytes, headersTimeout: headersTimeoutMs, requestTimeout: 0 };
-		this.http = http.createServer(opts, h3.toNodeHandler(app));
+		const pages = h3.toNodeHandler(app);
+		const { direct } = this.parts;
+		this.http = http.createServer(opts, (req, res) => {
+			if (direct !== undefined && req.url?.startsWith(direct.prefix) === true) void direct.serve(req, res);
+			else void pages(req, res);
+		});
 		const [host, port] = splitAddress(this.settings['http-listen']);
 		await new Promise<void>((resolve, reject) => {
 			this.http.once('error', reject);
--- a/stand-ins/backend-server/main.ts
+++ b/stand-ins/backend-server/main.ts
@@ -61,7 +61,8 @@
 		key: req.headers['idempotency-key'] ?? '',
 		path: url.pathname,
 	};
-	process.stdout.write(`${JSON.stringify({ run: { ...run, at: Date.now(), running } })}\n`);
+	if (process.env.QUIET !== '1')
+		process.stdout.write(`${JSON.stringify({ run: { ...run, at: Date.now(), running } })}\n`);
 	if (faults.serviceMs > 0) await new Promise((resolve) => setTimeout(resolve, faults.serviceMs));
 	running -= 1;
 	if (broken('after')) {
--- /dev/null
+++ b/stand-ins/worker/farm.ts
@@ -0,0 +1,50 @@
+/** Many stand-in workers in one process, each on its own port, for measurements; counts the bytes they exchange. */
+import * as crypto from 'node:crypto';
+import type * as net from 'node:net';
+import * as h3 from 'h3';
+import * as workers from '../../src/core/worker/index.js';
+import * as standIn from '../http.js';
+import * as machines from './machine.js';
+
+const count = Number(process.env.WORKERS ?? '10');
+let bytes = 0;
+let exchanges = 0;
+let starts = 0;
+
+async function startOne(index: number): Promise<string> {
+	const machine = machines.Machine.create({
+		id: `worker-${index}`,
+		incarnation: crypto.randomUUID(),
+		now: () => performance.now(),
+		wall: () => Date.now(),
+		journal: (line) => {
+			if (line.what === 'start') starts += 1;
+		},
+	});
+	const app = new h3.H3().post('/v1/exchange', async (event) => {
+		exchanges += 1;
+		return machine.exchange(workers.exchangeReq.parse(await event.req.json()));
+	});
+	const { server, address } = await standIn.listen(app, 0);
+	server.on('connection', (socket: net.Socket) => {
+		sockets.add(socket);
+		socket.on('close', () => {
+			sockets.delete(socket);
+			bytes += socket.bytesRead + socket.bytesWritten;
+		});
+	});
+	return address;
+}
+
+const sockets = new Set<net.Socket>();
+
+function bytesSoFar(): number {
+	let sum = bytes;
+	for (const socket of sockets) sum += socket.bytesRead + socket.bytesWritten;
+	return sum;
+}
+
+const addresses = await Promise.all(Array.from({ length: count }, (_, index) => startOne(index)));
+const app = new h3.H3().get('/stats', () => ({ bytes: bytesSoFar(), exchanges, starts }));
+const { address } = await standIn.listen(app, 0);
+process.stdout.write(`${JSON.stringify({ ready: address, workers: addresses })}\n`);
--- a/test/requests.test.ts
+++ b/test/requests.test.ts
@@ -2,7 +2,7 @@
 import test from 'ava';
 import * as clusters from '../dev/cluster.js';
 import * as callers from './fixtures/callers.js';
-import * as operate from './fixtures/operate.js';
+import * as operate from '../dev/operate.js';
 import * as processes from '../dev/processes.js';
 
 const shape: clusters.ClusterOptions = {
--- a/test/scheduler-failures.test.ts
+++ b/test/scheduler-failures.test.ts
@@ -3,7 +3,7 @@
 import * as clusters from '../dev/cluster.js';
 import * as proxies from '../stand-ins/proxy/index.js';
 import * as journal from './fixtures/journal.js';
-import * as operate from './fixtures/operate.js';
+import * as operate from '../dev/operate.js';
 import * as processes from '../dev/processes.js';
 
 const shape: clusters.ClusterOptions = {
