--- a/dev/measure/main.ts
+++ b/dev/measure/main.ts
@@ -1,11 +1,15 @@
 /** `npm run measure -- <name>`: prints a table and keeps it as JSON under measurements/. */
 import * as commit from './commit.js';
 import * as entry from './entry.js';
+import * as placement from './placement.js';
+import * as slots from './slots.js';
 import * as slopes from './slopes.js';
 
 const measurements: Record<string, () => Promise<void>> = {
 	commit: commit.measureCommit,
 	entry: entry.measureEntry,
+	placement: placement.measurePlacement,
+	slots: slots.measureSlots,
 	slopes: slopes.measureSlopes,
 };
 
--- a/src/core/config/keys.ts
+++ b/src/core/config/keys.ts
@@ -39,14 +39,9 @@
 		text: 'Part of the slots kept for requests from other availability zones, in per cent (0 to 50).',
 	},
 	'scheduler.placement': {
-		schema: z.enum(['spread', 'best-fit', 'pair-aware']),
-		default: 'pair-aware',
-		text: 'How workers are rated: spread, best-fit or pair-aware.',
-	},
-	'scheduler.msPerLoad': {
-		schema: z.coerce.number().positive().max(10_000),
-		default: 20,
-		text: "Milliseconds of added latency that weigh as much as a whole worker's load (above 0 to 10000).",
+		schema: z.enum(['mixed', 'spread', 'best-fit']),
+		default: 'mixed',
+		text: 'How workers are rated: mixed (services spread, batch packed), spread or best-fit.',
 	},
 } as const satisfies Record<string, ConfigKey>;
 
--- a/src/core/entry/process.ts
+++ b/src/core/entry/process.ts
@@ -142,7 +142,8 @@
 				const demands = [{ box: this.node.boot, demand: own[service] ?? 0 }];
 				for (const [box, peer] of this.peerDemand) demands.push({ box, demand: peer.demand[service] ?? 0 });
 				const kept = this.settings.zones.length > 1 ? shares.keptForAfar(slots, percent) : 0;
-				const mine = shares.shareSlots(id, slots - kept, demands).get(this.node.boot) ?? 0;
+				const rule = shares.shareRules[this.settings['slot-sharing']];
+				const mine = rule(id, slots - kept, demands).get(this.node.boot) ?? 0;
 				backend.share.next(mine);
 				continue;
 			}
--- a/src/core/entry/settings.ts
+++ b/src/core/entry/settings.ts
@@ -1,4 +1,5 @@
 /** Settings of `woodcross-entry`. */
+import * as zod from 'zod';
 import * as common from '../settings/common.js';
 import * as settings from '../settings/index.js';
 
@@ -11,6 +12,12 @@
 		text: "Largest body of a caller's request, in bytes.",
 		example: '1048576',
 	}),
+	'slot-sharing': settings.setting({
+		schema: zod.z.enum(['demand', 'fixed', 'none'], 'expected demand, fixed or none'),
+		default: 'demand',
+		text: 'How the entry boxes of a zone share the slots of its backend servers: demand, fixed or none.',
+		example: 'fixed',
+	}),
 	'drain-ms': settings.setting({
 		schema: common.milliseconds,
 		default: '2000',
--- a/src/core/entry/shares.ts
+++ b/src/core/entry/shares.ts
@@ -42,6 +42,37 @@
 	return shares;
 }
 
+/** Every box has the same part whatever its demand: the plain baseline. */
+export function shareFixed(
+	backend: string,
+	slots: number,
+	demands: readonly BoxDemand[],
+): Map<string, number> {
+	return shareSlots(
+		backend,
+		slots,
+		demands.map((one) => ({ box: one.box, demand: 0 })),
+	);
+}
+
+/** Every box may use every slot; the backend server refuses what is too much: the other baseline. */
+export function shareAll(
+	_backend: string,
+	slots: number,
+	demands: readonly BoxDemand[],
+): Map<string, number> {
+	return new Map(demands.map((one) => [one.box, slots]));
+}
+
+/** A way to share a backend server's slots. */
+export type ShareRule = typeof shareSlots;
+
+/** The ways by the name of the setting. */
+export const shareRules = { demand: shareSlots, fixed: shareFixed, none: shareAll } as const satisfies Record<
+	string,
+	ShareRule
+>;
+
 /**
  * Slots of a backend server that an entry box of another availability zone may use: the part kept for them goes
  * whole to the first boxes in rendezvous order, since it is too small to split.
--- a/src/core/scheduler/process.ts
+++ b/src/core/scheduler/process.ts
@@ -117,11 +117,7 @@
 	}
 
 	private score(): placement.Score {
-		const chosen = this.node.config.value('scheduler.placement');
-		if (chosen === 'spread') return placement.spread;
-		if (chosen === 'best-fit') return placement.bestFit;
-		const msPerLoad = this.node.config.number('scheduler.msPerLoad');
-		return placement.pairAware({ cost: () => 0, msPerLoad });
+		return placement.scores[this.node.config.value('scheduler.placement') as keyof typeof placement.scores];
 	}
 
 	private nextShard(shard: string, part: shards.JobRecord['part']): string | undefined {
--- a/src/core/settings/index.ts
+++ b/src/core/settings/index.ts
@@ -67,10 +67,7 @@
 	for (const [flag, row] of Object.entries(table)) args[flag] = toOption(flag, row);
 	const command = cmd.command({ name: binary, description, args, handler: (raw) => raw });
 	const parsed = await cmd.runSafely(command, argv);
-	if (parsed._tag === 'error') {
-		parsed.error.run();
-		process.exit(parsed.error.config.exitCode === 0 ? 0 : 2);
-	}
+	if (parsed._tag === 'error') exitWith(parsed.error);
 	const checked = checkSettings(table, parsed.value as Record<string, string | undefined>);
 	if (checked.ok) return checked.value;
 	for (const problem of checked.err) process.stderr.write(`${binary}: ${problem}\n`);
@@ -78,6 +75,16 @@
 	process.exit(2);
 }
 
+/** What cmd-ts gives instead of parsed arguments; it does not export the type. */
+type CommandExit = Extract<Awaited<ReturnType<typeof cmd.runSafely>>, { _tag: 'error' }>['error'];
+
+/** Prints what cmd-ts has to say and exits: 0 after `--help`, 2 after a mistake (cmd-ts itself would exit with 1). */
+export function exitWith(err: CommandExit): never {
+	const { into, message, exitCode } = err.config;
+	process[into].write(`${message}\n`);
+	process.exit(exitCode === 0 ? 0 : 2);
+}
+
 function toOption(
 	flag: string,
 	row: Setting<unknown>,
--- /dev/null
+++ b/test/decisions.test.ts
@@ -0,0 +1,164 @@
+/** The pure decisions: shares of slots, retry budget, placement, pressure, proofs by silence, commands, frames, events. */
+import * as fs from 'node:fs';
+import test from 'ava';
+import * as assets from '../src/core/assets.js';
+import * as entry from '../src/core/entry/index.js';
+import * as eventsPage from '../dev/events-page.js';
+import * as placement from '../src/core/placement/index.js';
+import * as silence from '../src/core/scheduler/silence.js';
+import * as types from '../src/core/scheduler/types.js';
+import * as wire from '../src/core/wire/index.js';
+
+/** A seeded generator of numbers from 0 up to 1 (Park and Miller). */
+function seeded(seed: number): () => number {
+	let state = seed;
+	return () => {
+		state = (state * 48_271) % 2_147_483_647;
+		return state / 2_147_483_647;
+	};
+}
+
+test('shares of a backend server add up to its slots, whatever the demands', (t) => {
+	const random = seeded(7);
+	for (let round = 0; round < 500; round += 1) {
+		const boxes = Array.from({ length: 1 + Math.floor(random() * 6) }, (_, index) => `box-${index}`);
+		const demands = boxes.map((box) => ({ box, demand: Math.floor(random() * 40) }));
+		const slots = 1 + Math.floor(random() * 12);
+		const shares = [...entry.shareSlots(`backend-${round}`, slots, demands).values()];
+		t.is(
+			shares.reduce((sum, one) => sum + one, 0),
+			slots,
+		);
+	}
+});
+
+test('shares follow demand', (t) => {
+	const demands = [
+		{ box: 'a', demand: 30 },
+		{ box: 'b', demand: 10 },
+		{ box: 'c', demand: 0 },
+	];
+	t.snapshot([...entry.shareSlots('backend-1', 8, demands)].sort());
+	t.snapshot([...entry.shareSlots('backend-1', 2, demands)].sort());
+});
+
+test('a share shrinks at once and grows only when two rounds allow it', (t) => {
+	const share = entry.SteadyShare.create();
+	t.deepEqual(
+		[4, 4, 8, 8, 3, 6, 6].map((target) => share.next(target)),
+		[0, 4, 4, 8, 3, 3, 6],
+	);
+});
+
+test('second tries stay within the budget', (t) => {
+	const budget = entry.RetryBudget.create(() => 5);
+	let second = 0;
+	for (let first = 0; first < 1000; first += 1) {
+		budget.first();
+		if (budget.second()) second += 1;
+	}
+	t.true(second >= 50 && second <= 51, String(second));
+});
+
+const box = (id: string, residents: placement.Resident[] = []): placement.Box => ({
+	id,
+	rack: 'r1',
+	capacity: { cores: 8, memoryMb: 1000, accelerators: 0 },
+	residents,
+});
+
+const resident = (task: string, cores: number, kind: 'service' | 'batch' = 'batch'): placement.Resident => ({
+	task,
+	job: task,
+	kind,
+	urgent: false,
+	amount: { cores, memoryMb: 10, accelerators: 0 },
+});
+
+const waiting = (task: string, cores: number, urgent = false): placement.Waiting => ({
+	task,
+	job: task,
+	kind: 'batch',
+	urgent,
+	needs: { cores, memoryMb: 10, accelerators: 0 },
+	maxShareOfBox: 1,
+	failedOn: [],
+	since: 0,
+});
+
+const options = { score: placement.bestFit, maxPlaces: 100, evicting: new Set<string>() };
+
+test('a round never fills a worker beyond what it holds', (t) => {
+	const random = seeded(11);
+	for (let turn = 0; turn < 200; turn += 1) {
+		const boxes = ['w1', 'w2', 'w3'].map((id) => box(id));
+		const tasks = Array.from({ length: 20 }, (_, index) =>
+			waiting(`t${index}`, 0.5 + Math.floor(random() * 8) / 2, random() < 0.2),
+		);
+		placement.placeRound(tasks, boxes, options);
+		for (const one of boxes) t.true(placement.used(one).cores <= one.capacity.cores);
+	}
+});
+
+test('two urgent tasks do not count on the same room', (t) => {
+	const boxes = [box('w1', [resident('a', 8)]), box('w2', [resident('b', 8)])];
+	const round = placement.placeRound([waiting('u1', 8, true), waiting('u2', 8, true)], boxes, options);
+	t.deepEqual(round.evictions.map((one) => one.task).sort(), ['a', 'b']);
+	const evicting = new Set(['a', 'b']);
+	const next = placement.placeRound([waiting('u1', 8, true), waiting('u2', 8, true)], boxes, {
+		...options,
+		evicting,
+	});
+	t.deepEqual(next.evictions, []);
+});
+
+test('an overfull worker throttles batch for cores and evicts for memory', (t) => {
+	const cores = placement.relieve(box('w', [resident('s', 6, 'service'), resident('b', 4)]), () => 0);
+	t.snapshot({ throttles: [...cores.throttles], evictions: cores.evictions });
+	const memory = resident('m', 1);
+	memory.amount.memoryMb = 2000;
+	const evicted = placement.relieve(box('w', [resident('s', 2, 'service'), memory]), () => 0);
+	t.snapshot({ throttles: [...evicted.throttles], evictions: evicted.evictions });
+});
+
+const waits = { leaseMs: 10, horizonMs: 100, marginMs: 1, clockRate: 0, unreachableMs: 5 };
+
+test('silence proves nothing before every lease that anybody gave has ended', (t) => {
+	const view = types.newView({
+		id: 'w',
+		address: '',
+		rack: '',
+		capacity: { cores: 1, memoryMb: 1, accelerators: 0 },
+		leaving: false,
+	});
+	const proved = (released: boolean): number => silence.provedStoppedAt(view, { at: 1000, released }, waits);
+	t.is(proved(false), 1111);
+	t.is(proved(true), 1011);
+	view.fenced = true;
+	view.leaseEndsBy = 1050;
+	t.is(proved(false), 1051);
+});
+
+test('frames cut a stream anywhere give the same values', (t) => {
+	const values = [{ a: 1 }, 'x'.repeat(300), [1, 2, 3]];
+	const bytes = Buffer.concat(values.map((value) => wire.encodeFrame(value)));
+	for (const size of [1, 3, 7, 1000]) {
+		const reader = wire.FrameReader.create();
+		const out: unknown[] = [];
+		for (let at = 0; at < bytes.length; at += size) {
+			const res = reader.push(bytes.subarray(at, at + size));
+			t.true(res.ok);
+			if (res.ok) out.push(...res.value);
+		}
+		t.deepEqual(out, values);
+	}
+});
+
+test('a frame over the limit is refused before it is buffered', (t) => {
+	const reader = wire.FrameReader.create(100);
+	t.false(reader.push(Buffer.from([0, 0, 0, 101])).ok);
+});
+
+test('docs/EVENTS.md agrees with the catalogue', (t) => {
+	t.is(fs.readFileSync(assets.assetPath('docs/EVENTS.md'), 'utf8'), eventsPage.eventsPage());
+});
--- /dev/null
+++ b/test/platform-failures.test.ts
@@ -0,0 +1,216 @@
+/** The platform down, slow, losing answers or stalling its watches, while real processes work. */
+import test from 'ava';
+import * as clusters from '../dev/cluster.js';
+import * as proxies from '../stand-ins/proxy/index.js';
+import * as callers from './fixtures/callers.js';
+import * as journal from './fixtures/journal.js';
+import * as operate from '../dev/operate.js';
+
+const shape: clusters.ClusterOptions = {
+	zones: ['rennes'],
+	entriesPerZone: 1,
+	schedulersPerZone: 2,
+	backendsPerZone: 2,
+	workersPerZone: 3,
+	schedulerFlags: operate.fastFlags,
+};
+
+/** Milliseconds of the outages: ten times the schedulers' lease of members, past the renewal horizon of the tests. */
+const outageMs = 8_000;
+
+const tasks = 12;
+
+function judge(
+	t: { deepEqual: (a: unknown, b: unknown) => boolean; is: (a: unknown, b: unknown) => boolean },
+	cluster: clusters.Cluster,
+): void {
+	const all = journal.ranFrom(journal.witnessesOf(cluster));
+	t.deepEqual(journal.faults(all, clusters.workerCapacity.cores), []);
+	const counts = journal.finishedCounts(all.filter((one) => one.task.startsWith('press/night/')));
+	t.is(Object.keys(counts).length, tasks);
+	t.deepEqual(
+		Object.entries(counts).filter(([, count]) => count !== 1),
+		[],
+	);
+}
+
+const pause = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
+
+test.serial(
+	'the platform is down: callers are served, operators told the truth, tasks resume once',
+	async (t) => {
+		const cluster = await clusters.Cluster.create(shape);
+		t.teardown(() => cluster.close());
+		const client = operate.operatorOf(cluster);
+		await operate.settled(client);
+		await operate.submit(client, operate.batch('night', tasks, 4000));
+		const [entry] = cluster.of('entry');
+		if (entry === undefined) return;
+		await operate.until(
+			'an answer',
+			async () => (await callers.ask(entry, { method: 'GET' })).status === 200,
+		);
+		await cluster.platformFault({ down: true });
+		const downAt = Date.now();
+		const submitted = client.call(
+			'submit',
+			{ specJson: JSON.stringify(operate.batch('later', 1, 100)) },
+			20_000,
+		);
+		const set = client.call(
+			'setConfig',
+			{ key: 'entry.queuePerSlot', value: '3', by: 'test', seenVersion: 0 },
+			20_000,
+		);
+		const statuses: number[] = [];
+		while (Date.now() - downAt < outageMs) {
+			statuses.push((await callers.ask(entry, { body: Buffer.from('proof') })).status);
+			await pause(50);
+		}
+		t.true(statuses.every((status) => status === 200));
+		const [submitRes, setRes] = await Promise.all([submitted, set]);
+		// "Not stored" must be true, and "unknown" is allowed; "accepted" is not.
+		const names = [submitRes, setRes].map((res) => (res.ok ? 'accepted' : res.err.name));
+		t.true(
+			names.every((name) => ['PlatformUnavailable', 'OutcomeUnknown', 'ShardUnavailable'].includes(name)),
+			names.join(),
+		);
+		await cluster.platformFault({});
+		await operate.until(
+			'the job finished',
+			async () => (await operate.jobState(client, 'press/night')) === 'finished',
+		);
+		if (!submitRes.ok && submitRes.err.name !== 'OutcomeUnknown')
+			t.is(await operate.jobState(client, 'press/later'), '');
+		if (!setRes.ok && setRes.err.name === 'PlatformUnavailable') {
+			const config = await client.call('getConfig', {});
+			t.true(config.ok && config.value.history.every((change) => change.by !== 'test'));
+		}
+		client.close();
+		judge(t, cluster);
+	},
+);
+
+test.serial('every second answer of the platform is lost after the write took effect', async (t) => {
+	const cluster = await clusters.Cluster.create(shape);
+	t.teardown(() => cluster.close());
+	const client = operate.operatorOf(cluster);
+	await operate.settled(client);
+	await cluster.platformFault({ dropAnswerEvery: 2 });
+	await operate.submit(client, operate.batch('night', tasks, 500));
+	await operate.until(
+		'the job finished',
+		async () => (await operate.jobState(client, 'press/night')) === 'finished',
+	);
+	const again = await operate.submit(client, operate.batch('night', tasks, 500));
+	t.deepEqual(
+		again.parts.map((part) => part.created),
+		[false],
+	);
+	client.close();
+	judge(t, cluster);
+});
+
+test.serial('the platform answers after 2 s: the job still finishes, nothing runs twice', async (t) => {
+	const cluster = await clusters.Cluster.create(shape);
+	t.teardown(() => cluster.close());
+	const client = operate.operatorOf(cluster);
+	await operate.settled(client);
+	await cluster.platformFault({ writeMs: 2000, readMs: 500 });
+	await client.call('submit', { specJson: JSON.stringify(operate.batch('night', tasks, 500)) }, 20_000);
+	await operate.until(
+		'the job finished',
+		async () => (await operate.jobState(client, 'press/night')) === 'finished',
+		60_000,
+	);
+	client.close();
+	judge(t, cluster);
+});
+
+test.serial(
+	'watches stall without a word: a change is in force everywhere within 4 s all the same',
+	async (t) => {
+		const cluster = await clusters.Cluster.create({ ...shape, schedulersPerZone: 1 });
+		t.teardown(() => cluster.close());
+		const client = operate.operatorOf(cluster);
+		await operate.settled(client);
+		await cluster.platformFault({ stallWatches: true });
+		const from = Date.now();
+		const set = await client.call('setConfig', {
+			key: 'entry.queuePerSlot',
+			value: '9',
+			by: 'test',
+			seenVersion: 0,
+		});
+		t.true(set.ok);
+		await operate.until('in force everywhere', async () => {
+			const res = await client.call('boxes', {});
+			return res.ok && res.value.boxes.every((box) => box.configVersion === 1);
+		});
+		client.close();
+		t.true(Date.now() - from < 4000);
+	},
+);
+
+test.serial(
+	'a zone is cut off from the platform and from the other zone: both go on, nothing runs twice',
+	async (t) => {
+		const zones = ['rennes', 'brest'];
+		const cuts = new Map<string, proxies.FaultProxy>();
+		const cluster = await clusters.Cluster.create({
+			...shape,
+			...{ zones, schedulersPerZone: 1, workersPerZone: 2 },
+			via: async (from, to, address) => {
+				if (to !== 'platform') return address;
+				const proxy = await proxies.FaultProxy.create(address);
+				cuts.set(from, proxy);
+				return proxy.address;
+			},
+		});
+		t.teardown(async () => {
+			for (const proxy of cuts.values()) proxy.close();
+			await cluster.close();
+		});
+		const client = operate.operatorOf(cluster);
+		await operate.settled(client);
+		await operate.submit(client, operate.batch('night', tasks, 4000, { zones: ['brest'] }));
+		await operate.submit(client, { ...operate.batch('web', 2, 0), kind: 'service', run: {} });
+		const brest = cluster.of('entry', 'brest')[0];
+		const rennes = cluster.of('entry', 'rennes')[0];
+		if (brest === undefined || rennes === undefined) return;
+		await Promise.all(
+			[brest, rennes].map((entry) =>
+				operate.until('an answer', async () => (await callers.ask(entry, { method: 'GET' })).status === 200),
+			),
+		);
+		// Brest loses the platform; rennes is frozen whole, which to brest is a cut as well.
+		const ofRennes = [...cluster.programs, ...cluster.backends, ...cluster.workers].filter(
+			(one) => one.zone === 'rennes',
+		);
+		for (const program of cluster.of('entry', 'brest').concat(cluster.of('scheduler', 'brest')))
+			cuts.get(program.box)?.set({ kind: 'cut' });
+		for (const one of ofRennes) one.process.child.kill('SIGSTOP');
+		const cutAt = Date.now();
+		const statuses: number[] = [];
+		while (Date.now() - cutAt < outageMs) {
+			statuses.push((await callers.ask(brest, { body: Buffer.from('proof') })).status);
+			await pause(50);
+		}
+		t.true(statuses.every((status) => status === 200));
+		for (const one of ofRennes) one.process.child.kill('SIGCONT');
+		for (const proxy of cuts.values()) proxy.set({ kind: 'pass' });
+		t.is((await callers.ask(rennes, { body: Buffer.from('proof') })).status, 200);
+		await operate.until(
+			'the job finished',
+			async () => (await operate.jobState(client, 'press/night')) === 'finished',
+			60_000,
+		);
+		await operate.settled(client);
+		t.is(await operate.jobState(client, 'press/web'), 'active');
+		client.close();
+		const ran = journal.ranFrom(journal.witnessesOf(cluster));
+		const batch = ran.filter((one) => one.task.startsWith('press/night'));
+		t.deepEqual(journal.faults(batch, clusters.workerCapacity.cores), []);
+		t.is(Object.keys(journal.finishedCounts(batch)).length, tasks);
+	},
+);
