--- a/src/core/config/store.ts
+++ b/src/core/config/store.ts
@@ -10,8 +10,12 @@
 /** Where the record is kept. */
 export const configKey = 'woodcross/config/record';
 
-/** Changes kept in the record, newest last. */
-const historySize = 200;
+/**
+ * Changes kept in the record, newest last. Every process reads the record every 2 s and gets each change of it, so at
+ * one change a second a long history would use up a process's 8 KB a second (docs/CAPACITY.md); older changes are
+ * events 5002 in the time line. Must outlast the settling of an unanswered write, which takes seconds.
+ */
+const historySize = 32;
 
 /** Wait before an unanswered call is repeated, in milliseconds. */
 const retryMs = 200;
--- a/src/core/errors/catalogue.ts
+++ b/src/core/errors/catalogue.ts
@@ -50,6 +50,12 @@
 		grpc: 'RESOURCE_EXHAUSTED',
 		http: 422,
 	},
+	ShardFull: {
+		title: 'No shard has room to keep track of the job',
+		hint: 'Submit it again once other jobs have ended, or as several smaller jobs.',
+		grpc: 'RESOURCE_EXHAUSTED',
+		http: 503,
+	},
 	JobConflict: {
 		title: 'A different job of that name exists',
 		hint: 'Choose another name, or cancel the existing job first.',
--- a/src/core/scheduler/owner.ts
+++ b/src/core/scheduler/owner.ts
@@ -13,6 +13,7 @@
 import * as links from './link.js';
 import * as placement from '../placement/index.js';
 import * as report from './report.js';
+import * as retention from './retention.js';
 import * as reports from './reports.js';
 import * as requests from './requests.js';
 import * as silence from './silence.js';
@@ -558,23 +559,18 @@
 		if (worker !== undefined) this.links.get(worker)?.kick();
 	}
 
+	/** Drops what has been kept long enough, ended jobs also when the snapshot grows large, the oldest first. */
 	private retention(): shards.Change[] {
+		const { state } = this.log;
 		const now = this.deps.clock.now();
-		if (now - this.lastRetention < retentionMs) return [];
+		const tight = shards.stateBytes(state) > shards.tightStateBytes;
+		if (!tight && now - this.lastRetention < retentionMs) return [];
 		this.lastRetention = now;
 		const wall = this.deps.clock.wall();
-		const changes: shards.Change[] = [];
-		for (const [id, job] of this.log.state.jobs) {
-			const held = shards
-				.taskIds(job.part)
-				.some((task) => (this.log.state.tasks.get(task)?.held.length ?? 0) > 0);
-			const old = job.endedAt !== undefined && job.endedAt < wall - this.deps.opts.keepEndedMs;
-			if (old && !held) changes.push({ type: 'job.dropped', job: id });
-		}
+		const changes = retention.droppedJobs(state, tight ? wall : wall - this.deps.opts.keepEndedMs);
 		const before = wall - this.deps.opts.keepClaimsMs;
-		const expired = [...this.log.state.claims.values()].some((claim) => claim.at < before);
-		if (expired) changes.push({ type: 'claims.expired', before });
-		return changes;
+		const expired = [...state.claims.values()].some((claim) => claim.at < before);
+		return expired ? [...changes, { type: 'claims.expired', before }] : changes;
 	}
 
 	private beatDue(): boolean {
--- a/src/core/scheduler/requests.ts
+++ b/src/core/scheduler/requests.ts
@@ -44,6 +44,9 @@
 	holderGone: (holder: string) => boolean;
 }
 
+/** Time told to those who find a shard full, in milliseconds: some claims and ended jobs have gone by then. */
+const fullRetryMs = 60_000;
+
 const reply = (value: unknown): Decision => ({ changes: [], reply: results.ok(value) });
 
 const refuse = (err: errors.Failure): Decision => ({ changes: [], reply: results.fail(err) });
@@ -82,11 +85,14 @@
 			errors.failure('ShardUnavailable', 'the list of workers is not read yet', { retryAfterMs: 1000 }),
 		);
 	}
-	if (fitsSomewhere(part, ctx.views)) {
+	const full = shards.stateBytes(state, part.tasks) > shards.maxStateBytes;
+	if (!full && fitsSomewhere(part, ctx.views)) {
 		const submitted: shards.Change = { type: 'job.submitted', part };
 		return { changes: [submitted], reply: results.ok({ at: 'here', created: true } satisfies SubmitReply) };
 	}
 	const next = ctx.nextShard(part);
+	if (next === undefined && full)
+		return refuse(errors.failure('ShardFull', part.id, { retryAfterMs: fullRetryMs }));
 	if (next === undefined) return refuse(errors.failure('NeverFits', describeNeed(part, ctx.views)));
 	const forward: shards.Change = { type: 'job.forwarded', job: part.id, to: next };
 	return { changes: [forward], reply: results.ok({ at: 'elsewhere', shard: next } satisfies SubmitReply) };
@@ -126,6 +132,10 @@
 function decideClaim(state: shards.ShardState, req: wire.ClaimBegin, ctx: RequestContext): Decision {
 	const { key, bodyHash, holder } = req;
 	const known = state.claims.get(key);
+	if (known === undefined && shards.stateBytes(state) > shards.maxStateBytes) {
+		const extra = { retryAfterMs: fullRetryMs, run: 'not-run' } as const;
+		return refuse(errors.failure('ClaimUnavailable', 'too many keys are remembered', extra));
+	}
 	if (known === undefined || known.outcome === 'not-run') {
 		const begun: shards.Change = { type: 'claim.begun', key, bodyHash, holder };
 		return { changes: [begun], reply: results.ok({ claim: 'granted' } satisfies ClaimReply) };
--- /dev/null
+++ b/src/core/scheduler/retention.ts
@@ -0,0 +1,17 @@
+/** Which ended jobs a shard forgets. Pure. */
+import * as shards from '../shard/index.js';
+
+/**
+ * Jobs that ended before `before` (wall milliseconds), oldest first.
+ * A job some of whose places are still held is kept: its record is what tells that they are.
+ */
+export function droppedJobs(state: shards.ShardState, before: number): shards.Change[] {
+	const ended: { id: string; endedAt: number }[] = [];
+	for (const [id, job] of state.jobs) {
+		if (job.endedAt === undefined || job.endedAt >= before) continue;
+		const held = shards.taskIds(job.part).some((task) => (state.tasks.get(task)?.held.length ?? 0) > 0);
+		if (!held) ended.push({ id, endedAt: job.endedAt });
+	}
+	ended.sort((a, b) => a.endedAt - b.endedAt);
+	return ended.map(({ id }) => ({ type: 'job.dropped', job: id }));
+}
--- a/src/core/task/spec.ts
+++ b/src/core/task/spec.ts
@@ -28,7 +28,7 @@
 	/** `service`: long-running replicas; `batch`: tasks that end. */
 	kind: z.enum(['service', 'batch']),
 	/** Replicas of a service, or tasks of a batch job. */
-	tasks: z.number().int().min(1).max(10_000),
+	tasks: z.number().int().min(1).max(3_000),
 	needs,
 	/** Availability zones allowed; a service gets a part in each, a batch job runs in one. Default: any. */
 	zones: z.array(name).min(1).optional(),
--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -5,7 +5,11 @@
 import * as entry from '../src/core/entry/index.js';
 import * as eventsPage from '../dev/events-page.js';
 import * as placement from '../src/core/placement/index.js';
+import * as requests from '../src/core/scheduler/requests.js';
+import * as retention from '../src/core/scheduler/retention.js';
+import * as shards from '../src/core/shard/index.js';
 import * as silence from '../src/core/scheduler/silence.js';
+import * as tasks from '../src/core/task/index.js';
 import * as types from '../src/core/scheduler/types.js';
 import * as wire from '../src/core/wire/index.js';
 
@@ -162,3 +166,47 @@
 test('docs/EVENTS.md agrees with the catalogue', (t) => {
 	t.is(fs.readFileSync(assets.assetPath('docs/EVENTS.md'), 'utf8'), eventsPage.eventsPage());
 });
+
+const listing = { id: 'w', address: '', rack: '', leaving: false };
+
+const context: requests.RequestContext = {
+	views: new Map([
+		['w', types.newView({ ...listing, capacity: { cores: 8, memoryMb: 1000, accelerators: 0 } })],
+	]),
+	listRead: true,
+	nextShard: () => undefined,
+	answers: new Map(),
+	holderGone: () => false,
+};
+
+function partOf(name: string, count: number): tasks.JobPart {
+	const spec = tasks.jobSpec.parse({
+		team: 'press',
+		name,
+		kind: 'batch',
+		tasks: count,
+		needs: { cores: 1, memoryMb: 1 },
+	});
+	return { id: `press/${name}`, spec, tasks: count };
+}
+
+test('a shard takes no more than its snapshot can hold, and forgets ended jobs first', (t) => {
+	const state = shards.emptyState();
+	shards.applyChange(state, { type: 'job.submitted', part: partOf('first', 3000) }, 1);
+	const second = requests.decideRequest(
+		state,
+		{ type: 'shard.submit', shard: '', job: partOf('second', 1000) },
+		context,
+	);
+	t.is(second.reply.ok ? 'accepted' : second.reply.err.name, 'ShardFull');
+	shards.applyChange(state, { type: 'job.submitted', part: partOf('third', 500) }, 1);
+	const claim = requests.decideRequest(
+		state,
+		{ type: 'claim.begin', shard: '', key: 'k', bodyHash: 'b', holder: 'h' },
+		context,
+	);
+	t.is(claim.reply.ok ? 'granted' : claim.reply.err.name, 'ClaimUnavailable');
+	shards.applyChange(state, { type: 'job.cancelled', job: 'press/first' }, 2);
+	t.deepEqual(retention.droppedJobs(state, 3), [{ type: 'job.dropped', job: 'press/first' }]);
+	t.true(shards.encodeState(state).length < 1_000_000);
+});
