Unreachable workers are logged, the owner's stages are a chart, an error nobody raises is gone

Cause: reading as a newcomer: event 3202 stood in the catalogue and was never emitted; QuotaExceeded could not happen; the owner's stages were set by hand in five places. Change: the event is logged once for each silence, checked in the test of a worker that is cut off (the event was missing before); charts/owner.json is interpreted like the task chart; the row is removed until quotas are enforced.

--- a/src/core/errors/catalogue.ts
+++ b/src/core/errors/catalogue.ts
@@ -44,12 +44,6 @@
 		grpc: 'FAILED_PRECONDITION',
 		http: 422,
 	},
-	QuotaExceeded: {
-		title: "The job asks for more than its team's quota",
-		hint: 'Ask for less, cancel other jobs of the team, or have the quota raised.',
-		grpc: 'RESOURCE_EXHAUSTED',
-		http: 422,
-	},
 	ShardFull: {
 		title: 'No shard has room to keep track of the job',
 		hint: 'Submit it again once other jobs have ended, or as several smaller jobs.',
--- a/src/core/scheduler/contacts.ts
+++ b/src/core/scheduler/contacts.ts
@@ -15,7 +15,6 @@
 	events: events.EventLog;
 	exchange: workers.Exchange;
 	opts: types.OwnerOptions;
-	takeover: silence.Takeover;
 	metrics: { exchanges: number; starts: number };
 	epoch: () => number;
 	/** What to tell a worker; `until` is the end of leases given now, on the worker's clock. */
@@ -128,16 +127,16 @@
 	}
 
 	private accepted(view: types.WorkerView, req: workers.ExchangeReq, answer: workers.ExchangeRes): void {
-		const { clock, opts, shard, takeover } = this.deps;
+		const { clock, opts, shard } = this.deps;
 		const now = clock.now();
 		const first = !view.fenced || view.incarnation !== answer.incarnation;
-		const back = silence.isUnreachable(view, takeover, opts, now);
 		const worker = view.listed.id;
 		// Leases that an owner before gave end by then: none of its messages is accepted any more.
 		if (first) view.leaseEndsBy = Math.max(view.leaseEndsBy, now + silence.leaseSpan(opts));
-		if (first || back) {
+		if (first || view.unreachable) {
 			this.deps.events.emit('worker.reached', { shard, worker, incarnation: answer.incarnation });
 		}
+		view.unreachable = false;
 		view.fenced = true;
 		view.incarnation = answer.incarnation;
 		view.answeredAt = now;
--- a/src/core/scheduler/owner.ts
+++ b/src/core/scheduler/owner.ts
@@ -17,6 +17,7 @@
 import * as reports from './reports.js';
 import * as requests from './requests.js';
 import * as silence from './silence.js';
+import * as tasks from '../task/index.js';
 import * as waiting from './request-queue.js';
 import type * as events from '../events/index.js';
 import type * as types from './types.js';
@@ -69,6 +70,13 @@
 /** How often retention is looked at, in milliseconds. */
 const retentionMs = 60_000;
 
+type OwnerStage = 'owning' | 'releasing' | 'lost';
+
+type OwnerEvent = 'release' | 'released' | 'supersede';
+
+/** The stages of an owner, `charts/owner.json`. */
+const ownerChart = tasks.loadChart<OwnerStage, OwnerEvent>('charts/owner.json');
+
 /** One owned shard. */
 export class ShardOwner {
 	private readonly contacts: contacts.WorkerContacts;
@@ -81,7 +89,7 @@
 	private listRead = false;
 	private pastHorizon = false;
 	private lastRetention = -Infinity;
-	private stage: 'owning' | 'releasing' | 'lost' = 'owning';
+	private stage = ownerChart.initial;
 	private beatNow = false;
 	private dirty = false;
 	private wake: () => void = () => undefined;
@@ -95,7 +103,6 @@
 		this.queue = waiting.RequestQueue.create(deps.shard, deps.clock, deps.opts.requestWaitMs);
 		this.contacts = contacts.WorkerContacts.create({
 			...deps,
-			takeover,
 			epoch: () => this.epoch,
 			orders: (view, until) => this.orders(view, until),
 			mayHoldPlace: (worker) => this.mayHoldPlace(worker),
@@ -181,8 +188,7 @@
 
 	/** Planned stop: gives no more orders, says so in the log, and resolves. */
 	async release(): Promise<void> {
-		if (this.stage !== 'owning') return;
-		this.stage = 'releasing';
+		if (!this.step('release')) return;
 		this.signal();
 		// An append may be under way while the platform is out; the stop does not wait for it for ever.
 		this.deps.clock.after(this.deps.opts.requestWaitMs, () => {
@@ -194,7 +200,7 @@
 		const change: shards.Change = { type: 'shard.released' };
 		const outcome = await this.log.append(this.epoch, [change]);
 		if (outcome === 'committed') effects.logChange(this.deps.events, this.deps.shard, change, this.log.state);
-		this.stage = 'lost';
+		this.step('released');
 	}
 
 	/** Something is to be decided: now if the loop waits, else as soon as the append in flight is settled. */
@@ -203,7 +209,16 @@
 		this.wake();
 	}
 
-	private stageNow(): 'owning' | 'releasing' | 'lost' {
+	/** Takes a step of the chart; false if the stage does not allow it. */
+	private step(event: OwnerEvent): boolean {
+		const next = ownerChart.next(this.stage, event);
+		if (next === undefined) return false;
+		this.stage = next;
+		return true;
+	}
+
+	/** The stage, which may have changed during an `await` where the compiler thinks it can't. */
+	private stageNow(): OwnerStage {
 		return this.stage;
 	}
 
@@ -217,8 +232,8 @@
 	}
 
 	private mayHoldPlace(worker: string): boolean {
-		const tasks = [...this.log.state.tasks.values()];
-		return tasks.some((task) => task.worker === worker || task.held.some((place) => place.worker === worker));
+		const all = [...this.log.state.tasks.values()];
+		return all.some((task) => task.worker === worker || task.held.some((place) => place.worker === worker));
 	}
 
 	/** Leases are renewed only within the horizon of the last committed entry, counted from its send. */
@@ -295,8 +310,7 @@
 	}
 
 	private loseShard(): void {
-		if (this.stage === 'lost') return;
-		this.stage = 'lost';
+		if (!this.step('supersede')) return;
 		this.deps.events.emit('shard.lost', { shard: this.deps.shard, epoch: this.epoch });
 		void this.contacts.stop();
 		this.deps.onLost();
@@ -354,9 +368,16 @@
 	private silenceChanges(): shards.Change[] {
 		const now = this.deps.clock.now();
 		const { state } = this.log;
-		return [...this.contacts.views.values()].flatMap((view) =>
-			silence.silenceChanges(state, view, this.takeover, this.deps.opts, now),
-		);
+		return [...this.contacts.views.values()].flatMap((view) => {
+			this.noteSilence(view, now);
+			return silence.silenceChanges(state, view, this.takeover, this.deps.opts, now);
+		});
+	}
+
+	private noteSilence(view: types.WorkerView, now: number): void {
+		if (view.unreachable || !silence.isUnreachable(view, this.takeover, this.deps.opts, now)) return;
+		view.unreachable = true;
+		this.deps.events.emit('worker.unreachable', { shard: this.deps.shard, worker: view.listed.id });
 	}
 
 	private boxes(): placement.Box[] {
--- a/src/core/scheduler/types.ts
+++ b/src/core/scheduler/types.ts
@@ -42,6 +42,8 @@
 	listed: ListedWorker;
 	/** Whether it is still in the platform's list. */
 	present: boolean;
+	/** Whether it has been told of as unreachable since its last answer. */
+	unreachable: boolean;
 	/** Whether it has answered since the last decisions. */
 	fresh: boolean;
 	/** Whether it has accepted a message of this epoch: older epochs can't reach it any more. */
@@ -74,6 +76,7 @@
 	return {
 		listed,
 		present: true,
+		unreachable: false,
 		fresh: false,
 		fenced: false,
 		answeredAt: -Infinity,
--- a/test/chart.test.ts
+++ b/test/chart.test.ts
@@ -3,7 +3,7 @@
 import * as xstate from 'xstate';
 import * as tasks from '../src/core/task/index.js';
 
-const chartFiles = ['charts/task.json'];
+const chartFiles = ['charts/task.json', 'charts/owner.json'];
 
 for (const file of chartFiles) {
 	test(`${file} reads the same to XState`, (t) => {
--- a/test/scheduler-failures.test.ts
+++ b/test/scheduler-failures.test.ts
@@ -157,6 +157,8 @@
 		t.deepEqual(noFinishTwice(ran), []);
 		t.is(Object.keys(journal.finishedCounts(ran)).length, taskCount);
 		t.true(ran.some((one) => one.worker === victim.id && one.how === 'lease lapsed'));
+		const logged = cluster.of('scheduler').flatMap((one) => one.process.lines.map((line) => line.name));
+		t.true(logged.includes('worker.unreachable'));
 	},
 );
 
