An operator whose answer was lost is told the version of its own change

A write settled by finding its nonce was answered with the record's current version, which another operator's change had raised meanwhile. Ruled out: a change stored twice (the test's check of the history passed). Change: changeRecord returns the version of the change found, beside the record.

--- a/src/core/config/store.ts
+++ b/src/core/config/store.ts
@@ -41,9 +41,16 @@
 	return parsed.success ? results.ok(parsed.data) : results.fail(parsed.error.message);
 }
 
-/** Whether the record holds the change with that nonce: then the change was stored, whatever became of the answer. */
-function holds(record: wire.ConfigRecord, nonce: string): boolean {
-	return record.history.some((change) => change.nonce === nonce);
+/** A stored change: the version it got, and the record that was read, which may be newer. */
+export interface StoredChange {
+	version: number;
+	record: wire.ConfigRecord;
+}
+
+/** The change with that nonce, if the record holds it: then it was stored, whatever became of the answer. */
+function findStored(record: wire.ConfigRecord, nonce: string): StoredChange | undefined {
+	const change = record.history.find((one) => one.nonce === nonce);
+	return change && { version: change.version, record };
 }
 
 function changed(
@@ -71,7 +78,7 @@
 	clock: clocks.Clock,
 	change: ConfigChange,
 	timeoutMs: number,
-): Promise<results.Result<wire.ConfigRecord, errors.Failure>> {
+): Promise<results.Result<StoredChange, errors.Failure>> {
 	const checked = keys.checkValue(change.key, change.value);
 	if (!checked.ok) return checked;
 	const nonce = crypto.randomUUID();
@@ -84,13 +91,14 @@
 			await clocks.sleep(clock, retryMs);
 			continue;
 		}
-		if (holds(record.value, nonce)) return results.ok(record.value);
+		const stored = findStored(record.value, nonce);
+		if (stored !== undefined) return results.ok(stored);
 		const current = record.value;
 		// With an unanswered write outstanding, "seen" was checked before it and only the swap decides.
 		if (change.seen !== undefined && current.version !== change.seen) return conflict(change, current);
 		const next = changed(current, change, checked.value, nonce, clock.wall());
 		const put = await store.swap(configKey, wire.encodeValue(next), item.value?.version ?? 0);
-		if (put.ok && put.value.swapped) return results.ok(next);
+		if (put.ok && put.value.swapped) return results.ok({ version: next.version, record: next });
 		if (!put.ok && put.err.effect === 'unknown') sent = true;
 	}
 	const detail = `${change.key} = ${String(change.value)}`;
--- a/src/core/operator/process.ts
+++ b/src/core/operator/process.ts
@@ -110,10 +110,10 @@
 		const change = { key: req.key, value: req.value, by: req.by || 'unnamed', seen };
 		const stored = await config.changeRecord(store, clock, change, storeMs);
 		if (!stored.ok) return stored;
-		const { version } = stored.value;
+		const { version, record } = stored.value;
 		this.node.events.emit('config.accepted', { version, key: req.key, reason: change.by });
-		this.node.config.offer(stored.value, 'asked');
-		return results.ok({ version, ...(await this.push(stored.value)) });
+		this.node.config.offer(record, 'asked');
+		return results.ok({ version, ...(await this.push(record)) });
 	}
 
 	/** Tells every known process at once, so that an outage right after the write does not hold the change back. */
--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -2,8 +2,11 @@
 import * as fs from 'node:fs';
 import test from 'ava';
 import * as assets from '../src/core/assets.js';
+import * as clocks from '../src/core/clock.js';
+import * as config from '../src/core/config/index.js';
 import * as entry from '../src/core/entry/index.js';
 import * as eventsPage from '../dev/events-page.js';
+import type * as platform from '../src/core/platform/index.js';
 import * as placement from '../src/core/placement/index.js';
 import * as requests from '../src/core/scheduler/requests.js';
 import * as retention from '../src/core/scheduler/retention.js';
@@ -210,3 +213,31 @@
 	t.deepEqual(retention.droppedJobs(state, 3), [{ type: 'job.dropped', job: 'press/first' }]);
 	t.true(shards.encodeState(state).length < 1_000_000);
 });
+
+/** A store in which the first swap takes effect, its answer is lost, and another operator's change follows at once. */
+function storeLosingFirstAnswer(other: (record: wire.ConfigRecord) => wire.ConfigRecord): platform.Store {
+	let current: platform.Stored | undefined;
+	let swaps = 0;
+	return {
+		get: () => Promise.resolve({ ok: true, value: current }),
+		swap: (key: string, value: Uint8Array) => {
+			swaps += 1;
+			current = { key, value, version: swaps };
+			if (swaps > 1) return Promise.resolve({ ok: true, value: { swapped: true, version: swaps } });
+			const mine = config.decodeRecord(current);
+			if (mine.ok) current = { key, value: wire.encodeValue(other(mine.value)), version: swaps + 1 };
+			return Promise.resolve({ ok: false, err: { effect: 'unknown', reason: 'lost' } });
+		},
+	} as unknown as platform.Store;
+}
+
+test('an operator whose answer was lost is told the version of its own change, not a later one', async (t) => {
+	const store = storeLosingFirstAnswer((record) => ({
+		...record,
+		version: 2,
+		history: [...record.history, { version: 2, at: 0, by: 'other', key: 'k', value: 1, nonce: 'other' }],
+	}));
+	const change = { key: 'entry.queuePerSlot', value: 3, by: 'first' };
+	const stored = await config.changeRecord(store, clocks.systemClock, change, 5_000);
+	t.deepEqual(stored.ok ? [stored.value.version, stored.value.record.version] : stored.err, [1, 2]);
+});
