--- a/src/core/node/index.ts
+++ b/src/core/node/index.ts
@@ -41,7 +41,7 @@
 	partners?: (members: membership.Membership) => membership.Member[];
 	/**
 	 * Takes the requests under a path prefix from the Node server itself, before h3. Going through h3 ends each
-	 * response a second time, which cost a sixth of the entry's time (docs/decisions/0006-libraries.md).
+	 * response a second time, which cost 6% of the busy time of the entry (docs/decisions/0006-libraries.md).
 	 */
 	direct?: { prefix: string; serve: (req: http.IncomingMessage, res: http.ServerResponse) => Promise<void> };
 	gauges?: () => Record<string, number>;
