Cluster: an option that nothing uses is gone

Ruled out: keeping it for later; nothing names it. Change: one operator process always, as every user had it. Behaviour is the same.

--- a/dev/cluster.ts
+++ b/dev/cluster.ts
@@ -13,8 +13,6 @@
 	workersPerZone: number;
 	/** Least severe events that programs print. */
 	logLevel?: 'debug' | 'info';
-	/** Operator processes: one, or none. */
-	operators?: 0 | 1;
 	/** Extra flags for schedulers, e.g. shorter leases. */
 	schedulerFlags?: string[];
 	/** Extra flags for entries. */
@@ -85,7 +83,7 @@
 			for (let i = 0; i < opts.schedulersPerZone; i += 1)
 				starting.push(cluster.startProgram('scheduler', zone));
 		}
-		if (opts.operators !== 0) starting.push(cluster.startProgram('operator', opts.zones[0] ?? ''));
+		starting.push(cluster.startProgram('operator', opts.zones[0] ?? ''));
 		await Promise.all(starting);
 		return cluster;
 	}
