--- /dev/null
+++ b/src/cli/box/main.ts
@@ -0,0 +1,46 @@
+#!/usr/bin/env node
+/** The `woodcross-box` binary: a whole box on the users' platform, as one process. */
+import * as adapters from '../../../platform/adapter.js';
+import * as boxes from '../../core/box/box.js';
+import * as clock from '../../core/clock.js';
+import * as events from '../../core/events/index.js';
+import * as ingress from '../../../platform/ingress.js';
+import * as platformSettings from '../../../platform/settings.js';
+import type * as http from 'node:http';
+
+/** Exit status for settings that can't be used. */
+const badSettings = 2;
+
+/** Before it is killed, a stopping box ends by itself; this long before, in milliseconds. */
+const endBeforeKillMs = 2_000;
+
+const path = process.env[platformSettings.settingsVariable] ?? '';
+const given = platformSettings.readSettings(path);
+if (!given.ok) {
+	process.stderr.write(`${given.err}\n`);
+	process.exit(badSettings);
+}
+const settings = given.value;
+const log = events.EventLog.create(settings.box, clock.systemClock, 'json');
+const box = await boxes.Box.create(settings, adapters.createAdapter(settings), clock.systemClock, log);
+listen(ingress.serveReadiness(box), settings.readiness);
+listen(ingress.serveCallers(box), settings.callers);
+
+process.on('SIGHUP', () => {
+	const again = platformSettings.readSettings(path);
+	if (again.ok) log.emit('settings.read', { reason: 'takes effect where it may change while running' });
+	else log.emit('settings.refused', { reason: again.err });
+});
+process.once('SIGTERM', () => {
+	void box.leave();
+	// Open connections are served to the end; the balancer needs two seconds to send callers elsewhere.
+	setTimeout(() => {
+		log.emit('process.stopped');
+		process.exit(0);
+	}, settings.bounds.graceMs - endBeforeKillMs);
+});
+
+function listen(server: http.Server, address: string): void {
+	const cut = address.lastIndexOf(':');
+	server.listen(Number(address.slice(cut + 1)), address.slice(0, cut));
+}
--- /dev/null
+++ b/src/core/box/box.ts
@@ -0,0 +1,364 @@
+/** A box: answers callers, keeps up with the configuration, and dispatches when it is its turn. */
+import * as dispatch from '../dispatch/index.js';
+import * as errors from '../errors/index.js';
+import * as ledger from '../ledger/index.js';
+import * as ownership from '../owner/index.js';
+import * as platform from '../platform/record-follower.js';
+import * as contacts from '../platform/contact.js';
+import * as protocol from './peer-protocol.js';
+import * as queues from '../queues/index.js';
+import * as results from '../result.js';
+import * as service from './job-service.js';
+import * as wire from '../wire/frames-only.js';
+import type * as boxSettings from './settings.js';
+import type * as clocks from '../clock.js';
+import type * as events from '../events/index.js';
+import type * as fleet from '../fleet/types.js';
+import type * as stores from '../platform/types.js';
+
+/** What stands between a box and its platform. */
+export interface PlatformAdapter {
+	store: stores.RecordStore;
+	workers: fleet.WorkerCalls;
+	/** Prefix and key of the operators' configuration in the store. */
+	configurationPrefix: string;
+	configurationKey: string;
+	decodeConfiguration: (value: Uint8Array) => results.Result<queues.Configuration, string>;
+	/** Prefix of the workers' entries in the store. */
+	workerPrefix: string;
+	decodeWorker: (key: string, value: Uint8Array) => fleet.WorkerEntry | undefined;
+}
+
+/** The configuration is asked for with this wait, in milliseconds: a silent cut is noticed soon after. */
+const configurationWaitMs = 2_500;
+
+/** Jobs that other boxes stored are read this often at most, in milliseconds; the boxes also tell them at once. */
+const requestGapMs = 250;
+
+/** How long the owner waits for news of jobs and workers, in milliseconds. */
+const ownerWaitMs = 2_500;
+
+/** One box. */
+export class Box {
+	readonly service: service.JobService;
+	private readonly store: stores.RecordStore;
+	private readonly contact: contacts.StoreContact;
+	private readonly peers: wire.PeerClient<protocol.BoxReq>;
+	private table: queues.QueueTable | undefined;
+	private ownership!: ownership.Ownership;
+	private server!: wire.PeerServer<protocol.BoxReq>;
+	private dispatcher: dispatch.Dispatcher | undefined;
+	private ownerFollowers: platform.RecordFollower[] = [];
+	private heldPings: (() => void)[] = [];
+	private ownerStoreReachable = false;
+	private stopping = false;
+
+	private constructor(
+		readonly settings: boxSettings.BoxSettings,
+		private readonly adapter: PlatformAdapter,
+		private readonly clock: clocks.Clock,
+		private readonly events: events.EventLog,
+	) {
+		const watched = contacts.watchContact(adapter.store, events);
+		this.store = watched.store;
+		this.contact = watched.contact;
+		this.peers = wire.PeerClient.create(clock, events);
+		this.service = service.JobService.create({
+			store: this.store,
+			contact: this.contact,
+			clock,
+			events,
+			dispatcher: () => this.dispatcher,
+			askOwner: (req, timeoutMs) => this.askOwner(req, timeoutMs),
+			ownerHasStore: () => this.ownership.reachable && this.ownerStoreReachable,
+		});
+	}
+
+	static async create(
+		settings: boxSettings.BoxSettings,
+		adapter: PlatformAdapter,
+		clock: clocks.Clock,
+		log: events.EventLog,
+	): Promise<Box> {
+		const box = new Box(settings, adapter, clock, log);
+		await box.start();
+		return box;
+	}
+
+	/** The configuration in force; undefined before the first is known. */
+	get queues(): queues.QueueTable | undefined {
+		return this.table;
+	}
+
+	/** Whether callers are welcome: the configuration is known, and the owner or the store can be reached. */
+	get ready(): boolean {
+		if (this.stopping || this.table === undefined) return false;
+		return this.contact.reachable || this.ownership.reachable;
+	}
+
+	/** Whether it is about to stop. */
+	get leaving(): boolean {
+		return this.stopping;
+	}
+
+	/** Planned stop: callers go elsewhere, and another box dispatches. */
+	async leave(): Promise<void> {
+		this.stopping = true;
+		this.events.emit('process.stopping');
+		await this.ownership.release();
+	}
+
+	private async start(): Promise<void> {
+		this.server = await this.listen();
+		platform.RecordFollower.create({
+			store: this.store,
+			clock: this.clock,
+			prefix: this.adapter.configurationPrefix,
+			waitMs: configurationWaitMs,
+			gapMs: 0,
+			onList: (items) => {
+				for (const item of items) this.takeConfiguration(item.key, item.value);
+			},
+			onChanges: (changes) => {
+				for (const one of changes) if (one.value !== undefined) this.takeConfiguration(one.key, one.value);
+			},
+			onContact: () => undefined,
+		});
+		this.ownership = ownership.Ownership.create({
+			store: this.store,
+			clock: this.clock,
+			events: this.events,
+			box: this.settings.box,
+			peer: this.server.address,
+			leaseMs: Math.max(ownership.settings.leaseMs, this.settings.minLeaseMs),
+			ping: (address) => this.ping(address),
+			onOwned: (owned, contents) => {
+				this.onOwned(owned, contents);
+			},
+			onLost: () => {
+				this.onLost();
+			},
+			random: (below) => Math.random() * below,
+		});
+		this.events.emit('process.started', { peer: this.server.address, callers: this.settings.callers });
+	}
+
+	/** Listens for the other boxes on the first of our ports that is free. */
+	private async listen(): Promise<wire.PeerServer<protocol.BoxReq>> {
+		const [first, last] = this.settings.ownPorts;
+		for (let port = first; ; port += 1) {
+			try {
+				return await wire.PeerServer.create(
+					this.settings.ip,
+					port,
+					this.events,
+					protocol.parseBoxReq,
+					(req) => this.onPeer(req),
+				);
+			} catch (err) {
+				if (port >= last) throw err;
+				this.events.emit('wire.rejected', { reason: `port ${port}: ${String(err)}` });
+			}
+		}
+	}
+
+	private takeConfiguration(key: string, value: Uint8Array): void {
+		if (key !== this.adapter.configurationKey) return;
+		const decoded = this.adapter.decodeConfiguration(value);
+		if (!decoded.ok) {
+			this.events.emit('config.rejected', { reason: decoded.err });
+			return;
+		}
+		const { version } = decoded.value;
+		// Only ever forward: an older answer may arrive late.
+		if (this.table !== undefined && version <= this.table.configuration.version) return;
+		this.table = queues.QueueTable.create(decoded.value);
+		this.events.emit('config.applied', { version, queues: decoded.value.routes.length });
+	}
+
+	private async ping(address: string): Promise<ownership.PingOutcome> {
+		const { pingWaitMs, pingTimeoutMs } = ownership.settings;
+		const req = { type: 'owner.ping' as const, waitMs: pingWaitMs };
+		const res = await this.peers.call<protocol.PingReply>(address, req, pingTimeoutMs);
+		if (!res.ok) {
+			if (res.err.refused) return 'refused';
+			// A connection that broke: whether the process is gone shows when it is opened anew.
+			return res.err.reason.startsWith('no reply') ? 'silent' : this.pingAgain(address);
+		}
+		if (!res.value.ok) return 'not-owner';
+		this.ownerStoreReachable = res.value.value.storeReachable;
+		return 'alive';
+	}
+
+	private async pingAgain(address: string): Promise<ownership.PingOutcome> {
+		const req = { type: 'owner.ping' as const, waitMs: 0 };
+		const res = await this.peers.call<protocol.PingReply>(
+			address,
+			req,
+			ownership.settings.pingTimeoutMs,
+		);
+		if (res.ok) return res.value.ok ? 'alive' : 'not-owner';
+		return res.err.refused ? 'refused' : 'silent';
+	}
+
+	private async askOwner<T>(
+		req: protocol.BoxReq,
+		timeoutMs: number,
+	): Promise<results.Result<T, service.OwnerFailure>> {
+		const owner = this.ownership.owner;
+		if (owner === undefined) return results.fail({ sent: false, reason: 'no owner is known' });
+		const res = await this.peers.call<T>(owner.peer, req, timeoutMs);
+		if (!res.ok) return results.fail({ sent: res.err.effect === 'unknown', reason: res.err.reason });
+		if (!res.value.ok) return results.fail({ sent: false, reason: errors.toLine(res.value.err) });
+		return results.ok(res.value.value);
+	}
+
+	private onOwned(owned: ledger.OwnerLedger, contents: ledger.LedgerContents): void {
+		const { clock, events: log, settings } = this;
+		const dispatcher = dispatch.Dispatcher.create(
+			{
+				clock,
+				events: log,
+				calls: this.adapter.workers,
+				maxLeaseMs: settings.bounds.maxLeaseMs,
+				epoch: owned.generation,
+				mayAct: () => clock.now() - owned.confirmedAt < dispatch.settings.renewalHorizonMs,
+				onFenced: () => {
+					this.ownership.lose('a newer epoch was seen');
+				},
+				saveProgress: (batch) => owned.saveProgress(batch),
+				saveRoster: (roster) => owned.saveRoster(roster),
+				clearJobs: (ids) => owned.clear(ids),
+				table: () => this.table,
+				keepStateMs: settings.bounds.keepStateMs,
+				harmMs: settings.bounds.harmMs,
+			},
+			contents,
+		);
+		this.dispatcher = dispatcher;
+		this.ownerFollowers = [
+			this.followRequests(dispatcher, contents.revision),
+			this.followWorkers(dispatcher),
+		];
+	}
+
+	private onLost(): void {
+		for (const follower of this.ownerFollowers) follower.close();
+		this.ownerFollowers = [];
+		this.dispatcher?.close();
+		this.dispatcher = undefined;
+		for (const answer of this.heldPings) answer();
+	}
+
+	/** Jobs and cancellations that the boxes stored. */
+	private followRequests(dispatcher: dispatch.Dispatcher, from: number): platform.RecordFollower {
+		const take = (key: string, value: Uint8Array): void => {
+			const parsed = ledger.keys.parseKey(key);
+			if (parsed?.kind === 'job') dispatcher.addJob(ledger.decodeRecord(value));
+			if (parsed?.kind === 'cancel') dispatcher.cancelJob(parsed.id);
+		};
+		return platform.RecordFollower.create({
+			store: this.store,
+			clock: this.clock,
+			prefix: ledger.keys.requestPrefix,
+			waitMs: ownerWaitMs,
+			gapMs: requestGapMs,
+			from,
+			onList: (items) => {
+				// Jobs first: a cancellation of an unknown job is passed over.
+				const rank = (key: string): number => (ledger.keys.parseKey(key)?.kind === 'job' ? 0 : 1);
+				for (const item of items.sort((a, b) => rank(a.key) - rank(b.key))) take(item.key, item.value);
+			},
+			onChanges: (changes) => {
+				for (const one of changes) if (one.value !== undefined) take(one.key, one.value);
+			},
+			onContact: () => undefined,
+		});
+	}
+
+	private followWorkers(dispatcher: dispatch.Dispatcher): platform.RecordFollower {
+		const { workerPrefix, decodeWorker } = this.adapter;
+		const decode = (key: string, value: Uint8Array): fleet.WorkerEntry[] => {
+			const entry = decodeWorker(key, value);
+			if (entry === undefined) this.events.emit('wire.rejected', { reason: `worker entry ${key}` });
+			return entry === undefined ? [] : [entry];
+		};
+		return platform.RecordFollower.create({
+			store: this.store,
+			clock: this.clock,
+			prefix: workerPrefix,
+			waitMs: ownerWaitMs,
+			gapMs: dispatch.settings.listGapMs,
+			onList: (items) => {
+				dispatcher.setWorkers(
+					items.flatMap((item) => decode(item.key, item.value)),
+					[],
+					true,
+				);
+			},
+			onChanges: (changes) => {
+				const entries = changes.flatMap((one) =>
+					one.value === undefined ? [] : decode(one.key, one.value),
+				);
+				const removed = changes.filter((one) => one.value === undefined);
+				dispatcher.setWorkers(
+					entries,
+					removed.map((one) => one.key.slice(workerPrefix.length)),
+					false,
+				);
+			},
+			onContact: () => undefined,
+		});
+	}
+
+	private async onPeer(req: protocol.BoxReq): Promise<results.Result<unknown, errors.Failure>> {
+		const notOwner = results.fail(errors.failure('NotOwner', this.settings.box));
+		if (this.dispatcher === undefined) return notOwner;
+		switch (req.type) {
+			case 'owner.ping':
+				await this.holdPing(req.waitMs);
+				return this.isOwner() ? results.ok(this.pingReply()) : notOwner;
+			case 'job.stored':
+				this.dispatcher.addJob(req.record);
+				return results.ok(null);
+			case 'job.cancelled':
+				this.dispatcher.cancelJob(req.job);
+				return results.ok(null);
+			case 'job.accept':
+				return results.ok(await ledger.accept(this.store, req.record));
+			case 'job.cancel':
+				return results.ok(await ledger.cancel(this.store, req.job));
+			case 'job.state':
+				return results.ok({ state: this.dispatcher.stateOf(req.job) });
+			case 'queue.pending':
+				return results.ok(this.dispatcher.pendingOf(req.queue));
+		}
+	}
+
+	/** Read after an `await`, where the compiler thinks the field can't have changed. */
+	private isOwner(): boolean {
+		return this.dispatcher !== undefined;
+	}
+
+	private pingReply(): protocol.PingReply {
+		return {
+			generation: this.ownership.current?.generation ?? 0,
+			configVersion: this.table?.configuration.version ?? 0,
+			storeReachable: this.contact.reachable,
+		};
+	}
+
+	/** Resolves after `waitMs`, or at once when this box stops owning. */
+	private holdPing(waitMs: number): Promise<void> {
+		if (waitMs === 0) return Promise.resolve();
+		return new Promise((resolve) => {
+			const done = (): void => {
+				timer.cancel();
+				this.heldPings = this.heldPings.filter((one) => one !== done);
+				resolve();
+			};
+			const timer = this.clock.after(waitMs, done);
+			this.heldPings.push(done);
+		});
+	}
+}
--- /dev/null
+++ b/src/core/box/job-service.ts
@@ -0,0 +1,164 @@
+/** What callers may ask of any box, and the true answer whoever the owner is. */
+import * as ledger from '../ledger/index.js';
+import * as protocol from './peer-protocol.js';
+import type * as clocks from '../clock.js';
+import type * as dispatch from '../dispatch/index.js';
+import type * as events from '../events/index.js';
+import type * as jobs from '../jobs/index.js';
+import type * as platform from '../platform/types.js';
+import type * as contacts from '../platform/contact.js';
+import type * as results from '../result.js';
+
+/** A question to the owner is given up after this many milliseconds; peers are 3 ms away. */
+const stateTimeoutMs = 500;
+
+/** A write through the owner is given up after this many milliseconds: the store's own limit and the way. */
+const relayTimeoutMs = 1_300;
+
+/** An answer for a caller. `unavailable`: nothing was done. `unknown`: it may have been done. */
+export type Answer<T> =
+	| { type: 'ok'; value: T }
+	| { type: 'no-such-job' }
+	| { type: 'unavailable'; reason: string }
+	| { type: 'unknown'; reason: string };
+
+/** What the service uses. */
+export interface JobServiceOptions {
+	store: platform.RecordStore;
+	contact: contacts.StoreContact;
+	clock: clocks.Clock;
+	events: events.EventLog;
+	/** The dispatcher, while this box owns it. */
+	dispatcher: () => dispatch.Dispatcher | undefined;
+	/** Asks the owner; undefined: none is known. */
+	askOwner: <T>(req: protocol.BoxReq, timeoutMs: number) => Promise<results.Result<T, OwnerFailure>>;
+	/** Whether the owner said lately that the store answers it. */
+	ownerHasStore: () => boolean;
+}
+
+/** The owner gave no usable answer. */
+export interface OwnerFailure {
+	/** It may have acted on the request. */
+	sent: boolean;
+	reason: string;
+}
+
+/** Jobs, as callers see them. */
+export class JobService {
+	private constructor(private readonly opts: JobServiceOptions) {}
+
+	static create(opts: JobServiceOptions): JobService {
+		return new JobService(opts);
+	}
+
+	/** Takes a job in. It is accepted once it is stored. */
+	async submit(
+		queue: jobs.QueuePolicy,
+		id: string,
+		request: Pick<jobs.JobRecord, 'text' | 'steps' | 'schedule'>,
+	): Promise<Answer<'accepted'>> {
+		const record: jobs.JobRecord = { id, queue, acceptedAt: this.opts.clock.wall(), ...request };
+		const outcome = await this.store(record);
+		const { events: log } = this.opts;
+		if (outcome.type === 'accepted' || outcome.type === 'known') {
+			log.emit('job.accepted', { job: id, queue: queue.name, outcome: outcome.type });
+			this.tell({ type: 'job.stored', record }, (own) => {
+				own.addJob(record);
+			});
+			return { type: 'ok', value: 'accepted' };
+		}
+		log.emit('job.refused', { job: id, queue: queue.name, outcome: outcome.type, reason: outcome.reason });
+		return { type: outcome.type === 'unknown' ? 'unknown' : 'unavailable', reason: outcome.reason };
+	}
+
+	/** How a job stands. */
+	async state(id: string): Promise<Answer<jobs.JobState>> {
+		const known = await this.ownersState(id);
+		if (known !== undefined) {
+			this.opts.events.emit('job.state', { job: id, state: known, source: 'owner' });
+			return { type: 'ok', value: known };
+		}
+		if (!this.opts.contact.reachable && !this.opts.ownerHasStore())
+			return { type: 'unavailable', reason: 'neither owner nor store answers' };
+		const stored = await ledger.readJob(this.opts.store, id);
+		if (!stored.ok) return { type: 'unavailable', reason: stored.err.reason };
+		if (stored.value === undefined) return { type: 'no-such-job' };
+		const state = ledger.storedState(stored.value);
+		this.opts.events.emit('job.state', { job: id, state, source: 'store' });
+		return { type: 'ok', value: state };
+	}
+
+	/** Cancels a job. It is cancelled once that is stored. */
+	async cancel(id: string): Promise<Answer<'cancelled'>> {
+		const outcome = await this.storeCancel(id);
+		this.opts.events.emit('job.cancel', {
+			job: id,
+			outcome: outcome.type,
+			reason: outcome.type === 'unknown' ? outcome.reason : undefined,
+		});
+		if (outcome.type === 'no-such-job') return { type: 'no-such-job' };
+		if (outcome.type === 'unknown') return { type: 'unavailable', reason: outcome.reason };
+		this.tell({ type: 'job.cancelled', job: id }, (own) => {
+			own.cancelJob(id);
+		});
+		return { type: 'ok', value: 'cancelled' };
+	}
+
+	/** Accepted jobs of a queue of which no task has begun. */
+	async pending(queue: string): Promise<Answer<number>> {
+		const own = this.opts.dispatcher();
+		if (own !== undefined) return { type: 'ok', value: own.pendingOf(queue) };
+		const res = await this.opts.askOwner<number>({ type: 'queue.pending', queue }, stateTimeoutMs);
+		return res.ok ? { type: 'ok', value: res.value } : { type: 'unavailable', reason: res.err.reason };
+	}
+
+	/** Stores a job, through the owner if the store turns this box away. */
+	private async store(record: jobs.JobRecord): Promise<ledger.AcceptOutcome> {
+		const { contact, store } = this.opts;
+		let unknown = false;
+		let reason = 'the store does not answer';
+		if (contact.reachable) {
+			const outcome = await ledger.accept(store, record);
+			if (outcome.type === 'accepted' || outcome.type === 'known') return outcome;
+			unknown = outcome.type === 'unknown';
+			reason = outcome.reason;
+		}
+		if (this.opts.dispatcher() === undefined && this.opts.ownerHasStore()) {
+			const req = { type: 'job.accept' as const, record };
+			const relayed = await this.opts.askOwner<ledger.AcceptOutcome>(req, relayTimeoutMs);
+			if (!relayed.ok) return { type: unknown || relayed.err.sent ? 'unknown' : 'not-stored', reason };
+			if (relayed.value.type === 'accepted' || relayed.value.type === 'known') return relayed.value;
+			unknown ||= relayed.value.type === 'unknown';
+		}
+		return { type: unknown ? 'unknown' : 'not-stored', reason };
+	}
+
+	private async storeCancel(id: string): Promise<ledger.CancelOutcome> {
+		const { contact, store } = this.opts;
+		if (contact.reachable) {
+			const outcome = await ledger.cancel(store, id);
+			if (outcome.type !== 'unknown') return outcome;
+		}
+		if (this.opts.dispatcher() === undefined && this.opts.ownerHasStore()) {
+			const req = { type: 'job.cancel' as const, job: id };
+			const relayed = await this.opts.askOwner<ledger.CancelOutcome>(req, relayTimeoutMs);
+			if (relayed.ok) return relayed.value;
+		}
+		return { type: 'unknown', reason: 'the store does not answer' };
+	}
+
+	private async ownersState(id: string): Promise<jobs.JobState | undefined> {
+		const own = this.opts.dispatcher();
+		if (own !== undefined) return own.stateOf(id);
+		const req = { type: 'job.state' as const, job: id };
+		const res = await this.opts.askOwner<protocol.StateReply>(req, stateTimeoutMs);
+		return res.ok ? res.value.state : undefined;
+	}
+
+	/** Tells the owner what was stored, to save it the wait until it reads it; no harm if that fails. */
+	private tell(req: protocol.BoxReq, local: (own: dispatch.Dispatcher) => void): void {
+		const own = this.opts.dispatcher();
+		if (own !== undefined) local(own);
+		else void this.opts.askOwner(req, stateTimeoutMs);
+	}
+}
--- /dev/null
+++ b/src/core/box/peer-protocol.ts
@@ -0,0 +1,48 @@
+/** What the boxes ask of each other. The owner answers; any other box says that it is not the owner. */
+import * as zod from 'zod/mini';
+import * as results from '../result.js';
+import type * as jobs from '../jobs/index.js';
+
+const z = zod;
+
+const record = z.custom<jobs.JobRecord>((value) => typeof value === 'object' && value !== null);
+
+const request = z.discriminatedUnion('type', [
+	/** Held for `waitMs`, so that a broken connection is noticed at once. */
+	z.object({ type: z.literal('owner.ping'), waitMs: z.number() }),
+	/** A job was stored. */
+	z.object({ type: z.literal('job.stored'), record }),
+	/** Store this job for a box that the store turns away. */
+	z.object({ type: z.literal('job.accept'), record }),
+	/** A cancellation was stored. */
+	z.object({ type: z.literal('job.cancelled'), job: z.string() }),
+	/** Store this cancellation for a box that the store turns away. */
+	z.object({ type: z.literal('job.cancel'), job: z.string() }),
+	z.object({ type: z.literal('job.state'), job: z.string() }),
+	z.object({ type: z.literal('queue.pending'), queue: z.string() }),
+]);
+
+/** A request of a box. */
+export type BoxReq = zod.infer<typeof request>;
+
+/** The answer to `owner.ping`. */
+export interface PingReply {
+	generation: number;
+	/** The store answers the owner. */
+	storeReachable: boolean;
+	/** Newest configuration version that the owner knows. */
+	configVersion: number;
+}
+
+/** The answer to `job.state`; absent: the owner does not know the job. */
+export interface StateReply {
+	state?: jobs.JobState;
+}
+
+/** Checks a request of a box. */
+export function parseBoxReq(body: unknown): results.Result<BoxReq, string> {
+	const req = request.safeParse(body);
+	if (req.success) return results.ok(req.data);
+	const issue = req.error.issues[0];
+	return results.fail(`request field ${issue?.path.join('.') ?? ''}: ${issue?.message ?? ''}`);
+}
--- /dev/null
+++ b/src/core/box/settings.ts
@@ -0,0 +1,44 @@
+/** What a box is told about itself and its platform. */
+
+/** Settings of a box; `platform/settings.ts` reads them from the platform's file. */
+export interface BoxSettings {
+	box: string;
+	zone: string;
+	zones: string[];
+	/** Address of the box, without a port. */
+	ip: string;
+	/** Where callers connect, `host:port`. */
+	callers: string;
+	/** Where the platform asks whether the box takes callers, `host:port`. */
+	readiness: string;
+	/** Ports free for our own connections: first and last. */
+	ownPorts: [number, number];
+	storeAddress: string;
+	/** Lowest lifetime that the store grants a lease, in milliseconds. */
+	minLeaseMs: number;
+	/** Where the adviser answers; absent: there is none. */
+	adviser?: string;
+	/** Where the machines of the pools are listed and moved; absent: there is none. */
+	machines?: string;
+	bounds: BoxBounds;
+}
+
+/** Time limits of the deployment, in milliseconds. */
+export interface BoxBounds {
+	/** Longest lease that workers give their tasks. */
+	maxLeaseMs: number;
+	/** A stopped process is killed after this. */
+	graceMs: number;
+	/** A finished job's state is answered for at least this long. */
+	keepStateMs: number;
+	/** Factor on run time away from the data, or of a gang over several racks. */
+	farFactor: number;
+	/** How long a stop may take on a worker. */
+	stopMs: number;
+	/** A lasting task over its target for this long because of what fills beside it breaks its promise. */
+	harmMs: number;
+	/** From the order until a changed pace is felt. */
+	paceMs: number;
+	/** A gang member gives up waiting for the others after this. */
+	gangTimeoutMs: number;
+}
--- a/src/core/config/task.ts
+++ b/src/core/config/task.ts
@@ -20,7 +20,7 @@
 	store: platform.Store;
 	clock: clocks.Clock;
 	events: events.EventLog;
-	peers: wire.PeerClient;
+	peers: wire.PeerClient<wire.PeerReq>;
 	/** Addresses of this zone's other processes. */
 	zonePeers: () => string[];
 	onApplied: (record: wire.ConfigRecord) => void;
--- /dev/null
+++ b/src/core/dispatch/ends.ts
@@ -0,0 +1,133 @@
+/** What a worker's report changes: runs that go on, runs that ended, and runs that nobody wants. */
+import * as jobs from '../jobs/index.js';
+import type * as fleet from '../fleet/types.js';
+import type * as sessions from './worker-session.js';
+import type * as types from './types.js';
+
+/** The dispatcher's part in taking in a report. */
+export interface ReportContext {
+	now: () => number;
+	findTask: (name: string) => jobs.Task | undefined;
+	/** Where a task is placed. */
+	sessionOf: (task: jobs.Task) => sessions.WorkerSession | undefined;
+	/** A run found on a worker is that task's run from now on. */
+	adopt: (session: sessions.WorkerSession, task: jobs.Task, run: number) => types.Placement;
+	/** Stops a run that nobody wants. */
+	stopStray: (session: sessions.WorkerSession, task: string, run: number) => void;
+	stop: (session: sessions.WorkerSession, placement: types.Placement) => void;
+	finished: (task: jobs.Task) => void;
+	failed: (session: sessions.WorkerSession, task: jobs.Task, run: number) => void;
+	/** The task runs nowhere and may be started again. */
+	again: (task: jobs.Task) => void;
+	logEnd: (session: sessions.WorkerSession, end: fleet.RunEnd) => void;
+}
+
+/** Takes in a report; returns the jobs whose progress changed. */
+export function takeReport(
+	ctx: ReportContext,
+	session: sessions.WorkerSession,
+	report: fleet.WorkerReport,
+	sentAt: number,
+): Set<jobs.ActiveJob> {
+	const changed = new Set<jobs.ActiveJob>();
+	for (const end of report.ended) {
+		const task = ctx.findTask(end.task);
+		// An end that was seen before may still wait to be stored.
+		if (task !== undefined) changed.add(task.step.job);
+		if (end.seq <= session.seenUpTo) continue;
+		session.seenUpTo = end.seq;
+		ctx.logEnd(session, end);
+		if (task !== undefined) takeEnd(ctx, session, task, end);
+	}
+	for (const running of report.running) takeRunning(ctx, session, running);
+	const listed = new Set(report.running.map((one) => one.task));
+	for (const placement of [...session.placements.values()])
+		if (!listed.has(placement.task.name)) takeAbsence(ctx, session, placement, sentAt);
+	return changed;
+}
+
+function takeEnd(
+	ctx: ReportContext,
+	session: sessions.WorkerSession,
+	task: jobs.Task,
+	end: fleet.RunEnd,
+): void {
+	const placement = session.placements.get(task.name);
+	const current = placement?.run === end.run;
+	if (placement !== undefined && current) session.free(placement);
+	task.run = Math.max(task.run, end.run);
+	if (isOver(task)) return;
+	if (end.how === 'failed') ctx.failed(session, task, end.run);
+	if (end.how === 'done') {
+		session.failuresInRow = 0;
+		session.failedJobs.clear();
+		if (!task.step.spec.lasting) {
+			finish(ctx, task);
+			return;
+		}
+	}
+	if (end.checkpoint !== '') task.checkpoint = end.checkpoint;
+	const elsewhere = ctx.sessionOf(task);
+	if (elsewhere === undefined) ctx.again(task);
+}
+
+function finish(ctx: ReportContext, task: jobs.Task): void {
+	const other = ctx.sessionOf(task);
+	const placement = other?.placements.get(task.name);
+	if (other !== undefined && placement !== undefined) ctx.stop(other, placement);
+	ctx.finished(task);
+}
+
+function takeRunning(
+	ctx: ReportContext,
+	session: sessions.WorkerSession,
+	running: fleet.RunningTask,
+): void {
+	const task = ctx.findTask(running.task);
+	if (task === undefined || (isOver(task) && !session.placements.has(task.name))) {
+		ctx.stopStray(session, running.task, running.run);
+		return;
+	}
+	const placement = session.placements.get(task.name) ?? adoptable(ctx, session, task, running.run);
+	if (placement === undefined || placement.run !== running.run) {
+		if (placement === undefined || running.run < placement.run)
+			ctx.stopStray(session, running.task, running.run);
+		return;
+	}
+	placement.percent = running.percent;
+	placement.reading = running.reading;
+	if (placement.phase === 'starting') placement.phase = 'running';
+	if (placement.confirmedAt === 0) placement.confirmedAt = ctx.now();
+	if (running.checkpoint !== '') task.checkpoint = running.checkpoint;
+}
+
+/** Whether no run of the task is wanted any more. */
+function isOver(task: jobs.Task): boolean {
+	return task.state === 'finished' || task.step.job.ended;
+}
+
+/** A run that an earlier owner started, if nothing newer is known of its task. */
+function adoptable(
+	ctx: ReportContext,
+	session: sessions.WorkerSession,
+	task: jobs.Task,
+	run: number,
+): types.Placement | undefined {
+	if (ctx.sessionOf(task) !== undefined || run < task.run) return undefined;
+	return ctx.adopt(session, task, run);
+}
+
+/** A run that a report does not list, neither as running nor as ended. */
+function takeAbsence(
+	ctx: ReportContext,
+	session: sessions.WorkerSession,
+	placement: types.Placement,
+	sentAt: number,
+): void {
+	// A report asked for before the run was known to be there says nothing about it.
+	const wasThere = placement.confirmedAt > 0 && placement.confirmedAt < sentAt;
+	const isStopped = placement.stoppedAt > 0 && placement.stoppedAt < sentAt;
+	if (!wasThere && !isStopped) return;
+	session.free(placement);
+	if (!isOver(placement.task)) ctx.again(placement.task);
+}
--- /dev/null
+++ b/src/core/dispatch/index.ts
@@ -0,0 +1,4 @@
+/** Dispatching: the owner's tasks, the workers they run on, and what is stored of them. */
+export { Dispatcher } from './dispatcher.js';
+export type { DispatcherOptions } from './dispatcher.js';
+export * as settings from './settings.js';
--- /dev/null
+++ b/src/core/dispatch/progress-saver.ts
@@ -0,0 +1,114 @@
+/** Stores the progress of jobs: one write at a time, with all that changed while the one before was under way. */
+import * as clocks from '../clock.js';
+import * as ledger from '../ledger/index.js';
+import * as settings from './settings.js';
+import type * as jobs from '../jobs/index.js';
+
+/** A write that failed is tried again after this many milliseconds. */
+const retryMs = 150;
+
+/** Where progress goes. */
+export type SaveProgress = (batch: Map<string, jobs.ProgressRecord>) => Promise<ledger.WriteOutcome>;
+
+/** Settings of a saver. */
+export interface SaverOptions {
+	clock: clocks.Clock;
+	save: SaveProgress;
+	/** A job's progress is stored in this state. */
+	onSaved: (job: jobs.ActiveJob, state: jobs.JobState) => void;
+	/** Another box has taken over. */
+	onSuperseded: () => void;
+	/** A write failed; it is tried again. */
+	onFailure: (outcome: ledger.WriteOutcome) => void;
+}
+
+interface Waiter {
+	/** Jobs whose change has to be stored first, each with the number of the first write that holds it. */
+	missing: Map<jobs.ActiveJob, number>;
+	done: () => void;
+}
+
+/** Group commit of jobs' progress. */
+export class ProgressSaver {
+	private readonly dirty = new Set<jobs.ActiveJob>();
+	private inFlight = new Set<jobs.ActiveJob>();
+	private waiters: Waiter[] = [];
+	/** Number of the newest write. */
+	private writes = 0;
+	private running = false;
+	private closed = false;
+
+	private constructor(private readonly opts: SaverOptions) {}
+
+	static create(opts: SaverOptions): ProgressSaver {
+		return new ProgressSaver(opts);
+	}
+
+	/** Marks a job as changed. */
+	mark(job: jobs.ActiveJob): void {
+		this.dirty.add(job);
+		if (!this.running) void this.run();
+	}
+
+	/** Resolves once the changes of these jobs marked so far are stored. */
+	stored(changed: Iterable<jobs.ActiveJob>): Promise<void> {
+		const missing = new Map<jobs.ActiveJob, number>();
+		for (const job of changed) {
+			if (this.dirty.has(job)) missing.set(job, this.writes + 1);
+			else if (this.inFlight.has(job)) missing.set(job, this.writes);
+		}
+		if (missing.size === 0) return Promise.resolve();
+		return new Promise((resolve) => {
+			this.waiters.push({ missing, done: resolve });
+		});
+	}
+
+	close(): void {
+		this.closed = true;
+	}
+
+	private async run(): Promise<void> {
+		this.running = true;
+		while (this.dirty.size > 0 && !this.closed) {
+			await clocks.sleep(this.opts.clock, settings.saveGapMs);
+			await this.saveBatch();
+		}
+		this.running = false;
+	}
+
+	private async saveBatch(): Promise<void> {
+		const batch = [...this.dirty].slice(0, ledger.maxProgressPerWrite);
+		const records = new Map(batch.map((job) => [job.id, job.toProgress()]));
+		for (const job of batch) this.dirty.delete(job);
+		this.inFlight = new Set(batch);
+		this.writes += 1;
+		const outcome = await this.opts.save(records);
+		this.inFlight = new Set();
+		if (outcome === 'committed') {
+			for (const job of batch) this.opts.onSaved(job, records.get(job.id)?.state ?? 'pending');
+			this.settle(batch);
+			return;
+		}
+		for (const job of batch) this.dirty.add(job);
+		if (outcome === 'superseded') {
+			this.closed = true;
+			this.opts.onSuperseded();
+			return;
+		}
+		this.opts.onFailure(outcome);
+		if (outcome === 'failed') await clocks.sleep(this.opts.clock, retryMs);
+	}
+
+	private settle(saved: jobs.ActiveJob[]): void {
+		const open: Waiter[] = [];
+		for (const waiter of this.waiters) {
+			for (const job of saved) {
+				// A change made while this write was under way waits for the next one.
+				if ((waiter.missing.get(job) ?? Infinity) <= this.writes) waiter.missing.delete(job);
+			}
+			if (waiter.missing.size === 0) waiter.done();
+			else open.push(waiter);
+		}
+		this.waiters = open;
+	}
+}
--- /dev/null
+++ b/src/core/dispatch/settings.ts
@@ -0,0 +1,53 @@
+/** Time limits of the dispatcher, in milliseconds, and where they come from. */
+
+/**
+ * An owner renews leases and starts tasks only this long after sending its last confirmed call to the store.
+ * A successor adds it to the longest lease before it takes a silent worker's tasks for ended.
+ * Longer than the store's usual hiccups (a second), well under the shortest lease (six).
+ */
+export const renewalHorizonMs = 3_000;
+
+/** A worker's clock may run this much slower than ours (stated by its platform). */
+export const clockSlowness = 0.02;
+
+/** Added to every wait for a lease to run out: covers timers that fire late. */
+export const leaseMarginMs = 150;
+
+/** A report waits at most this long for an end: leases are renewed about once a second. */
+export const holdWaitMs = 1_000;
+
+/** A worker that gives no answer is asked again after this. */
+export const holdRetryMs = 250;
+
+/** After a report with new ends, the next one waits at most this long for the ends to be stored. */
+export const holdAfterEndsMs = 400;
+
+/** A worker without an answer for this long gets no new work: a waiting report and a lost packet. */
+export const silentAfterMs = 2_200;
+
+/** A worker that refused a start is left alone this long. */
+export const refusalPauseMs = 500;
+
+/** An unanswered order is repeated after this. */
+export const orderRetryMs = 200;
+
+/** A start without an answer is tried this often before the run is given up and stopped. */
+export const startTries = 3;
+
+/** Ends that arrive within this of each other are stored in one write: a third of what an end may wait unstored. */
+export const saveGapMs = 25;
+
+/** How often due times, silent workers and drains are looked at. */
+export const tickMs = 100;
+
+/** How long after the list of workers was read it is read again. */
+export const listGapMs = 350;
+
+/** On a draining worker, what runs is stopped this long before the worker may end. */
+export const evacuateBeforeMs = 1_400;
+
+/** Failures in a row, of several jobs, after which a worker counts as broken. */
+export const quarantineFailures = 3;
+
+/** A broken worker is tried again after this. */
+export const quarantineMs = 4_000;
--- /dev/null
+++ b/src/core/dispatch/starter.ts
@@ -0,0 +1,104 @@
+/** Sends starts and stops, and follows each until it is known what became of it. */
+import * as clocks from '../clock.js';
+import * as settings from './settings.js';
+import type * as fleet from '../fleet/types.js';
+import type * as sessions from './worker-session.js';
+import type * as types from './types.js';
+
+/** What a start came to, where it did not end up running. */
+export interface StarterHandlers {
+	/** The run is known to be there. */
+	onStarted: (session: sessions.WorkerSession, placement: types.Placement) => void;
+	/** The run is known never to start; its place is free again. */
+	onNotStarted: (
+		session: sessions.WorkerSession,
+		placement: types.Placement,
+		err: fleet.WorkerFailure,
+	) => void;
+}
+
+/** Orders to workers. */
+export class Starter {
+	private constructor(
+		private readonly deps: types.DispatchDeps,
+		private readonly handlers: StarterHandlers,
+	) {}
+
+	static create(deps: types.DispatchDeps, handlers: StarterHandlers): Starter {
+		return new Starter(deps, handlers);
+	}
+
+	/** Starts a placed run. The same run is repeated while there is no answer: a worker starts it once. */
+	async start(session: sessions.WorkerSession, placement: types.Placement, ticket = ''): Promise<void> {
+		for (let tries = 0; tries < settings.startTries; tries += 1) {
+			const leaseUntil = session.grantLease();
+			if (leaseUntil === undefined) {
+				if (tries > 0) break;
+				this.notStarted(session, placement, { kind: 'too-late' });
+				return;
+			}
+			const res = await this.deps.calls.start(session.target, {
+				task: placement.task.name,
+				run: placement.run,
+				text: placement.task.step.job.record.text,
+				epoch: this.deps.epoch,
+				leaseUntil,
+				checkpoint: placement.task.checkpoint,
+				ticket,
+			});
+			if (!isPlaced(session, placement)) return;
+			if (res.ok) {
+				session.heard(res.value);
+				this.started(session, placement);
+				return;
+			}
+			if (session.ended(res.err)) return;
+			if (res.err.kind !== 'no-answer') {
+				// After a try without an answer, a refusal may be the answer to a run that has started and ended.
+				if (tries > 0 && res.err.kind === 'stale-run') return;
+				this.notStarted(session, placement, res.err);
+				return;
+			}
+			await clocks.sleep(this.deps.clock, settings.orderRetryMs);
+			if (!isPlaced(session, placement) || placement.phase !== 'starting') return;
+		}
+		// It may be there, or come later: a stop that is acknowledged settles it.
+		await this.stop(session, placement);
+	}
+
+	/** Stops a run; repeated until the worker acknowledges it or the place is free for another reason. */
+	async stop(session: sessions.WorkerSession, placement: types.Placement): Promise<void> {
+		if (placement.phase === 'stopping') return;
+		placement.phase = 'stopping';
+		while (isPlaced(session, placement)) {
+			const { task, run } = placement;
+			const res = await this.deps.calls.stop(session.target, task.name, run, this.deps.epoch);
+			if (res.ok) {
+				session.heard(res.value);
+				placement.stoppedAt = this.deps.clock.now();
+				return;
+			}
+			if (session.ended(res.err)) return;
+			await clocks.sleep(this.deps.clock, settings.orderRetryMs);
+		}
+	}
+
+	private started(session: sessions.WorkerSession, placement: types.Placement): void {
+		if (placement.phase === 'starting') placement.phase = 'running';
+		placement.confirmedAt = this.deps.clock.now();
+		this.handlers.onStarted(session, placement);
+	}
+
+	private notStarted(
+		session: sessions.WorkerSession,
+		placement: types.Placement,
+		err: fleet.WorkerFailure,
+	): void {
+		session.free(placement);
+		this.handlers.onNotStarted(session, placement, err);
+	}
+}
+
+function isPlaced(session: sessions.WorkerSession, placement: types.Placement): boolean {
+	return session.placements.get(placement.task.name) === placement;
+}
--- /dev/null
+++ b/src/core/dispatch/types.ts
@@ -0,0 +1,40 @@
+/** What the parts of the dispatcher say to each other. */
+import type * as clocks from '../clock.js';
+import type * as events from '../events/index.js';
+import type * as fleet from '../fleet/types.js';
+import type * as jobs from '../jobs/index.js';
+
+/** A run of a task on a worker. */
+export interface Placement {
+	task: jobs.Task;
+	run: number;
+	/** `starting` until the start is known to have been carried out. */
+	phase: 'starting' | 'running' | 'stopping';
+	/** Clock time of the placing. */
+	placedAt: number;
+	/** Clock time of the answer that showed the run there; 0 before. */
+	confirmedAt: number;
+	/** Clock time of the answer to the stop; 0 before. */
+	stoppedAt: number;
+	/** As the worker last reported it. */
+	percent: number;
+	/** Tail latency (ms) or thousandths of a core, as last reported. */
+	reading: number;
+	/** Share of its speed that it was told to work at. */
+	pace: number;
+}
+
+/** What the dispatcher is told about the world, and how it acts on it. */
+export interface DispatchDeps {
+	clock: clocks.Clock;
+	events: events.EventLog;
+	calls: fleet.WorkerCalls;
+	/** Longest lease that workers grant. */
+	maxLeaseMs: number;
+	/** The owner's epoch. */
+	epoch: number;
+	/** Whether leases may be renewed and tasks started: the epoch was shown in force lately. */
+	mayAct: () => boolean;
+	/** A worker has seen a newer epoch: this owner is replaced. */
+	onFenced: () => void;
+}
--- /dev/null
+++ b/src/core/dispatch/worker-session.ts
@@ -0,0 +1,208 @@
+/**
+ * One life of a worker: the task that asks it for reports and keeps its lease, and the account of what is placed
+ * there. A place is freed only on a proof that its run has ended: the worker lists the end, another life answers
+ * at its address, or the lease of everything there has run out.
+ */
+import * as clocks from '../clock.js';
+import * as settings from './settings.js';
+import type * as fleet from '../fleet/types.js';
+import type * as jobs from '../jobs/index.js';
+import type * as types from './types.js';
+
+/** What the dispatcher hears of a session. */
+export interface SessionHandlers {
+	/** A report came; `sentAt`: when it was asked for. Resolves once its ends are stored. */
+	onReport: (session: WorkerSession, report: fleet.WorkerReport, sentAt: number) => Promise<void>;
+	/** Nothing that was placed runs there any more; `proof` says how that is known. */
+	onLost: (session: WorkerSession, placements: types.Placement[], proof: string) => void;
+}
+
+/** A worker under this owner's epoch. */
+export class WorkerSession {
+	readonly placements = new Map<string, types.Placement>();
+	readonly used: fleet.Capacity = { milliCores: 0, memoryMb: 0, accelerators: 0 };
+	/** Thousandths of a core asked for by tasks that fill. */
+	fillMilliCores = 0;
+	/** The worker stands in the stored roster, so a successor would ask it. */
+	rostered = false;
+	/** It has answered this epoch, or is proved to run nothing. */
+	settled = false;
+	/** This life has ended. */
+	gone = false;
+	/** Missing from a list of workers that is known to be fresh. */
+	unlisted = false;
+	/** Clock time of the last answer. */
+	answeredAt = -Infinity;
+	/** No new work until then. */
+	pausedUntil = -Infinity;
+	/** Failed runs in a row, by job. */
+	readonly failedJobs = new Set<string>();
+	failuresInRow = 0;
+	/** Ends up to here are stored. */
+	storedUpTo = 0;
+	/** Ends up to here have been taken in. */
+	seenUpTo = 0;
+	/** Clock time from which this worker's drain leaves no time to finish; undefined: it does not drain. */
+	endsAt: number | undefined;
+	private worker: { clockMs: number; at: number } | undefined;
+	/** Clock time by which every lease there has run out. */
+	private leaseOverAt: number;
+	private closed = false;
+
+	private constructor(
+		readonly target: fleet.WorkerTarget,
+		public entry: fleet.WorkerEntry | undefined,
+		private readonly deps: types.DispatchDeps,
+		private readonly handlers: SessionHandlers,
+		inheritedUntil: number,
+	) {
+		this.leaseOverAt = inheritedUntil;
+	}
+
+	/** `inheritedUntil`: clock time by which leases given by earlier owners have run out. */
+	static create(
+		target: fleet.WorkerTarget,
+		entry: fleet.WorkerEntry | undefined,
+		deps: types.DispatchDeps,
+		handlers: SessionHandlers,
+		inheritedUntil: number,
+	): WorkerSession {
+		const session = new WorkerSession(target, entry, deps, handlers, inheritedUntil);
+		void session.run();
+		return session;
+	}
+
+	get id(): string {
+		return this.target.id;
+	}
+
+	/** Whether it answers, as far as is known. */
+	get answering(): boolean {
+		return this.deps.clock.now() - this.answeredAt < settings.silentAfterMs;
+	}
+
+	/** Whether it may get new work now. */
+	get open(): boolean {
+		if (this.gone || this.closed || !this.rostered || this.unlisted) return false;
+		if (this.entry === undefined || this.entry.draining) return false;
+		return this.settled && this.answering && this.deps.clock.now() >= this.pausedUntil;
+	}
+
+	/** Takes a place for a task. */
+	place(task: jobs.Task, run: number, phase: types.Placement['phase']): types.Placement {
+		const now = this.deps.clock.now();
+		const placement: types.Placement = {
+			task,
+			run,
+			phase,
+			placedAt: now,
+			confirmedAt: phase === 'running' ? now : 0,
+			stoppedAt: 0,
+			percent: 0,
+			reading: 0,
+			pace: 100,
+		};
+		this.placements.set(task.name, placement);
+		this.account(task.step.spec, 1);
+		return placement;
+	}
+
+	/** Gives a place back; the run there is proved to have ended, or never to start. */
+	free(placement: types.Placement): void {
+		if (this.placements.get(placement.task.name) !== placement) return;
+		this.placements.delete(placement.task.name);
+		this.account(placement.task.step.spec, -1);
+	}
+
+	/** Lease end to send with an order, on the worker's clock; undefined: none can or may be given. */
+	grantLease(): number | undefined {
+		if (this.worker === undefined || !this.deps.mayAct()) return undefined;
+		const now = this.deps.clock.now();
+		// The slowest rate its clock may have: the lease never reaches further than its limit.
+		const clockMs = this.worker.clockMs + (now - this.worker.at) * (1 - settings.clockSlowness);
+		const longest = this.deps.maxLeaseMs / (1 - settings.clockSlowness) + settings.leaseMarginMs;
+		this.leaseOverAt = Math.max(this.leaseOverAt, now + longest);
+		return clockMs + this.deps.maxLeaseMs;
+	}
+
+	/** Takes in the worker's clock from an answer. */
+	heard(reading: fleet.ClockReading): void {
+		const now = this.deps.clock.now();
+		this.answeredAt = now;
+		this.worker = { clockMs: reading.clockMs, at: now };
+	}
+
+	/** Sorts out a failed call; true: the session is over. */
+	ended(err: fleet.WorkerFailure): boolean {
+		if (err.kind === 'fenced') this.deps.onFenced();
+		if (err.kind === 'other-life') this.end('another life of the worker answers at its address');
+		return this.gone || this.closed || err.kind === 'fenced';
+	}
+
+	/** Ends the session: this life of the worker is over. */
+	end(proof: string): void {
+		if (this.gone) return;
+		this.gone = true;
+		this.close();
+		this.loseAll(proof);
+	}
+
+	/** Stops asking; the owner steps down or the session is over. */
+	close(): void {
+		this.closed = true;
+	}
+
+	/** Called now and then: what a silent worker held is over once its lease is. */
+	checkLease(): void {
+		if (this.answering || this.closed || this.deps.clock.now() < this.leaseOverAt) return;
+		if (this.placements.size > 0 || !this.settled) this.loseAll('the lease has run out');
+	}
+
+	private loseAll(proof: string): void {
+		const placements = [...this.placements.values()];
+		for (const placement of placements) this.free(placement);
+		this.settled = true;
+		this.handlers.onLost(this, placements, proof);
+	}
+
+	private account(spec: jobs.StepSpec, sign: 1 | -1): void {
+		if (spec.fills) this.fillMilliCores += sign * spec.milliCores;
+		else this.used.milliCores += sign * spec.milliCores;
+		this.used.memoryMb += sign * spec.memoryMb;
+		this.used.accelerators += sign * spec.accelerators;
+	}
+
+	private async run(): Promise<void> {
+		while (!this.closed) {
+			const sentAt = this.deps.clock.now();
+			const known = this.settled;
+			const res = await this.deps.calls.hold(this.target, {
+				epoch: this.deps.epoch,
+				forgetUpTo: this.storedUpTo,
+				leaseUntil: this.grantLease(),
+				waitMs: known ? settings.holdWaitMs : 0,
+			});
+			if (this.isClosed()) return;
+			if (res.ok) {
+				await this.takeReport(res.value, sentAt);
+				continue;
+			}
+			if (this.ended(res.err)) return;
+			await clocks.sleep(this.deps.clock, settings.holdRetryMs);
+		}
+	}
+
+	private async takeReport(report: fleet.WorkerReport, sentAt: number): Promise<void> {
+		if (!this.answering)
+			this.deps.events.emit('worker.reached', { worker: this.id, clockMs: report.clockMs });
+		this.heard(report);
+		const stored = this.handlers.onReport(this, report, sentAt);
+		this.settled = true;
+		await Promise.race([stored, clocks.sleep(this.deps.clock, settings.holdAfterEndsMs)]);
+	}
+
+	/** Read after an `await`, where the compiler thinks the field can't have changed. */
+	private isClosed(): boolean {
+		return this.closed;
+	}
+}
--- a/src/core/errors/catalogue.ts
+++ b/src/core/errors/catalogue.ts
@@ -98,6 +98,18 @@
 		grpc: 'INVALID_ARGUMENT',
 		http: 400,
 	},
+	QueueUnknown: {
+		title: 'No queue has this host and path',
+		hint: 'Check both against the configuration in force.',
+		grpc: 'NOT_FOUND',
+		http: 404,
+	},
+	AcceptanceUnknown: {
+		title: 'It is not known whether the job was stored',
+		hint: 'Hand it in again under the same id; it stays one job.',
+		grpc: 'UNAVAILABLE',
+		http: 504,
+	},
 	ServiceUnknown: {
 		title: 'No such service here',
 		hint: 'Check the name after /services/ in the path.',
--- a/src/core/events/index.ts
+++ b/src/core/events/index.ts
@@ -1,7 +1,7 @@
 /** Numbered events: a bounded ring in memory, stamped by a hybrid logical clock, shown by consola. */
-import * as consolaLib from 'consola';
 import * as catalogue from './catalogue.js';
 import * as hlc from './hlc.js';
+import * as lines from './json-lines.js';
 import type * as clocks from '../clock.js';
 
 export { eventCatalogue } from './catalogue.js';
@@ -92,10 +92,10 @@
 		if (this.format === 'silent') return;
 		if (levels.indexOf(level) < levels.indexOf(this.minLevel)) return;
 		if (this.format === 'json') {
-			process.stdout.write(`${JSON.stringify({ ...event, level })}\n`);
+			lines.writeLine({ ...event, level });
 			return;
 		}
-		consolaLib.consola[level](formatEvent(event));
+		void printPretty(level, event);
 	}
 }
 
@@ -107,3 +107,9 @@
 		.join(' ');
 	return `${event.id} ${event.name} [${event.process}] ${fields}`;
 }
+
+/** Loads consola only where somebody looks at a terminal: it costs start-up time. */
+async function printPretty(level: catalogue.EventLevel, event: LoggedEvent): Promise<void> {
+	const { consola } = await import('consola');
+	consola[level](formatEvent(event));
+}
--- /dev/null
+++ b/src/core/fleet/types.ts
@@ -0,0 +1,131 @@
+/** Workers as the dispatcher sees them, and the calls it makes to them. */
+import type * as results from '../result.js';
+
+/** An amount of a worker. */
+export interface Capacity {
+	milliCores: number;
+	memoryMb: number;
+	accelerators: number;
+}
+
+/** One life of a worker, as the platform lists it. */
+export interface WorkerEntry {
+	/** New with each start of the worker. */
+	id: string;
+	address: string;
+	zone: string;
+	pool: string;
+	capacity: Capacity;
+	labels: string[];
+	draining: boolean;
+	/** While it drains: it stays at least this long, in milliseconds. */
+	remainingMs?: number;
+}
+
+/** A run that a worker holds. */
+export interface RunningTask {
+	task: string;
+	run: number;
+	/** Newest checkpoint; empty: none. */
+	checkpoint: string;
+	/** 100: at work in full; less while it starts, or when paced. */
+	percent: number;
+	/** Tail latency in milliseconds of a task that serves users, else thousandths of a core in use. */
+	reading: number;
+}
+
+/** Why a run ended. `alone`: a gang member waited too long for the others; `broken`: another member ended. */
+export type EndKind = 'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone';
+
+/** The end of a run. */
+export interface RunEnd {
+	/** Rises from 1 in each life of the worker. */
+	seq: number;
+	task: string;
+	run: number;
+	how: EndKind;
+	checkpoint: string;
+}
+
+/** What a worker says of itself. */
+export interface WorkerReport {
+	/** The worker's monotonic clock, in milliseconds. */
+	clockMs: number;
+	running: RunningTask[];
+	ended: RunEnd[];
+}
+
+/** An order to start a run. */
+export interface StartOrder {
+	task: string;
+	run: number;
+	text: string;
+	epoch: number;
+	/** End of the lease of everything there, on the worker's clock; absent before its clock is known. */
+	leaseUntil?: number;
+	checkpoint: string;
+	/** Permission of the adviser; empty: none needed. */
+	ticket: string;
+}
+
+/** Where an order goes: the worker's address and the life that is meant. */
+export interface WorkerTarget {
+	id: string;
+	address: string;
+}
+
+/** A call to a worker that was not carried out, or of which that is not known. */
+export type WorkerFailure =
+	/** A newer epoch has been seen there. */
+	| { kind: 'fenced' }
+	/** The address belongs to another life of the worker now: the one meant has ended. */
+	| { kind: 'other-life' }
+	/** The run is not above one that was stopped or ended there. */
+	| { kind: 'stale-run' }
+	/** The lease named has run out already. */
+	| { kind: 'too-late' }
+	| { kind: 'no-room' }
+	/** The adviser's permission is missing or has run out. */
+	| { kind: 'no-ticket' }
+	/** The worker is unhealthy or refuses the call's form; it has done nothing. */
+	| { kind: 'refused'; status: number }
+	/** Nothing listens at the address. */
+	| { kind: 'unreachable' }
+	/** The call may have been carried out, or may be later. */
+	| { kind: 'no-answer'; reason: string };
+
+/** The worker's clock, which every answer carries. */
+export interface ClockReading {
+	clockMs: number;
+}
+
+/** How to ask for a report. */
+export interface HoldOrder {
+	epoch: number;
+	/** Ends up to here are forgotten by the worker. */
+	forgetUpTo: number;
+	/** Extends the lease of all that runs there; on the worker's clock. */
+	leaseUntil?: number;
+	/** How long the answer may wait for an end, in milliseconds. */
+	waitMs: number;
+}
+
+/** A call's outcome. */
+export type WorkerResult<T> = Promise<results.Result<T, WorkerFailure>>;
+
+/** Calls to workers. */
+export interface WorkerCalls {
+	start: (at: WorkerTarget, order: StartOrder) => WorkerResult<ClockReading>;
+	stop: (at: WorkerTarget, task: string, run: number, epoch: number) => WorkerResult<ClockReading>;
+	hold: (at: WorkerTarget, order: HoldOrder) => WorkerResult<WorkerReport>;
+	/** Lets a run work at `percent` of its speed. */
+	pace: (
+		at: WorkerTarget,
+		task: string,
+		run: number,
+		percent: number,
+		epoch: number,
+	) => WorkerResult<ClockReading>;
+	/** Drops the connections to a worker that is gone. */
+	forget: (at: WorkerTarget) => void;
+}
--- /dev/null
+++ b/src/core/jobs/active-job.ts
@@ -0,0 +1,217 @@
+/** A job that the owner works on: its steps and tasks, and what has to be stored of them. */
+import type * as types from './types.js';
+
+/** Where a task stands. `stopping`: placed, and told to stop. */
+export type TaskState = 'blocked' | 'ready' | 'placed' | 'stopping' | 'finished';
+
+/** One task of one step at one of the job's times. */
+export interface Task {
+	/** `id.time.step.index`, as workers know it. */
+	readonly name: string;
+	readonly index: number;
+	readonly step: StepRun;
+	state: TaskState;
+	/** Number of the newest run; 0 before the first. */
+	run: number;
+	/** Newest checkpoint; empty: none. */
+	checkpoint: string;
+	/** Numbers of the runs that ended as failed. */
+	failures: Set<number>;
+	/** Workers where it failed; taken again only if nothing else fits. */
+	failedOn: Set<string>;
+	/** Clock time from which it may be started. */
+	readyAt: number;
+}
+
+/** One step at one of the job's times. */
+export interface StepRun {
+	readonly job: ActiveJob;
+	readonly time: number;
+	readonly number: number;
+	readonly spec: types.StepSpec;
+	readonly tasks: Task[];
+	/** Tasks that have not finished. */
+	unfinished: number;
+}
+
+/** One job under way. */
+export class ActiveJob {
+	readonly steps: StepRun[] = [];
+	state: types.JobState = 'pending';
+	/** The state as stored; callers are told nothing newer. */
+	storedState: types.JobState = 'pending';
+	cancelled: boolean;
+	endedAt: types.WallMs = 0;
+	/** Times of the schedule that have come, or 1. */
+	private timesOpen = 0;
+	/** Whether a predecessor may have started tasks of it. */
+	readonly inherited: boolean;
+	/** Clock time by which it should be done. */
+	readonly dueAt: number;
+
+	private constructor(
+		readonly record: types.JobRecord,
+		private readonly progress: types.ProgressRecord | undefined,
+		opts: { cancelled: boolean; inherited: boolean; now: number; age: number },
+	) {
+		this.cancelled = opts.cancelled;
+		this.inherited = opts.inherited;
+		this.dueAt = opts.now - opts.age + record.queue.stretch * longestChainMs(record) + record.queue.objectiveMs;
+		if (progress !== undefined) this.adopt(progress);
+	}
+
+	/** `age`: milliseconds since the job was accepted. */
+	static create(
+		record: types.JobRecord,
+		progress: types.ProgressRecord | undefined,
+		opts: { cancelled: boolean; inherited: boolean; now: number; age: number },
+	): ActiveJob {
+		return new ActiveJob(record, progress, opts);
+	}
+
+	get id(): string {
+		return this.record.id;
+	}
+
+	/** Whether nothing of it will ever run again. */
+	get ended(): boolean {
+		return this.state === 'completed' || this.state === 'failed' || this.state === 'cancelled';
+	}
+
+	/** How many times the steps run. */
+	get times(): number {
+		return this.record.schedule?.times ?? 1;
+	}
+
+	/** Wall time at which the next time comes; undefined: all have come. */
+	nextDue(): types.WallMs | undefined {
+		if (this.timesOpen >= this.times) return undefined;
+		const { schedule } = this.record;
+		return schedule === undefined ? 0 : schedule.firstAt + this.timesOpen * schedule.intervalMs;
+	}
+
+	/** Makes the tasks of the next time; those that may start are returned. */
+	openNextTime(now: number): Task[] {
+		const time = this.timesOpen;
+		this.timesOpen += 1;
+		const steps = this.record.steps.map((spec, number) => this.createStep(time, number, spec));
+		this.steps.push(...steps);
+		return steps.flatMap((step) => this.unblock(step, now));
+	}
+
+	/** The task of that name, if it is one of this job's; opens no new time. */
+	findTask(time: number, step: number, index: number): Task | undefined {
+		return this.steps[time * this.record.steps.length + step]?.tasks[index];
+	}
+
+	/** Notes that a task has finished; returns the tasks that may start because of it. */
+	finish(task: Task, now: number): Task[] {
+		if (task.state === 'finished') return [];
+		task.state = 'finished';
+		task.checkpoint = '';
+		task.step.unfinished -= 1;
+		if (task.step.unfinished > 0) return [];
+		if (this.allFinished()) {
+			this.state = 'completed';
+			return [];
+		}
+		const sameTime = this.steps.filter((step) => step.time === task.step.time);
+		return sameTime
+			.filter((step) => step.spec.after.includes(task.step.number))
+			.flatMap((step) => this.unblock(step, now));
+	}
+
+	/** What has to be stored of it now. */
+	toProgress(): types.ProgressRecord {
+		const finished: types.ProgressRecord['finished'] = {};
+		const failures: types.ProgressRecord['failures'] = {};
+		const checkpoints: types.ProgressRecord['checkpoints'] = {};
+		for (const step of this.steps) {
+			const done = step.tasks.filter((task) => task.state === 'finished').map((task) => task.index);
+			if (done.length > 0)
+				finished[`${step.time}.${step.number}`] = step.unfinished === 0 ? 'all' : done;
+			for (const task of step.tasks) {
+				const key = `${step.time}.${step.number}.${task.index}`;
+				if (task.failures.size > 0) failures[key] = [...task.failures];
+				if (task.checkpoint !== '' && task.state === 'ready') checkpoints[key] = task.checkpoint;
+			}
+		}
+		return { state: this.state, finished, failures, checkpoints, endedAt: this.endedAt };
+	}
+
+	private allFinished(): boolean {
+		return this.timesOpen >= this.times && this.steps.every((step) => step.unfinished === 0);
+	}
+
+	private adopt(progress: types.ProgressRecord): void {
+		this.state = progress.state;
+		this.storedState = progress.state;
+		this.endedAt = progress.endedAt;
+	}
+
+	private createStep(time: number, number: number, spec: types.StepSpec): StepRun {
+		const step: StepRun = { job: this, time, number, spec, tasks: [], unfinished: spec.count };
+		const done = this.progress?.finished[`${time}.${number}`];
+		for (let index = 0; index < spec.count; index += 1) {
+			const task = this.createTask(step, index);
+			if (done === 'all' || done?.includes(index)) {
+				task.state = 'finished';
+				step.unfinished -= 1;
+			}
+			step.tasks.push(task);
+		}
+		return step;
+	}
+
+	private createTask(step: StepRun, index: number): Task {
+		const key = `${step.time}.${step.number}.${index}`;
+		return {
+			name: `${this.id}.${key}`,
+			index,
+			step,
+			state: 'blocked',
+			run: 0,
+			checkpoint: this.progress?.checkpoints[key] ?? '',
+			failures: new Set(this.progress?.failures[key]),
+			failedOn: new Set(),
+			readyAt: 0,
+		};
+	}
+
+	/** Makes the tasks of a step ready once the steps before it have finished. */
+	private unblock(step: StepRun, now: number): Task[] {
+		const base = step.time * this.record.steps.length;
+		const open = step.spec.after.every((number) => this.steps[base + number]?.unfinished === 0);
+		if (!open) return [];
+		const tasks = step.tasks.filter((task) => task.state === 'blocked');
+		for (const task of tasks) {
+			task.state = 'ready';
+			task.readyAt = now;
+		}
+		return tasks;
+	}
+}
+
+/** Time, step and index in a task's name; undefined if it has another form. */
+export function parseTaskName(
+	name: string,
+): { job: string; time: number; step: number; index: number } | undefined {
+	const match = /^([^.]+)\.(\d+)\.(\d+)\.(\d+)$/.exec(name);
+	if (match === null) return undefined;
+	return {
+		job: match[1] ?? '',
+		time: Number(match[2]),
+		step: Number(match[3]),
+		index: Number(match[4]),
+	};
+}
+
+/** Longest chain of estimated run times through the steps, in milliseconds. */
+function longestChainMs(record: types.JobRecord): number {
+	const ends: number[] = [];
+	for (const step of record.steps) {
+		const start = Math.max(0, ...step.after.map((number) => ends[number] ?? 0));
+		ends.push(start + step.estimateMs);
+	}
+	return Math.max(0, ...ends);
+}
--- /dev/null
+++ b/src/core/ledger/owner-ledger.ts
@@ -0,0 +1,189 @@
+/**
+ * The owner's side of the ledger. Every write depends on the epoch record, so a replaced owner's writes fail,
+ * also those that take effect late; and on the version of each key it replaces, so that an older write of the same
+ * owner can't undo a newer one.
+ */
+import * as keys from './keys.js';
+import * as requests from './requests.js';
+import * as results from '../result.js';
+import * as wire from '../wire/frame.js';
+import type * as jobs from '../jobs/types.js';
+import type * as platform from '../platform/types.js';
+import type * as types from './types.js';
+
+/** Progress records in one write: the store takes 32 rows at once; each record is two, and the epoch is one. */
+export const maxProgressPerWrite = 15;
+
+/** What a write of the owner came to. `superseded`: another box has taken over. */
+export type WriteOutcome = 'committed' | 'conflict' | 'failed' | 'superseded';
+
+/** All that an owner reads at its takeover. */
+export interface LedgerContents {
+	jobs: Map<string, types.StoredJob>;
+	roster: types.RosterEntry[];
+	/** Follow the requests from here. */
+	revision: number;
+}
+
+/** The ledger under one epoch. */
+export class OwnerLedger {
+	/** Clock time at which the newest write or read that showed this epoch in force was sent. */
+	confirmedAt: number;
+	private readonly progressVersions = new Map<string, number>();
+	private rosterVersion = 0;
+
+	private constructor(
+		private readonly store: platform.RecordStore,
+		private readonly now: () => number,
+		private readonly epochVersion: number,
+		readonly generation: number,
+		sentAt: number,
+	) {
+		this.confirmedAt = sentAt;
+	}
+
+	/** Takes over: counts the epoch up and names the new owner. Fails if another box was first. */
+	static async take(
+		store: platform.RecordStore,
+		now: () => number,
+		owner: { box: string; peer: string; lease: string },
+	): Promise<results.Result<OwnerLedger, string>> {
+		const [epoch, holder] = await Promise.all([store.get(keys.epochKey), store.get(keys.ownerKey)]);
+		if (!epoch.ok) return results.fail(epoch.err.reason);
+		if (!holder.ok) return results.fail(holder.err.reason);
+		const last = epoch.value && requests.decodeRecord<types.EpochRecord>(epoch.value.value);
+		const generation = (last?.generation ?? 0) + 1;
+		const { box, peer, lease } = owner;
+		const sentAt = now();
+		const res = await store.commit({
+			expected: [
+				{ key: keys.epochKey, version: epoch.value?.version ?? 0 },
+				{ key: keys.ownerKey, version: holder.value?.version ?? 0 },
+			],
+			writes: [
+				{ key: keys.epochKey, value: wire.encodeValue({ generation, box }) },
+				{ key: keys.ownerKey, value: wire.encodeValue({ generation, box, peer }), lease },
+			],
+			removes: [],
+		});
+		if (!res.ok) return results.fail(res.err.reason);
+		if (res.value.type !== 'committed') return results.fail(`another box was first (${res.value.type})`);
+		return results.ok(new OwnerLedger(store, now, res.value.version, generation, sentAt));
+	}
+
+	/** Reads everything; what a predecessor still writes fails from the takeover on. */
+	async load(): Promise<results.Result<LedgerContents, string>> {
+		const [list, roster] = await Promise.all([
+			this.store.list(keys.jobsPrefix),
+			this.store.get(keys.rosterKey),
+		]);
+		if (!list.ok) return results.fail(list.err.reason);
+		if (!roster.ok) return results.fail(roster.err.reason);
+		this.rosterVersion = roster.value?.version ?? 0;
+		const entries = roster.value && requests.decodeRecord<types.RosterEntry[]>(roster.value.value);
+		const jobsById = collect(list.value.items);
+		for (const [id, job] of jobsById) this.progressVersions.set(id, job.progressVersion);
+		return results.ok({ jobs: jobsById, roster: entries ?? [], revision: list.value.revision });
+	}
+
+	/** Stores the progress of up to `maxProgressPerWrite` jobs in one write. */
+	async saveProgress(batch: Map<string, jobs.ProgressRecord>): Promise<WriteOutcome> {
+		const writes = [...batch].map(([id, progress]) => ({
+			key: keys.progressKey(id),
+			value: wire.encodeValue(progress),
+		}));
+		const expected = [...batch.keys()].map((id) => ({
+			key: keys.progressKey(id),
+			version: this.progressVersions.get(id) ?? 0,
+		}));
+		const res = await this.commit(expected, writes, []);
+		if (res.outcome === 'committed') {
+			for (const id of batch.keys()) this.progressVersions.set(id, res.version);
+		}
+		if (res.outcome === 'conflict') {
+			// An earlier write of ours without an answer took effect after all: go on from its version.
+			const found = new Map(res.current.map((item) => [item.key, item.version]));
+			for (const id of batch.keys()) this.progressVersions.set(id, found.get(keys.progressKey(id)) ?? 0);
+		}
+		return res.outcome;
+	}
+
+	/** Stores the workers that may hold work; to be done before the first start on a new one. */
+	async saveRoster(roster: types.RosterEntry[]): Promise<WriteOutcome> {
+		const expected = [{ key: keys.rosterKey, version: this.rosterVersion }];
+		const writes = [{ key: keys.rosterKey, value: wire.encodeValue(roster) }];
+		const res = await this.commit(expected, writes, []);
+		if (res.outcome === 'committed') this.rosterVersion = res.version;
+		if (res.outcome === 'conflict')
+			this.rosterVersion = res.current.find((item) => item.key === keys.rosterKey)?.version ?? 0;
+		return res.outcome;
+	}
+
+	/** Clears away what is kept of jobs that ended long ago. */
+	async clear(ids: string[]): Promise<WriteOutcome> {
+		const removes = ids.flatMap((id) => [keys.jobKey(id), keys.cancelKey(id), keys.progressKey(id)]);
+		const res = await this.commit([], [], removes);
+		if (res.outcome === 'committed') for (const id of ids) this.progressVersions.delete(id);
+		return res.outcome;
+	}
+
+	/** Names this box as owner again after its lease lapsed while the store was away. */
+	async rename(owner: { box: string; peer: string; lease: string }): Promise<WriteOutcome> {
+		const value = wire.encodeValue({ generation: this.generation, box: owner.box, peer: owner.peer });
+		const writes = [{ key: keys.ownerKey, value, lease: owner.lease }];
+		const res = await this.commit([{ key: keys.ownerKey, version: 0 }], writes, []);
+		return res.outcome;
+	}
+
+	/** Asks whether this epoch is still in force. */
+	async confirm(): Promise<WriteOutcome> {
+		const sentAt = this.now();
+		const res = await this.store.get(keys.epochKey);
+		if (!res.ok) return 'failed';
+		if (res.value?.version !== this.epochVersion) return 'superseded';
+		this.confirmedAt = sentAt;
+		return 'committed';
+	}
+
+	private async commit(
+		expected: platform.Transaction['expected'],
+		writes: platform.Transaction['writes'],
+		removes: string[],
+	): Promise<{ outcome: WriteOutcome; version: number; current: platform.Stored[] }> {
+		const fence = { key: keys.epochKey, version: this.epochVersion };
+		const sentAt = this.now();
+		const res = await this.store.commit({ expected: [fence, ...expected], writes, removes });
+		const none = { version: 0, current: [] };
+		if (!res.ok || res.value.type === 'lease-gone') return { outcome: 'failed', ...none };
+		if (res.value.type === 'committed') {
+			this.confirmedAt = sentAt;
+			return { outcome: 'committed', version: res.value.version, current: [] };
+		}
+		const epoch = res.value.current.find((item) => item.key === keys.epochKey);
+		if (epoch?.version !== this.epochVersion) return { outcome: 'superseded', ...none };
+		return { outcome: 'conflict', version: 0, current: res.value.current };
+	}
+}
+
+function collect(items: platform.Stored[]): Map<string, types.StoredJob> {
+	const found = new Map<string, types.StoredJob>();
+	const parsed = items.flatMap((item) => {
+		const key = keys.parseKey(item.key);
+		return key === undefined ? [] : [{ item, ...key }];
+	});
+	for (const { item, kind, id } of parsed) {
+		if (kind !== 'job') continue;
+		const record = requests.decodeRecord<jobs.JobRecord>(item.value);
+		found.set(id, { record, progressVersion: 0, cancelled: false });
+	}
+	for (const { item, kind, id } of parsed) {
+		const job = found.get(id);
+		if (job === undefined || kind === 'job') continue;
+		if (kind === 'cancel') job.cancelled = true;
+		else {
+			job.progress = requests.decodeRecord<jobs.ProgressRecord>(item.value);
+			job.progressVersion = item.version;
+		}
+	}
+	return found;
+}
--- /dev/null
+++ b/src/core/ledger/requests.ts
@@ -0,0 +1,76 @@
+/** Writes and reads that any box makes for its callers, whoever the owner is. */
+import * as keys from './keys.js';
+import * as results from '../result.js';
+import * as wire from '../wire/frame.js';
+import type * as jobs from '../jobs/types.js';
+import type * as platform from '../platform/types.js';
+import type * as types from './types.js';
+
+/** Keeps a job unless its id is known; a repeated hand-in with the same id changes nothing. */
+export async function accept(
+	store: platform.RecordStore,
+	record: jobs.JobRecord,
+): Promise<types.AcceptOutcome> {
+	const key = keys.jobKey(record.id);
+	const res = await store.commit({
+		// A late repetition must not bring back a job whose record has been cleared away.
+		expected: [
+			{ key, version: 0 },
+			{ key: keys.progressKey(record.id), version: 0 },
+		],
+		writes: [{ key, value: wire.encodeValue(record) }],
+		removes: [],
+	});
+	if (res.ok) return { type: res.value.type === 'committed' ? 'accepted' : 'known' };
+	const { reason } = res.err;
+	return res.err.effect === 'none' ? { type: 'not-stored', reason } : { type: 'unknown', reason };
+}
+
+/** Keeps the wish that a job be cancelled. */
+export async function cancel(store: platform.RecordStore, id: string): Promise<types.CancelOutcome> {
+	const job = await store.get(keys.jobKey(id));
+	if (!job.ok) return { type: 'unknown', reason: job.err.reason };
+	if (job.value === undefined) return { type: 'no-such-job' };
+	const key = keys.cancelKey(id);
+	const res = await store.commit({
+		expected: [{ key, version: 0 }],
+		writes: [{ key, value: new Uint8Array(0) }],
+		removes: [],
+	});
+	return res.ok ? { type: 'cancelled' } : { type: 'unknown', reason: res.err.reason };
+}
+
+/** Reads how a job stands; undefined: there is no such job. */
+export async function readJob(
+	store: platform.RecordStore,
+	id: string,
+): Promise<results.Result<types.StoredJob | undefined, platform.StoreFailure>> {
+	const [job, progress, cancelled] = await Promise.all([
+		store.get(keys.jobKey(id)),
+		store.get(keys.progressKey(id)),
+		store.get(keys.cancelKey(id)),
+	]);
+	if (!job.ok) return job;
+	if (!progress.ok) return progress;
+	if (!cancelled.ok) return cancelled;
+	if (job.value === undefined) return results.ok(undefined);
+	return results.ok({
+		record: decodeRecord<jobs.JobRecord>(job.value.value),
+		progress: progress.value && decodeRecord<jobs.ProgressRecord>(progress.value.value),
+		progressVersion: progress.value?.version ?? 0,
+		cancelled: cancelled.value !== undefined,
+	});
+}
+
+/** State of a job as far as the store tells. */
+export function storedState(job: types.StoredJob): jobs.JobState {
+	if (job.progress !== undefined && job.progress.state !== 'pending') return job.progress.state;
+	return job.cancelled ? 'cancelled' : 'pending';
+}
+
+/** A record of ours; one that does not decode breaks an invariant, as nobody else writes under our prefix. */
+export function decodeRecord<T>(bytes: Uint8Array): T {
+	const value = wire.decodeValue(bytes);
+	results.invariant(value.ok, 'a stored record decodes');
+	return value.value as T;
+}
--- /dev/null
+++ b/src/core/ledger/types.ts
@@ -0,0 +1,48 @@
+/** What the boxes keep in the platform's store, and what a write to it comes to. */
+import type * as jobs from '../jobs/types.js';
+
+/** The count of takeovers. The generation is the epoch that workers check, and it starts the run numbers. */
+export interface EpochRecord {
+	generation: number;
+	/** The box that took over. */
+	box: string;
+}
+
+/** Who owns the dispatching now. */
+export interface OwnerRecord {
+	generation: number;
+	box: string;
+	/** Where its peers connect, `host:port`. */
+	peer: string;
+}
+
+/** A worker that may hold work. */
+export interface RosterEntry {
+	id: string;
+	address: string;
+}
+
+/** All that is kept of one job. */
+export interface StoredJob {
+	record: jobs.JobRecord;
+	progress?: jobs.ProgressRecord;
+	/** Version of the stored progress; 0: there is none. */
+	progressVersion: number;
+	cancelled: boolean;
+}
+
+/**
+ * What a hand-in came to. `known`: the job was there already. `not-stored`: it is not kept and never will be.
+ * `unknown`: no answer; it may be kept now, or a little later.
+ */
+export type AcceptOutcome =
+	| { type: 'accepted' }
+	| { type: 'known' }
+	| { type: 'not-stored'; reason: string }
+	| { type: 'unknown'; reason: string };
+
+/** What a cancellation came to. */
+export type CancelOutcome =
+	| { type: 'cancelled' }
+	| { type: 'no-such-job' }
+	| { type: 'unknown'; reason: string };
--- a/src/core/node/index.ts
+++ b/src/core/node/index.ts
@@ -57,10 +57,10 @@
 	stopping = false;
 	readonly events: events.EventLog;
 	readonly store: platform.EtcdStore;
-	readonly peers: wire.PeerClient;
+	readonly peers: wire.PeerClient<wire.PeerReq>;
 	members!: membership.Membership;
 	config!: config.ConfigTask;
-	private server!: wire.PeerServer;
+	private server!: wire.PeerServer<wire.PeerReq>;
 	private http!: http.Server;
 	private gossiping: clocks.Timer | undefined;
 
@@ -82,7 +82,9 @@
 	/** Listens, registers, and starts to follow members and configuration. */
 	async start(): Promise<void> {
 		const [peerHost, peerPort] = splitAddress(this.settings['peer-listen']);
-		this.server = await wire.PeerServer.create(peerHost, peerPort, this.events, (req) => this.onPeer(req));
+		this.server = await wire.PeerServer.create(peerHost, peerPort, this.events, wire.parsePeerReq, (req) =>
+			this.onPeer(req),
+		);
 		const httpAddress = await this.listenHttp();
 		const self: membership.Member = {
 			box: this.settings.box,
--- a/src/core/operator/shard-calls.ts
+++ b/src/core/operator/shard-calls.ts
@@ -8,7 +8,7 @@
 
 /** Who to ask, and how. */
 export interface ShardCallDeps {
-	peers: wire.PeerClient;
+	peers: wire.PeerClient<wire.PeerReq>;
 	clock: clocks.Clock;
 	members: () => readonly membership.Member[];
 }
--- a/src/core/operator/views.ts
+++ b/src/core/operator/views.ts
@@ -51,7 +51,7 @@
 
 /** Who to ask beside the shards. */
 export interface ProcessDeps {
-	peers: wire.PeerClient;
+	peers: wire.PeerClient<wire.PeerReq>;
 	members: () => readonly membership.Member[];
 	/** This process's own events, for the time line. */
 	ownEvents: (about: string | undefined) => events.LoggedEvent[];
--- /dev/null
+++ b/src/core/owner/ownership.ts
@@ -0,0 +1,176 @@
+/**
+ * Who dispatches: one box, named in the store under a lease. Every other box keeps a question open at the owner; when
+ * that breaks, or the name goes away with its lease, the boxes race to be next. Safety does not rest on this: the
+ * epoch does it, in the store and on every worker.
+ */
+import * as clocks from '../clock.js';
+import * as ledger from '../ledger/index.js';
+import * as settings from './settings.js';
+import type * as events from '../events/index.js';
+import type * as platform from '../platform/types.js';
+
+/** What a question to the owner came to. */
+export type PingOutcome = 'alive' | 'not-owner' | 'refused' | 'silent';
+
+/** What the race needs. */
+export interface OwnershipOptions {
+	store: platform.RecordStore;
+	clock: clocks.Clock;
+	events: events.EventLog;
+	box: string;
+	/** Where peers connect to this box, `host:port`. */
+	peer: string;
+	leaseMs: number;
+	/** Asks the owner at an address whether it still is; answers late if it is. */
+	ping: (address: string) => Promise<PingOutcome>;
+	/** This box owns the dispatching now. */
+	onOwned: (owned: ledger.OwnerLedger, contents: ledger.LedgerContents) => void;
+	/** It no longer does. */
+	onLost: () => void;
+	/** A delay in milliseconds between 0 and the argument; seeded in tests. */
+	random: (below: number) => number;
+}
+
+/** This box's part in the race. */
+export class Ownership {
+	/** The owner as last read; this box itself if it owns. */
+	owner: ledger.OwnerRecord | undefined;
+	/** Whether the owner answered its last question. */
+	reachable = false;
+	private owned: ledger.OwnerLedger | undefined;
+	private lease: string | undefined;
+	private stopping = false;
+
+	private constructor(private readonly opts: OwnershipOptions) {
+		void this.run();
+	}
+
+	static create(opts: OwnershipOptions): Ownership {
+		return new Ownership(opts);
+	}
+
+	/** The ledger, while this box owns. */
+	get current(): ledger.OwnerLedger | undefined {
+		return this.owned;
+	}
+
+	/** Steps down: a newer epoch was seen. */
+	lose(reason: string): void {
+		if (this.owned === undefined) return;
+		const { generation } = this.owned;
+		this.opts.events.emit('owner.lost', { generation, reason });
+		this.owned = undefined;
+		this.owner = undefined;
+		this.reachable = false;
+		this.opts.onLost();
+	}
+
+	/** Planned stop: gives the name back at once, so that another box goes on. */
+	async release(): Promise<void> {
+		this.stopping = true;
+		if (this.owned === undefined) return;
+		const { generation } = this.owned;
+		this.owned = undefined;
+		this.opts.onLost();
+		if (this.lease !== undefined) await this.opts.store.endLease(this.lease);
+		this.opts.events.emit('owner.released', { generation });
+	}
+
+	private async run(): Promise<void> {
+		while (!this.stopping) {
+			const wait = this.owned === undefined ? await this.follow() : await this.keep(this.owned);
+			if (wait > 0) await clocks.sleep(this.opts.clock, wait);
+		}
+	}
+
+	/** One turn of a box that does not own; returns how long to wait. */
+	private async follow(): Promise<number> {
+		if (this.owner === undefined) return this.findOwner();
+		const outcome = await this.opts.ping(this.owner.peer);
+		if (outcome === 'alive') {
+			this.reachable = true;
+			return 0;
+		}
+		if (this.owner === undefined || this.stopping) return 0;
+		this.reachable = false;
+		this.opts.events.emit('owner.missed', { box: this.owner.box, reason: outcome });
+		// A refused connection: its process is gone, and its lease need not be waited out.
+		const dead = outcome === 'refused' ? this.owner : undefined;
+		this.owner = undefined;
+		return this.findOwner(dead);
+	}
+
+	/** Reads who owns; takes over if nobody does, or if only `dead` does. */
+	private async findOwner(dead?: ledger.OwnerRecord): Promise<number> {
+		const found = await this.opts.store.get(ledger.keys.ownerKey);
+		if (!found.ok) return settings.findRetryMs;
+		const owner = found.value && ledger.decodeRecord<ledger.OwnerRecord>(found.value.value);
+		const free = owner === undefined || owner.generation === dead?.generation;
+		if (free) return this.take();
+		if (owner.generation !== this.lastFound) {
+			this.lastFound = owner.generation;
+			this.opts.events.emit('owner.found', { box: owner.box, generation: owner.generation });
+		}
+		this.owner = owner;
+		return dead === undefined && !this.reachable ? settings.findRetryMs : 0;
+	}
+
+	private lastFound = 0;
+
+	private async take(): Promise<number> {
+		await clocks.sleep(this.opts.clock, this.opts.random(settings.raceSpreadMs));
+		const lease = await this.opts.store.grantLease(this.opts.leaseMs);
+		if (!lease.ok) return settings.findRetryMs;
+		const { store, clock, box, peer, events } = this.opts;
+		const taken = await ledger.OwnerLedger.take(store, () => clock.now(), { box, peer, lease: lease.value });
+		if (!taken.ok) {
+			events.emit('owner.not-taken', { reason: taken.err });
+			void store.endLease(lease.value);
+			return settings.findRetryMs;
+		}
+		const contents = await taken.value.load();
+		if (!contents.ok) {
+			events.emit('owner.not-taken', { reason: contents.err });
+			void store.endLease(lease.value);
+			return settings.findRetryMs;
+		}
+		this.lease = lease.value;
+		this.owned = taken.value;
+		this.owner = { generation: taken.value.generation, box, peer };
+		this.reachable = true;
+		events.emit('owner.taken', {
+			generation: taken.value.generation,
+			jobs: contents.value.jobs.size,
+			workers: contents.value.roster.length,
+		});
+		this.opts.onOwned(taken.value, contents.value);
+		return 0;
+	}
+
+	/** One turn of the owner: keeps the lease, and asks the store whether it still owns. */
+	private async keep(owned: ledger.OwnerLedger): Promise<number> {
+		const quiet = this.opts.clock.now() - owned.confirmedAt;
+		if (quiet > settings.confirmAfterMs) {
+			const outcome = await owned.confirm();
+			if (outcome === 'superseded') {
+				this.lose('the store names a newer generation');
+				return 0;
+			}
+		}
+		if (this.lease !== undefined) {
+			const kept = await this.opts.store.keepLease(this.lease);
+			if (kept.ok && !kept.value) await this.renew(owned);
+		}
+		return settings.keepGapMs;
+	}
+
+	/** The lease lapsed while the store was away: names this box again unless another has taken over. */
+	private async renew(owned: ledger.OwnerLedger): Promise<void> {
+		const lease = await this.opts.store.grantLease(this.opts.leaseMs);
+		if (!lease.ok) return;
+		const { box, peer } = this.opts;
+		const outcome = await owned.rename({ box, peer, lease: lease.value });
+		if (outcome === 'committed') this.lease = lease.value;
+		if (outcome === 'superseded') this.lose('another box took over after the lease lapsed');
+	}
+}
--- /dev/null
+++ b/src/core/platform/record-follower.ts
@@ -0,0 +1,81 @@
+/** Keeps up with a prefix of the store: a list, then its changes; lists again when the history is gone. */
+import * as clocks from '../clock.js';
+import type * as types from './types.js';
+
+/** A call that failed is repeated after this many milliseconds. */
+const retryMs = 250;
+
+/** What to follow, and whom to tell. */
+export interface FollowerOptions {
+	store: types.RecordStore;
+	clock: clocks.Clock;
+	prefix: string;
+	/** How long one call waits for a change, in milliseconds. */
+	waitMs: number;
+	/** Pause after changes, so that a busy prefix costs few calls; in milliseconds. */
+	gapMs: number;
+	/** Go on from this revision instead of listing first. */
+	from?: number;
+	/** All there is. */
+	onList: (items: types.Stored[]) => void;
+	onChanges: (changes: types.StoreChange[]) => void;
+	/** A call was answered, or was not. */
+	onContact: (failure?: types.StoreFailure) => void;
+}
+
+/** A prefix that is followed until it is closed. */
+export class RecordFollower {
+	private closed = false;
+	private revision: number | undefined;
+
+	private constructor(private readonly opts: FollowerOptions) {
+		this.revision = opts.from;
+		void this.run();
+	}
+
+	static create(opts: FollowerOptions): RecordFollower {
+		return new RecordFollower(opts);
+	}
+
+	close(): void {
+		this.closed = true;
+	}
+
+	private async run(): Promise<void> {
+		while (!this.isClosed()) {
+			const wait = this.revision === undefined ? await this.list() : await this.follow(this.revision);
+			if (wait > 0) await clocks.sleep(this.opts.clock, wait);
+		}
+	}
+
+	/** One list; returns how long to wait before the next call. */
+	private async list(): Promise<number> {
+		const res = await this.opts.store.list(this.opts.prefix);
+		if (this.isClosed()) return 0;
+		this.opts.onContact(res.ok ? undefined : res.err);
+		if (!res.ok) return retryMs;
+		this.revision = res.value.revision;
+		this.opts.onList(res.value.items);
+		return 0;
+	}
+
+	private async follow(revision: number): Promise<number> {
+		const res = await this.opts.store.follow(this.opts.prefix, revision, this.opts.waitMs);
+		if (this.isClosed()) return 0;
+		this.opts.onContact(res.ok ? undefined : res.err);
+		if (!res.ok) return retryMs;
+		if (res.value.type === 'compacted') {
+			this.revision = undefined;
+			return 0;
+		}
+		this.revision = res.value.revision;
+		if (res.value.changes.length === 0) return 0;
+		this.opts.onChanges(res.value.changes);
+		return this.opts.gapMs;
+	}
+
+	/** Read after an `await`, where the compiler thinks the field can't have changed. */
+	private isClosed(): boolean {
+		return this.closed;
+	}
+}
--- a/src/core/platform/types.ts
+++ b/src/core/platform/types.ts
@@ -59,3 +59,44 @@
 	watch(prefix: string, revision: number, handlers: WatchHandlers): Watch;
 	close(): Promise<void>;
 }
+
+/** A write of several keys that happens whole or not at all. */
+export interface Transaction {
+	/** Versions that the keys must still have; 0: the key is absent. */
+	expected: { key: string; version: number }[];
+	writes: { key: string; value: Uint8Array; lease?: string }[];
+	removes: string[];
+}
+
+/** What a transaction came to. `current`: the expected keys as they are. `lease-gone`: nothing was written. */
+export type CommitOutcome =
+	| { type: 'committed'; version: number }
+	| { type: 'conflict'; current: Stored[] }
+	| { type: 'lease-gone' };
+
+/** Changes since a revision; `compacted`: the history is gone and the keys must be listed again. */
+export type FollowOutcome =
+	{ type: 'changes'; changes: StoreChange[]; revision: number } | { type: 'compacted' };
+
+/** The platform's store with transactions. Every method is one call (a list: one a page) against its rates. */
+export interface RecordStore {
+	get(key: string): Promise<results.Result<Stored | undefined, StoreFailure>>;
+	/** All keys with the prefix; `stale` costs a tenth and may be seconds old. Pages are no snapshot. */
+	list(
+		prefix: string,
+		opts?: { stale?: boolean },
+	): Promise<results.Result<{ items: Stored[]; revision: number }, StoreFailure>>;
+	commit(txn: Transaction): Promise<results.Result<CommitOutcome, StoreFailure>>;
+	/** Waits up to `waitMs` for changes after `revision` of the keys with the prefix. */
+	follow(
+		prefix: string,
+		revision: number,
+		waitMs: number,
+	): Promise<results.Result<FollowOutcome, StoreFailure>>;
+	/** Grants a lease of `ttlMs` milliseconds; its keys go away when it lapses. */
+	grantLease(ttlMs: number): Promise<results.Result<string, StoreFailure>>;
+	/** Renews a lease; false if it had lapsed. */
+	keepLease(lease: string): Promise<results.Result<boolean, StoreFailure>>;
+	/** Ends a lease now. */
+	endLease(lease: string): Promise<results.Result<true, StoreFailure>>;
+}
--- a/src/core/wire/client.ts
+++ b/src/core/wire/client.ts
@@ -1,7 +1,7 @@
 /** The calling side of peer connections: one connection a peer, many requests at once, each with a deadline. */
 import * as net from 'node:net';
 import * as frames from './frame.js';
-import * as types from './types.js';
+import * as envelopes from './envelope.js';
 import * as results from '../result.js';
 import type * as clocks from '../clock.js';
 import type * as errors from '../errors/index.js';
@@ -14,6 +14,8 @@
 export interface CallFailure {
 	effect: 'none' | 'unknown';
 	reason: string;
+	/** No process listens at the address. */
+	refused: boolean;
 }
 
 /** What a peer call comes to: the peer's own result, or no reply. */
@@ -24,7 +26,7 @@
 }
 
 /** Connections to peers by address, opened on use. */
-export class PeerClient {
+export class PeerClient<Req> {
 	private readonly links = new Map<string, Link>();
 
 	private constructor(
@@ -32,12 +34,12 @@
 		private readonly log: events.EventLog,
 	) {}
 
-	static create(clock: clocks.Clock, log: events.EventLog): PeerClient {
+	static create<Req>(clock: clocks.Clock, log: events.EventLog): PeerClient<Req> {
 		return new PeerClient(clock, log);
 	}
 
 	/** Sends `req` to the process at `address` (`host:port`) and waits at most `timeoutMs`. */
-	async call<T>(address: string, req: types.PeerReq, timeoutMs: number): Promise<CallResult<T>> {
+	async call<T>(address: string, req: Req, timeoutMs: number): Promise<CallResult<T>> {
 		let link = this.links.get(address);
 		if (link === undefined || link.closed) {
 			link = Link.create(address, this.log);
@@ -77,7 +79,7 @@
 			link.take(chunk);
 		});
 		socket.on('error', (err) => {
-			link.close(err.message);
+			link.close(err.message, (err as NodeJS.ErrnoException).code === 'ECONNREFUSED');
 		});
 		socket.on('close', () => {
 			link.close('connection closed');
@@ -85,13 +87,13 @@
 		return link;
 	}
 
-	call(req: types.PeerReq, timeoutMs: number, clock: clocks.Clock): Promise<CallResult<unknown>> {
+	call(req: unknown, timeoutMs: number, clock: clocks.Clock): Promise<CallResult<unknown>> {
 		const id = this.nextId;
 		this.nextId += 1;
 		return new Promise((resolve) => {
 			const timer = clock.after(timeoutMs, () => {
 				const effect = this.connected ? 'unknown' : 'none';
-				settle(results.fail({ effect, reason: `no reply within ${timeoutMs} ms` }));
+				settle(results.fail({ effect, reason: `no reply within ${timeoutMs} ms`, refused: false }));
 				// A connection that swallows requests is not trusted with the next one.
 				this.close('a reply is overdue');
 			});
@@ -101,17 +103,17 @@
 				resolve(result);
 			};
 			this.waiting.set(id, { settle });
-			const env: types.Envelope = { id, stamp: this.log.clock.tick(), kind: 'req', body: req };
+			const env: envelopes.Envelope = { id, stamp: this.log.clock.tick(), kind: 'req', body: req };
 			this.socket.write(frames.encodeFrame(env));
 		});
 	}
 
-	close(reason: string): void {
+	close(reason: string, refused = false): void {
 		if (this.closed) return;
 		this.closed = true;
 		this.socket.destroy();
 		const effect = this.connected ? 'unknown' : 'none';
-		for (const waiting of [...this.waiting.values()]) waiting.settle(results.fail({ effect, reason }));
+		for (const waiting of [...this.waiting.values()]) waiting.settle(results.fail({ effect, reason, refused }));
 	}
 
 	private take(chunk: Buffer): void {
@@ -121,7 +123,7 @@
 			return;
 		}
 		for (const value of values.value) {
-			const env = types.envelope.safeParse(value);
+			const env = envelopes.envelope.safeParse(value);
 			if (!env.success || env.data.kind !== 'res') {
 				this.close('not a reply envelope');
 				return;
--- a/src/core/wire/index.ts
+++ b/src/core/wire/index.ts
@@ -2,5 +2,5 @@
 export * from './client.js';
 export { decodeValue, encodeFrame, encodeValue, FrameReader, maxFrameBytes } from './frame.js';
 export * from './server.js';
-export { configRecord, envelope, peerReq } from './types.js';
-export type { ClaimBegin, ClaimEnd, ConfigRecord, Envelope, Gossip, PeerReq } from './types.js';
+export { configRecord, parsePeerReq } from './types.js';
+export type { ClaimBegin, ClaimEnd, ConfigRecord, Gossip, PeerReq } from './types.js';
--- a/src/core/wire/server.ts
+++ b/src/core/wire/server.ts
@@ -1,36 +1,41 @@
 /** The listening side of peer connections: one task a connection, requests answered by id. */
 import * as net from 'node:net';
 import * as frames from './frame.js';
-import * as types from './types.js';
+import * as envelopes from './envelope.js';
 import type * as errors from '../errors/index.js';
 import type * as events from '../events/index.js';
 import type * as results from '../result.js';
 
 /** Answers one request of a peer. */
-export type PeerHandler = (req: types.PeerReq) => Promise<results.Result<unknown, errors.Failure>>;
+export type PeerHandler<Req> = (req: Req) => Promise<results.Result<unknown, errors.Failure>>;
+
+/** Checks a request of a peer; a failure says which field is wrong. */
+export type ParseReq<Req> = (body: unknown) => results.Result<Req, string>;
 
 /** A connection that sends nothing at all is closed after this many milliseconds. */
 const silentLimitMs = 30_000;
 
 /** Listens for peers. */
-export class PeerServer {
+export class PeerServer<Req> {
 	private readonly sockets = new Set<net.Socket>();
 
 	private constructor(
 		private readonly server: net.Server,
 		private readonly log: events.EventLog,
-		private readonly handler: PeerHandler,
+		private readonly parse: ParseReq<Req>,
+		private readonly handler: PeerHandler<Req>,
 	) {}
 
 	/** Starts listening on a loopback or zone address; port 0 lets the kernel choose. */
-	static async create(
+	static async create<Req>(
 		host: string,
 		port: number,
 		log: events.EventLog,
-		handler: PeerHandler,
-	): Promise<PeerServer> {
+		parse: ParseReq<Req>,
+		handler: PeerHandler<Req>,
+	): Promise<PeerServer<Req>> {
 		const server = net.createServer();
-		const self = new PeerServer(server, log, handler);
+		const self = new PeerServer(server, log, parse, handler);
 		server.on('connection', (socket) => {
 			self.serve(socket);
 		});
@@ -80,25 +85,24 @@
 	}
 
 	private take(socket: net.Socket, value: unknown): void {
-		const env = types.envelope.safeParse(value);
+		const env = envelopes.envelope.safeParse(value);
 		if (!env.success || env.data.kind !== 'req') {
 			this.reject(socket, 'not a request envelope');
 			return;
 		}
-		const req = types.peerReq.safeParse(env.data.body);
-		if (!req.success) {
-			const issue = req.error.issues[0];
-			this.reject(socket, `request field ${issue?.path.join('.') ?? ''}: ${issue?.message ?? ''}`);
+		const req = this.parse(env.data.body);
+		if (!req.ok) {
+			this.reject(socket, req.err);
 			return;
 		}
 		this.log.clock.observe(env.data.stamp);
-		void this.answer(socket, env.data.id, req.data);
+		void this.answer(socket, env.data.id, req.value);
 	}
 
-	private async answer(socket: net.Socket, id: number, req: types.PeerReq): Promise<void> {
+	private async answer(socket: net.Socket, id: number, req: Req): Promise<void> {
 		const body = await this.handler(req);
 		if (socket.destroyed) return;
-		const env: types.Envelope = { id, stamp: this.log.clock.tick(), kind: 'res', body };
+		const env: envelopes.Envelope = { id, stamp: this.log.clock.tick(), kind: 'res', body };
 		socket.write(frames.encodeFrame(env));
 	}
 
--- a/src/core/wire/types.ts
+++ b/src/core/wire/types.ts
@@ -1,11 +1,10 @@
 /** Messages between the project's own processes, checked on receipt. */
 import * as zod from 'zod';
 import * as jobs from '../task/spec.js';
+import * as results from '../result.js';
 
 const z = zod.z;
 
-const stamp = z.object({ ms: z.number(), count: z.number().int() });
-
 /** Whole requests waiting or running, by service: what an entry box would use if it could. */
 const demand = z.record(z.string(), z.number().int().min(0));
 
@@ -97,13 +96,10 @@
 /** The configuration record. */
 export type ConfigRecord = zod.infer<typeof configRecord>;
 
-/** The envelope of a frame: a request, or the reply to the request of that id. */
-export const envelope = z.object({
-	id: z.number().int().min(0),
-	stamp,
-	kind: z.enum(['req', 'res']),
-	body: z.unknown(),
-});
-
-/** A checked envelope. */
-export type Envelope = zod.infer<typeof envelope>;
+/** Checks a request of a peer. */
+export function parsePeerReq(body: unknown): results.Result<PeerReq, string> {
+	const req = peerReq.safeParse(body);
+	if (req.success) return results.ok(req.data);
+	const issue = req.error.issues[0];
+	return results.fail(`request field ${issue?.path.join('.') ?? ''}: ${issue?.message ?? ''}`);
+}
