--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -1,6 +1,7 @@
 /** The owner's work: which task starts on which worker, and what becomes of it. */
 import * as clocks from '../clock.js';
 import * as ends from './ends.js';
+import * as interference from './interference.js';
 import * as jobs from '../jobs/index.js';
 import * as placement from './placement.js';
 import * as pressure from './pressure.js';
@@ -43,6 +44,7 @@
 	private readonly unsettled = new Set<sessions.WorkerSession>();
 	private readonly progress: saver.ProgressSaver;
 	private readonly starter: starter.Starter;
+	private readonly estimates: interference.Interference;
 	private readonly pressure: pressure.PressureControl;
 	private readonly ticks: clocks.Timer;
 	private readonly reportContext: ends.ReportContext;
@@ -71,7 +73,8 @@
 				this.onNotStarted(session, place, err);
 			},
 		});
-		this.pressure = pressure.PressureControl.create(opts);
+		this.estimates = interference.Interference.create(() => opts.clock.now());
+		this.pressure = pressure.PressureControl.create(opts, this.estimates, opts.harmMs);
 		this.reportContext = this.createReportContext();
 		this.ticks = clocks.every(opts.clock, settings.tickMs, () => {
 			this.tick();
@@ -417,11 +420,12 @@
 				a.step.number - b.step.number ||
 				a.index - b.index,
 		);
+		const now = this.opts.clock.now();
 		const full = new Set<jobs.StepRun>();
 		for (const task of waiting) {
 			if (full.has(task.step)) continue;
 			const { pool } = this.policyOf(task.step.job);
-			const chosen = placement.choose(task.step, task, pool, this.workers.values());
+			const chosen = placement.choose(task, pool, this.workers.values(), this.estimates, now);
 			if (typeof chosen === 'string') full.add(task.step);
 			else this.place(task, chosen);
 		}
@@ -473,6 +477,7 @@
 		for (const session of [...this.workers.values()]) {
 			session.checkLease();
 			if (session.endsAt !== undefined) this.evacuate(session, now);
+			this.moveSlowed(session, now);
 			if (session.unlisted && !session.answering && session.placements.size === 0 && session.settled)
 				session.end('it left the list and holds nothing');
 		}
@@ -482,6 +487,22 @@
 		this.clearOld();
 	}
 
+	/** Moves tasks that were slowed to almost nothing to workers where they would disturb nobody. */
+	private moveSlowed(session: sessions.WorkerSession, now: number): void {
+		for (const place of session.placements.values()) {
+			const { spec } = place.task.step;
+			if (place.phase !== 'running' || !spec.fills || !spec.checkpoints) continue;
+			if (place.pace > settings.movedPace || now - place.pacedAt < settings.movedAfterMs) continue;
+			const { pool } = this.policyOf(place.task.step.job);
+			const others = [...this.workers.values()].filter((one) => one !== session);
+			if (typeof placement.choose(place.task, pool, others, this.estimates, now) === 'string') continue;
+			this.opts.events.emit('task.stop', { task: place.task.name, worker: session.id, reason: 'slowed' });
+			void this.starter.stop(session, place);
+			// One at a time: its place elsewhere has to be seen by the next choice.
+			return;
+		}
+	}
+
 	/** Moves work off a worker that is about to end: lasting tasks at once, others while a stop still saves them. */
 	private evacuate(session: sessions.WorkerSession, now: number): void {
 		const lastMoment = now >= (session.endsAt ?? Infinity) - settings.evacuateBeforeMs;
--- a/src/core/dispatch/placement.ts
+++ b/src/core/dispatch/placement.ts
@@ -1,5 +1,6 @@
 /** Chooses workers for tasks. Reads the sessions' accounts; decides by reservations, never over a worker's capacity. */
 import type * as fleet from '../fleet/types.js';
+import type * as interference from './interference.js';
 import type * as jobs from '../jobs/index.js';
 import type * as sessions from './worker-session.js';
 
@@ -9,26 +10,48 @@
 	failedThere: 10,
 	/** The data lies on another rack. */
 	awayFromData: 3,
-	/** Beside a task that serves users, for one that fills. */
-	besideServing: 1,
+	/**
+	 * A serving task among others of other images: workers of few images leave room for what disturbs the rest.
+	 * A worker without any serving task is opened only when none of its image has room.
+	 */
+	otherImages: 3,
+	firstOfImage: 1.5,
 	/** Beside tasks that fill, for one that serves users. */
 	besideFilling: 0.5,
 	/** Failures in a row at the worker, each. */
 	failing: 0.5,
+	/** A whole of the time that its users' tasks may be busy, for one that fills. */
+	busy: 2,
 } as const;
 
 /** The share of its reservation that a lasting task uses on average; the rest is left to tasks that fill. */
 const lastingUse = 0.5;
 
+/** A worker gets no task that fills if its users' tasks are then busy for more than this part of what they may be. */
+const mostBusy = 1;
+
+/**
+ * A task that fills is placed for the peak of its neighbours' loads. After waiting so long it may raise them a little
+ * over what they may be busy, and is slowed when the peak comes; in milliseconds.
+ */
+const patienceMs = 3_000;
+
+/** What the impatient may raise them to. */
+const mostBusyLate = 1.06;
+
+/** A worker gets no task that fills if its cores are then expected in use beyond this part. */
+const mostUse = 1;
+
 /** Why no worker takes a task. */
 export type NoPlace = 'no-worker-open' | 'no-room';
 
-/** The best open worker of `pool` for one more task of a step. */
+/** The best open worker of `pool` for a task. */
 export function choose(
-	step: jobs.StepRun,
 	task: jobs.Task,
 	pool: string,
 	workers: Iterable<sessions.WorkerSession>,
+	estimates: interference.Interference,
+	now: number,
 ): sessions.WorkerSession | NoPlace {
 	let best: sessions.WorkerSession | undefined;
 	let bestScore = Infinity;
@@ -36,8 +59,8 @@
 	for (const worker of workers) {
 		if (!worker.open || worker.entry?.pool !== pool) continue;
 		anyOpen = true;
-		if (!fits(step, worker)) continue;
-		const score = rate(step.spec, task, worker);
+		if (!fits(task.step, worker)) continue;
+		const score = rate(task, worker, estimates, now);
 		if (score < bestScore) {
 			best = worker;
 			bestScore = score;
@@ -71,17 +94,62 @@
 	return count;
 }
 
-/** Lower is better. */
-function rate(spec: jobs.StepSpec, task: jobs.Task, worker: sessions.WorkerSession): number {
+/** Lower is better; infinite: not there. */
+function rate(
+	task: jobs.Task,
+	worker: sessions.WorkerSession,
+	estimates: interference.Interference,
+	now: number,
+): number {
+	const { spec } = task.step;
 	const capacity = worker.entry?.capacity.milliCores ?? 1;
 	let score = worker.failuresInRow * weights.failing;
 	if (task.failedOn.has(worker.id)) score += weights.failedThere;
 	if (spec.dataRack !== '' && worker.entry?.labels.includes(spec.dataRack) !== true)
 		score += weights.awayFromData;
-	if (spec.fills) return score + expectedUse(worker) / capacity + servingShare(worker) * weights.besideServing;
-	score += worker.used.milliCores / capacity;
-	if (spec.targetMs > 0) score += (worker.fillMilliCores / capacity) * weights.besideFilling;
-	return score;
+	if (spec.fills) {
+		const limit = now - task.readyAt < patienceMs ? mostBusy : mostBusyLate;
+		return score + rateFilling(spec, worker, estimates, limit);
+	}
+	if (spec.targetMs > 0) {
+		score += (worker.fillMilliCores / capacity) * weights.besideFilling;
+		const same = imageShare(spec.image, worker);
+		score += same === undefined ? weights.firstOfImage : (1 - same) * weights.otherImages;
+		// The fullest that fits: whole workers stay free for other images.
+		return score - worker.used.milliCores / capacity;
+	}
+	return score + worker.used.milliCores / capacity;
+}
+
+function rateFilling(
+	spec: jobs.StepSpec,
+	worker: sessions.WorkerSession,
+	estimates: interference.Interference,
+	limit: number,
+): number {
+	const capacity = worker.entry?.capacity.milliCores ?? 1;
+	const use = (expectedUse(worker) + spec.milliCores) / capacity;
+	if (use > mostUse) return Infinity;
+	const busy = expectedBusy(spec.image, spec.milliCores / capacity, worker, estimates);
+	return busy > limit ? Infinity : use + busy * weights.busy;
+}
+
+/** How busy the worst-off serving task will be with one more neighbour, in parts of what it may be. */
+export function expectedBusy(
+	image: string,
+	share: number,
+	worker: sessions.WorkerSession,
+	estimates: interference.Interference,
+): number {
+	let worst = 0;
+	for (const place of worker.placements.values()) {
+		const { spec } = place.task.step;
+		if (spec.targetMs === 0) continue;
+		const more = estimates.slope(spec.image, image) * share;
+		const busy = estimates.loadPeak(place) * (1 + estimates.disturbanceOf(worker, place) + more);
+		worst = Math.max(worst, busy / estimates.mostBusy(place));
+	}
+	return worst;
 }
 
 /** Thousandths of a core that are in use there, as far as reservations tell. */
@@ -94,10 +162,15 @@
 	return use;
 }
 
-/** Part of the worker reserved by tasks that serve users. */
-function servingShare(worker: sessions.WorkerSession): number {
-	let milliCores = 0;
-	for (const { task } of worker.placements.values())
-		if (task.step.spec.targetMs > 0) milliCores += task.step.spec.milliCores;
-	return milliCores / (worker.entry?.capacity.milliCores ?? 1);
+/** Part of the worker's serving cores that belongs to an image; undefined where nothing serves yet. */
+function imageShare(image: string, worker: sessions.WorkerSession): number | undefined {
+	let serving = 0;
+	let same = 0;
+	for (const { task } of worker.placements.values()) {
+		const { spec } = task.step;
+		if (spec.targetMs === 0) continue;
+		serving += spec.milliCores;
+		if (spec.image === image) same += spec.milliCores;
+	}
+	return serving === 0 ? undefined : same / serving;
 }
--- a/src/core/dispatch/pressure.ts
+++ b/src/core/dispatch/pressure.ts
@@ -1,60 +1,115 @@
 /**
- * Keeps tasks that serve users under their latency targets: slows what fills beside them, and lets it go on faster
- * once there is slack again. A reading is a rough figure of the last half second.
+ * Keeps tasks that serve users under their latency targets: what fills beside them may raise their busy part only as
+ * far as their load leaves room. The most disturbing are slowed first, the least disturbing let go first.
  */
+import * as interference from './interference.js';
 import type * as sessions from './worker-session.js';
 import type * as types from './types.js';
 
-/** Part of the target from which what fills is slowed. */
-const slowFrom = 0.85;
+/** Part of what a serving task may be busy that is aimed at. */
+const aim = 0.98;
 
-/** Part of the target under which what fills may go faster. */
-const fasterBelow = 0.5;
-
-/** Factor by which what fills is slowed at a time. */
-const slowing = 0.5;
+/**
+ * A task over its target for so long is relieved of half of everything that fills beside it, whatever is expected of
+ * it; for twice as long, of all. In parts of the time after which it counts as harmed.
+ */
+const certainPart = 0.35;
 
-/** Steps in which it is let go faster, in per cent. */
-const fasterStep = 25;
+/** Paces are told in steps of so many per cent: small changes are not worth a call. */
+const paceStep = 10;
 
-/** A pace under this is no pace: the task stands still, in per cent. */
-const leastPace = 10;
+/** A pace is raised by at least so much: what was slowed waits for clear room. */
+const leastRaise = 30;
 
 /** Paces what fills, one worker at a time. */
 export class PressureControl {
-	private constructor(private readonly deps: types.DispatchDeps) {}
+	private constructor(
+		private readonly deps: types.DispatchDeps,
+		private readonly estimates: interference.Interference,
+		private readonly harmMs: number,
+	) {}
 
-	static create(deps: types.DispatchDeps): PressureControl {
-		return new PressureControl(deps);
+	/** `harmMs`: so long over its target, a task counts as harmed. */
+	static create(
+		deps: types.DispatchDeps,
+		estimates: interference.Interference,
+		harmMs: number,
+	): PressureControl {
+		return new PressureControl(deps, estimates, harmMs);
 	}
 
 	/** Looks at a worker after its report. */
 	look(session: sessions.WorkerSession): void {
+		this.estimates.observe(session);
+		const serving = interference.servingOf(session);
 		const fills = [...session.placements.values()].filter(
 			(place) => place.task.step.spec.fills && place.phase === 'running',
 		);
 		if (fills.length === 0) return;
-		const worst = worstReading(session);
-		if (worst > slowFrom) this.slow(session, fills, worst);
-		else if (worst < fasterBelow) this.faster(session, fills);
+		const paces = this.allowedPaces(session, serving, fills);
+		const cap = this.certainCap(serving);
+		for (const place of fills) this.pace(session, place, Math.min(cap, paces.get(place) ?? 100));
+	}
+
+	/** The most that anything may work while a task beside it stays over its target. */
+	private certainCap(serving: types.Placement[]): number {
+		const now = this.deps.clock.now();
+		const longest = Math.max(0, ...serving.map((place) => now - (place.overSince ?? now)));
+		const certainMs = this.harmMs * certainPart;
+		if (longest < certainMs) return 100;
+		return longest < 2 * certainMs ? 50 : 0;
 	}
 
-	private slow(session: sessions.WorkerSession, fills: types.Placement[], worst: number): void {
-		for (const place of fills) {
-			const wanted = worst > 1 ? place.pace * slowing * slowing : place.pace * slowing;
-			this.pace(session, place, wanted < leastPace ? 0 : Math.round(wanted));
+	/** The paces at which every serving task stays at the aim. */
+	private allowedPaces(
+		session: sessions.WorkerSession,
+		serving: types.Placement[],
+		fills: types.Placement[],
+	): Map<types.Placement, number> {
+		const paces = new Map(fills.map((place) => [place, 100]));
+		const capacity = session.entry?.capacity.milliCores ?? 1;
+		for (const served of serving) {
+			const { image } = served.task.step.spec;
+			const load = Math.max(0.01, this.estimates.loadAhead(served));
+			let room = (aim * this.estimates.mostBusy(served)) / load - 1 - this.ordinaryRise(session, served, fills);
+			const rises = fills.map((place) => {
+				const { spec } = place.task.step;
+				return { place, rise: (this.estimates.slope(image, spec.image) * spec.milliCores) / capacity };
+			});
+			rises.sort((a, b) => a.rise - b.rise);
+			for (const { place, rise } of rises) {
+				const share = rise <= 0 ? 1 : Math.min(1, Math.max(0, room / rise));
+				const pace = Math.min(paces.get(place) ?? 100, 100 * share);
+				paces.set(place, pace);
+				room -= (rise * pace) / 100;
+			}
 		}
+		return paces;
 	}
 
-	private faster(session: sessions.WorkerSession, fills: types.Placement[]): void {
-		for (const place of fills) this.pace(session, place, Math.min(100, place.pace + fasterStep));
+	/** What the neighbours that are not paced raise. */
+	private ordinaryRise(
+		session: sessions.WorkerSession,
+		served: types.Placement,
+		fills: types.Placement[],
+	): number {
+		const { image } = served.task.step.spec;
+		let rise = this.estimates.disturbanceOf(session, served);
+		for (const place of fills)
+			rise -=
+				this.estimates.slope(image, place.task.step.spec.image) * interference.shareOf(session, place);
+		return Math.max(0, rise);
 	}
 
-	private pace(session: sessions.WorkerSession, place: types.Placement, percent: number): void {
+	private pace(session: sessions.WorkerSession, place: types.Placement, wanted: number): void {
+		const percent = Math.min(100, Math.floor(wanted / paceStep) * paceStep);
 		if (place.pace === percent) return;
+		if (percent > place.pace && percent < 100 && percent < place.pace + leastRaise) return;
 		const before = place.pace;
 		place.pace = percent;
-		this.deps.events.emit('task.paced', { task: place.task.name, worker: session.id, percent });
+		place.pacedAt = this.deps.clock.now();
+		if (percent < before) session.relievedAt = place.pacedAt;
+		this.deps.events.emit('task.paced', { task: place.task.name, worker: session.id, percent, before });
 		void this.send(session, place, percent, before);
 	}
 
@@ -72,13 +127,3 @@
 		if (place.pace === percent) place.pace = before;
 	}
 }
-
-/** Highest tail among the tasks that serve users there, in parts of its target. */
-function worstReading(session: sessions.WorkerSession): number {
-	let worst = 0;
-	for (const { task, reading } of session.placements.values()) {
-		const { targetMs } = task.step.spec;
-		if (targetMs > 0) worst = Math.max(worst, reading / targetMs);
-	}
-	return worst;
-}
--- a/src/core/dispatch/settings.ts
+++ b/src/core/dispatch/settings.ts
@@ -16,6 +16,9 @@
 /** A report waits at most this long for an end: leases are renewed about once a second. */
 export const holdWaitMs = 1_000;
 
+/** The same where tasks that fill may disturb others: a reading covers half a second. */
+export const holdWaitFillingMs = 400;
+
 /** A worker that gives no answer is asked again after this. */
 export const holdRetryMs = 250;
 
@@ -51,3 +54,9 @@
 
 /** A broken worker is tried again after this. */
 export const quarantineMs = 4_000;
+
+/** A task that fills and was slowed to this pace or less is moved if another worker takes it, in per cent. */
+export const movedPace = 30;
+
+/** So long after it was slowed: a load's peak may pass first. */
+export const movedAfterMs = 800;
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -20,8 +20,20 @@
 	percent: number;
 	/** Tail latency (ms) or thousandths of a core, as last reported. */
 	reading: number;
-	/** Share of its speed that it was told to work at. */
+	/** Share of its speed that it was told to work at, in per cent. */
 	pace: number;
+	/** Clock time of the last change of its pace. */
+	pacedAt: number;
+	/** Of a task that serves users: its own load as last estimated, when, and its change a millisecond. */
+	load: number | undefined;
+	loadAt: number;
+	loadTrend: number;
+	/** Highest of its loads of late. */
+	loadPeak: number;
+	/** Clock time from which its readings have been over the target; undefined: the newest is not. */
+	overSince: number | undefined;
+	/** Clock time of the newest reading over the target. */
+	overAt: number;
 }
 
 /** What the dispatcher is told about the world, and how it acts on it. */
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -25,8 +25,8 @@
 	fillMilliCores = 0;
 	/** The worker stands in the stored roster, so a successor would ask it. */
 	rostered = false;
-	/** It has answered this epoch, or is proved to run nothing. */
-	settled = false;
+	/** No earlier owner used it, or it has answered this epoch, or is proved to run nothing. */
+	settled: boolean;
 	/** This life has ended. */
 	gone = false;
 	/** Missing from a list of workers that is known to be fresh. */
@@ -44,6 +44,8 @@
 	seenUpTo = 0;
 	/** Clock time from which this worker's drain leaves no time to finish; undefined: it does not drain. */
 	endsAt: number | undefined;
+	/** Clock time at which a task that fills last ended here or was slowed. */
+	relievedAt = -Infinity;
 	private worker: { clockMs: number; at: number } | undefined;
 	/** Clock time by which every lease there has run out. */
 	private leaseOverAt: number;
@@ -57,6 +59,7 @@
 		inheritedUntil: number,
 	) {
 		this.leaseOverAt = inheritedUntil;
+		this.settled = inheritedUntil === -Infinity;
 	}
 
 	/** `inheritedUntil`: clock time by which leases given by earlier owners have run out. */
@@ -101,6 +104,13 @@
 			percent: 0,
 			reading: 0,
 			pace: 100,
+			pacedAt: 0,
+			load: undefined,
+			loadAt: 0,
+			loadTrend: 0,
+			loadPeak: 0,
+			overSince: undefined,
+			overAt: -Infinity,
 		};
 		this.placements.set(task.name, placement);
 		this.account(task.step.spec, 1);
@@ -112,6 +122,7 @@
 		if (this.placements.get(placement.task.name) !== placement) return;
 		this.placements.delete(placement.task.name);
 		this.account(placement.task.step.spec, -1);
+		if (placement.task.step.spec.fills) this.relievedAt = this.deps.clock.now();
 	}
 
 	/** Lease end to send with an order, on the worker's clock; undefined: none can or may be given. */
@@ -175,12 +186,11 @@
 	private async run(): Promise<void> {
 		while (!this.closed) {
 			const sentAt = this.deps.clock.now();
-			const known = this.settled;
 			const res = await this.deps.calls.hold(this.target, {
 				epoch: this.deps.epoch,
 				forgetUpTo: this.storedUpTo,
 				leaseUntil: this.grantLease(),
-				waitMs: known ? settings.holdWaitMs : 0,
+				waitMs: this.waitMs(),
 			});
 			if (this.isClosed()) return;
 			if (res.ok) {
@@ -192,6 +202,12 @@
 		}
 	}
 
+	/** Where tasks that fill disturb others, their effect is looked at more often. */
+	private waitMs(): number {
+		if (this.worker === undefined) return 0;
+		return this.fillMilliCores > 0 ? settings.holdWaitFillingMs : settings.holdWaitMs;
+	}
+
 	private async takeReport(report: fleet.WorkerReport, sentAt: number): Promise<void> {
 		if (!this.answering)
 			this.deps.events.emit('worker.reached', { worker: this.id, clockMs: report.clockMs });
--- a/src/core/ledger/owner-ledger.ts
+++ b/src/core/ledger/owner-ledger.ts
@@ -42,15 +42,22 @@
 		this.confirmedAt = sentAt;
 	}
 
-	/** Takes over: counts the epoch up and names the new owner. Fails if another box was first. */
+	/**
+	 * Takes over: counts the epoch up and names the new owner. Fails if another box was first, and if somebody other
+	 * than the owner of generation `replaces` is named.
+	 */
 	static async take(
 		store: platform.RecordStore,
 		now: () => number,
 		owner: { box: string; peer: string; lease: string },
+		replaces: number | undefined,
 	): Promise<results.Result<OwnerLedger, string>> {
 		const [epoch, holder] = await Promise.all([store.get(keys.epochKey), store.get(keys.ownerKey)]);
 		if (!epoch.ok) return results.fail(epoch.err.reason);
 		if (!holder.ok) return results.fail(holder.err.reason);
+		const named = holder.value && requests.decodeRecord<types.OwnerRecord>(holder.value.value);
+		if (named !== undefined && named.generation !== replaces)
+			return results.fail(`generation ${named.generation} was first`);
 		const last = epoch.value && requests.decodeRecord<types.EpochRecord>(epoch.value.value);
 		const generation = (last?.generation ?? 0) + 1;
 		const { box, peer, lease } = owner;
--- a/src/core/owner/ownership.ts
+++ b/src/core/owner/ownership.ts
@@ -40,6 +40,8 @@
 	private owned: ledger.OwnerLedger | undefined;
 	private lease: string | undefined;
 	private stopping = false;
+	/** Generation of the owner last logged as found. */
+	private lastFound = 0;
 
 	private constructor(private readonly opts: OwnershipOptions) {
 		void this.run();
@@ -106,7 +108,7 @@
 		if (!found.ok) return settings.findRetryMs;
 		const owner = found.value && ledger.decodeRecord<ledger.OwnerRecord>(found.value.value);
 		const free = owner === undefined || owner.generation === dead?.generation;
-		if (free) return this.take();
+		if (free) return this.take(dead?.generation);
 		if (owner.generation !== this.lastFound) {
 			this.lastFound = owner.generation;
 			this.opts.events.emit('owner.found', { box: owner.box, generation: owner.generation });
@@ -115,14 +117,13 @@
 		return dead === undefined && !this.reachable ? settings.findRetryMs : 0;
 	}
 
-	private lastFound = 0;
-
-	private async take(): Promise<number> {
+	private async take(replaces: number | undefined): Promise<number> {
 		await clocks.sleep(this.opts.clock, this.opts.random(settings.raceSpreadMs));
 		const lease = await this.opts.store.grantLease(this.opts.leaseMs);
 		if (!lease.ok) return settings.findRetryMs;
 		const { store, clock, box, peer, events } = this.opts;
-		const taken = await ledger.OwnerLedger.take(store, () => clock.now(), { box, peer, lease: lease.value });
+		const named = { box, peer, lease: lease.value };
+		const taken = await ledger.OwnerLedger.take(store, () => clock.now(), named, replaces);
 		if (!taken.ok) {
 			events.emit('owner.not-taken', { reason: taken.err });
 			void store.endLease(lease.value);
