Short tasks make room among lasting ones; loads of a lasting step are learnt over its tasks

Cause: short tasks waited up to 8 s behind lasting ones that fill the pool to 95%; filling tasks were slowed to a stop beside tasks at their own peak.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -4,6 +4,7 @@
 import * as interference from './interference.js';
 import * as jobs from '../jobs/index.js';
 import * as placement from './placement.js';
+import * as preemption from './preemption.js';
 import * as pressure from './pressure.js';
 import * as saver from './progress-saver.js';
 import * as sessions from './worker-session.js';
@@ -416,6 +417,7 @@
 		waiting.sort(
 			(a, b) =>
 				(rank.get(a) ?? 0) - (rank.get(b) ?? 0) ||
+				Number(a.step.spec.lasting) - Number(b.step.spec.lasting) ||
 				a.step.job.dueAt - b.step.job.dueAt ||
 				a.step.number - b.step.number ||
 				a.index - b.index,
@@ -429,6 +431,24 @@
 			if (typeof chosen === 'string') full.add(task.step);
 			else this.place(task, chosen);
 		}
+		this.preempt(waiting.filter((task) => task.state === 'ready'));
+	}
+
+	/** Stops others for short tasks that found no room. */
+	private preempt(waiting: jobs.Task[]): void {
+		const victims = preemption.chooseVictims(waiting, this.workers.values(), {
+			now: this.opts.clock.now(),
+			priorityOf: (job) => this.policyOf(job).priority,
+			poolOf: (job) => this.policyOf(job).pool,
+		});
+		for (const { session, place } of victims) {
+			this.opts.events.emit('task.stop', {
+				task: place.task.name,
+				worker: session.id,
+				reason: 'room for short tasks',
+			});
+			void this.starter.stop(session, place);
+		}
 	}
 
 	/** What an earlier owner may have started waits until every worker it used has been heard of. */
--- a/src/core/dispatch/interference.ts
+++ b/src/core/dispatch/interference.ts
@@ -1,55 +1,55 @@
 /**
  * Learns how much the tasks beside it disturb a task that serves users, by pairs of images.
  *
- * A serving task is taken for a queue: its tail is `idle / (1 - busy)`, and its busy part is its own load, times one
+ * A serving task is taken for a queue: its tail is `idle / (1 - busy)`, and its busy part is its step's load, times one
  * plus the sum over its neighbours of a pair's slope times the neighbour's share of the worker. The slopes are learnt
  * by ridge regression over all reports; names of images mean nothing beyond a day, so all is learnt anew from a
  * cautious first guess. docs/decisions/0011-interference.md has the measurements behind the form.
  */
+import * as loadTrack from './load-track.js';
+import type * as jobs from '../jobs/index.js';
 import type * as sessions from './worker-session.js';
 import type * as types from './types.js';
 
 /** First guess of a pair's slope. */
-const firstSlope = 1.2;
+const firstSlope = 0.7;
 
 /** Weight of the first guess, in squared shares; a tenth of a worker seen for five reports outweighs it. */
 const firstWeight = 0.05;
 
-/** First guess of a serving task's own load. */
-const firstLoad = 0.45;
+/** First guess of a step's load, and of its peak. */
+const firstLoad = 0.5;
+const firstPeak = 0.7;
 
-/** Weight of that guess, in reports. */
-const firstLoadWeight = 3;
-
-/** Part of the evidence that each new report keeps: about the last thousand reports count. */
-const keptEvidence = 0.999;
+/** Part of the evidence that each new report keeps: about the last two thousand reports count. */
+const keptEvidence = 0.9995;
 
 /** A reading covers so long, in milliseconds: a neighbour that started in between counts in part. */
-const readingMs = 500;
+const readingMs = 600;
 
 /** First guess of the tail of an idle task, as a part of its target. */
 const firstIdle = 1 / 6;
 
-/** The lowest tail seen belongs to a load of about a quarter. */
-const idlePerLowest = 0.75;
+/** The lowest tail seen is about that of an idle task; readings are rough. */
+const idlePerLowest = 0.95;
 
-/** Loads swing over seconds: a load is looked at so far ahead, by its trend, in milliseconds. */
+/** Loads swing over seconds: a load is looked at so far ahead, in milliseconds. */
 const aheadMs = 500;
 
-/** A load's peak is forgotten at this rate, a millisecond. */
-const peakFading = 0.005 / 1_000;
-
-/** Peak of a load that was not watched yet, in parts of the image's mean. */
-const firstPeak = 1.2;
-
 /**
  * After a tail went over its target, readings stay high for a while whatever the neighbours do: what has queued up
  * has to be worked off. Nothing is learnt from readings for so long, in milliseconds.
  */
 const overloadMs = 1_800;
 
-/** Most that a trend may add to a load. */
-const mostTrend = 0.05;
+/** Under this load a tail is too close to that of an idle task to tell anything. */
+const leastLoad = 0.35;
+
+/** A busy part raised by more than this is taken for this: an overload shows how far only roughly. */
+const mostRaised = 1.5;
+
+/** Mean difference of slopes from which two serving images count as wholly unlike. */
+const unlikeSlope = 1;
 
 /** Name under which tasks that neither serve nor fill are counted. */
 const ordinary = '';
@@ -61,7 +61,7 @@
 interface Model {
 	/** Lowest tail seen, in milliseconds. */
 	lowest: number;
-	/** Neighbour images in the order of the unknowns; the unknown before them is the load without neighbours. */
+	/** Neighbour images in the order of the unknowns. */
 	images: string[];
 	/** Weighted sums of products of the inputs, and of inputs and result. */
 	products: number[][];
@@ -73,6 +73,7 @@
 /** Estimates of disturbance, over all workers of one owner. */
 export class Interference {
 	private readonly models = new Map<string, Model>();
+	private readonly tracks = new WeakMap<jobs.StepRun, loadTrack.LoadTrack>();
 
 	private constructor(private readonly now: () => number) {}
 
@@ -86,41 +87,41 @@
 		if (serving.length === 0) return;
 		const now = this.now();
 		const shares = sharesOf(session, (place) => partOfReading(place, now));
+		const isSteady = now - session.neighboursChangedAt > readingMs;
 		for (const place of serving) {
-			const model = this.model(place.task.step.spec.image);
+			const { image, targetMs } = place.task.step.spec;
+			const model = this.model(image);
 			model.lowest = Math.min(model.lowest, place.reading);
-			const { targetMs } = place.task.step.spec;
 			const isOver = place.reading > targetMs;
+			// Of readings over the target, those under unchanged neighbours are evidence.
+			const isFirst = isOver && session.relievedAt < now - overloadMs;
 			noteOver(place, isOver, now);
 			// Relieved of a neighbour, it still has to work off what has queued up.
-			if (isOver && now - session.relievedAt < overloadMs) continue;
+			if (!isFirst && now - place.overAt < overloadMs && now - session.relievedAt < overloadMs) continue;
 			const busy = busyOf(model, place.reading, targetMs);
-			learn(model, shares, busy);
-			if (!isOver) noteLoad(place, busy / (1 + disturbance(model, shares)), now);
+			const track = this.track(place.task.step);
+			track.note(place.task.index, busy, now);
+			const load = track.comparable;
+			if (load !== undefined && load > leastLoad && (isSteady || isOver))
+				learn(model, shares, Math.min(mostRaised, busy / load - 1));
 		}
 	}
 
-	/** Highest load to reckon with while a neighbour stays. */
-	loadPeak(place: types.Placement): number {
-		const first = this.meanLoad(place.task.step.spec.image) * firstPeak;
-		return place.load === undefined ? first : Math.max(place.loadPeak, first);
-	}
-
 	/** Part of its time that a serving task may be busy at most so that its tail stays at the target. */
 	mostBusy(place: types.Placement): number {
 		const { image, targetMs } = place.task.step.spec;
 		return 1 - idleTail(this.model(image), targetMs) / targetMs;
 	}
 
-	/** A serving task's own load a moment ahead. */
+	/** Load of a serving task's step a moment ahead. */
 	loadAhead(place: types.Placement): number {
-		const load = place.load ?? this.meanLoad(place.task.step.spec.image);
-		return Math.min(1, Math.max(0, load + Math.min(mostTrend, place.loadTrend * aheadMs)));
+		return this.track(place.task.step).ahead(aheadMs) ?? firstLoad;
 	}
 
-	/** Load of a serving image over time. */
-	meanLoad(image: string): number {
-		return loadOf(this.model(image));
+	/** Highest load to reckon with while a neighbour stays. */
+	loadPeak(place: types.Placement): number {
+		const track = this.track(place.task.step);
+		return track.ahead(0) === undefined ? firstPeak : Math.max(track.peak, firstLoad);
 	}
 
 	/** How much a neighbour raises a serving image's busy part, a whole worker of it. */
@@ -136,14 +137,36 @@
 		);
 	}
 
+	/**
+	 * How differently two serving images are disturbed, 0 to 1: 1 where a neighbour that one does not mind overloads the
+	 * other, or nothing is known.
+	 */
+	unlikeness(one: string, other: string): number {
+		if (one === other) return 0;
+		const images = new Set([...this.model(one).images, ...this.model(other).images]);
+		images.delete(ordinary);
+		if (images.size === 0) return 1;
+		let sum = 0;
+		for (const image of images) sum += Math.abs(this.slope(one, image) - this.slope(other, image));
+		return Math.min(1, sum / images.size / unlikeSlope);
+	}
+
+	private track(step: jobs.StepRun): loadTrack.LoadTrack {
+		const known = this.tracks.get(step);
+		if (known !== undefined) return known;
+		const created = loadTrack.LoadTrack.create();
+		this.tracks.set(step, created);
+		return created;
+	}
+
 	private model(image: string): Model {
 		const known = this.models.get(image);
 		if (known !== undefined) return known;
 		const created: Model = {
 			lowest: Infinity,
 			images: [],
-			products: [[firstLoadWeight]],
-			results: [firstLoadWeight * firstLoad],
+			products: [],
+			results: [],
 			solution: undefined,
 		};
 		this.models.set(image, created);
@@ -194,15 +217,6 @@
 	return Math.max(0, 1 - idleTail(model, targetMs) / reading);
 }
 
-/** Takes a load into the placement's newest load and its trend. */
-function noteLoad(place: types.Placement, load: number, now: number): void {
-	if (place.load !== undefined && now > place.loadAt)
-		place.loadTrend = (load - place.load) / Math.max(now - place.loadAt, readingMs);
-	place.loadPeak = Math.max(load, place.loadPeak - (now - place.loadAt) * peakFading);
-	place.load = load;
-	place.loadAt = now;
-}
-
 /** Notes whether a task's newest reading is over its target, and since when. */
 function noteOver(place: types.Placement, isOver: boolean, now: number): void {
 	if (isOver) place.overAt = now;
@@ -213,34 +227,29 @@
 function addImage(model: Model, image: string): void {
 	model.images.push(image);
 	for (const row of model.products) row.push(0);
-	model.products.push([...model.images.map(() => 0), firstWeight]);
-	model.results.push(firstWeight * firstSlope * firstLoad);
+	model.products.push([...model.images.slice(1).map(() => 0), firstWeight]);
+	model.results.push(firstWeight * firstSlope);
 	model.solution = undefined;
 }
 
-function learn(model: Model, shares: Shares, busy: number): void {
+function learn(model: Model, shares: Shares, raised: number): void {
 	for (const image of shares.keys()) if (!model.images.includes(image)) addImage(model, image);
-	const inputs = [1, ...model.images.map((image) => shares.get(image) ?? 0)];
+	const inputs = model.images.map((image) => shares.get(image) ?? 0);
 	model.products.forEach((row, i) => {
 		row.forEach((sum, j) => {
 			row[j] = sum * keptEvidence + (inputs[i] ?? 0) * (inputs[j] ?? 0);
 		});
 	});
 	model.results.forEach((sum, i) => {
-		model.results[i] = sum * keptEvidence + (inputs[i] ?? 0) * busy;
+		model.results[i] = sum * keptEvidence + (inputs[i] ?? 0) * raised;
 	});
 	model.solution = undefined;
 }
 
-function loadOf(model: Model): number {
-	return Math.max(0.05, solve(model)[0] ?? firstLoad);
-}
-
 /** A neighbour never helps. */
 function slopeOf(model: Model, neighbour: string): number {
 	const index = model.images.indexOf(neighbour);
-	if (index < 0) return firstSlope;
-	return Math.max(0, (solve(model)[index + 1] ?? 0) / loadOf(model));
+	return index < 0 ? firstSlope : Math.max(0, solve(model)[index] ?? firstSlope);
 }
 
 function disturbance(model: Model, shares: Shares): number {
--- /dev/null
+++ b/src/core/dispatch/load-track.ts
@@ -0,0 +1,81 @@
+/**
+ * The load of a lasting step over time. Its tasks share their users, so at one moment their busy parts differ only by
+ * what disturbs each: a low quantile over the tasks is the load, whatever is believed of the neighbours.
+ */
+
+/** A report counts for so long, in milliseconds. */
+const freshMs = 1_300;
+
+/** The quantile taken for the undisturbed load. */
+const undisturbed = 0.35;
+
+/** Estimates follow the quantile within about this, in milliseconds; loads swing over ten seconds and more. */
+const followMs = 400;
+
+/** A load's peak is forgotten at this rate, a millisecond. */
+const peakFading = 0.004 / 1_000;
+
+/** Most that a trend may add to a load. */
+const mostTrend = 0.06;
+
+/** Fewer tasks than this can't tell a load from a disturbance. */
+const leastTasks = 3;
+
+/** One step's load. */
+export class LoadTrack {
+	private readonly reports = new Map<number, { busy: number; at: number }>();
+	private load: number | undefined;
+	private at = 0;
+	private trend = 0;
+	private highest = 0;
+	private compared = 0;
+
+	private constructor() {
+		// Built by `create`, like every class here.
+	}
+
+	static create(): LoadTrack {
+		return new LoadTrack();
+	}
+
+	/** Takes in a task's busy part. */
+	note(task: number, busy: number, now: number): void {
+		this.reports.set(task, { busy, at: now });
+		const fresh = [...this.reports.values()].filter((one) => now - one.at < freshMs);
+		this.compared = fresh.length;
+		const sorted = fresh.map((one) => one.busy).sort((a, b) => a - b);
+		this.follow(sorted[Math.floor((sorted.length - 1) * undisturbed)] ?? busy, now);
+	}
+
+	/** The load now, if there are enough tasks to tell it from a disturbance. */
+	get comparable(): number | undefined {
+		return this.compared < leastTasks ? undefined : this.load;
+	}
+
+	/** The load so much later, by its trend; undefined before the first report. */
+	ahead(ms: number): number | undefined {
+		if (this.load === undefined) return undefined;
+		const change = Math.max(-mostTrend, Math.min(mostTrend, this.trend * ms));
+		return Math.min(1, Math.max(0, this.load + change));
+	}
+
+	/** The highest of late. */
+	get peak(): number {
+		return this.highest;
+	}
+
+	private follow(quantile: number, now: number): void {
+		if (this.load === undefined) {
+			this.load = quantile;
+			this.at = now;
+			return;
+		}
+		const elapsed = Math.max(30, now - this.at);
+		const part = 1 - Math.exp(-elapsed / followMs);
+		const next = this.load + (quantile - this.load) * part;
+		this.trend += ((next - this.load) / elapsed - this.trend) * part;
+		this.load = next;
+		this.at = now;
+		this.highest = Math.max(next, this.highest - elapsed * peakFading);
+	}
+}
--- a/src/core/dispatch/placement.ts
+++ b/src/core/dispatch/placement.ts
@@ -28,7 +28,7 @@
 const lastingUse = 0.5;
 
 /** A worker gets no task that fills if its users' tasks are then busy for more than this part of what they may be. */
-const mostBusy = 1;
+const mostBusy = 1.15;
 
 /**
  * A task that fills is placed for the peak of its neighbours' loads. After waiting so long it may raise them a little
@@ -36,11 +36,25 @@
  */
 const patienceMs = 3_000;
 
+/** A neighbour with a smaller slope than this is not expected to disturb. */
+const harmlessSlope = 0.4;
+
+/** A task that was over its target gets no neighbour that disturbs it for so long, in milliseconds. */
+const overloadPauseMs = 2_000;
+
 /** What the impatient may raise them to. */
-const mostBusyLate = 1.06;
+const mostBusyLate = 1.15 + 0.1;
 
 /** A worker gets no task that fills if its cores are then expected in use beyond this part. */
-const mostUse = 1;
+const mostUse = 1.1;
+
+/**
+ * A lasting task leaves so much of a worker free for short ones, in thousandths of a core: one or two of them. It does
+ * so for a while only, a longer one if it was stopped for them; in milliseconds.
+ */
+const shortReserve = 3_000;
+const reserveMs = 2_000;
+const reserveAgainMs = 6_500;
 
 /** Why no worker takes a task. */
 export type NoPlace = 'no-worker-open' | 'no-room';
@@ -59,7 +73,7 @@
 	for (const worker of workers) {
 		if (!worker.open || worker.entry?.pool !== pool) continue;
 		anyOpen = true;
-		if (!fits(task.step, worker)) continue;
+		if (!fits(task.step, worker, reserveFor(task, now))) continue;
 		const score = rate(task, worker, estimates, now);
 		if (score < bestScore) {
 			best = worker;
@@ -69,20 +83,32 @@
 	return best ?? (anyOpen ? 'no-room' : 'no-worker-open');
 }
 
-/** Whether a worker can hold one more task of the step now. */
-export function fits(step: jobs.StepRun, worker: sessions.WorkerSession): boolean {
+/** What a task has to leave free. */
+function reserveFor(task: jobs.Task, now: number): number {
+	if (!task.step.spec.lasting) return 0;
+	const waited = now - task.readyAt;
+	return waited < (task.run === 0 ? reserveMs : reserveAgainMs) ? shortReserve : 0;
+}
+
+/** Whether a worker can hold one more task of the step now, and keep `reserve` thousandths of a core free. */
+function fits(step: jobs.StepRun, worker: sessions.WorkerSession, reserve: number): boolean {
 	const { spec } = step;
 	const capacity = worker.entry?.capacity;
 	if (capacity === undefined) return false;
 	if (spec.requiredLabel !== '' && worker.entry?.labels.includes(spec.requiredLabel) !== true) return false;
 	if (spec.maxPerWorker > 0 && countOf(step, worker) >= spec.maxPerWorker) return false;
-	return hasRoom(spec, worker.used, capacity);
+	return hasRoom(spec, worker.used, capacity, reserve);
 }
 
-function hasRoom(spec: jobs.StepSpec, used: fleet.Capacity, capacity: fleet.Capacity): boolean {
+function hasRoom(
+	spec: jobs.StepSpec,
+	used: fleet.Capacity,
+	capacity: fleet.Capacity,
+	reserve: number,
+): boolean {
 	const milliCores = spec.fills ? 0 : spec.milliCores;
 	return (
-		used.milliCores + milliCores <= capacity.milliCores &&
+		used.milliCores + milliCores + reserve <= capacity.milliCores &&
 		used.memoryMb + spec.memoryMb <= capacity.memoryMb &&
 		used.accelerators + spec.accelerators <= capacity.accelerators
 	);
@@ -108,13 +134,14 @@
 	if (spec.dataRack !== '' && worker.entry?.labels.includes(spec.dataRack) !== true)
 		score += weights.awayFromData;
 	if (spec.fills) {
+		if (disturbsOverloaded(spec.image, worker, estimates, now)) return Infinity;
 		const limit = now - task.readyAt < patienceMs ? mostBusy : mostBusyLate;
 		return score + rateFilling(spec, worker, estimates, limit);
 	}
 	if (spec.targetMs > 0) {
 		score += (worker.fillMilliCores / capacity) * weights.besideFilling;
-		const same = imageShare(spec.image, worker);
-		score += same === undefined ? weights.firstOfImage : (1 - same) * weights.otherImages;
+		const unlike = unlikeShare(spec.image, worker, estimates);
+		score += unlike === undefined ? weights.firstOfImage : unlike * weights.otherImages;
 		// The fullest that fits: whole workers stay free for other images.
 		return score - worker.used.milliCores / capacity;
 	}
@@ -134,6 +161,20 @@
 	return busy > limit ? Infinity : use + busy * weights.busy;
 }
 
+/** Whether it would disturb a task that was over its target lately: what has queued up is still being worked off. */
+function disturbsOverloaded(
+	image: string,
+	worker: sessions.WorkerSession,
+	estimates: interference.Interference,
+	now: number,
+): boolean {
+	for (const place of worker.placements.values()) {
+		if (now - place.overAt >= overloadPauseMs) continue;
+		if (estimates.slope(place.task.step.spec.image, image) > harmlessSlope) return true;
+	}
+	return false;
+}
+
 /** How busy the worst-off serving task will be with one more neighbour, in parts of what it may be. */
 export function expectedBusy(
 	image: string,
@@ -162,15 +203,19 @@
 	return use;
 }
 
-/** Part of the worker's serving cores that belongs to an image; undefined where nothing serves yet. */
-function imageShare(image: string, worker: sessions.WorkerSession): number | undefined {
+/** Part of the worker's serving cores whose images are disturbed by other neighbours; undefined: nothing serves. */
+function unlikeShare(
+	image: string,
+	worker: sessions.WorkerSession,
+	estimates: interference.Interference,
+): number | undefined {
 	let serving = 0;
-	let same = 0;
+	let unlike = 0;
 	for (const { task } of worker.placements.values()) {
 		const { spec } = task.step;
 		if (spec.targetMs === 0) continue;
 		serving += spec.milliCores;
-		if (spec.image === image) same += spec.milliCores;
+		unlike += spec.milliCores * estimates.unlikeness(image, spec.image);
 	}
-	return serving === 0 ? undefined : same / serving;
+	return serving === 0 ? undefined : unlike / serving;
 }
--- /dev/null
+++ b/src/core/dispatch/preemption.ts
@@ -0,0 +1,97 @@
+/**
+ * Makes room for short tasks that find none: lasting tasks of the same priority, and any task of a lesser one, are
+ * stopped and go on elsewhere or later. A lasting task loses seconds of many; a short task would lose all it is for.
+ */
+import type * as jobs from '../jobs/index.js';
+import type * as sessions from './worker-session.js';
+import type * as types from './types.js';
+
+/** A short task waits so long for room before others are stopped for it, in milliseconds. */
+export const patienceMs = 120;
+
+/** Stops in one round, at most: room that is coming free already is counted before more is made. */
+const mostVictims = 4;
+
+/** A task that was started so lately is not stopped again for others, in milliseconds. */
+const leastStayMs = 2_000;
+
+/** A task to stop. */
+export interface Victim {
+	session: sessions.WorkerSession;
+	place: types.Placement;
+}
+
+/** What the choice needs to know. */
+export interface PreemptionContext {
+	now: number;
+	priorityOf: (job: jobs.ActiveJob) => number;
+	poolOf: (job: jobs.ActiveJob) => string;
+}
+
+/** Chooses whom to stop so that the waiting tasks fit. */
+export function chooseVictims(
+	waiting: jobs.Task[],
+	workers: Iterable<sessions.WorkerSession>,
+	ctx: PreemptionContext,
+): Victim[] {
+	const short = waiting.filter((task) => isUrgent(task, ctx));
+	const first = short[0];
+	if (first === undefined) return [];
+	const priority = ctx.priorityOf(first.step.job);
+	const open = [...workers].filter((one) => one.open && one.entry?.pool === ctx.poolOf(first.step.job));
+	let wanted = sum(short.map((task) => task.step.spec.milliCores)) - comingFree(open);
+	const victims: Victim[] = [];
+	const candidates = open.flatMap((session) => candidatesOn(session, priority, ctx));
+	candidates.sort((a, b) => cost(a) - cost(b));
+	const used = new Set<sessions.WorkerSession>();
+	for (const victim of candidates) {
+		if (wanted <= 0 || victims.length >= mostVictims) break;
+		if (used.has(victim.session)) continue;
+		used.add(victim.session);
+		victims.push(victim);
+		wanted -= victim.place.task.step.spec.milliCores;
+	}
+	return victims;
+}
+
+/** A task that runs for a short while on cores of its own, and has waited long enough. */
+function isUrgent(task: jobs.Task, ctx: PreemptionContext): boolean {
+	const { spec } = task.step;
+	if (spec.lasting || spec.fills || spec.gang) return false;
+	return ctx.priorityOf(task.step.job) === 0 && ctx.now - task.readyAt >= patienceMs;
+}
+
+/** Cores of tasks that are stopping already. */
+function comingFree(workers: sessions.WorkerSession[]): number {
+	const stopping = workers.flatMap((one) =>
+		[...one.placements.values()].filter((place) => place.phase === 'stopping'),
+	);
+	return sum(stopping.map((place) => (place.task.step.spec.fills ? 0 : place.task.step.spec.milliCores)));
+}
+
+function candidatesOn(
+	session: sessions.WorkerSession,
+	priority: number,
+	ctx: PreemptionContext,
+): Victim[] {
+	const places = [...session.placements.values()].filter((place) => {
+		const { spec, job } = place.task.step;
+		if (place.phase !== 'running' || spec.fills || spec.gang) return false;
+		if (ctx.now - place.placedAt < leastStayMs) return false;
+		// A step that may miss few of its tasks keeps them all.
+		if (spec.mayMiss !== undefined) return false;
+		return spec.lasting ? ctx.priorityOf(job) >= priority : ctx.priorityOf(job) > priority;
+	});
+	return places.map((place) => ({ session, place }));
+}
+
+/** The smallest lasting tasks first, and those over their target before all: they serve nobody. */
+function cost(victim: Victim): number {
+	const { place } = victim;
+	const isOver = place.overSince !== undefined;
+	return place.task.step.spec.milliCores / (isOver ? 2 : 1);
+}
+
+function sum(values: number[]): number {
+	return values.reduce((total, value) => total + value, 0);
+}
--- a/src/core/dispatch/starter.ts
+++ b/src/core/dispatch/starter.ts
@@ -86,6 +86,7 @@
 	private started(session: sessions.WorkerSession, placement: types.Placement): void {
 		if (placement.phase === 'starting') placement.phase = 'running';
 		placement.confirmedAt = this.deps.clock.now();
+		session.neighboursChangedAt = placement.confirmedAt;
 		this.handlers.onStarted(session, placement);
 	}
 
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -24,13 +24,7 @@
 	pace: number;
 	/** Clock time of the last change of its pace. */
 	pacedAt: number;
-	/** Of a task that serves users: its own load as last estimated, when, and its change a millisecond. */
-	load: number | undefined;
-	loadAt: number;
-	loadTrend: number;
-	/** Highest of its loads of late. */
-	loadPeak: number;
-	/** Clock time from which its readings have been over the target; undefined: the newest is not. */
+	/** Of a task that serves users: clock time from which its readings have been over the target; undefined: the newest is not. */
 	overSince: number | undefined;
 	/** Clock time of the newest reading over the target. */
 	overAt: number;
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -46,6 +46,8 @@
 	endsAt: number | undefined;
 	/** Clock time at which a task that fills last ended here or was slowed. */
 	relievedAt = -Infinity;
+	/** Clock time at which a neighbour of what serves there last came, went or changed its pace. */
+	neighboursChangedAt = -Infinity;
 	private worker: { clockMs: number; at: number } | undefined;
 	/** Clock time by which every lease there has run out. */
 	private leaseOverAt: number;
@@ -105,10 +107,6 @@
 			reading: 0,
 			pace: 100,
 			pacedAt: 0,
-			load: undefined,
-			loadAt: 0,
-			loadTrend: 0,
-			loadPeak: 0,
 			overSince: undefined,
 			overAt: -Infinity,
 		};
@@ -122,7 +120,8 @@
 		if (this.placements.get(placement.task.name) !== placement) return;
 		this.placements.delete(placement.task.name);
 		this.account(placement.task.step.spec, -1);
-		if (placement.task.step.spec.fills) this.relievedAt = this.deps.clock.now();
+		this.neighboursChangedAt = this.deps.clock.now();
+		if (placement.task.step.spec.fills) this.relievedAt = this.neighboursChangedAt;
 	}
 
 	/** Lease end to send with an order, on the worker's clock; undefined: none can or may be given. */
