--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -440,6 +440,7 @@
 			now: this.opts.clock.now(),
 			priorityOf: (job) => this.policyOf(job).priority,
 			poolOf: (job) => this.policyOf(job).pool,
+			estimates: this.estimates,
 		});
 		for (const { session, place } of victims) {
 			this.opts.events.emit('task.stop', {
--- a/src/core/dispatch/placement.ts
+++ b/src/core/dispatch/placement.ts
@@ -21,14 +21,14 @@
 	/** Failures in a row at the worker, each. */
 	failing: 0.5,
 	/** A whole of the time that its users' tasks may be busy, for one that fills. */
-	busy: 2,
+	busy: 5,
 } as const;
 
 /** The share of its reservation that a lasting task uses on average; the rest is left to tasks that fill. */
 const lastingUse = 0.5;
 
 /** A worker gets no task that fills if its users' tasks are then busy for more than this part of what they may be. */
-const mostBusy = 1.15;
+const mostBusy = 1.3;
 
 /**
  * A task that fills is placed for the peak of its neighbours' loads. After waiting so long it may raise them a little
@@ -43,7 +43,7 @@
 const overloadPauseMs = 2_000;
 
 /** What the impatient may raise them to. */
-const mostBusyLate = 1.15 + 0.1;
+const mostBusyLate = mostBusy + 0.1;
 
 /** A worker gets no task that fills if its cores are then expected in use beyond this part. */
 const mostUse = 1.1;
@@ -204,7 +204,7 @@
 }
 
 /** Part of the worker's serving cores whose images are disturbed by other neighbours; undefined: nothing serves. */
-function unlikeShare(
+export function unlikeShare(
 	image: string,
 	worker: sessions.WorkerSession,
 	estimates: interference.Interference,
--- a/src/core/dispatch/preemption.ts
+++ b/src/core/dispatch/preemption.ts
@@ -2,6 +2,8 @@
  * Makes room for short tasks that find none: lasting tasks of the same priority, and any task of a lesser one, are
  * stopped and go on elsewhere or later. A lasting task loses seconds of many; a short task would lose all it is for.
  */
+import * as placement from './placement.js';
+import type * as interference from './interference.js';
 import type * as jobs from '../jobs/index.js';
 import type * as sessions from './worker-session.js';
 import type * as types from './types.js';
@@ -15,6 +17,9 @@
 /** A task that was started so lately is not stopped again for others, in milliseconds. */
 const leastStayMs = 2_000;
 
+/** How much cheaper a task is to stop where it stands wholly among unlike ones. */
+const unlikeDiscount = 0.8;
+
 /** A task to stop. */
 export interface Victim {
 	session: sessions.WorkerSession;
@@ -26,6 +31,7 @@
 	now: number;
 	priorityOf: (job: jobs.ActiveJob) => number;
 	poolOf: (job: jobs.ActiveJob) => string;
+	estimates: interference.Interference;
 }
 
 /** Chooses whom to stop so that the waiting tasks fit. */
@@ -42,7 +48,8 @@
 	let wanted = sum(short.map((task) => task.step.spec.milliCores)) - comingFree(open);
 	const victims: Victim[] = [];
 	const candidates = open.flatMap((session) => candidatesOn(session, priority, ctx));
-	candidates.sort((a, b) => cost(a) - cost(b));
+	const costs = new Map(candidates.map((victim) => [victim, cost(victim, ctx)]));
+	candidates.sort((a, b) => (costs.get(a) ?? 0) - (costs.get(b) ?? 0));
 	const used = new Set<sessions.WorkerSession>();
 	for (const victim of candidates) {
 		if (wanted <= 0 || victims.length >= mostVictims) break;
@@ -85,11 +92,16 @@
 	return places.map((place) => ({ session, place }));
 }
 
-/** The smallest lasting tasks first, and those over their target before all: they serve nobody. */
-function cost(victim: Victim): number {
-	const { place } = victim;
+/**
+ * The smallest lasting tasks first; those over their target, as they serve nobody; and those among others that are
+ * disturbed by other neighbours, as they may find a better place.
+ */
+function cost(victim: Victim, ctx: PreemptionContext): number {
+	const { place, session } = victim;
+	const { spec } = place.task.step;
 	const isOver = place.overSince !== undefined;
-	return place.task.step.spec.milliCores / (isOver ? 2 : 1);
+	const unlike = placement.unlikeShare(spec.image, session, ctx.estimates) ?? 0;
+	return (spec.milliCores * (1 - unlikeDiscount * unlike)) / (isOver ? 2 : 1);
 }
 
 function sum(values: number[]): number {
