--- a/src/cli/box/main.ts
+++ b/src/cli/box/main.ts
@@ -36,6 +36,7 @@
 	// Open connections are served to the end; the balancer needs two seconds to send callers elsewhere.
 	setTimeout(() => {
 		log.emit('process.stopped');
+		events.flushLines();
 		process.exit(0);
 	}, settings.bounds.graceMs - endBeforeKillMs);
 });
--- a/src/core/dispatch/interference.ts
+++ b/src/core/dispatch/interference.ts
@@ -17,10 +17,6 @@
 /** Weight of the first guess, in squared shares; a tenth of a worker seen for five reports outweighs it. */
 const firstWeight = 0.05;
 
-/** First guess of a step's load, and of its peak. */
-const firstLoad = 0.5;
-const firstPeak = 0.7;
-
 /** Part of the evidence that each new report keeps: about the last two thousand reports count. */
 const keptEvidence = 0.9995;
 
@@ -33,8 +29,18 @@
 /** The lowest tail seen is about that of an idle task; readings are rough. */
 const idlePerLowest = 0.95;
 
-/** Loads swing over seconds: a load is looked at so far ahead, in milliseconds. */
-const aheadMs = 500;
+/** A profile of a worker is worked out anew after so long, in milliseconds: loads and slopes move slowly. */
+const profileMs = 500;
+
+/**
+ * Measured: a task is over its target for about this part of the time as soon as anything disturbs it at all, and for
+ * so much more a unit of disturbance.
+ */
+const firstHarm = 0;
+const harmPerDisturbance = 0.5;
+
+/** Less disturbance than this is none. */
+const noDisturbance = 0.03;
 
 /**
  * After a tail went over its target, readings stay high for a while whatever the neighbours do: what has queued up
@@ -70,9 +76,23 @@
 	solution: number[] | undefined;
 }
 
+/** A serving task, and how much all that is placed beside it raises its busy part. */
+interface ServingProfile {
+	image: string;
+	disturbance: number;
+}
+
+/** The serving tasks of a worker, worked out for one state of it. */
+interface Profile {
+	revision: number;
+	at: number;
+	tasks: ServingProfile[];
+}
+
 /** Estimates of disturbance, over all workers of one owner. */
 export class Interference {
 	private readonly models = new Map<string, Model>();
+	private readonly profiles = new WeakMap<sessions.WorkerSession, Profile>();
 	private readonly tracks = new WeakMap<jobs.StepRun, loadTrack.LoadTrack>();
 
 	private constructor(private readonly now: () => number) {}
@@ -107,21 +127,17 @@
 		}
 	}
 
-	/** Part of its time that a serving task may be busy at most so that its tail stays at the target. */
-	mostBusy(place: types.Placement): number {
-		const { image, targetMs } = place.task.step.spec;
-		return 1 - idleTail(this.model(image), targetMs) / targetMs;
-	}
-
-	/** Load of a serving task's step a moment ahead. */
-	loadAhead(place: types.Placement): number {
-		return this.track(place.task.step).ahead(aheadMs) ?? firstLoad;
-	}
-
-	/** Highest load to reckon with while a neighbour stays. */
-	loadPeak(place: types.Placement): number {
-		const track = this.track(place.task.step);
-		return track.ahead(0) === undefined ? firstPeak : Math.max(track.peak, firstLoad);
+	/**
+	 * How many serving tasks of a worker one more neighbour is expected to keep over their targets, beyond those that are
+	 * so already; parts count for those that go over for a part of the time.
+	 */
+	harmOf(session: sessions.WorkerSession, image: string, share: number): number {
+		let harm = 0;
+		for (const one of this.profile(session)) {
+			const more = this.slope(one.image, image) * share;
+			if (more > 0) harm += harmAt(one.disturbance + more) - harmAt(one.disturbance);
+		}
+		return harm;
 	}
 
 	/** How much a neighbour raises a serving image's busy part, a whole worker of it. */
@@ -129,14 +145,6 @@
 		return slopeOf(this.model(serving), neighbour);
 	}
 
-	/** How much all that is placed beside raises a serving task's busy part. */
-	disturbanceOf(session: sessions.WorkerSession, place: types.Placement): number {
-		return disturbance(
-			this.model(place.task.step.spec.image),
-			sharesOf(session, () => 1),
-		);
-	}
-
 	/**
 	 * How differently two serving images are disturbed, 0 to 1: 1 where a neighbour that one does not mind overloads the
 	 * other, or nothing is known.
@@ -151,6 +159,20 @@
 		return Math.min(1, sum / images.size / unlikeSlope);
 	}
 
+	/** The serving tasks of a worker beside what is placed there. */
+	private profile(session: sessions.WorkerSession): ServingProfile[] {
+		const known = this.profiles.get(session);
+		const now = this.now();
+		if (known?.revision === session.revision && now - known.at < profileMs) return known.tasks;
+		const shares = sharesOf(session, () => 1);
+		const tasks = servingOf(session).map((place) => {
+			const { image } = place.task.step.spec;
+			return { image, disturbance: disturbance(this.model(image), shares) };
+		});
+		this.profiles.set(session, { revision: session.revision, at: now, tasks });
+		return tasks;
+	}
+
 	private track(step: jobs.StepRun): loadTrack.LoadTrack {
 		const known = this.tracks.get(step);
 		if (known !== undefined) return known;
@@ -208,6 +230,12 @@
 	return Math.min(1, (now - Math.max(place.confirmedAt, place.pacedAt)) / readingMs);
 }
 
+/** Part of the time that a task is over its target, by its disturbance. */
+function harmAt(disturbance: number): number {
+	if (disturbance < noDisturbance) return 0;
+	return Math.min(1, firstHarm + harmPerDisturbance * disturbance);
+}
+
 /** Tail of an idle task, in milliseconds. */
 function idleTail(model: Model, targetMs: number): number {
 	return Math.min(targetMs * firstIdle, model.lowest * idlePerLowest);
--- a/src/core/dispatch/load-track.ts
+++ b/src/core/dispatch/load-track.ts
@@ -12,12 +12,6 @@
 /** Estimates follow the quantile within about this, in milliseconds; loads swing over ten seconds and more. */
 const followMs = 400;
 
-/** A load's peak is forgotten at this rate, a millisecond. */
-const peakFading = 0.004 / 1_000;
-
-/** Most that a trend may add to a load. */
-const mostTrend = 0.06;
-
 /** Fewer tasks than this can't tell a load from a disturbance. */
 const leastTasks = 3;
 
@@ -26,8 +20,6 @@
 	private readonly reports = new Map<number, { busy: number; at: number }>();
 	private load: number | undefined;
 	private at = 0;
-	private trend = 0;
-	private highest = 0;
 	private compared = 0;
 
 	private constructor() {
@@ -52,18 +44,6 @@
 		return this.compared < leastTasks ? undefined : this.load;
 	}
 
-	/** The load so much later, by its trend; undefined before the first report. */
-	ahead(ms: number): number | undefined {
-		if (this.load === undefined) return undefined;
-		const change = Math.max(-mostTrend, Math.min(mostTrend, this.trend * ms));
-		return Math.min(1, Math.max(0, this.load + change));
-	}
-
-	/** The highest of late. */
-	get peak(): number {
-		return this.highest;
-	}
-
 	private follow(quantile: number, now: number): void {
 		if (this.load === undefined) {
 			this.load = quantile;
@@ -73,9 +53,7 @@
 		const elapsed = Math.max(30, now - this.at);
 		const part = 1 - Math.exp(-elapsed / followMs);
 		const next = this.load + (quantile - this.load) * part;
-		this.trend += ((next - this.load) / elapsed - this.trend) * part;
 		this.load = next;
 		this.at = now;
-		this.highest = Math.max(next, this.highest - elapsed * peakFading);
 	}
 }
--- a/src/core/dispatch/placement.ts
+++ b/src/core/dispatch/placement.ts
@@ -20,20 +20,20 @@
 	besideFilling: 0.5,
 	/** Failures in a row at the worker, each. */
 	failing: 0.5,
-	/** A whole of the time that its users' tasks may be busy, for one that fills. */
-	busy: 5,
+	/** Each serving task that is expected to go over its target, for one that fills. */
+	harm: 5,
 } as const;
 
 /** The share of its reservation that a lasting task uses on average; the rest is left to tasks that fill. */
 const lastingUse = 0.5;
 
-/** A worker gets no task that fills if its users' tasks are then busy for more than this part of what they may be. */
-const mostBusy = 1.3;
-
 /**
- * A task that fills is placed for the peak of its neighbours' loads. After waiting so long it may raise them a little
- * over what they may be busy, and is slowed when the peak comes; in milliseconds.
+ * A task that fills waits rather than keep more than this many serving tasks over their targets; after a while it waits for less. What waits longer fills for longer: strict limits spare nobody.
  */
+const mostHarm = 0.25;
+const mostHarmLate = 0.6;
+
+/** When it waits for less, in milliseconds. */
 const patienceMs = 3_000;
 
 /** A neighbour with a smaller slope than this is not expected to disturb. */
@@ -42,11 +42,8 @@
 /** A task that was over its target gets no neighbour that disturbs it for so long, in milliseconds. */
 const overloadPauseMs = 2_000;
 
-/** What the impatient may raise them to. */
-const mostBusyLate = mostBusy + 0.1;
-
 /** A worker gets no task that fills if its cores are then expected in use beyond this part. */
-const mostUse = 1.1;
+const mostUse = 0.9;
 
 /**
  * A lasting task leaves so much of a worker free for short ones, in thousandths of a core: one or two of them. It does
@@ -135,7 +132,7 @@
 		score += weights.awayFromData;
 	if (spec.fills) {
 		if (disturbsOverloaded(spec.image, worker, estimates, now)) return Infinity;
-		const limit = now - task.readyAt < patienceMs ? mostBusy : mostBusyLate;
+		const limit = now - task.readyAt < patienceMs ? mostHarm : mostHarmLate;
 		return score + rateFilling(spec, worker, estimates, limit);
 	}
 	if (spec.targetMs > 0) {
@@ -157,8 +154,8 @@
 	const capacity = worker.entry?.capacity.milliCores ?? 1;
 	const use = (expectedUse(worker) + spec.milliCores) / capacity;
 	if (use > mostUse) return Infinity;
-	const busy = expectedBusy(spec.image, spec.milliCores / capacity, worker, estimates);
-	return busy > limit ? Infinity : use + busy * weights.busy;
+	const harm = estimates.harmOf(worker, spec.image, spec.milliCores / capacity);
+	return harm > limit ? Infinity : use + harm * weights.harm;
 }
 
 /** Whether it would disturb a task that was over its target lately: what has queued up is still being worked off. */
@@ -175,24 +172,6 @@
 	return false;
 }
 
-/** How busy the worst-off serving task will be with one more neighbour, in parts of what it may be. */
-export function expectedBusy(
-	image: string,
-	share: number,
-	worker: sessions.WorkerSession,
-	estimates: interference.Interference,
-): number {
-	let worst = 0;
-	for (const place of worker.placements.values()) {
-		const { spec } = place.task.step;
-		if (spec.targetMs === 0) continue;
-		const more = estimates.slope(spec.image, image) * share;
-		const busy = estimates.loadPeak(place) * (1 + estimates.disturbanceOf(worker, place) + more);
-		worst = Math.max(worst, busy / estimates.mostBusy(place));
-	}
-	return worst;
-}
-
 /** Thousandths of a core that are in use there, as far as reservations tell. */
 function expectedUse(worker: sessions.WorkerSession): number {
 	let use = worker.fillMilliCores;
--- a/src/core/dispatch/pressure.ts
+++ b/src/core/dispatch/pressure.ts
@@ -72,6 +72,7 @@
 		place.pace = percent;
 		place.pacedAt = this.deps.clock.now();
 		session.neighboursChangedAt = place.pacedAt;
+		session.revision += 1;
 		if (percent < before) session.relievedAt = place.pacedAt;
 		this.deps.events.emit('task.paced', { task: place.task.name, worker: session.id, percent, before });
 		void this.send(session, place, percent, before);
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -44,6 +44,8 @@
 	seenUpTo = 0;
 	/** Clock time from which this worker's drain leaves no time to finish; undefined: it does not drain. */
 	endsAt: number | undefined;
+	/** Counts changes of what is placed there, and at which pace. */
+	revision = 0;
 	/** Clock time at which a task that fills last ended here or was slowed. */
 	relievedAt = -Infinity;
 	/** Clock time at which a neighbour of what serves there last came, went or changed its pace. */
@@ -178,6 +180,7 @@
 	}
 
 	private account(spec: jobs.StepSpec, sign: 1 | -1): void {
+		this.revision += 1;
 		if (spec.fills) this.fillMilliCores += sign * spec.milliCores;
 		else this.used.milliCores += sign * spec.milliCores;
 		this.used.memoryMb += sign * spec.memoryMb;
--- a/src/core/events/json-lines.ts
+++ b/src/core/events/json-lines.ts
@@ -5,17 +5,26 @@
 const maxWaitingBytes = 1024 * 1024;
 
 let dropped = 0;
+let batch = '';
 
-/** Writes one line, or counts it as dropped. */
+/** Writes one line, or counts it as dropped. The lines of one turn of the event loop go out together. */
 export function writeLine(value: object): void {
-	if (process.stdout.writableLength > maxWaitingBytes) {
+	if (process.stdout.writableLength + batch.length > maxWaitingBytes) {
 		dropped += 1;
 		return;
 	}
+	if (batch === '') setImmediate(flushLines);
 	if (dropped > 0) {
 		const name = 'log.dropped';
-		process.stdout.write(`${JSON.stringify({ id: catalogue.eventCatalogue[name].id, name, dropped })}\n`);
+		batch += `${JSON.stringify({ id: catalogue.eventCatalogue[name].id, name, dropped })}\n`;
 		dropped = 0;
 	}
-	process.stdout.write(`${JSON.stringify(value)}\n`);
+	batch += `${JSON.stringify(value)}\n`;
+}
+
+/** Hands all lines to the operating system; to be called before the process ends by itself. */
+export function flushLines(): void {
+	const lines = batch;
+	batch = '';
+	if (lines !== '') process.stdout.write(lines);
 }
