--- a/src/core/dispatch/placement.ts
+++ b/src/core/dispatch/placement.ts
@@ -51,7 +51,7 @@
  */
 const shortReserve = 3_000;
 const reserveMs = 2_000;
-const reserveAgainMs = 6_500;
+const reserveAgainMs = 2_000;
 
 /** Why no worker takes a task. */
 export type NoPlace = 'no-worker-open' | 'no-room';
