--- a/src/core/box/box.ts
+++ b/src/core/box/box.ts
@@ -38,6 +38,9 @@
 /** How long the owner waits for news of jobs and workers, in milliseconds. */
 const ownerWaitMs = 2_500;
 
+/** What the owner has learnt is asked for again after so long, in milliseconds: the next owner starts with it. */
+const knowledgeAgeMs = 2_000;
+
 /** One box. */
 export class Box {
 	readonly service: service.JobService;
@@ -51,6 +54,9 @@
 	private ownerFollowers: platform.RecordFollower[] = [];
 	private heldPings: (() => void)[] = [];
 	private ownerStoreReachable = false;
+	/** What owners have learnt, as last told, and when. */
+	private learnt: dispatch.Knowledge | undefined;
+	private learntAt = -Infinity;
 	private stopping = false;
 
 	private constructor(
@@ -178,7 +184,8 @@
 
 	private async ping(address: string): Promise<ownership.PingOutcome> {
 		const { pingWaitMs, pingTimeoutMs } = ownership.settings;
-		const req = { type: 'owner.ping' as const, waitMs: pingWaitMs };
+		const wantsKnowledge = this.clock.now() - this.learntAt > knowledgeAgeMs;
+		const req = { type: 'owner.ping' as const, waitMs: pingWaitMs, wantsKnowledge };
 		const res = await this.peers.call<protocol.PingReply>(address, req, pingTimeoutMs);
 		if (!res.ok) {
 			if (res.err.refused) return 'refused';
@@ -187,11 +194,18 @@
 		}
 		if (!res.value.ok) return 'not-owner';
 		this.ownerStoreReachable = res.value.value.storeReachable;
+		this.keepKnowledge(res.value.value.knowledge);
 		return 'alive';
 	}
 
+	private keepKnowledge(learnt: dispatch.Knowledge | undefined): void {
+		if (learnt === undefined) return;
+		this.learnt = learnt;
+		this.learntAt = this.clock.now();
+	}
+
 	private async pingAgain(address: string): Promise<ownership.PingOutcome> {
-		const req = { type: 'owner.ping' as const, waitMs: 0 };
+		const req = { type: 'owner.ping' as const, waitMs: 0, wantsKnowledge: false };
 		const res = await this.peers.call<protocol.PingReply>(address, req, ownership.settings.pingTimeoutMs);
 		if (res.ok) return res.value.ok ? 'alive' : 'not-owner';
 		return res.err.refused ? 'refused' : 'silent';
@@ -230,6 +244,7 @@
 				harmMs: settings.bounds.harmMs,
 			},
 			contents,
+			this.learnt,
 		);
 		this.dispatcher = dispatcher;
 		this.ownerFollowers = [
@@ -241,6 +256,7 @@
 	private onLost(): void {
 		for (const follower of this.ownerFollowers) follower.close();
 		this.ownerFollowers = [];
+		this.learnt = this.dispatcher?.knowledge() ?? this.learnt;
 		this.dispatcher?.close();
 		this.dispatcher = undefined;
 		for (const answer of this.heldPings) answer();
@@ -311,7 +327,7 @@
 		switch (req.type) {
 			case 'owner.ping':
 				await this.holdPing(req.waitMs);
-				return this.isOwner() ? results.ok(this.pingReply()) : notOwner;
+				return this.isOwner() ? results.ok(this.pingReply(req.wantsKnowledge)) : notOwner;
 			case 'job.stored':
 				this.dispatcher.addJob(req.record);
 				return results.ok(null);
@@ -334,11 +350,12 @@
 		return this.dispatcher !== undefined;
 	}
 
-	private pingReply(): protocol.PingReply {
+	private pingReply(withKnowledge: boolean): protocol.PingReply {
 		return {
 			generation: this.ownership.current?.generation ?? 0,
 			configVersion: this.table?.configuration.version ?? 0,
 			storeReachable: this.contact.reachable,
+			knowledge: withKnowledge ? this.dispatcher?.knowledge() : undefined,
 		};
 	}
 
--- a/src/core/box/peer-protocol.ts
+++ b/src/core/box/peer-protocol.ts
@@ -1,6 +1,7 @@
 /** What the boxes ask of each other. The owner answers; any other box says that it is not the owner. */
 import * as zod from 'zod/mini';
 import * as results from '../result.js';
+import type * as dispatch from '../dispatch/index.js';
 import type * as jobs from '../jobs/index.js';
 
 const z = zod;
@@ -10,7 +11,7 @@
 
 const request = z.discriminatedUnion('type', [
 	/** Held for `waitMs`, so that a broken connection is noticed at once. */
-	z.object({ type: z.literal('owner.ping'), waitMs: z.number() }),
+	z.object({ type: z.literal('owner.ping'), waitMs: z.number(), wantsKnowledge: z.boolean() }),
 	/** A job was stored. */
 	z.object({ type: z.literal('job.stored'), record }),
 	/** Store this job for a box that the store turns away. */
@@ -31,6 +32,8 @@
 	generation: number;
 	/** The store answers the owner. */
 	storeReachable: boolean;
+	/** What the owner has learnt, if it was asked for. */
+	knowledge?: dispatch.Knowledge;
 	/** Newest configuration version that the owner knows. */
 	configVersion: number;
 }
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -83,8 +83,13 @@
 	}
 
 	/** Starts work under a new epoch: asks every worker of the roster what it runs. */
-	static create(opts: DispatcherOptions, contents: ledger.LedgerContents): Dispatcher {
+	static create(
+		opts: DispatcherOptions,
+		contents: ledger.LedgerContents,
+		knowledge?: interference.Knowledge,
+	): Dispatcher {
 		const dispatcher = new Dispatcher(opts);
+		if (knowledge !== undefined) dispatcher.estimates.adopt(knowledge);
 		const now = opts.clock.now();
 		const longest = opts.maxLeaseMs / (1 - settings.clockSlowness);
 		const inheritedUntil = now + settings.renewalHorizonMs + longest + settings.leaseMarginMs;
@@ -143,6 +148,11 @@
 		this.wake();
 	}
 
+	/** What was learnt of how tasks disturb each other, for the next owner. */
+	knowledge(): interference.Knowledge {
+		return this.estimates.knowledge();
+	}
+
 	/** Gives no more orders. What runs goes on under its leases until another owner takes over. */
 	close(): void {
 		this.closed = true;
@@ -346,10 +356,10 @@
 		return session.place(task, run, 'running');
 	}
 
-	private makeReady(task: jobs.Task): void {
+	private makeReady(task: jobs.Task, since = this.opts.clock.now()): void {
 		if (task.state === 'finished' || task.step.job.ended) return;
 		task.state = 'ready';
-		task.readyAt = this.opts.clock.now();
+		task.readyAt = since;
 		this.ready.add(task);
 	}
 
@@ -489,7 +499,8 @@
 			reason: err.kind,
 		});
 		if (err.kind !== 'stale-run') session.pausedUntil = this.opts.clock.now() + settings.refusalPauseMs;
-		this.makeReady(place.task);
+		// A refused start does not begin the wait anew: what a task may claim grows with it.
+		this.makeReady(place.task, place.task.readyAt);
 		this.wake();
 	}
 
--- a/src/core/dispatch/interference.ts
+++ b/src/core/dispatch/interference.ts
@@ -76,6 +76,9 @@
 	solution: number[] | undefined;
 }
 
+/** All that was learnt, by serving image; another owner may go on from it. */
+export type Knowledge = Record<string, Omit<Model, 'solution'>>;
+
 /** A serving task, and how much all that is placed beside it raises its busy part. */
 interface ServingProfile {
 	image: string;
@@ -101,6 +104,21 @@
 		return new Interference(now);
 	}
 
+	/** What was learnt so far. */
+	knowledge(): Knowledge {
+		const all = [...this.models].map(([image, model]) => {
+			const { lowest, images, products, results } = model;
+			return [image, { lowest, images, products, results }] as const;
+		});
+		return Object.fromEntries(all);
+	}
+
+	/** Goes on from what another owner learnt. */
+	adopt(knowledge: Knowledge): void {
+		for (const [image, learnt] of Object.entries(knowledge))
+			this.models.set(image, { ...structuredClone(learnt), solution: undefined });
+	}
+
 	/** Learns from a worker's newest readings. */
 	observe(session: sessions.WorkerSession): void {
 		const serving = servingOf(session).filter((place) => place.reading > 0 && place.percent === 100);
