--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -52,6 +52,7 @@
 	private rosterDirty = false;
 	private rosterSaving = false;
 	private roundDue = false;
+	private lastRoundAt = -Infinity;
 	private closed = false;
 
 	private constructor(private readonly opts: DispatcherOptions) {
@@ -177,13 +178,14 @@
 		const age = Math.max(0, clock.wall() - record.acceptedAt);
 		const job = jobs.ActiveJob.create(record, progress, { ...opts, now, age });
 		this.jobsById.set(record.id, job);
+		if (job.ended) return job;
 		this.opts.events.emit('job.taken', {
 			job: job.id,
 			queue: record.queue.name,
 			ageMs: Math.round(age),
 			state: job.state,
 		});
-		if (!job.ended) this.openTimes(job);
+		this.openTimes(job);
 		return job;
 	}
 
@@ -413,10 +415,14 @@
 	private wake(): void {
 		if (this.roundDue || this.closed) return;
 		this.roundDue = true;
-		setImmediate(() => {
+		const run = (): void => {
 			this.roundDue = false;
 			if (!this.closed) this.placeReady();
-		});
+		};
+		// While tasks wait for room, each round looks at all of them again.
+		const wait = this.lastRoundAt + settings.roundGapMs - this.opts.clock.now();
+		if (this.ready.size > 0 && wait > 0) this.opts.clock.after(wait, run);
+		else setImmediate(run);
 	}
 
 	/** Places what is ready: by priority, then by the time left. */
@@ -433,6 +439,7 @@
 				a.index - b.index,
 		);
 		const now = this.opts.clock.now();
+		this.lastRoundAt = now;
 		const full = new Set<jobs.StepRun>();
 		for (const task of waiting) {
 			if (full.has(task.step)) continue;
--- a/src/core/dispatch/settings.ts
+++ b/src/core/dispatch/settings.ts
@@ -60,3 +60,6 @@
 
 /** So long after it was slowed: a load's peak may pass first. */
 export const movedAfterMs = 800;
+
+/** Rounds of placing follow each other no closer than this while tasks wait for room. */
+export const roundGapMs = 15;
