--- a/src/core/box/box.ts
+++ b/src/core/box/box.ts
@@ -20,6 +20,10 @@
 export interface PlatformAdapter {
 	store: stores.RecordStore;
 	workers: fleet.WorkerCalls;
+	/** Absent: no queue needs advice here. */
+	askAdviser?: fleet.AskAdviser;
+	/** Absent: machines can't be moved or kept up from here. */
+	machines?: fleet.MachineCalls;
 	/** Prefix and key of the operators' configuration in the store. */
 	configurationPrefix: string;
 	configurationKey: string;
@@ -240,6 +244,7 @@
 				saveRoster: (roster) => owned.saveRoster(roster),
 				clearJobs: (ids) => owned.clear(ids),
 				table: () => this.table,
+				askAdviser: this.adapter.askAdviser,
 				keepStateMs: settings.bounds.keepStateMs,
 				harmMs: settings.bounds.harmMs,
 			},
--- /dev/null
+++ b/src/core/dispatch/advice.ts
@@ -0,0 +1,100 @@
+/**
+ * Tickets of the adviser: for some queues it says which workers may run a step, and each start needs its ticket.
+ * One question at a time; its answer holds for all tasks of the step until it runs out.
+ */
+import * as settings from './settings.js';
+import type * as clocks from '../clock.js';
+import type * as events from '../events/index.js';
+import type * as fleet from '../fleet/types.js';
+import type * as jobs from '../jobs/index.js';
+
+/** Most workers named in one question: each costs the adviser time, and a few good ones are enough. */
+const mostNamed = 30;
+
+/** A ticket is not used in its last part, in milliseconds: a start has to arrive with it. */
+const ticketMarginMs = 150;
+
+interface StepAdvice {
+	/** Tickets by worker, with the clock time at which each runs out. */
+	tickets: Map<string, { ticket: string; until: number }>;
+	/** Workers that were named and are not good. */
+	refused: Set<string>;
+}
+
+/** Settings of an advisory. */
+export interface AdvisoryOptions {
+	clock: clocks.Clock;
+	events: events.EventLog;
+	/** Asks the adviser; undefined: there is none. */
+	ask: fleet.AskAdviser | undefined;
+	/** Called when an answer may let a step start. */
+	onNews: () => void;
+}
+
+/** What the adviser said, and the question under way. */
+export class Advisory {
+	private readonly steps = new WeakMap<jobs.StepRun, StepAdvice>();
+	private asking = false;
+	private retryAt = -Infinity;
+
+	private constructor(private readonly opts: AdvisoryOptions) {}
+
+	static create(opts: AdvisoryOptions): Advisory {
+		return new Advisory(opts);
+	}
+
+	/** The ticket of a step at a worker, if there is one that still holds. */
+	ticket(step: jobs.StepRun, worker: string): string | undefined {
+		const known = this.steps.get(step)?.tickets.get(worker);
+		if (known === undefined || known.until - ticketMarginMs < this.opts.clock.now()) return undefined;
+		return known.ticket;
+	}
+
+	/** Asks about workers that the adviser has not judged for this step, unless a question is under way. */
+	want(step: jobs.StepRun, workers: string[]): void {
+		if (this.opts.ask === undefined || this.asking || this.opts.clock.now() < this.retryAt) return;
+		const advice = this.adviceOf(step);
+		const open = workers.filter((id) => !advice.refused.has(id) && this.ticket(step, id) === undefined);
+		if (open.length === 0) return;
+		this.asking = true;
+		void this.ask(this.opts.ask, step, open.slice(0, mostNamed), advice);
+	}
+
+	private async ask(
+		ask: fleet.AskAdviser,
+		step: jobs.StepRun,
+		named: string[],
+		advice: StepAdvice,
+	): Promise<void> {
+		const name = `${step.job.id}.${step.time}.${step.number}`;
+		const askedAt = this.opts.clock.now();
+		const res = await ask(name, named);
+		this.asking = false;
+		if (!res.ok) {
+			this.retryAt = this.opts.clock.now() + settings.orderRetryMs;
+			this.opts.events.emit('advice.missed', { task: name, reason: res.err });
+			return;
+		}
+		const until = askedAt + res.value.validMs;
+		for (const id of named) advice.refused.add(id);
+		for (const { worker, ticket } of res.value.good) {
+			advice.refused.delete(worker);
+			advice.tickets.set(worker, { ticket, until });
+		}
+		this.opts.events.emit('advice.given', {
+			task: name,
+			asked: named.length,
+			good: res.value.good.length,
+			validMs: res.value.validMs,
+		});
+		this.opts.onNews();
+	}
+
+	private adviceOf(step: jobs.StepRun): StepAdvice {
+		const known = this.steps.get(step);
+		if (known !== undefined) return known;
+		const created: StepAdvice = { tickets: new Map(), refused: new Set() };
+		this.steps.set(step, created);
+		return created;
+	}
+}
--- a/src/core/dispatch/ends.ts
+++ b/src/core/dispatch/ends.ts
@@ -59,8 +59,7 @@
 	if (isOver(task)) return;
 	if (end.how === 'failed') ctx.failed(session, task, end.run);
 	if (end.how === 'done') {
-		session.failuresInRow = 0;
-		session.failedJobs.clear();
+		session.noteSuccess();
 		if (!task.step.spec.lasting) {
 			finish(ctx, task);
 			return;
--- /dev/null
+++ b/src/core/dispatch/gangs.ts
@@ -0,0 +1,65 @@
+/** Places the tasks of a gang: all of them at once, or none. */
+import * as placement from './placement.js';
+import type * as jobs from '../jobs/index.js';
+import type * as placing from './placement.js';
+import type * as sessions from './worker-session.js';
+import type * as types from './types.js';
+
+/** A gang that is slow over several racks waits so long for one with room, in milliseconds. */
+const rackPatienceMs = 1_500;
+
+/** A place for one member. */
+export interface MemberPlace {
+	session: sessions.WorkerSession;
+	place: types.Placement;
+}
+
+/** Whether every task of a gang waits to be started. */
+export function isWhole(step: jobs.StepRun): boolean {
+	return step.tasks.every((task) => task.state === 'ready');
+}
+
+/** Takes places for all members under one run number; undefined: there is not room for all. */
+export function placeAll(
+	step: jobs.StepRun,
+	run: number,
+	workers: sessions.WorkerSession[],
+	choice: Omit<placing.Choice, 'workers'>,
+): MemberPlace[] | undefined {
+	if (!step.spec.sameRack) return tryPlaces(step, run, { ...choice, workers });
+	for (const rack of racksOf(workers)) {
+		const onRack = workers.filter((one) => rackOf(one) === rack);
+		const places = tryPlaces(step, run, { ...choice, workers: onRack });
+		if (places !== undefined) return places;
+	}
+	const waited = choice.now - (step.tasks[0]?.readyAt ?? choice.now);
+	return waited < rackPatienceMs ? undefined : tryPlaces(step, run, { ...choice, workers });
+}
+
+/** All members go on from the same checkpoint; any member's will do. */
+export function shareCheckpoint(step: jobs.StepRun): void {
+	const checkpoint = step.tasks.find((task) => task.checkpoint !== '')?.checkpoint ?? '';
+	for (const task of step.tasks) task.checkpoint = checkpoint;
+}
+
+function tryPlaces(step: jobs.StepRun, run: number, choice: placing.Choice): MemberPlace[] | undefined {
+	const places: MemberPlace[] = [];
+	for (const task of step.tasks) {
+		const session = placement.choose(task, choice);
+		if (typeof session === 'string') {
+			for (const one of places) one.session.free(one.place);
+			return undefined;
+		}
+		places.push({ session, place: session.place(task, run, 'starting') });
+	}
+	return places;
+}
+
+function racksOf(workers: sessions.WorkerSession[]): Set<string> {
+	return new Set(workers.map(rackOf));
+}
+
+/** A worker's labels are its kind and its rack, in this order. */
+function rackOf(worker: sessions.WorkerSession): string {
+	return worker.entry?.labels.at(-1) ?? '';
+}
--- /dev/null
+++ b/src/core/dispatch/job-book.ts
@@ -0,0 +1,128 @@
+/** The jobs that the owner knows: their states as callers are told, times that come due, and clearing away. */
+import * as jobs from '../jobs/index.js';
+import type * as clocks from '../clock.js';
+import type * as events from '../events/index.js';
+import type * as ledger from '../ledger/index.js';
+
+/** Ended jobs cleared from the store in one write: three keys each of 32. */
+const clearBatch = 10;
+
+/** Settings of a book. */
+export interface JobBookOptions {
+	clock: clocks.Clock;
+	events: events.EventLog;
+	/** A finished job's state is kept this long, in milliseconds. */
+	keepStateMs: number;
+	clearJobs: (ids: string[]) => Promise<ledger.WriteOutcome>;
+	/** Tasks that may be started from now on. */
+	onReady: (task: jobs.Task) => void;
+}
+
+/** All jobs under one owner. */
+export class JobBook {
+	private readonly jobs = new Map<string, jobs.ActiveJob>();
+	/** Scheduled jobs whose next time has not come. */
+	private readonly scheduled = new Set<jobs.ActiveJob>();
+
+	private constructor(private readonly opts: JobBookOptions) {}
+
+	static create(opts: JobBookOptions): JobBook {
+		return new JobBook(opts);
+	}
+
+	/** A job by its id. */
+	get(id: string): jobs.ActiveJob | undefined {
+		return this.jobs.get(id);
+	}
+
+	/** Takes in a job; `inherited`: an earlier owner may have started tasks of it. */
+	add(
+		record: jobs.JobRecord,
+		progress: jobs.ProgressRecord | undefined,
+		opts: { cancelled: boolean; inherited: boolean },
+	): jobs.ActiveJob {
+		const { clock } = this.opts;
+		const now = clock.now();
+		const age = Math.max(0, clock.wall() - record.acceptedAt);
+		const job = jobs.ActiveJob.create(record, progress, { ...opts, now, age });
+		this.jobs.set(record.id, job);
+		if (job.ended) return job;
+		this.opts.events.emit('job.taken', {
+			job: job.id,
+			queue: record.queue.name,
+			ageMs: Math.round(age),
+			state: job.state,
+		});
+		this.openTimes(job);
+		return job;
+	}
+
+	/** The task of that name. */
+	findTask(name: string): jobs.Task | undefined {
+		const parsed = jobs.parseTaskName(name);
+		if (parsed === undefined) return undefined;
+		return this.jobs.get(parsed.job)?.findTask(parsed.time, parsed.step, parsed.index);
+	}
+
+	/** How a job stands; undefined: not known here. */
+	stateOf(id: string): jobs.JobState | undefined {
+		const job = this.jobs.get(id);
+		if (job === undefined) return undefined;
+		if (job.cancelled) return job.storedState === 'completed' ? 'completed' : 'cancelled';
+		// An end is told once it is stored: a successor must not run the job again.
+		if (job.ended && job.storedState !== job.state) return 'running';
+		return job.state;
+	}
+
+	/** Jobs of a queue of which no task has begun. */
+	pendingOf(queue: string): number {
+		let count = 0;
+		for (const job of this.jobs.values())
+			if (job.record.queue.name === queue && job.state === 'pending') count += 1;
+		return count;
+	}
+
+	/** A job has ended: no more of its times come. */
+	close(job: jobs.ActiveJob, state: jobs.JobState): void {
+		job.state = state;
+		job.endedAt = this.opts.clock.wall();
+		this.scheduled.delete(job);
+		this.opts.events.emit('job.ended', { job: job.id, reason: state });
+	}
+
+	/** To be called now and then: opens times that have come, clears away what ended long ago. */
+	tick(): void {
+		for (const job of [...this.scheduled]) this.openTimes(job);
+		this.clearOld();
+	}
+
+	/** Makes the tasks of every time that has come. */
+	private openTimes(job: jobs.ActiveJob): void {
+		const { clock } = this.opts;
+		for (;;) {
+			const due = job.nextDue();
+			if (due === undefined) {
+				this.scheduled.delete(job);
+				return;
+			}
+			if (due > clock.wall()) {
+				this.scheduled.add(job);
+				return;
+			}
+			for (const task of job.openNextTime(clock.now())) this.opts.onReady(task);
+		}
+	}
+
+	/** Forgets jobs that ended long ago, here and in the store. */
+	private clearOld(): void {
+		const before = this.opts.clock.wall() - this.opts.keepStateMs;
+		const old: string[] = [];
+		for (const job of this.jobs.values()) {
+			if (old.length >= clearBatch) break;
+			if (job.ended && job.storedState === job.state && job.endedAt < before) old.push(job.id);
+		}
+		if (old.length === 0) return;
+		for (const id of old) this.jobs.delete(id);
+		void this.opts.clearJobs(old);
+	}
+}
--- a/src/core/dispatch/placement.ts
+++ b/src/core/dispatch/placement.ts
@@ -56,28 +56,34 @@
 /** Why no worker takes a task. */
 export type NoPlace = 'no-worker-open' | 'no-room';
 
-/** The best open worker of `pool` for a task. */
-export function choose(
-	task: jobs.Task,
-	pool: string,
-	workers: Iterable<sessions.WorkerSession>,
-	estimates: interference.Interference,
-	now: number,
-): sessions.WorkerSession | NoPlace {
+/** Among which workers to choose, and what is known of them. */
+export interface Choice {
+	/** Open workers of the task's pool. */
+	workers: sessions.WorkerSession[];
+	estimates: interference.Interference;
+	now: number;
+}
+
+/** The best worker for a task. */
+export function choose(task: jobs.Task, choice: Choice): sessions.WorkerSession | NoPlace {
+	const { workers, estimates, now } = choice;
 	let best: sessions.WorkerSession | undefined;
 	let bestScore = Infinity;
-	let anyOpen = false;
+	const reserve = reserveFor(task, now);
 	for (const worker of workers) {
-		if (!worker.open || worker.entry?.pool !== pool) continue;
-		anyOpen = true;
-		if (!fits(task.step, worker, reserveFor(task, now))) continue;
+		if (!fits(task.step, worker, reserve)) continue;
 		const score = rate(task, worker, estimates, now);
 		if (score < bestScore) {
 			best = worker;
 			bestScore = score;
 		}
 	}
-	return best ?? (anyOpen ? 'no-room' : 'no-worker-open');
+	return best ?? (workers.length > 0 ? 'no-room' : 'no-worker-open');
+}
+
+/** Whether a worker has room for one more task of a step. */
+export function hasPlace(step: jobs.StepRun, worker: sessions.WorkerSession): boolean {
+	return fits(step, worker, 0);
 }
 
 /** What a task has to leave free. */
@@ -174,12 +180,7 @@
 
 /** Thousandths of a core that are in use there, as far as reservations tell. */
 function expectedUse(worker: sessions.WorkerSession): number {
-	let use = worker.fillMilliCores;
-	for (const { task } of worker.placements.values()) {
-		const { spec } = task.step;
-		if (!spec.fills) use += spec.milliCores * (spec.lasting ? lastingUse : 1);
-	}
-	return use;
+	return worker.fillMilliCores + worker.used.milliCores - worker.lastingMilliCores * (1 - lastingUse);
 }
 
 /** Part of the worker's serving cores whose images are disturbed by other neighbours; undefined: nothing serves. */
--- /dev/null
+++ b/src/core/dispatch/placer.ts
@@ -0,0 +1,225 @@
+/** Places tasks that may start: which comes first, where it goes, and who makes room for it. */
+import * as advice from './advice.js';
+import * as gangs from './gangs.js';
+import * as interference from './interference.js';
+import * as placement from './placement.js';
+import * as preemption from './preemption.js';
+import * as settings from './settings.js';
+import type * as fleet from '../fleet/types.js';
+import type * as jobs from '../jobs/index.js';
+import type * as sessions from './worker-session.js';
+import type * as types from './types.js';
+
+/** Run numbers that one owner may use for a task; the next owner's begin above. */
+const runsPerEpoch = 100_000;
+
+/** What a placer uses. */
+export interface PlacerOptions extends types.DispatchDeps {
+	workers: () => sessions.WorkerSession[];
+	/** Whether tasks that an earlier owner may have started can be started now. */
+	settled: () => boolean;
+	policyOf: (job: jobs.ActiveJob) => jobs.QueuePolicy;
+	estimates: interference.Interference;
+	askAdviser: fleet.AskAdviser | undefined;
+	start: (session: sessions.WorkerSession, place: types.Placement, ticket: string) => void;
+	stop: (session: sessions.WorkerSession, place: types.Placement) => void;
+}
+
+/** Tasks that wait, and where the others are. */
+export class Placer {
+	private readonly ready = new Set<jobs.Task>();
+	private readonly places = new Map<jobs.Task, sessions.WorkerSession>();
+	private readonly advisory: advice.Advisory;
+	private roundDue = false;
+	private lastRoundAt = -Infinity;
+	private closed = false;
+
+	private constructor(private readonly opts: PlacerOptions) {
+		this.advisory = advice.Advisory.create({
+			clock: opts.clock,
+			events: opts.events,
+			ask: opts.askAdviser,
+			onNews: () => {
+				this.wake();
+			},
+		});
+	}
+
+	static create(opts: PlacerOptions): Placer {
+		return new Placer(opts);
+	}
+
+	/** A task may be started; `since`: it has waited from then on. */
+	add(task: jobs.Task, since = this.opts.clock.now()): void {
+		if (task.state === 'finished' || task.step.job.ended) return;
+		task.state = 'ready';
+		task.readyAt = since;
+		this.ready.add(task);
+		this.wake();
+	}
+
+	/** A task is not to be started any more. */
+	drop(task: jobs.Task): void {
+		this.ready.delete(task);
+		const session = this.sessionOf(task);
+		if (session === undefined) this.places.delete(task);
+	}
+
+	/** Where a task is placed. */
+	sessionOf(task: jobs.Task): sessions.WorkerSession | undefined {
+		const session = this.places.get(task);
+		return session?.placements.has(task.name) === true ? session : undefined;
+	}
+
+	/** Takes over a run that an earlier owner started. */
+	adopt(session: sessions.WorkerSession, task: jobs.Task, run: number): types.Placement {
+		this.ready.delete(task);
+		task.state = 'placed';
+		task.run = run;
+		this.places.set(task, session);
+		return session.place(task, run, 'running');
+	}
+
+	/** Asks for a round of placing; many asks come to one round. */
+	wake(): void {
+		if (this.roundDue || this.closed || this.ready.size === 0) return;
+		this.roundDue = true;
+		const run = (): void => {
+			this.roundDue = false;
+			if (!this.closed) this.placeReady();
+		};
+		// Each round looks at all that wait again.
+		const wait = this.lastRoundAt + settings.roundGapMs - this.opts.clock.now();
+		if (wait > 0) this.opts.clock.after(wait, run);
+		else setImmediate(run);
+	}
+
+	/** Moves tasks that were slowed to almost nothing to workers where they would disturb nobody. */
+	moveSlowed(session: sessions.WorkerSession): void {
+		const now = this.opts.clock.now();
+		for (const place of session.placements.values()) {
+			const { spec } = place.task.step;
+			if (place.phase !== 'running' || !spec.fills || !spec.checkpoints) continue;
+			if (place.pace > settings.movedPace || now - place.pacedAt < settings.movedAfterMs) continue;
+			const choice = this.choiceFor(place.task.step, now, (one) => one !== session);
+			if (typeof placement.choose(place.task, choice) === 'string') continue;
+			this.stop(session, place, 'slowed');
+			// One at a time: its place elsewhere has to be seen by the next choice.
+			return;
+		}
+	}
+
+	close(): void {
+		this.closed = true;
+	}
+
+	/** Places what is ready: by priority, then short before lasting, then by the time left. */
+	private placeReady(): void {
+		if (!this.opts.mayAct()) return;
+		const now = this.opts.clock.now();
+		this.lastRoundAt = now;
+		const waiting = this.inOrder([...this.ready].filter((task) => this.mayStart(task)));
+		const tried = new Set<jobs.StepRun>();
+		for (const task of waiting) {
+			if (tried.has(task.step) || task.state !== 'ready') continue;
+			const placed = task.step.spec.gang ? this.placeGang(task.step, now) : this.placeOne(task, now);
+			if (!placed) tried.add(task.step);
+		}
+		this.preempt(waiting.filter((task) => task.state === 'ready'));
+	}
+
+	private inOrder(tasks: jobs.Task[]): jobs.Task[] {
+		const priority = new Map(tasks.map((task) => [task, this.opts.policyOf(task.step.job).priority]));
+		return tasks.sort(
+			(a, b) =>
+				(priority.get(a) ?? 0) - (priority.get(b) ?? 0) ||
+				Number(a.step.spec.lasting) - Number(b.step.spec.lasting) ||
+				a.step.job.dueAt - b.step.job.dueAt ||
+				a.step.number - b.step.number ||
+				a.index - b.index,
+		);
+	}
+
+	/** What an earlier owner may have started waits until every worker it used has been heard of. */
+	private mayStart(task: jobs.Task): boolean {
+		return !task.step.job.inherited || this.opts.settled();
+	}
+
+	private placeOne(task: jobs.Task, now: number): boolean {
+		const chosen = placement.choose(task, this.choiceFor(task.step, now));
+		if (typeof chosen === 'string') return false;
+		this.begin(task, chosen, chosen.place(task, this.nextRun(task), 'starting'));
+		return true;
+	}
+
+	private placeGang(step: jobs.StepRun, now: number): boolean {
+		if (!gangs.isWhole(step)) return false;
+		const run = Math.max(...step.tasks.map((task) => this.nextRun(task)));
+		const choice = this.choiceFor(step, now);
+		const places = gangs.placeAll(step, run, choice.workers, choice);
+		if (places === undefined) return false;
+		gangs.shareCheckpoint(step);
+		for (const { session, place } of places) this.begin(place.task, session, place);
+		return true;
+	}
+
+	private begin(task: jobs.Task, session: sessions.WorkerSession, place: types.Placement): void {
+		const { clock, events, policyOf } = this.opts;
+		this.ready.delete(task);
+		task.state = 'placed';
+		task.run = place.run;
+		this.places.set(task, session);
+		events.emit('task.placed', {
+			task: task.name,
+			run: place.run,
+			worker: session.id,
+			waitedMs: Math.round(clock.now() - task.readyAt),
+		});
+		const { advised } = policyOf(task.step.job);
+		this.opts.start(session, place, advised ? (this.advisory.ticket(task.step, session.id) ?? '') : '');
+	}
+
+	private nextRun(task: jobs.Task): number {
+		return Math.max(task.run, (this.opts.epoch - 1) * runsPerEpoch) + 1;
+	}
+
+	/** Workers that may run a step by pool and advice, and how to rate them. */
+	private choiceFor(
+		step: jobs.StepRun,
+		now: number,
+		also: (worker: sessions.WorkerSession) => boolean = () => true,
+	): placement.Choice {
+		const { pool, advised } = this.opts.policyOf(step.job);
+		const inPool = this.opts.workers().filter((one) => one.open && one.entry?.pool === pool && also(one));
+		const { estimates } = this.opts;
+		if (!advised) return { workers: inPool, estimates, now };
+		const withTicket = inPool.filter((one) => this.advisory.ticket(step, one.id) !== undefined);
+		const hasPlace = withTicket.some((one) => placement.hasPlace(step, one));
+		if (!hasPlace) this.advisory.want(step, this.likely(step, inPool));
+		return { workers: withTicket, estimates, now };
+	}
+
+	/** Workers with room for a step, the emptiest first. */
+	private likely(step: jobs.StepRun, workers: sessions.WorkerSession[]): string[] {
+		const fitting = workers.filter((one) => placement.hasPlace(step, one));
+		fitting.sort((a, b) => a.used.milliCores - b.used.milliCores);
+		return fitting.map((one) => one.id);
+	}
+
+	/** Stops others for short tasks that found no room. */
+	private preempt(waiting: jobs.Task[]): void {
+		const { clock, policyOf, estimates } = this.opts;
+		const victims = preemption.chooseVictims(waiting, this.opts.workers(), {
+			now: clock.now(),
+			priorityOf: (job) => policyOf(job).priority,
+			poolOf: (job) => policyOf(job).pool,
+			estimates,
+		});
+		for (const { session, place } of victims) this.stop(session, place, 'room for short tasks');
+	}
+
+	private stop(session: sessions.WorkerSession, place: types.Placement, reason: string): void {
+		this.opts.events.emit('task.stop', { task: place.task.name, worker: session.id, reason });
+		this.opts.stop(session, place);
+	}
+}
--- a/src/core/dispatch/starter.ts
+++ b/src/core/dispatch/starter.ts
@@ -8,7 +8,7 @@
 /** What a start came to, where it did not end up running. */
 export interface StarterHandlers {
 	/** The run is known to be there. */
-	onStarted: (session: sessions.WorkerSession, placement: types.Placement) => void;
+	onStarted: (placement: types.Placement) => void;
 	/** The run is known never to start; its place is free again. */
 	onNotStarted: (
 		session: sessions.WorkerSession,
@@ -87,7 +87,7 @@
 		if (placement.phase === 'starting') placement.phase = 'running';
 		placement.confirmedAt = this.deps.clock.now();
 		session.neighboursChangedAt = placement.confirmedAt;
-		this.handlers.onStarted(session, placement);
+		this.handlers.onStarted(placement);
 	}
 
 	private notStarted(
--- /dev/null
+++ b/src/core/dispatch/worker-pool.ts
@@ -0,0 +1,153 @@
+/** The workers that the owner deals with: one session each, the roster in the store, and who was heard of. */
+import * as clocks from '../clock.js';
+import * as sessions from './worker-session.js';
+import * as settings from './settings.js';
+import type * as fleet from '../fleet/types.js';
+import type * as ledger from '../ledger/index.js';
+import type * as types from './types.js';
+
+/** Settings of a pool. */
+export interface WorkerPoolOptions extends types.DispatchDeps {
+	saveRoster: (roster: ledger.RosterEntry[]) => Promise<ledger.WriteOutcome>;
+	handlers: sessions.SessionHandlers;
+	/** More workers may take work. */
+	onOpened: () => void;
+}
+
+/** All workers under one owner. */
+export class WorkerPool {
+	private readonly workers = new Map<string, sessions.WorkerSession>();
+	/** Workers that may still run what an earlier owner started. */
+	private readonly unsettled = new Set<sessions.WorkerSession>();
+	private rosterDirty = false;
+	private rosterSaving = false;
+	private closed = false;
+
+	private constructor(private readonly opts: WorkerPoolOptions) {}
+
+	/** Opens a session with every worker that earlier owners used. */
+	static create(opts: WorkerPoolOptions, roster: ledger.RosterEntry[]): WorkerPool {
+		const pool = new WorkerPool(opts);
+		const longest = opts.maxLeaseMs / (1 - settings.clockSlowness);
+		const inheritedUntil = opts.clock.now() + settings.renewalHorizonMs + longest + settings.leaseMarginMs;
+		for (const entry of roster) {
+			const session = pool.open(entry, undefined, inheritedUntil);
+			session.rostered = true;
+			pool.unsettled.add(session);
+		}
+		return pool;
+	}
+
+	/** All sessions. */
+	all(): sessions.WorkerSession[] {
+		return [...this.workers.values()];
+	}
+
+	/** Whether every worker of earlier owners was heard of, or is proved to run nothing. */
+	get settled(): boolean {
+		return this.unsettled.size === 0;
+	}
+
+	/** The platform's list of workers, in part or whole. */
+	setWorkers(entries: Iterable<fleet.WorkerEntry>, removed: Iterable<string>, whole: boolean): void {
+		const listed = new Set<string>();
+		for (const entry of entries) {
+			listed.add(entry.id);
+			this.setWorker(entry);
+		}
+		for (const id of removed) this.unlist(id);
+		if (whole) for (const id of this.workers.keys()) if (!listed.has(id)) this.unlist(id);
+		if (this.rosterDirty) void this.saveRoster();
+	}
+
+	/** A worker reported, or is proved to run nothing. */
+	heard(session: sessions.WorkerSession): void {
+		if (session.gone && this.workers.get(session.id) === session) {
+			this.workers.delete(session.id);
+			this.rosterDirty = true;
+		}
+		if (this.unsettled.delete(session) && this.unsettled.size === 0)
+			this.opts.events.emit('takeover.settled', { epoch: this.opts.epoch });
+	}
+
+	/** To be called now and then: silent workers lose what they held once their leases are over. */
+	tick(): void {
+		for (const session of this.all()) {
+			session.checkLease();
+			const holdsNothing = session.placements.size === 0 && session.settled;
+			if (session.unlisted && !session.answering && holdsNothing)
+				session.end('it left the list and holds nothing');
+		}
+		if (this.rosterDirty) void this.saveRoster();
+	}
+
+	close(): void {
+		this.closed = true;
+		for (const session of this.workers.values()) session.close();
+	}
+
+	private setWorker(entry: fleet.WorkerEntry): void {
+		const known = this.workers.get(entry.id);
+		if (known !== undefined) {
+			if (entry.draining && known.entry?.draining !== true) this.noteDrain(known, entry);
+			known.entry = entry;
+			known.unlisted = false;
+			return;
+		}
+		for (const other of this.all())
+			if (other.target.address === entry.address) other.end('another life is listed at its address');
+		const session = this.open(entry, entry, -Infinity);
+		if (entry.draining) this.noteDrain(session, entry);
+		this.rosterDirty = true;
+	}
+
+	private noteDrain(session: sessions.WorkerSession, entry: fleet.WorkerEntry): void {
+		const { clock, events } = this.opts;
+		session.endsAt = clock.now() + (entry.remainingMs ?? 0);
+		events.emit('worker.draining', { worker: entry.id, remainingMs: entry.remainingMs });
+	}
+
+	private unlist(id: string): void {
+		const session = this.workers.get(id);
+		if (session !== undefined) session.unlisted = true;
+	}
+
+	private open(
+		target: fleet.WorkerTarget,
+		entry: fleet.WorkerEntry | undefined,
+		inheritedUntil: number,
+	): sessions.WorkerSession {
+		const { id, address } = target;
+		const session = sessions.WorkerSession.create(
+			{ id, address },
+			entry,
+			this.opts,
+			this.opts.handlers,
+			inheritedUntil,
+		);
+		this.workers.set(id, session);
+		return session;
+	}
+
+	private async saveRoster(): Promise<void> {
+		if (this.rosterSaving) return;
+		this.rosterSaving = true;
+		while (this.rosterDirty && !this.closed) {
+			this.rosterDirty = false;
+			const listed = this.all().filter((one) => !one.gone);
+			const outcome = await this.opts.saveRoster(listed.map((one) => one.target));
+			if (outcome === 'committed') {
+				for (const session of listed) session.rostered = true;
+				this.opts.onOpened();
+				continue;
+			}
+			if (outcome === 'superseded') {
+				this.opts.onFenced();
+				break;
+			}
+			this.rosterDirty = true;
+			await clocks.sleep(this.opts.clock, settings.orderRetryMs);
+		}
+		this.rosterSaving = false;
+	}
+}
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -23,6 +23,8 @@
 	readonly used: fleet.Capacity = { milliCores: 0, memoryMb: 0, accelerators: 0 };
 	/** Thousandths of a core asked for by tasks that fill. */
 	fillMilliCores = 0;
+	/** Thousandths of a core reserved by lasting tasks. */
+	lastingMilliCores = 0;
 	/** The worker stands in the stored roster, so a successor would ask it. */
 	rostered = false;
 	/** No earlier owner used it, or it has answered this epoch, or is proved to run nothing. */
@@ -34,9 +36,9 @@
 	/** Clock time of the last answer. */
 	answeredAt = -Infinity;
 	/** No new work until then. */
-	pausedUntil = -Infinity;
-	/** Failed runs in a row, by job. */
-	readonly failedJobs = new Set<string>();
+	private pausedUntil = -Infinity;
+	/** Jobs whose runs failed here since one last finished, and how many runs. */
+	private readonly failedJobs = new Set<string>();
 	failuresInRow = 0;
 	/** Ends up to here are stored. */
 	storedUpTo = 0;
@@ -97,6 +99,29 @@
 		return this.settled && this.answering && this.deps.clock.now() >= this.pausedUntil;
 	}
 
+	/** A run failed here; several in a row, of several jobs, mark the worker as broken for a while. */
+	noteFailure(job: string): void {
+		this.failuresInRow += 1;
+		this.failedJobs.add(job);
+		if (this.failuresInRow < settings.quarantineFailures || this.failedJobs.size < 2) return;
+		this.pause(settings.quarantineMs);
+		this.deps.events.emit('worker.quarantined', {
+			worker: this.id,
+			reason: `${this.failuresInRow} failures in a row of ${this.failedJobs.size} jobs`,
+		});
+	}
+
+	/** A run finished here: the worker is sound. */
+	noteSuccess(): void {
+		this.failuresInRow = 0;
+		this.failedJobs.clear();
+	}
+
+	/** Takes no new work for so many milliseconds. */
+	pause(ms: number): void {
+		this.pausedUntil = this.deps.clock.now() + ms;
+	}
+
 	/** Takes a place for a task. */
 	place(task: jobs.Task, run: number, phase: types.Placement['phase']): types.Placement {
 		const now = this.deps.clock.now();
@@ -183,6 +208,7 @@
 		this.revision += 1;
 		if (spec.fills) this.fillMilliCores += sign * spec.milliCores;
 		else this.used.milliCores += sign * spec.milliCores;
+		if (spec.lasting && !spec.fills) this.lastingMilliCores += sign * spec.milliCores;
 		this.used.memoryMb += sign * spec.memoryMb;
 		this.used.accelerators += sign * spec.accelerators;
 	}
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -152,6 +152,12 @@
 		text: 'A task that fills was told to work at a share of its speed, for the users of its neighbours.',
 	},
 	'task.stop': { id: 3112, level: 'info', text: 'A run is told to stop; the reason is given.' },
+	'advice.given': { id: 3113, level: 'info', text: 'The adviser said which workers may run a step.' },
+	'advice.missed': {
+		id: 3114,
+		level: 'warn',
+		text: 'The adviser gave no usable answer; it is asked again.',
+	},
 	'worker.lost': {
 		id: 3205,
 		level: 'warn',
--- a/src/core/fleet/types.ts
+++ b/src/core/fleet/types.ts
@@ -129,3 +129,35 @@
 	/** Drops the connections to a worker that is gone. */
 	forget: (at: WorkerTarget) => void;
 }
+
+/** What the adviser says of a step. */
+export interface Advice {
+	/** Workers that may run it, each with the ticket that a start there has to bring. */
+	good: { worker: string; ticket: string }[];
+	/** The tickets hold so long, in milliseconds. */
+	validMs: number;
+}
+
+/** Asks which of the workers may run a step (`job.time.step`). */
+export type AskAdviser = (step: string, workers: string[]) => Promise<results.Result<Advice, string>>;
+
+/** A machine of a pool; workers are its lives. */
+export interface Machine {
+	name: string;
+	pool: string;
+	state: 'up' | 'moving' | 'upkeep' | 'down';
+	/** Id of its present worker; empty: none. */
+	worker: string;
+}
+
+/** What an order to a machine came to. `busy`: not now. `fenced`: a newer owner gave orders there. */
+export type MachineOutcome = 'done' | 'busy' | 'fenced' | 'impossible' | 'unknown';
+
+/** Calls that concern machines. */
+export interface MachineCalls {
+	list: () => Promise<results.Result<Machine[], string>>;
+	/** Begins a machine's upkeep: all that runs there ends at once. */
+	upkeep: (machine: string, wave: number, holder: string, epoch: number) => Promise<MachineOutcome>;
+	/** Moves a machine to another pool: all that runs there ends at once. */
+	move: (machine: string, pool: string, holder: string, epoch: number) => Promise<MachineOutcome>;
+}
