--- a/src/cli/box/main.ts
+++ b/src/cli/box/main.ts
@@ -7,6 +7,7 @@
 import * as ingress from '../../../platform/ingress.js';
 import * as platformSettings from '../../../platform/settings.js';
 import type * as http from 'node:http';
+import type * as net from 'node:net';
 
 /** Exit status for settings that can't be used. */
 const badSettings = 2;
@@ -23,8 +24,9 @@
 const settings = given.value;
 const log = events.EventLog.create(settings.box, clock.systemClock, 'json');
 const box = await boxes.Box.create(settings, adapters.createAdapter(settings), clock.systemClock, log);
-listen(ingress.serveReadiness(box), settings.readiness);
-listen(ingress.serveCallers(box), settings.callers);
+const readiness = await listen(ingress.serveReadiness(box), settings.readiness);
+const callers = await listen(ingress.serveCallers(box), settings.callers);
+log.emit('process.started', { callers, readiness, peer: box.peerAddress });
 
 process.on('SIGHUP', () => {
 	const again = platformSettings.readSettings(path);
@@ -41,7 +43,13 @@
 	}, settings.bounds.graceMs - endBeforeKillMs);
 });
 
-function listen(server: http.Server, address: string): void {
+/** Listens, and says where: port 0 lets the kernel choose. */
+async function listen(server: http.Server, address: string): Promise<string> {
 	const cut = address.lastIndexOf(':');
-	server.listen(Number(address.slice(cut + 1)), address.slice(0, cut));
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(Number(address.slice(cut + 1)), address.slice(0, cut), resolve);
+	});
+	const at = server.address() as net.AddressInfo;
+	return `${at.address}:${at.port}`;
 }
--- a/src/core/box/box.ts
+++ b/src/core/box/box.ts
@@ -80,6 +80,11 @@
 		return this.table;
 	}
 
+	/** Where the other boxes connect, `host:port`. */
+	get peerAddress(): string {
+		return this.server.address;
+	}
+
 	/** Whether callers are welcome: the configuration is known, and the owner or the store can be reached. */
 	get ready(): boolean {
 		if (this.stopping || this.table === undefined) return false;
@@ -130,7 +135,6 @@
 			},
 			random: (below) => Math.random() * below,
 		});
-		this.events.emit('process.started', { peer: this.server.address, callers: this.settings.callers });
 	}
 
 	/** Listens for the other boxes on the first of our ports that is free. */
--- /dev/null
+++ b/stand-ins/users-platform/server.ts
@@ -0,0 +1,222 @@
+/**
+ * A small users' platform for tests with real boxes: its store and its workers over HTTP, in the words of its pages.
+ * It keeps to what a box sends; faults are switches of the memory store and the fake workers behind it.
+ */
+import * as http from 'node:http';
+import * as clocks from '../../src/core/clock.js';
+import * as memory from '../fleet/memory-store.js';
+import * as workers from '../fleet/workers.js';
+import type * as fleet from '../../src/core/fleet/types.js';
+import type * as net from 'node:net';
+import type * as platform from '../../src/core/platform/types.js';
+
+type Body = Record<string, unknown>;
+
+/** Status of each refusal of a worker, and its reason on the wire. */
+const refusals: Record<string, [number, string]> = {
+	fenced: [409, 'fence'],
+	'stale-run': [409, 'old'],
+	'too-late': [409, 'late'],
+	'no-room': [409, 'room'],
+	'other-life': [421, ''],
+};
+
+/** The stand-in. */
+export class UsersPlatform {
+	readonly store = memory.MemoryStore.create(clocks.systemClock);
+	readonly fleet: workers.FakeFleet;
+	/** The store answers nobody while this is set. */
+	storeDown = false;
+	private readonly servers: http.Server[] = [];
+	private readonly workerIds = new Map<string, string>();
+
+	private constructor(plan: (task: string, run: number) => workers.RunPlan) {
+		this.fleet = workers.FakeFleet.create({ clock: clocks.systemClock, maxLeaseMs: 10_000, plan });
+	}
+
+	static create(plan: (task: string, run: number) => workers.RunPlan): UsersPlatform {
+		return new UsersPlatform(plan);
+	}
+
+	/** Starts the store; returns its address. */
+	startStore(): Promise<string> {
+		const view = this.store.view(() => (this.storeDown ? 'down' : 'none'));
+		return this.listen((req, url, body) => answerStore(view, req.method ?? '', url, body));
+	}
+
+	/** Starts a worker and lists it in the store. */
+	async startWorker(id: string): Promise<void> {
+		const address = await this.listen((_req, url, body) => this.answerWorker(id, url.pathname, body));
+		this.fleet.add(id, { address });
+		this.workerIds.set(address, id);
+		const entry = {
+			service: 'press',
+			address,
+			zone: 'rennes',
+			state: 'ready',
+			capacity: { cpu: 32_000, mem_mb: 128_000, gpu: 0 },
+			labels: ['a', 'r1'],
+			seq_no: 1,
+		};
+		this.store.put(`servers/${id}`, Buffer.from(JSON.stringify(entry)));
+	}
+
+	/** Writes the operators' configuration: one queue at `host` and `/jobs/`. */
+	configure(version: number, host: string): void {
+		const configuration = {
+			version,
+			routes: [
+				{
+					name: 'proofs',
+					host,
+					path_prefix: '/jobs/',
+					slo_ms: 500,
+					priority: 0,
+					service: 'press',
+					attempts: 3,
+					stretch: 2,
+				},
+			],
+			services: [{ name: 'press', admission_check: true, headroom: false }],
+			limits: {
+				max_header_bytes: 16_384,
+				max_body_bytes: 65_536,
+				header_timeout_ms: 3_000,
+				idle_timeout_ms: 15_000,
+			},
+		};
+		this.store.put('op/config', Buffer.from(JSON.stringify(configuration)));
+	}
+
+	/** Ends every server. */
+	close(): void {
+		for (const server of this.servers) {
+			server.closeAllConnections();
+			server.close();
+		}
+	}
+
+	private async answerWorker(id: string, path: string, body: Body): Promise<[number, object]> {
+		const at = { id, address: [...this.workerIds].find(([, known]) => known === id)?.[0] ?? '' };
+		const calls = this.fleet.calls();
+		const epoch = Number(body.fencing_token ?? 0);
+		const leaseUntil = body.deadline_ms as number | undefined;
+		if (path === '/api/hold') {
+			const forgetUpTo = Number(body.last_seen ?? 0);
+			const waitMs = Number(body.wait_ms ?? 0);
+			return spell(await calls.hold(at, { epoch, forgetUpTo, leaseUntil, waitMs }), spellReport);
+		}
+		const task = String(body.task);
+		const run = Number(body.run);
+		const clock = (reading: fleet.ClockReading): object => ({ clock_ms: reading.clockMs });
+		if (path === '/api/run-stop') return spell(await calls.stop(at, task, run, epoch), clock);
+		const text = String(body.spec);
+		const checkpoint = String(body.last_checkpoint ?? '');
+		const order = { task, run, text, epoch, leaseUntil, checkpoint, ticket: '' };
+		return spell(await calls.start(at, order), clock);
+	}
+
+	private async listen(
+		answer: (req: http.IncomingMessage, url: URL, body: Body) => Promise<[number, object]>,
+	): Promise<string> {
+		const server = http.createServer((req, res) => {
+			const chunks: Buffer[] = [];
+			req.on('data', (chunk: Buffer) => chunks.push(chunk));
+			req.on('end', () => {
+				const text = Buffer.concat(chunks).toString('utf8');
+				const body = (text === '' ? {} : JSON.parse(text)) as Body;
+				void answer(req, new URL(req.url ?? '/', 'http://stand-in'), body).then(([status, value]) => {
+					res.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(value));
+				});
+			});
+		});
+		this.servers.push(server);
+		await new Promise<void>((resolve) => {
+			server.listen(0, '127.0.0.1', resolve);
+		});
+		const { address, port } = server.address() as net.AddressInfo;
+		return `${address}:${port}`;
+	}
+}
+
+function spell<T>(res: Awaited<fleet.WorkerResult<T>>, show: (value: T) => object): [number, object] {
+	if (res.ok) return [200, show(res.value)];
+	const [status, reason] = refusals[res.err.kind] ?? [503, ''];
+	return [status, { reason }];
+}
+
+function spellReport(report: fleet.WorkerReport): object {
+	return {
+		clock_ms: report.clockMs,
+		running: report.running.map((one) => [one.task, one.run, one.checkpoint, one.percent, one.reading]),
+		ended: report.ended.map((one) => [one.seq, one.task, one.run, one.how, one.checkpoint]),
+	};
+}
+
+async function answerStore(
+	view: platform.RecordStore,
+	method: string,
+	url: URL,
+	body: Body,
+): Promise<[number, object]> {
+	const query = (name: string): string => url.searchParams.get(name) ?? '';
+	const id = url.pathname.split('/').at(-1) ?? '';
+	const unavailable: [number, object] = [503, {}];
+	if (url.pathname === '/api/kv-key') {
+		const res = await view.get(query('tls_key'));
+		if (!res.ok) return unavailable;
+		return res.value === undefined ? [404, {}] : [200, spellItem(res.value)];
+	}
+	if (url.pathname === '/api/kv-range') {
+		const res = await view.list(query('path_prefix'));
+		if (!res.ok) return unavailable;
+		const items = res.value.items.map(spellItem);
+		return [200, { items, has_more: false, current_rev: res.value.revision }];
+	}
+	if (url.pathname === '/api/kv-watch') {
+		const res = await view.follow(query('path_prefix'), Number(query('after')), Number(query('wait_ms')));
+		if (!res.ok) return unavailable;
+		if (res.value.type === 'compacted') return [410, {}];
+		return [200, { events: res.value.changes.map(spellChange), current_rev: res.value.revision }];
+	}
+	if (url.pathname === '/api/kv-txn') return answerTxn(view, body);
+	if (url.pathname === '/api/kv-lease') {
+		const res = await view.grantLease(Number(body.ttl_ms));
+		return res.ok ? [200, { lease: Number(res.value), ttl_ms: body.ttl_ms }] : unavailable;
+	}
+	if (method === 'DELETE') {
+		const res = await view.endLease(id);
+		return res.ok ? [200, {}] : unavailable;
+	}
+	const res = await view.keepLease(id);
+	if (!res.ok) return unavailable;
+	return res.value ? [200, { ttl_ms: 0 }] : [404, {}];
+}
+
+async function answerTxn(view: platform.RecordStore, body: Body): Promise<[number, object]> {
+	const rows = body.expected_rev as { tls_key: string; revision: number }[];
+	const writes = body.writes as { tls_key: string; value: string; lease?: number }[];
+	const res = await view.commit({
+		expected: rows.map((row) => ({ key: row.tls_key, version: row.revision })),
+		writes: writes.map((row) => ({
+			key: row.tls_key,
+			value: Buffer.from(row.value, 'base64'),
+			lease: row.lease === undefined ? undefined : String(row.lease),
+		})),
+		removes: body.remove as string[],
+	});
+	if (!res.ok) return [503, {}];
+	if (res.value.type === 'lease-gone') return [404, {}];
+	if (res.value.type === 'conflict') return [412, { items: res.value.current.map(spellItem) }];
+	return [200, { revision: res.value.version }];
+}
+
+function spellItem(item: platform.Stored): object {
+	const value = Buffer.from(item.value).toString('base64');
+	return { tls_key: item.key, value, revision: item.version, created: item.version, lease: 0 };
+}
+
+function spellChange(change: platform.StoreChange): object {
+	if (change.value === undefined) return { tls_key: change.key, revision: change.version, removed: true };
+	return spellItem({ key: change.key, value: change.value, version: change.version });
+}
