A refused connection after an unanswered start proves nothing: the run is stopped before the task goes elsewhere

Ruled out: takeover (none), lease (200 ms). Change: after a try without an answer only a success ends the tries; everything else goes through a stop that is acknowledged. The test fails without it.

--- a/src/core/dispatch/starter.ts
+++ b/src/core/dispatch/starter.ts
@@ -53,9 +53,10 @@
 				return;
 			}
 			if (session.ended(res.err)) return;
+			const isFirst = tries === 0;
 			if (res.err.kind !== 'no-answer') {
-				// After a try without an answer, a refusal may be the answer to a run that has started and ended.
-				if (tries > 0 && res.err.kind === 'stale-run') return;
+				// After a try without an answer no refusal proves that the run is not there, or does not come yet.
+				if (!isFirst) break;
 				this.notStarted(session, placement, res.err);
 				return;
 			}
--- a/stand-ins/fleet/workers.ts
+++ b/stand-ins/fleet/workers.ts
@@ -3,8 +3,11 @@
 import type * as clocks from '../../src/core/clock.js';
 import type * as fleet from '../../src/core/fleet/types.js';
 
-/** What happens to calls. `lost`: carried out, not answered. `late`: not answered, and carried out much later. */
-export type WorkerFault = 'none' | 'silent' | 'lost' | 'late';
+/**
+ * What happens to calls. `lost`: carried out, not answered. `late`: not answered, and carried out much later.
+ * `refused`: connections are turned away.
+ */
+export type WorkerFault = 'none' | 'silent' | 'lost' | 'late' | 'refused';
 
 /** A call's way there and back, and until a caller gives up, in milliseconds. */
 const answerMs = 2;
@@ -224,6 +227,7 @@
 			if (worker !== undefined && fault !== 'silent') {
 				if (worker.entry.id !== at.id) return results.fail({ kind: 'other-life' });
 				if (fault === 'none') return fn(worker);
+				if (fault === 'refused') return results.fail({ kind: 'unreachable' });
 				if (fault === 'lost') fn(worker);
 				else this.opts.clock.after(giveUpMs + lateMs, () => void fn(worker));
 			}
--- a/stand-ins/users-platform/server.ts
+++ b/stand-ins/users-platform/server.ts
@@ -111,7 +111,7 @@
 		const clock = (reading: fleet.ClockReading): object => ({ clock_ms: reading.clockMs });
 		if (path === '/api/run-stop') return spell(await calls.stop(at, task, run, epoch), clock);
 		const text = String(body.spec);
-		const checkpoint = String(body.last_checkpoint ?? '');
+		const checkpoint = (body.last_checkpoint ?? '') as string;
 		const order = { task, run, text, epoch, leaseUntil, checkpoint, ticket: '' };
 		return spell(await calls.start(at, order), clock);
 	}
--- a/test/box.test.ts
+++ b/test/box.test.ts
@@ -19,7 +19,7 @@
 
 async function call(callers: string, method: string, tail: string, sent?: unknown): Promise<Reply> {
 	const res = await undici.request(`http://${callers}/jobs/${tail}`, {
-		method: method as undici.Dispatcher.HttpMethod,
+		method,
 		headers: { host, 'content-type': 'application/json' },
 		body: typeof sent === 'string' ? sent : sent === undefined ? null : JSON.stringify(sent),
 	});
--- a/test/dispatch.test.ts
+++ b/test/dispatch.test.ts
@@ -108,6 +108,27 @@
 	owner.dispatcher.close();
 });
 
+test('a refused connection after a start without an answer does not prove that the run never started', async (t) => {
+	const { clock, fleet, takeOver, submit } = world.createWorld(() => ({ ms: 4_000, how: 'done' }));
+	const w1 = fleet.add('w1');
+	const owner = await takeOver();
+	await clock.pass(1_200);
+	w1.fault = 'lost';
+	await submit(owner, world.job('job1', [world.step()]));
+	await clock.pass(300);
+	w1.fault = 'refused';
+	fleet.add('w2');
+	owner.dispatcher.setWorkers(fleet.entries(), [], true);
+	for (let passed = 0; passed < 3_000; passed += 50) {
+		await clock.pass(50);
+		t.deepEqual(fleet.doubled(), []);
+	}
+	w1.fault = 'none';
+	await clock.pass(10_000);
+	t.is(owner.dispatcher.stateOf('job1'), 'completed');
+	owner.dispatcher.close();
+});
+
 test('a successor starts nothing again before every worker of its predecessor has answered', async (t) => {
 	const { clock, fleet, takeOver, submit } = world.createWorld(() => ({ ms: 2_000, how: 'done' }));
 	fleet.add('w1');
