--- /dev/null
+++ b/src/cli/box/figures.ts
@@ -0,0 +1,43 @@
+/** A box's counters and histograms, on an address of their own: one counter an event, and what times the events carry. */
+import * as http from 'node:http';
+import type * as boxes from '../../core/box/box.js';
+import type * as events from '../../core/events/index.js';
+
+/** Figures are served so long after the start, in milliseconds. */
+export const startAfterMs = 3_000;
+
+/** Fields of events that are times, and the histograms they go to. */
+const times: Record<string, string> = {
+	'task.placed': 'task_wait',
+	'job.taken': 'job_age_at_owner',
+	'job.accepted': 'job_accept',
+};
+
+/** Serves the figures at `address` (`host:port`) under every path. */
+export async function serveFigures(box: boxes.Box, log: events.EventLog, address: string): Promise<void> {
+	const metrics = await import('../../core/metrics/index.js');
+	const figures = metrics.Metrics.create();
+	log.observe((event) => {
+		figures.count(`event_${event.name.replace(/[.-]/g, '_')}`);
+		const name = times[event.name];
+		const ms = event.fields.waitedMs ?? event.fields.ageMs ?? event.fields.tookMs;
+		if (name !== undefined && typeof ms === 'number') figures.time(name, ms);
+	});
+	const server = http.createServer((_req, res) => {
+		const { rss } = process.memoryUsage();
+		const { user, system } = process.cpuUsage();
+		const own = {
+			ready: Number(box.ready),
+			owner: Number(box.owning),
+			config_version: box.queues?.configuration.version ?? 0,
+			memory_bytes: rss,
+			cpu_us: user + system,
+		};
+		res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(figures.text(own));
+	});
+	server.on('error', (err) => {
+		log.emit('figures.unserved', { reason: err.message });
+	});
+	const cut = address.lastIndexOf(':');
+	server.listen(Number(address.slice(cut + 1)), address.slice(0, cut));
+}
--- a/src/cli/box/main.ts
+++ b/src/cli/box/main.ts
@@ -4,6 +4,7 @@
 import * as boxes from '../../core/box/box.js';
 import * as clock from '../../core/clock.js';
 import * as events from '../../core/events/index.js';
+import * as figures from './figures.js';
 import * as ingress from '../../../platform/ingress.js';
 import * as platformSettings from '../../../platform/settings.js';
 import type * as http from 'node:http';
@@ -28,6 +29,11 @@
 const callers = await listen(ingress.serveCallers(box), settings.callers);
 log.emit('process.started', { callers, readiness, peer: box.peerAddress });
 
+// Nothing of the first second needs figures, and loading what keeps them costs start-up time.
+setTimeout(() => {
+	void figures.serveFigures(box, log, `${settings.ip}:${platformSettings.metricsPort}`);
+}, figures.startAfterMs);
+
 process.on('SIGHUP', () => {
 	const again = platformSettings.readSettings(path);
 	if (again.ok) log.emit('settings.read', { reason: 'takes effect where it may change while running' });
--- a/src/core/box/box.ts
+++ b/src/core/box/box.ts
@@ -91,6 +91,11 @@
 		return this.contact.reachable || this.ownership.reachable;
 	}
 
+	/** Whether it dispatches now. */
+	get owning(): boolean {
+		return this.role !== undefined;
+	}
+
 	/** Whether it is about to stop. */
 	get leaving(): boolean {
 		return this.stopping;
--- a/src/core/box/job-service.ts
+++ b/src/core/box/job-service.ts
@@ -58,16 +58,19 @@
 		request: Pick<jobs.JobRecord, 'text' | 'steps' | 'schedule'>,
 	): Promise<Answer<'accepted'>> {
 		const record: jobs.JobRecord = { id, queue, acceptedAt: this.opts.clock.wall(), ...request };
+		const { events: log, clock } = this.opts;
+		const startedAt = clock.now();
 		const outcome = await this.store(record);
-		const { events: log } = this.opts;
+		const tookMs = Math.round(clock.now() - startedAt);
 		if (outcome.type === 'accepted' || outcome.type === 'known') {
-			log.emit('job.accepted', { job: id, queue: queue.name, outcome: outcome.type });
+			log.emit('job.accepted', { job: id, queue: queue.name, outcome: outcome.type, tookMs });
 			this.tell({ type: 'job.stored', record }, (own) => {
 				own.addJob(record);
 			});
 			return { type: 'ok', value: 'accepted' };
 		}
-		log.emit('job.refused', { job: id, queue: queue.name, outcome: outcome.type, reason: outcome.reason });
+		const { type, reason } = outcome;
+		log.emit('job.refused', { job: id, queue: queue.name, outcome: type, reason, tookMs });
 		return { type: outcome.type === 'unknown' ? 'unknown' : 'unavailable', reason: outcome.reason };
 	}
 
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -43,6 +43,7 @@
 		level: 'warn',
 		text: 'So many lines were left out because the reader of the log was too slow.',
 	},
+	'figures.unserved': { id: 1109, level: 'warn', text: 'The address for figures could not be used.' },
 	'settings.refused': {
 		id: 1107,
 		level: 'error',
--- a/src/core/events/index.ts
+++ b/src/core/events/index.ts
@@ -46,6 +46,7 @@
 export class EventLog {
 	private readonly ring: LoggedEvent[] = [];
 	private start = 0;
+	private readonly observers: ((event: LoggedEvent) => void)[] = [];
 	readonly clock: hlc.HybridClock;
 
 	private constructor(
@@ -71,9 +72,15 @@
 		const row = catalogue.eventCatalogue[name];
 		const event: LoggedEvent = { id: row.id, name, stamp: this.clock.tick(), process: this.process, fields };
 		this.remember(event);
+		for (const observer of this.observers) observer(event);
 		this.print(event, row.level);
 	}
 
+	/** Calls `fn` with every event from now on. */
+	observe(fn: (event: LoggedEvent) => void): void {
+		this.observers.push(fn);
+	}
+
 	/** Recorded events that `wanted` accepts, oldest first. */
 	select(wanted: (event: LoggedEvent) => boolean): LoggedEvent[] {
 		const ordered = [...this.ring.slice(this.start), ...this.ring.slice(0, this.start)];
