--- a/src/core/upkeep/upkeep.ts
+++ b/src/core/upkeep/upkeep.ts
@@ -83,6 +83,7 @@
 
 	private async advance(open: OpenWave, machines: Map<string, fleet.Machine>): Promise<void> {
 		const { wave, begun, leaving } = open;
+		await this.tell(open, 'running');
 		// A machine that has left needs nothing any more.
 		const present = wave.machines.filter((name) => machines.has(name));
 		this.startLeaving(open, present, machines);
@@ -92,8 +93,7 @@
 			if (state === 'moving' && this.opts.clock.now() - one.since < moveMs) continue;
 			await this.takeDown(open, name, one);
 		}
-		const isDone = present.every((name) => begun.has(name));
-		await this.tell(open, isDone ? 'completed' : 'running');
+		if (present.every((name) => begun.has(name))) await this.tell(open, 'completed');
 	}
 
 	/** As many machines leave at once as may be down. */
--- /dev/null
+++ b/test/upkeep.test.ts
@@ -0,0 +1,167 @@
+/** Waves of upkeep, gangs and advice, in memory. */
+import test from 'ava';
+import * as advice from '../src/core/dispatch/advice.js';
+import * as jobs from '../src/core/jobs/index.js';
+import * as events from '../src/core/events/index.js';
+import * as results from '../src/core/result.js';
+import * as time from '../stand-ins/fleet/virtual-clock.js';
+import * as upkeep from '../src/core/upkeep/index.js';
+import * as world from './fixtures/dispatching.js';
+import type * as fleet from '../src/core/fleet/types.js';
+
+interface Machines {
+	calls: fleet.MachineCalls;
+	states: Map<string, fleet.Machine['state']>;
+	begun: string[];
+	/** Most machines down at once. */
+	most: () => number;
+}
+
+/** Machines whose upkeep takes two seconds; the first answer of each order is lost. */
+function createMachines(clock: time.VirtualClock, names: string[]): Machines {
+	const states = new Map<string, fleet.Machine['state']>(names.map((name) => [name, 'up']));
+	const begun: string[] = [];
+	const asked = new Set<string>();
+	let most = 0;
+	const calls: fleet.MachineCalls = {
+		list: () =>
+			Promise.resolve(
+				results.ok([...states].map(([name, state]) => ({ name, pool: 'press', state, worker: `w-${name}` }))),
+			),
+		upkeep: (name) => {
+			if (!begun.includes(name)) {
+				begun.push(name);
+				states.set(name, 'upkeep');
+				most = Math.max(most, [...states.values()].filter((state) => state === 'upkeep').length);
+				clock.after(2_000, () => states.set(name, 'up'));
+			}
+			const isFirst = !asked.has(name);
+			asked.add(name);
+			return Promise.resolve(isFirst ? 'unknown' : 'done');
+		},
+		move: () => Promise.resolve('impossible'),
+	};
+	return { calls, states, begun, most: () => most };
+}
+
+test('a wave takes every machine down once, few at a time, and is completed only then', async (t) => {
+	const clock = time.VirtualClock.create();
+	const machines = createMachines(clock, ['m1', 'm2', 'm3', 'm4', 'm5']);
+	const reports: string[] = [];
+	const running = upkeep.Upkeep.create({
+		clock,
+		events: events.EventLog.create('test', clock),
+		machines: machines.calls,
+		holder: 'entry-1',
+		epoch: 1,
+		vacate: () => 'empty',
+		reopen: () => undefined,
+		report: (wave, state) => {
+			reports.push(`${wave} ${state} after ${machines.begun.length}`);
+			return Promise.resolve(true);
+		},
+		onFenced: () => undefined,
+	});
+	running.add({ number: 7, machines: ['m1', 'm2', 'm3', 'm4'], withinMs: 60_000, maximum: 2 });
+	await clock.pass(20_000);
+	running.close();
+	t.deepEqual([...machines.begun].sort(), ['m1', 'm2', 'm3', 'm4']);
+	t.is(machines.most(), 2);
+	t.deepEqual(reports, ['7 running after 0', '7 completed after 4']);
+});
+
+test('a machine with a task that may not be missed stays up', async (t) => {
+	const clock = time.VirtualClock.create();
+	const machines = createMachines(clock, ['m1']);
+	let state: 'protected' | 'empty' = 'protected';
+	const running = upkeep.Upkeep.create({
+		clock,
+		events: events.EventLog.create('test', clock),
+		machines: machines.calls,
+		holder: 'entry-1',
+		epoch: 1,
+		vacate: () => state,
+		reopen: () => undefined,
+		report: () => Promise.resolve(true),
+		onFenced: () => undefined,
+	});
+	running.add({ number: 1, machines: ['m1'], withinMs: 5_000, maximum: 1 });
+	await clock.pass(10_000);
+	t.deepEqual(machines.begun, []);
+	state = 'empty';
+	await clock.pass(3_000);
+	running.close();
+	t.deepEqual(machines.begun, ['m1']);
+});
+
+test('a worker is vacated, but a step that may miss none keeps its tasks', async (t) => {
+	const {
+		clock,
+		fleet: workers,
+		takeOver,
+		submit,
+	} = world.createWorld(() => ({ ms: 'endless', how: 'done' }));
+	const w1 = workers.add('w1');
+	const owner = await takeOver();
+	await submit(owner, world.job('free', [world.step({ lasting: true })]));
+	await submit(owner, world.job('kept', [world.step({ lasting: true, mayMiss: 0 })]));
+	await clock.pass(1_000);
+	t.is(owner.dispatcher.vacate('w1'), 'protected');
+	await clock.pass(1_000);
+	t.deepEqual([...w1.running.keys()], ['kept.0.0.0']);
+	owner.dispatcher.reopen('w1');
+	await clock.pass(4_000);
+	t.is(w1.running.size, 2);
+	owner.dispatcher.close();
+});
+
+test('a gang starts whole, under one run number, or not at all', async (t) => {
+	const { clock, fleet: workers, takeOver, submit } = world.createWorld(() => ({ ms: 400, how: 'done' }));
+	workers.add('w1');
+	const owner = await takeOver();
+	await submit(owner, world.job('gang', [world.step({ count: 4, milliCores: 10_000, gang: true })]));
+	await clock.pass(1_500);
+	t.is(workers.starts.length, 0);
+	workers.add('w2');
+	owner.dispatcher.setWorkers(workers.entries(), [], true);
+	await clock.pass(300);
+	t.is(workers.starts.length, 4);
+	t.is(new Set(workers.starts.map((one) => one.run)).size, 1);
+	await clock.pass(2_000);
+	t.is(owner.dispatcher.stateOf('gang'), 'completed');
+	owner.dispatcher.close();
+});
+
+test('the adviser is asked once at a time, and its tickets run out', async (t) => {
+	const clock = time.VirtualClock.create();
+	const record = world.job('job1', [world.step()]);
+	const opts = { cancelled: false, inherited: false, now: clock.now(), age: 0 };
+	const job = jobs.ActiveJob.create(record, undefined, opts);
+	job.openNextTime(clock.now());
+	const asked: string[][] = [];
+	const advisory = advice.Advisory.create({
+		clock,
+		events: events.EventLog.create('test', clock),
+		ask: async (_step, workers) => {
+			asked.push(workers);
+			await new Promise<void>((resolve) => {
+				clock.after(100, resolve);
+			});
+			return results.ok({ good: [{ worker: 'w2', ticket: 'pass' }], validMs: 1_000 });
+		},
+		onNews: () => undefined,
+	});
+	const step = job.steps[0];
+	if (step === undefined) throw new Error('the job has no step');
+	advisory.want(step, ['w1', 'w2']);
+	advisory.want(step, ['w1', 'w2']);
+	t.is(advisory.ticket(step, 'w2'), undefined);
+	await clock.pass(150);
+	t.is(advisory.ticket(step, 'w2'), 'pass');
+	t.is(advisory.ticket(step, 'w1'), undefined);
+	await clock.pass(900);
+	t.is(advisory.ticket(step, 'w2'), undefined);
+	advisory.want(step, ['w1', 'w2']);
+	await clock.pass(150);
+	t.deepEqual(asked, [['w1', 'w2'], ['w2']]);
+});
