--- /dev/null
+++ b/dev/bench-days.mjs
@@ -0,0 +1,60 @@
+/**
+ * Writes days of our own, one a kind of trouble: the calm day of a site with that trouble in it, twice and at awkward
+ * moments. Usage: node dev/bench-days.mjs SITE FOLDER
+ */
+import * as fs from 'node:fs';
+import * as path from 'node:path';
+
+const [site, folder] = process.argv.slice(2);
+const text = fs.readFileSync(site, 'utf8');
+const day = text.slice(text.indexOf('[[day]]\nname = "quiet-1"')).split('\n[[day]]')[0];
+const name = path.basename(site, '.toml');
+
+/** Each kind with a change of owner soon after it: the second fault strikes what the first left half done. */
+const troubles = {
+	'srv-cut': ['{ at = 6, kind = "srv_cut", share = 0.3, for_s = 5 }'],
+	'srv-cut-one-way': ['{ at = 6, kind = "srv_cut", share = 0.3, for_s = 5, how = "one_way" }'],
+	'srv-cut-reset': ['{ at = 6, kind = "srv_cut", share = 0.3, for_s = 5, how = "reset" }'],
+	'srv-cut-some-lossy': ['{ at = 6, kind = "srv_cut", share = 0.5, x = 0.5, for_s = 8, how = "some lossy" }'],
+	'node-slow': ['{ at = 4, kind = "node_slow", share = 0.5, x = 5, for_s = 12 }'],
+	'reset-conns': [
+		'{ at = 4, kind = "reset_conns", share = 0.5, x = 0.7 }',
+		'{ at = 12, kind = "reset_conns", share = 1.0, x = 1.0 }',
+	],
+	'late-orders': ['{ at = 5, kind = "applied_late", x = 0.3, for_s = 8, how = "all" }'],
+	'late-grants': ['{ at = 5, kind = "applied_late", x = 0.3, for_s = 8, how = "grants" }'],
+	'lost-late-writes': ['{ at = 5, kind = "platform_lost", x = 0.5, for_s = 8, how = "late" }'],
+	'owner-frozen': ['{ at = 6, kind = "node_freeze", on = "core", count = 1, for_s = 4, how = "leader" }'],
+	'owner-cut': ['{ at = 6, kind = "core_cut", count = 1, for_s = 7, how = "leader" }'],
+	'owner-cut-one-way': ['{ at = 6, kind = "core_cut", count = 1, for_s = 7, how = "leader one_way" }'],
+	'owner-killed-hard': ['{ at = 6, kind = "node_kill", on = "core", count = 1, how = "leader race hard" }'],
+	'all-killed': ['{ at = 8, kind = "herd_kill", on = "core", share = 1.0, how = "off", for_s = 4 }'],
+	revoked: ['{ at = 6, kind = "platform_down", how = "nodes leader silent revoke", count = 1, for_s = 8 }'],
+	'store-lapse': ['{ at = 6, kind = "platform_down", how = "silent lapse", for_s = 7 }'],
+	'worker-power-rack': ['{ at = 6, kind = "srv_crash", how = "rack dark", share = 0.3, for_s = 5 }'],
+	'workers-slow-answers': ['{ at = 5, kind = "srv_grey", how = "slow", share = 0.3, x = 8, for_s = 8 }'],
+	'workers-hang': ['{ at = 5, kind = "srv_grey", how = "hang", share = 0.3, x = 1.0, for_s = 8 }'],
+	'workers-mute': ['{ at = 5, kind = "srv_grey", how = "mute", share = 0.3, x = 1.0, for_s = 8 }'],
+	'workers-reset': ['{ at = 5, kind = "srv_grey", how = "reset", share = 0.3, x = 0.5, for_s = 8 }'],
+	reclaim: ['{ at = 8, kind = "scale_in", how = "reclaim", for_s = 8 }'],
+	spot: ['{ at = 8, kind = "scale_in", how = "spot", share = 0.2 }'],
+	'takeover-in-late-orders': [
+		'{ at = 5, kind = "applied_late", x = 0.3, for_s = 8 }',
+		'{ at = 8, kind = "node_kill", on = "core", count = 1, how = "leader" }',
+	],
+	'takeover-in-lost-writes': [
+		'{ at = 5, kind = "platform_lost", x = 0.5, for_s = 8 }',
+		'{ at = 8, kind = "node_kill", on = "core", count = 1, how = "leader" }',
+	],
+	'freeze-and-zone-cut': [
+		'{ at = 6, kind = "node_freeze", on = "core", count = 1, for_s = 4, how = "leader" }',
+		'{ at = 7, kind = "zone_cut", for_s = 5, how = "reset" }',
+	],
+};
+
+for (const [label, faults] of Object.entries(troubles)) {
+	const fresh = day
+		.replace('name = "quiet-1"', `name = "${label}"`)
+		.replace(/faults = \[[^\]]*\]/, `faults = [\n  ${faults.join(',\n  ')},\n]`);
+	fs.writeFileSync(path.join(folder, `${name}-${label}.toml`), `${fresh.trimEnd()}\n`);
+}
--- a/spec/checks.ts
+++ b/spec/checks.ts
@@ -1,6 +1,7 @@
 /** Every check that CI runs: the protocols within bounds, and each guard's mutant, which must be found wrong. */
 import * as claim from './claim.js';
 import * as config from './config.js';
+import * as dispatch from './dispatch.js';
 import * as lease from './lease.js';
 import type * as explore from './explore.js';
 
@@ -94,5 +95,18 @@
 	return [check('holds', config.configModel('config', operators, config.allConfigGuards)), ...mutants];
 }
 
+function dispatchChecks(): Check[] {
+	const mutants = Object.keys(dispatch.allDispatchGuards).map((guard) =>
+		check(
+			'wrong',
+			dispatch.dispatchModel(`dispatch without ${guard}`, {
+				...dispatch.allDispatchGuards,
+				[guard]: false,
+			}),
+		),
+	);
+	return [check('holds', dispatch.dispatchModel('dispatch', dispatch.allDispatchGuards)), ...mutants];
+}
+
 /** All checks, the longest first. */
-export const checks: Check[] = [...leaseChecks(), ...claimChecks(), ...configChecks()];
+export const checks: Check[] = [...dispatchChecks(), ...leaseChecks(), ...claimChecks(), ...configChecks()];
