--- /dev/null
+++ b/src/core/dispatch/image-model.ts
@@ -0,0 +1,144 @@
+/**
+ * Regression model of one serving image: how much each neighbour image raises the busy part of its tasks.
+ *
+ * The unknowns are the slopes, one a neighbour image, learnt by ridge regression: each starts from a first guess that
+ * enters the sums as evidence of a small weight, and old evidence fades.
+ */
+
+/** First guess of a pair's slope. */
+const firstSlope = 0.7;
+
+/** Weight of the first guess, in squared shares; a tenth of a worker seen for five reports outweighs it. */
+const firstWeight = 0.05;
+
+/** Part of the evidence that each new report keeps: about the last two thousand reports count. */
+const keptEvidence = 0.9995;
+
+/** First guess of the tail of an idle task, as a part of its target. */
+const firstIdle = 1 / 6;
+
+/** The lowest tail seen is about that of an idle task; readings are rough. */
+const idlePerLowest = 0.95;
+
+/** A busy part raised by more than this is taken for this: an overload shows how far only roughly. */
+const mostRaised = 1.5;
+
+/** Share of the worker by neighbour image. */
+export type Shares = ReadonlyMap<string, number>;
+
+/** What was learnt of one serving image, in a form that another owner can go on from. */
+export interface LearntImage {
+	/** Lowest tail seen, in milliseconds. */
+	lowest: number;
+	/** Neighbour images in the order of the unknowns. */
+	images: string[];
+	/** Weighted sums of products of the inputs. */
+	products: number[][];
+	/** Weighted sums of products of each input and the result. */
+	results: number[];
+}
+
+/** The model of one serving image. */
+export class ImageModel {
+	/** Solution of the equations; undefined: out of date. */
+	private solution: number[] | undefined;
+
+	private constructor(private readonly sums: LearntImage) {}
+
+	static create(): ImageModel {
+		return new ImageModel({ lowest: Infinity, images: [], products: [], results: [] });
+	}
+
+	/** Goes on from what another owner learnt. */
+	static restore(learnt: LearntImage): ImageModel {
+		return new ImageModel(structuredClone(learnt));
+	}
+
+	/** What was learnt so far; its lists stay in use here, so whoever goes on from them copies them. */
+	get learnt(): LearntImage {
+		return { ...this.sums };
+	}
+
+	/** Neighbour images that are known. */
+	get neighbours(): readonly string[] {
+		return this.sums.images;
+	}
+
+	/** Takes in a tail, in milliseconds. */
+	noteTail(tail: number): void {
+		this.sums.lowest = Math.min(this.sums.lowest, tail);
+	}
+
+	/** Busy part of a task with this tail and target, in milliseconds. */
+	busyPart(tail: number, targetMs: number): number {
+		return Math.max(0, 1 - this.idleTail(targetMs) / tail);
+	}
+
+	/** Learns that neighbours with these shares raised the busy part by `raised`, as a part of the load. */
+	learn(shares: Shares, raised: number): void {
+		for (const image of shares.keys()) if (!this.sums.images.includes(image)) this.addImage(image);
+		const { images, products, results } = this.sums;
+		const inputs = images.map((image) => shares.get(image) ?? 0);
+		const result = Math.min(mostRaised, raised);
+		products.forEach((row, i) => {
+			row.forEach((sum, j) => {
+				row[j] = sum * keptEvidence + (inputs[i] ?? 0) * (inputs[j] ?? 0);
+			});
+		});
+		results.forEach((sum, i) => {
+			results[i] = sum * keptEvidence + (inputs[i] ?? 0) * result;
+		});
+		this.solution = undefined;
+	}
+
+	/** How much a whole worker of a neighbour raises the busy part; a neighbour never lowers it. */
+	slope(neighbour: string): number {
+		const index = this.sums.images.indexOf(neighbour);
+		return index < 0 ? firstSlope : Math.max(0, this.solve()[index] ?? firstSlope);
+	}
+
+	/** How much all these neighbours together raise the busy part. */
+	disturbance(shares: Shares): number {
+		let sum = 0;
+		for (const [image, share] of shares) sum += this.slope(image) * share;
+		return sum;
+	}
+
+	/** Tail of an idle task, in milliseconds. */
+	private idleTail(targetMs: number): number {
+		return Math.min(targetMs * firstIdle, this.sums.lowest * idlePerLowest);
+	}
+
+	/** Adds an image's unknown, with the first guess of its slope. */
+	private addImage(image: string): void {
+		const { images, products, results } = this.sums;
+		images.push(image);
+		for (const row of products) row.push(0);
+		products.push([...images.slice(1).map(() => 0), firstWeight]);
+		results.push(firstWeight * firstSlope);
+		this.solution = undefined;
+	}
+
+	/** Solves the equations by elimination; the first guesses keep them regular. */
+	private solve(): number[] {
+		if (this.solution !== undefined) return this.solution;
+		const { products, results } = this.sums;
+		const size = results.length;
+		const rows = products.map((row, i) => [...row, results[i] ?? 0]);
+		for (let pivot = 0; pivot < size; pivot += 1) eliminate(rows, pivot);
+		this.solution = rows.map((row, i) => (row[size] ?? 0) / (row[i] ?? 1));
+		return this.solution;
+	}
+}
+
+/** Clears a column in every row but its own; the matrix is positive definite, so no rows change places. */
+function eliminate(rows: number[][], pivot: number): void {
+	const pivotRow = rows[pivot] ?? [];
+	const head = pivotRow[pivot] ?? 1;
+	rows.forEach((row, i) => {
+		if (i === pivot) return;
+		const factor = (row[pivot] ?? 0) / head;
+		if (factor === 0) return;
+		for (let j = pivot; j < row.length; j += 1) row[j] = (row[j] ?? 0) - factor * (pivotRow[j] ?? 0);
+	});
+}
--- a/src/core/dispatch/load-track.ts
+++ b/src/core/dispatch/load-track.ts
@@ -12,6 +12,9 @@
 /** Estimates follow the quantile within about this, in milliseconds; loads swing over ten seconds and more. */
 const followMs = 400;
 
+/** Reports closer together than this count as so far apart, in milliseconds: each moves the estimate a little. */
+const leastStepMs = 30;
+
 /** Fewer tasks than this can't tell a load from a disturbance. */
 const leastTasks = 3;
 
@@ -19,7 +22,9 @@
 export class LoadTrack {
 	private readonly reports = new Map<number, { busy: number; at: number }>();
 	private load: number | undefined;
+	/** When the load was last moved. */
 	private at = 0;
+	/** How many tasks reported lately. */
 	private compared = 0;
 
 	private constructor() {
@@ -50,10 +55,9 @@
 			this.at = now;
 			return;
 		}
-		const elapsed = Math.max(30, now - this.at);
+		const elapsed = Math.max(leastStepMs, now - this.at);
 		const part = 1 - Math.exp(-elapsed / followMs);
-		const next = this.load + (quantile - this.load) * part;
-		this.load = next;
+		this.load += (quantile - this.load) * part;
 		this.at = now;
 	}
 }
--- /dev/null
+++ b/src/core/dispatch/neighbours.ts
@@ -0,0 +1,38 @@
+/** Who stands beside whom on a worker: the tasks that serve users there, and what the others use, by image. */
+import type * as imageModel from './image-model.js';
+import type * as sessions from './worker-session.js';
+import type * as types from './types.js';
+
+/** Name under which tasks that neither serve nor fill are counted. */
+export const ordinary = '';
+
+/** Placements that serve users on a worker. */
+export function servingOf(session: sessions.WorkerSession): types.Placement[] {
+	return [...session.placements.values()].filter(isServing);
+}
+
+/** What the neighbours of the serving tasks use, by image; `partOf` weighs each. */
+export function sharesOf(
+	session: sessions.WorkerSession,
+	partOf: (place: types.Placement) => number,
+): imageModel.Shares {
+	const shares = new Map<string, number>();
+	for (const place of session.placements.values()) {
+		if (isServing(place)) continue;
+		const { spec } = place.task.step;
+		const image = spec.fills ? spec.image : ordinary;
+		shares.set(image, (shares.get(image) ?? 0) + shareOf(session, place) * partOf(place));
+	}
+	return shares;
+}
+
+/** Whether a placement's task serves users. */
+function isServing(place: types.Placement): boolean {
+	return place.task.step.spec.targetMs > 0;
+}
+
+/** Share of the worker that a placement uses at its pace. */
+function shareOf(session: sessions.WorkerSession, place: types.Placement): number {
+	const capacity = session.entry?.capacity.milliCores ?? 1;
+	return (place.task.step.spec.milliCores * place.pace) / 100 / capacity;
+}
--- a/src/core/dispatch/pressure.ts
+++ b/src/core/dispatch/pressure.ts
@@ -3,7 +3,8 @@
  * off, so placement avoids it; here only those are slowed that stand beside a task which stays over its target: first
  * the ones expected to disturb it, in the end all.
  */
-import * as interference from './interference.js';
+import * as neighbours from './neighbours.js';
+import type * as interference from './interference.js';
 import type * as sessions from './worker-session.js';
 import type * as types from './types.js';
 
@@ -43,7 +44,7 @@
 	/** Looks at a worker after its report. */
 	look(session: sessions.WorkerSession): void {
 		this.estimates.observe(session);
-		const serving = interference.servingOf(session);
+		const serving = neighbours.servingOf(session);
 		for (const place of session.placements.values()) {
 			if (!place.task.step.spec.fills || place.phase !== 'running') continue;
 			const percent = this.wantedPace(place, serving);
@@ -51,7 +52,7 @@
 		}
 	}
 
-	/** Undefined: as it is. */
+	/** The pace that a task should have beside these; undefined: as it is. */
 	private wantedPace(place: types.Placement, serving: types.Placement[]): number | undefined {
 		const now = this.deps.clock.now();
 		let calm = true;
