--- a/src/core/dispatch/placement.ts
+++ b/src/core/dispatch/placement.ts
@@ -28,12 +28,13 @@
 const lastingUse = 0.5;
 
 /**
- * A task that fills waits rather than keep more than this many serving tasks over their targets; after a while it waits for less. What waits longer fills for longer: strict limits spare nobody.
+ * A task that fills waits rather than keep more than this many serving tasks over their targets; after a while it puts
+ * up with more. What waits longer fills for longer: strict limits spare nobody.
  */
 const mostHarm = 0.25;
 const mostHarmLate = 0.6;
 
-/** When it waits for less, in milliseconds. */
+/** When it puts up with more, in milliseconds. */
 const patienceMs = 3_000;
 
 /** A neighbour with a smaller slope than this is not expected to disturb. */
@@ -131,26 +132,41 @@
 	now: number,
 ): number {
 	const { spec } = task.step;
-	const capacity = worker.entry?.capacity.milliCores ?? 1;
-	let score = worker.failuresInRow * weights.failing;
-	if (task.failedOn.has(worker.id)) score += weights.failedThere;
-	if (spec.dataRack !== '' && worker.entry?.labels.includes(spec.dataRack) !== true)
-		score += weights.awayFromData;
+	const base = rateForAny(task, worker);
 	if (spec.fills) {
 		if (disturbsOverloaded(spec.image, worker, estimates, now)) return Infinity;
 		const limit = now - task.readyAt < patienceMs ? mostHarm : mostHarmLate;
-		return score + rateFilling(spec, worker, estimates, limit);
-	}
-	if (spec.targetMs > 0) {
-		score += (worker.fillMilliCores / capacity) * weights.besideFilling;
-		const unlike = unlikeShare(spec.image, worker, estimates);
-		score += unlike === undefined ? weights.firstOfImage : unlike * weights.otherImages;
-		// The fullest that fits: whole workers stay free for other images.
-		return score - worker.used.milliCores / capacity;
+		return base + rateFilling(spec, worker, estimates, limit);
 	}
-	return score + worker.used.milliCores / capacity;
+	const capacity = worker.entry?.capacity.milliCores ?? 1;
+	const reserved = worker.used.milliCores / capacity;
+	// The fullest that fits: whole workers stay free for other images.
+	if (spec.targetMs > 0) return base + rateServing(spec.image, worker, estimates) - reserved;
+	return base + reserved;
+}
+
+/** What counts for a task of any kind. */
+function rateForAny(task: jobs.Task, worker: sessions.WorkerSession): number {
+	const { dataRack } = task.step.spec;
+	let score = worker.failuresInRow * weights.failing;
+	if (task.failedOn.has(worker.id)) score += weights.failedThere;
+	if (dataRack !== '' && worker.entry?.labels.includes(dataRack) !== true) score += weights.awayFromData;
+	return score;
+}
+
+/** What a task that serves users has around it there. */
+function rateServing(
+	image: string,
+	worker: sessions.WorkerSession,
+	estimates: interference.Interference,
+): number {
+	const capacity = worker.entry?.capacity.milliCores ?? 1;
+	const filling = (worker.fillMilliCores / capacity) * weights.besideFilling;
+	const unlike = unlikeShare(image, worker, estimates);
+	return filling + (unlike === undefined ? weights.firstOfImage : unlike * weights.otherImages);
 }
 
+/** How full a worker gets with one more task that fills, and whom it harms; infinite: beyond the limits. */
 function rateFilling(
 	spec: jobs.StepSpec,
 	worker: sessions.WorkerSession,
--- a/src/core/dispatch/preemption.ts
+++ b/src/core/dispatch/preemption.ts
@@ -9,7 +9,7 @@
 import type * as types from './types.js';
 
 /** A short task waits so long for room before others are stopped for it, in milliseconds. */
-export const patienceMs = 120;
+const patienceMs = 120;
 
 /** Stops in one round, at most: room that is coming free already is counted before more is made. */
 const mostVictims = 4;
@@ -45,18 +45,24 @@
 	if (first === undefined) return [];
 	const priority = ctx.priorityOf(first.step.job);
 	const open = [...workers].filter((one) => one.open && one.entry?.pool === ctx.poolOf(first.step.job));
-	let wanted = sum(short.map((task) => task.step.spec.milliCores)) - comingFree(open);
-	const victims: Victim[] = [];
+	const wanted = sum(short.map((task) => task.step.spec.milliCores)) - comingFree(open);
 	const candidates = open.flatMap((session) => candidatesOn(session, priority, ctx));
+	return takeCheapest(candidates, wanted, ctx);
+}
+
+/** The cheapest candidates that free `wanted` thousandths of a core, one a worker at most. */
+function takeCheapest(candidates: Victim[], wanted: number, ctx: PreemptionContext): Victim[] {
 	const costs = new Map(candidates.map((victim) => [victim, cost(victim, ctx)]));
-	candidates.sort((a, b) => (costs.get(a) ?? 0) - (costs.get(b) ?? 0));
+	const cheapestFirst = [...candidates].sort((a, b) => (costs.get(a) ?? 0) - (costs.get(b) ?? 0));
+	const victims: Victim[] = [];
+	let missing = wanted;
 	const used = new Set<sessions.WorkerSession>();
-	for (const victim of candidates) {
-		if (wanted <= 0 || victims.length >= mostVictims) break;
+	for (const victim of cheapestFirst) {
+		if (missing <= 0 || victims.length >= mostVictims) break;
 		if (used.has(victim.session)) continue;
 		used.add(victim.session);
 		victims.push(victim);
-		wanted -= victim.place.task.step.spec.milliCores;
+		missing -= victim.place.task.step.spec.milliCores;
 	}
 	return victims;
 }
