--- a/src/core/jobs/active-job.ts
+++ b/src/core/jobs/active-job.ts
@@ -1,5 +1,5 @@
 /** A job that the owner works on: its steps and tasks, and what has to be stored of them. */
-import type * as types from './types.js';
+import * as types from './types.js';
 
 /** Where a task stands. `stopping`: placed, and told to stop. */
 export type TaskState = 'blocked' | 'ready' | 'placed' | 'stopping' | 'finished';
@@ -34,15 +34,29 @@
 	unfinished: number;
 }
 
+/** From what a job goes on. */
+export interface JobStart {
+	/** A caller has asked to cancel it. */
+	cancelled: boolean;
+	/** A predecessor may have started tasks of it. */
+	inherited: boolean;
+	/** Clock time. */
+	now: number;
+	/** Milliseconds since the job was accepted. */
+	age: number;
+}
+
 /** One job under way. */
 export class ActiveJob {
 	readonly steps: StepRun[] = [];
 	state: types.JobState = 'pending';
 	/** The state as stored; callers are told nothing newer. */
 	storedState: types.JobState = 'pending';
+	/** A caller has asked to cancel it. */
 	cancelled: boolean;
+	/** When it reached its end; 0 before. */
 	endedAt: types.WallMs = 0;
-	/** Times of the schedule that have come, or 1. */
+	/** How many times of the schedule have come. */
 	private timesOpen = 0;
 	/** Whether a predecessor may have started tasks of it. */
 	readonly inherited: boolean;
@@ -52,22 +66,22 @@
 	private constructor(
 		readonly record: types.JobRecord,
 		private readonly progress: types.ProgressRecord | undefined,
-		opts: { cancelled: boolean; inherited: boolean; now: number; age: number },
+		start: JobStart,
 	) {
-		this.cancelled = opts.cancelled;
-		this.inherited = opts.inherited;
-		this.dueAt =
-			opts.now - opts.age + record.queue.stretch * longestChainMs(record) + record.queue.objectiveMs;
+		this.cancelled = start.cancelled;
+		this.inherited = start.inherited;
+		const { stretch, objectiveMs } = record.queue;
+		this.dueAt = start.now - start.age + stretch * longestChainMs(record) + objectiveMs;
 		if (progress !== undefined) this.adopt(progress);
 	}
 
-	/** `age`: milliseconds since the job was accepted. */
+	/** `progress`: what is stored of it, if anything is. */
 	static create(
 		record: types.JobRecord,
 		progress: types.ProgressRecord | undefined,
-		opts: { cancelled: boolean; inherited: boolean; now: number; age: number },
+		start: JobStart,
 	): ActiveJob {
-		return new ActiveJob(record, progress, opts);
+		return new ActiveJob(record, progress, start);
 	}
 
 	get id(): string {
@@ -76,7 +90,7 @@
 
 	/** Whether nothing of it will ever run again. */
 	get ended(): boolean {
-		return this.state === 'completed' || this.state === 'failed' || this.state === 'cancelled';
+		return types.isFinal(this.state);
 	}
 
 	/** How many times the steps run. */
@@ -129,9 +143,9 @@
 		const checkpoints: types.ProgressRecord['checkpoints'] = {};
 		for (const step of this.steps) {
 			const done = step.tasks.filter((task) => task.state === 'finished').map((task) => task.index);
-			if (done.length > 0) finished[`${step.time}.${step.number}`] = step.unfinished === 0 ? 'all' : done;
+			if (done.length > 0) finished[stepKey(step.time, step.number)] = step.unfinished === 0 ? 'all' : done;
 			for (const task of step.tasks) {
-				const key = `${step.time}.${step.number}.${task.index}`;
+				const key = taskKey(step, task.index);
 				if (task.failures.size > 0) failures[key] = [...task.failures];
 				if (task.checkpoint !== '' && task.state === 'ready') checkpoints[key] = task.checkpoint;
 			}
@@ -151,7 +165,7 @@
 
 	private createStep(time: number, number: number, spec: types.StepSpec): StepRun {
 		const step: StepRun = { job: this, time, number, spec, tasks: [], unfinished: spec.count };
-		const done = this.progress?.finished[`${time}.${number}`];
+		const done = this.progress?.finished[stepKey(time, number)];
 		for (let index = 0; index < spec.count; index += 1) {
 			const task = this.createTask(step, index);
 			if (done === 'all' || done?.includes(index)) {
@@ -164,7 +178,7 @@
 	}
 
 	private createTask(step: StepRun, index: number): Task {
-		const key = `${step.time}.${step.number}.${index}`;
+		const key = taskKey(step, index);
 		return {
 			name: `${this.id}.${key}`,
 			index,
@@ -192,10 +206,16 @@
 	}
 }
 
-/** Time, step and index in a task's name; undefined if it has another form. */
-export function parseTaskName(
-	name: string,
-): { job: string; time: number; step: number; index: number } | undefined {
+/** The parts of a task's name. */
+export interface TaskName {
+	job: string;
+	time: number;
+	step: number;
+	index: number;
+}
+
+/** The parts of a task's name; undefined if it has another form. */
+export function parseTaskName(name: string): TaskName | undefined {
 	const match = /^([^.]+)\.(\d+)\.(\d+)\.(\d+)$/.exec(name);
 	if (match === null) return undefined;
 	return {
@@ -206,6 +226,16 @@
 	};
 }
 
+/** Name of a step in the progress of its job. */
+function stepKey(time: number, number: number): string {
+	return `${time}.${number}`;
+}
+
+/** Name of a task in the progress of its job. */
+function taskKey(step: StepRun, index: number): string {
+	return `${stepKey(step.time, step.number)}.${index}`;
+}
+
 /** Longest chain of estimated run times through the steps, in milliseconds. */
 function longestChainMs(record: types.JobRecord): number {
 	const ends: number[] = [];
