--- a/src/core/ledger/index.ts
+++ b/src/core/ledger/index.ts
@@ -3,5 +3,5 @@
 export { accept, cancel, readJob, storedState } from './requests.js';
 export { maxProgressPerWrite, OwnerLedger } from './owner-ledger.js';
 export { decodeJob, decodeOwner } from './records.js';
-export type { LedgerContents, WriteOutcome } from './owner-ledger.js';
+export type { LedgerContents, NewOwner, WriteOutcome } from './owner-ledger.js';
 export type * from './types.js';
--- a/src/core/ledger/keys.ts
+++ b/src/core/ledger/keys.ts
@@ -1,7 +1,7 @@
 /** Keys of what the boxes keep in the platform's store. */
 
 /** Everything of the boxes. */
-export const rootPrefix = 'woodcross/';
+const rootPrefix = 'woodcross/';
 
 /** All that concerns jobs. */
 export const jobsPrefix = `${rootPrefix}jobs/`;
--- a/src/core/ledger/owner-ledger.ts
+++ b/src/core/ledger/owner-ledger.ts
@@ -25,6 +25,24 @@
 	revision: number;
 }
 
+/** The box that takes over. */
+export interface NewOwner {
+	box: string;
+	/** Where its peers connect, `host:port`. */
+	peer: string;
+	/** The lease with which its name goes away. */
+	lease: string;
+}
+
+/** What a committed or refused write of the owner left behind. */
+interface Commit {
+	outcome: WriteOutcome;
+	/** Version of what was written; 0: nothing was. */
+	version: number;
+	/** After a conflict, the expected keys as they are. */
+	current: platform.Stored[];
+}
+
 /** The ledger under one epoch. */
 export class OwnerLedger {
 	/** Clock time at which the newest write or read that showed this epoch in force was sent. */
@@ -49,27 +67,27 @@
 	static async take(
 		store: platform.RecordStore,
 		now: () => number,
-		owner: { box: string; peer: string; lease: string },
+		owner: NewOwner,
 		replaces: number | undefined,
 	): Promise<results.Result<OwnerLedger, string>> {
-		const [epoch, holder] = await Promise.all([store.get(keys.epochKey), store.get(keys.ownerKey)]);
-		if (!epoch.ok) return results.fail(epoch.err.reason);
-		if (!holder.ok) return results.fail(holder.err.reason);
-		const named = holder.value && records.decodeOwner(holder.value.value);
+		const before = await readHolder(store);
+		if (!before.ok) return before;
+		const { epoch, holder } = before.value;
+		const named = holder && records.decodeOwner(holder.value);
 		if (named !== undefined && named.generation !== replaces)
 			return results.fail(`generation ${named.generation} was first`);
-		const last = epoch.value && records.decodeEpoch(epoch.value.value);
+		const last = epoch && records.decodeEpoch(epoch.value);
 		const generation = (last?.generation ?? 0) + 1;
-		const { box, peer, lease } = owner;
+		const { box, lease } = owner;
 		const sentAt = now();
 		const res = await store.commit({
 			expected: [
-				{ key: keys.epochKey, version: epoch.value?.version ?? 0 },
-				{ key: keys.ownerKey, version: holder.value?.version ?? 0 },
+				{ key: keys.epochKey, version: epoch?.version ?? 0 },
+				{ key: keys.ownerKey, version: holder?.version ?? 0 },
 			],
 			writes: [
 				{ key: keys.epochKey, value: wire.encodeValue({ generation, box }) },
-				{ key: keys.ownerKey, value: wire.encodeValue({ generation, box, peer }), lease },
+				{ key: keys.ownerKey, value: encodeOwner(generation, owner), lease },
 			],
 			removes: [],
 		});
@@ -104,14 +122,12 @@
 			version: this.progressVersions.get(id) ?? 0,
 		}));
 		const res = await this.commit(expected, writes, []);
-		if (res.outcome === 'committed') {
+		if (res.outcome === 'committed')
 			for (const id of batch.keys()) this.progressVersions.set(id, res.version);
-		}
-		if (res.outcome === 'conflict') {
-			// An earlier write of ours without an answer took effect after all: go on from its version.
-			const found = new Map(res.current.map((item) => [item.key, item.version]));
-			for (const id of batch.keys()) this.progressVersions.set(id, found.get(keys.progressKey(id)) ?? 0);
-		}
+		// An earlier write of ours without an answer took effect after all: go on from its version.
+		if (res.outcome === 'conflict')
+			for (const id of batch.keys())
+				this.progressVersions.set(id, versionIn(res.current, keys.progressKey(id)));
 		return res.outcome;
 	}
 
@@ -121,8 +137,7 @@
 		const writes = [{ key: keys.rosterKey, value: wire.encodeValue(roster) }];
 		const res = await this.commit(expected, writes, []);
 		if (res.outcome === 'committed') this.rosterVersion = res.version;
-		if (res.outcome === 'conflict')
-			this.rosterVersion = res.current.find((item) => item.key === keys.rosterKey)?.version ?? 0;
+		if (res.outcome === 'conflict') this.rosterVersion = versionIn(res.current, keys.rosterKey);
 		return res.outcome;
 	}
 
@@ -141,8 +156,8 @@
 	}
 
 	/** Names this box as owner again after its lease lapsed while the store was away. */
-	async rename(owner: { box: string; peer: string; lease: string }): Promise<WriteOutcome> {
-		const value = wire.encodeValue({ generation: this.generation, box: owner.box, peer: owner.peer });
+	async rename(owner: NewOwner): Promise<WriteOutcome> {
+		const value = encodeOwner(this.generation, owner);
 		const writes = [{ key: keys.ownerKey, value, lease: owner.lease }];
 		const res = await this.commit([{ key: keys.ownerKey, version: 0 }], writes, []);
 		return res.outcome;
@@ -162,7 +177,7 @@
 		expected: platform.Transaction['expected'],
 		writes: platform.Transaction['writes'],
 		removes: string[],
-	): Promise<{ outcome: WriteOutcome; version: number; current: platform.Stored[] }> {
+	): Promise<Commit> {
 		const fence = { key: keys.epochKey, version: this.epochVersion };
 		const sentAt = this.now();
 		const res = await this.store.commit({ expected: [fence, ...expected], writes, removes });
@@ -178,6 +193,26 @@
 	}
 }
 
+/** The epoch and the owner's name as they are stored. */
+async function readHolder(
+	store: platform.RecordStore,
+): Promise<results.Result<Record<'epoch' | 'holder', platform.Stored | undefined>, string>> {
+	const [epoch, holder] = await Promise.all([store.get(keys.epochKey), store.get(keys.ownerKey)]);
+	if (!epoch.ok) return results.fail(epoch.err.reason);
+	if (!holder.ok) return results.fail(holder.err.reason);
+	return results.ok({ epoch: epoch.value, holder: holder.value });
+}
+
+function encodeOwner(generation: number, owner: NewOwner): Uint8Array {
+	return wire.encodeValue({ generation, box: owner.box, peer: owner.peer });
+}
+
+/** Version of a key among these; 0: it is absent. */
+function versionIn(items: platform.Stored[], key: string): number {
+	return items.find((item) => item.key === key)?.version ?? 0;
+}
+
+/** The jobs in a list of all that concerns jobs; progress and cancellations without a job are left out. */
 function collect(items: platform.Stored[]): Map<string, types.StoredJob> {
 	const found = new Map<string, types.StoredJob>();
 	const parsed = items.flatMap((item) => {
