--- a/stand-ins/fleet/memory-store.ts
+++ b/stand-ins/fleet/memory-store.ts
@@ -25,12 +25,15 @@
 	resolve: (outcome: results.Result<platform.FollowOutcome, platform.StoreFailure>) => void;
 }
 
+type StoreResult<T> = Promise<results.Result<T, platform.StoreFailure>>;
+
 const unanswered = results.fail({ effect: 'unknown' as const, reason: 'no answer' });
 const refused = results.fail({ effect: 'none' as const, reason: 'the store is unavailable' });
 
 /** One store; `view` gives each box its own faults. */
 export class MemoryStore {
-	revision = 0;
+	/** Counts changes; the version of whatever changed last. */
+	private revision = 0;
 	/** Writing calls that were carried out. */
 	writes = 0;
 	private readonly entries = new Map<string, Entry>();
@@ -47,20 +50,8 @@
 
 	/** The store as one box sees it; `fault` is read at each call. */
 	view(fault: () => StoreFault = () => 'none'): platform.RecordStore {
-		const read = async <T>(fn: () => T): Promise<results.Result<T, platform.StoreFailure>> => {
-			await this.sleep(answerMs);
-			return fault() === 'down' ? refused : results.ok(fn());
-		};
-		const write = async <T>(fn: () => T): Promise<results.Result<T, platform.StoreFailure>> => {
-			await this.sleep(answerMs);
-			const now = fault();
-			if (now === 'down') return refused;
-			if (now === 'none') return results.ok(fn());
-			if (now === 'lost') fn();
-			else this.clock.after(giveUpMs + lateMs, () => void fn());
-			await this.sleep(giveUpMs);
-			return unanswered;
-		};
+		const read = <T>(fn: () => T): StoreResult<T> => this.read(fault, fn);
+		const write = <T>(fn: () => T): StoreResult<T> => this.write(fault, fn);
 		return {
 			get: (key) => read(() => this.stored(key)),
 			list: (prefix) => read(() => ({ items: this.list(prefix), revision: this.revision })),
@@ -68,11 +59,7 @@
 			follow: (prefix, after, waitMs) => this.follow(prefix, after, waitMs, fault),
 			grantLease: (ttlMs) => write(() => this.grant(ttlMs)),
 			keepLease: (lease) => read(() => this.keep(lease)),
-			endLease: (lease) =>
-				write(() => {
-					this.lapse(lease);
-					return true as const;
-				}),
+			endLease: (lease) => write(() => this.lapse(lease)),
 		};
 	}
 
@@ -91,6 +78,22 @@
 		return [...this.entries.keys()].sort();
 	}
 
+	private async read<T>(fault: () => StoreFault, fn: () => T): StoreResult<T> {
+		await this.sleep(answerMs);
+		return fault() === 'down' ? refused : results.ok(fn());
+	}
+
+	private async write<T>(fault: () => StoreFault, fn: () => T): StoreResult<T> {
+		await this.sleep(answerMs);
+		const now = fault();
+		if (now === 'down') return refused;
+		if (now === 'none') return results.ok(fn());
+		if (now === 'lost') fn();
+		else this.clock.after(giveUpMs + lateMs, () => void fn());
+		await this.sleep(giveUpMs);
+		return unanswered;
+	}
+
 	private list(prefix: string): platform.Stored[] {
 		return this.keys().flatMap((key) => (key.startsWith(prefix) ? (this.stored(key) ?? []) : []));
 	}
@@ -131,7 +134,7 @@
 		after: number,
 		waitMs: number,
 		fault: () => StoreFault,
-	): Promise<results.Result<platform.FollowOutcome, platform.StoreFailure>> {
+	): StoreResult<platform.FollowOutcome> {
 		return new Promise((resolve) => {
 			this.clock.after(answerMs, () => {
 				if (fault() === 'down') {
@@ -184,10 +187,12 @@
 		});
 	}
 
-	private lapse(lease: string): void {
+	/** Ends a lease, and removes its keys. */
+	private lapse(lease: string): true {
 		this.leases.get(lease)?.timer.cancel();
 		this.leases.delete(lease);
 		for (const [key, entry] of this.entries) if (entry.lease === lease) this.apply(key, undefined);
+		return true;
 	}
 
 	private sleep(ms: number): Promise<void> {
--- a/stand-ins/fleet/workers.ts
+++ b/stand-ins/fleet/workers.ts
@@ -19,6 +19,14 @@
 /** A stop takes so long, in milliseconds. */
 const stopMs = 200;
 
+/** First reading of a worker's clock, in milliseconds: far from ours, so that nobody takes one for the other. */
+const firstClockMs = 500_000;
+
+const noAnswer: fleet.WorkerFailure = { kind: 'no-answer', reason: 'silent' };
+
+/** What a call does at a worker. */
+type Order<T> = (worker: FakeWorker) => results.Result<T, fleet.WorkerFailure>;
+
 /** How a run goes; `endless` ones end only by a stop or with their lease. */
 export interface RunPlan {
 	ms: number | 'endless';
@@ -61,21 +69,29 @@
 	private epoch = 0;
 	private leaseUntil = 0;
 	private leaseTimer: clocks.Timer | undefined;
+	/** Highest run number seen, by task. */
 	private readonly highest = new Map<string, number>();
+	/** Number of the newest end. */
 	private seq = 0;
 	private waiting: (() => void)[] = [];
 
-	constructor(
+	private constructor(
 		readonly entry: fleet.WorkerEntry,
 		private readonly opts: FleetOptions,
 		private readonly starts: StartRecord[],
 	) {}
 
+	/** `starts`: where the starts that it carries out are listed. */
+	static create(entry: fleet.WorkerEntry, opts: FleetOptions, starts: StartRecord[]): FakeWorker {
+		return new FakeWorker(entry, opts, starts);
+	}
+
 	/** Its monotonic clock, in milliseconds. */
 	clockMs(): number {
-		return 500_000 + this.opts.clock.now() * this.rate;
+		return firstClockMs + this.opts.clock.now() * this.rate;
 	}
 
+	/** Extends the lease, forgets ends, and reports. */
 	hold(req: fleet.HoldOrder): results.Result<fleet.WorkerReport, fleet.WorkerFailure> {
 		if (!this.accepts(req.epoch)) return results.fail({ kind: 'fenced' });
 		this.extend(req.leaseUntil);
@@ -83,6 +99,7 @@
 		return results.ok(this.report());
 	}
 
+	/** What it says of itself now. */
 	report(): fleet.WorkerReport {
 		const running = [...this.running].map(([task, one]) => ({
 			task,
@@ -94,6 +111,7 @@
 		return { clockMs: this.clockMs(), running, ended: [...this.ended] };
 	}
 
+	/** Starts a run, unless the epoch, the run number or the lease forbids it; a repeated start changes nothing. */
 	start(req: fleet.StartOrder): results.Result<fleet.ClockReading, fleet.WorkerFailure> {
 		if (!this.accepts(req.epoch)) return results.fail({ kind: 'fenced' });
 		this.extend(req.leaseUntil);
@@ -105,6 +123,7 @@
 		return results.ok({ clockMs: this.clockMs() });
 	}
 
+	/** Ends a run after a while, and refuses later starts of it. */
 	stop(task: string, run: number, epoch: number): results.Result<fleet.ClockReading, fleet.WorkerFailure> {
 		if (!this.accepts(epoch)) return results.fail({ kind: 'fenced' });
 		this.highest.set(task, Math.max(run, this.highest.get(task) ?? 0));
@@ -178,7 +197,7 @@
 	readonly workers = new Map<string, FakeWorker>();
 	/** Every start that was carried out, in order. */
 	readonly starts: StartRecord[] = [];
-	/** Called before each call; a box that is cut off is given `silent`. */
+
 	private constructor(private readonly opts: FleetOptions) {}
 
 	static create(opts: FleetOptions): FakeFleet {
@@ -199,7 +218,7 @@
 		};
 		for (const other of [...this.workers.values()])
 			if (other.entry.address === entry.address) this.workers.delete(other.entry.id);
-		const worker = new FakeWorker(entry, this.opts, this.starts);
+		const worker = FakeWorker.create(entry, this.opts, this.starts);
 		this.workers.set(id, worker);
 		return worker;
 	}
@@ -217,41 +236,52 @@
 
 	/** The calls as one box makes them; `isCut`: none of its calls arrives. */
 	calls(isCut: () => boolean = () => false): fleet.WorkerCalls {
-		const carryOut = async <T>(
-			at: fleet.WorkerTarget,
-			fn: (worker: FakeWorker) => results.Result<T, fleet.WorkerFailure>,
-		): fleet.WorkerResult<T> => {
-			await this.sleep(answerMs);
-			const worker = this.atAddress(at.address);
-			const fault = isCut() || worker === undefined ? 'silent' : worker.fault;
-			if (worker !== undefined && fault !== 'silent') {
-				if (worker.entry.id !== at.id) return results.fail({ kind: 'other-life' });
-				if (fault === 'none') return fn(worker);
-				if (fault === 'refused') return results.fail({ kind: 'unreachable' });
-				if (fault === 'lost') fn(worker);
-				else this.opts.clock.after(giveUpMs + lateMs, () => void fn(worker));
-			}
-			await this.sleep(giveUpMs);
-			return results.fail({ kind: 'no-answer', reason: 'silent' });
-		};
+		const call = <T>(at: fleet.WorkerTarget, order: Order<T>): fleet.WorkerResult<T> =>
+			this.carryOut(at, isCut, order);
 		return {
-			start: (at, order) => carryOut(at, (worker) => worker.start(order)),
-			stop: (at, task, run, epoch) => carryOut(at, (worker) => worker.stop(task, run, epoch)),
-			pace: (at) => carryOut(at, (worker) => results.ok({ clockMs: worker.clockMs() })),
-			hold: async (at, order) => {
-				const first = await carryOut(at, (worker) => worker.hold(order));
-				const worker = this.atAddress(at.address);
-				if (!first.ok || worker === undefined || order.waitMs === 0) return first;
-				if (first.value.ended.length > 0) return first;
-				await this.endOrTimeout(worker, order.waitMs);
-				return isCut() || worker.fault !== 'none'
-					? results.fail({ kind: 'no-answer', reason: 'silent' })
-					: results.ok(worker.report());
-			},
+			start: (at, order) => call(at, (worker) => worker.start(order)),
+			stop: (at, task, run, epoch) => call(at, (worker) => worker.stop(task, run, epoch)),
+			pace: (at) => call(at, (worker) => results.ok({ clockMs: worker.clockMs() })),
+			hold: (at, order) => this.hold(at, isCut, order),
 			forget: () => undefined,
 		};
 	}
 
+	/** Carries an order out at the worker that listens at the address, as that worker's fault lets it. */
+	private async carryOut<T>(
+		at: fleet.WorkerTarget,
+		isCut: () => boolean,
+		order: Order<T>,
+	): fleet.WorkerResult<T> {
+		await this.sleep(answerMs);
+		const worker = this.atAddress(at.address);
+		const fault = isCut() || worker === undefined ? 'silent' : worker.fault;
+		if (worker !== undefined && fault !== 'silent') {
+			if (worker.entry.id !== at.id) return results.fail({ kind: 'other-life' });
+			if (fault === 'none') return order(worker);
+			if (fault === 'refused') return results.fail({ kind: 'unreachable' });
+			if (fault === 'lost') order(worker);
+			else this.opts.clock.after(giveUpMs + lateMs, () => void order(worker));
+		}
+		await this.sleep(giveUpMs);
+		return results.fail(noAnswer);
+	}
+
+	/** Asks for a report; without an end to report, the answer waits for one. */
+	private async hold(
+		at: fleet.WorkerTarget,
+		isCut: () => boolean,
+		order: fleet.HoldOrder,
+	): fleet.WorkerResult<fleet.WorkerReport> {
+		const first = await this.carryOut(at, isCut, (worker) => worker.hold(order));
+		const worker = this.atAddress(at.address);
+		if (!first.ok || worker === undefined || order.waitMs === 0) return first;
+		if (first.value.ended.length > 0) return first;
+		await this.endOrTimeout(worker, order.waitMs);
+		if (isCut() || worker.fault !== 'none') return results.fail(noAnswer);
+		return results.ok(worker.report());
+	}
+
 	private atAddress(address: string): FakeWorker | undefined {
 		return [...this.workers.values()].find((one) => one.entry.address === address);
 	}
