--- a/stand-ins/users-platform/server.ts
+++ b/stand-ins/users-platform/server.ts
@@ -12,6 +12,13 @@
 
 type Body = Record<string, unknown>;
 
+/** Status and body of an answer. */
+type Answer = [number, object];
+
+type Answerer = (req: http.IncomingMessage, url: URL, body: Body) => Promise<Answer>;
+
+const unavailable: Answer = [503, {}];
+
 /** Status of each refusal of a worker, and its reason on the wire. */
 const refusals: Record<string, [number, string]> = {
 	fenced: [409, 'fence'],
@@ -28,6 +35,7 @@
 	/** The store answers nobody while this is set. */
 	storeDown = false;
 	private readonly servers: http.Server[] = [];
+	/** Ids of the workers, by address. */
 	private readonly workerIds = new Map<string, string>();
 
 	private constructor(plan: (task: string, run: number) => workers.RunPlan) {
@@ -63,28 +71,7 @@
 
 	/** Writes the operators' configuration: one queue at `host` and `/jobs/`. */
 	configure(version: number, host: string): void {
-		const configuration = {
-			version,
-			routes: [
-				{
-					name: 'proofs',
-					host,
-					path_prefix: '/jobs/',
-					slo_ms: 500,
-					priority: 0,
-					service: 'press',
-					attempts: 3,
-					stretch: 2,
-				},
-			],
-			services: [{ name: 'press', admission_check: true, headroom: false }],
-			limits: {
-				max_header_bytes: 16_384,
-				max_body_bytes: 65_536,
-				header_timeout_ms: 3_000,
-				idle_timeout_ms: 15_000,
-			},
-		};
+		const configuration = { version, ...configurationFor(host) };
 		this.store.put('op/config', Buffer.from(JSON.stringify(configuration)));
 	}
 
@@ -96,7 +83,7 @@
 		}
 	}
 
-	private async answerWorker(id: string, path: string, body: Body): Promise<[number, object]> {
+	private async answerWorker(id: string, path: string, body: Body): Promise<Answer> {
 		const at = { id, address: [...this.workerIds].find(([, known]) => known === id)?.[0] ?? '' };
 		const calls = this.fleet.calls();
 		const epoch = Number(body.fencing_token ?? 0);
@@ -116,19 +103,10 @@
 		return spell(await calls.start(at, order), clock);
 	}
 
-	private async listen(
-		answer: (req: http.IncomingMessage, url: URL, body: Body) => Promise<[number, object]>,
-	): Promise<string> {
+	/** Starts a server on a port of the kernel's choice; returns its address. */
+	private async listen(answer: Answerer): Promise<string> {
 		const server = http.createServer((req, res) => {
-			const chunks: Buffer[] = [];
-			req.on('data', (chunk: Buffer) => chunks.push(chunk));
-			req.on('end', () => {
-				const text = Buffer.concat(chunks).toString('utf8');
-				const body = (text === '' ? {} : JSON.parse(text)) as Body;
-				void answer(req, new URL(req.url ?? '/', 'http://stand-in'), body).then(([status, value]) => {
-					res.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(value));
-				});
-			});
+			respond(req, res, answer);
 		});
 		this.servers.push(server);
 		await new Promise<void>((resolve) => {
@@ -139,7 +117,45 @@
 	}
 }
 
-function spell<T>(res: Awaited<fleet.WorkerResult<T>>, show: (value: T) => object): [number, object] {
+/** Reads a request's body, and answers; a caller that goes away first gets no answer. */
+function respond(req: http.IncomingMessage, res: http.ServerResponse, answer: Answerer): void {
+	const chunks: Buffer[] = [];
+	req.on('data', (chunk: Buffer) => chunks.push(chunk));
+	req.on('end', () => {
+		const text = Buffer.concat(chunks).toString('utf8');
+		const body = (text === '' ? {} : JSON.parse(text)) as Body;
+		void answer(req, new URL(req.url ?? '/', 'http://stand-in'), body).then(([status, value]) => {
+			res.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(value));
+		});
+	});
+}
+
+/** What stands in every version of the operators' configuration. */
+function configurationFor(host: string): object {
+	const route = {
+		name: 'proofs',
+		host,
+		path_prefix: '/jobs/',
+		slo_ms: 500,
+		priority: 0,
+		service: 'press',
+		attempts: 3,
+		stretch: 2,
+	};
+	return {
+		routes: [route],
+		services: [{ name: 'press', admission_check: true, headroom: false }],
+		limits: {
+			max_header_bytes: 16_384,
+			max_body_bytes: 65_536,
+			header_timeout_ms: 3_000,
+			idle_timeout_ms: 15_000,
+		},
+	};
+}
+
+/** A worker's answer on the wire. */
+function spell<T>(res: Awaited<fleet.WorkerResult<T>>, show: (value: T) => object): Answer {
 	if (res.ok) return [200, show(res.value)];
 	const [status, reason] = refusals[res.err.kind] ?? [503, ''];
 	return [status, { reason }];
@@ -153,47 +169,69 @@
 	};
 }
 
+/** One call to the store. */
 async function answerStore(
 	view: platform.RecordStore,
 	method: string,
 	url: URL,
 	body: Body,
-): Promise<[number, object]> {
-	const query = (name: string): string => url.searchParams.get(name) ?? '';
+): Promise<Answer> {
 	const id = url.pathname.split('/').at(-1) ?? '';
-	const unavailable: [number, object] = [503, {}];
-	if (url.pathname === '/api/kv-key') {
-		const res = await view.get(query('tls_key'));
-		if (!res.ok) return unavailable;
-		return res.value === undefined ? [404, {}] : [200, spellItem(res.value)];
-	}
-	if (url.pathname === '/api/kv-range') {
-		const res = await view.list(query('path_prefix'));
-		if (!res.ok) return unavailable;
-		const items = res.value.items.map(spellItem);
-		return [200, { items, has_more: false, current_rev: res.value.revision }];
-	}
-	if (url.pathname === '/api/kv-watch') {
-		const res = await view.follow(query('path_prefix'), Number(query('after')), Number(query('wait_ms')));
-		if (!res.ok) return unavailable;
-		if (res.value.type === 'compacted') return [410, {}];
-		return [200, { events: res.value.changes.map(spellChange), current_rev: res.value.revision }];
-	}
-	if (url.pathname === '/api/kv-txn') return answerTxn(view, body);
-	if (url.pathname === '/api/kv-lease') {
-		const res = await view.grantLease(Number(body.ttl_ms));
-		return res.ok ? [200, { lease: Number(res.value), ttl_ms: body.ttl_ms }] : unavailable;
-	}
-	if (method === 'DELETE') {
-		const res = await view.endLease(id);
-		return res.ok ? [200, {}] : unavailable;
+	switch (url.pathname) {
+		case '/api/kv-key':
+			return answerGet(view, url.searchParams);
+		case '/api/kv-range':
+			return answerList(view, url.searchParams);
+		case '/api/kv-watch':
+			return answerWatch(view, url.searchParams);
+		case '/api/kv-txn':
+			return answerTxn(view, body);
+		case '/api/kv-lease':
+			return answerGrant(view, body);
+		default:
+			return method === 'DELETE' ? answerEndLease(view, id) : answerKeepLease(view, id);
 	}
-	const res = await view.keepLease(id);
+}
+
+async function answerGet(view: platform.RecordStore, query: URLSearchParams): Promise<Answer> {
+	const res = await view.get(query.get('tls_key') ?? '');
+	if (!res.ok) return unavailable;
+	return res.value === undefined ? [404, {}] : [200, spellItem(res.value)];
+}
+
+async function answerList(view: platform.RecordStore, query: URLSearchParams): Promise<Answer> {
+	const res = await view.list(query.get('path_prefix') ?? '');
+	if (!res.ok) return unavailable;
+	const items = res.value.items.map(spellItem);
+	return [200, { items, has_more: false, current_rev: res.value.revision }];
+}
+
+async function answerWatch(view: platform.RecordStore, query: URLSearchParams): Promise<Answer> {
+	const after = Number(query.get('after'));
+	const waitMs = Number(query.get('wait_ms'));
+	const res = await view.follow(query.get('path_prefix') ?? '', after, waitMs);
+	if (!res.ok) return unavailable;
+	if (res.value.type === 'compacted') return [410, {}];
+	return [200, { events: res.value.changes.map(spellChange), current_rev: res.value.revision }];
+}
+
+async function answerGrant(view: platform.RecordStore, body: Body): Promise<Answer> {
+	const res = await view.grantLease(Number(body.ttl_ms));
+	return res.ok ? [200, { lease: Number(res.value), ttl_ms: body.ttl_ms }] : unavailable;
+}
+
+async function answerEndLease(view: platform.RecordStore, lease: string): Promise<Answer> {
+	const res = await view.endLease(lease);
+	return res.ok ? [200, {}] : unavailable;
+}
+
+async function answerKeepLease(view: platform.RecordStore, lease: string): Promise<Answer> {
+	const res = await view.keepLease(lease);
 	if (!res.ok) return unavailable;
 	return res.value ? [200, { ttl_ms: 0 }] : [404, {}];
 }
 
-async function answerTxn(view: platform.RecordStore, body: Body): Promise<[number, object]> {
+async function answerTxn(view: platform.RecordStore, body: Body): Promise<Answer> {
 	const rows = body.expected_rev as { tls_key: string; revision: number }[];
 	const writes = body.writes as { tls_key: string; value: string; lease?: number }[];
 	const res = await view.commit({
@@ -205,7 +243,7 @@
 		})),
 		removes: body.remove as string[],
 	});
-	if (!res.ok) return [503, {}];
+	if (!res.ok) return unavailable;
 	if (res.value.type === 'lease-gone') return [404, {}];
 	if (res.value.type === 'conflict') return [412, { items: res.value.current.map(spellItem) }];
 	return [200, { revision: res.value.version }];
