--- a/src/cli/box/figures.ts
+++ b/src/cli/box/figures.ts
@@ -1,5 +1,6 @@
 /** A box's counters and histograms, on an address of their own: one counter an event, and what times the events carry. */
 import * as http from 'node:http';
+import * as listening from './listening.js';
 import type * as boxes from '../../core/box/box.js';
 import type * as events from '../../core/events/index.js';
 
@@ -24,20 +25,23 @@
 		if (name !== undefined && typeof ms === 'number') figures.time(name, ms);
 	});
 	const server = http.createServer((_req, res) => {
-		const { rss } = process.memoryUsage();
-		const { user, system } = process.cpuUsage();
-		const own = {
-			ready: Number(box.ready),
-			owner: Number(box.owning),
-			config_version: box.queues?.configuration.version ?? 0,
-			memory_bytes: rss,
-			cpu_us: user + system,
-		};
-		res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(figures.text(own));
+		res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(figures.text(ownFigures(box)));
 	});
 	server.on('error', (err) => {
 		log.emit('figures.unserved', { reason: err.message });
 	});
-	const cut = address.lastIndexOf(':');
-	server.listen(Number(address.slice(cut + 1)), address.slice(0, cut));
+	server.listen(listening.toListenOptions(address));
+}
+
+/** What is read off at the moment of a question. */
+function ownFigures(box: boxes.Box): Record<string, number> {
+	const { rss } = process.memoryUsage();
+	const { user, system } = process.cpuUsage();
+	return {
+		ready: Number(box.ready),
+		owner: Number(box.owning),
+		config_version: box.queues?.configuration.version ?? 0,
+		memory_bytes: rss,
+		cpu_us: user + system,
+	};
 }
--- /dev/null
+++ b/src/cli/box/listening.ts
@@ -0,0 +1,18 @@
+/** Servers on addresses as the settings write them, `host:port`. */
+import type * as net from 'node:net';
+
+/** Listens, and says where: port 0 lets the kernel choose. Fails if the address can't be used. */
+export async function listen(server: net.Server, address: string): Promise<string> {
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(toListenOptions(address), resolve);
+	});
+	const at = server.address() as net.AddressInfo;
+	return `${at.address}:${at.port}`;
+}
+
+/** Host and port of an address. */
+export function toListenOptions(address: string): { host: string; port: number } {
+	const cut = address.lastIndexOf(':');
+	return { host: address.slice(0, cut), port: Number(address.slice(cut + 1)) };
+}
--- a/src/cli/box/main.ts
+++ b/src/cli/box/main.ts
@@ -6,14 +6,13 @@
 import * as events from '../../core/events/index.js';
 import * as figures from './figures.js';
 import * as ingress from '../../../platform/ingress.js';
+import * as listening from './listening.js';
 import * as platformSettings from '../../../platform/settings.js';
-import type * as http from 'node:http';
-import type * as net from 'node:net';
 
 /** Exit status for settings that can't be used. */
 const badSettings = 2;
 
-/** Before it is killed, a stopping box ends by itself; this long before, in milliseconds. */
+/** A stopping box ends by itself this long before it would be killed, in milliseconds. */
 const endBeforeKillMs = 2_000;
 
 const path = process.env[platformSettings.settingsVariable] ?? '';
@@ -25,8 +24,8 @@
 const settings = given.value;
 const log = events.EventLog.create(settings.box, clock.systemClock, 'json');
 const box = await boxes.Box.create(settings, adapters.createAdapter(settings), clock.systemClock, log);
-const readiness = await listen(ingress.serveReadiness(box), settings.readiness);
-const callers = await listen(ingress.serveCallers(box), settings.callers);
+const readiness = await listening.listen(ingress.serveReadiness(box), settings.readiness);
+const callers = await listening.listen(ingress.serveCallers(box), settings.callers);
 log.emit('process.started', { callers, readiness, peer: box.peerAddress });
 
 // Nothing of the first second needs figures, and loading what keeps them costs start-up time.
@@ -48,14 +47,3 @@
 		process.exit(0);
 	}, settings.bounds.graceMs - endBeforeKillMs);
 });
-
-/** Listens, and says where: port 0 lets the kernel choose. */
-async function listen(server: http.Server, address: string): Promise<string> {
-	const cut = address.lastIndexOf(':');
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(Number(address.slice(cut + 1)), address.slice(0, cut), resolve);
-	});
-	const at = server.address() as net.AddressInfo;
-	return `${at.address}:${at.port}`;
-}
