--- a/src/core/dispatch/advice.ts
+++ b/src/core/dispatch/advice.ts
@@ -34,7 +34,9 @@
 /** What the adviser said, and the question under way. */
 export class Advisory {
 	private readonly steps = new WeakMap<jobs.StepRun, StepAdvice>();
+	/** A question is under way. */
 	private asking = false;
+	/** Nothing is asked before this clock time. */
 	private retryAt = -Infinity;
 
 	private constructor(private readonly opts: AdvisoryOptions) {}
@@ -75,12 +77,7 @@
 			this.opts.events.emit('advice.missed', { task: name, reason: res.err });
 			return;
 		}
-		const until = askedAt + res.value.validMs;
-		for (const id of named) advice.refused.add(id);
-		for (const { worker, ticket } of res.value.good) {
-			advice.refused.delete(worker);
-			advice.tickets.set(worker, { ticket, until });
-		}
+		take(advice, named, res.value, askedAt);
 		this.opts.events.emit('advice.given', {
 			task: name,
 			asked: named.length,
@@ -98,3 +95,13 @@
 		return created;
 	}
 }
+
+/** Keeps an answer: the tickets of the good workers; the others that were named are not good. */
+function take(advice: StepAdvice, named: string[], answer: fleet.Advice, askedAt: number): void {
+	const until = askedAt + answer.validMs;
+	for (const id of named) advice.refused.add(id);
+	for (const { worker, ticket } of answer.good) {
+		advice.refused.delete(worker);
+		advice.tickets.set(worker, { ticket, until });
+	}
+}
--- a/src/core/dispatch/progress-saver.ts
+++ b/src/core/dispatch/progress-saver.ts
@@ -30,7 +30,9 @@
 
 /** Group commit of jobs' progress. */
 export class ProgressSaver {
+	/** Changed since the newest write began. */
 	private readonly dirty = new Set<jobs.ActiveJob>();
+	/** In the write under way. */
 	private inFlight = new Set<jobs.ActiveJob>();
 	private waiters: Waiter[] = [];
 	/** Number of the newest write. */
@@ -63,6 +65,7 @@
 		});
 	}
 
+	/** Starts no more writes. */
 	close(): void {
 		this.closed = true;
 	}
@@ -76,6 +79,7 @@
 		this.running = false;
 	}
 
+	/** Stores the next batch; what could not be stored is marked again. */
 	private async saveBatch(): Promise<void> {
 		const batch = [...this.dirty].slice(0, ledger.maxProgressPerWrite);
 		const records = new Map(batch.map((job) => [job.id, job.toProgress()]));
@@ -96,9 +100,11 @@
 			return;
 		}
 		this.opts.onFailure(outcome);
+		// After a conflict the versions are known again, so the next write need not wait.
 		if (outcome === 'failed') await clocks.sleep(this.opts.clock, retryMs);
 	}
 
+	/** Answers those who waited for these jobs only. */
 	private settle(saved: jobs.ActiveJob[]): void {
 		const open: Waiter[] = [];
 		for (const waiter of this.waiters) {
