--- a/src/core/platform/contact.ts
+++ b/src/core/platform/contact.ts
@@ -33,7 +33,7 @@
 		contact,
 		store: {
 			get: (key) => watched(store.get(key)),
-			list: (prefix, opts) => watched(store.list(prefix, opts)),
+			list: (prefix) => watched(store.list(prefix)),
 			commit: (txn) => watched(store.commit(txn)),
 			follow: (prefix, revision, waitMs) => watched(store.follow(prefix, revision, waitMs)),
 			grantLease: (ttlMs) => watched(store.grantLease(ttlMs)),
--- a/src/core/platform/types.ts
+++ b/src/core/platform/types.ts
@@ -79,11 +79,8 @@
 /** The platform's store with transactions. Every method is one call (a list: one a page) against its rates. */
 export interface RecordStore {
 	get(key: string): Promise<results.Result<Stored | undefined, StoreFailure>>;
-	/** All keys with the prefix; `stale` costs a tenth and may be seconds old. Pages are no snapshot. */
-	list(
-		prefix: string,
-		opts?: { stale?: boolean },
-	): Promise<results.Result<{ items: Stored[]; revision: number }, StoreFailure>>;
+	/** All keys with the prefix, and a revision to follow them from. Pages are no snapshot. */
+	list(prefix: string): Promise<results.Result<{ items: Stored[]; revision: number }, StoreFailure>>;
 	commit(txn: Transaction): Promise<results.Result<CommitOutcome, StoreFailure>>;
 	/** Waits up to `waitMs` for changes after `revision` of the keys with the prefix. */
 	follow(
