--- a/src/core/queues/table.ts
+++ b/src/core/queues/table.ts
@@ -12,7 +12,6 @@
 export class QueueTable {
 	private readonly byHost = new Map<string, types.QueueRoute[]>();
 	private readonly byName = new Map<string, types.QueueRoute>();
-	private readonly pools = new Map<string, types.Pool>();
 
 	private constructor(readonly configuration: types.Configuration) {}
 
@@ -26,7 +25,6 @@
 		}
 		// The longest prefix is tried first.
 		for (const routes of table.byHost.values()) routes.sort((a, b) => b.prefix.length - a.prefix.length);
-		for (const pool of configuration.pools) table.pools.set(pool.name, pool);
 		return table;
 	}
 
@@ -41,9 +39,4 @@
 	policyOf(job: jobs.JobRecord): jobs.QueuePolicy {
 		return this.byName.get(job.queue.name)?.policy ?? job.queue;
 	}
-
-	/** Whether the workers of a pool refuse what does not fit them. */
-	guarded(pool: string): boolean {
-		return this.pools.get(pool)?.guarded ?? false;
-	}
 }
--- a/src/core/upkeep/upkeep.ts
+++ b/src/core/upkeep/upkeep.ts
@@ -37,11 +37,13 @@
 	since: number;
 }
 
+/** A wave, and how far it is. */
 interface OpenWave {
 	wave: types.Wave;
 	/** Machines whose upkeep has begun. */
 	begun: Set<string>;
 	leaving: Map<string, Leaving>;
+	/** The state that operators were last told. */
 	reported: types.WaveState | undefined;
 }
 
@@ -81,6 +83,7 @@
 		for (const one of open) await this.advance(one, byName);
 	}
 
+	/** Lets further machines leave, and takes those down that are ready. */
 	private async advance(open: OpenWave, machines: Map<string, fleet.Machine>): Promise<void> {
 		const { wave, begun, leaving } = open;
 		// A machine that has left needs nothing any more.
@@ -104,13 +107,13 @@
 		for (const name of present) {
 			if (free <= 0) return;
 			const machine = machines.get(name);
-			if (machine === undefined || begun.has(name) || leaving.has(name)) continue;
-			if (machine.state !== 'up') continue;
+			if (machine?.state !== 'up' || begun.has(name) || leaving.has(name)) continue;
 			leaving.set(name, { worker: machine.worker, since: this.opts.clock.now() });
 			free -= 1;
 		}
 	}
 
+	/** Orders a machine's upkeep. */
 	private async takeDown(open: OpenWave, name: string, one: Leaving): Promise<void> {
 		const { machines, holder, epoch } = this.opts;
 		const outcome = await machines.upkeep(name, open.wave.number, holder, epoch);
