--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -1,6 +1,7 @@
 /** The owner's work: takes in jobs, workers and reports, and sees to it that every task runs as often as it should. */
 import * as clocks from '../clock.js';
 import * as ends from './ends.js';
+import * as hanging from './hanging.js';
 import * as interference from './interference.js';
 import * as jobBook from './job-book.js';
 import * as placer from './placer.js';
@@ -352,11 +353,28 @@
 		for (const session of this.workers.all()) {
 			if (session.endsAt !== undefined) this.evacuate(session, session.endsAt);
 			this.placer.moveSlowed(session);
+			this.stopHanging(session);
 		}
 		this.book.tick();
 		this.placer.wake();
 	}
 
+	/** A run that hangs is tried elsewhere, and counts against its worker. */
+	private stopHanging(session: sessions.WorkerSession): void {
+		for (const place of hanging.hangingOn(session, this.opts.clock.now())) {
+			const { task } = place;
+			task.failedOn.add(session.id);
+			session.noteFailure(task.step.job.id);
+			this.opts.events.emit('task.stop', {
+				task: task.name,
+				worker: session.id,
+				reason: 'hangs',
+				percent: place.percent,
+			});
+			void this.starter.stop(session, place);
+		}
+	}
+
 	/** Moves work off a worker that is about to end: lasting tasks at once, others while a stop still saves them. */
 	private evacuate(session: sessions.WorkerSession, endsAt: number): void {
 		const lastMoment = this.opts.clock.now() >= endsAt - settings.evacuateBeforeMs;
--- a/src/core/dispatch/ends.ts
+++ b/src/core/dispatch/ends.ts
@@ -92,6 +92,8 @@
 		if (running.run < placement.run) ctx.stopStray(session, running.task, running.run);
 		return;
 	}
+	if (placement.percent !== running.percent || placement.phase === 'starting')
+		placement.progressAt = ctx.now();
 	placement.percent = running.percent;
 	placement.reading = running.reading;
 	if (placement.phase === 'starting') placement.phase = 'running';
--- /dev/null
+++ b/src/core/dispatch/hanging.ts
@@ -0,0 +1,19 @@
+/** Finds runs that stand still though nothing of ours holds them up. */
+import * as settings from './settings.js';
+import type * as sessions from './worker-session.js';
+import type * as types from './types.js';
+
+/** Full pace, and full progress: a lasting task at work stays there. */
+const full = 100;
+
+/** Runs on a worker that hang, as far as its reports tell. */
+export function hangingOn(session: sessions.WorkerSession, now: number): types.Placement[] {
+	if (!session.answering) return [];
+	return [...session.placements.values()].filter((place) => isHanging(place, now));
+}
+
+function isHanging(place: types.Placement, now: number): boolean {
+	if (place.phase !== 'running' || place.percent === full) return false;
+	if (place.pace < full || now - place.pacedAt < settings.hangingMs) return false;
+	return now - Math.max(place.progressAt, place.confirmedAt) > settings.hangingMs;
+}
--- a/src/core/dispatch/settings.ts
+++ b/src/core/dispatch/settings.ts
@@ -66,3 +66,9 @@
 
 /** A report that names jobs which have to be read first is asked for again after this: a read takes about four. */
 export const putOffMs = 15;
+
+/**
+ * A run that works at full pace and whose progress stands still for so long is taken for hanging. The slowest seen
+ * gains a per cent in half a second, and reports come once a second.
+ */
+export const hangingMs = 2_500;
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -18,6 +18,8 @@
 	stoppedAt: number;
 	/** As the worker last reported it. */
 	percent: number;
+	/** Clock time at which it last changed. */
+	progressAt: number;
 	/** Tail latency (ms) or thousandths of a core, as last reported. */
 	reading: number;
 	/** Share of its speed that it was told to work at, in per cent. */
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -141,6 +141,7 @@
 			confirmedAt: phase === 'running' ? now : 0,
 			stoppedAt: 0,
 			percent: 0,
+			progressAt: now,
 			reading: 0,
 			pace: 100,
 			pacedAt: 0,
--- a/test/dispatch.test.ts
+++ b/test/dispatch.test.ts
@@ -311,3 +311,19 @@
 	t.is(w1.running.size, 4);
 	owner.dispatcher.close();
 });
+
+test('a run that stands still is stopped, tried elsewhere, and counts against its worker', async (t) => {
+	const plan = (_task: string, run: number): { ms: number | 'endless'; how: 'done'; percent?: number } =>
+		run === 1 ? { ms: 'endless', how: 'done', percent: 40 } : half;
+	const { clock, fleet, takeOver, submit } = world.createWorld(plan);
+	fleet.add('w1');
+	fleet.add('w2');
+	const owner = await takeOver();
+	await submit(owner, world.job('job1', [world.step()]));
+	await clock.pass(2_000);
+	t.is(fleet.starts.length, 1);
+	await clock.pass(4_000);
+	t.is(owner.dispatcher.stateOf('job1'), 'completed');
+	t.not(fleet.starts[0]?.worker, fleet.starts[1]?.worker);
+	owner.dispatcher.close();
+});
