--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -77,7 +77,13 @@
 		task.state = 'placed';
 		task.run = run;
 		this.places.set(task, session);
-		return session.place(task, run, 'running');
+		const place = session.place(task, run, 'running');
+		// The earlier owner may have slowed it: until told otherwise it counts as standing still.
+		if (task.step.spec.fills) {
+			place.pace = 0;
+			place.pacedAt = this.opts.clock.now();
+		}
+		return place;
 	}
 
 	/** Asks for a round of placing; many asks come to one round. */
