--- a/src/core/dispatch/gangs.ts
+++ b/src/core/dispatch/gangs.ts
@@ -42,6 +42,7 @@
 	for (const task of step.tasks) task.checkpoint = checkpoint;
 }
 
+/** A place for every member among these workers; if one finds none, those taken are given back. */
 function tryPlaces(step: jobs.StepRun, run: number, choice: placing.Choice): MemberPlace[] | undefined {
 	const places: MemberPlace[] = [];
 	for (const task of step.tasks) {
--- a/src/core/dispatch/load-track.ts
+++ b/src/core/dispatch/load-track.ts
@@ -49,6 +49,7 @@
 		return this.compared < leastTasks ? undefined : this.load;
 	}
 
+	/** Moves the load towards the quantile, the further the longer it was not moved. */
 	private follow(quantile: number, now: number): void {
 		if (this.load === undefined) {
 			this.load = quantile;
--- a/src/core/dispatch/preemption.ts
+++ b/src/core/dispatch/preemption.ts
@@ -74,7 +74,7 @@
 	return ctx.priorityOf(task.step.job) === 0 && ctx.now - task.readyAt >= patienceMs;
 }
 
-/** Cores of tasks that are stopping already. */
+/** Thousandths of a core that stopping tasks are about to free. */
 function comingFree(workers: sessions.WorkerSession[]): number {
 	const stopping = workers.flatMap((one) =>
 		[...one.placements.values()].filter((place) => place.phase === 'stopping'),
@@ -82,6 +82,7 @@
 	return sum(stopping.map((place) => (place.task.step.spec.fills ? 0 : place.task.step.spec.milliCores)));
 }
 
+/** What may be stopped on a worker for a task of this priority. */
 function candidatesOn(session: sessions.WorkerSession, priority: number, ctx: PreemptionContext): Victim[] {
 	const places = [...session.placements.values()].filter((place) => {
 		const { spec, job } = place.task.step;
--- a/src/core/dispatch/pressure.ts
+++ b/src/core/dispatch/pressure.ts
@@ -67,6 +67,7 @@
 		return calm ? full : undefined;
 	}
 
+	/** Notes a new pace, and orders it. */
 	private pace(session: sessions.WorkerSession, place: types.Placement, percent: number): void {
 		if (place.pace === percent) return;
 		const before = place.pace;
--- a/src/core/platform/record-follower.ts
+++ b/src/core/platform/record-follower.ts
@@ -59,6 +59,7 @@
 		return 0;
 	}
 
+	/** One wait for changes; returns how long to wait before the next call. */
 	private async follow(revision: number): Promise<number> {
 		const res = await this.opts.store.follow(this.opts.prefix, revision, this.opts.waitMs);
 		if (this.isClosed()) return 0;
