Strong boxes come first in the race for the dispatching, and weak owners hand over to them

Cause: on deployments with boxes of unlike size any box could become owner.

Change: boxes tell the owner their processor with each open question, the owner tells the strongest; a box with less than 0.7 of it waits 350 ms in the race, and an owner hands over to a stronger box that has asked for 1.5 s, at most once in 8 s. After a full stop the strongest is read from the epoch's record.

Test: test/ownership.test.ts; three of its five fail without the head start and the handing over.

What one owner can carry still binds the size of a deployment.

--- a/src/core/box/box.ts
+++ b/src/core/box/box.ts
@@ -38,6 +38,10 @@
 	private heldPings: (() => void)[] = [];
 	private readonly waves = new Map<number, upkeep.Wave>();
 	private ownerStoreReachable = false;
+	/** The strongest processor among all boxes, as the owner last told. */
+	private strongestTold: number | undefined;
+	/** The boxes that ask this one while it owns. */
+	private candidates = ownership.Candidates.create(() => this.clock.now());
 	/** What owners have learnt, as last told, and when. */
 	private learnt: dispatch.Knowledge | undefined;
 	private learntAt = -Infinity;
@@ -132,6 +136,9 @@
 			box: this.settings.box,
 			peer: this.server.address,
 			leaseMs: Math.max(ownership.settings.leaseMs, this.settings.minLeaseMs),
+			processor: this.settings.processor,
+			strongestKnown: () => this.strongestTold,
+			strongerBox: () => this.candidates.stronger(this.settings.processor)?.box,
 			ping: (address) => this.ping(address),
 			ownerLacksStore: () => !this.ownerStoreReachable && this.contact.reachable,
 			onOwned: (owned, contents) => {
@@ -187,7 +194,7 @@
 	private async ping(address: string): Promise<ownership.PingOutcome> {
 		const { pingWaitMs, pingTimeoutMs } = ownership.settings;
 		const wantsKnowledge = this.clock.now() - this.learntAt > knowledgeAgeMs;
-		const req = { type: 'owner.ping' as const, waitMs: pingWaitMs, wantsKnowledge };
+		const req = this.pingReq(pingWaitMs, wantsKnowledge);
 		const res = await this.peers.call<protocol.PingReply>(address, req, pingTimeoutMs);
 		if (!res.ok) {
 			if (res.err.refused) return 'refused';
@@ -196,6 +203,7 @@
 		}
 		if (!res.value.ok) return 'not-owner';
 		this.ownerStoreReachable = res.value.value.storeReachable;
+		this.strongestTold = res.value.value.strongest;
 		this.keepKnowledge(res.value.value.knowledge);
 		return 'alive';
 	}
@@ -206,8 +214,14 @@
 		this.learntAt = this.clock.now();
 	}
 
+	private pingReq(waitMs: number, wantsKnowledge: boolean): protocol.BoxReq {
+		const { box, processor } = this.settings;
+		const candidate = { box, processor, storeReachable: this.contact.reachable };
+		return { type: 'owner.ping', waitMs, wantsKnowledge, candidate };
+	}
+
 	private async pingAgain(address: string): Promise<ownership.PingOutcome> {
-		const req = { type: 'owner.ping' as const, waitMs: 0, wantsKnowledge: false };
+		const req = this.pingReq(0, false);
 		const res = await this.peers.call<protocol.PingReply>(address, req, ownership.settings.pingTimeoutMs);
 		if (res.ok) return res.value.ok ? 'alive' : 'not-owner';
 		return res.err.refused ? 'refused' : 'silent';
@@ -247,6 +261,7 @@
 
 	private onLost(): void {
 		this.learnt = this.role?.dispatcher.knowledge() ?? this.learnt;
+		this.strongestTold = this.candidates.strongest(this.settings.processor);
 		this.role?.close();
 		this.role = undefined;
 		for (const answer of this.heldPings) answer();
@@ -258,6 +273,7 @@
 		if (dispatcher === undefined) return notOwner;
 		switch (req.type) {
 			case 'owner.ping':
+				this.candidates.heard(req.candidate);
 				await this.holdPing(req.waitMs);
 				return this.isOwner() ? results.ok(this.pingReply(req.wantsKnowledge)) : notOwner;
 			case 'job.stored':
@@ -285,7 +301,7 @@
 	private pingReply(withKnowledge: boolean): protocol.PingReply {
 		return {
 			generation: this.ownership.current?.generation ?? 0,
-			configVersion: this.table?.configuration.version ?? 0,
+			strongest: this.candidates.strongest(this.settings.processor),
 			storeReachable: this.contact.reachable,
 			knowledge: withKnowledge ? this.role?.dispatcher.knowledge() : undefined,
 		};
--- a/src/core/box/peer-protocol.ts
+++ b/src/core/box/peer-protocol.ts
@@ -11,7 +11,13 @@
 
 const request = z.discriminatedUnion('type', [
 	/** Held for `waitMs`, so that a broken connection is noticed at once. */
-	z.object({ type: z.literal('owner.ping'), waitMs: z.number(), wantsKnowledge: z.boolean() }),
+	z.object({
+		type: z.literal('owner.ping'),
+		waitMs: z.number(),
+		wantsKnowledge: z.boolean(),
+		/** Who asks, and how strong it is. */
+		candidate: z.object({ box: z.string(), processor: z.number(), storeReachable: z.boolean() }),
+	}),
 	/** A job was stored. */
 	z.object({ type: z.literal('job.stored'), record }),
 	/** Store this job for a box that the store turns away. */
@@ -34,8 +40,8 @@
 	storeReachable: boolean;
 	/** What the owner has learnt, if it was asked for. */
 	knowledge?: dispatch.Knowledge;
-	/** Newest configuration version that the owner knows. */
-	configVersion: number;
+	/** The strongest processor (cores) among the boxes that ask the owner, and its own. */
+	strongest: number;
 }
 
 /** The answer to `job.state`; absent: the owner does not know the job. */
--- a/src/core/box/settings.ts
+++ b/src/core/box/settings.ts
@@ -20,6 +20,8 @@
 	adviser?: string;
 	/** Where the machines of the pools are listed and moved; absent: there is none. */
 	machines?: string;
+	/** Cores' worth of processor that the box may use. */
+	processor: number;
 	bounds: BoxBounds;
 }
 
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -90,6 +90,11 @@
 		level: 'warn',
 		text: 'This box no longer owns the dispatching; the reason is given.',
 	},
+	'owner.handed-over': {
+		id: 2109,
+		level: 'info',
+		text: 'This box handed the dispatching over to a stronger box, which is named.',
+	},
 	'owner.released': { id: 2106, level: 'info', text: 'This box handed the dispatching over, as it stops.' },
 	'takeover.settled': {
 		id: 2107,
--- a/src/core/ledger/index.ts
+++ b/src/core/ledger/index.ts
@@ -2,6 +2,6 @@
 export * as keys from './keys.js';
 export { accept, cancel, readJob, storedState } from './requests.js';
 export { maxProgressPerWrite, OwnerLedger } from './owner-ledger.js';
-export { decodeJob, decodeOwner } from './records.js';
+export { decodeEpoch, decodeJob, decodeOwner } from './records.js';
 export type { LedgerContents, NewOwner, WriteOutcome } from './owner-ledger.js';
 export type * from './types.js';
--- a/src/core/ledger/owner-ledger.ts
+++ b/src/core/ledger/owner-ledger.ts
@@ -25,8 +25,8 @@
 	revision: number;
 }
 
-/** The box that takes over. */
-export interface NewOwner {
+/** The box that owns, as its peers learn of it. */
+export interface NamedOwner {
 	box: string;
 	/** Where its peers connect, `host:port`. */
 	peer: string;
@@ -34,6 +34,12 @@
 	lease: string;
 }
 
+/** The box that takes over. */
+export interface NewOwner extends NamedOwner {
+	/** The strongest processor (cores) among all boxes, as it knows. */
+	strongest: number;
+}
+
 /** What a committed or refused write of the owner left behind. */
 interface Commit {
 	outcome: WriteOutcome;
@@ -78,7 +84,7 @@
 			return results.fail(`generation ${named.generation} was first`);
 		const last = epoch && records.decodeEpoch(epoch.value);
 		const generation = (last?.generation ?? 0) + 1;
-		const { box, lease } = owner;
+		const { box, lease, strongest } = owner;
 		const sentAt = now();
 		const res = await store.commit({
 			expected: [
@@ -86,7 +92,7 @@
 				{ key: keys.ownerKey, version: holder?.version ?? 0 },
 			],
 			writes: [
-				{ key: keys.epochKey, value: wire.encodeValue({ generation, box }) },
+				{ key: keys.epochKey, value: wire.encodeValue({ generation, box, strongest }) },
 				{ key: keys.ownerKey, value: encodeOwner(generation, owner), lease },
 			],
 			removes: [],
@@ -156,7 +162,7 @@
 	}
 
 	/** Names this box as owner again after its lease lapsed while the store was away. */
-	async rename(owner: NewOwner): Promise<WriteOutcome> {
+	async rename(owner: NamedOwner): Promise<WriteOutcome> {
 		const value = encodeOwner(this.generation, owner);
 		const writes = [{ key: keys.ownerKey, value, lease: owner.lease }];
 		const res = await this.commit([{ key: keys.ownerKey, version: 0 }], writes, []);
@@ -203,7 +209,7 @@
 	return results.ok({ epoch: epoch.value, holder: holder.value });
 }
 
-function encodeOwner(generation: number, owner: NewOwner): Uint8Array {
+function encodeOwner(generation: number, owner: NamedOwner): Uint8Array {
 	return wire.encodeValue({ generation, box: owner.box, peer: owner.peer });
 }
 
--- a/src/core/ledger/types.ts
+++ b/src/core/ledger/types.ts
@@ -6,6 +6,8 @@
 	generation: number;
 	/** The box that took over. */
 	box: string;
+	/** The strongest processor (cores) among all boxes, as that box knew it; absent: stored by an older version. */
+	strongest?: number;
 }
 
 /** Who owns the dispatching now. */
--- a/src/core/owner/ownership.ts
+++ b/src/core/owner/ownership.ts
@@ -21,6 +21,12 @@
 	/** Where peers connect to this box, `host:port`. */
 	peer: string;
 	leaseMs: number;
+	/** Cores' worth of processor that this box may use. */
+	processor: number;
+	/** The strongest processor of all boxes, as the owner last told; undefined: not told yet. */
+	strongestKnown: () => number | undefined;
+	/** A stronger box that could dispatch in this one's place; asked while this box owns. */
+	strongerBox: () => string | undefined;
 	/** Asks the owner at an address whether it still is; answers late if it is. */
 	ping: (address: string) => Promise<PingOutcome>;
 	/** Whether the owner, asked last, was without the store while this box has it. */
@@ -44,6 +50,8 @@
 	private stopping = false;
 	/** Generation of the owner last logged as found. */
 	private lastFound = 0;
+	/** Clock time at which this box last became owner. */
+	private ownedSince = -Infinity;
 
 	private constructor(private readonly opts: OwnershipOptions) {
 		void this.run();
@@ -74,9 +82,7 @@
 		this.stopping = true;
 		if (this.owned === undefined) return;
 		const { generation } = this.owned;
-		this.owned = undefined;
-		this.opts.onLost();
-		if (this.lease !== undefined) await this.opts.store.endLease(this.lease);
+		await this.giveBack();
 		this.opts.events.emit('owner.released', { generation });
 	}
 
@@ -125,12 +131,38 @@
 		return dead === undefined && !this.reachable ? settings.findRetryMs : 0;
 	}
 
+	/** Leaves stronger boxes the time to be first; true: one was. */
+	private async waitTurn(replaces: number | undefined): Promise<boolean> {
+		const { clock, random } = this.opts;
+		const isWeaker = await this.isWeaker();
+		await clocks.sleep(clock, random(settings.raceSpreadMs) + (isWeaker ? settings.weakerWaitMs : 0));
+		if (!isWeaker) return false;
+		const named = await this.opts.store.get(ledger.keys.ownerKey);
+		const owner = named.ok && named.value !== undefined ? ledger.decodeOwner(named.value.value) : undefined;
+		if (owner === undefined || owner.generation === replaces) return false;
+		this.owner = owner;
+		return true;
+	}
+
+	/** Whether a clearly stronger box is known; a box that no owner has told yet asks the store. */
+	private async isWeaker(): Promise<boolean> {
+		const strongest = this.opts.strongestKnown() ?? (await this.storedStrongest());
+		return this.opts.processor < strongest * settings.weakerPart;
+	}
+
+	private async storedStrongest(): Promise<number> {
+		const epoch = await this.opts.store.get(ledger.keys.epochKey);
+		if (!epoch.ok || epoch.value === undefined) return 0;
+		return ledger.decodeEpoch(epoch.value.value).strongest ?? 0;
+	}
+
 	private async take(replaces: number | undefined): Promise<number> {
-		await clocks.sleep(this.opts.clock, this.opts.random(settings.raceSpreadMs));
+		if (await this.waitTurn(replaces)) return 0;
 		const lease = await this.opts.store.grantLease(this.opts.leaseMs);
 		if (!lease.ok) return settings.findRetryMs;
-		const { store, clock, box, peer, events } = this.opts;
-		const named = { box, peer, lease: lease.value };
+		const { store, clock, box, peer, events, processor } = this.opts;
+		const strongest = Math.max(processor, this.opts.strongestKnown() ?? 0);
+		const named = { box, peer, lease: lease.value, strongest };
 		const taken = await ledger.OwnerLedger.take(store, () => clock.now(), named, replaces);
 		if (!taken.ok) {
 			events.emit('owner.not-taken', { reason: taken.err });
@@ -145,6 +177,7 @@
 		}
 		this.lease = lease.value;
 		this.owned = taken.value;
+		this.ownedSince = this.opts.clock.now();
 		this.owner = { generation: taken.value.generation, box, peer };
 		this.reachable = true;
 		events.emit('owner.taken', {
@@ -158,6 +191,11 @@
 
 	/** One turn of the owner: keeps the lease, and asks the store whether it still owns. */
 	private async keep(owned: ledger.OwnerLedger): Promise<number> {
+		const stronger = this.strongerInTurn();
+		if (stronger !== undefined) {
+			await this.handOver(owned, stronger);
+			return 0;
+		}
 		const quiet = this.opts.clock.now() - owned.confirmedAt;
 		if (quiet > settings.confirmAfterMs) {
 			const outcome = await owned.confirm();
@@ -173,6 +211,26 @@
 		return settings.keepGapMs;
 	}
 
+	/** The stronger box to hand over to now. */
+	private strongerInTurn(): string | undefined {
+		if (this.opts.clock.now() - this.ownedSince < settings.handoverGapMs) return undefined;
+		return this.opts.strongerBox();
+	}
+
+	/** Gives the name back while this box goes on serving callers: the stronger box is first in the race that follows. */
+	private async handOver(owned: ledger.OwnerLedger, to: string): Promise<void> {
+		this.opts.events.emit('owner.handed-over', { generation: owned.generation, box: to });
+		await this.giveBack();
+		this.owner = undefined;
+		this.reachable = false;
+	}
+
+	private async giveBack(): Promise<void> {
+		this.owned = undefined;
+		this.opts.onLost();
+		if (this.lease !== undefined) await this.opts.store.endLease(this.lease);
+	}
+
 	/** The lease lapsed while the store was away: names this box again unless another has taken over. */
 	private async renew(owned: ledger.OwnerLedger): Promise<void> {
 		const lease = await this.opts.store.grantLease(this.opts.leaseMs);
--- a/src/core/owner/settings.ts
+++ b/src/core/owner/settings.ts
@@ -15,6 +15,24 @@
 /** Boxes that find no owner wait up to this long, so that one of them usually is first. */
 export const raceSpreadMs = 60;
 
+/**
+ * A box with clearly less processor than the strongest known leaves that one this much time to be first. A strong box
+ * that hears of the loss over its open question needs about 100 ms; one that starts anew at the same time, about 300.
+ */
+export const weakerWaitMs = 350;
+
+/** A box counts as weaker below this part of the strongest known processor. */
+export const weakerPart = 0.7;
+
+/** A stronger box has to have asked for so long before the owner hands over to it: it is up, and stays up. */
+export const provenAfterMs = 1_500;
+
+/** A box that has not asked for so long is no candidate: three questions. */
+export const askedWithinMs = 2_000;
+
+/** Handing over stops all placing for some tenths of a second: at most once in this time. */
+export const handoverGapMs = 8_000;
+
 /** How long the owner holds a question of a box. */
 export const pingWaitMs = 500;
 
--- /dev/null
+++ b/test/ownership.test.ts
@@ -0,0 +1,152 @@
+/** Which of several boxes of unlike strength dispatches, in memory and under a virtual clock. */
+import test from 'ava';
+import * as events from '../src/core/events/index.js';
+import * as memory from '../stand-ins/fleet/memory-store.js';
+import * as ownership from '../src/core/owner/index.js';
+import * as time from '../stand-ins/fleet/virtual-clock.js';
+
+const weak = 0.3;
+const strong = 1.35;
+
+/** A box without callers or workers: its part in the race only. */
+interface TestBox {
+	race: ownership.Ownership;
+	owns: boolean;
+	isDown: boolean;
+}
+
+/** Boxes that ask each other as real ones do. */
+class Boxes {
+	readonly clock = time.VirtualClock.create();
+	readonly store = memory.MemoryStore.create(this.clock);
+	private readonly boxes = new Map<string, TestBox>();
+	/** Who asked which box. */
+	private readonly candidates = new Map<string, ownership.Candidates>();
+	/** Who dispatched, in turn. */
+	readonly owners: string[] = [];
+
+	private constructor() {
+		// Built by `create`, like every class here.
+	}
+
+	static create(): Boxes {
+		return new Boxes();
+	}
+
+	/** Starts a box. */
+	start(name: string, processor: number): TestBox {
+		const { clock } = this;
+		const candidates = ownership.Candidates.create(() => clock.now());
+		let strongest: number | undefined;
+		const box: TestBox = { owns: false, isDown: false, race: undefined as never };
+		this.boxes.set(name, box);
+		this.candidates.set(name, candidates);
+		box.race = ownership.Ownership.create({
+			store: this.store.view(() => (box.isDown ? 'down' : 'none')),
+			clock,
+			events: events.EventLog.create(name, clock),
+			box: name,
+			peer: name,
+			leaseMs: 2_000,
+			processor,
+			strongestKnown: () => strongest,
+			strongerBox: () => candidates.stronger(processor)?.box,
+			ping: async (peer) => {
+				const reply = await this.ask(peer, { box: name, processor, storeReachable: true });
+				if (typeof reply === 'number') strongest = reply;
+				return typeof reply === 'number' ? 'alive' : reply;
+			},
+			ownerLacksStore: () => false,
+			onOwned: () => {
+				box.owns = true;
+				this.owners.push(name);
+			},
+			onLost: () => {
+				box.owns = false;
+			},
+			// Without a head start the weak are first.
+			random: (below) => (processor === strong ? below : 0),
+		});
+		return box;
+	}
+
+	private async ask(peer: string, by: ownership.Candidate): Promise<number | ownership.PingOutcome> {
+		const owner = this.boxes.get(peer);
+		const heard = this.candidates.get(peer);
+		if (owner === undefined || heard === undefined) return 'refused';
+		heard.heard(by);
+		for (let waited = 0; waited < ownership.settings.pingWaitMs; waited += 20) {
+			await new Promise<void>((resolve) => {
+				this.clock.after(20, resolve);
+			});
+			const end = endOf(owner);
+			if (end !== undefined) return end;
+		}
+		return heard.strongest(by.processor);
+	}
+}
+
+/** Why a box does not answer as owner; undefined: it does. */
+function endOf(box: TestBox): ownership.PingOutcome | undefined {
+	if (box.isDown) return 'refused';
+	return box.owns ? undefined : 'not-owner';
+}
+
+test('a weak owner hands over to a strong box that stays up, once', async (t) => {
+	const boxes = Boxes.create();
+	boxes.start('weak-1', weak);
+	await boxes.clock.pass(300);
+	boxes.start('weak-2', weak);
+	boxes.start('strong-1', strong);
+	await boxes.clock.pass(20_000);
+	t.snapshot(boxes.owners);
+});
+
+test('boxes of like strength do not hand over', async (t) => {
+	const boxes = Boxes.create();
+	boxes.start('box-1', weak);
+	await boxes.clock.pass(300);
+	boxes.start('box-2', weak);
+	boxes.start('box-3', weak);
+	await boxes.clock.pass(20_000);
+	t.snapshot(boxes.owners);
+});
+
+test('after a strong owner died, another strong box comes first, however many weak ones race', async (t) => {
+	const boxes = Boxes.create();
+	const first = boxes.start('strong-1', strong);
+	await boxes.clock.pass(300);
+	for (const name of ['weak-1', 'weak-2', 'weak-3']) boxes.start(name, weak);
+	boxes.start('strong-2', strong);
+	await boxes.clock.pass(3_000);
+	first.isDown = true;
+	await boxes.clock.pass(1_000);
+	t.snapshot(boxes.owners);
+});
+
+test('weak boxes take over where no strong one is left', async (t) => {
+	const boxes = Boxes.create();
+	const only = boxes.start('strong-1', strong);
+	await boxes.clock.pass(300);
+	boxes.start('weak-1', weak);
+	await boxes.clock.pass(3_000);
+	only.isDown = true;
+	await boxes.clock.pass(1_000);
+	t.snapshot(boxes.owners);
+});
+
+test('after all went down, a strong box that is up a little later than weak ones comes first', async (t) => {
+	const boxes = Boxes.create();
+	const before = boxes.start('strong-1', strong);
+	await boxes.clock.pass(300);
+	const weakBefore = boxes.start('weak-1', weak);
+	await boxes.clock.pass(3_000);
+	before.isDown = true;
+	weakBefore.isDown = true;
+	await boxes.clock.pass(5_000);
+	boxes.start('weak-2', weak);
+	await boxes.clock.pass(250);
+	boxes.start('strong-2', strong);
+	await boxes.clock.pass(1_000);
+	t.snapshot(boxes.owners);
+});
