--- a/test/ownership.test.ts
+++ b/test/ownership.test.ts
@@ -63,6 +63,7 @@
 			},
 			onLost: () => {
 				box.owns = false;
+				strongest = candidates.strongest(processor);
 			},
 			// Without a head start the weak are first.
 			random: (below) => (processor === strong ? below : 0),
