--- a/src/core/owner/ownership.ts
+++ b/src/core/owner/ownership.ts
@@ -50,6 +50,8 @@
 	private stopping = false;
 	/** Generation of the owner last logged as found. */
 	private lastFound = 0;
+	/** Version of the owner's name as last read; 0: not read. */
+	private nameVersion = 0;
 	/** Clock time at which this box last became owner. */
 	private ownedSince = -Infinity;
 
@@ -96,7 +98,8 @@
 	/** One turn of a box that does not own; returns how long to wait. */
 	private async follow(): Promise<number> {
 		if (this.owner === undefined) return this.findOwner();
-		const outcome = await this.opts.ping(this.owner.peer);
+		const outcome = await this.askOwner(this.owner);
+		if (outcome === 'name-gone') return this.findOwner();
 		if (outcome === 'alive') {
 			this.reachable = true;
 			// An owner that the store turns away can neither store ends nor renew leases for long.
@@ -111,6 +114,21 @@
 		return this.findOwner(dead);
 	}
 
+	/** Asks the owner. Once it was silent, its name is watched meanwhile: it goes away with its lease. */
+	private async askOwner(owner: ledger.OwnerRecord): Promise<PingOutcome | 'name-gone'> {
+		const asked = this.opts.ping(owner.peer);
+		if (this.reachable || this.nameVersion === 0) return asked;
+		return Promise.race([asked, this.nameGone(asked)]);
+	}
+
+	/** Resolves when the owner's name changes in the store; else as `asked` does. */
+	private async nameGone(asked: Promise<PingOutcome>): Promise<PingOutcome | 'name-gone'> {
+		const { store } = this.opts;
+		const seen = await store.follow(ledger.keys.ownerKey, this.nameVersion, settings.pingTimeoutMs);
+		const isChanged = seen.ok && seen.value.type === 'changes' && seen.value.changes.length > 0;
+		return isChanged ? 'name-gone' : asked;
+	}
+
 	/** Whether this box stopped, or learnt of another owner, during an `await`. */
 	private isSettledMeanwhile(): boolean {
 		return this.owner === undefined || this.stopping;
@@ -128,6 +146,7 @@
 			this.opts.events.emit('owner.found', { box: owner.box, generation: owner.generation });
 		}
 		this.owner = owner;
+		this.nameVersion = found.value?.version ?? 0;
 		return dead === undefined && !this.reachable ? settings.findRetryMs : 0;
 	}
 
@@ -141,6 +160,7 @@
 		const owner = named.ok && named.value !== undefined ? ledger.decodeOwner(named.value.value) : undefined;
 		if (owner === undefined || owner.generation === replaces) return false;
 		this.owner = owner;
+		this.nameVersion = 0;
 		return true;
 	}
 
--- a/test/ownership.test.ts
+++ b/test/ownership.test.ts
@@ -13,6 +13,8 @@
 	race: ownership.Ownership;
 	owns: boolean;
 	isDown: boolean;
+	/** It answers nothing, and nothing answers it. */
+	isCut: boolean;
 }
 
 /** Boxes that ask each other as real ones do. */
@@ -38,11 +40,11 @@
 		const { clock } = this;
 		const candidates = ownership.Candidates.create(() => clock.now());
 		let strongest: number | undefined;
-		const box: TestBox = { owns: false, isDown: false, race: undefined as never };
+		const box: TestBox = { owns: false, isDown: false, isCut: false, race: undefined as never };
 		this.boxes.set(name, box);
 		this.candidates.set(name, candidates);
 		box.race = ownership.Ownership.create({
-			store: this.store.view(() => (box.isDown ? 'down' : 'none')),
+			store: this.store.view(() => (box.isDown || box.isCut ? 'down' : 'none')),
 			clock,
 			events: events.EventLog.create(name, clock),
 			box: name,
@@ -75,16 +77,24 @@
 		const owner = this.boxes.get(peer);
 		const heard = this.candidates.get(peer);
 		if (owner === undefined || heard === undefined) return 'refused';
+		if (owner.isCut) {
+			await this.sleep(ownership.settings.pingTimeoutMs);
+			return 'silent';
+		}
 		heard.heard(by);
 		for (let waited = 0; waited < ownership.settings.pingWaitMs; waited += 20) {
-			await new Promise<void>((resolve) => {
-				this.clock.after(20, resolve);
-			});
+			await this.sleep(20);
 			const end = endOf(owner);
 			if (end !== undefined) return end;
 		}
 		return heard.strongest(by.processor);
 	}
+
+	private sleep(ms: number): Promise<void> {
+		return new Promise((resolve) => {
+			this.clock.after(ms, resolve);
+		});
+	}
 }
 
 /** Why a box does not answer as owner; undefined: it does. */
@@ -151,3 +161,16 @@
 	await boxes.clock.pass(1_000);
 	t.snapshot(boxes.owners);
 });
+
+test('a strong box takes over within a tenth of a second once the lease of an owner that was cut off is over', async (t) => {
+	const boxes = Boxes.create();
+	const first = boxes.start('strong-1', strong);
+	await boxes.clock.pass(300);
+	boxes.start('strong-2', strong);
+	boxes.start('weak-1', weak);
+	await boxes.clock.pass(3_000);
+	first.isCut = true;
+	// The lease was last renewed up to one gap between renewals ago.
+	await boxes.clock.pass(ownership.settings.leaseMs + 100);
+	t.snapshot(boxes.owners);
+});
