Fault soak; a cancellation that may have been stored is not called undone; a planned stop answers what is under way

Soak: dev/soak/ runs real boxes as processes over the stand-in of the users' platform, injects seeded faults from outside (signals, proxies before the store and each worker, the store itself, workers) and judges by what callers and workers see.

Found by its first seeds: - a cancellation without an answer from the store was answered 503, not run, and took effect later. Ruled out: the owner (the record was in the store). Test: job-service, two of three cases fail before. - a planned stop ended the process at a fixed time with requests under way. Now the address is closed, what is under way is answered within 1.5 s, then the process ends.

The stand-in answered unknown outcomes with 503; it now breaks the connection, and checks which life of a worker is meant.

--- a/dev/measure/placement.ts
+++ b/dev/measure/placement.ts
@@ -2,6 +2,7 @@
  * A seeded day of placement by the program's own functions: wrong sizes and pair disturbance are hidden from the
  * policy, which learns of them by late reports. Not a simulator of the system: no processes, no failures.
  */
+import * as rng from '../random.js';
 import * as placement from '../../src/core/placement/index.js';
 import * as pairs from './pair-estimate.js';
 import * as report from './report.js';
@@ -74,14 +75,6 @@
 	wastedMin: number;
 }
 
-function seeded(seed: number): () => number {
-	let state = seed * 7919 + 1;
-	return () => {
-		state = (state * 48_271) % 2_147_483_647;
-		return state / 2_147_483_647;
-	};
-}
-
 /** Hidden truth: one pair in five disturbs, by up to 15 ms a task at full load. */
 function hiddenCosts(random: () => number): (service: string, batch: string) => number {
 	const costs = new Map<string, number>();
@@ -234,8 +227,8 @@
 }
 
 function runDay(customer: Customer, seed: number, way: string): Day {
-	const random = seeded(seed);
-	const truth = hiddenCosts(seeded(seed + 100));
+	const random = rng.seeded(seed);
+	const truth = hiddenCosts(rng.seeded(seed + 100));
 	const estimate = pairs.PairEstimate.create();
 	const cost: pairs.PairCost = (one, batch) => estimate.cost(one, batch);
 	const scores: Record<string, placement.Score> = {
--- /dev/null
+++ b/dev/soak/faults.ts
@@ -0,0 +1,195 @@
+/** Faults from outside the processes, in an order that the seed decides; they overlap and come in series. */
+import * as random from '../random.js';
+import type * as proxies from '../../stand-ins/proxy/index.js';
+import type * as workers from '../../stand-ins/fleet/workers.js';
+import type * as worlds from './world.js';
+
+/** Between two faults, in milliseconds: several are under way at most times. */
+const leastGapMs = 150;
+const mostGapMs = 1_100;
+
+/** How long one lasts, in milliseconds: from a hiccup to twice the owner's lease and the horizon. */
+const leastMs = 200;
+const mostMs = 6_000;
+
+/** A killed process starts again after so long, in milliseconds. */
+const restartMs = 400;
+
+/** A planned stop that lasts longer is killed: the grace that `box-process.ts` tells boxes, in milliseconds. */
+const graceMs = 3_000;
+
+/** Faults under way at boxes at once: one box is always left alone. */
+type Fault = (world: worlds.World, next: () => number, forMs: number) => Promise<string> | string;
+
+/** What may be injected. */
+const faults: Record<string, Fault> = {
+	'box-killed': async (world, next) => {
+		const box = aBox(world, next);
+		if (box?.process === undefined) return 'none';
+		world.troubled(box, restartMs + settleStartMs);
+		await box.process.kill();
+		await sleep(restartMs);
+		await world.startBox(box);
+		return box.name;
+	},
+	'box-stopped': async (world, next) => {
+		const box = aBox(world, next);
+		if (box?.process === undefined) return 'none';
+		const running = box.process;
+		box.stoppingUntil = world.now() + graceMs;
+		const killer = setTimeout(() => running.process.kill('SIGKILL'), graceMs);
+		await running.kill('SIGTERM');
+		clearTimeout(killer);
+		world.troubled(box, settleStartMs);
+		await world.startBox(box);
+		return box.name;
+	},
+	'box-paused': async (world, next, forMs) => {
+		const box = aBox(world, next);
+		if (box?.process === undefined) return 'none';
+		const { process: paused } = box.process;
+		world.troubled(box, forMs + settleStartMs);
+		paused.kill('SIGSTOP');
+		await sleep(forMs);
+		paused.kill('SIGCONT');
+		return box.name;
+	},
+	'store-link-cut': (world, next, forMs) => storeLink(world, next, forMs, { kind: 'cut' }),
+	'store-link-silent': (world, next, forMs) => storeLink(world, next, forMs, { kind: 'freeze' }),
+	'store-link-one-way': (world, next, forMs) => storeLink(world, next, forMs, { kind: 'drop-answers' }),
+	'store-link-slow': (world, next, forMs) =>
+		storeLink(world, next, forMs, { kind: 'delay', ms: random.between(next, 20, 300) }),
+	'store-down': (world, _next, forMs) => storeFault(world, forMs, 'down'),
+	'store-loses-answers': (world, _next, forMs) => storeFault(world, forMs, 'lost'),
+	'store-writes-late': (world, _next, forMs) => storeFault(world, forMs, 'late'),
+	'owner-name-revoked': (world) => {
+		world.platform.store.drop('woodcross/owner');
+		return 'owner';
+	},
+	'worker-link-cut': (world, next, forMs) => workerLink(world, next, forMs, { kind: 'cut' }),
+	'worker-link-silent': (world, next, forMs) => workerLink(world, next, forMs, { kind: 'freeze' }),
+	'worker-link-one-way': (world, next, forMs) => workerLink(world, next, forMs, { kind: 'drop-answers' }),
+	'worker-link-slow': (world, next, forMs) =>
+		workerLink(world, next, forMs, { kind: 'delay', ms: random.between(next, 20, 300) }),
+	'worker-loses-answers': (world, next, forMs) => workerFault(world, next, forMs, 'lost'),
+	'worker-orders-late': (world, next, forMs) => workerFault(world, next, forMs, 'late'),
+	'worker-crashed': (world, next) => {
+		const worker = random.pick(next, world.workers);
+		world.replaceWorker(worker);
+		return worker.id;
+	},
+	'worker-clock-slow': (world, next) => {
+		const worker = random.pick(next, world.workers);
+		const life = world.platform.fleet.workers.get(worker.id);
+		// The slowest that is stated of the users' workers.
+		if (life !== undefined) life.rate = 0.98;
+		return worker.id;
+	},
+	'configuration-changed': (world) => {
+		world.configure(`/more-${world.version}/`);
+		return `version ${world.version}`;
+	},
+};
+
+/** A box that has just started anew is given so long, in milliseconds. */
+const settleStartMs = 1_500;
+
+/** Injects faults until `until` (clock time), and resolves once the last has ended. */
+export async function inject(
+	world: worlds.World,
+	next: () => number,
+	until: number,
+	log: (line: string) => void,
+): Promise<void> {
+	const open: Promise<void>[] = [];
+	while (world.now() < until) {
+		const name = random.pick(next, Object.keys(faults));
+		const forMs = random.between(next, leastMs, mostMs);
+		open.push(run(name, world, next, forMs, log));
+		await sleep(random.between(next, leastGapMs, mostGapMs));
+	}
+	await Promise.all(open);
+}
+
+async function run(
+	name: string,
+	world: worlds.World,
+	next: () => number,
+	forMs: number,
+	log: (line: string) => void,
+): Promise<void> {
+	const startedAt = world.now();
+	const at = await faults[name]?.(world, next, forMs);
+	if (at !== 'none') log(`${name} at ${at ?? ''} for ${Math.round(world.now() - startedAt)} ms`);
+}
+
+/** A box without trouble of its own; undefined: the last such box is left alone. */
+function aBox(world: worlds.World, next: () => number): worlds.SoakBox | undefined {
+	const sound = world.boxes.filter(
+		(box) => box.process !== undefined && Math.max(box.troubledUntil, box.stoppingUntil) < world.now(),
+	);
+	return sound.length > 1 ? random.pick(next, sound) : undefined;
+}
+
+async function storeLink(
+	world: worlds.World,
+	next: () => number,
+	forMs: number,
+	mode: proxies.ProxyMode,
+): Promise<string> {
+	const box = aBox(world, next);
+	if (box === undefined) return 'none';
+	world.troubled(box, forMs);
+	box.store.set(mode);
+	await sleep(forMs);
+	box.store.set({ kind: 'pass' });
+	return box.name;
+}
+
+async function storeFault(
+	world: worlds.World,
+	forMs: number,
+	fault: 'down' | 'lost' | 'late',
+): Promise<string> {
+	if (world.platform.storeFault !== 'none') return 'none';
+	world.storeTroubledUntil = world.now() + forMs;
+	world.platform.storeFault = fault;
+	await sleep(forMs);
+	world.platform.storeFault = 'none';
+	return 'the store';
+}
+
+async function workerLink(
+	world: worlds.World,
+	next: () => number,
+	forMs: number,
+	mode: proxies.ProxyMode,
+): Promise<string> {
+	const worker = random.pick(next, world.workers);
+	worker.proxy.set(mode);
+	await sleep(forMs);
+	worker.proxy.set({ kind: 'pass' });
+	return worker.id;
+}
+
+async function workerFault(
+	world: worlds.World,
+	next: () => number,
+	forMs: number,
+	fault: workers.WorkerFault,
+): Promise<string> {
+	const { id } = random.pick(next, world.workers);
+	const life = world.platform.fleet.workers.get(id);
+	if (life === undefined) return 'none';
+	life.fault = fault;
+	await sleep(forMs);
+	life.fault = 'none';
+	return id;
+}
+
+/** Resolves after so many milliseconds. */
+export function sleep(ms: number): Promise<void> {
+	return new Promise((resolve) => {
+		setTimeout(resolve, ms);
+	});
+}
--- /dev/null
+++ b/dev/soak/judge.ts
@@ -0,0 +1,149 @@
+/** What must hold whatever is injected, judged by what callers see and by what workers carry out. */
+import * as jobs from '../../src/core/jobs/index.js';
+import type * as fleet from '../../src/core/fleet/types.js';
+import type * as workers from '../../stand-ins/fleet/workers.js';
+
+/** A promise that was broken. */
+export interface Violation {
+	/** Seconds from the start of the soak. */
+	at: number;
+	promise:
+		| 'one-run'
+		| 'not-after-done'
+		| 'order'
+		| 'room'
+		| 'unasked'
+		| 'refused-ran'
+		| 'completed-early'
+		| 'lost'
+		| 'cut'
+		| 'configuration'
+		| 'process-ended';
+	detail: string;
+}
+
+/** One step of a job as its caller declared it. */
+export interface SoakStep {
+	tasks: number;
+	milliCores: number;
+	after: number[];
+}
+
+/** What a caller knows of a job. */
+export interface SoakJob {
+	id: string;
+	steps: SoakStep[];
+	/** Some answer said that it is kept. */
+	accepted: boolean;
+	/** Some attempt got no answer, or one that leaves open what became of it. */
+	unknown: boolean;
+	cancelled: boolean;
+	completed: boolean;
+}
+
+/** Takes note of everything that callers and workers see. */
+export class Judge implements workers.FleetJournal {
+	readonly violations: Violation[] = [];
+	private readonly jobs = new Map<string, SoakJob>();
+	private readonly done = new Set<string>();
+	private readonly noted = new Set<string>();
+	private readonly startedJobs = new Set<string>();
+	/** Runs that go on, as the workers know them; set once there are workers. */
+	running: () => { worker: string; task: string }[] = () => [];
+	starts = 0;
+
+	private constructor(
+		private readonly now: () => number,
+		private readonly coresOfWorker: number,
+	) {}
+
+	/** `now`: seconds from the start; `coresOfWorker`: thousandths of a core that a worker holds. */
+	static create(now: () => number, coresOfWorker: number): Judge {
+		return new Judge(now, coresOfWorker);
+	}
+
+	/** A caller is about to hand a job in. */
+	sent(job: SoakJob): void {
+		this.jobs.set(job.id, job);
+	}
+
+	/** All jobs that were handed in. */
+	all(): SoakJob[] {
+		return [...this.jobs.values()];
+	}
+
+	/** A caller was told that a job has completed. */
+	toldCompleted(job: SoakJob): void {
+		job.completed = true;
+		const open = taskNames(job).filter((name) => !this.done.has(name));
+		if (open.length > 0) this.report('completed-early', `${job.id}: ${open.join(' ')} did not finish`);
+	}
+
+	started(start: workers.StartRecord): void {
+		this.starts += 1;
+		const parsed = jobs.parseTaskName(start.task);
+		const job = parsed && this.jobs.get(parsed.job);
+		if (parsed === undefined || job === undefined) {
+			this.report('unasked', `${start.task}: nobody handed it in`);
+			return;
+		}
+		this.startedJobs.add(job.id);
+		this.judgeStart(start, job, parsed.step);
+	}
+
+	ended(end: fleet.RunEnd): void {
+		if (end.how === 'done') this.done.add(end.task);
+	}
+
+	forgotten(end: fleet.RunEnd): void {
+		if (end.how === 'done') this.noted.add(end.task);
+	}
+
+	/** What can only be judged once everything has settled. */
+	atEnd(): void {
+		for (const job of this.jobs.values()) {
+			const isRefused = !job.accepted && !job.unknown;
+			if (isRefused && this.startedJobs.has(job.id)) this.report('refused-ran', job.id);
+			if (job.accepted && !job.cancelled && !job.completed)
+				this.report('lost', `${job.id} was accepted and does not complete`);
+		}
+	}
+
+	/** Notes a broken promise. */
+	report(promise: Violation['promise'], detail: string): void {
+		this.violations.push({ at: this.now(), promise, detail });
+	}
+
+	private judgeStart(start: workers.StartRecord, job: SoakJob, step: number): void {
+		const running = this.running();
+		const copies = running.filter((one) => one.task === start.task);
+		if (copies.length > 1)
+			this.report('one-run', `${start.task} runs on ${copies.map((one) => one.worker).join(' and ')}`);
+		if (this.noted.has(start.task))
+			this.report('not-after-done', `${start.task} run ${start.run} on ${start.worker}`);
+		for (const before of job.steps[step]?.after ?? []) this.judgeOrder(start, job, before);
+		const here = running.filter((one) => one.worker === start.worker);
+		const cores = here.reduce((sum, one) => sum + this.coresOf(one.task), 0);
+		if (cores > this.coresOfWorker)
+			this.report('room', `${start.worker} holds ${cores} thousandths of a core`);
+	}
+
+	private judgeOrder(start: workers.StartRecord, job: SoakJob, before: number): void {
+		const open = taskNames(job, before).filter((name) => !this.done.has(name));
+		if (open.length > 0) this.report('order', `${start.task} before ${open.join(' ')}`);
+	}
+
+	private coresOf(task: string): number {
+		const parsed = jobs.parseTaskName(task);
+		return (parsed && this.jobs.get(parsed.job)?.steps[parsed.step]?.milliCores) ?? 0;
+	}
+}
+
+/** Names of the tasks of a job, or of one of its steps. */
+function taskNames(job: SoakJob, only?: number): string[] {
+	return job.steps.flatMap((step, number) =>
+		only === undefined || only === number
+			? Array.from({ length: step.tasks }, (_, index) => `${job.id}.0.${number}.${index}`)
+			: [],
+	);
+}
--- /dev/null
+++ b/dev/soak/world.ts
@@ -0,0 +1,157 @@
+/** The real programs as processes, behind proxies, over the stand-in of the users' platform. */
+import * as boxes from '../../stand-ins/box-process.js';
+import * as clocks from '../../src/core/clock.js';
+import * as proxies from '../../stand-ins/proxy/index.js';
+import * as users from '../../stand-ins/users-platform/server.js';
+import type * as judges from './judge.js';
+import type * as workers from '../../stand-ins/fleet/workers.js';
+
+/** Host of all queues. */
+export const host = 'proofs.example';
+
+/** After trouble at a box ended, nothing with a time bound is asked of it for so long, in milliseconds. */
+const settleMs = 3_000;
+
+/** A box, over all the processes that it has run. */
+export interface SoakBox {
+	name: string;
+	/** Its way to the store. */
+	store: proxies.FaultProxy;
+	process: boxes.BoxProcess | undefined;
+	/** Counts its processes. */
+	life: number;
+	/** What all its processes logged. */
+	lines: boxes.LogLine[][];
+	/** Clock time until which trouble at it lasts. */
+	troubledUntil: number;
+	/** Clock time until which it is in a planned stop. */
+	stoppingUntil: number;
+}
+
+/** A worker, over all its lives. */
+export interface SoakWorker {
+	id: string;
+	proxy: proxies.FaultProxy;
+	lives: number;
+}
+
+/** Sizes of a soak. */
+export interface WorldOptions {
+	boxes: number;
+	workers: number;
+	judge: judges.Judge;
+	plan: (task: string, run: number) => workers.RunPlan;
+}
+
+/** Everything that a soak started. */
+export class World {
+	readonly boxes: SoakBox[] = [];
+	readonly workers: SoakWorker[] = [];
+	/** Prefixes of paths that have a queue; the newest last. */
+	prefixes = ['/jobs/'];
+	version = 1;
+	/** Clock time of the newest change of the configuration. */
+	changedAt = 0;
+	/** Clock time until which the store is in trouble for all. */
+	storeTroubledUntil = 0;
+	private closing = false;
+
+	private constructor(
+		readonly platform: users.UsersPlatform,
+		private readonly judge: judges.Judge,
+	) {}
+
+	static async create(opts: WorldOptions): Promise<World> {
+		const { judge, plan } = opts;
+		const world = new World(users.UsersPlatform.create({ plan, journal: judge }), judge);
+		judge.running = () => world.running();
+		const storeAddress = await world.platform.startStore();
+		world.configure();
+		for (let number = 1; number <= opts.workers; number += 1) await world.addWorker(`i-${number}`);
+		for (let number = 1; number <= opts.boxes; number += 1)
+			world.boxes.push({
+				name: `entry-${number}`,
+				store: await proxies.FaultProxy.create(storeAddress),
+				process: undefined,
+				life: 0,
+				lines: [],
+				troubledUntil: 0,
+				stoppingUntil: 0,
+			});
+		await Promise.all(world.boxes.map((box) => world.startBox(box)));
+		return world;
+	}
+
+	now(): number {
+		return clocks.systemClock.now();
+	}
+
+	/** Starts a process for a box that has none. */
+	async startBox(box: SoakBox): Promise<void> {
+		const started = await boxes.BoxProcess.create(box.name, box.store.address);
+		box.life += 1;
+		box.process = started;
+		box.lines.push(started.lines);
+		const { life } = box;
+		started.process.once('exit', (code, signal) => {
+			const isAsked = this.closing || signal === 'SIGKILL' || box.stoppingUntil > this.now();
+			if (box.life === life) box.process = undefined;
+			if (!isAsked)
+				this.judge.report('process-ended', `${box.name}: status ${String(code)}, ${String(signal)}`);
+		});
+		this.troubled(box, 0);
+		if (this.closing) await started.kill();
+	}
+
+	/** Trouble lasts at a box for so long from now. */
+	troubled(box: SoakBox, ms: number): void {
+		box.troubledUntil = Math.max(box.troubledUntil, this.now() + ms);
+	}
+
+	/** Whether a box has been without trouble for a while, the store too. */
+	isCalm(box: SoakBox): boolean {
+		const until = Math.max(box.troubledUntil, this.storeTroubledUntil, box.stoppingUntil);
+		return box.process !== undefined && this.now() > until + settleMs;
+	}
+
+	/** Another life of a worker begins at its address. */
+	replaceWorker(worker: SoakWorker): void {
+		const before = worker.id;
+		worker.lives += 1;
+		worker.id = `${before.split('.')[0] ?? before}.${worker.lives}`;
+		this.platform.replaceWorker(before, worker.id, worker.proxy.address);
+	}
+
+	/** Stores a new version of the configuration; `added`: prefix of one more queue. */
+	configure(added?: string): void {
+		if (added !== undefined) this.prefixes = [...this.prefixes, added];
+		this.version += 1;
+		this.platform.configure(this.version, host, this.prefixes);
+		this.changedAt = this.now();
+	}
+
+	/** Ends every process that was started here, and every server. */
+	async close(): Promise<void> {
+		this.closing = true;
+		const running = this.boxes.flatMap((box) => box.process ?? []);
+		await Promise.all(running.map((one) => one.kill()));
+		for (const box of this.boxes) box.store.close();
+		for (const worker of this.workers) worker.proxy.close();
+		this.platform.close();
+	}
+
+	private async addWorker(id: string): Promise<void> {
+		let proxy: proxies.FaultProxy | undefined;
+		await this.platform.startWorker(id, async (address) => {
+			proxy = await proxies.FaultProxy.create(address);
+			return proxy.address;
+		});
+		if (proxy !== undefined) this.workers.push({ id, proxy, lives: 1 });
+	}
+
+	private running(): { worker: string; task: string }[] {
+		return [...this.platform.fleet.workers].flatMap(([worker, one]) =>
+			[...one.running.keys()].map((task) => ({ worker, task })),
+		);
+	}
+}
--- a/src/cli/box/listening.ts
+++ b/src/cli/box/listening.ts
@@ -1,4 +1,5 @@
 /** Servers on addresses as the settings write them, `host:port`. */
+import type * as http from 'node:http';
 import type * as net from 'node:net';
 
 /** Listens, and says where: port 0 lets the kernel choose. Fails if the address can't be used. */
@@ -11,6 +12,20 @@
 	return `${at.address}:${at.port}`;
 }
 
+/**
+ * Takes no new connections, ends the idle ones, and resolves once every request under way has been answered, after
+ * `mostMs` milliseconds at the latest.
+ */
+export function finish(server: http.Server, mostMs: number): Promise<void> {
+	return new Promise((resolve) => {
+		server.close(() => {
+			resolve();
+		});
+		server.closeIdleConnections();
+		setTimeout(resolve, mostMs).unref();
+	});
+}
+
 /** Host and port of an address. */
 export function toListenOptions(address: string): { host: string; port: number } {
 	const cut = address.lastIndexOf(':');
--- a/src/cli/box/main.ts
+++ b/src/cli/box/main.ts
@@ -12,8 +12,11 @@
 /** Exit status for settings that can't be used. */
 const badSettings = 2;
 
-/** A stopping box ends by itself this long before it would be killed, in milliseconds. */
-const endBeforeKillMs = 2_000;
+/** A stopping box takes no more requests from this long before it would be killed, in milliseconds. */
+const finishBeforeKillMs = 2_000;
+
+/** Requests under way then have this long to be answered, in milliseconds: longer than any call that they wait for. */
+const finishMs = 1_500;
 
 const path = process.env[platformSettings.settingsVariable] ?? '';
 const given = platformSettings.readSettings(path);
@@ -25,7 +28,8 @@
 const log = events.EventLog.create(settings.box, clock.systemClock, 'json');
 const box = await boxes.Box.create(settings, adapters.createAdapter(settings), clock.systemClock, log);
 const readiness = await listening.listen(ingress.serveReadiness(box), settings.readiness);
-const callers = await listening.listen(ingress.serveCallers(box), settings.callers);
+const callersServer = ingress.serveCallers(box);
+const callers = await listening.listen(callersServer, settings.callers);
 log.emit('process.started', { callers, readiness, peer: box.peerAddress });
 
 // Nothing of the first second needs figures, and loading what keeps them costs start-up time.
@@ -42,7 +46,12 @@
 	void box.leave();
 	// Open connections are served to the end; the balancer needs two seconds to send callers elsewhere.
 	setTimeout(() => {
-		log.emit('process.stopped');
-		process.exit(0);
-	}, settings.bounds.graceMs - endBeforeKillMs);
+		void finishAndExit();
+	}, settings.bounds.graceMs - finishBeforeKillMs);
 });
+
+async function finishAndExit(): Promise<void> {
+	await listening.finish(callersServer, finishMs);
+	log.emit('process.stopped');
+	process.exit(0);
+}
--- a/src/core/box/job-service.ts
+++ b/src/core/box/job-service.ts
@@ -101,10 +101,11 @@
 		this.opts.events.emit('job.cancel', {
 			job: id,
 			outcome: outcome.type,
-			reason: outcome.type === 'unknown' ? outcome.reason : undefined,
+			reason: 'reason' in outcome ? outcome.reason : undefined,
 		});
 		if (outcome.type === 'no-such-job') return { type: 'no-such-job' };
-		if (outcome.type === 'unknown') return { type: 'unavailable', reason: outcome.reason };
+		if (outcome.type === 'not-stored') return { type: 'unavailable', reason: outcome.reason };
+		if (outcome.type === 'unknown') return { type: 'unknown', reason: outcome.reason };
 		this.tell({ type: 'job.cancelled', job: id }, (own) => {
 			own.cancelJob(id);
 		});
@@ -142,16 +143,22 @@
 
 	private async storeCancel(id: string): Promise<ledger.CancelOutcome> {
 		const { contact, store } = this.opts;
+		let unknown = false;
+		let reason = 'the store does not answer';
 		if (contact.reachable) {
 			const outcome = await ledger.cancel(store, id);
-			if (outcome.type !== 'unknown') return outcome;
+			if (outcome.type === 'cancelled' || outcome.type === 'no-such-job') return outcome;
+			unknown = outcome.type === 'unknown';
+			reason = outcome.reason;
 		}
 		if (this.opts.dispatcher() === undefined && this.opts.ownerHasStore()) {
 			const req = { type: 'job.cancel' as const, job: id };
 			const relayed = await this.opts.askOwner<ledger.CancelOutcome>(req, relayTimeoutMs);
-			if (relayed.ok) return relayed.value;
+			if (!relayed.ok) return { type: unknown || relayed.err.sent ? 'unknown' : 'not-stored', reason };
+			if (relayed.value.type === 'cancelled' || relayed.value.type === 'no-such-job') return relayed.value;
+			unknown ||= relayed.value.type === 'unknown';
 		}
-		return { type: 'unknown', reason: 'the store does not answer' };
+		return { type: unknown ? 'unknown' : 'not-stored', reason };
 	}
 
 	private async ownersState(id: string): Promise<jobs.JobState | undefined> {
--- a/src/core/ledger/requests.ts
+++ b/src/core/ledger/requests.ts
@@ -23,14 +23,20 @@
 		removes: [],
 	});
 	if (res.ok) return { type: res.value.type === 'committed' ? 'accepted' : 'known' };
-	const { reason } = res.err;
-	return res.err.effect === 'none' ? { type: 'not-stored', reason } : { type: 'unknown', reason };
+	return unstored(res.err);
+}
+
+/** What a failed write says: it was not done, or nobody knows. */
+function unstored(err: platform.StoreFailure): types.AcceptOutcome & types.CancelOutcome {
+	const { effect, reason } = err;
+	return effect === 'none' ? { type: 'not-stored', reason } : { type: 'unknown', reason };
 }
 
 /** Keeps the wish that a job be cancelled. */
 export async function cancel(store: platform.RecordStore, id: string): Promise<types.CancelOutcome> {
 	const job = await store.get(keys.jobKey(id));
-	if (!job.ok) return { type: 'unknown', reason: job.err.reason };
+	// Only read so far.
+	if (!job.ok) return { type: 'not-stored', reason: job.err.reason };
 	if (job.value === undefined) return { type: 'no-such-job' };
 	const key = keys.cancelKey(id);
 	const res = await store.commit({
@@ -38,7 +44,7 @@
 		writes: [{ key, value: new Uint8Array(0) }],
 		removes: [],
 	});
-	return res.ok ? { type: 'cancelled' } : { type: 'unknown', reason: res.err.reason };
+	return res.ok ? { type: 'cancelled' } : unstored(res.err);
 }
 
 /** Reads how a job stands; undefined: there is no such job. */
--- a/src/core/ledger/types.ts
+++ b/src/core/ledger/types.ts
@@ -43,6 +43,9 @@
 	| { type: 'not-stored'; reason: string }
 	| { type: 'unknown'; reason: string };
 
-/** What a cancellation came to. */
+/** What a cancellation came to; `not-stored` and `unknown` as for a hand-in. */
 export type CancelOutcome =
-	{ type: 'cancelled' } | { type: 'no-such-job' } | { type: 'unknown'; reason: string };
+	| { type: 'cancelled' }
+	| { type: 'no-such-job' }
+	| { type: 'not-stored'; reason: string }
+	| { type: 'unknown'; reason: string };
--- a/stand-ins/fleet/workers.ts
+++ b/stand-ins/fleet/workers.ts
@@ -55,11 +55,22 @@
 	percent: number;
 }
 
+/** What a judge is told of workers, as it happens. */
+export interface FleetJournal {
+	/** A start was carried out. */
+	started: (start: StartRecord) => void;
+	/** A run ended. */
+	ended: (end: fleet.RunEnd) => void;
+	/** An end was forgotten, as the boxes asked. */
+	forgotten: (end: fleet.RunEnd) => void;
+}
+
 /** Settings of a fleet. */
 export interface FleetOptions {
 	clock: clocks.Clock;
 	maxLeaseMs: number;
 	plan: (task: string, run: number) => RunPlan;
+	journal?: FleetJournal;
 }
 
 /** One worker. */
@@ -98,7 +109,10 @@
 	hold(req: fleet.HoldOrder): results.Result<fleet.WorkerReport, fleet.WorkerFailure> {
 		if (!this.accepts(req.epoch)) return results.fail({ kind: 'fenced' });
 		this.extend(req.leaseUntil);
-		while (this.ended[0] !== undefined && this.ended[0].seq <= req.forgetUpTo) this.ended.shift();
+		while (this.ended[0] !== undefined && this.ended[0].seq <= req.forgetUpTo) {
+			this.opts.journal?.forgotten(this.ended[0]);
+			this.ended.shift();
+		}
 		return results.ok(this.report());
 	}
 
@@ -177,14 +191,16 @@
 			reading: plan.reading ?? 0,
 			percent: plan.percent ?? 100,
 		});
-		this.starts.push({
+		const start: StartRecord = {
 			at: this.opts.clock.now(),
 			task: req.task,
 			run: req.run,
 			worker: this.entry.id,
 			checkpoint: req.checkpoint,
 			epoch: req.epoch,
-		});
+		};
+		this.starts.push(start);
+		this.opts.journal?.started(start);
 	}
 
 	private end(task: string, run: number, how: fleet.EndKind): void {
@@ -194,7 +210,9 @@
 		this.running.delete(task);
 		this.highest.set(task, Math.max(run, this.highest.get(task) ?? 0));
 		this.seq += 1;
-		this.ended.push({ seq: this.seq, task, run, how, checkpoint: '' });
+		const ended: fleet.RunEnd = { seq: this.seq, task, run, how, checkpoint: '' };
+		this.ended.push(ended);
+		this.opts.journal?.ended(ended);
 		const waiting = this.waiting;
 		this.waiting = [];
 		for (const fn of waiting) fn();
--- a/stand-ins/users-platform/server.ts
+++ b/stand-ins/users-platform/server.ts
@@ -12,12 +12,20 @@
 
 type Body = Record<string, unknown>;
 
-/** Status and body of an answer. */
-type Answer = [number, object];
+/** Status and body of an answer; `none`: the connection breaks, and the call may have been done. */
+type Answer = [number, object] | 'none';
 
 type Answerer = (req: http.IncomingMessage, url: URL, body: Body) => Promise<Answer>;
 
-const unavailable: Answer = [503, {}];
+/** What can be set of a stand-in. */
+export interface UsersPlatformOptions {
+	plan: (task: string, run: number) => workers.RunPlan;
+	/** Told of each start that a worker carried out, and each end that it forgot. */
+	journal?: workers.FleetJournal;
+}
+
+/** Longest lease of the workers, in milliseconds; `box-process.ts` tells boxes the same. */
+const maxLeaseMs = 10_000;
 
 /** Status of each refusal of a worker, and its reason on the wire. */
 const refusals: Record<string, [number, string]> = {
@@ -32,34 +40,45 @@
 export class UsersPlatform {
 	readonly store = memory.MemoryStore.create(clocks.systemClock);
 	readonly fleet: workers.FakeFleet;
-	/** The store answers nobody while this is set. */
-	storeDown = false;
+	/** What the store does to every call. */
+	storeFault: memory.StoreFault = 'none';
 	private readonly servers: http.Server[] = [];
-	/** Ids of the workers, by address. */
-	private readonly workerIds = new Map<string, string>();
 
-	private constructor(plan: (task: string, run: number) => workers.RunPlan) {
-		this.fleet = workers.FakeFleet.create({ clock: clocks.systemClock, maxLeaseMs: 10_000, plan });
+	private constructor(opts: UsersPlatformOptions) {
+		this.fleet = workers.FakeFleet.create({ clock: clocks.systemClock, maxLeaseMs, ...opts });
 	}
 
-	static create(plan: (task: string, run: number) => workers.RunPlan): UsersPlatform {
-		return new UsersPlatform(plan);
+	static create(opts: UsersPlatformOptions): UsersPlatform {
+		return new UsersPlatform(opts);
 	}
 
 	/** Starts the store; returns its address. */
 	startStore(): Promise<string> {
-		const view = this.store.view(() => (this.storeDown ? 'down' : 'none'));
+		const view = this.store.view(() => this.storeFault);
 		return this.listen((req, url, body) => answerStore(view, req.method ?? '', url, body));
 	}
 
-	/** Starts a worker and lists it in the store. */
-	async startWorker(id: string): Promise<void> {
-		const address = await this.listen((_req, url, body) => this.answerWorker(id, url.pathname, body));
+	/** Starts a worker and lists it in the store under `listedAs(address)`; returns where it listens. */
+	async startWorker(id: string, listedAs: (address: string) => Promise<string> | string): Promise<string> {
+		const address = await this.listen((req, url, body) =>
+			this.answerWorker({ id: String(req.headers['target-instance']), address }, url.pathname, body),
+		);
+		this.addLife(id, address, await listedAs(address));
+		return address;
+	}
+
+	/** A worker dies with all it runs; another life comes at the same address. */
+	replaceWorker(before: string, id: string, listedAs: string): void {
+		const address = this.fleet.workers.get(before)?.entry.address ?? '';
+		this.store.drop(`servers/${before}`);
+		this.addLife(id, address, listedAs);
+	}
+
+	private addLife(id: string, address: string, listedAs: string): void {
 		this.fleet.add(id, { address });
-		this.workerIds.set(address, id);
 		const entry = {
 			service: 'press',
-			address,
+			address: listedAs,
 			zone: 'rennes',
 			state: 'ready',
 			capacity: { cpu: 32_000, mem_mb: 128_000, gpu: 0 },
@@ -69,9 +88,9 @@
 		this.store.put(`servers/${id}`, Buffer.from(JSON.stringify(entry)));
 	}
 
-	/** Writes the operators' configuration: one queue at `host` and `/jobs/`. */
-	configure(version: number, host: string): void {
-		const configuration = { version, ...configurationFor(host) };
+	/** Writes the operators' configuration: queues at `host`, one for each prefix of paths. */
+	configure(version: number, host: string, prefixes = ['/jobs/']): void {
+		const configuration = { version, ...configurationFor(host, prefixes) };
 		this.store.put('op/config', Buffer.from(JSON.stringify(configuration)));
 	}
 
@@ -83,8 +102,7 @@
 		}
 	}
 
-	private async answerWorker(id: string, path: string, body: Body): Promise<Answer> {
-		const at = { id, address: [...this.workerIds].find(([, known]) => known === id)?.[0] ?? '' };
+	private async answerWorker(at: fleet.WorkerTarget, path: string, body: Body): Promise<Answer> {
 		const calls = this.fleet.calls();
 		const epoch = Number(body.fencing_token ?? 0);
 		const leaseUntil = body.deadline_ms as number | undefined;
@@ -124,26 +142,31 @@
 	req.on('end', () => {
 		const text = Buffer.concat(chunks).toString('utf8');
 		const body = (text === '' ? {} : JSON.parse(text)) as Body;
-		void answer(req, new URL(req.url ?? '/', 'http://stand-in'), body).then(([status, value]) => {
+		void answer(req, new URL(req.url ?? '/', 'http://stand-in'), body).then((given) => {
+			if (given === 'none') {
+				req.socket.destroy();
+				return;
+			}
+			const [status, value] = given;
 			res.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(value));
 		});
 	});
 }
 
 /** What stands in every version of the operators' configuration. */
-function configurationFor(host: string): object {
-	const route = {
-		name: 'proofs',
+function configurationFor(host: string, prefixes: string[]): object {
+	const routes = prefixes.map((prefix, number) => ({
+		name: `proofs-${number}`,
 		host,
-		path_prefix: '/jobs/',
+		path_prefix: prefix,
 		slo_ms: 500,
 		priority: 0,
 		service: 'press',
 		attempts: 3,
 		stretch: 2,
-	};
+	}));
 	return {
-		routes: [route],
+		routes,
 		services: [{ name: 'press', admission_check: true, headroom: false }],
 		limits: {
 			max_header_bytes: 16_384,
@@ -157,8 +180,8 @@
 /** A worker's answer on the wire. */
 function spell<T>(res: Awaited<fleet.WorkerResult<T>>, show: (value: T) => object): Answer {
 	if (res.ok) return [200, show(res.value)];
-	const [status, reason] = refusals[res.err.kind] ?? [503, ''];
-	return [status, { reason }];
+	const refusal = refusals[res.err.kind];
+	return refusal === undefined ? 'none' : [refusal[0], { reason: refusal[1] }];
 }
 
 function spellReport(report: fleet.WorkerReport): object {
@@ -169,6 +192,11 @@
 	};
 }
 
+/** A failed call to the store: nothing was done, or nobody knows. */
+function spellFailure(err: platform.StoreFailure): Answer {
+	return err.effect === 'none' ? [503, {}] : 'none';
+}
+
 /** One call to the store. */
 async function answerStore(
 	view: platform.RecordStore,
@@ -195,13 +223,13 @@
 
 async function answerGet(view: platform.RecordStore, query: URLSearchParams): Promise<Answer> {
 	const res = await view.get(query.get('tls_key') ?? '');
-	if (!res.ok) return unavailable;
+	if (!res.ok) return spellFailure(res.err);
 	return res.value === undefined ? [404, {}] : [200, spellItem(res.value)];
 }
 
 async function answerList(view: platform.RecordStore, query: URLSearchParams): Promise<Answer> {
 	const res = await view.list(query.get('path_prefix') ?? '');
-	if (!res.ok) return unavailable;
+	if (!res.ok) return spellFailure(res.err);
 	const items = res.value.items.map(spellItem);
 	return [200, { items, has_more: false, current_rev: res.value.revision }];
 }
@@ -210,24 +238,24 @@
 	const after = Number(query.get('after'));
 	const waitMs = Number(query.get('wait_ms'));
 	const res = await view.follow(query.get('path_prefix') ?? '', after, waitMs);
-	if (!res.ok) return unavailable;
+	if (!res.ok) return spellFailure(res.err);
 	if (res.value.type === 'compacted') return [410, {}];
 	return [200, { events: res.value.changes.map(spellChange), current_rev: res.value.revision }];
 }
 
 async function answerGrant(view: platform.RecordStore, body: Body): Promise<Answer> {
 	const res = await view.grantLease(Number(body.ttl_ms));
-	return res.ok ? [200, { lease: Number(res.value), ttl_ms: body.ttl_ms }] : unavailable;
+	return res.ok ? [200, { lease: Number(res.value), ttl_ms: body.ttl_ms }] : spellFailure(res.err);
 }
 
 async function answerEndLease(view: platform.RecordStore, lease: string): Promise<Answer> {
 	const res = await view.endLease(lease);
-	return res.ok ? [200, {}] : unavailable;
+	return res.ok ? [200, {}] : spellFailure(res.err);
 }
 
 async function answerKeepLease(view: platform.RecordStore, lease: string): Promise<Answer> {
 	const res = await view.keepLease(lease);
-	if (!res.ok) return unavailable;
+	if (!res.ok) return spellFailure(res.err);
 	return res.value ? [200, { ttl_ms: 0 }] : [404, {}];
 }
 
@@ -243,7 +271,7 @@
 		})),
 		removes: body.remove as string[],
 	});
-	if (!res.ok) return unavailable;
+	if (!res.ok) return spellFailure(res.err);
 	if (res.value.type === 'lease-gone') return [404, {}];
 	if (res.value.type === 'conflict') return [412, { items: res.value.current.map(spellItem) }];
 	return [200, { revision: res.value.version }];
--- /dev/null
+++ b/test/job-service.test.ts
@@ -0,0 +1,65 @@
+/** What callers are told of jobs while the store misbehaves, in memory. */
+import test from 'ava';
+import * as contacts from '../src/core/platform/contact.js';
+import * as events from '../src/core/events/index.js';
+import * as memory from '../stand-ins/fleet/memory-store.js';
+import * as results from '../src/core/result.js';
+import * as service from '../src/core/box/job-service.js';
+import * as time from '../stand-ins/fleet/virtual-clock.js';
+
+const id = '00000000000000a1';
+const queue = {
+	name: 'proofs',
+	pool: 'press',
+	priority: 0,
+	attempts: 3,
+	stretch: 2,
+	objectiveMs: 500,
+	advised: false,
+};
+
+/** The service of a box that knows no owner. */
+function setUp(): {
+	clock: time.VirtualClock;
+	jobs: service.JobService;
+	store: memory.MemoryStore;
+	set: (fault: memory.StoreFault) => void;
+} {
+	const clock = time.VirtualClock.create();
+	const log = events.EventLog.create('entry-1', clock);
+	const store = memory.MemoryStore.create(clock);
+	let fault: memory.StoreFault = 'none';
+	const watched = contacts.watchContact(
+		store.view(() => fault),
+		log,
+	);
+	const jobs = service.JobService.create({
+		...watched,
+		clock,
+		events: log,
+		dispatcher: () => undefined,
+		askOwner: () => Promise.resolve(results.fail({ sent: false, reason: 'no owner is known' })),
+		ownerGeneration: () => 1,
+		ownerHasStore: () => false,
+	});
+	const set = (next: memory.StoreFault): void => {
+		fault = next;
+	};
+	return { clock, jobs, store, set };
+}
+
+/** What a call comes to once enough time has passed for every answer. */
+async function settled<T>(clock: time.VirtualClock, call: Promise<T>): Promise<T> {
+	await clock.pass(5_000);
+	return call;
+}
+
+for (const fault of ['down', 'lost', 'late'] as const)
+	test(`a cancellation while the store is ${fault} is not called undone unless it is`, async (t) => {
+		const { clock, jobs, store, set } = setUp();
+		await settled(clock, jobs.submit(queue, id, { text: '', steps: [] }));
+		set(fault);
+		const answer = await settled(clock, jobs.cancel(id));
+		const isStored = store.keys().some((key) => key.includes('cancel'));
+		t.snapshot({ answer: answer.type, isStored });
+	});
