Overdue lasting tasks go first and have workers kept free; a round of placing looks at the open workers once

Short tasks go before lasting ones and take every core that comes free, so a hole as large as a lasting task needs never opens.

Ruled out: a task forgotten after its stop (it is listed as waiting, waitedMs 11731); reserves (2 s only).

Change: from 3 s on a lasting task goes before short ones, and up to a tenth of the open workers are kept free for such tasks. The list of open workers is made once a round, not once a task; rounds leave four fifths of the processor.

--- a/src/core/dispatch/placement.ts
+++ b/src/core/dispatch/placement.ts
@@ -48,11 +48,10 @@
 
 /**
  * A lasting task leaves so much of a worker free for short ones, in thousandths of a core: one or two of them. It does
- * so for a while only, a longer one if it was stopped for them; in milliseconds.
+ * so for a while only, in milliseconds.
  */
 const shortReserve = 3_000;
 const reserveMs = 2_000;
-const reserveAgainMs = 2_000;
 
 /** Why no worker takes a task. */
 export type NoPlace = 'no-worker-open' | 'no-room';
@@ -87,21 +86,43 @@
 	return fits(step, worker, 0);
 }
 
+/** The `most` workers with most cores free among those that may hold one more task of a step once they have room. */
+export function emptiest(
+	step: jobs.StepRun,
+	workers: sessions.WorkerSession[],
+	most: number,
+): sessions.WorkerSession[] {
+	const free = (worker: sessions.WorkerSession): number =>
+		(worker.entry?.capacity.milliCores ?? 0) - worker.used.milliCores;
+	const allowed = workers.filter((one) => allows(step, one) && canEverHold(step.spec, one));
+	return allowed.sort((a, b) => free(b) - free(a)).slice(0, most);
+}
+
+/** Whether a worker's whole capacity holds a task. */
+function canEverHold(spec: jobs.StepSpec, worker: sessions.WorkerSession): boolean {
+	const capacity = worker.entry?.capacity;
+	const nothing: fleet.Capacity = { milliCores: 0, memoryMb: 0, accelerators: 0 };
+	return capacity !== undefined && hasRoom(spec, nothing, capacity, 0);
+}
+
 /** What a task has to leave free. */
 function reserveFor(task: jobs.Task, now: number): number {
 	if (!task.step.spec.lasting) return 0;
-	const waited = now - task.readyAt;
-	return waited < (task.run === 0 ? reserveMs : reserveAgainMs) ? shortReserve : 0;
+	return now - task.readyAt < reserveMs ? shortReserve : 0;
 }
 
 /** Whether a worker can hold one more task of the step now, and keep `reserve` thousandths of a core free. */
 function fits(step: jobs.StepRun, worker: sessions.WorkerSession, reserve: number): boolean {
-	const { spec } = step;
 	const capacity = worker.entry?.capacity;
-	if (capacity === undefined) return false;
+	if (capacity === undefined || !allows(step, worker)) return false;
+	return hasRoom(step.spec, worker.used, capacity, reserve);
+}
+
+/** Whether a step's label and its limit a worker allow one more task there. */
+function allows(step: jobs.StepRun, worker: sessions.WorkerSession): boolean {
+	const { spec } = step;
 	if (spec.requiredLabel !== '' && worker.entry?.labels.includes(spec.requiredLabel) !== true) return false;
-	if (spec.maxPerWorker > 0 && countOf(step, worker) >= spec.maxPerWorker) return false;
-	return hasRoom(spec, worker.used, capacity, reserve);
+	return spec.maxPerWorker === 0 || countOf(step, worker) < spec.maxPerWorker;
 }
 
 function hasRoom(
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -13,6 +13,13 @@
 /** Run numbers that one owner may use for a task; the next owner's begin above. */
 const runsPerEpoch = 100_000;
 
+/** One look at what waits and who could take it. */
+interface Round {
+	now: number;
+	/** Open workers, by pool; without those kept for overdue tasks. */
+	open: Map<string, sessions.WorkerSession[]>;
+}
+
 /** What a placer uses. */
 export interface PlacerOptions extends types.DispatchDeps {
 	workers: () => sessions.WorkerSession[];
@@ -31,7 +38,8 @@
 	private readonly places = new Map<jobs.Task, sessions.WorkerSession>();
 	private readonly advisory: advice.Advisory;
 	private roundDue = false;
-	private lastRoundAt = -Infinity;
+	/** Clock time before which no round begins. */
+	private nextRoundAt = -Infinity;
 	private closed = false;
 
 	private constructor(private readonly opts: PlacerOptions) {
@@ -92,10 +100,15 @@
 		this.roundDue = true;
 		const run = (): void => {
 			this.roundDue = false;
-			if (!this.closed) this.placeReady();
+			if (this.closed) return;
+			const startedAt = this.opts.clock.now();
+			this.placeReady();
+			const endedAt = this.opts.clock.now();
+			const gapMs = Math.max(settings.roundGapMs, (endedAt - startedAt) * settings.roundGapFactor);
+			this.nextRoundAt = endedAt + gapMs;
 		};
 		// Each round looks at all that wait again.
-		const wait = this.lastRoundAt + settings.roundGapMs - this.opts.clock.now();
+		const wait = this.nextRoundAt - this.opts.clock.now();
 		if (wait > 0) this.opts.clock.after(wait, run);
 		else setImmediate(run);
 	}
@@ -103,12 +116,15 @@
 	/** Moves tasks that were slowed to almost nothing to workers where they would disturb nobody. */
 	moveSlowed(session: sessions.WorkerSession): void {
 		const now = this.opts.clock.now();
+		let round: Round | undefined;
 		for (const place of session.placements.values()) {
 			const { spec } = place.task.step;
 			if (place.phase !== 'running' || !spec.fills || !spec.checkpoints) continue;
 			if (place.pace > settings.movedPace || now - place.pacedAt < settings.movedAfterMs) continue;
-			const choice = this.choiceFor(place.task.step, now, (one) => one !== session);
-			if (typeof placement.choose(place.task, choice) === 'string') continue;
+			round ??= this.openRound(now);
+			const choice = this.choiceFor(place.task.step, round);
+			const elsewhere = { ...choice, workers: choice.workers.filter((one) => one !== session) };
+			if (typeof placement.choose(place.task, elsewhere) === 'string') continue;
 			this.stop(session, place, 'slowed');
 			// One at a time: its place elsewhere has to be seen by the next choice.
 			return;
@@ -123,23 +139,54 @@
 	private placeReady(): void {
 		if (!this.opts.mayAct()) return;
 		const now = this.opts.clock.now();
-		this.lastRoundAt = now;
-		const waiting = this.inOrder([...this.ready].filter((task) => this.mayStart(task)));
+		const round = this.openRound(now);
+		const waiting = this.inOrder(
+			[...this.ready].filter((task) => this.mayStart(task)),
+			now,
+		);
 		const tried = new Set<jobs.StepRun>();
 		for (const task of waiting) {
 			if (tried.has(task.step) || task.state !== 'ready') continue;
-			const placed = task.step.spec.gang ? this.placeGang(task.step, now) : this.placeOne(task, now);
-			if (!placed) tried.add(task.step);
+			const placed = task.step.spec.gang ? this.placeGang(task.step, round) : this.placeOne(task, round);
+			if (placed) continue;
+			tried.add(task.step);
+			if (isOverdue(task, now)) this.keepWorkers(task.step, round);
 		}
 		this.preempt(waiting.filter((task) => task.state === 'ready'));
 	}
 
-	private inOrder(tasks: jobs.Task[]): jobs.Task[] {
+	/** What one round looks at: the open workers of each pool. */
+	private openRound(now: number): Round {
+		const open = new Map<string, sessions.WorkerSession[]>();
+		for (const worker of this.opts.workers()) {
+			if (!worker.open || worker.entry === undefined) continue;
+			const { pool } = worker.entry;
+			const known = open.get(pool);
+			if (known === undefined) open.set(pool, [worker]);
+			else known.push(worker);
+		}
+		return { now, open };
+	}
+
+	/** Keeps the emptiest workers that may hold a step free for its overdue tasks, for the rest of the round. */
+	private keepWorkers(step: jobs.StepRun, round: Round): void {
+		const { pool } = this.opts.policyOf(step.job);
+		const open = round.open.get(pool) ?? [];
+		const overdue = step.tasks.filter((task) => task.state === 'ready' && isOverdue(task, round.now));
+		const most = Math.min(overdue.length, Math.ceil(open.length * settings.keptPart));
+		const kept = new Set(placement.emptiest(step, open, most));
+		round.open.set(
+			pool,
+			open.filter((one) => !kept.has(one)),
+		);
+	}
+
+	private inOrder(tasks: jobs.Task[], now: number): jobs.Task[] {
 		const priority = new Map(tasks.map((task) => [task, this.opts.policyOf(task.step.job).priority]));
 		return tasks.sort(
 			(a, b) =>
 				(priority.get(a) ?? 0) - (priority.get(b) ?? 0) ||
-				Number(a.step.spec.lasting) - Number(b.step.spec.lasting) ||
+				Number(comesLate(a, now)) - Number(comesLate(b, now)) ||
 				a.step.job.dueAt - b.step.job.dueAt ||
 				a.step.number - b.step.number ||
 				a.index - b.index,
@@ -154,17 +201,17 @@
 		return !job.inherited || this.opts.settled();
 	}
 
-	private placeOne(task: jobs.Task, now: number): boolean {
-		const chosen = placement.choose(task, this.choiceFor(task.step, now));
+	private placeOne(task: jobs.Task, round: Round): boolean {
+		const chosen = placement.choose(task, this.choiceFor(task.step, round));
 		if (typeof chosen === 'string') return false;
 		this.begin(task, chosen, chosen.place(task, this.nextRun(task), 'starting'));
 		return true;
 	}
 
-	private placeGang(step: jobs.StepRun, now: number): boolean {
+	private placeGang(step: jobs.StepRun, round: Round): boolean {
 		if (!gangs.isWhole(step)) return false;
 		const run = Math.max(...step.tasks.map((task) => this.nextRun(task)));
-		const choice = this.choiceFor(step, now);
+		const choice = this.choiceFor(step, round);
 		const places = gangs.placeAll(step, run, choice.workers, choice);
 		if (places === undefined) return false;
 		gangs.shareCheckpoint(step);
@@ -193,13 +240,10 @@
 	}
 
 	/** Workers that may run a step by pool and advice, and how to rate them. */
-	private choiceFor(
-		step: jobs.StepRun,
-		now: number,
-		also: (worker: sessions.WorkerSession) => boolean = () => true,
-	): placement.Choice {
+	private choiceFor(step: jobs.StepRun, round: Round): placement.Choice {
 		const { pool, advised } = this.opts.policyOf(step.job);
-		const inPool = this.opts.workers().filter((one) => one.open && one.entry?.pool === pool && also(one));
+		const inPool = round.open.get(pool) ?? [];
+		const { now } = round;
 		const { estimates } = this.opts;
 		if (!advised) return { workers: inPool, estimates, now };
 		const withTicket = inPool.filter((one) => this.advisory.ticket(step, one.id) !== undefined);
@@ -232,3 +276,13 @@
 		this.opts.stop(session, place);
 	}
 }
+
+/** Whether a lasting task has waited so long that it goes before short ones. */
+function isOverdue(task: jobs.Task, now: number): boolean {
+	return task.step.spec.lasting && now - task.readyAt >= settings.overdueMs;
+}
+
+/** Whether a task comes after the short ones of its priority. */
+function comesLate(task: jobs.Task, now: number): boolean {
+	return task.step.spec.lasting && !isOverdue(task, now);
+}
--- a/src/core/dispatch/settings.ts
+++ b/src/core/dispatch/settings.ts
@@ -64,6 +64,18 @@
 /** Rounds of placing follow each other no closer than this while tasks wait for room. */
 export const roundGapMs = 15;
 
+/** Nor closer than this many times what the last one took: placing leaves four fifths of the processor to reports. */
+export const roundGapFactor = 4;
+
+/**
+ * A lasting task that has waited so long goes before short ones, and workers are kept free for it: it serves nobody
+ * meanwhile, and short tasks would take every core that comes free. Half of what its users put up with.
+ */
+export const overdueMs = 3_000;
+
+/** Workers kept free for overdue tasks in one round, at most: this part of those that are open. */
+export const keptPart = 0.1;
+
 /** A report that names jobs which have to be read first is asked for again after this: a read takes about four. */
 export const putOffMs = 15;
 
--- a/test/dispatch.test.ts
+++ b/test/dispatch.test.ts
@@ -327,3 +327,28 @@
 	t.not(fleet.starts[0]?.worker, fleet.starts[1]?.worker);
 	owner.dispatcher.close();
 });
+
+test('a lasting task that was stopped for short ones is back within seconds, however many short ones wait', async (t) => {
+	const plan = (task: string): { ms: number | 'endless'; how: 'done' } =>
+		task.startsWith('lasting') ? { ms: 'endless', how: 'done' } : { ms: 400, how: 'done' };
+	const { clock, fleet, takeOver, submit } = world.createWorld(plan);
+	const w1 = fleet.add('w1');
+	const owner = await takeOver();
+	await submit(owner, world.job('lasting', [world.step({ count: 3, milliCores: 8_000, lasting: true })]));
+	await clock.pass(5_000);
+	const awayMs = [0, 0, 0];
+	let longestMs = 0;
+	for (let round = 0; round < 150; round += 1) {
+		// More than the worker holds, and no two ends leave room for a lasting task together.
+		await submit(owner, world.job(`short${round}`, [world.step({ count: 2, milliCores: 5_000 })]));
+		await clock.pass(90);
+		for (const index of awayMs.keys()) {
+			const isAway = !w1.running.has(`lasting.0.0.${index}`);
+			awayMs[index] = isAway ? (awayMs[index] ?? 0) + 100 : 0;
+			longestMs = Math.max(longestMs, awayMs[index]);
+		}
+	}
+	t.true(longestMs > 1_000, 'short tasks did make room');
+	t.true(longestMs < 6_000, `a lasting task was away for ${longestMs} ms`);
+	owner.dispatcher.close();
+});
