--- a/src/core/dispatch/placement.ts
+++ b/src/core/dispatch/placement.ts
@@ -31,8 +31,8 @@
  * A task that fills waits rather than keep more than this many serving tasks over their targets; after a while it puts
  * up with more. What waits longer fills for longer: strict limits spare nobody.
  */
-const mostHarm = 0.25;
-const mostHarmLate = 0.6;
+const mostHarm = 0.1;
+const mostHarmLate = 0.3;
 
 /** When it puts up with more, in milliseconds. */
 const patienceMs = 3_000;
@@ -161,9 +161,9 @@
 	}
 	const capacity = worker.entry?.capacity.milliCores ?? 1;
 	const reserved = worker.used.milliCores / capacity;
-	// The fullest that fits: whole workers stay free for other images.
-	if (spec.targetMs > 0) return base + rateServing(spec.image, worker, estimates) - reserved;
-	return base + reserved;
+	// The fullest that fits: whole workers stay free for other images, and for tasks that need much.
+	const serving = spec.targetMs > 0 ? rateServing(spec.image, worker, estimates) : 0;
+	return base + serving - reserved;
 }
 
 /** What counts for a task of any kind. */
