--- a/src/core/box/box.ts
+++ b/src/core/box/box.ts
@@ -127,7 +127,6 @@
 			onChanges: (changes) => {
 				for (const one of changes) if (one.value !== undefined) this.takeOperatorKey(one.key, one.value);
 			},
-			onContact: () => undefined,
 		});
 		this.ownership = ownership.Ownership.create({
 			store: this.store,
--- a/src/core/box/owner-role.ts
+++ b/src/core/box/owner-role.ts
@@ -152,7 +152,6 @@
 			onChanges: (changes) => {
 				for (const one of changes) if (one.value !== undefined) take(one.key, one.value);
 			},
-			onContact: () => undefined,
 		});
 	}
 
@@ -185,7 +184,6 @@
 					false,
 				);
 			},
-			onContact: () => undefined,
 		});
 	}
 }
--- a/src/core/box/settings.ts
+++ b/src/core/box/settings.ts
@@ -33,14 +33,6 @@
 	graceMs: number;
 	/** A finished job's state is answered for at least this long. */
 	keepStateMs: number;
-	/** Factor on run time away from the data, or of a gang over several racks. */
-	farFactor: number;
-	/** How long a stop may take on a worker. */
-	stopMs: number;
 	/** A lasting task over its target for this long because of what fills beside it breaks its promise. */
 	harmMs: number;
-	/** From the order until a changed pace is felt. */
-	paceMs: number;
-	/** A gang member gives up waiting for the others after this. */
-	gangTimeoutMs: number;
 }
--- a/src/core/dispatch/placement.ts
+++ b/src/core/dispatch/placement.ts
@@ -37,8 +37,8 @@
 /** When it puts up with more, in milliseconds. */
 const patienceMs = 3_000;
 
-/** A neighbour with a smaller slope than this is not expected to disturb. */
-const harmlessSlope = 0.4;
+/** A task that was over its target lately gets no neighbour with a steeper slope than this. */
+const steepestNewSlope = 0.4;
 
 /** A task that was over its target gets no neighbour that disturbs it for so long, in milliseconds. */
 const overloadPauseMs = 2_000;
@@ -210,7 +210,7 @@
 ): boolean {
 	for (const place of worker.placements.values()) {
 		if (now - place.overAt >= overloadPauseMs) continue;
-		if (estimates.slope(place.task.step.spec.image, image) > harmlessSlope) return true;
+		if (estimates.slope(place.task.step.spec.image, image) > steepestNewSlope) return true;
 	}
 	return false;
 }
--- a/src/core/dispatch/pressure.ts
+++ b/src/core/dispatch/pressure.ts
@@ -14,8 +14,8 @@
 /** For so long, of all that fill beside it. */
 const certainPart = 0.5;
 
-/** A neighbour with a smaller slope than this is not expected to disturb. */
-const harmlessSlope = 0.5;
+/** A neighbour with this slope or a steeper one is taken for the cause of an overload, and has to stand still. */
+const causingSlope = 0.5;
 
 /** A slowed task goes on at full speed once nothing beside it has been over its target for so long, in milliseconds. */
 const calmMs = 700;
@@ -62,7 +62,7 @@
 			if (overMs >= this.harmMs * certainPart) return still;
 			const { image } = served.task.step.spec;
 			const slope = this.estimates.slope(image, place.task.step.spec.image);
-			if (overMs >= this.harmMs * relievePart && slope >= harmlessSlope) return still;
+			if (overMs >= this.harmMs * relievePart && slope >= causingSlope) return still;
 		}
 		return calm ? full : undefined;
 	}
--- a/src/core/platform/record-follower.ts
+++ b/src/core/platform/record-follower.ts
@@ -19,8 +19,6 @@
 	/** All there is. */
 	onList: (items: types.Stored[]) => void;
 	onChanges: (changes: types.StoreChange[]) => void;
-	/** A call was answered, or was not. */
-	onContact: (failure?: types.StoreFailure) => void;
 }
 
 /** A prefix that is followed until it is closed. */
@@ -52,7 +50,6 @@
 	private async list(): Promise<number> {
 		const res = await this.opts.store.list(this.opts.prefix);
 		if (this.isClosed()) return 0;
-		this.opts.onContact(res.ok ? undefined : res.err);
 		if (!res.ok) return retryMs;
 		this.revision = res.value.revision;
 		this.opts.onList(res.value.items);
@@ -63,7 +60,6 @@
 	private async follow(revision: number): Promise<number> {
 		const res = await this.opts.store.follow(this.opts.prefix, revision, this.opts.waitMs);
 		if (this.isClosed()) return 0;
-		this.opts.onContact(res.ok ? undefined : res.err);
 		if (!res.ok) return retryMs;
 		if (res.value.type === 'compacted') {
 			this.revision = undefined;
