--- a/src/core/dispatch/placement.ts
+++ b/src/core/dispatch/placement.ts
@@ -1,5 +1,5 @@
-/** Chooses workers for tasks. Reads the sessions' accounts; decides by reservations, never over a worker's capacity. */
-import type * as fleet from '../fleet/types.js';
+/** Chooses workers for tasks: rates those with room by what stands there already. */
+import * as room from './room.js';
 import type * as interference from './interference.js';
 import type * as jobs from '../jobs/index.js';
 import type * as sessions from './worker-session.js';
@@ -71,7 +71,7 @@
 	let bestScore = Infinity;
 	const reserve = reserveFor(task, now);
 	for (const worker of workers) {
-		if (!fits(task.step, worker, reserve)) continue;
+		if (!room.fits(task.step, worker, reserve)) continue;
 		const score = rate(task, worker, estimates, now);
 		if (score < bestScore) {
 			best = worker;
@@ -81,70 +81,12 @@
 	return best ?? (workers.length > 0 ? 'no-room' : 'no-worker-open');
 }
 
-/** Whether a worker has room for one more task of a step. */
-export function hasPlace(step: jobs.StepRun, worker: sessions.WorkerSession): boolean {
-	return fits(step, worker, 0);
-}
-
-/** The `most` workers with most cores free among those that may hold one more task of a step once they have room. */
-export function emptiest(
-	step: jobs.StepRun,
-	workers: sessions.WorkerSession[],
-	most: number,
-): sessions.WorkerSession[] {
-	const free = (worker: sessions.WorkerSession): number =>
-		(worker.entry?.capacity.milliCores ?? 0) - worker.used.milliCores;
-	const allowed = workers.filter((one) => allows(step, one) && canEverHold(step.spec, one));
-	return allowed.sort((a, b) => free(b) - free(a)).slice(0, most);
-}
-
-/** Whether a worker's whole capacity holds a task. */
-function canEverHold(spec: jobs.StepSpec, worker: sessions.WorkerSession): boolean {
-	const capacity = worker.entry?.capacity;
-	const nothing: fleet.Capacity = { milliCores: 0, memoryMb: 0, accelerators: 0 };
-	return capacity !== undefined && hasRoom(spec, nothing, capacity, 0);
-}
-
-/** What a task has to leave free. */
+/** Thousandths of a core that a task has to leave free. */
 function reserveFor(task: jobs.Task, now: number): number {
 	if (!task.step.spec.lasting) return 0;
 	return now - task.readyAt < reserveMs ? shortReserve : 0;
 }
 
-/** Whether a worker can hold one more task of the step now, and keep `reserve` thousandths of a core free. */
-function fits(step: jobs.StepRun, worker: sessions.WorkerSession, reserve: number): boolean {
-	const capacity = worker.entry?.capacity;
-	if (capacity === undefined || !allows(step, worker)) return false;
-	return hasRoom(step.spec, worker.used, capacity, reserve);
-}
-
-/** Whether a step's label and its limit a worker allow one more task there. */
-function allows(step: jobs.StepRun, worker: sessions.WorkerSession): boolean {
-	const { spec } = step;
-	if (spec.requiredLabel !== '' && worker.entry?.labels.includes(spec.requiredLabel) !== true) return false;
-	return spec.maxPerWorker === 0 || countOf(step, worker) < spec.maxPerWorker;
-}
-
-function hasRoom(
-	spec: jobs.StepSpec,
-	used: fleet.Capacity,
-	capacity: fleet.Capacity,
-	reserve: number,
-): boolean {
-	const milliCores = spec.fills ? 0 : spec.milliCores;
-	return (
-		used.milliCores + milliCores + reserve <= capacity.milliCores &&
-		used.memoryMb + spec.memoryMb <= capacity.memoryMb &&
-		used.accelerators + spec.accelerators <= capacity.accelerators
-	);
-}
-
-function countOf(step: jobs.StepRun, worker: sessions.WorkerSession): number {
-	let count = 0;
-	for (const placement of worker.placements.values()) if (placement.task.step === step) count += 1;
-	return count;
-}
-
 /** Lower is better; infinite: not there. */
 function rate(
 	task: jobs.Task,
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -1,11 +1,14 @@
 /** Places tasks that may start: which comes first, where it goes, and who makes room for it. */
 import * as advice from './advice.js';
 import * as gangs from './gangs.js';
-import * as interference from './interference.js';
+import * as order from './waiting-order.js';
 import * as placement from './placement.js';
 import * as preemption from './preemption.js';
+import * as room from './room.js';
+import * as rounds from './placing-round.js';
 import * as settings from './settings.js';
 import type * as fleet from '../fleet/types.js';
+import type * as interference from './interference.js';
 import type * as jobs from '../jobs/index.js';
 import type * as sessions from './worker-session.js';
 import type * as types from './types.js';
@@ -13,13 +16,6 @@
 /** Run numbers that one owner may use for a task; the next owner's begin above. */
 const runsPerEpoch = 100_000;
 
-/** One look at what waits and who could take it. */
-interface Round {
-	now: number;
-	/** Open workers, by pool; without those kept for overdue tasks. */
-	open: Map<string, sessions.WorkerSession[]>;
-}
-
 /** What a placer uses. */
 export interface PlacerOptions extends types.DispatchDeps {
 	workers: () => sessions.WorkerSession[];
@@ -100,14 +96,8 @@
 		this.roundDue = true;
 		const run = (): void => {
 			this.roundDue = false;
-			if (this.closed) return;
-			const startedAt = this.opts.clock.now();
-			this.placeReady();
-			const endedAt = this.opts.clock.now();
-			const gapMs = Math.max(settings.roundGapMs, (endedAt - startedAt) * settings.roundGapFactor);
-			this.nextRoundAt = endedAt + gapMs;
+			if (!this.closed) this.playRound();
 		};
-		// Each round looks at all that wait again.
 		const wait = this.nextRoundAt - this.opts.clock.now();
 		if (wait > 0) this.opts.clock.after(wait, run);
 		else setImmediate(run);
@@ -116,15 +106,11 @@
 	/** Moves tasks that were slowed to almost nothing to workers where they would disturb nobody. */
 	moveSlowed(session: sessions.WorkerSession): void {
 		const now = this.opts.clock.now();
-		let round: Round | undefined;
+		let round: rounds.PlacingRound | undefined;
 		for (const place of session.placements.values()) {
-			const { spec } = place.task.step;
-			if (place.phase !== 'running' || !spec.fills || !spec.checkpoints) continue;
-			if (place.pace > settings.movedPace || now - place.pacedAt < settings.movedAfterMs) continue;
-			round ??= this.openRound(now);
-			const choice = this.choiceFor(place.task.step, round);
-			const elsewhere = { ...choice, workers: choice.workers.filter((one) => one !== session) };
-			if (typeof placement.choose(place.task, elsewhere) === 'string') continue;
+			if (!isMovable(place, now)) continue;
+			round ??= rounds.PlacingRound.create(this.opts.workers(), now);
+			if (!this.hasPlaceElsewhere(place.task, session, round)) continue;
 			this.stop(session, place, 'slowed');
 			// One at a time: its place elsewhere has to be seen by the next choice.
 			return;
@@ -135,64 +121,44 @@
 		this.closed = true;
 	}
 
-	/** Places what is ready: by priority, then short before lasting, then by the time left. */
+	/** Whether a worker other than `from` takes a task now. */
+	private hasPlaceElsewhere(
+		task: jobs.Task,
+		from: sessions.WorkerSession,
+		round: rounds.PlacingRound,
+	): boolean {
+		const choice = this.choiceFor(task.step, round);
+		const elsewhere = { ...choice, workers: choice.workers.filter((one) => one !== from) };
+		return typeof placement.choose(task, elsewhere) !== 'string';
+	}
+
+	/** One round, and when the next may begin: each looks at all that wait again. */
+	private playRound(): void {
+		const startedAt = this.opts.clock.now();
+		this.placeReady();
+		const endedAt = this.opts.clock.now();
+		const gapMs = Math.max(settings.roundGapMs, (endedAt - startedAt) * settings.roundGapFactor);
+		this.nextRoundAt = endedAt + gapMs;
+	}
+
+	/** Places what is ready, in the order of `waiting-order.ts`; makes room for what finds none. */
 	private placeReady(): void {
 		if (!this.opts.mayAct()) return;
 		const now = this.opts.clock.now();
-		const round = this.openRound(now);
-		const waiting = this.inOrder(
-			[...this.ready].filter((task) => this.mayStart(task)),
-			now,
-		);
+		const round = rounds.PlacingRound.create(this.opts.workers(), now);
+		const mayStart = [...this.ready].filter((task) => this.mayStart(task));
+		const waiting = order.sort(mayStart, (job) => this.opts.policyOf(job).priority, now);
 		const tried = new Set<jobs.StepRun>();
 		for (const task of waiting) {
 			if (tried.has(task.step) || task.state !== 'ready') continue;
 			const placed = task.step.spec.gang ? this.placeGang(task.step, round) : this.placeOne(task, round);
 			if (placed) continue;
 			tried.add(task.step);
-			if (isOverdue(task, now)) this.keepWorkers(task.step, round);
+			if (order.isOverdue(task, now)) round.keepFor(task.step, this.opts.policyOf(task.step.job).pool);
 		}
 		this.preempt(waiting.filter((task) => task.state === 'ready'));
 	}
 
-	/** What one round looks at: the open workers of each pool. */
-	private openRound(now: number): Round {
-		const open = new Map<string, sessions.WorkerSession[]>();
-		for (const worker of this.opts.workers()) {
-			if (!worker.open || worker.entry === undefined) continue;
-			const { pool } = worker.entry;
-			const known = open.get(pool);
-			if (known === undefined) open.set(pool, [worker]);
-			else known.push(worker);
-		}
-		return { now, open };
-	}
-
-	/** Keeps the emptiest workers that may hold a step free for its overdue tasks, for the rest of the round. */
-	private keepWorkers(step: jobs.StepRun, round: Round): void {
-		const { pool } = this.opts.policyOf(step.job);
-		const open = round.open.get(pool) ?? [];
-		const overdue = step.tasks.filter((task) => task.state === 'ready' && isOverdue(task, round.now));
-		const most = Math.min(overdue.length, Math.ceil(open.length * settings.keptPart));
-		const kept = new Set(placement.emptiest(step, open, most));
-		round.open.set(
-			pool,
-			open.filter((one) => !kept.has(one)),
-		);
-	}
-
-	private inOrder(tasks: jobs.Task[], now: number): jobs.Task[] {
-		const priority = new Map(tasks.map((task) => [task, this.opts.policyOf(task.step.job).priority]));
-		return tasks.sort(
-			(a, b) =>
-				(priority.get(a) ?? 0) - (priority.get(b) ?? 0) ||
-				Number(comesLate(a, now)) - Number(comesLate(b, now)) ||
-				a.step.job.dueAt - b.step.job.dueAt ||
-				a.step.number - b.step.number ||
-				a.index - b.index,
-		);
-	}
-
 	/** What an earlier owner may have started waits until every worker it used has been heard of. */
 	private mayStart(task: jobs.Task): boolean {
 		const { job } = task.step;
@@ -201,14 +167,14 @@
 		return !job.inherited || this.opts.settled();
 	}
 
-	private placeOne(task: jobs.Task, round: Round): boolean {
+	private placeOne(task: jobs.Task, round: rounds.PlacingRound): boolean {
 		const chosen = placement.choose(task, this.choiceFor(task.step, round));
 		if (typeof chosen === 'string') return false;
 		this.begin(task, chosen, chosen.place(task, this.nextRun(task), 'starting'));
 		return true;
 	}
 
-	private placeGang(step: jobs.StepRun, round: Round): boolean {
+	private placeGang(step: jobs.StepRun, round: rounds.PlacingRound): boolean {
 		if (!gangs.isWhole(step)) return false;
 		const run = Math.max(...step.tasks.map((task) => this.nextRun(task)));
 		const choice = this.choiceFor(step, round);
@@ -240,21 +206,21 @@
 	}
 
 	/** Workers that may run a step by pool and advice, and how to rate them. */
-	private choiceFor(step: jobs.StepRun, round: Round): placement.Choice {
+	private choiceFor(step: jobs.StepRun, round: rounds.PlacingRound): placement.Choice {
 		const { pool, advised } = this.opts.policyOf(step.job);
-		const inPool = round.open.get(pool) ?? [];
+		const inPool = round.openIn(pool);
 		const { now } = round;
 		const { estimates } = this.opts;
 		if (!advised) return { workers: inPool, estimates, now };
 		const withTicket = inPool.filter((one) => this.advisory.ticket(step, one.id) !== undefined);
-		const hasPlace = withTicket.some((one) => placement.hasPlace(step, one));
+		const hasPlace = withTicket.some((one) => room.hasPlace(step, one));
 		if (!hasPlace) this.advisory.want(step, this.likely(step, inPool));
 		return { workers: withTicket, estimates, now };
 	}
 
 	/** Workers with room for a step, the emptiest first. */
 	private likely(step: jobs.StepRun, workers: sessions.WorkerSession[]): string[] {
-		const fitting = workers.filter((one) => placement.hasPlace(step, one));
+		const fitting = workers.filter((one) => room.hasPlace(step, one));
 		fitting.sort((a, b) => a.used.milliCores - b.used.milliCores);
 		return fitting.map((one) => one.id);
 	}
@@ -277,12 +243,9 @@
 	}
 }
 
-/** Whether a lasting task has waited so long that it goes before short ones. */
-function isOverdue(task: jobs.Task, now: number): boolean {
-	return task.step.spec.lasting && now - task.readyAt >= settings.overdueMs;
-}
-
-/** Whether a task comes after the short ones of its priority. */
-function comesLate(task: jobs.Task, now: number): boolean {
-	return task.step.spec.lasting && !isOverdue(task, now);
+/** Whether a run was slowed to almost nothing for a while, and can go on elsewhere from a checkpoint. */
+function isMovable(place: types.Placement, now: number): boolean {
+	const { spec } = place.task.step;
+	if (place.phase !== 'running' || !spec.fills || !spec.checkpoints) return false;
+	return place.pace <= settings.movedPace && now - place.pacedAt >= settings.movedAfterMs;
 }
--- /dev/null
+++ b/src/core/dispatch/room.ts
@@ -0,0 +1,64 @@
+/** Who has room for a task: decided by reservations, never over a worker's capacity. */
+import type * as fleet from '../fleet/types.js';
+import type * as jobs from '../jobs/index.js';
+import type * as sessions from './worker-session.js';
+
+/** Whether a worker has room for one more task of a step. */
+export function hasPlace(step: jobs.StepRun, worker: sessions.WorkerSession): boolean {
+	return fits(step, worker, 0);
+}
+
+/** The `count` workers with most cores free among those that may hold one more task of a step once they have room. */
+export function emptiest(
+	step: jobs.StepRun,
+	workers: sessions.WorkerSession[],
+	count: number,
+): sessions.WorkerSession[] {
+	const free = (worker: sessions.WorkerSession): number =>
+		(worker.entry?.capacity.milliCores ?? 0) - worker.used.milliCores;
+	const allowed = workers.filter((one) => allows(step, one) && canEverHold(step.spec, one));
+	return allowed.sort((a, b) => free(b) - free(a)).slice(0, count);
+}
+
+/** Whether a worker's whole capacity holds a task. */
+function canEverHold(spec: jobs.StepSpec, worker: sessions.WorkerSession): boolean {
+	const capacity = worker.entry?.capacity;
+	const nothing: fleet.Capacity = { milliCores: 0, memoryMb: 0, accelerators: 0 };
+	return capacity !== undefined && hasRoom(spec, nothing, capacity, 0);
+}
+
+/** Whether a worker can hold one more task of the step now, and keep `reserve` thousandths of a core free. */
+export function fits(step: jobs.StepRun, worker: sessions.WorkerSession, reserve: number): boolean {
+	const capacity = worker.entry?.capacity;
+	if (capacity === undefined || !allows(step, worker)) return false;
+	return hasRoom(step.spec, worker.used, capacity, reserve);
+}
+
+/** Whether a step's label and its limit per worker allow one more task there. */
+function allows(step: jobs.StepRun, worker: sessions.WorkerSession): boolean {
+	const { spec } = step;
+	if (spec.requiredLabel !== '' && worker.entry?.labels.includes(spec.requiredLabel) !== true) return false;
+	return spec.maxPerWorker === 0 || countOf(step, worker) < spec.maxPerWorker;
+}
+
+/** Whether a task fits beside what is used, with `reserve` thousandths of a core left; one that fills takes no cores. */
+function hasRoom(
+	spec: jobs.StepSpec,
+	used: fleet.Capacity,
+	capacity: fleet.Capacity,
+	reserve: number,
+): boolean {
+	const milliCores = spec.fills ? 0 : spec.milliCores;
+	return (
+		used.milliCores + milliCores + reserve <= capacity.milliCores &&
+		used.memoryMb + spec.memoryMb <= capacity.memoryMb &&
+		used.accelerators + spec.accelerators <= capacity.accelerators
+	);
+}
+
+/** Tasks of a step that are placed on a worker. */
+function countOf(step: jobs.StepRun, worker: sessions.WorkerSession): number {
+	let count = 0;
+	for (const place of worker.placements.values()) if (place.task.step === step) count += 1;
+	return count;
+}
--- /dev/null
+++ b/src/core/dispatch/waiting-order.ts
@@ -0,0 +1,30 @@
+/** Which waiting task comes first: by priority, then short before lasting, then by the time left. */
+import * as settings from './settings.js';
+import type * as jobs from '../jobs/index.js';
+
+/** Sorts tasks in place; the first is to be placed first. */
+export function sort(
+	tasks: jobs.Task[],
+	priorityOf: (job: jobs.ActiveJob) => number,
+	now: number,
+): jobs.Task[] {
+	const priority = new Map(tasks.map((task) => [task, priorityOf(task.step.job)]));
+	return tasks.sort(
+		(a, b) =>
+			(priority.get(a) ?? 0) - (priority.get(b) ?? 0) ||
+			Number(comesLate(a, now)) - Number(comesLate(b, now)) ||
+			a.step.job.dueAt - b.step.job.dueAt ||
+			a.step.number - b.step.number ||
+			a.index - b.index,
+	);
+}
+
+/** Whether a lasting task has waited so long that it goes before short ones. */
+export function isOverdue(task: jobs.Task, now: number): boolean {
+	return task.step.spec.lasting && now - task.readyAt >= settings.overdueMs;
+}
+
+/** Whether a task comes after the short ones of its priority. */
+function comesLate(task: jobs.Task, now: number): boolean {
+	return task.step.spec.lasting && !isOverdue(task, now);
+}
