--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -1,9 +1,11 @@
 /** The owner's work: takes in jobs, workers and reports, and sees to it that every task runs as often as it should. */
 import * as clocks from '../clock.js';
 import * as ends from './ends.js';
+import * as evacuation from './evacuation.js';
 import * as hanging from './hanging.js';
 import * as interference from './interference.js';
 import * as jobBook from './job-book.js';
+import * as outcomes from './outcomes.js';
 import * as placer from './placer.js';
 import * as pressure from './pressure.js';
 import * as saver from './progress-saver.js';
@@ -45,6 +47,7 @@
 	private readonly starter: starter.Starter;
 	private readonly estimates: interference.Interference;
 	private readonly pressure: pressure.PressureControl;
+	private readonly outcomes: outcomes.Outcomes;
 	private readonly ticks: clocks.Timer;
 	private readonly reportContext: ends.ReportContext;
 
@@ -52,45 +55,15 @@
 		private readonly opts: DispatcherOptions,
 		roster: ledger.RosterEntry[],
 	) {
-		const { clock, events } = opts;
+		const { clock } = opts;
 		this.estimates = interference.Interference.create(() => clock.now());
 		this.pressure = pressure.PressureControl.create(opts, this.estimates, opts.harmMs);
 		this.progress = this.createSaver();
-		this.starter = starter.Starter.create(opts, {
-			onStarted: (place) => {
-				this.onStarted(place);
-			},
-			onNotStarted: (session, place, err) => {
-				this.onNotStarted(session, place, err);
-			},
-		});
-		this.placer = placer.Placer.create({
-			...opts,
-			askAdviser: opts.askAdviser,
-			workers: () => this.workers.all(),
-			settled: () => this.workers.settled,
-			policyOf: (job) => this.policyOf(job),
-			estimates: this.estimates,
-			start: (session, place, ticket) => void this.starter.start(session, place, ticket),
-			stop: (session, place) => void this.starter.stop(session, place),
-		});
-		const { keepStateMs, clearJobs } = opts;
-		this.book = jobBook.JobBook.create({
-			clock,
-			events,
-			keepStateMs,
-			clearJobs,
-			onReady: (task) => {
-				this.placer.add(task);
-			},
-		});
-		this.strangers = strangers.Strangers.create({
-			readJob: opts.readJob,
-			isKnown: (id) => this.book.get(id) !== undefined,
-			onFound: (stored) => {
-				if (this.book.get(stored.record.id) === undefined) this.addStored(stored);
-			},
-		});
+		this.starter = this.createStarter();
+		this.placer = this.createPlacer();
+		this.book = this.createBook();
+		this.outcomes = this.createOutcomes();
+		this.strangers = this.createStrangers();
 		this.reportContext = this.createReportContext();
 		this.workers = this.createPool(roster);
 		this.ticks = clocks.every(clock, settings.tickMs, () => {
@@ -123,7 +96,7 @@
 		const job = this.book.get(id);
 		if (job === undefined || job.ended) return;
 		job.cancelled = true;
-		this.endJob(job, 'cancelled');
+		this.outcomes.endJob(job, 'cancelled');
 	}
 
 	/** How a job stands; undefined: not known here. */
@@ -172,6 +145,68 @@
 		this.workers.close();
 	}
 
+	private createStarter(): starter.Starter {
+		return starter.Starter.create(this.opts, {
+			onStarted: (place) => {
+				this.outcomes.begun(place.task.step.job);
+			},
+			onNotStarted: (session, place, err) => {
+				this.outcomes.notStarted(session, place, err);
+			},
+		});
+	}
+
+	private createPlacer(): placer.Placer {
+		return placer.Placer.create({
+			...this.opts,
+			askAdviser: this.opts.askAdviser,
+			workers: () => this.workers.all(),
+			settled: () => this.workers.settled,
+			policyOf: (job) => this.policyOf(job),
+			estimates: this.estimates,
+			start: (session, place, ticket) => void this.starter.start(session, place, ticket),
+			stopFor: (reason, session, place) => {
+				this.starter.stopFor(reason, session, place);
+			},
+		});
+	}
+
+	private createBook(): jobBook.JobBook {
+		const { clock, events, keepStateMs, clearJobs } = this.opts;
+		return jobBook.JobBook.create({
+			clock,
+			events,
+			keepStateMs,
+			clearJobs,
+			onReady: (task) => {
+				this.placer.add(task);
+			},
+		});
+	}
+
+	private createOutcomes(): outcomes.Outcomes {
+		const { clock, events } = this.opts;
+		return outcomes.Outcomes.create({
+			clock,
+			events,
+			book: this.book,
+			placer: this.placer,
+			progress: this.progress,
+			starter: this.starter,
+			policyOf: (job) => this.policyOf(job),
+		});
+	}
+
+	private createStrangers(): strangers.Strangers {
+		return strangers.Strangers.create({
+			readJob: this.opts.readJob,
+			isKnown: (id) => this.book.get(id) !== undefined,
+			onFound: (stored) => {
+				if (this.book.get(stored.record.id) === undefined) this.addStored(stored);
+			},
+		});
+	}
+
 	private createSaver(): saver.ProgressSaver {
 		const { clock, events, epoch } = this.opts;
 		return saver.ProgressSaver.create({
@@ -213,10 +248,10 @@
 			},
 			stop: (session, place) => void this.starter.stop(session, place),
 			finished: (task) => {
-				this.onFinished(task);
+				this.outcomes.finished(task);
 			},
 			failed: (session, task, run) => {
-				this.onFailed(session, task, run);
+				this.outcomes.failed(session, task, run);
 			},
 			again: (task) => {
 				this.placer.add(task);
@@ -231,7 +266,7 @@
 	private addStored(stored: ledger.StoredJob): void {
 		const { record, progress, cancelled } = stored;
 		const job = this.book.add(record, progress, { cancelled, inherited: true });
-		if (cancelled && !job.ended) this.endJob(job, 'cancelled');
+		if (cancelled && !job.ended) this.outcomes.endJob(job, 'cancelled');
 	}
 
 	private onReport(
@@ -261,97 +296,24 @@
 
 	private onLost(session: sessions.WorkerSession, lost: types.Placement[], proof: string): void {
 		this.opts.events.emit('worker.lost', { worker: session.id, tasks: lost.length, reason: proof });
-		for (const one of lost) {
-			this.placer.add(one.task);
-			this.breakGang(one.task);
-		}
+		for (const place of lost) this.outcomes.lost(place.task);
 		this.workers.heard(session);
 		this.placer.wake();
 	}
 
 	private adopt(session: sessions.WorkerSession, task: jobs.Task, run: number): types.Placement {
-		const { job } = task.step;
-		if (job.state === 'pending') job.state = 'running';
+		this.outcomes.begun(task.step.job);
 		return this.placer.adopt(session, task, run);
 	}
 
-	private onFinished(task: jobs.Task): void {
-		// Members of a gang finish together: one end stands for all.
-		const finished = task.step.spec.gang ? task.step.tasks : [task];
-		const { job } = task.step;
-		for (const one of finished) {
-			const next = job.finish(one, this.opts.clock.now());
-			this.placer.drop(one);
-			for (const ready of next) this.placer.add(ready);
-		}
-		if (job.ended) this.endJob(job, job.state);
-	}
-
-	private onFailed(session: sessions.WorkerSession, task: jobs.Task, run: number): void {
-		const { job, spec, tasks } = task.step;
-		// A gang fails as one, whichever of its members it was.
-		const counted = spec.gang ? (tasks[0] ?? task) : task;
-		counted.failures.add(run);
-		task.failedOn.add(session.id);
-		session.noteFailure(job.id);
-		const { attempts } = this.policyOf(job);
-		if (!spec.lasting && counted.failures.size >= attempts) this.endJob(job, 'failed');
-		else this.breakGang(task);
-	}
-
-	/** Without one member the others of a gang wait in vain. */
-	private breakGang(task: jobs.Task): void {
-		if (!task.step.spec.gang) return;
-		for (const other of task.step.tasks) this.stopTask(other);
-	}
-
-	private endJob(job: jobs.ActiveJob, state: jobs.JobState): void {
-		this.book.close(job, state);
-		for (const step of job.steps)
-			for (const task of step.tasks) {
-				this.placer.drop(task);
-				this.stopTask(task);
-			}
-		this.progress.mark(job);
-	}
-
-	private stopTask(task: jobs.Task): void {
-		const session = this.placer.sessionOf(task);
-		const place = session?.placements.get(task.name);
-		if (session !== undefined && place !== undefined) void this.starter.stop(session, place);
-	}
-
 	private policyOf(job: jobs.ActiveJob): jobs.QueuePolicy {
 		return this.opts.table()?.policyOf(job.record) ?? job.record.queue;
 	}
 
-	private onStarted(place: types.Placement): void {
-		const { job } = place.task.step;
-		if (job.state === 'pending') job.state = 'running';
-	}
-
-	private onNotStarted(
-		session: sessions.WorkerSession,
-		place: types.Placement,
-		err: fleet.WorkerFailure,
-	): void {
-		const { task, run } = place;
-		this.opts.events.emit('start.refused', {
-			task: task.name,
-			run,
-			worker: session.id,
-			reason: err.kind,
-		});
-		if (err.kind !== 'stale-run') session.pause(settings.refusalPauseMs);
-		// A refused start does not begin the wait anew: what a task may claim grows with it.
-		this.placer.add(task, task.readyAt);
-		this.breakGang(task);
-	}
-
 	private tick(): void {
 		this.workers.tick();
 		for (const session of this.workers.all()) {
-			if (session.endsAt !== undefined) this.evacuate(session, session.endsAt);
+			this.evacuate(session);
 			this.placer.moveSlowed(session);
 			this.stopHanging(session);
 		}
@@ -365,22 +327,13 @@
 			const { task } = place;
 			task.failedOn.add(session.id);
 			session.noteFailure(task.step.job.id);
-			this.opts.events.emit('task.stop', {
-				task: task.name,
-				worker: session.id,
-				reason: 'hangs',
-				percent: place.percent,
-			});
-			void this.starter.stop(session, place);
+			this.starter.stopFor('hangs', session, place, { percent: place.percent });
 		}
 	}
 
-	/** Moves work off a worker that is about to end: lasting tasks at once, others while a stop still saves them. */
-	private evacuate(session: sessions.WorkerSession, endsAt: number): void {
-		const lastMoment = this.opts.clock.now() >= endsAt - settings.evacuateBeforeMs;
-		for (const place of session.placements.values()) {
-			if (place.phase !== 'running') continue;
-			if (lastMoment || place.task.step.spec.lasting) void this.starter.stop(session, place);
-		}
+	/** Moves work off a worker that is about to end. */
+	private evacuate(session: sessions.WorkerSession): void {
+		for (const place of evacuation.leaving(session, this.opts.clock.now()))
+			void this.starter.stop(session, place);
 	}
 }
--- /dev/null
+++ b/src/core/dispatch/evacuation.ts
@@ -0,0 +1,14 @@
+/** Finds runs that have to leave a worker which is about to end. */
+import * as settings from './settings.js';
+import type * as sessions from './worker-session.js';
+import type * as types from './types.js';
+
+/** Runs to stop there now: lasting tasks at once, others while a stop still saves them. */
+export function leaving(session: sessions.WorkerSession, now: number): types.Placement[] {
+	const { endsAt } = session;
+	if (endsAt === undefined) return [];
+	const isLastMoment = now >= endsAt - settings.evacuateBeforeMs;
+	return [...session.placements.values()].filter(
+		(place) => place.phase === 'running' && (isLastMoment || place.task.step.spec.lasting),
+	);
+}
--- /dev/null
+++ b/src/core/dispatch/outcomes.ts
@@ -0,0 +1,107 @@
+/** What becomes of jobs as their runs begin, end, fail or are lost. */
+import * as settings from './settings.js';
+import type * as clocks from '../clock.js';
+import type * as events from '../events/index.js';
+import type * as fleet from '../fleet/types.js';
+import type * as jobBook from './job-book.js';
+import type * as jobs from '../jobs/index.js';
+import type * as placer from './placer.js';
+import type * as saver from './progress-saver.js';
+import type * as sessions from './worker-session.js';
+import type * as starter from './starter.js';
+import type * as types from './types.js';
+
+/** What outcomes change. */
+export interface OutcomesOptions {
+	clock: clocks.Clock;
+	events: events.EventLog;
+	book: jobBook.JobBook;
+	placer: placer.Placer;
+	progress: saver.ProgressSaver;
+	starter: starter.Starter;
+	policyOf: (job: jobs.ActiveJob) => jobs.QueuePolicy;
+}
+
+/** Carries outcomes over to jobs and to the other tasks of a gang. */
+export class Outcomes {
+	private constructor(private readonly opts: OutcomesOptions) {}
+
+	static create(opts: OutcomesOptions): Outcomes {
+		return new Outcomes(opts);
+	}
+
+	/** A run of the job is known to be there. */
+	begun(job: jobs.ActiveJob): void {
+		if (job.state === 'pending') job.state = 'running';
+	}
+
+	/** A run is known never to start. */
+	notStarted(session: sessions.WorkerSession, place: types.Placement, err: fleet.WorkerFailure): void {
+		const { task, run } = place;
+		this.opts.events.emit('start.refused', {
+			task: task.name,
+			run,
+			worker: session.id,
+			reason: err.kind,
+		});
+		if (err.kind !== 'stale-run') session.pause(settings.refusalPauseMs);
+		// A refused start does not begin the wait anew: what a task may claim grows with it.
+		this.opts.placer.add(task, task.readyAt);
+		this.breakGang(task);
+	}
+
+	/** A run went down with its worker. */
+	lost(task: jobs.Task): void {
+		this.opts.placer.add(task);
+		this.breakGang(task);
+	}
+
+	/** A task is done, and with it what waited for it may start. */
+	finished(task: jobs.Task): void {
+		// Members of a gang finish together: one end stands for all.
+		const finished = task.step.spec.gang ? task.step.tasks : [task];
+		const { job } = task.step;
+		for (const one of finished) {
+			const next = job.finish(one, this.opts.clock.now());
+			this.opts.placer.drop(one);
+			for (const ready of next) this.opts.placer.add(ready);
+		}
+		if (job.ended) this.endJob(job, job.state);
+	}
+
+	/** A run failed by itself. */
+	failed(session: sessions.WorkerSession, task: jobs.Task, run: number): void {
+		const { job, spec, tasks } = task.step;
+		// A gang fails as one, whichever of its members it was.
+		const counted = spec.gang ? (tasks[0] ?? task) : task;
+		counted.failures.add(run);
+		task.failedOn.add(session.id);
+		session.noteFailure(job.id);
+		const { attempts } = this.opts.policyOf(job);
+		if (!spec.lasting && counted.failures.size >= attempts) this.endJob(job, 'failed');
+		else this.breakGang(task);
+	}
+
+	/** Closes a job and stops what still runs of it. */
+	endJob(job: jobs.ActiveJob, state: jobs.JobState): void {
+		this.opts.book.close(job, state);
+		for (const step of job.steps)
+			for (const task of step.tasks) {
+				this.opts.placer.drop(task);
+				this.stop(task);
+			}
+		this.opts.progress.mark(job);
+	}
+
+	/** Without one member the others of a gang wait in vain. */
+	private breakGang(task: jobs.Task): void {
+		if (!task.step.spec.gang) return;
+		for (const other of task.step.tasks) this.stop(other);
+	}
+
+	private stop(task: jobs.Task): void {
+		const session = this.opts.placer.sessionOf(task);
+		const place = session?.placements.get(task.name);
+		if (session !== undefined && place !== undefined) void this.opts.starter.stop(session, place);
+	}
+}
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -25,7 +25,8 @@
 	estimates: interference.Interference;
 	askAdviser: fleet.AskAdviser | undefined;
 	start: (session: sessions.WorkerSession, place: types.Placement, ticket: string) => void;
-	stop: (session: sessions.WorkerSession, place: types.Placement) => void;
+	/** Stops a run, and logs why. */
+	stopFor: (reason: string, session: sessions.WorkerSession, place: types.Placement) => void;
 }
 
 /** Tasks that wait, and where the others are. */
@@ -111,7 +112,7 @@
 			if (!isMovable(place, now)) continue;
 			round ??= rounds.PlacingRound.create(this.opts.workers(), now);
 			if (!this.hasPlaceElsewhere(place.task, session, round)) continue;
-			this.stop(session, place, 'slowed');
+			this.opts.stopFor('slowed', session, place);
 			// One at a time: its place elsewhere has to be seen by the next choice.
 			return;
 		}
@@ -234,12 +235,7 @@
 			poolOf: (job) => policyOf(job).pool,
 			estimates,
 		});
-		for (const { session, place } of victims) this.stop(session, place, 'room for short tasks');
-	}
-
-	private stop(session: sessions.WorkerSession, place: types.Placement, reason: string): void {
-		this.opts.events.emit('task.stop', { task: place.task.name, worker: session.id, reason });
-		this.opts.stop(session, place);
+		for (const { session, place } of victims) this.opts.stopFor('room for short tasks', session, place);
 	}
 }
 
--- a/src/core/dispatch/starter.ts
+++ b/src/core/dispatch/starter.ts
@@ -1,6 +1,7 @@
 /** Sends starts and stops, and follows each until it is known what became of it. */
 import * as clocks from '../clock.js';
 import * as settings from './settings.js';
+import type * as events from '../events/index.js';
 import type * as fleet from '../fleet/types.js';
 import type * as sessions from './worker-session.js';
 import type * as types from './types.js';
@@ -67,6 +68,17 @@
 		await this.stop(session, placement);
 	}
 
+	/** Stops a run, and logs why; `more`: what else the log line tells. */
+	stopFor(
+		reason: string,
+		session: sessions.WorkerSession,
+		placement: types.Placement,
+		more: events.EventFields = {},
+	): void {
+		this.deps.events.emit('task.stop', { task: placement.task.name, worker: session.id, reason, ...more });
+		void this.stop(session, placement);
+	}
+
 	/** Stops a run; repeated until the worker acknowledges it or the place is free for another reason. */
 	async stop(session: sessions.WorkerSession, placement: types.Placement): Promise<void> {
 		if (placement.phase === 'stopping') return;
