--- a/src/core/box/job-service.ts
+++ b/src/core/box/job-service.ts
@@ -64,18 +64,18 @@
 		const record: jobs.JobRecord = { id, queue, acceptedAt, acceptedUnder, ...request };
 		const { events: log, clock } = this.opts;
 		const startedAt = clock.now();
-		const outcome = await this.store(record);
+		const outcome = await this.storeJob(record);
 		const tookMs = Math.round(clock.now() - startedAt);
-		if (outcome.type === 'accepted' || outcome.type === 'known') {
-			log.emit('job.accepted', { job: id, queue: queue.name, outcome: outcome.type, tookMs });
-			this.tell({ type: 'job.stored', record }, (own) => {
-				own.addJob(record);
-			});
-			return { type: 'ok', value: 'accepted' };
+		if (ledger.isUnstored(outcome)) {
+			const { type, reason } = outcome;
+			log.emit('job.refused', { job: id, queue: queue.name, outcome: type, reason, tookMs });
+			return answerUnstored(outcome);
 		}
-		const { type, reason } = outcome;
-		log.emit('job.refused', { job: id, queue: queue.name, outcome: type, reason, tookMs });
-		return { type: outcome.type === 'unknown' ? 'unknown' : 'unavailable', reason: outcome.reason };
+		log.emit('job.accepted', { job: id, queue: queue.name, outcome: outcome.type, tookMs });
+		this.tell({ type: 'job.stored', record }, (own) => {
+			own.addJob(record);
+		});
+		return { type: 'ok', value: 'accepted' };
 	}
 
 	/** How a job stands. */
@@ -104,8 +104,7 @@
 			reason: 'reason' in outcome ? outcome.reason : undefined,
 		});
 		if (outcome.type === 'no-such-job') return { type: 'no-such-job' };
-		if (outcome.type === 'not-stored') return { type: 'unavailable', reason: outcome.reason };
-		if (outcome.type === 'unknown') return { type: 'unknown', reason: outcome.reason };
+		if (ledger.isUnstored(outcome)) return answerUnstored(outcome);
 		this.tell({ type: 'job.cancelled', job: id }, (own) => {
 			own.cancelJob(id);
 		});
@@ -120,43 +119,33 @@
 		return res.ok ? { type: 'ok', value: res.value } : { type: 'unavailable', reason: res.err.reason };
 	}
 
-	/** Stores a job, through the owner if the store turns this box away. */
-	private async store(record: jobs.JobRecord): Promise<ledger.AcceptOutcome> {
-		const { contact, store } = this.opts;
-		let unknown = false;
-		let reason = 'the store does not answer';
-		if (contact.reachable) {
-			const outcome = await ledger.accept(store, record);
-			if (outcome.type === 'accepted' || outcome.type === 'known') return outcome;
-			unknown = outcome.type === 'unknown';
-			reason = outcome.reason;
-		}
-		if (this.opts.dispatcher() === undefined && this.opts.ownerHasStore()) {
-			const req = { type: 'job.accept' as const, record };
-			const relayed = await this.opts.askOwner<ledger.AcceptOutcome>(req, relayTimeoutMs);
-			if (!relayed.ok) return { type: unknown || relayed.err.sent ? 'unknown' : 'not-stored', reason };
-			if (relayed.value.type === 'accepted' || relayed.value.type === 'known') return relayed.value;
-			unknown ||= relayed.value.type === 'unknown';
-		}
-		return { type: unknown ? 'unknown' : 'not-stored', reason };
+	private storeJob(record: jobs.JobRecord): Promise<ledger.AcceptOutcome> {
+		const own = (): Promise<ledger.AcceptOutcome> => ledger.accept(this.opts.store, record);
+		return this.write(own, { type: 'job.accept', record });
+	}
+
+	private storeCancel(id: string): Promise<ledger.CancelOutcome> {
+		const own = (): Promise<ledger.CancelOutcome> => ledger.cancel(this.opts.store, id);
+		return this.write(own, { type: 'job.cancel', job: id });
 	}
 
-	private async storeCancel(id: string): Promise<ledger.CancelOutcome> {
-		const { contact, store } = this.opts;
+	/** A write of this box, or through the owner (`relay`) if the store turns this box away. */
+	private async write<T extends { type: string }>(
+		own: () => Promise<T | ledger.Unstored>,
+		relay: protocol.BoxReq,
+	): Promise<T | ledger.Unstored> {
 		let unknown = false;
 		let reason = 'the store does not answer';
-		if (contact.reachable) {
-			const outcome = await ledger.cancel(store, id);
-			if (outcome.type === 'cancelled' || outcome.type === 'no-such-job') return outcome;
+		if (this.opts.contact.reachable) {
+			const outcome = await own();
+			if (!ledger.isUnstored(outcome)) return outcome;
 			unknown = outcome.type === 'unknown';
 			reason = outcome.reason;
 		}
 		if (this.opts.dispatcher() === undefined && this.opts.ownerHasStore()) {
-			const req = { type: 'job.cancel' as const, job: id };
-			const relayed = await this.opts.askOwner<ledger.CancelOutcome>(req, relayTimeoutMs);
-			if (!relayed.ok) return { type: unknown || relayed.err.sent ? 'unknown' : 'not-stored', reason };
-			if (relayed.value.type === 'cancelled' || relayed.value.type === 'no-such-job') return relayed.value;
-			unknown ||= relayed.value.type === 'unknown';
+			const relayed = await this.opts.askOwner<T | ledger.Unstored>(relay, relayTimeoutMs);
+			if (relayed.ok && !ledger.isUnstored(relayed.value)) return relayed.value;
+			unknown ||= relayed.ok ? relayed.value.type === 'unknown' : relayed.err.sent;
 		}
 		return { type: unknown ? 'unknown' : 'not-stored', reason };
 	}
@@ -176,3 +165,8 @@
 		else void this.opts.askOwner(req, stateTimeoutMs);
 	}
 }
+
+/** What a caller is told of a write that failed. */
+function answerUnstored(outcome: ledger.Unstored): Answer<never> {
+	return { type: outcome.type === 'unknown' ? 'unknown' : 'unavailable', reason: outcome.reason };
+}
--- a/src/core/ledger/requests.ts
+++ b/src/core/ledger/requests.ts
@@ -26,12 +26,6 @@
 	return unstored(res.err);
 }
 
-/** What a failed write says: it was not done, or nobody knows. */
-function unstored(err: platform.StoreFailure): types.AcceptOutcome & types.CancelOutcome {
-	const { effect, reason } = err;
-	return effect === 'none' ? { type: 'not-stored', reason } : { type: 'unknown', reason };
-}
-
 /** Keeps the wish that a job be cancelled. */
 export async function cancel(store: platform.RecordStore, id: string): Promise<types.CancelOutcome> {
 	const job = await store.get(keys.jobKey(id));
@@ -74,3 +68,14 @@
 	if (job.progress !== undefined && job.progress.state !== 'pending') return job.progress.state;
 	return job.cancelled ? 'cancelled' : 'pending';
 }
+
+/** Whether a write failed. */
+export function isUnstored(outcome: { type: string }): outcome is types.Unstored {
+	return outcome.type === 'not-stored' || outcome.type === 'unknown';
+}
+
+/** What a failed write says: it was not done, or nobody knows. */
+function unstored(err: platform.StoreFailure): types.Unstored {
+	const { effect, reason } = err;
+	return effect === 'none' ? { type: 'not-stored', reason } : { type: 'unknown', reason };
+}
--- a/src/core/ledger/types.ts
+++ b/src/core/ledger/types.ts
@@ -33,19 +33,11 @@
 	cancelled: boolean;
 }
 
-/**
- * What a hand-in came to. `known`: the job was there already. `not-stored`: it is not kept and never will be.
- * `unknown`: no answer; it may be kept now, or a little later.
- */
-export type AcceptOutcome =
-	| { type: 'accepted' }
-	| { type: 'known' }
-	| { type: 'not-stored'; reason: string }
-	| { type: 'unknown'; reason: string };
+/** A write that failed. `not-stored`: it is not kept and never will be. `unknown`: it may be kept now, or a little later. */
+export type Unstored = { type: 'not-stored'; reason: string } | { type: 'unknown'; reason: string };
 
-/** What a cancellation came to; `not-stored` and `unknown` as for a hand-in. */
-export type CancelOutcome =
-	| { type: 'cancelled' }
-	| { type: 'no-such-job' }
-	| { type: 'not-stored'; reason: string }
-	| { type: 'unknown'; reason: string };
+/** What a hand-in came to. `known`: the job was there already. */
+export type AcceptOutcome = { type: 'accepted' } | { type: 'known' } | Unstored;
+
+/** What a cancellation came to. */
+export type CancelOutcome = { type: 'cancelled' } | { type: 'no-such-job' } | Unstored;
