--- a/src/cli/box/main.ts
+++ b/src/cli/box/main.ts
@@ -8,15 +8,19 @@
 import * as ingress from '../../../platform/ingress.js';
 import * as listening from './listening.js';
 import * as platformSettings from '../../../platform/settings.js';
+import * as service from '../../core/box/job-service.js';
 
 /** Exit status for settings that can't be used. */
 const badSettings = 2;
 
-/** A stopping box takes no more requests from this long before it would be killed, in milliseconds. */
-const finishBeforeKillMs = 2_000;
+/** For timers that fire late, and the last bytes of an answer, in milliseconds. */
+const marginMs = 100;
 
-/** Requests under way then have this long to be answered, in milliseconds: longer than any call that they wait for. */
-const finishMs = 1_500;
+/** Requests that are under way when a stopping box closes its address have this long to be answered, in milliseconds. */
+const finishMs = service.longestAnswerMs + marginMs;
+
+/** It closes the address this long before it would be killed, in milliseconds. */
+const finishBeforeKillMs = finishMs + marginMs;
 
 const path = process.env[platformSettings.settingsVariable] ?? '';
 const given = platformSettings.readSettings(path);
--- a/test/box.test.ts
+++ b/test/box.test.ts
@@ -181,6 +181,28 @@
 	t.is(await ending, 0);
 });
 
+test('a hand-in whose write is not answered gets its answer although a planned stop overtakes it', async (t) => {
+	const { platform, start } = await setUp((fn) => {
+		t.teardown(fn);
+	});
+	const owner = await start('entry-1');
+	await owner.logged((line) => line.name === 'owner.taken');
+	const box = await start('entry-2');
+	await box.logged((line) => line.name === 'owner.found');
+	const text = JSON.stringify(body);
+	const head = `POST /jobs/00000000000000f2 HTTP/1.1\r\nhost: ${host}\r\ncontent-length: ${text.length}\r\n\r\n`;
+	const caller = net.connect(toTarget(box.callers));
+	const answered = received(caller);
+	caller.write(head + text.slice(0, 10));
+	const ending = box.kill('SIGTERM');
+	while (await accepts(box.callers));
+	// Neither the box's own write nor the owner's is answered.
+	platform.storeFault = 'lost';
+	caller.write(text.slice(10));
+	t.regex(await answered, /^HTTP\/1.1 504 /);
+	t.is(await ending, 0);
+});
+
 function toTarget(address: string): { host: string; port: number } {
 	const [at = '', port] = address.split(':');
 	return { host: at, port: Number(port) };
