--- a/src/core/owner/candidates.ts
+++ b/src/core/owner/candidates.ts
@@ -1,5 +1,6 @@
 /** The boxes that ask the owner, and how strong they are: who could dispatch in its place. */
 import * as settings from './settings.js';
+import * as strength from './strength.js';
 
 /** What a box tells of itself with each question to the owner. */
 export interface Candidate {
@@ -47,7 +48,7 @@
 			(one) =>
 				one.storeReachable &&
 				at - one.since >= settings.provenAfterMs &&
-				own < one.processor * settings.weakerPart,
+				strength.isWeaker(own, one.processor),
 		);
 		return proven.sort((a, b) => b.processor - a.processor)[0];
 	}
--- a/src/core/owner/ownership.ts
+++ b/src/core/owner/ownership.ts
@@ -5,7 +5,10 @@
  */
 import * as clocks from '../clock.js';
 import * as ledger from '../ledger/index.js';
+import * as names from './owner-name.js';
+import * as results from '../result.js';
 import * as settings from './settings.js';
+import * as strength from './strength.js';
 import type * as events from '../events/index.js';
 import type * as platform from '../platform/types.js';
 
@@ -39,6 +42,12 @@
 	random: (below: number) => number;
 }
 
+/** A takeover that succeeded. */
+interface Takeover {
+	owned: ledger.OwnerLedger;
+	contents: ledger.LedgerContents;
+}
+
 /** This box's part in the race. */
 export class Ownership {
 	/** The owner as last read; this box itself if it owns. */
@@ -123,10 +132,7 @@
 
 	/** Resolves when the owner's name changes in the store; else as `asked` does. */
 	private async nameGone(asked: Promise<PingOutcome>): Promise<PingOutcome | 'name-gone'> {
-		const { store } = this.opts;
-		const seen = await store.follow(ledger.keys.ownerKey, this.nameVersion, settings.pingTimeoutMs);
-		const isChanged = seen.ok && seen.value.type === 'changes' && seen.value.changes.length > 0;
-		return isChanged ? 'name-gone' : asked;
+		return (await names.changes(this.opts.store, this.nameVersion)) ? 'name-gone' : asked;
 	}
 
 	/** Whether this box stopped, or learnt of another owner, during an `await`. */
@@ -136,9 +142,9 @@
 
 	/** Reads who owns; takes over if nobody does, or if only `dead` does. */
 	private async findOwner(dead?: ledger.OwnerRecord): Promise<number> {
-		const found = await this.opts.store.get(ledger.keys.ownerKey);
-		if (!found.ok) return settings.findRetryMs;
-		const owner = found.value && ledger.decodeOwner(found.value.value);
+		const name = await names.read(this.opts.store);
+		if (!name.ok) return settings.findRetryMs;
+		const { owner, version } = name.value;
 		const free = owner === undefined || owner.generation === dead?.generation;
 		if (free) return this.take(dead?.generation);
 		if (owner.generation !== this.lastFound) {
@@ -146,7 +152,7 @@
 			this.opts.events.emit('owner.found', { box: owner.box, generation: owner.generation });
 		}
 		this.owner = owner;
-		this.nameVersion = found.value?.version ?? 0;
+		this.nameVersion = version;
 		return dead === undefined && !this.reachable ? settings.findRetryMs : 0;
 	}
 
@@ -156,8 +162,8 @@
 		const isWeaker = await this.isWeaker();
 		await clocks.sleep(clock, random(settings.raceSpreadMs) + (isWeaker ? settings.weakerWaitMs : 0));
 		if (!isWeaker) return false;
-		const named = await this.opts.store.get(ledger.keys.ownerKey);
-		const owner = named.ok && named.value !== undefined ? ledger.decodeOwner(named.value.value) : undefined;
+		const name = await names.read(this.opts.store);
+		const owner = name.ok ? name.value.owner : undefined;
 		if (owner === undefined || owner.generation === replaces) return false;
 		this.owner = owner;
 		this.nameVersion = 0;
@@ -166,47 +172,55 @@
 
 	/** Whether a clearly stronger box is known; a box that no owner has told yet asks the store. */
 	private async isWeaker(): Promise<boolean> {
-		const strongest = this.opts.strongestKnown() ?? (await this.storedStrongest());
-		return this.opts.processor < strongest * settings.weakerPart;
-	}
-
-	private async storedStrongest(): Promise<number> {
-		const epoch = await this.opts.store.get(ledger.keys.epochKey);
-		if (!epoch.ok || epoch.value === undefined) return 0;
-		return ledger.decodeEpoch(epoch.value.value).strongest ?? 0;
+		const strongest = this.opts.strongestKnown() ?? (await strength.readStrongest(this.opts.store));
+		return strength.isWeaker(this.opts.processor, strongest);
 	}
 
+	/** Runs in the race; `replaces`: generation of an owner whose process is gone though it is still named. */
 	private async take(replaces: number | undefined): Promise<number> {
 		if (await this.waitTurn(replaces)) return 0;
 		const lease = await this.opts.store.grantLease(this.opts.leaseMs);
 		if (!lease.ok) return settings.findRetryMs;
-		const { store, clock, box, peer, events, processor } = this.opts;
-		const strongest = Math.max(processor, this.opts.strongestKnown() ?? 0);
-		const named = { box, peer, lease: lease.value, strongest };
-		const taken = await ledger.OwnerLedger.take(store, () => clock.now(), named, replaces);
-		if (!taken.ok) {
-			events.emit('owner.not-taken', { reason: taken.err });
-			void store.endLease(lease.value);
-			return settings.findRetryMs;
-		}
-		const contents = await taken.value.load();
-		if (!contents.ok) {
-			events.emit('owner.not-taken', { reason: contents.err });
-			void store.endLease(lease.value);
-			return settings.findRetryMs;
+		const taken = await this.takeUnder(lease.value, replaces);
+		if (taken.ok) {
+			this.begin(lease.value, taken.value);
+			return 0;
 		}
-		this.lease = lease.value;
-		this.owned = taken.value;
-		this.ownedSince = this.opts.clock.now();
-		this.owner = { generation: taken.value.generation, box, peer };
+		this.opts.events.emit('owner.not-taken', { reason: taken.err });
+		void this.opts.store.endLease(lease.value);
+		return settings.findRetryMs;
+	}
+
+	/** Names this box in the store and reads what is kept there; fails if another box was first. */
+	private async takeUnder(
+		lease: string,
+		replaces: number | undefined,
+	): Promise<results.Result<Takeover, string>> {
+		const { store, clock, box, peer, processor } = this.opts;
+		const strongest = Math.max(processor, this.opts.strongestKnown() ?? 0);
+		const owner = { box, peer, lease, strongest };
+		const owned = await ledger.OwnerLedger.take(store, () => clock.now(), owner, replaces);
+		if (!owned.ok) return owned;
+		const contents = await owned.value.load();
+		return contents.ok ? results.ok({ owned: owned.value, contents: contents.value }) : contents;
+	}
+
+	/** This box owns from now on. */
+	private begin(lease: string, taken: Takeover): void {
+		const { box, peer, clock, events, onOwned } = this.opts;
+		const { owned, contents } = taken;
+		const { generation } = owned;
+		this.lease = lease;
+		this.owned = owned;
+		this.ownedSince = clock.now();
+		this.owner = { generation, box, peer };
 		this.reachable = true;
 		events.emit('owner.taken', {
-			generation: taken.value.generation,
-			jobs: contents.value.jobs.size,
-			workers: contents.value.roster.length,
+			generation,
+			jobs: contents.jobs.size,
+			workers: contents.roster.length,
 		});
-		this.opts.onOwned(taken.value, contents.value);
-		return 0;
+		onOwned(owned, contents);
 	}
 
 	/** One turn of the owner: keeps the lease, and asks the store whether it still owns. */
@@ -245,6 +259,7 @@
 		this.reachable = false;
 	}
 
+	/** Stops owning and lets the name go away, so that another box can be first at once. */
 	private async giveBack(): Promise<void> {
 		this.owned = undefined;
 		this.opts.onLost();
