--- a/dev/random.ts
+++ b/dev/random.ts
@@ -20,3 +20,10 @@
 	if (one === undefined) throw new Error('nothing to pick from');
 	return one;
 }
+
+/** A number for a text, the same every time. */
+export function hash(text: string): number {
+	let value = 7;
+	for (const char of text) value = (value * 31 + char.charCodeAt(0)) % 65_521;
+	return value;
+}
--- /dev/null
+++ b/dev/soak/box-client.ts
@@ -0,0 +1,85 @@
+/** HTTP as callers speak it to boxes; connections stay open as long as a box's process lives. */
+import * as undici from 'undici';
+import * as random from '../random.js';
+import * as worlds from './world.js';
+import type * as judges from './judge.js';
+
+/** A caller waits so long for an answer, in milliseconds. */
+const patienceMs = 3_000;
+
+/** Connections to one process. */
+const connections = 4;
+
+/** What came of one request: a status, or none. */
+export interface Reply {
+	status: number | undefined;
+	body: Record<string, unknown>;
+}
+
+type Method = 'GET' | 'POST' | 'DELETE';
+
+/** What a client uses. */
+export interface BoxClientOptions {
+	world: worlds.World;
+	judge: judges.Judge;
+	/** Decides which box is asked. */
+	next: () => number;
+}
+
+/** The connections of one caller. */
+export class BoxClient {
+	private readonly pools = new Map<string, undici.Pool>();
+
+	private constructor(private readonly opts: BoxClientOptions) {}
+
+	static create(opts: BoxClientOptions): BoxClient {
+		return new BoxClient(opts);
+	}
+
+	/** One request to one box. */
+	async send(box: worlds.SoakBox, method: Method, path: string, body?: object): Promise<Reply> {
+		const { world, judge } = this.opts;
+		const callers = box.process?.callers;
+		if (callers === undefined) return { status: undefined, body: {} };
+		const isPlanned = box.stoppingUntil > world.now() && box.troubledUntil < world.now();
+		const headers = { host: worlds.host, 'content-type': 'application/json' };
+		try {
+			const res = await this.pool(callers).request({
+				method,
+				path,
+				headers,
+				body: body === undefined ? null : JSON.stringify(body),
+				headersTimeout: patienceMs,
+				bodyTimeout: patienceMs,
+			});
+			return { status: res.statusCode, body: parse(await res.body.text()) };
+		} catch (err) {
+			const { code } = err as NodeJS.ErrnoException;
+			// A request that was under way when a planned stop closed its connection.
+			if (isPlanned && code === 'UND_ERR_SOCKET' && !world.isCalm(box) && box.life > 0)
+				judge.report('cut', `${box.name} ${method} ${path}: ${String(err)}`);
+			return { status: undefined, body: {} };
+		}
+	}
+
+	async close(): Promise<void> {
+		await Promise.all([...this.pools.values()].map((pool) => pool.destroy()));
+	}
+
+	/** One request to any box. */
+	sendAnywhere(method: Method, path: string, body?: object): Promise<Reply> {
+		return this.send(random.pick(this.opts.next, this.opts.world.boxes), method, path, body);
+	}
+
+	private pool(callers: string): undici.Pool {
+		const known = this.pools.get(callers);
+		if (known !== undefined) return known;
+		const created = new undici.Pool(`http://${callers}`, { connections });
+		this.pools.set(callers, created);
+		return created;
+	}
+}
+
+function parse(text: string): Record<string, unknown> {
+	return text === '' ? {} : (JSON.parse(text) as Record<string, unknown>);
+}
--- a/dev/soak/faults.ts
+++ b/dev/soak/faults.ts
@@ -1,4 +1,5 @@
 /** Faults from outside the processes, in an order that the seed decides; they overlap and come in series. */
+import * as boxFaults from './box-faults.js';
 import * as random from '../random.js';
 import type * as proxies from '../../stand-ins/proxy/index.js';
 import type * as workers from '../../stand-ins/fleet/workers.js';
@@ -12,48 +13,14 @@
 const leastMs = 200;
 const mostMs = 6_000;
 
-/** A killed process starts again after so long, in milliseconds. */
-const restartMs = 400;
-
-/** A planned stop that lasts longer is killed: the grace that `box-process.ts` tells boxes, in milliseconds. */
-const graceMs = 3_000;
-
-/** Faults under way at boxes at once: one box is always left alone. */
+/** Injects one fault, for `forMs` milliseconds if it lasts; says where it was. */
 type Fault = (world: worlds.World, next: () => number, forMs: number) => Promise<string> | string;
 
 /** What may be injected. */
 const faults: Record<string, Fault> = {
-	'box-killed': async (world, next) => {
-		const box = aBox(world, next);
-		if (box?.process === undefined) return 'none';
-		world.troubled(box, restartMs + settleStartMs);
-		await box.process.kill();
-		await sleep(restartMs);
-		await world.startBox(box);
-		return box.name;
-	},
-	'box-stopped': async (world, next) => {
-		const box = aBox(world, next);
-		if (box?.process === undefined) return 'none';
-		const running = box.process;
-		box.stoppingUntil = world.now() + graceMs;
-		const killer = setTimeout(() => running.process.kill('SIGKILL'), graceMs);
-		await running.kill('SIGTERM');
-		clearTimeout(killer);
-		world.troubled(box, settleStartMs);
-		await world.startBox(box);
-		return box.name;
-	},
-	'box-paused': async (world, next, forMs) => {
-		const box = aBox(world, next);
-		if (box?.process === undefined) return 'none';
-		const { process: paused } = box.process;
-		world.troubled(box, forMs + settleStartMs);
-		paused.kill('SIGSTOP');
-		await sleep(forMs);
-		paused.kill('SIGCONT');
-		return box.name;
-	},
+	'box-killed': boxFaults.kill,
+	'box-stopped': boxFaults.stop,
+	'box-paused': boxFaults.pause,
 	'store-link-cut': (world, next, forMs) => storeLink(world, next, forMs, { kind: 'cut' }),
 	'store-link-silent': (world, next, forMs) => storeLink(world, next, forMs, { kind: 'freeze' }),
 	'store-link-one-way': (world, next, forMs) => storeLink(world, next, forMs, { kind: 'drop-answers' }),
@@ -91,9 +58,6 @@
 	},
 };
 
-/** A box that has just started anew is given so long, in milliseconds. */
-const settleStartMs = 1_500;
-
 /** Injects faults until `until` (clock time), and resolves once the last has ended. */
 export async function inject(
 	world: worlds.World,
@@ -106,11 +70,12 @@
 		const name = random.pick(next, Object.keys(faults));
 		const forMs = random.between(next, leastMs, mostMs);
 		open.push(run(name, world, next, forMs, log));
-		await sleep(random.between(next, leastGapMs, mostGapMs));
+		await world.sleep(random.between(next, leastGapMs, mostGapMs));
 	}
 	await Promise.all(open);
 }
 
+/** Injects one fault and logs it once it is over. */
 async function run(
 	name: string,
 	world: worlds.World,
@@ -120,15 +85,7 @@
 ): Promise<void> {
 	const startedAt = world.now();
 	const at = await faults[name]?.(world, next, forMs);
-	if (at !== 'none') log(`${name} at ${at ?? ''} for ${Math.round(world.now() - startedAt)} ms`);
-}
-
-/** A box without trouble of its own; undefined: the last such box is left alone. */
-function aBox(world: worlds.World, next: () => number): worlds.SoakBox | undefined {
-	const sound = world.boxes.filter(
-		(box) => box.process !== undefined && Math.max(box.troubledUntil, box.stoppingUntil) < world.now(),
-	);
-	return sound.length > 1 ? random.pick(next, sound) : undefined;
+	if (at !== boxFaults.nowhere) log(`${name} at ${at ?? ''} for ${Math.round(world.now() - startedAt)} ms`);
 }
 
 async function storeLink(
@@ -137,11 +94,11 @@
 	forMs: number,
 	mode: proxies.ProxyMode,
 ): Promise<string> {
-	const box = aBox(world, next);
-	if (box === undefined) return 'none';
+	const box = boxFaults.pickSound(world, next);
+	if (box === undefined) return boxFaults.nowhere;
 	world.troubled(box, forMs);
 	box.store.set(mode);
-	await sleep(forMs);
+	await world.sleep(forMs);
 	box.store.set({ kind: 'pass' });
 	return box.name;
 }
@@ -151,10 +108,10 @@
 	forMs: number,
 	fault: 'down' | 'lost' | 'late',
 ): Promise<string> {
-	if (world.platform.storeFault !== 'none') return 'none';
+	if (world.platform.storeFault !== 'none') return boxFaults.nowhere;
 	world.storeTroubledUntil = world.now() + forMs;
 	world.platform.storeFault = fault;
-	await sleep(forMs);
+	await world.sleep(forMs);
 	world.platform.storeFault = 'none';
 	return 'the store';
 }
@@ -167,7 +124,7 @@
 ): Promise<string> {
 	const worker = random.pick(next, world.workers);
 	worker.proxy.set(mode);
-	await sleep(forMs);
+	await world.sleep(forMs);
 	worker.proxy.set({ kind: 'pass' });
 	return worker.id;
 }
@@ -180,16 +137,9 @@
 ): Promise<string> {
 	const { id } = random.pick(next, world.workers);
 	const life = world.platform.fleet.workers.get(id);
-	if (life === undefined) return 'none';
+	if (life === undefined) return boxFaults.nowhere;
 	life.fault = fault;
-	await sleep(forMs);
+	await world.sleep(forMs);
 	life.fault = 'none';
 	return id;
 }
-
-/** Resolves after so many milliseconds. */
-export function sleep(ms: number): Promise<void> {
-	return new Promise((resolve) => {
-		setTimeout(resolve, ms);
-	});
-}
--- a/dev/soak/judge.ts
+++ b/dev/soak/judge.ts
@@ -45,8 +45,10 @@
 export class Judge implements workers.FleetJournal {
 	readonly violations: Violation[] = [];
 	private readonly jobs = new Map<string, SoakJob>();
+	/** Tasks of which a run is done. */
 	private readonly done = new Set<string>();
-	private readonly noted = new Set<string>();
+	/** Those whose end a worker has forgotten, as the boxes asked. */
+	private readonly doneForgotten = new Set<string>();
 	private readonly startedJobs = new Set<string>();
 	/** Runs that go on, as the workers know them; set once there are workers. */
 	running: () => { worker: string; task: string }[] = () => [];
@@ -54,12 +56,12 @@
 
 	private constructor(
 		private readonly now: () => number,
-		private readonly coresOfWorker: number,
+		private readonly workerMilliCores: number,
 	) {}
 
-	/** `now`: seconds from the start; `coresOfWorker`: thousandths of a core that a worker holds. */
-	static create(now: () => number, coresOfWorker: number): Judge {
-		return new Judge(now, coresOfWorker);
+	/** `now`: seconds from the start; `workerMilliCores`: thousandths of a core that a worker holds. */
+	static create(now: () => number, workerMilliCores: number): Judge {
+		return new Judge(now, workerMilliCores);
 	}
 
 	/** A caller is about to hand a job in. */
@@ -96,7 +98,7 @@
 	}
 
 	forgotten(end: fleet.RunEnd): void {
-		if (end.how === 'done') this.noted.add(end.task);
+		if (end.how === 'done') this.doneForgotten.add(end.task);
 	}
 
 	/** What can only be judged once everything has settled. */
@@ -119,13 +121,13 @@
 		const copies = running.filter((one) => one.task === start.task);
 		if (copies.length > 1)
 			this.report('one-run', `${start.task} runs on ${copies.map((one) => one.worker).join(' and ')}`);
-		if (this.noted.has(start.task))
+		if (this.doneForgotten.has(start.task))
 			this.report('not-after-done', `${start.task} run ${start.run} on ${start.worker}`);
 		for (const before of job.steps[step]?.after ?? []) this.judgeOrder(start, job, before);
 		const here = running.filter((one) => one.worker === start.worker);
-		const cores = here.reduce((sum, one) => sum + this.coresOf(one.task), 0);
-		if (cores > this.coresOfWorker)
-			this.report('room', `${start.worker} holds ${cores} thousandths of a core`);
+		const milliCores = here.reduce((sum, one) => sum + this.milliCoresOf(one.task), 0);
+		if (milliCores > this.workerMilliCores)
+			this.report('room', `${start.worker} holds ${milliCores} thousandths of a core`);
 	}
 
 	private judgeOrder(start: workers.StartRecord, job: SoakJob, before: number): void {
@@ -133,7 +135,7 @@
 		if (open.length > 0) this.report('order', `${start.task} before ${open.join(' ')}`);
 	}
 
-	private coresOf(task: string): number {
+	private milliCoresOf(task: string): number {
 		const parsed = jobs.parseTaskName(task);
 		return (parsed && this.jobs.get(parsed.job)?.steps[parsed.step]?.milliCores) ?? 0;
 	}
--- /dev/null
+++ b/dev/soak/soak.ts
@@ -0,0 +1,93 @@
+/** One randomized soak: boxes as processes under faults, callers, and what was judged of it all. */
+import * as fs from 'node:fs';
+import * as callers from './callers.js';
+import * as clocks from '../../src/core/clock.js';
+import * as faults from './faults.js';
+import * as judges from './judge.js';
+import * as random from '../random.js';
+import * as worlds from './world.js';
+import type * as workers from '../../stand-ins/fleet/workers.js';
+
+/** What the stand-in's workers hold, in thousandths of a core. */
+const workerMilliCores = 32_000;
+
+/**
+ * After the last fault, accepted jobs have so long to complete, in milliseconds: a lease and the horizon that have to
+ * be waited out, orders carried out late, and the work itself.
+ */
+const settleMs = 25_000;
+
+/** A run takes from so long to so long, in milliseconds. */
+const shortestRunMs = 50;
+const longestRunMs = 900;
+
+/** Parts of runs that fail by themselves; a task fails three times in a row once in 30,000 tasks. */
+const failingPart = 0.03;
+
+/** Attempts that the stand-in's queues give a task. */
+const attempts = 3;
+
+/** Sizes of a soak, and the folder for the logs of one that fails. */
+export interface SoakOptions {
+	seed: number;
+	seconds: number;
+	boxes: number;
+	workers: number;
+	callers: number;
+	logs: string;
+}
+
+/** Plays one seed; returns the broken promises. */
+export async function play(opts: SoakOptions): Promise<judges.Violation[]> {
+	const startedAt = clocks.systemClock.now();
+	const seconds = (): number => Math.round((clocks.systemClock.now() - startedAt) / 10) / 100;
+	const next = random.seeded(opts.seed);
+	const judge = judges.Judge.create(seconds, workerMilliCores);
+	const world = await worlds.World.create({ boxes: opts.boxes, workers: opts.workers, judge, plan });
+	const until = clocks.systemClock.now() + opts.seconds * 1_000;
+	const shared: callers.CallersOptions = { world, judge, next: random.seeded(opts.seed + 1), until };
+	const lines: string[] = [];
+	const log = (line: string): void => {
+		lines.push(`${seconds()} s: ${line}`);
+	};
+	const calls = Array.from({ length: opts.callers }, () => callers.call(shared, until + settleMs));
+	await Promise.all([faults.inject(world, next, until, log), callers.watchConfiguration(shared), ...calls]);
+	judge.atEnd();
+	if (judge.violations.length > 0) keepLogs(opts, world, lines, judge.violations);
+	await world.close();
+	print(opts.seed, lines.length, judge, seconds());
+	return judge.violations;
+}
+
+/** How a run goes: the same for every soak. */
+function plan(task: string, run: number): workers.RunPlan {
+	// Never the last attempt: a job that fails by itself is not lost.
+	const fails = random.seeded(random.hash(`${task} ${run}`))() < failingPart && run % attempts === 1;
+	return {
+		ms: random.between(random.seeded(random.hash(task)), shortestRunMs, longestRunMs),
+		how: fails ? 'failed' : 'done',
+	};
+}
+
+/** Prints a summary, and each broken promise. */
+function print(seed: number, faultCount: number, judge: judges.Judge, seconds: number): void {
+	const all = judge.all();
+	const completed = all.filter((job) => job.completed).length;
+	process.stdout.write(
+		`seed ${seed}: ${faultCount} faults, ${all.length} jobs, ${completed} completed, ` +
+			`${judge.starts} starts, ${judge.violations.length} broken promises in ${seconds} s\n`,
+	);
+	for (const one of judge.violations) process.stdout.write(`  ${one.at} s ${one.promise}: ${one.detail}\n`);
+}
+
+/** Writes what the boxes logged, the faults and the broken promises to a folder. */
+function keepLogs(opts: SoakOptions, world: worlds.World, lines: string[], broken: judges.Violation[]): void {
+	const folder = `${opts.logs}/seed-${opts.seed}`;
+	fs.mkdirSync(folder, { recursive: true });
+	fs.writeFileSync(`${folder}/faults.txt`, `${lines.join('\n')}\n`);
+	fs.writeFileSync(`${folder}/broken.json`, JSON.stringify(broken, undefined, '\t'));
+	for (const box of world.boxes) {
+		const logged = box.lines.flat().map((line) => JSON.stringify(line));
+		fs.writeFileSync(`${folder}/${box.name}.jsonl`, `${logged.join('\n')}\n`);
+	}
+}
--- a/dev/soak/world.ts
+++ b/dev/soak/world.ts
@@ -10,7 +10,7 @@
 export const host = 'proofs.example';
 
 /** After trouble at a box ended, nothing with a time bound is asked of it for so long, in milliseconds. */
-const settleMs = 3_000;
+const calmAfterMs = 3_000;
 
 /** A box, over all the processes that it has run. */
 export interface SoakBox {
@@ -69,15 +69,7 @@
 		world.configure();
 		for (let number = 1; number <= opts.workers; number += 1) await world.addWorker(`i-${number}`);
 		for (let number = 1; number <= opts.boxes; number += 1)
-			world.boxes.push({
-				name: `entry-${number}`,
-				store: await proxies.FaultProxy.create(storeAddress),
-				process: undefined,
-				life: 0,
-				lines: [],
-				troubledUntil: 0,
-				stoppingUntil: 0,
-			});
+			world.boxes.push(newBox(`entry-${number}`, await proxies.FaultProxy.create(storeAddress)));
 		await Promise.all(world.boxes.map((box) => world.startBox(box)));
 		return world;
 	}
@@ -86,6 +78,10 @@
 		return clocks.systemClock.now();
 	}
 
+	sleep(ms: number): Promise<void> {
+		return clocks.sleep(clocks.systemClock, ms);
+	}
+
 	/** Starts a process for a box that has none. */
 	async startBox(box: SoakBox): Promise<void> {
 		const started = await boxes.BoxProcess.create(box.name, box.store.address);
@@ -111,7 +107,7 @@
 	/** Whether a box has been without trouble for a while, the store too. */
 	isCalm(box: SoakBox): boolean {
 		const until = Math.max(box.troubledUntil, this.storeTroubledUntil, box.stoppingUntil);
-		return box.process !== undefined && this.now() > until + settleMs;
+		return box.process !== undefined && this.now() > until + calmAfterMs;
 	}
 
 	/** Another life of a worker begins at its address. */
@@ -155,3 +151,8 @@
 		);
 	}
 }
+
+/** A box without a process. */
+function newBox(name: string, store: proxies.FaultProxy): SoakBox {
+	return { name, store, process: undefined, life: 0, lines: [], troubledUntil: 0, stoppingUntil: 0 };
+}
