--- a/src/core/box/box.ts
+++ b/src/core/box/box.ts
@@ -1,8 +1,10 @@
 /** A box: answers callers, keeps up with the configuration, and dispatches when it is its turn. */
 import * as errors from '../errors/index.js';
+import * as held from './held-pings.js';
 import * as ledger from '../ledger/index.js';
 import * as ownerRole from './owner-role.js';
 import * as ownership from '../owner/index.js';
+import * as pings from './owner-pings.js';
 import * as platform from '../platform/record-follower.js';
 import * as contacts from '../platform/contact.js';
 import * as protocol from './peer-protocol.js';
@@ -14,16 +16,12 @@
 import type * as boxSettings from './settings.js';
 import type * as clocks from '../clock.js';
 import type * as events from '../events/index.js';
-import type * as dispatch from '../dispatch/index.js';
 import type * as stores from '../platform/types.js';
 import type * as upkeep from '../upkeep/index.js';
 
 /** The configuration is asked for with this wait, in milliseconds: a silent cut is noticed soon after. */
 const configurationWaitMs = 2_500;
 
-/** What the owner has learnt is asked for again after so long, in milliseconds: the next owner starts with it. */
-const knowledgeAgeMs = 2_000;
-
 /** One box. */
 export class Box {
 	readonly service: service.JobService;
@@ -35,16 +33,11 @@
 	private server!: wire.PeerServer<protocol.BoxReq>;
 	/** What this box does as long as it owns the dispatching. */
 	private role: ownerRole.OwnerRole | undefined;
-	private heldPings: (() => void)[] = [];
+	private readonly heldPings: held.HeldPings;
+	private readonly pings: pings.OwnerPings;
 	private readonly waves = new Map<number, upkeep.Wave>();
-	private ownerStoreReachable = false;
-	/** The strongest processor among all boxes, as the owner last told. */
-	private strongestTold: number | undefined;
 	/** The boxes that ask this one while it owns. */
-	private candidates = ownership.Candidates.create(() => this.clock.now());
-	/** What owners have learnt, as last told, and when. */
-	private learnt: dispatch.Knowledge | undefined;
-	private learntAt = -Infinity;
+	private readonly candidates = ownership.Candidates.create(() => this.clock.now());
 	private stopping = false;
 
 	private constructor(
@@ -57,6 +50,10 @@
 		this.store = watched.store;
 		this.contact = watched.contact;
 		this.peers = wire.PeerClient.create(clock, events);
+		const { contact, peers } = this;
+		const { box, processor } = settings;
+		this.pings = pings.OwnerPings.create({ peers, clock, contact, box, processor });
+		this.heldPings = held.HeldPings.create(clock);
 		this.service = service.JobService.create({
 			store: this.store,
 			contact: this.contact,
@@ -65,7 +62,7 @@
 			dispatcher: () => this.role?.dispatcher,
 			askOwner: (req, timeoutMs) => this.askOwner(req, timeoutMs),
 			ownerGeneration: () => this.ownership.owner?.generation ?? 0,
-			ownerHasStore: () => this.ownership.reachable && this.ownerStoreReachable,
+			ownerHasStore: () => this.ownership.reachable && this.pings.storeReachable,
 		});
 	}
 
@@ -136,10 +133,10 @@
 			peer: this.server.address,
 			leaseMs: Math.max(ownership.settings.leaseMs, this.settings.minLeaseMs),
 			processor: this.settings.processor,
-			strongestKnown: () => this.strongestTold,
+			strongestKnown: () => this.pings.strongest,
 			strongerBox: () => this.candidates.stronger(this.settings.processor)?.box,
-			ping: (address) => this.ping(address),
-			ownerLacksStore: () => !this.ownerStoreReachable && this.contact.reachable,
+			ping: (address) => this.pings.ping(address),
+			ownerLacksStore: () => !this.pings.storeReachable && this.contact.reachable,
 			onOwned: (owned, contents) => {
 				this.onOwned(owned, contents);
 			},
@@ -190,42 +187,6 @@
 		this.events.emit('config.applied', { version, queues: decoded.value.routes.length });
 	}
 
-	private async ping(address: string): Promise<ownership.PingOutcome> {
-		const { pingWaitMs, pingTimeoutMs } = ownership.settings;
-		const wantsKnowledge = this.clock.now() - this.learntAt > knowledgeAgeMs;
-		const req = this.pingReq(pingWaitMs, wantsKnowledge);
-		const res = await this.peers.call<protocol.PingReply>(address, req, pingTimeoutMs);
-		if (!res.ok) {
-			if (res.err.refused) return 'refused';
-			// A connection that broke: whether the process is gone shows when it is opened anew.
-			return res.err.reason.startsWith('no reply') ? 'silent' : this.pingAgain(address);
-		}
-		if (!res.value.ok) return 'not-owner';
-		this.ownerStoreReachable = res.value.value.storeReachable;
-		this.strongestTold = res.value.value.strongest;
-		this.keepKnowledge(res.value.value.knowledge);
-		return 'alive';
-	}
-
-	private keepKnowledge(learnt: dispatch.Knowledge | undefined): void {
-		if (learnt === undefined) return;
-		this.learnt = learnt;
-		this.learntAt = this.clock.now();
-	}
-
-	private pingReq(waitMs: number, wantsKnowledge: boolean): protocol.BoxReq {
-		const { box, processor } = this.settings;
-		const candidate = { box, processor, storeReachable: this.contact.reachable };
-		return { type: 'owner.ping', waitMs, wantsKnowledge, candidate };
-	}
-
-	private async pingAgain(address: string): Promise<ownership.PingOutcome> {
-		const req = this.pingReq(0, false);
-		const res = await this.peers.call<protocol.PingReply>(address, req, ownership.settings.pingTimeoutMs);
-		if (res.ok) return res.value.ok ? 'alive' : 'not-owner';
-		return res.err.refused ? 'refused' : 'silent';
-	}
-
 	private async askOwner<T>(
 		req: protocol.BoxReq,
 		timeoutMs: number,
@@ -253,17 +214,18 @@
 			},
 			owned,
 			contents,
-			this.learnt,
+			this.pings.learnt,
 		);
 		for (const wave of this.waves.values()) this.role.addWave(wave);
 	}
 
 	private onLost(): void {
-		this.learnt = this.role?.dispatcher.knowledge() ?? this.learnt;
-		this.strongestTold = this.candidates.strongest(this.settings.processor);
+		// What this owner knows serves the next race, and the next owner if it is this box again.
+		this.pings.learnt = this.role?.dispatcher.knowledge() ?? this.pings.learnt;
+		this.pings.strongest = this.candidates.strongest(this.settings.processor);
 		this.role?.close();
 		this.role = undefined;
-		for (const answer of this.heldPings) answer();
+		this.heldPings.release();
 	}
 
 	private async onPeer(req: protocol.BoxReq): Promise<results.Result<unknown, errors.Failure>> {
@@ -273,7 +235,7 @@
 		switch (req.type) {
 			case 'owner.ping':
 				this.candidates.heard(req.candidate);
-				await this.holdPing(req.waitMs);
+				await this.heldPings.hold(req.waitMs);
 				return this.isOwner() ? results.ok(this.pingReply(req.wantsKnowledge)) : notOwner;
 			case 'job.stored':
 				dispatcher.addJob(req.record);
@@ -305,18 +267,4 @@
 			knowledge: withKnowledge ? this.role?.dispatcher.knowledge() : undefined,
 		};
 	}
-
-	/** Resolves after `waitMs`, or at once when this box stops owning. */
-	private holdPing(waitMs: number): Promise<void> {
-		if (waitMs === 0) return Promise.resolve();
-		return new Promise((resolve) => {
-			const done = (): void => {
-				timer.cancel();
-				this.heldPings = this.heldPings.filter((one) => one !== done);
-				resolve();
-			};
-			const timer = this.clock.after(waitMs, done);
-			this.heldPings.push(done);
-		});
-	}
 }
--- /dev/null
+++ b/src/core/box/held-pings.ts
@@ -0,0 +1,32 @@
+/** Questions of the other boxes that the owner holds, so that each notices at once when the owner goes away. */
+import type * as clocks from '../clock.js';
+
+/** Questions that have not been answered yet. */
+export class HeldPings {
+	private held: (() => void)[] = [];
+
+	private constructor(private readonly clock: clocks.Clock) {}
+
+	static create(clock: clocks.Clock): HeldPings {
+		return new HeldPings(clock);
+	}
+
+	/** Resolves after `waitMs`, or with the next `release`. */
+	hold(waitMs: number): Promise<void> {
+		if (waitMs === 0) return Promise.resolve();
+		return new Promise((resolve) => {
+			const done = (): void => {
+				timer.cancel();
+				this.held = this.held.filter((one) => one !== done);
+				resolve();
+			};
+			const timer = this.clock.after(waitMs, done);
+			this.held.push(done);
+		});
+	}
+
+	/** Lets all be answered now. */
+	release(): void {
+		for (const answer of this.held) answer();
+	}
+}
