A box that stops during its own takeover does not own; closing of the address is tested without real time limits

Causes: release() found no ownership yet and returned, and the takeover under way went on (found by the tidying's reading). The test of the half sent request raced with the box's real time and failed once at a load of 22.

Change: a takeover that ends while the box stops gives its lease back. The half sent request is now asked of the closing itself, without a limit in time, together with idle connections: as strict, and not dependent on load.

Tests: ownership fails before the change; listening fails if connections are closed under a request.

--- a/src/core/owner/ownership.ts
+++ b/src/core/owner/ownership.ts
@@ -182,15 +182,21 @@
 		const lease = await this.opts.store.grantLease(this.opts.leaseMs);
 		if (!lease.ok) return settings.findRetryMs;
 		const taken = await this.takeUnder(lease.value, replaces);
-		if (taken.ok) {
+		if (taken.ok && !this.isStopping()) {
 			this.begin(lease.value, taken.value);
 			return 0;
 		}
-		this.opts.events.emit('owner.not-taken', { reason: taken.err });
+		const reason = taken.ok ? 'this box stops' : taken.err;
+		this.opts.events.emit('owner.not-taken', { reason });
 		void this.opts.store.endLease(lease.value);
 		return settings.findRetryMs;
 	}
 
+	/** Read after an `await`, where the compiler thinks the field can't have changed. */
+	private isStopping(): boolean {
+		return this.stopping;
+	}
+
 	/** Names this box in the store and reads what is kept there; fails if another box was first. */
 	private async takeUnder(
 		lease: string,
--- /dev/null
+++ b/test/listening.test.ts
@@ -0,0 +1,68 @@
+/** How a box closes the address of its callers. */
+import * as http from 'node:http';
+import * as net from 'node:net';
+import test from 'ava';
+import * as listening from '../src/cli/box/listening.js';
+
+/** Longer than any test: only answers end the wait. */
+const longMs = 100_000;
+
+test('closing an address answers the request that is half sent, and takes no new connection', async (t) => {
+	const server = http.createServer((req, res) => {
+		req.resume().on('end', () => {
+			res.writeHead(200, { connection: 'close' }).end('done');
+		});
+	});
+	const address = await listening.listen(server, '127.0.0.1:0');
+	const caller = net.connect(listening.toListenOptions(address));
+	const answered = received(caller);
+	const seen = new Promise((resolve) => server.once('request', resolve));
+	caller.write('POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nha');
+	await seen;
+	const finished = listening.finish(server, longMs);
+	t.false(await accepts(address));
+	caller.write('lf');
+	t.regex(await answered, /^HTTP\/1.1 200 [^]*done/);
+	await finished;
+});
+
+test('closing an address ends idle connections', async (t) => {
+	const server = http.createServer((_req, res) => {
+		res.end('done');
+	});
+	const address = await listening.listen(server, '127.0.0.1:0');
+	const caller = net.connect(listening.toListenOptions(address));
+	const closed = received(caller);
+	caller.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n');
+	await new Promise((resolve) => caller.once('data', resolve));
+	await listening.finish(server, longMs);
+	t.regex(await closed, /done/);
+});
+
+/** All that comes over a connection until its end; empty if it breaks. */
+function received(socket: net.Socket): Promise<string> {
+	return new Promise((resolve) => {
+		const chunks: Buffer[] = [];
+		socket.on('data', (chunk: Buffer) => chunks.push(chunk));
+		socket.on('error', () => {
+			resolve('');
+		});
+		socket.on('close', () => {
+			resolve(Buffer.concat(chunks).toString('utf8'));
+		});
+	});
+}
+
+/** Whether an address takes a connection. */
+function accepts(address: string): Promise<boolean> {
+	return new Promise((resolve) => {
+		const socket = net.connect(listening.toListenOptions(address));
+		socket.on('connect', () => {
+			socket.destroy();
+			resolve(true);
+		});
+		socket.on('error', () => {
+			resolve(false);
+		});
+	});
+}
--- a/test/ownership.test.ts
+++ b/test/ownership.test.ts
@@ -174,3 +174,15 @@
 	await boxes.clock.pass(ownership.settings.leaseMs + 100);
 	t.snapshot(boxes.owners);
 });
+
+test('a box that is told to stop while it takes over does not own', async (t) => {
+	const boxes = Boxes.create();
+	const leaving = boxes.start('weak-1', weak);
+	await boxes.clock.pass(14);
+	const released = leaving.race.release();
+	await boxes.clock.pass(100);
+	await released;
+	boxes.start('weak-2', weak);
+	await boxes.clock.pass(1_000);
+	t.snapshot(boxes.owners);
+});
