--- a/stand-ins/fleet/workers.ts
+++ b/stand-ins/fleet/workers.ts
@@ -287,12 +287,19 @@
 			if (fault === 'none') return order(worker);
 			if (fault === 'refused') return results.fail({ kind: 'unreachable' });
 			if (fault === 'lost') order(worker);
-			else this.opts.clock.after(giveUpMs + lateMs, () => void order(worker));
+			else this.carryOutLate(worker, order);
 		}
 		await this.sleep(giveUpMs);
 		return results.fail(noAnswer);
 	}
 
+	/** Carries an order out much later, unless that life of the worker has ended by then. */
+	private carryOutLate<T>(worker: FakeWorker, order: Order<T>): void {
+		this.opts.clock.after(giveUpMs + lateMs, () => {
+			if (this.workers.get(worker.entry.id) === worker) order(worker);
+		});
+	}
+
 	/** Asks for a report; without an end to report, the answer waits for one. */
 	private async hold(
 		at: fleet.WorkerTarget,
