Workers kept for overdue tasks: a tenth in one round for all steps, and nothing is kept from tasks that fill

Cause: each step with overdue tasks kept a tenth of the workers of its own and of every other step, so with ten such steps filling tasks found no worker.

--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -217,7 +217,7 @@
 	/** Workers that may run a step by pool and advice, and how to rate them. */
 	private choiceFor(step: jobs.StepRun, round: rounds.PlacingRound): placement.Choice {
 		const { pool, advised } = this.opts.policyOf(step.job);
-		const inPool = round.openIn(pool);
+		const inPool = round.openFor(step, pool);
 		const { now } = round;
 		const { estimates } = this.opts;
 		if (!advised) return { workers: inPool, estimates, now };
--- a/src/core/dispatch/placing-round.ts
+++ b/src/core/dispatch/placing-round.ts
@@ -7,6 +7,8 @@
 
 /** What one round looks at. */
 export class PlacingRound {
+	private readonly kept = new Set<sessions.WorkerSession>();
+
 	private constructor(
 		/** Clock time of its beginning. */
 		readonly now: number,
@@ -26,20 +28,18 @@
 		return new PlacingRound(now, open);
 	}
 
-	/** Open workers of a pool. */
-	openIn(pool: string): sessions.WorkerSession[] {
-		return this.open.get(pool) ?? [];
+	/** Open workers of a pool that may take a step; tasks that fill need no cores, so nothing is kept from them. */
+	openFor(step: jobs.StepRun, pool: string): sessions.WorkerSession[] {
+		const open = this.open.get(pool) ?? [];
+		return step.spec.fills || this.kept.size === 0 ? open : open.filter((one) => !this.kept.has(one));
 	}
 
 	/** Keeps the emptiest workers that may hold a step free for its overdue tasks, for the rest of the round. */
 	keepFor(step: jobs.StepRun, pool: string): void {
-		const open = this.openIn(pool);
+		const open = this.openFor(step, pool);
 		const overdue = step.tasks.filter((task) => task.state === 'ready' && order.isOverdue(task, this.now));
-		const most = Math.min(overdue.length, Math.ceil(open.length * settings.keptPart));
-		const kept = new Set(room.emptiest(step, open, most));
-		this.open.set(
-			pool,
-			open.filter((one) => !kept.has(one)),
-		);
+		const all = this.open.get(pool)?.length ?? 0;
+		const left = Math.max(0, Math.ceil(all * settings.keptPart) - this.kept.size);
+		for (const one of room.emptiest(step, open, Math.min(overdue.length, left))) this.kept.add(one);
 	}
 }
