--- a/src/core/dispatch/placing-round.ts
+++ b/src/core/dispatch/placing-round.ts
@@ -8,12 +8,16 @@
 /** What one round looks at. */
 export class PlacingRound {
 	private readonly kept = new Set<sessions.WorkerSession>();
+	/** Open workers, by pool, without those that are kept. */
+	private readonly unkept: Map<string, sessions.WorkerSession[]>;
 
 	private constructor(
 		/** Clock time of its beginning. */
 		readonly now: number,
 		private readonly open: Map<string, sessions.WorkerSession[]>,
-	) {}
+	) {
+		this.unkept = new Map(open);
+	}
 
 	/** Begins a round: looks at every worker once. */
 	static create(workers: sessions.WorkerSession[], now: number): PlacingRound {
@@ -30,8 +34,7 @@
 
 	/** Open workers of a pool that may take a step; tasks that fill need no cores, so nothing is kept from them. */
 	openFor(step: jobs.StepRun, pool: string): sessions.WorkerSession[] {
-		const open = this.open.get(pool) ?? [];
-		return step.spec.fills || this.kept.size === 0 ? open : open.filter((one) => !this.kept.has(one));
+		return (step.spec.fills ? this.open : this.unkept).get(pool) ?? [];
 	}
 
 	/** Keeps the emptiest workers that may hold a step free for its overdue tasks, for the rest of the round. */
@@ -41,5 +44,9 @@
 		const all = this.open.get(pool)?.length ?? 0;
 		const left = Math.max(0, Math.ceil(all * settings.keptPart) - this.kept.size);
 		for (const one of room.emptiest(step, open, Math.min(overdue.length, left))) this.kept.add(one);
+		this.unkept.set(
+			pool,
+			(this.open.get(pool) ?? []).filter((one) => !this.kept.has(one)),
+		);
 	}
 }
--- a/test/job-service.test.ts
+++ b/test/job-service.test.ts
@@ -6,17 +6,9 @@
 import * as results from '../src/core/result.js';
 import * as service from '../src/core/box/job-service.js';
 import * as time from '../stand-ins/fleet/virtual-clock.js';
+import * as world from './fixtures/dispatching.js';
 
 const id = '00000000000000a1';
-const queue = {
-	name: 'proofs',
-	pool: 'press',
-	priority: 0,
-	attempts: 3,
-	stretch: 2,
-	objectiveMs: 500,
-	advised: false,
-};
 
 /** The service of a box that knows no owner. */
 function setUp(): {
@@ -57,7 +49,7 @@
 for (const fault of ['down', 'lost', 'late'] as const)
 	test(`a cancellation while the store is ${fault} is not called undone unless it is`, async (t) => {
 		const { clock, jobs, store, set } = setUp();
-		await settled(clock, jobs.submit(queue, id, { text: '', steps: [] }));
+		await settled(clock, jobs.submit(world.queue, id, { text: '', steps: [] }));
 		set(fault);
 		const answer = await settled(clock, jobs.cancel(id));
 		const isStored = store.keys().some((key) => key.includes('cancel'));
