Workers kept for an overdue lasting task are closed to short tasks only, and only where it can fit

Kept workers were closed to the lasting tasks of every other step, and were chosen by their whole capacity, although what lasting tasks hold does not come free. After the traffic a step of 14 cores kept two to five workers with 9 to 12 cores free for 17 s, and a task of 9.4 cores that fitted on all of them waited.

Ruled out: a task forgotten after its stop (it is listed as waiting, due and allowed to start); memory (90 to 250 GB free); the reserve (2 s only); paused or silent workers (45 of 45 open).

Change: a lasting task takes any open worker that it fits on; workers are kept from short tasks alone, and only where the step fits beside the lasting tasks that stay.

Tests: two in dispatch, seen to fail before.

--- a/src/core/dispatch/placing-round.ts
+++ b/src/core/dispatch/placing-round.ts
@@ -32,18 +32,22 @@
 		return new PlacingRound(now, open);
 	}
 
-	/** Open workers of a pool that may take a step; tasks that fill need no cores, so nothing is kept from them. */
+	/**
+	 * Open workers of a pool that may take a step. Workers are kept from short tasks only: tasks that fill need no cores,
+	 * and a lasting task that fits is not to wait for one that is larger.
+	 */
 	openFor(step: jobs.StepRun, pool: string): sessions.WorkerSession[] {
-		return (step.spec.fills ? this.open : this.unkept).get(pool) ?? [];
+		const { fills, lasting } = step.spec;
+		return (fills || lasting ? this.open : this.unkept).get(pool) ?? [];
 	}
 
 	/** Keeps the emptiest workers that may hold a step free for its overdue tasks, for the rest of the round. */
 	keepFor(step: jobs.StepRun, pool: string): void {
-		const open = this.openFor(step, pool);
+		const unkept = this.unkept.get(pool) ?? [];
 		const overdue = step.tasks.filter((task) => task.state === 'ready' && order.isOverdue(task, this.now));
 		const all = this.open.get(pool)?.length ?? 0;
 		const left = Math.max(0, Math.ceil(all * settings.keptPart) - this.kept.size);
-		for (const one of room.emptiest(step, open, Math.min(overdue.length, left))) this.kept.add(one);
+		for (const one of room.emptiest(step, unkept, Math.min(overdue.length, left))) this.kept.add(one);
 		this.unkept.set(
 			pool,
 			(this.open.get(pool) ?? []).filter((one) => !this.kept.has(one)),
--- a/src/core/dispatch/room.ts
+++ b/src/core/dispatch/room.ts
@@ -8,7 +8,7 @@
 	return fits(step, worker, 0);
 }
 
-/** The `count` workers with most cores free among those that may hold one more task of a step once they have room. */
+/** The `count` workers with most cores free among those that hold one more task of a step once their short ones end. */
 export function emptiest(
 	step: jobs.StepRun,
 	workers: sessions.WorkerSession[],
@@ -16,15 +16,15 @@
 ): sessions.WorkerSession[] {
 	const free = (worker: sessions.WorkerSession): number =>
 		(worker.entry?.capacity.milliCores ?? 0) - worker.used.milliCores;
-	const allowed = workers.filter((one) => allows(step, one) && canEverHold(step.spec, one));
+	const allowed = workers.filter((one) => allows(step, one) && holdsBesideLasting(step.spec, one));
 	return allowed.sort((a, b) => free(b) - free(a)).slice(0, count);
 }
 
-/** Whether a worker's whole capacity holds a task. */
-function canEverHold(spec: jobs.StepSpec, worker: sessions.WorkerSession): boolean {
+/** Whether a worker holds a task beside its lasting ones, which stay; all else there ends sooner or later. */
+function holdsBesideLasting(spec: jobs.StepSpec, worker: sessions.WorkerSession): boolean {
 	const capacity = worker.entry?.capacity;
-	const nothing: fleet.Capacity = { milliCores: 0, memoryMb: 0, accelerators: 0 };
-	return capacity !== undefined && hasRoom(spec, nothing, capacity, 0);
+	const lasting: fleet.Capacity = { milliCores: worker.lastingMilliCores, memoryMb: 0, accelerators: 0 };
+	return capacity !== undefined && hasRoom(spec, lasting, capacity, 0);
 }
 
 /** Whether a worker can hold one more task of the step now, and keep `reserve` thousandths of a core free. */
--- a/test/dispatch.test.ts
+++ b/test/dispatch.test.ts
@@ -1,6 +1,7 @@
 /** Dispatching under failure, in memory: what is started where and how often, and what callers are told. */
 import test from 'ava';
 import * as world from './fixtures/dispatching.js';
+import type * as jobs from '../src/core/jobs/index.js';
 
 const half = { ms: 500, how: 'done' as const };
 
@@ -328,6 +329,39 @@
 	owner.dispatcher.close();
 });
 
+test('a lasting task that fits is started, whatever larger one has been waiting for room', async (t) => {
+	const { clock, fleet, takeOver, submit } = world.createWorld(() => ({ ms: 'endless', how: 'done' }));
+	const w1 = fleet.add('w1');
+	const owner = await takeOver();
+	const lasting = (milliCores: number): jobs.StepSpec[] => [world.step({ milliCores, lasting: true })];
+	await submit(owner, world.job('first', lasting(20_000)));
+	await clock.pass(3_000);
+	// Will never fit beside the first, which stays.
+	await submit(owner, world.job('large', lasting(16_000)));
+	await clock.pass(3_500);
+	await submit(owner, world.job('small', lasting(10_000)));
+	await clock.pass(6_000);
+	t.deepEqual([...w1.running.keys()].sort(), ['first.0.0.0', 'small.0.0.0']);
+	owner.dispatcher.close();
+});
+
+test('no worker is kept from short tasks for a lasting one that it will never hold', async (t) => {
+	const plan = (task: string): { ms: number | 'endless'; how: 'done' } =>
+		task.startsWith('short') ? half : { ms: 'endless', how: 'done' };
+	const { clock, fleet, takeOver, submit } = world.createWorld(plan);
+	fleet.add('w1');
+	const owner = await takeOver();
+	const lasting = (milliCores: number): jobs.StepSpec[] => [world.step({ milliCores, lasting: true })];
+	await submit(owner, world.job('first', lasting(20_000)));
+	await clock.pass(3_000);
+	await submit(owner, world.job('large', lasting(16_000)));
+	await clock.pass(3_500);
+	await submit(owner, world.job('short', [world.step()]));
+	await clock.pass(100);
+	t.is(owner.dispatcher.stateOf('short'), 'running');
+	owner.dispatcher.close();
+});
+
 test('a lasting task that was stopped for short ones is back within seconds, however many short ones wait', async (t) => {
 	const plan = (task: string): { ms: number | 'endless'; how: 'done' } =>
 		task.startsWith('lasting') ? { ms: 'endless', how: 'done' } : { ms: 400, how: 'done' };
