Loads of serving tasks are predicted by waves, harm follows from them, and crowded cores count as one more neighbour

Harm was linear in disturbance and took the load for its mean. Cores in use beyond 0.9 raise the busy part by 0.3 to 0.8 a whole worker: a disturbance like any other, no wall. What fills gets the cores it asks for up to 1.4.

Ruled out: the newest quantile as load (off by 0.09, late by half a second); pairs alone.

Change: a step's load is a constant and a sine wave, fitted by weighted least squares for 19 periods at once; the period is chosen by image. Harm is the chance to be over the target at the predicted load. Use beyond 0.9 enters the model as one more neighbour, learnt like the others. Limits of harm 0.2 and 0.5; most use 1.3, as nothing is known of more.

--- a/src/core/dispatch/interference.ts
+++ b/src/core/dispatch/interference.ts
@@ -7,7 +7,7 @@
  * cautious first guess. docs/decisions/0011-interference.md has the measurements behind the form.
  */
 import * as imageModel from './image-model.js';
-import * as loadTrack from './load-track.js';
+import * as loadWave from './load-wave.js';
 import * as neighbours from './neighbours.js';
 import type * as jobs from '../jobs/index.js';
 import type * as sessions from './worker-session.js';
@@ -17,13 +17,23 @@
 const readingMs = 600;
 
 /** A profile of a worker is worked out anew after so long, in milliseconds: loads and slopes move slowly. */
-const profileMs = 500;
+const profileMs = 250;
 
-/** Measured: a task is over its target for so much of the time a unit of disturbance. */
-const harmPerDisturbance = 0.5;
+/** Loads are predicted for so long ahead, in milliseconds: half of what a filling task usually runs. */
+const aheadMs = 900;
 
-/** Less disturbance than this is none. */
-const noDisturbance = 0.03;
+/**
+ * Measured, over three days: of the tasks expected this much busier than their target allows, none, and all, are over
+ * it during the next seconds; in between the part rises about evenly.
+ */
+const surelyUnder = -0.16;
+const surelyOver = 0.24;
+
+/** Above this part of a worker's cores in use, every serving task there is disturbed, whatever uses them. */
+const crowdedUse = 0.9;
+
+/** The part of its reservation that a lasting task of unknown load uses. */
+const usualUse = 0.5;
 
 /**
  * After a tail went over its target, readings stay high for a while whatever the neighbours do: what has queued up
@@ -40,10 +50,13 @@
 /** All that was learnt, by serving image; another owner may go on from it. */
 export type Knowledge = Record<string, imageModel.LearntImage>;
 
-/** A serving task, and how much all that is placed beside it raises its busy part. */
+/** A serving task, its load when a neighbour placed now is at work, and how much those there raise its busy part. */
 interface ServingProfile {
 	image: string;
+	load: number;
 	disturbance: number;
+	/** Busy part from which it is over its target. */
+	limit: number;
 }
 
 /** The serving tasks of a worker, worked out for one state of it. */
@@ -51,6 +64,8 @@
 	revision: number;
 	at: number;
 	tasks: ServingProfile[];
+	/** Part of the worker's cores in use. */
+	use: number;
 }
 
 /** What stood beside a worker's serving tasks during its newest readings. */
@@ -67,7 +82,9 @@
 export class Interference {
 	private readonly models = new Map<string, imageModel.ImageModel>();
 	private readonly profiles = new WeakMap<sessions.WorkerSession, Profile>();
-	private readonly tracks = new WeakMap<jobs.StepRun, loadTrack.LoadTrack>();
+	private readonly waves = new Map<jobs.StepRun, loadWave.LoadWave>();
+	/** By image: its steps swing alike, each in a phase of its own. */
+	private readonly periods = new Map<string, loadWave.LoadPeriod>();
 
 	private constructor(private readonly now: () => number) {}
 
@@ -93,8 +110,10 @@
 			.filter((place) => place.reading > 0 && place.percent === 100);
 		if (atWork.length === 0) return;
 		const now = this.now();
+		const shares = neighbours.sharesOf(session, (place) => partOfReading(place, now));
+		const crowding = crowdingAt(this.useOf(session, now - loadWave.readingAgeMs));
 		const around: Surroundings = {
-			shares: neighbours.sharesOf(session, (place) => partOfReading(place, now)),
+			shares: shares.set(neighbours.crowding, crowding),
 			steady: now - session.neighboursChangedAt > readingMs,
 			relievedAt: session.relievedAt,
 			now,
@@ -107,14 +126,22 @@
 	 * so already; parts count for those that go over for a part of the time.
 	 */
 	harmOf(session: sessions.WorkerSession, image: string, share: number): number {
+		const { tasks, use } = this.profile(session);
+		const crowding = crowdingAt(use + share) - crowdingAt(use);
 		let harm = 0;
-		for (const one of this.profile(session)) {
-			const more = this.slope(one.image, image) * share;
-			if (more > 0) harm += harmAt(one.disturbance + more) - harmAt(one.disturbance);
+		for (const one of tasks) {
+			const slope = this.slope(one.image, image) * share;
+			const more = slope + this.slope(one.image, neighbours.crowding) * crowding;
+			harm += harmAt(one, one.disturbance + more) - harmAt(one, one.disturbance);
 		}
 		return harm;
 	}
 
+	/** Part of a worker's cores that is in use when a neighbour placed now is at work. */
+	expectedUse(session: sessions.WorkerSession): number {
+		return this.profile(session).use;
+	}
+
 	/** How much a neighbour raises a serving image's busy part, a whole worker of it. */
 	slope(serving: string, neighbour: string): number {
 		return this.model(serving).slope(neighbour);
@@ -128,6 +155,7 @@
 		if (one === other) return 0;
 		const images = new Set([...this.model(one).neighbours, ...this.model(other).neighbours]);
 		images.delete(neighbours.ordinary);
+		images.delete(neighbours.crowding);
 		if (images.size === 0) return 1;
 		let sum = 0;
 		for (const image of images) sum += Math.abs(this.slope(one, image) - this.slope(other, image));
@@ -145,33 +173,69 @@
 		// Relieved of a neighbour, it still has to work off what has queued up.
 		if (relievedLately && now - place.overAt < overloadMs) return;
 		const busy = model.busyPart(place.reading, targetMs);
-		const track = this.track(place.task.step);
-		track.note(place.task.index, busy, now);
-		const load = track.comparable;
-		if (load === undefined || load <= leastLoad) return;
+		const wave = this.wave(place.task.step);
+		wave.note(place.task.index, busy, now);
+		if (!wave.isComparable(now)) return;
+		const load = wave.loadAt(now - loadWave.readingAgeMs, now);
+		if (load <= leastLoad) return;
 		// Of readings under changed neighbours, only those over the target are evidence.
 		if (steady || isOver) model.learn(shares, busy / load - 1);
 	}
 
+	/** A lasting step has ended. */
+	forget(step: jobs.StepRun): void {
+		const wave = this.waves.get(step);
+		if (wave !== undefined) this.periods.get(step.spec.image)?.remove(wave);
+		this.waves.delete(step);
+	}
+
 	/** The serving tasks of a worker beside what is placed there. */
-	private profile(session: sessions.WorkerSession): ServingProfile[] {
+	private profile(session: sessions.WorkerSession): Profile {
 		const known = this.profiles.get(session);
 		const now = this.now();
-		if (known?.revision === session.revision && now - known.at < profileMs) return known.tasks;
+		if (known?.revision === session.revision && now - known.at < profileMs) return known;
+		const use = this.useOf(session, now + aheadMs);
 		const shares = neighbours.sharesOf(session, () => 1);
+		shares.set(neighbours.crowding, crowdingAt(use));
 		const tasks = neighbours.servingOf(session).map((place) => {
-			const { image } = place.task.step.spec;
-			return { image, disturbance: this.model(image).disturbance(shares) };
+			const { image, targetMs } = place.task.step.spec;
+			const model = this.model(image);
+			const load = this.loadOf(place.task.step, now + aheadMs);
+			return {
+				image,
+				load,
+				disturbance: model.disturbance(shares),
+				limit: model.busyPart(targetMs, targetMs),
+			};
 		});
-		this.profiles.set(session, { revision: session.revision, at: now, tasks });
-		return tasks;
+		const profile: Profile = { revision: session.revision, at: now, tasks, use };
+		this.profiles.set(session, profile);
+		return profile;
 	}
 
-	private track(step: jobs.StepRun): loadTrack.LoadTrack {
-		const known = this.tracks.get(step);
+	/** Part of a worker's cores in use at a time: what fills and short tasks use all, lasting ones by their loads. */
+	private useOf(session: sessions.WorkerSession, time: number): number {
+		let idle = 0;
+		for (const { task } of session.placements.values()) {
+			const { lasting, fills, milliCores } = task.step.spec;
+			if (lasting && !fills) idle += milliCores * (1 - this.loadOf(task.step, time));
+		}
+		const capacity = session.entry?.capacity.milliCores ?? 1;
+		return (session.fillMilliCores + session.used.milliCores - idle) / capacity;
+	}
+
+	private loadOf(step: jobs.StepRun, time: number): number {
+		return this.waves.get(step)?.loadAt(time, this.now()) ?? usualUse;
+	}
+
+	private wave(step: jobs.StepRun): loadWave.LoadWave {
+		const known = this.waves.get(step);
 		if (known !== undefined) return known;
-		const created = loadTrack.LoadTrack.create();
-		this.tracks.set(step, created);
+		const { image } = step.spec;
+		const period = this.periods.get(image) ?? loadWave.LoadPeriod.create(this.now());
+		this.periods.set(image, period);
+		const created = period.createWave();
+		this.waves.set(step, created);
 		return created;
 	}
 
@@ -190,9 +254,15 @@
 	return Math.min(1, (now - Math.max(place.confirmedAt, place.pacedAt)) / readingMs);
 }
 
-/** Part of the time that a task is over its target, by its disturbance. */
-function harmAt(disturbance: number): number {
-	return disturbance < noDisturbance ? 0 : Math.min(1, harmPerDisturbance * disturbance);
+/** Part of the next seconds that a task is over its target, by its disturbance. */
+function harmAt(task: ServingProfile, disturbance: number): number {
+	const beyond = task.load * (1 + disturbance) - task.limit;
+	return Math.min(1, Math.max(0, (beyond - surelyUnder) / (surelyOver - surelyUnder)));
+}
+
+/** Part of a worker's cores in use beyond what goes without disturbance. */
+function crowdingAt(use: number): number {
+	return Math.max(0, use - crowdedUse);
 }
 
 /** Notes whether a task's newest reading is over its target, and since when. */
--- /dev/null
+++ b/src/core/dispatch/load-wave.ts
@@ -0,0 +1,118 @@
+/**
+ * The load of a lasting step over time. Its tasks share their users, so at one moment their busy parts differ only by
+ * what disturbs each, and disturbances only raise them: the load lies low among them. Loads swing in waves of many
+ * seconds, so a wave that fits the past tells the load of the next second better than the newest readings do.
+ */
+import * as waveFit from './wave-fit.js';
+
+/** Periods that a load may swing in, in milliseconds, each a ninth longer than the one before. */
+const periodsMs = Array.from({ length: 19 }, (_, i) => 5_000 * (10 / 9) ** i);
+
+/** First guess of a load: a queue that is half busy. */
+const firstLoad = 0.5;
+
+/** The least and most that a load is taken for. */
+const leastLoad = 0.05;
+const mostLoad = 0.95;
+
+/** A busy part so far above the expected load is taken for noise; one further above, for a disturbance. */
+const noise = 0.04;
+
+/** Weight of a disturbed sample next to one at the load, at the limit of the noise; it falls with the distance. */
+const disturbedWeight = 0.35;
+
+/** A report counts for so long when tasks are compared, in milliseconds. */
+const freshMs = 1_300;
+
+/** Fewer tasks than this can't tell a load from a disturbance. */
+const leastTasks = 3;
+
+/** A reading covers the last half second: it tells the value of so long ago, in milliseconds. */
+export const readingAgeMs = 250;
+
+/** The period is chosen anew after so long, in milliseconds: it is a lasting property of what runs. */
+const choiceMs = 1_000;
+
+/** Before loads were seen for so long, in milliseconds, a short period would fit their noise better than their swing. */
+const leastHistoryMs = 9_000;
+
+/** Number of the period that is taken until then: the middle one, of 13 seconds. */
+const firstPeriod = Math.floor(periodsMs.length / 2);
+
+/** The period that the loads of one image swing in, chosen over all its steps. */
+export class LoadPeriod {
+	private readonly waves = new Set<LoadWave>();
+	private chosen = firstPeriod;
+
+	/** `choiceAt`: clock time of the next choice. */
+	private constructor(private choiceAt: number) {}
+
+	static create(now: number): LoadPeriod {
+		return new LoadPeriod(now + leastHistoryMs);
+	}
+
+	/** A step whose load swings in this period. */
+	createWave(): LoadWave {
+		const wave = LoadWave.create(this);
+		this.waves.add(wave);
+		return wave;
+	}
+
+	/** A step has ended. */
+	remove(wave: LoadWave): void {
+		this.waves.delete(wave);
+	}
+
+	/** Number of the period that leaves least unexplained. */
+	index(now: number): number {
+		if (now < this.choiceAt) return this.chosen;
+		this.choiceAt = now + choiceMs;
+		const unexplained = periodsMs.map((_, i) => {
+			let sum = 0;
+			for (const wave of this.waves) sum += wave.unexplained(i);
+			return sum;
+		});
+		this.chosen = unexplained.indexOf(Math.min(...unexplained));
+		return this.chosen;
+	}
+}
+
+/** One step's load. */
+export class LoadWave {
+	private readonly fits = periodsMs.map((periodMs) => waveFit.WaveFit.create(periodMs, firstLoad));
+	/** When each task last reported. */
+	private readonly reportedAt = new Map<number, number>();
+
+	private constructor(private readonly period: LoadPeriod) {}
+
+	static create(period: LoadPeriod): LoadWave {
+		return new LoadWave(period);
+	}
+
+	/** Takes in a task's busy part from a reading that was just reported. */
+	note(task: number, busy: number, now: number): void {
+		const at = now - readingAgeMs;
+		const above = busy - this.loadAt(at, now);
+		const weight = above <= noise ? 1 : (disturbedWeight * noise) / above;
+		for (const fit of this.fits) fit.note(busy, weight, at);
+		this.reportedAt.set(task, now);
+	}
+
+	/** The load at a time not far from now. */
+	loadAt(time: number, now: number): number {
+		const load = this.fits[this.period.index(now)]?.at(time) ?? firstLoad;
+		return Math.min(mostLoad, Math.max(leastLoad, load));
+	}
+
+	/** Whether enough tasks report to tell the load from a disturbance. */
+	isComparable(now: number): boolean {
+		let fresh = 0;
+		for (const at of this.reportedAt.values()) if (now - at < freshMs) fresh += 1;
+		return fresh >= leastTasks;
+	}
+
+	/** What a wave of the period with that number leaves unexplained. */
+	unexplained(period: number): number {
+		return this.fits[period]?.unexplained ?? 0;
+	}
+}
--- a/src/core/dispatch/neighbours.ts
+++ b/src/core/dispatch/neighbours.ts
@@ -1,11 +1,13 @@
 /** Who stands beside whom on a worker: the tasks that serve users there, and what the others use, by image. */
-import type * as imageModel from './image-model.js';
 import type * as sessions from './worker-session.js';
 import type * as types from './types.js';
 
 /** Name under which tasks that neither serve nor fill are counted. */
 export const ordinary = '';
 
+/** Name under which the cores in use beyond what goes without disturbance are counted; images have other names. */
+export const crowding = ' crowding';
+
 /** Placements that serve users on a worker. */
 export function servingOf(session: sessions.WorkerSession): types.Placement[] {
 	return [...session.placements.values()].filter(isServing);
@@ -15,7 +17,7 @@
 export function sharesOf(
 	session: sessions.WorkerSession,
 	partOf: (place: types.Placement) => number,
-): imageModel.Shares {
+): Map<string, number> {
 	const shares = new Map<string, number>();
 	for (const place of session.placements.values()) {
 		if (isServing(place)) continue;
--- a/src/core/dispatch/placement.ts
+++ b/src/core/dispatch/placement.ts
@@ -24,15 +24,12 @@
 	harm: 5,
 } as const;
 
-/** The share of its reservation that a lasting task uses on average; the rest is left to tasks that fill. */
-const lastingUse = 0.5;
-
 /**
  * A task that fills waits rather than keep more than this many serving tasks over their targets; after a while it puts
  * up with more. What waits longer fills for longer: strict limits spare nobody.
  */
-const mostHarm = 0.1;
-const mostHarmLate = 0.3;
+const mostHarm = 0.2;
+const mostHarmLate = 0.5;
 
 /** When it puts up with more, in milliseconds. */
 const patienceMs = 3_000;
@@ -43,8 +40,8 @@
 /** A task that was over its target gets no neighbour that disturbs it for so long, in milliseconds. */
 const overloadPauseMs = 2_000;
 
-/** A worker gets no task that fills if its cores are then expected in use beyond this part. */
-const mostUse = 0.9;
+/** A worker gets no task that fills if its cores are then expected in use beyond this part: nothing is known of more. */
+const mostUse = 1.3;
 
 /**
  * A lasting task leaves so much of a worker free for short ones, in thousandths of a core: one or two of them. It does
@@ -136,10 +133,11 @@
 	toBeat: number,
 ): number {
 	const capacity = worker.entry?.capacity.milliCores ?? 1;
-	const use = (expectedUse(worker) + spec.milliCores) / capacity;
+	const share = spec.milliCores / capacity;
+	const use = estimates.expectedUse(worker) + share;
 	// Harm only adds to it.
 	if (use > mostUse || use >= toBeat) return Infinity;
-	const harm = estimates.harmOf(worker, spec.image, spec.milliCores / capacity);
+	const harm = estimates.harmOf(worker, spec.image, share);
 	return harm > limit ? Infinity : use + harm * weights.harm;
 }
 
@@ -157,11 +155,6 @@
 	return false;
 }
 
-/** Thousandths of a core that are in use there, as far as reservations tell. */
-function expectedUse(worker: sessions.WorkerSession): number {
-	return worker.fillMilliCores + worker.used.milliCores - worker.lastingMilliCores * (1 - lastingUse);
-}
-
 /** Part of the worker's serving cores whose images are disturbed by other neighbours; undefined: nothing serves. */
 export function unlikeShare(
 	image: string,
--- /dev/null
+++ b/src/core/dispatch/wave-fit.ts
@@ -0,0 +1,112 @@
+/**
+ * Weighted least squares of a constant and one sine wave of a given period. Old samples fade, and a first guess counts
+ * as a sample of small weight, so that the fit is defined from its first sample on.
+ */
+
+/** Value at phase 0 and the wave's sine and cosine parts. */
+type Coefficients = readonly [mean: number, sine: number, cosine: number];
+
+/** A sample's weight falls to a third in so long, in milliseconds: one to four periods of the loads that are known. */
+const fadeMs = 20_000;
+
+/** Weight of the first guess of the mean, and of a wave of no height, in samples. */
+const firstMeanWeight = 0.3;
+const firstWaveWeight = 1;
+
+/** One fit at one period. */
+export class WaveFit {
+	/** Weighted sums of products of 1, sine and cosine: the upper half of a symmetric matrix, by rows. */
+	private readonly products: number[];
+	/** Weighted sums of the value times 1, sine and cosine. */
+	private readonly results: number[];
+	private squares: number;
+	private updatedAt = -Infinity;
+	private solution: Coefficients | undefined;
+
+	private constructor(
+		private readonly periodMs: number,
+		private readonly firstMean: number,
+	) {
+		this.products = [firstMeanWeight, 0, 0, firstWaveWeight, 0, firstWaveWeight];
+		this.results = [firstMeanWeight * firstMean, 0, 0];
+		this.squares = firstMeanWeight * firstMean ** 2;
+	}
+
+	/** `firstMean`: first guess of the constant. */
+	static create(periodMs: number, firstMean: number): WaveFit {
+		return new WaveFit(periodMs, firstMean);
+	}
+
+	/** Takes in a sample. */
+	note(value: number, weight: number, at: number): void {
+		this.fadeTo(at);
+		const [sine, cosine] = phaseOf(at, this.periodMs);
+		const { products, results } = this;
+		products[0] = (products[0] ?? 0) + weight;
+		products[1] = (products[1] ?? 0) + weight * sine;
+		products[2] = (products[2] ?? 0) + weight * cosine;
+		products[3] = (products[3] ?? 0) + weight * sine * sine;
+		products[4] = (products[4] ?? 0) + weight * sine * cosine;
+		products[5] = (products[5] ?? 0) + weight * cosine * cosine;
+		results[0] = (results[0] ?? 0) + weight * value;
+		results[1] = (results[1] ?? 0) + weight * value * sine;
+		results[2] = (results[2] ?? 0) + weight * value * cosine;
+		this.squares += weight * value * value;
+		this.solution = undefined;
+	}
+
+	/** The value at a time. */
+	at(time: number): number {
+		const [mean, sinePart, cosinePart] = this.solve();
+		const [sine, cosine] = phaseOf(time, this.periodMs);
+		return mean + sinePart * sine + cosinePart * cosine;
+	}
+
+	/** Weighted sum of squares that the fit leaves unexplained. */
+	get unexplained(): number {
+		const [mean, sinePart, cosinePart] = this.solve();
+		const [byOne = 0, bySine = 0, byCosine = 0] = this.results;
+		return Math.max(0, this.squares - mean * byOne - sinePart * bySine - cosinePart * byCosine);
+	}
+
+	/** Lets old samples fade; what they lose, the first guess gains. */
+	private fadeTo(at: number): void {
+		const kept = this.updatedAt === -Infinity ? 1 : Math.exp((this.updatedAt - at) / fadeMs);
+		this.updatedAt = at;
+		const gained = 1 - kept;
+		for (let i = 0; i < this.products.length; i += 1) this.products[i] = (this.products[i] ?? 0) * kept;
+		for (let i = 0; i < this.results.length; i += 1) this.results[i] = (this.results[i] ?? 0) * kept;
+		this.products[0] = (this.products[0] ?? 0) + firstMeanWeight * gained;
+		this.products[3] = (this.products[3] ?? 0) + firstWaveWeight * gained;
+		this.products[5] = (this.products[5] ?? 0) + firstWaveWeight * gained;
+		this.results[0] = (this.results[0] ?? 0) + firstMeanWeight * this.firstMean * gained;
+		this.squares = this.squares * kept + firstMeanWeight * this.firstMean ** 2 * gained;
+	}
+
+	/** Solves the normal equations by Cholesky's method; the first guess keeps them regular. */
+	private solve(): Coefficients {
+		if (this.solution !== undefined) return this.solution;
+		const [a = 1, b = 0, c = 0, d = 1, e = 0, f = 1] = this.products;
+		const [p = 0, q = 0, r = 0] = this.results;
+		const l11 = Math.sqrt(a);
+		const l21 = b / l11;
+		const l31 = c / l11;
+		const l22 = Math.sqrt(d - l21 * l21);
+		const l32 = (e - l31 * l21) / l22;
+		const l33 = Math.sqrt(f - l31 * l31 - l32 * l32);
+		const y1 = p / l11;
+		const y2 = (q - l21 * y1) / l22;
+		const y3 = (r - l31 * y1 - l32 * y2) / l33;
+		const x3 = y3 / l33;
+		const x2 = (y2 - l32 * x3) / l22;
+		const x1 = (y1 - l21 * x2 - l31 * x3) / l11;
+		this.solution = [x1, x2, x3];
+		return this.solution;
+	}
+}
+
+/** Sine and cosine at a time. */
+function phaseOf(time: number, periodMs: number): [number, number] {
+	const angle = (2 * Math.PI * time) / periodMs;
+	return [Math.sin(angle), Math.cos(angle)];
+}
