What an owner learns is stored every three seconds, loads with it; a worker of unknown size teaches nothing

The waves take 10 to 15 s to be found, and each takeover began them anew. Knowledge went from box to box with the answers to held questions, so it died with the boxes, and cost bytes between zones for each box every two seconds. Found beside it: right after a takeover, before the platform has named a worker, its cores in use were taken as a multiple of one, and the slope of crowding was learnt from values in the thousands: near zero for the rest of that owner's time.

Change: the owner publishes slopes, periods and loads under one key; the next one reads it at its takeover. Times are of the wall clock as it stood when the owner began. A worker without an entry is not learnt from. The field of the held questions is gone.

Tests: loads (prediction, handing on, what is stored outlasts all boxes).

--- a/src/core/box/box.ts
+++ b/src/core/box/box.ts
@@ -52,7 +52,7 @@
 		this.peers = wire.PeerClient.create(clock, events);
 		const { contact, peers } = this;
 		const { box, processor } = settings;
-		this.pings = pings.OwnerPings.create({ peers, clock, contact, box, processor });
+		this.pings = pings.OwnerPings.create({ peers, contact, box, processor });
 		this.heldPings = held.HeldPings.create(clock);
 		this.service = service.JobService.create({
 			store: this.store,
@@ -214,14 +214,12 @@
 			},
 			owned,
 			contents,
-			this.pings.learnt,
 		);
 		for (const wave of this.waves.values()) this.role.addWave(wave);
 	}
 
 	private onLost(): void {
-		// What this owner knows serves the next race, and the next owner if it is this box again.
-		this.pings.learnt = this.role?.dispatcher.knowledge() ?? this.pings.learnt;
+		// What this owner knows of the boxes serves the next race.
 		this.pings.strongest = this.candidates.strongest(this.settings.processor);
 		this.role?.close();
 		this.role = undefined;
@@ -236,7 +234,7 @@
 			case 'owner.ping':
 				this.candidates.heard(req.candidate);
 				await this.heldPings.hold(req.waitMs);
-				return this.isOwner() ? results.ok(this.pingReply(req.wantsKnowledge)) : notOwner;
+				return this.isOwner() ? results.ok(this.pingReply()) : notOwner;
 			case 'job.stored':
 				dispatcher.addJob(req.record);
 				return results.ok(null);
@@ -259,12 +257,11 @@
 		return this.role !== undefined;
 	}
 
-	private pingReply(withKnowledge: boolean): protocol.PingReply {
+	private pingReply(): protocol.PingReply {
 		return {
 			generation: this.ownership.current?.generation ?? 0,
 			strongest: this.candidates.strongest(this.settings.processor),
 			storeReachable: this.contact.reachable,
-			knowledge: withKnowledge ? this.role?.dispatcher.knowledge() : undefined,
 		};
 	}
 }
--- a/src/core/box/owner-role.ts
+++ b/src/core/box/owner-role.ts
@@ -1,11 +1,12 @@
 /** What a box does while it owns the dispatching: it dispatches, reads what the boxes stored, and keeps machines up. */
+import * as clocks from '../clock.js';
 import * as dispatch from '../dispatch/index.js';
 import * as followers from '../platform/record-follower.js';
 import * as ledger from '../ledger/index.js';
 import * as upkeep from '../upkeep/index.js';
+import * as wire from '../wire/frame.js';
 import type * as adapters from './platform-adapter.js';
 import type * as boxSettings from './settings.js';
-import type * as clocks from '../clock.js';
 import type * as events from '../events/index.js';
 import type * as fleet from '../fleet/types.js';
 import type * as queues from '../queues/index.js';
@@ -17,6 +18,9 @@
 /** How long the owner waits for news of jobs and workers, in milliseconds. */
 const ownerWaitMs = 2_500;
 
+/** What was learnt is stored this often, in milliseconds: loads move little in that time, and each call is paid for. */
+const learntGapMs = 3_000;
+
 /** What the role uses of its box. */
 export interface OwnerRoleDeps {
 	settings: boxSettings.BoxSettings;
@@ -35,26 +39,21 @@
 	readonly dispatcher: dispatch.Dispatcher;
 	private readonly upkeep: upkeep.Upkeep | undefined;
 	private readonly followers: followers.RecordFollower[];
+	private readonly learntTimer: clocks.Timer;
 
 	private constructor(
 		private readonly deps: OwnerRoleDeps,
 		private readonly owned: ledger.OwnerLedger,
 		contents: ledger.LedgerContents,
-		learnt: dispatch.Knowledge | undefined,
 	) {
-		this.dispatcher = this.createDispatcher(contents, learnt);
+		this.dispatcher = this.createDispatcher(contents);
+		this.learntTimer = clocks.every(deps.clock, learntGapMs, () => void this.storeLearnt());
 		this.upkeep = this.createUpkeep();
 		this.followers = [this.followRequests(contents.revision), this.followWorkers()];
 	}
 
-	/** `learnt`: what earlier owners learnt of disturbance, as far as this box was told. */
-	static create(
-		deps: OwnerRoleDeps,
-		owned: ledger.OwnerLedger,
-		contents: ledger.LedgerContents,
-		learnt: dispatch.Knowledge | undefined,
-	): OwnerRole {
-		return new OwnerRole(deps, owned, contents, learnt);
+	static create(deps: OwnerRoleDeps, owned: ledger.OwnerLedger, contents: ledger.LedgerContents): OwnerRole {
+		return new OwnerRole(deps, owned, contents);
 	}
 
 	/** Takes in a wave of upkeep, unless an earlier owner saw it through. */
@@ -65,14 +64,21 @@
 	/** Gives no more orders. */
 	close(): void {
 		for (const follower of this.followers) follower.close();
+		this.learntTimer.cancel();
 		this.upkeep?.close();
 		this.dispatcher.close();
 	}
 
-	private createDispatcher(
-		contents: ledger.LedgerContents,
-		learnt: dispatch.Knowledge | undefined,
-	): dispatch.Dispatcher {
+	/** Stores what was learnt, for the next owner; a write that fails is made good by the next one. */
+	private async storeLearnt(): Promise<void> {
+		const outcome = await this.owned.publish(
+			ledger.keys.learntKey,
+			wire.encodeValue(this.dispatcher.knowledge()),
+		);
+		if (outcome === 'superseded') this.deps.onFenced('the store names a newer generation');
+	}
+
+	private createDispatcher(contents: ledger.LedgerContents): dispatch.Dispatcher {
 		const { clock, events: log, settings, adapter, table, onFenced } = this.deps;
 		const { owned } = this;
 		return dispatch.Dispatcher.create(
@@ -96,7 +102,7 @@
 				harmMs: settings.bounds.harmMs,
 			},
 			contents,
-			learnt,
+			contents.learnt as dispatch.Knowledge | undefined,
 		);
 	}
 
--- a/src/core/box/peer-protocol.ts
+++ b/src/core/box/peer-protocol.ts
@@ -1,7 +1,6 @@
 /** What the boxes ask of each other. The owner answers; any other box says that it is not the owner. */
 import * as zod from 'zod/mini';
 import * as results from '../result.js';
-import type * as dispatch from '../dispatch/index.js';
 import type * as jobs from '../jobs/index.js';
 
 const z = zod;
@@ -14,7 +13,6 @@
 	z.object({
 		type: z.literal('owner.ping'),
 		waitMs: z.number(),
-		wantsKnowledge: z.boolean(),
 		/** Who asks, and how strong it is. */
 		candidate: z.object({ box: z.string(), processor: z.number(), storeReachable: z.boolean() }),
 	}),
@@ -38,8 +36,6 @@
 	generation: number;
 	/** The store answers the owner. */
 	storeReachable: boolean;
-	/** What the owner has learnt, if it was asked for. */
-	knowledge?: dispatch.Knowledge;
 	/** The strongest processor (cores) among the boxes that ask the owner, and its own. */
 	strongest: number;
 }
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -56,7 +56,7 @@
 		roster: ledger.RosterEntry[],
 	) {
 		const { clock } = opts;
-		this.estimates = interference.Interference.create(() => clock.now());
+		this.estimates = interference.Interference.create(clock);
 		this.pressure = pressure.PressureControl.create(opts, this.estimates, opts.harmMs);
 		this.progress = this.createSaver();
 		this.starter = this.createStarter();
@@ -194,6 +194,7 @@
 			progress: this.progress,
 			starter: this.starter,
 			policyOf: (job) => this.policyOf(job),
+			estimates: this.estimates,
 		});
 	}
 
--- a/src/core/dispatch/interference.ts
+++ b/src/core/dispatch/interference.ts
@@ -9,9 +9,11 @@
 import * as imageModel from './image-model.js';
 import * as loadWave from './load-wave.js';
 import * as neighbours from './neighbours.js';
+import type * as clocks from '../clock.js';
 import type * as jobs from '../jobs/index.js';
 import type * as sessions from './worker-session.js';
 import type * as types from './types.js';
+import type * as waveFit from './wave-fit.js';
 
 /** A reading covers so long, in milliseconds: a neighbour that started in between counts in part. */
 const readingMs = 600;
@@ -29,6 +31,9 @@
 const surelyUnder = -0.16;
 const surelyOver = 0.24;
 
+/** A load that an earlier owner learnt is of use for so long, in milliseconds: one or two of its periods. */
+const inheritedMs = 20_000;
+
 /** Above this part of a worker's cores in use, every serving task there is disturbed, whatever uses them. */
 const crowdedUse = 0.9;
 
@@ -47,14 +52,23 @@
 /** Mean difference of slopes from which two serving images count as wholly unlike. */
 const unlikeSlope = 1;
 
-/** All that was learnt, by serving image; another owner may go on from it. */
-export type Knowledge = Record<string, imageModel.LearntImage>;
+/** All that was learnt; another owner may go on from it. Times are of the wall clock: boxes share no other. */
+export interface Knowledge {
+	/** How neighbours disturb each serving image. */
+	images: Record<string, imageModel.LearntImage>;
+	/** Number of the period in which the loads of each serving image swing. */
+	periods: Record<string, number>;
+	/** The loads of lasting steps, by name. */
+	loads: Record<string, waveFit.WaveSums>;
+}
 
 /** A serving task, its load when a neighbour placed now is at work, and how much those there raise its busy part. */
 interface ServingProfile {
 	image: string;
 	load: number;
 	disturbance: number;
+	/** How much a whole worker of cores in use beyond `crowdedUse` raises it further. */
+	crowdingSlope: number;
 	/** Busy part from which it is over its target. */
 	limit: number;
 }
@@ -86,21 +100,45 @@
 	/** By image: its steps swing alike, each in a phase of its own. */
 	private readonly periods = new Map<string, loadWave.LoadPeriod>();
 
-	private constructor(private readonly now: () => number) {}
+	/** What an earlier owner learnt of loads whose steps have not reported to this one yet. */
+	private inherited: Knowledge['loads'] = {};
+	/** From the steady clock to the wall clock, as it stood at the beginning: later jumps of that clock change nothing. */
+	private readonly wallOffset: number;
+
+	private constructor(private readonly clock: clocks.Clock) {
+		this.wallOffset = clock.wall() - clock.now();
+	}
 
-	static create(now: () => number): Interference {
-		return new Interference(now);
+	static create(clock: clocks.Clock): Interference {
+		return new Interference(clock);
 	}
 
 	/** What was learnt so far. */
 	knowledge(): Knowledge {
-		return Object.fromEntries([...this.models].map(([image, model]) => [image, model.learnt]));
+		const time = this.time();
+		const images = [...this.models].map(([image, model]) => [image, model.learnt] as const);
+		const periods = [...this.periods].map(([image, period]) => [image, period.index(time)] as const);
+		const loads = [...this.waves].flatMap(([step, wave]) => {
+			const sums = wave.learnt(time);
+			return sums === undefined ? [] : [[nameOf(step), sums] as const];
+		});
+		return {
+			images: Object.fromEntries(images),
+			periods: Object.fromEntries(periods),
+			loads: { ...this.inherited, ...Object.fromEntries(loads) },
+		};
 	}
 
 	/** Goes on from what another owner learnt. */
 	adopt(knowledge: Knowledge): void {
-		for (const [image, learnt] of Object.entries(knowledge))
+		const { images, periods, loads } = knowledge;
+		for (const [image, learnt] of Object.entries(images))
 			this.models.set(image, imageModel.ImageModel.restore(learnt));
+		for (const [image, period] of Object.entries(periods))
+			this.periods.set(image, loadWave.LoadPeriod.restore(period, this.time()));
+		const since = this.time() - inheritedMs;
+		const fresh = Object.entries(loads).filter(([, sums]) => (sums.updatedAt ?? 0) >= since);
+		this.inherited = Object.fromEntries(fresh);
 	}
 
 	/** Learns from a worker's newest readings. */
@@ -108,10 +146,11 @@
 		const atWork = neighbours
 			.servingOf(session)
 			.filter((place) => place.reading > 0 && place.percent === 100);
-		if (atWork.length === 0) return;
-		const now = this.now();
+		// Before the platform has named the worker, its size is not known.
+		if (atWork.length === 0 || session.entry === undefined) return;
+		const now = this.clock.now();
 		const shares = neighbours.sharesOf(session, (place) => partOfReading(place, now));
-		const crowding = crowdingAt(this.useOf(session, now - loadWave.readingAgeMs));
+		const crowding = crowdingAt(this.useOf(session, this.time() - loadWave.readingAgeMs));
 		const around: Surroundings = {
 			shares: shares.set(neighbours.crowding, crowding),
 			steady: now - session.neighboursChangedAt > readingMs,
@@ -130,8 +169,7 @@
 		const crowding = crowdingAt(use + share) - crowdingAt(use);
 		let harm = 0;
 		for (const one of tasks) {
-			const slope = this.slope(one.image, image) * share;
-			const more = slope + this.slope(one.image, neighbours.crowding) * crowding;
+			const more = this.slope(one.image, image) * share + one.crowdingSlope * crowding;
 			harm += harmAt(one, one.disturbance + more) - harmAt(one, one.disturbance);
 		}
 		return harm;
@@ -174,9 +212,10 @@
 		if (relievedLately && now - place.overAt < overloadMs) return;
 		const busy = model.busyPart(place.reading, targetMs);
 		const wave = this.wave(place.task.step);
-		wave.note(place.task.index, busy, now);
-		if (!wave.isComparable(now)) return;
-		const load = wave.loadAt(now - loadWave.readingAgeMs, now);
+		const time = this.time();
+		wave.note(place.task.index, busy, time);
+		if (!wave.isComparable(time)) return;
+		const load = wave.loadAt(time - loadWave.readingAgeMs, time);
 		if (load <= leastLoad) return;
 		// Of readings under changed neighbours, only those over the target are evidence.
 		if (steady || isOver) model.learn(shares, busy / load - 1);
@@ -192,19 +231,21 @@
 	/** The serving tasks of a worker beside what is placed there. */
 	private profile(session: sessions.WorkerSession): Profile {
 		const known = this.profiles.get(session);
-		const now = this.now();
+		const now = this.clock.now();
 		if (known?.revision === session.revision && now - known.at < profileMs) return known;
-		const use = this.useOf(session, now + aheadMs);
+		const time = this.time() + aheadMs;
+		const use = this.useOf(session, time);
 		const shares = neighbours.sharesOf(session, () => 1);
 		shares.set(neighbours.crowding, crowdingAt(use));
 		const tasks = neighbours.servingOf(session).map((place) => {
 			const { image, targetMs } = place.task.step.spec;
 			const model = this.model(image);
-			const load = this.loadOf(place.task.step, now + aheadMs);
+			const load = this.loadOf(place.task.step, time);
 			return {
 				image,
 				load,
 				disturbance: model.disturbance(shares),
+				crowdingSlope: model.slope(neighbours.crowding),
 				limit: model.busyPart(targetMs, targetMs),
 			};
 		});
@@ -225,16 +266,24 @@
 	}
 
 	private loadOf(step: jobs.StepRun, time: number): number {
-		return this.waves.get(step)?.loadAt(time, this.now()) ?? usualUse;
+		if (step.spec.targetMs === 0) return usualUse;
+		return this.wave(step).loadAt(time, this.time());
+	}
+
+	/** Now, in the time that loads are kept in. */
+	private time(): number {
+		return this.clock.now() + this.wallOffset;
 	}
 
 	private wave(step: jobs.StepRun): loadWave.LoadWave {
 		const known = this.waves.get(step);
 		if (known !== undefined) return known;
 		const { image } = step.spec;
-		const period = this.periods.get(image) ?? loadWave.LoadPeriod.create(this.now());
+		const period = this.periods.get(image) ?? loadWave.LoadPeriod.create(this.time());
 		this.periods.set(image, period);
-		const created = period.createWave();
+		const name = nameOf(step);
+		const created = period.createWave(this.inherited[name]);
+		this.inherited = without(this.inherited, name);
 		this.waves.set(step, created);
 		return created;
 	}
@@ -248,6 +297,16 @@
 	}
 }
 
+/** Name of a step at one of its job's times. */
+function nameOf(step: jobs.StepRun): string {
+	return `${step.job.id}.${String(step.time)}.${String(step.number)}`;
+}
+
+/** The entries of a record but for one. */
+function without<T>(entries: Record<string, T>, name: string): Record<string, T> {
+	return Object.fromEntries(Object.entries(entries).filter(([key]) => key !== name));
+}
+
 /** Part of the newest reading during which a neighbour was at work. */
 function partOfReading(place: types.Placement, now: number): number {
 	if (place.confirmedAt === 0) return 0;
--- a/src/core/dispatch/load-wave.ts
+++ b/src/core/dispatch/load-wave.ts
@@ -36,24 +36,34 @@
 /** Before loads were seen for so long, in milliseconds, a short period would fit their noise better than their swing. */
 const leastHistoryMs = 9_000;
 
-/** Number of the period that is taken until then: the middle one, of 13 seconds. */
+/** A period that an earlier owner chose is taken for so long, in milliseconds: until the others are seen as well. */
+const inheritedMs = 20_000;
+
+/** Number of the period that is taken at first: the middle one, of 13 seconds. */
 const firstPeriod = Math.floor(periodsMs.length / 2);
 
 /** The period that the loads of one image swing in, chosen over all its steps. */
 export class LoadPeriod {
 	private readonly waves = new Set<LoadWave>();
-	private chosen = firstPeriod;
 
-	/** `choiceAt`: clock time of the next choice. */
-	private constructor(private choiceAt: number) {}
+	/** `choiceAt`: time of the next choice. */
+	private constructor(
+		private chosen: number,
+		private choiceAt: number,
+	) {}
 
 	static create(now: number): LoadPeriod {
-		return new LoadPeriod(now + leastHistoryMs);
+		return new LoadPeriod(firstPeriod, now + leastHistoryMs);
+	}
+
+	/** Goes on with the period that an earlier owner chose. */
+	static restore(chosen: number, now: number): LoadPeriod {
+		return new LoadPeriod(chosen, now + inheritedMs);
 	}
 
-	/** A step whose load swings in this period. */
-	createWave(): LoadWave {
-		const wave = LoadWave.create(this);
+	/** A step whose load swings in this period; `sums`: what an earlier owner learnt of it. */
+	createWave(sums?: waveFit.WaveSums): LoadWave {
+		const wave = LoadWave.create(this, sums && { period: this.chosen, sums });
 		this.waves.add(wave);
 		return wave;
 	}
@@ -77,16 +87,39 @@
 	}
 }
 
+/**
+ * A sample enters the fit of the chosen period; those of the other periods take one of so many, as they only serve to
+ * choose.
+ */
+const samplesPerOther = 6;
+
+/** What an earlier owner learnt of a load in one period. */
+interface InheritedWave {
+	period: number;
+	sums: waveFit.WaveSums;
+}
+
 /** One step's load. */
 export class LoadWave {
-	private readonly fits = periodsMs.map((periodMs) => waveFit.WaveFit.create(periodMs, firstLoad));
+	private readonly fits: waveFit.WaveFit[];
+	/** How many samples were taken. */
+	private samples = 0;
 	/** When each task last reported. */
 	private readonly reportedAt = new Map<number, number>();
 
-	private constructor(private readonly period: LoadPeriod) {}
+	private constructor(
+		private readonly period: LoadPeriod,
+		inherited: InheritedWave | undefined,
+	) {
+		this.fits = periodsMs.map((periodMs, i) =>
+			inherited?.period === i
+				? waveFit.WaveFit.restore(periodMs, firstLoad, inherited.sums)
+				: waveFit.WaveFit.create(periodMs, firstLoad),
+		);
+	}
 
-	static create(period: LoadPeriod): LoadWave {
-		return new LoadWave(period);
+	static create(period: LoadPeriod, inherited: InheritedWave | undefined): LoadWave {
+		return new LoadWave(period, inherited);
 	}
 
 	/** Takes in a task's busy part from a reading that was just reported. */
@@ -94,7 +127,13 @@
 		const at = now - readingAgeMs;
 		const above = busy - this.loadAt(at, now);
 		const weight = above <= noise ? 1 : (disturbedWeight * noise) / above;
-		for (const fit of this.fits) fit.note(busy, weight, at);
+		const chosen = this.period.index(now);
+		this.samples += 1;
+		const isForAll = this.samples % samplesPerOther === 0;
+		this.fits.forEach((fit, i) => {
+			if (i === chosen) fit.note(busy, weight, at);
+			else if (isForAll) fit.note(busy, weight * samplesPerOther, at);
+		});
 		this.reportedAt.set(task, now);
 	}
 
@@ -111,8 +150,14 @@
 		return fresh >= leastTasks;
 	}
 
-	/** What a wave of the period with that number leaves unexplained. */
+	/** What a wave of the period with that number leaves unexplained, as a mean of squares. */
 	unexplained(period: number): number {
 		return this.fits[period]?.unexplained ?? 0;
 	}
+
+	/** What was learnt of the load in its period; undefined: nothing yet. */
+	learnt(now: number): waveFit.WaveSums | undefined {
+		const sums = this.fits[this.period.index(now)]?.learnt;
+		return sums?.updatedAt === undefined ? undefined : sums;
+	}
 }
--- a/src/core/dispatch/outcomes.ts
+++ b/src/core/dispatch/outcomes.ts
@@ -3,6 +3,7 @@
 import type * as clocks from '../clock.js';
 import type * as events from '../events/index.js';
 import type * as fleet from '../fleet/types.js';
+import type * as interference from './interference.js';
 import type * as jobBook from './job-book.js';
 import type * as jobs from '../jobs/index.js';
 import type * as placer from './placer.js';
@@ -20,6 +21,7 @@
 	progress: saver.ProgressSaver;
 	starter: starter.Starter;
 	policyOf: (job: jobs.ActiveJob) => jobs.QueuePolicy;
+	estimates: interference.Interference;
 }
 
 /** Carries outcomes over to jobs and to the other tasks of a gang. */
@@ -85,11 +87,13 @@
 	/** Closes a job and stops what still runs of it. */
 	endJob(job: jobs.ActiveJob, state: jobs.JobState): void {
 		this.opts.book.close(job, state);
-		for (const step of job.steps)
+		for (const step of job.steps) {
+			this.opts.estimates.forget(step);
 			for (const task of step.tasks) {
 				this.opts.placer.drop(task);
 				this.stop(task);
 			}
+		}
 		this.opts.progress.mark(job);
 	}
 
--- a/src/core/dispatch/wave-fit.ts
+++ b/src/core/dispatch/wave-fit.ts
@@ -13,35 +13,52 @@
 const firstMeanWeight = 0.3;
 const firstWaveWeight = 1;
 
-/** One fit at one period. */
-export class WaveFit {
+/** The sums of a fit, in a form that another owner can go on from. */
+export interface WaveSums {
 	/** Weighted sums of products of 1, sine and cosine: the upper half of a symmetric matrix, by rows. */
-	private readonly products: number[];
+	products: number[];
 	/** Weighted sums of the value times 1, sine and cosine. */
-	private readonly results: number[];
-	private squares: number;
-	private updatedAt = -Infinity;
+	results: number[];
+	/** Weighted sum of the value's squares. */
+	squares: number;
+	/** Time of the newest sample, in milliseconds; absent before the first. */
+	updatedAt?: number;
+}
+
+/** One fit at one period. */
+export class WaveFit {
 	private solution: Coefficients | undefined;
 
 	private constructor(
 		private readonly periodMs: number,
 		private readonly firstMean: number,
-	) {
-		this.products = [firstMeanWeight, 0, 0, firstWaveWeight, 0, firstWaveWeight];
-		this.results = [firstMeanWeight * firstMean, 0, 0];
-		this.squares = firstMeanWeight * firstMean ** 2;
-	}
+		private readonly sums: WaveSums,
+	) {}
 
 	/** `firstMean`: first guess of the constant. */
 	static create(periodMs: number, firstMean: number): WaveFit {
-		return new WaveFit(periodMs, firstMean);
+		return new WaveFit(periodMs, firstMean, {
+			products: [firstMeanWeight, 0, 0, firstWaveWeight, 0, firstWaveWeight],
+			results: [firstMeanWeight * firstMean, 0, 0],
+			squares: firstMeanWeight * firstMean ** 2,
+		});
+	}
+
+	/** Goes on from the sums of another fit of that period. */
+	static restore(periodMs: number, firstMean: number, sums: WaveSums): WaveFit {
+		return new WaveFit(periodMs, firstMean, structuredClone(sums));
+	}
+
+	/** What was summed up so far; it stays in use here, so whoever goes on from it copies it. */
+	get learnt(): WaveSums {
+		return this.sums;
 	}
 
 	/** Takes in a sample. */
 	note(value: number, weight: number, at: number): void {
 		this.fadeTo(at);
 		const [sine, cosine] = phaseOf(at, this.periodMs);
-		const { products, results } = this;
+		const { products, results } = this.sums;
 		products[0] = (products[0] ?? 0) + weight;
 		products[1] = (products[1] ?? 0) + weight * sine;
 		products[2] = (products[2] ?? 0) + weight * cosine;
@@ -51,7 +68,7 @@
 		results[0] = (results[0] ?? 0) + weight * value;
 		results[1] = (results[1] ?? 0) + weight * value * sine;
 		results[2] = (results[2] ?? 0) + weight * value * cosine;
-		this.squares += weight * value * value;
+		this.sums.squares += weight * value * value;
 		this.solution = undefined;
 	}
 
@@ -62,32 +79,36 @@
 		return mean + sinePart * sine + cosinePart * cosine;
 	}
 
-	/** Weighted sum of squares that the fit leaves unexplained. */
+	/** Weighted mean of squares that the fit leaves unexplained. */
 	get unexplained(): number {
 		const [mean, sinePart, cosinePart] = this.solve();
-		const [byOne = 0, bySine = 0, byCosine = 0] = this.results;
-		return Math.max(0, this.squares - mean * byOne - sinePart * bySine - cosinePart * byCosine);
+		const { products, results, squares } = this.sums;
+		const [byOne = 0, bySine = 0, byCosine = 0] = results;
+		const sum = squares - mean * byOne - sinePart * bySine - cosinePart * byCosine;
+		return Math.max(0, sum / (products[0] ?? 1));
 	}
 
 	/** Lets old samples fade; what they lose, the first guess gains. */
 	private fadeTo(at: number): void {
-		const kept = this.updatedAt === -Infinity ? 1 : Math.exp((this.updatedAt - at) / fadeMs);
-		this.updatedAt = at;
+		const { sums, firstMean } = this;
+		const { products, results } = sums;
+		const kept = Math.min(1, Math.exp(((sums.updatedAt ?? at) - at) / fadeMs));
+		sums.updatedAt = at;
 		const gained = 1 - kept;
-		for (let i = 0; i < this.products.length; i += 1) this.products[i] = (this.products[i] ?? 0) * kept;
-		for (let i = 0; i < this.results.length; i += 1) this.results[i] = (this.results[i] ?? 0) * kept;
-		this.products[0] = (this.products[0] ?? 0) + firstMeanWeight * gained;
-		this.products[3] = (this.products[3] ?? 0) + firstWaveWeight * gained;
-		this.products[5] = (this.products[5] ?? 0) + firstWaveWeight * gained;
-		this.results[0] = (this.results[0] ?? 0) + firstMeanWeight * this.firstMean * gained;
-		this.squares = this.squares * kept + firstMeanWeight * this.firstMean ** 2 * gained;
+		for (let i = 0; i < products.length; i += 1) products[i] = (products[i] ?? 0) * kept;
+		for (let i = 0; i < results.length; i += 1) results[i] = (results[i] ?? 0) * kept;
+		products[0] = (products[0] ?? 0) + firstMeanWeight * gained;
+		products[3] = (products[3] ?? 0) + firstWaveWeight * gained;
+		products[5] = (products[5] ?? 0) + firstWaveWeight * gained;
+		results[0] = (results[0] ?? 0) + firstMeanWeight * firstMean * gained;
+		sums.squares = sums.squares * kept + firstMeanWeight * firstMean ** 2 * gained;
 	}
 
 	/** Solves the normal equations by Cholesky's method; the first guess keeps them regular. */
 	private solve(): Coefficients {
 		if (this.solution !== undefined) return this.solution;
-		const [a = 1, b = 0, c = 0, d = 1, e = 0, f = 1] = this.products;
-		const [p = 0, q = 0, r = 0] = this.results;
+		const [a = 1, b = 0, c = 0, d = 1, e = 0, f = 1] = this.sums.products;
+		const [p = 0, q = 0, r = 0] = this.sums.results;
 		const l11 = Math.sqrt(a);
 		const l21 = b / l11;
 		const l31 = c / l11;
--- a/src/core/ledger/keys.ts
+++ b/src/core/ledger/keys.ts
@@ -18,6 +18,9 @@
 /** The workers that an owner may have given work to. */
 export const rosterKey = `${rootPrefix}roster`;
 
+/** What owners have learnt of disturbance and loads; the next one goes on from it. */
+export const learntKey = `${rootPrefix}learnt`;
+
 const acceptedPrefix = `${requestPrefix}job/`;
 const cancelPrefix = `${requestPrefix}cancel/`;
 const progressPrefix = `${jobsPrefix}progress/`;
--- a/src/core/ledger/owner-ledger.ts
+++ b/src/core/ledger/owner-ledger.ts
@@ -21,6 +21,8 @@
 export interface LedgerContents {
 	jobs: Map<string, types.StoredJob>;
 	roster: types.RosterEntry[];
+	/** What earlier owners learnt, as they stored it; undefined: nothing. */
+	learnt: unknown;
 	/** Follow the requests from here. */
 	revision: number;
 }
@@ -104,9 +106,10 @@
 
 	/** Reads everything; what a predecessor still writes fails from the takeover on. */
 	async load(): Promise<results.Result<LedgerContents, string>> {
-		const [list, roster] = await Promise.all([
+		const [list, roster, learnt] = await Promise.all([
 			this.store.list(keys.jobsPrefix),
 			this.store.get(keys.rosterKey),
+			this.store.get(keys.learntKey),
 		]);
 		if (!list.ok) return results.fail(list.err.reason);
 		if (!roster.ok) return results.fail(roster.err.reason);
@@ -114,7 +117,13 @@
 		const entries = roster.value && records.decodeRoster(roster.value.value);
 		const jobsById = collect(list.value.items);
 		for (const [id, job] of jobsById) this.progressVersions.set(id, job.progressVersion);
-		return results.ok({ jobs: jobsById, roster: entries ?? [], revision: list.value.revision });
+		return results.ok({
+			jobs: jobsById,
+			roster: entries ?? [],
+			// Without it the owner learns anew; it is no reason to fail a takeover.
+			learnt: learnt.ok && learnt.value ? records.decode(learnt.value.value) : undefined,
+			revision: list.value.revision,
+		});
 	}
 
 	/** Stores the progress of up to `maxProgressPerWrite` jobs in one write. */
--- a/src/core/ledger/records.ts
+++ b/src/core/ledger/records.ts
@@ -29,7 +29,8 @@
 	return decode(bytes) as types.RosterEntry[];
 }
 
-function decode(bytes: Uint8Array): unknown {
+/** Any record of ours. */
+export function decode(bytes: Uint8Array): unknown {
 	const value = wire.decodeValue(bytes);
 	results.invariant(value.ok, 'a stored record decodes');
 	return value.value;
--- /dev/null
+++ b/test/loads.test.ts
@@ -0,0 +1,93 @@
+/** Loads of lasting steps: told apart from disturbances, predicted from their waves, and handed to the next owner. */
+import test from 'ava';
+import * as ledger from '../src/core/ledger/index.js';
+import * as loadWave from '../src/core/dispatch/load-wave.js';
+import * as memory from '../stand-ins/fleet/memory-store.js';
+import * as random from '../dev/random.js';
+import * as time from '../stand-ins/fleet/virtual-clock.js';
+import * as wire from '../src/core/wire/frame.js';
+
+const periodMs = 14_000;
+const tasks = 6;
+const reportGapMs = 400;
+
+/** The load that all tasks of the step have at a time. */
+function loadAt(at: number): number {
+	return 0.5 + 0.2 * Math.sin((2 * Math.PI * at) / periodMs);
+}
+
+/** Reports of all tasks for so long; each in turn is disturbed for two seconds. */
+function report(wave: loadWave.LoadWave, from: number, to: number, seed: number): void {
+	const next = random.seeded(seed);
+	for (let now = from; now < to; now += reportGapMs) {
+		for (let task = 0; task < tasks; task += 1) {
+			const isDisturbed = Math.floor(now / 2_000) % tasks === task;
+			const noise = (next() - 0.5) * 0.06;
+			const load = loadAt(now - loadWave.readingAgeMs) + noise;
+			wave.note(task, Math.min(1, isDisturbed ? load * 1.5 : load), now);
+		}
+	}
+}
+
+/** Largest error of predictions 900 ms ahead over one period. */
+function worstError(wave: loadWave.LoadWave, now: number): number {
+	let worst = 0;
+	for (let ahead = 900; ahead < 900 + periodMs; ahead += 500)
+		worst = Math.max(worst, Math.abs(wave.loadAt(now + ahead, now) - loadAt(now + ahead)));
+	return worst;
+}
+
+test('a load that swings is predicted a period ahead, though some of its tasks are always disturbed', (t) => {
+	const period = loadWave.LoadPeriod.create(0);
+	const wave = period.createWave();
+	report(wave, 0, 30_000, 1);
+	t.true(wave.isComparable(30_000));
+	t.true(worstError(wave, 30_000) < 0.1, `off by ${worstError(wave, 30_000).toFixed(3)}`);
+});
+
+test('two tasks are too few to tell a load from a disturbance', (t) => {
+	const wave = loadWave.LoadPeriod.create(0).createWave();
+	wave.note(0, 0.5, 1_000);
+	wave.note(1, 0.5, 1_000);
+	t.false(wave.isComparable(1_000));
+	wave.note(2, 0.5, 1_000);
+	t.true(wave.isComparable(1_000));
+	t.false(wave.isComparable(3_000));
+});
+
+test('the next owner predicts a load from its first second on', (t) => {
+	const period = loadWave.LoadPeriod.create(0);
+	const wave = period.createWave();
+	report(wave, 0, 30_000, 2);
+	const sums = wave.learnt(30_000);
+	const next = loadWave.LoadPeriod.restore(period.index(30_000), 31_000).createWave(sums);
+	t.true(worstError(next, 31_000) < 0.1, `off by ${worstError(next, 31_000).toFixed(3)}`);
+	// A guess from nothing is off by the whole swing.
+	t.true(worstError(loadWave.LoadPeriod.create(31_000).createWave(), 31_000) > 0.19);
+});
+
+test('what an owner learnt outlasts all boxes', async (t) => {
+	const clock = time.VirtualClock.create();
+	const store = memory.MemoryStore.create(clock);
+	const take = async (box: string): Promise<ledger.OwnerLedger> => {
+		store.drop(ledger.keys.ownerKey);
+		const lease = store.view().grantLease(60_000);
+		await clock.pass(20);
+		const granted = await lease;
+		const named = { box, peer: `${box}:1`, lease: granted.ok ? granted.value : '', strongest: 1 };
+		const taking = ledger.OwnerLedger.take(store.view(), () => clock.now(), named, undefined);
+		await clock.pass(50);
+		const taken = await taking;
+		if (!taken.ok) throw new Error(taken.err);
+		return taken.value;
+	};
+	const first = await take('entry-1');
+	const storing = first.publish(ledger.keys.learntKey, wire.encodeValue({ periods: { web: 3 } }));
+	await clock.pass(20);
+	t.is(await storing, 'committed');
+	const second = await take('entry-2');
+	const loading = second.load();
+	await clock.pass(50);
+	const contents = await loading;
+	t.deepEqual(contents.ok ? contents.value.learnt : undefined, { periods: { web: 3 } });
+});
