--- /dev/null
+++ b/src/cli/program.ts
@@ -0,0 +1,27 @@
+/** How a binary runs: reads its settings, starts, and stops on a signal. */
+import * as node from '../core/node/index.js';
+import * as settings from '../core/settings/index.js';
+
+/** A program between its start and its planned stop. */
+interface Running {
+	start: () => Promise<void>;
+	stop: () => Promise<void>;
+}
+
+/** What makes a binary. */
+export interface Program<T extends settings.SettingTable> {
+	binary: string;
+	/** One sentence, for `--help`. */
+	description: string;
+	settings: T;
+	create: (given: settings.Settings<T>) => Running;
+}
+
+/** Runs a binary with the flags it was given. */
+export async function run<T extends settings.SettingTable>(program: Program<T>): Promise<void> {
+	const { binary, description } = program;
+	const given = await settings.readSettings(binary, description, program.settings, process.argv.slice(2));
+	const running = program.create(given);
+	await running.start();
+	node.stopOnSignals(() => running.stop());
+}
--- a/src/core/box/owner-pings.ts
+++ b/src/core/box/owner-pings.ts
@@ -32,9 +32,8 @@
 		const req = this.request(pingWaitMs);
 		const res = await this.opts.peers.call<protocol.PingReply>(address, req, pingTimeoutMs);
 		if (!res.ok) {
-			if (res.err.refused) return 'refused';
 			// A connection that broke: whether the process is gone shows when it is opened anew.
-			return res.err.reason.startsWith('no reply') ? 'silent' : this.pingAgain(address);
+			return res.err.cause === 'broken' ? this.pingAgain(address) : res.err.cause;
 		}
 		if (!res.value.ok) return 'not-owner';
 		this.take(res.value.value);
@@ -51,7 +50,7 @@
 		const { pingTimeoutMs } = ownership.settings;
 		const res = await this.opts.peers.call<protocol.PingReply>(address, req, pingTimeoutMs);
 		if (res.ok) return res.value.ok ? 'alive' : 'not-owner';
-		return res.err.refused ? 'refused' : 'silent';
+		return res.err.cause === 'refused' ? 'refused' : 'silent';
 	}
 
 	private request(waitMs: number): protocol.BoxReq {
--- a/src/core/scheduler/owner.ts
+++ b/src/core/scheduler/owner.ts
@@ -11,7 +11,7 @@
 import * as commands from './commands.js';
 import * as contacts from './contacts.js';
 import * as effects from './effects.js';
-import * as placement from '../placement/index.js';
+import * as placing from './placing.js';
 import * as report from './report.js';
 import * as retention from './retention.js';
 import * as reports from './reports.js';
@@ -20,6 +20,7 @@
 import * as tasks from '../task/index.js';
 import * as waiting from './request-queue.js';
 import type * as events from '../events/index.js';
+import type * as placement from '../placement/index.js';
 import type * as types from './types.js';
 import type * as platform from '../platform/index.js';
 import type * as workers from '../worker/index.js';
@@ -61,9 +62,6 @@
 /** How often silence and placement are looked at without being asked, in milliseconds. */
 const tickMs = 200;
 
-/** Places given in one round at most: keeps an entry well under the platform's value limit. */
-const maxPlacesPerRound = 1_000;
-
 /** Answers of claimed requests held in memory, at most. */
 const maxAnswers = 1_000;
 
@@ -83,9 +81,7 @@
 	private readonly queue: waiting.RequestQueue;
 	private readonly uncommitted = new Set<string>();
 	private readonly answers = new Map<string, requests.ClaimAnswer>();
-	private readonly evictions = new Map<string, string>();
-	private throttles = new Map<string, number>();
-	private waitsFor = new Map<string, string>();
+	private readonly placing: placing.Placing;
 	private listRead = false;
 	private pastHorizon = false;
 	private lastRetention = -Infinity;
@@ -101,6 +97,13 @@
 		private readonly takeover: silence.Takeover,
 	) {
 		this.queue = waiting.RequestQueue.create(deps.shard, deps.clock, deps.opts.requestWaitMs);
+		this.placing = placing.Placing.create({
+			score: deps.score,
+			incarnationOf: (worker) => this.contacts.views.get(worker)?.incarnation,
+			onEvicted: (worker) => {
+				this.contacts.kick(worker);
+			},
+		});
 		this.contacts = contacts.WorkerContacts.create({
 			...deps,
 			epoch: () => this.epoch,
@@ -183,7 +186,8 @@
 		const { state } = this.log;
 		const record = state.tasks.get(task);
 		if (record === undefined) return undefined;
-		return report.explainTask(this.deps.shard, record, this.contacts.views, this.waitsFor, this.uncommitted);
+		const { waitsFor } = this.placing;
+		return report.explainTask(this.deps.shard, record, this.contacts.views, waitsFor, this.uncommitted);
 	}
 
 	/** Planned stop: gives no more orders, says so in the log, and resolves. */
@@ -227,8 +231,14 @@
 	}
 
 	private orders(view: types.WorkerView, until: number): commands.Orders {
-		const wishes = { evictions: this.evictions, throttles: this.throttles };
-		return commands.ordersFor(this.log.state, view, wishes, this.uncommitted, this.mayRenew(), until);
+		return commands.ordersFor(
+			this.log.state,
+			view,
+			this.placing.wishes,
+			this.uncommitted,
+			this.mayRenew(),
+			until,
+		);
 	}
 
 	private mayHoldPlace(worker: string): boolean {
@@ -352,7 +362,7 @@
 			shards.applyChange(this.log.state, change, at);
 			batch.changes.push(change);
 			if ('task' in change) this.uncommitted.add(change.task);
-			if ('task' in change) this.evictions.delete(change.task);
+			if ('task' in change) this.placing.settled(change.task);
 			if (change.type === 'job.submitted') this.uncommitted.add(change.part.id);
 			if (change.type === 'job.cancelled') this.markJob(change.job);
 		}
@@ -389,52 +399,7 @@
 	}
 
 	private place(): shards.Change[] {
-		const all = this.boxes();
-		this.relieve(all);
-		const pending = boxes.waitingOf(this.log.state);
-		if (pending.length === 0) {
-			this.waitsFor = new Map();
-			return [];
-		}
-		const evicting = new Set(this.evictions.keys());
-		const round = placement.placeRound(pending, all, {
-			score: this.deps.score,
-			maxPlaces: maxPlacesPerRound,
-			evicting,
-		});
-		this.waitsFor = round.waiting;
-		for (const one of round.evictions) this.evict(one.task, one.reason);
-		return round.places.flatMap((place) => this.placedChange(place));
-	}
-
-	private placedChange(place: placement.Place): shards.Change[] {
-		const task = this.log.state.tasks.get(place.task);
-		const incarnation = this.contacts.views.get(place.box)?.incarnation;
-		if (task === undefined || incarnation === undefined) return [];
-		const attempt = task.attempt + 1;
-		return [{ type: 'task.placed', task: task.id, attempt, worker: place.box, incarnation, why: place.why }];
-	}
-
-	private relieve(all: placement.Box[]): void {
-		const throttles = new Map<string, number>();
-		for (const box of all) {
-			const relief = placement.relieve(box, (task) => this.progressOf(task));
-			for (const [task, share] of relief.throttles) throttles.set(task, share);
-			for (const one of relief.evictions) this.evict(one.task, one.reason);
-		}
-		this.throttles = throttles;
-	}
-
-	/** Attempts started before; a stand-in for work lost until workers report the age of a checkpoint. */
-	private progressOf(task: string): number {
-		return this.log.state.tasks.get(task)?.attempt ?? 0;
-	}
-
-	private evict(task: string, reason: string): void {
-		if (this.evictions.has(task)) return;
-		this.evictions.set(task, reason);
-		const worker = this.log.state.tasks.get(task)?.worker;
-		if (worker !== undefined) this.contacts.kick(worker);
+		return this.placing.round(this.log.state, this.boxes());
 	}
 
 	/** Drops what has been kept long enough, ended jobs also when the snapshot grows large, the oldest first. */
--- a/src/core/wire/client.ts
+++ b/src/core/wire/client.ts
@@ -13,9 +13,12 @@
  */
 export interface CallFailure {
 	effect: 'none' | 'unknown';
+	/**
+	 * `refused`: no process listens at the address. `silent`: no reply came in time. `broken`: the connection ended, or
+	 * could not be opened, for another reason.
+	 */
+	cause: 'refused' | 'silent' | 'broken';
 	reason: string;
-	/** No process listens at the address. */
-	refused: boolean;
 }
 
 /** What a peer call comes to: the peer's own result, or no reply. */
@@ -79,7 +82,8 @@
 			link.take(chunk);
 		});
 		socket.on('error', (err) => {
-			link.close(err.message, (err as NodeJS.ErrnoException).code === 'ECONNREFUSED');
+			const { code } = err as NodeJS.ErrnoException;
+			link.close(err.message, code === 'ECONNREFUSED' ? 'refused' : 'broken');
 		});
 		socket.on('close', () => {
 			link.close('connection closed');
@@ -93,7 +97,7 @@
 		return new Promise((resolve) => {
 			const timer = clock.after(timeoutMs, () => {
 				const effect = this.connected ? 'unknown' : 'none';
-				settle(results.fail({ effect, reason: `no reply within ${timeoutMs} ms`, refused: false }));
+				settle(results.fail({ effect, cause: 'silent', reason: `no reply within ${timeoutMs} ms` }));
 				// A connection that swallows requests is not trusted with the next one.
 				this.close('a reply is overdue');
 			});
@@ -108,13 +112,12 @@
 		});
 	}
 
-	close(reason: string, refused = false): void {
+	close(reason: string, cause: CallFailure['cause'] = 'broken'): void {
 		if (this.closed) return;
 		this.closed = true;
 		this.socket.destroy();
 		const effect = this.connected ? 'unknown' : 'none';
-		for (const waiting of [...this.waiting.values()])
-			waiting.settle(results.fail({ effect, reason, refused }));
+		for (const waiting of [...this.waiting.values()]) waiting.settle(results.fail({ effect, cause, reason }));
 	}
 
 	private take(chunk: Buffer): void {
