What has cores of its own is placed in rounds of its own; late work comes after what can still be in time

Cause: a round looks at all that waits, and the next begins after four times what it took, so that placing leaves the processor to reports.

Waiting work of one priority is ordered by whether it can be in time, is late, or is worth nothing any more (three times its objective), then by due time; lasting tasks are never late.

Test: dispatch, a queue that has fallen behind; seen to fail before.

--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -37,6 +37,7 @@
 	/** Clock time from which a step that found no place is looked at again. */
 	private readonly retryAt = new WeakMap<jobs.StepRun, number>();
 	private roundDue = false;
+	private quickRoundDue = false;
 	/** Clock time before which no round begins. */
 	private nextRoundAt = -Infinity;
 	private closed = false;
@@ -95,7 +96,9 @@
 
 	/** Asks for a round of placing; many asks come to one round. */
 	wake(): void {
-		if (this.roundDue || this.closed || this.ready.size === 0) return;
+		if (this.closed || this.ready.size === 0) return;
+		this.wakeQuick();
+		if (this.roundDue) return;
 		this.roundDue = true;
 		const run = (): void => {
 			this.roundDue = false;
@@ -106,6 +109,16 @@
 		else setImmediate(run);
 	}
 
+	/** A round of what has cores of its own need not wait for those of the many tasks that fill. */
+	private wakeQuick(): void {
+		if (this.quickRoundDue) return;
+		this.quickRoundDue = true;
+		this.opts.clock.after(settings.roundGapMs, () => {
+			this.quickRoundDue = false;
+			if (!this.closed) this.placeReady((task) => !task.step.spec.fills);
+		});
+	}
+
 	/** Moves tasks that were slowed to almost nothing to workers where they would disturb nobody. */
 	moveSlowed(session: sessions.WorkerSession): void {
 		const now = this.opts.clock.now();
@@ -138,18 +151,21 @@
 	/** One round, and when the next may begin: each looks at all that wait again. */
 	private playRound(): void {
 		const startedAt = this.opts.clock.now();
-		this.placeReady();
+		this.placeReady(() => true);
 		const endedAt = this.opts.clock.now();
 		const gapMs = Math.max(settings.roundGapMs, (endedAt - startedAt) * settings.roundGapFactor);
 		this.nextRoundAt = endedAt + gapMs;
 	}
 
-	/** Places what is ready, in the order of `waiting-order.ts`; makes room for what finds none. */
-	private placeReady(): void {
+	/** Places what is ready and `included`, in the order of `waiting-order.ts`; makes room for what finds none. */
+	private placeReady(included: (task: jobs.Task) => boolean): void {
 		if (!this.opts.mayAct()) return;
 		const now = this.opts.clock.now();
+		const due = [...this.ready].filter(
+			(task) => included(task) && this.mayStart(task) && this.isDue(task.step, now),
+		);
+		if (due.length === 0) return;
 		const round = rounds.PlacingRound.create(this.opts.workers(), now);
-		const due = [...this.ready].filter((task) => this.mayStart(task) && this.isDue(task.step, now));
 		const waiting = order.sort(due, (job) => this.opts.policyOf(job).priority, now);
 		const tried = new Set<jobs.StepRun>();
 		for (const task of waiting) {
--- a/src/core/dispatch/waiting-order.ts
+++ b/src/core/dispatch/waiting-order.ts
@@ -1,4 +1,7 @@
-/** Which waiting task comes first: by priority, then short before lasting, then by the time left. */
+/**
+ * Which waiting task comes first: by priority, then short before lasting, then what can still be in time before what is
+ * late, then by the time left.
+ */
 import * as settings from './settings.js';
 import type * as jobs from '../jobs/index.js';
 
@@ -13,6 +16,7 @@
 		(a, b) =>
 			(priority.get(a) ?? 0) - (priority.get(b) ?? 0) ||
 			Number(comesLate(a, now)) - Number(comesLate(b, now)) ||
+			lateness(a, now) - lateness(b, now) ||
 			a.step.job.dueAt - b.step.job.dueAt ||
 			a.step.number - b.step.number ||
 			a.index - b.index,
@@ -28,3 +32,13 @@
 function comesLate(task: jobs.Task, now: number): boolean {
 	return task.step.spec.lasting && !isOverdue(task, now);
 }
+
+/**
+ * 0 before a job's due time, 1 while it is late, 2 once it is worth nothing. By due time alone, a queue that has fallen
+ * behind would make every job late in turn. A lasting task serves whenever it runs.
+ */
+function lateness(task: jobs.Task, now: number): number {
+	const { job, spec } = task.step;
+	if (spec.lasting || now <= job.dueAt) return 0;
+	return now <= job.worthlessAt ? 1 : 2;
+}
--- a/src/core/jobs/active-job.ts
+++ b/src/core/jobs/active-job.ts
@@ -46,6 +46,9 @@
 	age: number;
 }
 
+/** A job that takes more than this many times its objective is worth nothing to its caller (stated by the users). */
+const latestInObjectives = 3;
+
 /** One job under way. */
 export class ActiveJob {
 	readonly steps: StepRun[] = [];
@@ -62,6 +65,8 @@
 	readonly inherited: boolean;
 	/** Clock time by which it should be done. */
 	readonly dueAt: number;
+	/** Clock time after which being done is worth nothing more to its caller. */
+	readonly worthlessAt: number;
 
 	private constructor(
 		readonly record: types.JobRecord,
@@ -71,7 +76,9 @@
 		this.cancelled = start.cancelled;
 		this.inherited = start.inherited;
 		const { stretch, objectiveMs } = record.queue;
-		this.dueAt = start.now - start.age + stretch * longestChainMs(record) + objectiveMs;
+		const objective = stretch * longestChainMs(record) + objectiveMs;
+		this.dueAt = start.now - start.age + objective;
+		this.worthlessAt = this.dueAt + (latestInObjectives - 1) * objective;
 		if (progress !== undefined) this.adopt(progress);
 	}
 
--- a/test/dispatch.test.ts
+++ b/test/dispatch.test.ts
@@ -329,6 +329,22 @@
 	owner.dispatcher.close();
 });
 
+test('a queue that has fallen behind serves what can still be in time first, and the rest after it', async (t) => {
+	const { clock, fleet, takeOver, submit } = world.createWorld(() => ({ ms: 900, how: 'done' }));
+	fleet.add('w1');
+	const owner = await takeOver();
+	// One at a time; each should be done within 1.5 s of its hand-in.
+	const whole = [world.step({ milliCores: 32_000, estimateMs: 500 })];
+	for (let number = 0; number < 6; number += 1) await submit(owner, world.job(`old${number}`, whole));
+	await clock.pass(3_500);
+	await submit(owner, world.job('new', whole));
+	await clock.pass(6_000);
+	const order = fleet.starts.map((one) => one.task);
+	t.true(order.indexOf('new.0.0.0') <= 4, order.join(' '));
+	t.is(order.length, 7);
+	owner.dispatcher.close();
+});
+
 test('a lasting task that fits is started, whatever larger one has been waiting for room', async (t) => {
 	const { clock, fleet, takeOver, submit } = world.createWorld(() => ({ ms: 'endless', how: 'done' }));
 	const w1 = fleet.add('w1');
