Rounds of everything follow each other after twice what the last one took, not four times

Cause: filling tasks waited for the next round. Hypothesis: since short and lasting tasks have rounds of their own, the distance protects reports only, and twice is enough.

--- a/src/core/dispatch/settings.ts
+++ b/src/core/dispatch/settings.ts
@@ -67,8 +67,11 @@
 /** A step of lasting or filling tasks that found no place is looked at again after this: its tasks run for seconds. */
 export const patientRetryMs = 100;
 
-/** Nor closer than this many times what the last one took: placing leaves four fifths of the processor to reports. */
-export const roundGapFactor = 4;
+/**
+ * Nor closer than this many times what the last one took: placing leaves two thirds of the processor to reports. With
+ * four times, filling tasks waited for the rounds on every site measured.
+ */
+export const roundGapFactor = 2;
 
 /**
  * A lasting task that has waited so long goes before short ones, and workers are kept free for it: it serves nobody
