What an owner learnt carries the form it is stored in; adopting it and failing to store it are logged

From reading the change: another version's record would have been taken as it came, and a write that failed left no line. Events 2110 and 2111. Test: loads, knowledge of another form is not taken. No other behaviour changes.

--- a/src/core/box/owner-role.ts
+++ b/src/core/box/owner-role.ts
@@ -76,6 +76,8 @@
 			wire.encodeValue(this.dispatcher.knowledge()),
 		);
 		if (outcome === 'superseded') this.deps.onFenced('the store names a newer generation');
+		else if (outcome !== 'committed')
+			this.deps.events.emit('learnt.unstored', { epoch: this.owned.generation, reason: outcome });
 	}
 
 	private createDispatcher(contents: ledger.LedgerContents): dispatch.Dispatcher {
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -78,7 +78,7 @@
 		knowledge?: interference.Knowledge,
 	): Dispatcher {
 		const dispatcher = new Dispatcher(opts, contents.roster);
-		if (knowledge !== undefined) dispatcher.estimates.adopt(knowledge);
+		if (knowledge !== undefined) dispatcher.adoptKnowledge(knowledge);
 		for (const stored of contents.jobs.values()) dispatcher.addStored(stored);
 		return dispatcher;
 	}
@@ -145,6 +145,15 @@
 		this.workers.close();
 	}
 
+	private adoptKnowledge(knowledge: interference.Knowledge): void {
+		const adopted = this.estimates.adopt(knowledge);
+		this.opts.events.emit('learnt.adopted', {
+			epoch: this.opts.epoch,
+			images: adopted ? Object.keys(knowledge.images).length : 0,
+			loads: adopted ? Object.keys(knowledge.loads).length : 0,
+		});
+	}
+
 	private createStarter(): starter.Starter {
 		return starter.Starter.create(this.opts, {
 			onStarted: (place) => {
--- a/src/core/dispatch/interference.ts
+++ b/src/core/dispatch/interference.ts
@@ -52,8 +52,13 @@
 /** Mean difference of slopes from which two serving images count as wholly unlike. */
 const unlikeSlope = 1;
 
+/** Form of what is stored of the knowledge; to be counted up with each change of it. */
+const knowledgeFormat = 1;
+
 /** All that was learnt; another owner may go on from it. Times are of the wall clock: boxes share no other. */
 export interface Knowledge {
+	/** Form of this record: an owner of another version learns anew. */
+	format: number;
 	/** How neighbours disturb each serving image. */
 	images: Record<string, imageModel.LearntImage>;
 	/** Number of the period in which the loads of each serving image swing. */
@@ -123,14 +128,16 @@
 			return sums === undefined ? [] : [[nameOf(step), sums] as const];
 		});
 		return {
+			format: knowledgeFormat,
 			images: Object.fromEntries(images),
 			periods: Object.fromEntries(periods),
 			loads: { ...this.inherited, ...Object.fromEntries(loads) },
 		};
 	}
 
-	/** Goes on from what another owner learnt. */
-	adopt(knowledge: Knowledge): void {
+	/** Goes on from what another owner learnt; false: it is stored in the form of another version. */
+	adopt(knowledge: Knowledge): boolean {
+		if (knowledge.format !== knowledgeFormat) return false;
 		const { images, periods, loads } = knowledge;
 		for (const [image, learnt] of Object.entries(images))
 			this.models.set(image, imageModel.ImageModel.restore(learnt));
@@ -139,6 +146,7 @@
 		const since = this.time() - inheritedMs;
 		const fresh = Object.entries(loads).filter(([, sums]) => (sums.updatedAt ?? 0) >= since);
 		this.inherited = Object.fromEntries(fresh);
+		return true;
 	}
 
 	/** Learns from a worker's newest readings. */
--- a/src/core/dispatch/load-wave.ts
+++ b/src/core/dispatch/load-wave.ts
@@ -42,6 +42,12 @@
 /** Number of the period that is taken at first: the middle one, of 13 seconds. */
 const firstPeriod = Math.floor(periodsMs.length / 2);
 
+/**
+ * A sample enters the fit of the chosen period; those of the other periods take one of so many, as they only serve to
+ * choose.
+ */
+const samplesPerOther = 6;
+
 /** The period that the loads of one image swing in, chosen over all its steps. */
 export class LoadPeriod {
 	private readonly waves = new Set<LoadWave>();
@@ -87,12 +93,6 @@
 	}
 }
 
-/**
- * A sample enters the fit of the chosen period; those of the other periods take one of so many, as they only serve to
- * choose.
- */
-const samplesPerOther = 6;
-
 /** What an earlier owner learnt of a load in one period. */
 interface InheritedWave {
 	period: number;
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -109,7 +109,7 @@
 		else setImmediate(run);
 	}
 
-	/** A round of what has cores of its own need not wait for those of the many tasks that fill. */
+	/** A round without filling tasks: there may be hundreds of those, and short tasks have no time to wait for them. */
 	private wakeQuick(): void {
 		if (this.quickRoundDue) return;
 		this.quickRoundDue = true;
--- a/src/core/dispatch/settings.ts
+++ b/src/core/dispatch/settings.ts
@@ -69,7 +69,7 @@
 
 /**
  * Nor closer than this many times what the last one took: placing leaves two thirds of the processor to reports. With
- * four times, filling tasks waited for the rounds on every site measured.
+ * four times, filling tasks waited for the rounds on both sites measured.
  */
 export const roundGapFactor = 2;
 
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -101,6 +101,16 @@
 		level: 'info',
 		text: 'Every worker that an earlier owner used has been heard of; inherited tasks may start.',
 	},
+	'learnt.adopted': {
+		id: 2110,
+		level: 'info',
+		text: 'A new owner goes on from what earlier ones learnt of disturbance and loads; how much is given.',
+	},
+	'learnt.unstored': {
+		id: 2111,
+		level: 'warn',
+		text: 'What an owner learnt could not be stored; the next write, seconds later, holds it too.',
+	},
 	'progress.unsaved': {
 		id: 2108,
 		level: 'warn',
--- a/test/loads.test.ts
+++ b/test/loads.test.ts
@@ -1,5 +1,6 @@
 /** Loads of lasting steps: told apart from disturbances, predicted from their waves, and handed to the next owner. */
 import test from 'ava';
+import * as interference from '../src/core/dispatch/interference.js';
 import * as ledger from '../src/core/ledger/index.js';
 import * as loadWave from '../src/core/dispatch/load-wave.js';
 import * as memory from '../stand-ins/fleet/memory-store.js';
@@ -91,3 +92,14 @@
 	const contents = await loading;
 	t.deepEqual(contents.ok ? contents.value.learnt : undefined, { periods: { web: 3 } });
 });
+
+test('an owner goes on from knowledge of its own form only', (t) => {
+	const clock = time.VirtualClock.create();
+	const empty = interference.Interference.create(clock).knowledge();
+	const learner = interference.Interference.create(clock);
+	t.true(learner.adopt({ ...empty, periods: { web: 7 } }));
+	t.deepEqual(learner.knowledge().periods, { web: 7 });
+	const other = interference.Interference.create(clock);
+	t.false(other.adopt({ ...empty, format: empty.format + 1, periods: { web: 7 } }));
+	t.deepEqual(other.knowledge().periods, {});
+});
