Rounds without filling tasks keep their distance too, by what they take

With 343 workers a round of short tasks takes milliseconds too, and nothing held it back: 15 ms after each wake, whatever it took.

Change: both kinds of rounds leave two thirds of the processor. Tests of dispatch: 22 passed.

--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -38,6 +38,8 @@
 	private readonly retryAt = new WeakMap<jobs.StepRun, number>();
 	private roundDue = false;
 	private quickRoundDue = false;
+	/** How long after a wake a round without filling tasks is played, in milliseconds. */
+	private quickGapMs: number = settings.roundGapMs;
 	/** Clock time before which no round begins. */
 	private nextRoundAt = -Infinity;
 	private closed = false;
@@ -113,9 +115,9 @@
 	private wakeQuick(): void {
 		if (this.quickRoundDue) return;
 		this.quickRoundDue = true;
-		this.opts.clock.after(settings.roundGapMs, () => {
+		this.opts.clock.after(this.quickGapMs, () => {
 			this.quickRoundDue = false;
-			if (!this.closed) this.placeReady((task) => !task.step.spec.fills);
+			if (!this.closed) this.quickGapMs = this.playTimed((task) => !task.step.spec.fills);
 		});
 	}
 
@@ -148,13 +150,19 @@
 		return typeof placement.choose(task, elsewhere) !== 'string';
 	}
 
-	/** One round, and when the next may begin: each looks at all that wait again. */
+	/** One round of everything, and when the next may begin. */
 	private playRound(): void {
-		const startedAt = this.opts.clock.now();
-		this.placeReady(() => true);
-		const endedAt = this.opts.clock.now();
-		const gapMs = Math.max(settings.roundGapMs, (endedAt - startedAt) * settings.roundGapFactor);
-		this.nextRoundAt = endedAt + gapMs;
+		const gapMs = this.playTimed(() => true);
+		this.nextRoundAt = this.opts.clock.now() + gapMs;
+	}
+
+	/** Plays a round; returns how long to wait until the next of its kind: each looks at all that waits again. */
+	private playTimed(included: (task: jobs.Task) => boolean): number {
+		const { clock } = this.opts;
+		const startedAt = clock.now();
+		this.placeReady(included);
+		const tookMs = clock.now() - startedAt;
+		return Math.max(settings.roundGapMs, tookMs * settings.roundGapFactor);
 	}
 
 	/** Places what is ready and `included`, in the order of `waiting-order.ts`; makes room for what finds none. */
