--- a/stand-ins/fleet/virtual-clock.ts
+++ b/stand-ins/fleet/virtual-clock.ts
@@ -52,7 +52,12 @@
 			next.fn();
 			await settle();
 		}
-		this.time = end;
+		this.time = Math.max(this.time, end);
+	}
+
+	/** A computation takes `ms` milliseconds: time passes, and nothing else happens meanwhile. */
+	spend(ms: number): void {
+		this.time += ms;
 	}
 
 	private next(end: number): Pending | undefined {
--- /dev/null
+++ b/test/placer.test.ts
@@ -0,0 +1,63 @@
+/** Rounds of placing: how much of the processor they may take. */
+import test from 'ava';
+import * as events from '../src/core/events/index.js';
+import * as fixtures from './fixtures/dispatching.js';
+import * as interference from '../src/core/dispatch/interference.js';
+import * as jobs from '../src/core/jobs/index.js';
+import * as placer from '../src/core/dispatch/placer.js';
+import * as time from '../stand-ins/fleet/virtual-clock.js';
+import * as workers from '../stand-ins/fleet/workers.js';
+
+const epoch = 1;
+
+/** A placer without workers, on which each look at the workers takes so long. */
+function slowPlacer(
+	clock: time.VirtualClock,
+	lookMs: number,
+): { placer: placer.Placer; spentMs: () => number } {
+	let spentMs = 0;
+	const created = placer.Placer.create({
+		clock,
+		events: events.EventLog.create('test', clock),
+		calls: workers.FakeFleet.create({
+			clock,
+			maxLeaseMs: fixtures.maxLeaseMs,
+			plan: () => ({ ms: 1, how: 'done' }),
+		}).calls(),
+		maxLeaseMs: fixtures.maxLeaseMs,
+		epoch,
+		mayAct: () => true,
+		onFenced: () => undefined,
+		workers: () => {
+			clock.spend(lookMs);
+			spentMs += lookMs;
+			return [];
+		},
+		settled: () => true,
+		policyOf: () => fixtures.queue,
+		estimates: interference.Interference.create(clock),
+		askAdviser: undefined,
+		start: () => undefined,
+		stopFor: () => undefined,
+	});
+	return { placer: created, spentMs: () => spentMs };
+}
+
+test('rounds of short tasks that find no room leave most of the processor to all else', async (t) => {
+	const clock = time.VirtualClock.create();
+	const slow = slowPlacer(clock, 20);
+	const record = fixtures.job('short', [fixtures.step({ count: 5 })]);
+	const start = { cancelled: false, inherited: false, now: clock.now(), age: 0 };
+	const job = jobs.ActiveJob.create(record, undefined, start);
+	for (const task of job.openNextTime(clock.now())) slow.placer.add(task);
+	const from = clock.now();
+	// Reports come all the time, and each wakes the placer.
+	while (clock.now() - from < 5_000) {
+		slow.placer.wake();
+		await clock.pass(5);
+	}
+	const part = slow.spentMs() / (clock.now() - from);
+	t.true(part > 0.1, 'rounds were played');
+	t.true(part < 0.7, `rounds took ${part.toFixed(2)} of the time`);
+	slow.placer.close();
+});
