Log why the tasks of a step wait, and for which workers a takeover does

Cause: of the incident's hypotheses (wait for the roster, a refusal that never changes, a task taken for placed) none could be told from the log: a task that waits was logged nowhere. Change: step.waiting, one line a step when the reason changes, looked at once a second a step; takeover.waiting, one line a second while a takeover is not settled, naming workers. No decision changes. Test: waiting-log.

--- a/src/core/dispatch/placement.ts
+++ b/src/core/dispatch/placement.ts
@@ -53,6 +53,15 @@
 /** Why no worker takes a task. */
 export type NoPlace = 'no-worker-open' | 'no-room';
 
+/**
+ * Why one worker does not take a task, the furthest from taking it first. `reserved`: it would fit, but for the room
+ * left for short tasks. `cores-in-use`, `harm`, `overloaded`: it fits, but would disturb what serves users there.
+ */
+export const obstacles = ['no-room', 'reserved', 'cores-in-use', 'harm', 'overloaded'] as const;
+
+/** One of `obstacles`. */
+export type Obstacle = (typeof obstacles)[number];
+
 /** Among which workers to choose, and what is known of them. */
 export interface Choice {
 	/** Open workers of the task's pool. */
@@ -78,6 +87,23 @@
 	return best ?? (workers.length > 0 ? 'no-room' : 'no-worker-open');
 }
 
+/** What stands between a task and a worker; undefined: nothing does. For logs: `choose` asks less. */
+export function obstacleAt(
+	task: jobs.Task,
+	worker: sessions.WorkerSession,
+	choice: Choice,
+): Obstacle | undefined {
+	const { estimates, now } = choice;
+	const { spec } = task.step;
+	if (!room.fits(task.step, worker, 0)) return 'no-room';
+	if (!room.fits(task.step, worker, reserveFor(task, now))) return 'reserved';
+	if (!spec.fills) return undefined;
+	const share = shareOf(spec, worker);
+	if (estimates.expectedUse(worker) + share > mostUse) return 'cores-in-use';
+	if (estimates.harmOf(worker, spec.image, share) > harmLimit(task, now)) return 'harm';
+	return disturbsOverloaded(spec.image, worker, estimates, now) ? 'overloaded' : undefined;
+}
+
 /** Thousandths of a core that a task has to leave free. */
 function reserveFor(task: jobs.Task, now: number): number {
 	if (!task.step.spec.lasting) return 0;
@@ -90,8 +116,7 @@
 	const { estimates, now } = choice;
 	const base = rateForAny(task, worker);
 	if (spec.fills) {
-		const limit = now - task.readyAt < patienceMs ? mostHarm : mostHarmLate;
-		const score = base + rateFilling(spec, worker, estimates, limit, toBeat - base);
+		const score = base + rateFilling(spec, worker, estimates, harmLimit(task, now), toBeat - base);
 		// The dearest question last.
 		if (score >= toBeat || disturbsOverloaded(spec.image, worker, estimates, now)) return Infinity;
 		return score;
@@ -132,8 +157,7 @@
 	limit: number,
 	toBeat: number,
 ): number {
-	const capacity = worker.entry?.capacity.milliCores ?? 1;
-	const share = spec.milliCores / capacity;
+	const share = shareOf(spec, worker);
 	const use = estimates.expectedUse(worker) + share;
 	// Harm only adds to it.
 	if (use > mostUse || use >= toBeat) return Infinity;
@@ -141,6 +165,16 @@
 	return harm > limit ? Infinity : use + harm * weights.harm;
 }
 
+/** Part of a worker's cores that a task asks for. */
+function shareOf(spec: jobs.StepSpec, worker: sessions.WorkerSession): number {
+	return spec.milliCores / (worker.entry?.capacity.milliCores ?? 1);
+}
+
+/** How much harm a filling task puts up with. */
+function harmLimit(task: jobs.Task, now: number): number {
+	return now - task.readyAt < patienceMs ? mostHarm : mostHarmLate;
+}
+
 /** Whether it would disturb a task that was over its target lately: what has queued up is still being worked off. */
 function disturbsOverloaded(
 	image: string,
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -7,6 +7,7 @@
 import * as room from './room.js';
 import * as rounds from './placing-round.js';
 import * as settings from './settings.js';
+import * as waiting from './waiting-log.js';
 import type * as fleet from '../fleet/types.js';
 import type * as interference from './interference.js';
 import type * as jobs from '../jobs/index.js';
@@ -34,6 +35,7 @@
 	private readonly ready = new Set<jobs.Task>();
 	private readonly places = new Map<jobs.Task, sessions.WorkerSession>();
 	private readonly advisory: advice.Advisory;
+	private readonly waitingLog: waiting.WaitingLog;
 	/** Clock time from which a step that found no place is looked at again. */
 	private readonly retryAt = new WeakMap<jobs.StepRun, number>();
 	private roundDue = false;
@@ -45,6 +47,7 @@
 	private closed = false;
 
 	private constructor(private readonly opts: PlacerOptions) {
+		this.waitingLog = waiting.WaitingLog.create(opts.clock, opts.events);
 		this.advisory = advice.Advisory.create({
 			clock: opts.clock,
 			events: opts.events,
@@ -169,23 +172,23 @@
 	private placeReady(included: (task: jobs.Task) => boolean): void {
 		if (!this.opts.mayAct()) return;
 		const now = this.opts.clock.now();
-		const due = [...this.ready].filter(
-			(task) => included(task) && this.mayStart(task) && this.isDue(task.step, now),
-		);
-		if (due.length === 0) return;
+		const due = [...this.ready].filter((task) => included(task) && this.isDue(task.step, now));
+		const startable = due.filter((task) => this.mayStart(task));
+		if (startable.length === 0) return;
 		const round = rounds.PlacingRound.create(this.opts.workers(), now);
-		const waiting = order.sort(due, (job) => this.opts.policyOf(job).priority, now);
+		const inOrder = order.sort(startable, (job) => this.opts.policyOf(job).priority, now);
 		const tried = new Set<jobs.StepRun>();
-		for (const task of waiting) {
+		for (const task of inOrder) {
 			if (tried.has(task.step) || task.state !== 'ready') continue;
 			const placed = task.step.spec.gang ? this.placeGang(task.step, round) : this.placeOne(task, round);
 			if (placed) continue;
 			tried.add(task.step);
+			this.waitingLog.note(task, () => this.whyNoPlace(task, round));
 			// Workers are kept free in every round, or short tasks would take them in between.
 			if (order.isOverdue(task, now)) round.keepFor(task.step, this.opts.policyOf(task.step.job).pool);
 			else this.retryAt.set(task.step, now + retryMs(task.step));
 		}
-		this.preempt(waiting.filter((task) => task.state === 'ready'));
+		this.preempt(inOrder.filter((task) => task.state === 'ready'));
 	}
 
 	private isDue(step: jobs.StepRun, now: number): boolean {
@@ -196,8 +199,28 @@
 	private mayStart(task: jobs.Task): boolean {
 		const { job } = task.step;
 		// Told to a later owner: that one starts it.
-		if (job.record.acceptedUnder > this.opts.epoch) return false;
-		return !job.inherited || this.opts.settled();
+		const isLater = job.record.acceptedUnder > this.opts.epoch;
+		const waitsForWorkers = job.inherited && !this.opts.settled();
+		if (!isLater && !waitsForWorkers) return true;
+		this.waitingLog.note(task, () => ({ reason: isLater ? 'later-owner' : 'workers-unheard' }));
+		return false;
+	}
+
+	/** For the log: what stands between a task and each open worker, and the least of it as the reason. */
+	private whyNoPlace(task: jobs.Task, round: rounds.PlacingRound): waiting.WaitingReason {
+		const { step } = task;
+		if (step.spec.gang && !gangs.isWhole(step)) return { reason: 'gang-incomplete' };
+		const choice = this.choiceFor(step, round);
+		const counts = new Map<string, number>();
+		for (const worker of choice.workers) {
+			const obstacle = placement.obstacleAt(task, worker, choice) ?? 'none';
+			counts.set(obstacle, (counts.get(obstacle) ?? 0) + 1);
+		}
+		if (counts.size === 0) return { reason: 'no-worker-open' };
+		const detail = [...counts].map(([obstacle, count]) => `${obstacle} ${String(count)}`).join(', ');
+		// A gang that finds places for some of its members waits for the others'.
+		if (counts.has('none')) return { reason: 'other-members', detail };
+		return { reason: placement.obstacles.findLast((one) => counts.has(one)) ?? 'no-room', detail };
 	}
 
 	private placeOne(task: jobs.Task, round: rounds.PlacingRound): boolean {
--- a/src/core/dispatch/worker-pool.ts
+++ b/src/core/dispatch/worker-pool.ts
@@ -6,6 +6,12 @@
 import type * as ledger from '../ledger/index.js';
 import type * as types from './types.js';
 
+/** A takeover that waits for workers is told of no more often than this, in milliseconds. */
+const waitingLogGapMs = 1_000;
+
+/** Workers named in one line, at most. */
+const mostNamed = 5;
+
 /** Settings of a pool. */
 export interface WorkerPoolOptions extends types.DispatchDeps {
 	saveRoster: (roster: ledger.RosterEntry[]) => Promise<ledger.WriteOutcome>;
@@ -22,8 +28,12 @@
 	private rosterDirty = false;
 	private rosterSaving = false;
 	private closed = false;
+	/** Clock time from which the next line about unsettled workers may be written. */
+	private nextWaitingLogAt: number;
 
-	private constructor(private readonly opts: WorkerPoolOptions) {}
+	private constructor(private readonly opts: WorkerPoolOptions) {
+		this.nextWaitingLogAt = opts.clock.now() + waitingLogGapMs;
+	}
 
 	/** Opens a session with every worker that earlier owners used. */
 	static create(opts: WorkerPoolOptions, roster: ledger.RosterEntry[]): WorkerPool {
@@ -83,6 +93,7 @@
 			if (session.unlisted && !session.answering && holdsNothing)
 				session.end('it left the list and holds nothing');
 		}
+		this.logUnsettled();
 		if (this.rosterDirty) void this.saveRoster();
 	}
 
@@ -91,6 +102,22 @@
 		for (const session of this.workers.values()) session.close();
 	}
 
+	/** Names the workers that hold up what was inherited. */
+	private logUnsettled(): void {
+		const { clock, events, epoch } = this.opts;
+		const now = clock.now();
+		if (this.settled || now < this.nextWaitingLogAt) return;
+		this.nextWaitingLogAt = now + waitingLogGapMs;
+		const ids = [...this.unsettled].slice(0, mostNamed).map((session) => session.id);
+		const leftMs = Math.max(...[...this.unsettled].map((session) => session.leaseLeftMs));
+		events.emit('takeover.waiting', {
+			epoch,
+			workers: this.unsettled.size,
+			named: ids.join(' '),
+			leftMs: Math.round(leftMs),
+		});
+	}
+
 	private setWorker(entry: fleet.WorkerEntry): void {
 		const known = this.workers.get(entry.id);
 		if (known !== undefined) {
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -95,6 +95,11 @@
 		return this.target.id;
 	}
 
+	/** How long it takes until every lease there has run out, in milliseconds. */
+	get leaseLeftMs(): number {
+		return Math.max(0, this.leaseOverAt - this.deps.clock.now());
+	}
+
 	/** Whether it answers, as far as is known. */
 	get answering(): boolean {
 		return this.deps.clock.now() - this.answeredAt < settings.silentAfterMs;
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -101,6 +101,11 @@
 		level: 'info',
 		text: 'Every worker that an earlier owner used has been heard of; inherited tasks may start.',
 	},
+	'takeover.waiting': {
+		id: 2112,
+		level: 'info',
+		text: 'Inherited tasks still wait for these workers to answer, or for their leases to run out; once a second.',
+	},
 	'learnt.adopted': {
 		id: 2110,
 		level: 'info',
@@ -168,6 +173,11 @@
 		text: 'A task that fills was told to work at a share of its speed, for the users of its neighbours.',
 	},
 	'task.stop': { id: 3112, level: 'info', text: 'A run is told to stop; the reason is given.' },
+	'step.waiting': {
+		id: 3115,
+		level: 'info',
+		text: "A step's tasks have waited a second or longer; the reason is given when it changes, with how many workers stand in which way.",
+	},
 	'advice.given': { id: 3113, level: 'info', text: 'The adviser said which workers may run a step.' },
 	'advice.missed': {
 		id: 3114,
--- /dev/null
+++ b/test/waiting-log.test.ts
@@ -0,0 +1,35 @@
+/** What the log tells of work that waits: why, and for whom. */
+import test from 'ava';
+import * as world from './fixtures/dispatching.js';
+
+test('a step that waits is logged once for each reason, with what stands in its way', async (t) => {
+	const { clock, fleet, takeOver, submit } = world.createWorld(() => ({ ms: 6_000, how: 'done' }));
+	const w1 = fleet.add('w1');
+	const owner = await takeOver();
+	await submit(owner, world.job('first', [world.step({ milliCores: 32_000 })]));
+	await clock.pass(500);
+	await submit(owner, world.job('second', [world.step({ milliCores: 16_000, count: 2 })]));
+	await clock.pass(3_000);
+	w1.fault = 'silent';
+	await clock.pass(4_500);
+	t.snapshot(owner.events.select((event) => event.name === 'step.waiting').map((event) => event.fields));
+	owner.dispatcher.close();
+});
+
+test('a takeover names the workers that it waits for, once a second', async (t) => {
+	const { clock, fleet, takeOver, submit } = world.createWorld(() => ({ ms: 6_000, how: 'done' }));
+	fleet.add('w1');
+	const w2 = fleet.add('w2');
+	const first = await takeOver();
+	await submit(first, world.job('first', [world.step({ milliCores: 32_000, count: 3 })]));
+	await clock.pass(500);
+	first.dispatcher.close();
+	w2.fault = 'silent';
+	const second = await takeOver();
+	await clock.pass(3_000);
+	const names = ['takeover.waiting', 'step.waiting'];
+	t.snapshot(
+		second.events.select((event) => names.includes(event.name)).map(({ name, fields }) => ({ name, fields })),
+	);
+	second.dispatcher.close();
+});
