--- /dev/null
+++ b/test/takeover.test.ts
@@ -0,0 +1,77 @@
+/** What a successor starts at once, and what it has to wait for, when workers are gone or silent. */
+import test from 'ava';
+import * as world from './fixtures/dispatching.js';
+import type * as jobs from '../src/core/jobs/index.js';
+
+/** Time that a takeover and a start take, with room to spare; far less than any lease. */
+const soonMs = 2_000;
+
+function endless(): { ms: 'endless'; how: 'done' } {
+	return { ms: 'endless', how: 'done' };
+}
+
+/** A step of lasting tasks, of which a worker holds one. */
+function lasting(count: number): jobs.StepSpec[] {
+	return [world.step({ count, milliCores: 20_000, lasting: true })];
+}
+
+test('inherited work does not wait for a worker that was emptied before it left', async (t) => {
+	const { clock, fleet, takeOver, submit } = world.createWorld(endless);
+	fleet.add('w1');
+	const w2 = fleet.add('w2');
+	const first = await takeOver();
+	// Short tasks and lasting ones alike: these end by themselves, if nobody stops them.
+	await submit(first, world.job('job1', [world.step({ count: 2, milliCores: 20_000 })]));
+	await clock.pass(3_000);
+	t.is(fleet.starts.length, 2);
+	first.dispatcher.setWorkers([{ ...w2.entry, draining: true, remainingMs: 3_000 }], [], false);
+	await clock.pass(3_000);
+	t.is(w2.running.size, 0);
+	fleet.workers.delete('w2');
+	first.dispatcher.setWorkers([], ['w2'], false);
+	await clock.pass(500);
+	first.dispatcher.close();
+	const w3 = fleet.add('w3');
+	const second = await takeOver();
+	await clock.pass(soonMs);
+	t.is(w3.running.size, 1);
+	t.deepEqual(fleet.doubled(), []);
+	second.dispatcher.close();
+});
+
+test('a lasting task waits only for the worker where it was last started', async (t) => {
+	const { clock, fleet, takeOver, submit } = world.createWorld(endless);
+	fleet.add('w1');
+	const w2 = fleet.add('w2');
+	const w3 = fleet.add('w3');
+	const first = await takeOver();
+	await submit(first, world.job('job1', lasting(3)));
+	await clock.pass(3_000);
+	t.is(fleet.starts.length, 3);
+	const onW3 = [...w3.running.keys()];
+	first.dispatcher.setWorkers([{ ...w2.entry, draining: true, remainingMs: 20_000 }], [], false);
+	await submit(first, world.job('never-started', lasting(1)));
+	await clock.pass(1_000);
+	t.is(w2.running.size, 0);
+	// The owner and a worker fail in the same moment: nothing could be stored about the worker.
+	w3.fault = 'silent';
+	first.dispatcher.close();
+	fleet.add('w4');
+	fleet.add('w5');
+	fleet.add('w6');
+	const second = await takeOver();
+	await clock.pass(soonMs);
+	const started = fleet.starts.slice(3).map((one) => one.task);
+	t.is(started.length, 2);
+	t.true(started.includes('never-started.0.0.0'));
+	t.false(started.some((task) => onW3.includes(task)));
+	for (let passed = 0; passed < 10_000; passed += 100) {
+		await clock.pass(100);
+		t.deepEqual(fleet.doubled(), []);
+	}
+	t.deepEqual(
+		fleet.starts.slice(5).map((one) => one.task),
+		onW3,
+	);
+	second.dispatcher.close();
+});
