Roster entries are closed: a successor waits only for what may still run on a worker that takes no more work

Cause: a successor starts nothing that it inherited before every worker of the roster has answered, or 13.4 s have passed. A worker that emptied itself and left, or died while its owner lived, answers nobody, so it held back all work of everybody. Ruled out: that the platform's list says that a worker is gone (one that is cut off from the store is missing there too, and runs on); shorter leases (work would lapse in outages that it outlives now). Change: the entry of a worker that drains, left the list, is silent or goes down for upkeep is closed: it names the tasks that may run there, and nothing is started there until a later write has opened it again. A successor waits for a silent worker only with tasks that its entry may hold. One write more when a worker is withdrawn, one when it is empty, one when it is back.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -170,7 +170,7 @@
 			...this.opts,
 			askAdviser: this.opts.askAdviser,
 			workers: () => this.workers.all(),
-			settled: () => this.workers.settled,
+			mayBeHidden: (task) => this.workers.mayHide(task.name),
 			policyOf: (job) => this.policyOf(job),
 			estimates: this.estimates,
 			start: (session, place, ticket) => void this.starter.start(session, place, ticket),
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -20,8 +20,8 @@
 /** What a placer uses. */
 export interface PlacerOptions extends types.DispatchDeps {
 	workers: () => sessions.WorkerSession[];
-	/** Whether tasks that an earlier owner may have started can be started now. */
-	settled: () => boolean;
+	/** Whether a run of an inherited task, unknown to this owner, may be on a worker that has not answered it yet. */
+	mayBeHidden: (task: jobs.Task) => boolean;
 	policyOf: (job: jobs.ActiveJob) => jobs.QueuePolicy;
 	estimates: interference.Interference;
 	askAdviser: fleet.AskAdviser | undefined;
@@ -195,12 +195,12 @@
 		return (this.retryAt.get(step) ?? 0) <= now;
 	}
 
-	/** What an earlier owner may have started waits until every worker it used has been heard of. */
+	/** What an earlier owner may have started waits for the workers where it may be. */
 	private mayStart(task: jobs.Task): boolean {
 		const { job } = task.step;
 		// Told to a later owner: that one starts it.
 		const isLater = job.record.acceptedUnder > this.opts.epoch;
-		const waitsForWorkers = job.inherited && !this.opts.settled();
+		const waitsForWorkers = job.inherited && this.opts.mayBeHidden(task);
 		if (!isLater && !waitsForWorkers) return true;
 		this.waitingLog.note(task, () => ({ reason: isLater ? 'later-owner' : 'workers-unheard' }));
 		return false;
--- a/src/core/dispatch/worker-pool.ts
+++ b/src/core/dispatch/worker-pool.ts
@@ -41,9 +41,11 @@
 		const longest = opts.maxLeaseMs / (1 - settings.clockSlowness);
 		const inheritedUntil = opts.clock.now() + settings.renewalHorizonMs + longest + settings.leaseMarginMs;
 		for (const entry of roster) {
-			const session = pool.open(entry, undefined, inheritedUntil);
-			session.rostered = true;
-			pool.unsettled.add(session);
+			const isEmpty = entry.tasks?.length === 0;
+			const session = pool.open(entry, undefined, isEmpty ? -Infinity : inheritedUntil);
+			session.rostered = entry.tasks === undefined;
+			session.rosteredTasks = entry.tasks && new Set(entry.tasks);
+			if (!session.settled) pool.unsettled.add(session);
 		}
 		return pool;
 	}
@@ -63,6 +65,12 @@
 		return this.unsettled.size === 0;
 	}
 
+	/** Whether a run that an earlier owner started may be on any worker, unknown to this owner. */
+	mayHide(task: string): boolean {
+		for (const session of this.unsettled) if (session.mayHide(task)) return true;
+		return false;
+	}
+
 	/** The platform's list of workers, in part or whole. */
 	setWorkers(entries: Iterable<fleet.WorkerEntry>, removed: Iterable<string>, whole: boolean): void {
 		const listed = new Set<string>();
@@ -94,6 +102,7 @@
 				session.end('it left the list and holds nothing');
 		}
 		this.logUnsettled();
+		if (this.all().some(isRosterOutdated)) this.rosterDirty = true;
 		if (this.rosterDirty) void this.saveRoster();
 	}
 
@@ -167,9 +176,13 @@
 		while (this.rosterDirty && !this.closed) {
 			this.rosterDirty = false;
 			const listed = this.all().filter((one) => !one.gone);
-			const outcome = await this.opts.saveRoster(listed.map((one) => one.target));
+			const entries = listed.map(toRosterEntry);
+			const outcome = await this.opts.saveRoster(entries);
 			if (outcome === 'committed') {
-				for (const session of listed) session.rostered = true;
+				listed.forEach((session, index) => {
+					session.rosteredTasks = entries[index]?.tasks && new Set(entries[index].tasks);
+					session.rostered = session.rosteredTasks === undefined;
+				});
 				this.opts.onOpened();
 				continue;
 			}
@@ -183,3 +196,26 @@
 		this.rosterSaving = false;
 	}
 }
+
+/**
+ * A worker's entry for the roster. One that gets no new work is closed: it names what may run there, so that a successor
+ * has to wait for nothing else. From now on nothing is started there until the entry is open again.
+ */
+function toRosterEntry(session: sessions.WorkerSession): ledger.RosterEntry {
+	if (session.withdrawn) {
+		session.rostered = false;
+		return { ...session.target, tasks: [...session.placements.keys()] };
+	}
+	// Nothing new is known of a worker that has not answered yet.
+	if (!session.settled && session.rosteredTasks !== undefined)
+		return { ...session.target, tasks: [...session.rosteredTasks] };
+	return session.target;
+}
+
+/** Whether a worker's stored entry should be closed, or opened again, or names tasks though the worker is empty now. */
+function isRosterOutdated(session: sessions.WorkerSession): boolean {
+	const { rosteredTasks } = session;
+	if (!session.settled || session.gone) return false;
+	if (session.withdrawn !== (rosteredTasks !== undefined)) return true;
+	return rosteredTasks !== undefined && rosteredTasks.size > 0 && session.placements.size === 0;
+}
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -31,8 +31,10 @@
 	fillMilliCores = 0;
 	/** Thousandths of a core reserved by lasting tasks. */
 	lastingMilliCores = 0;
-	/** The worker stands in the stored roster, so a successor would ask it. */
+	/** The worker's entry in the stored roster is open, so a successor would take any task to be there. */
 	rostered = false;
+	/** The tasks that its entry in the stored roster names; undefined: the entry is open, or there is none. */
+	rosteredTasks: ReadonlySet<string> | undefined;
 	/** No earlier owner used it, or it has answered this epoch, or is proved to run nothing. */
 	settled: boolean;
 	/** This life has ended. */
@@ -64,6 +66,7 @@
 	/** Clock time by which every lease there has run out. */
 	private leaseOverAt: number;
 	private closed = false;
+	private readonly createdAt: number;
 	/** The last question was not answered; a lease sent with the next would never be known to run out. */
 	private unanswered = false;
 
@@ -74,6 +77,7 @@
 		private readonly handlers: SessionHandlers,
 		inheritedUntil: number,
 	) {
+		this.createdAt = deps.clock.now();
 		this.leaseOverAt = inheritedUntil;
 		this.settled = inheritedUntil === -Infinity;
 	}
@@ -105,6 +109,22 @@
 		return this.deps.clock.now() - this.answeredAt < settings.silentAfterMs;
 	}
 
+	/** Whether it has been given the time to answer and does not. */
+	get silent(): boolean {
+		return !this.answering && this.deps.clock.now() - this.createdAt >= settings.silentAfterMs;
+	}
+
+	/** Whether it gets no new work for a while, or never again: what may run there is known and grows no more. */
+	get withdrawn(): boolean {
+		const isLeaving = this.entry?.draining === true || this.unlisted || this.vacated;
+		return this.settled && (isLeaving || this.silent);
+	}
+
+	/** Whether a run that an earlier owner started may be there, unknown to this one. */
+	mayHide(task: string): boolean {
+		return !this.settled && (this.rosteredTasks?.has(task) ?? true);
+	}
+
 	/** Whether it may get new work now. */
 	get open(): boolean {
 		if (this.gone || this.closed || !this.rostered || this.unlisted || this.vacated) return false;
--- a/src/core/ledger/types.ts
+++ b/src/core/ledger/types.ts
@@ -22,6 +22,8 @@
 export interface RosterEntry {
 	id: string;
 	address: string;
+	/** The only tasks that may run there, by name: the entry is closed. Absent: any task may, the entry is open. */
+	tasks?: string[];
 }
 
 /** All that is kept of one job. */
--- a/test/placer.test.ts
+++ b/test/placer.test.ts
@@ -33,7 +33,7 @@
 			spentMs += lookMs;
 			return [];
 		},
-		settled: () => true,
+		mayBeHidden: () => false,
 		policyOf: () => fixtures.queue,
 		estimates: interference.Interference.create(clock),
 		askAdviser: undefined,
