The worker of a lasting task is stored before its start, so a successor waits for that worker only

Ruled out: storing the worker of every task (about a hundred starts a second on the sites, 3,100 in the design: more writes than the store takes). A successor starts one at once unless its stored worker is silent; one that was never stored was never started. Owners of the version before do not store it: the epoch's record says since which generation all do, and jobs from before keep the former rule.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -5,6 +5,7 @@
 import * as hanging from './hanging.js';
 import * as interference from './interference.js';
 import * as jobBook from './job-book.js';
+import * as locations from './task-locations.js';
 import * as outcomes from './outcomes.js';
 import * as placer from './placer.js';
 import * as pressure from './pressure.js';
@@ -42,6 +43,7 @@
 	private readonly book: jobBook.JobBook;
 	private readonly strangers: strangers.Strangers;
 	private readonly workers: workerPool.WorkerPool;
+	private readonly locations: locations.TaskLocations;
 	private readonly placer: placer.Placer;
 	private readonly progress: saver.ProgressSaver;
 	private readonly starter: starter.Starter;
@@ -53,7 +55,7 @@
 
 	private constructor(
 		private readonly opts: DispatcherOptions,
-		roster: ledger.RosterEntry[],
+		contents: Pick<ledger.LedgerContents, 'roster' | 'workersStoredSince'>,
 	) {
 		const { clock } = opts;
 		this.estimates = interference.Interference.create(clock);
@@ -65,7 +67,12 @@
 		this.outcomes = this.createOutcomes();
 		this.strangers = this.createStrangers();
 		this.reportContext = this.createReportContext();
-		this.workers = this.createPool(roster);
+		this.workers = this.createPool(contents.roster);
+		this.locations = locations.TaskLocations.create({
+			workers: this.workers,
+			progress: this.progress,
+			workersStoredSince: contents.workersStoredSince,
+		});
 		this.ticks = clocks.every(clock, settings.tickMs, () => {
 			this.tick();
 		});
@@ -77,7 +84,7 @@
 		contents: ledger.LedgerContents,
 		knowledge?: interference.Knowledge,
 	): Dispatcher {
-		const dispatcher = new Dispatcher(opts, contents.roster);
+		const dispatcher = new Dispatcher(opts, contents);
 		if (knowledge !== undefined) dispatcher.adoptKnowledge(knowledge);
 		for (const stored of contents.jobs.values()) dispatcher.addStored(stored);
 		return dispatcher;
@@ -88,7 +95,8 @@
 		if (this.book.get(record.id) !== undefined) return;
 		// An owner that a box told of the job may have started it, unless that owner is this one.
 		const inherited = record.acceptedUnder !== this.opts.epoch;
-		this.book.add(record, undefined, { cancelled: false, inherited });
+		const workersStored = this.locations.areStored(record);
+		this.book.add(record, undefined, { cancelled: false, inherited, workersStored });
 	}
 
 	/** Takes in a stored cancellation. */
@@ -156,6 +164,7 @@
 
 	private createStarter(): starter.Starter {
 		return starter.Starter.create(this.opts, {
+			beforeStart: (place) => this.locations.store(place),
 			onStarted: (place) => {
 				this.outcomes.begun(place.task.step.job);
 			},
@@ -170,7 +179,7 @@
 			...this.opts,
 			askAdviser: this.opts.askAdviser,
 			workers: () => this.workers.all(),
-			mayBeHidden: (task) => this.workers.mayHide(task.name),
+			mayBeHidden: (task) => this.locations.mayBeHidden(task),
 			policyOf: (job) => this.policyOf(job),
 			estimates: this.estimates,
 			start: (session, place, ticket) => void this.starter.start(session, place, ticket),
@@ -275,7 +284,8 @@
 
 	private addStored(stored: ledger.StoredJob): void {
 		const { record, progress, cancelled } = stored;
-		const job = this.book.add(record, progress, { cancelled, inherited: true });
+		const workersStored = this.locations.areStored(record);
+		const job = this.book.add(record, progress, { cancelled, inherited: true, workersStored });
 		if (cancelled && !job.ended) this.outcomes.endJob(job, 'cancelled');
 	}
 
--- a/src/core/dispatch/job-book.ts
+++ b/src/core/dispatch/job-book.ts
@@ -35,11 +35,11 @@
 		return this.jobs.get(id);
 	}
 
-	/** Takes in a job; `inherited`: an earlier owner may have started tasks of it. */
+	/** Takes in a job that an earlier owner may have started (`inherited`), or none. */
 	add(
 		record: jobs.JobRecord,
 		progress: jobs.ProgressRecord | undefined,
-		opts: { cancelled: boolean; inherited: boolean },
+		opts: Omit<jobs.JobStart, 'now' | 'age'>,
 	): jobs.ActiveJob {
 		const { clock } = this.opts;
 		const now = clock.now();
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -89,6 +89,7 @@
 		this.ready.delete(task);
 		task.state = 'placed';
 		task.run = run;
+		task.worker = session.id;
 		this.places.set(task, session);
 		const place = session.place(task, run, 'running');
 		// The earlier owner may have slowed it: until told otherwise it counts as standing still.
@@ -246,6 +247,7 @@
 		this.ready.delete(task);
 		task.state = 'placed';
 		task.run = place.run;
+		task.worker = session.id;
 		this.places.set(task, session);
 		events.emit('task.placed', {
 			task: task.name,
--- a/src/core/dispatch/starter.ts
+++ b/src/core/dispatch/starter.ts
@@ -6,8 +6,10 @@
 import type * as sessions from './worker-session.js';
 import type * as types from './types.js';
 
-/** What a start came to, where it did not end up running. */
+/** What comes before a start, and what it came to. */
 export interface StarterHandlers {
+	/** Resolves once a successor could know of the start. */
+	beforeStart: (placement: types.Placement) => Promise<void>;
 	/** The run is known to be there. */
 	onStarted: (placement: types.Placement) => void;
 	/** The run is known never to start; its place is free again. */
@@ -31,6 +33,8 @@
 
 	/** Starts a placed run. The same run is repeated while there is no answer: a worker starts it once. */
 	async start(session: sessions.WorkerSession, placement: types.Placement, ticket = ''): Promise<void> {
+		await this.handlers.beforeStart(placement);
+		if (!isToStart(session, placement)) return;
 		// One lease for all tries: each grant puts off the time by which a silent worker's tasks have ended.
 		const leaseUntil = session.grantLease();
 		if (leaseUntil === undefined) {
@@ -62,7 +66,7 @@
 				return;
 			}
 			await clocks.sleep(this.deps.clock, settings.orderRetryMs);
-			if (!isPlaced(session, placement) || placement.phase !== 'starting') return;
+			if (!isToStart(session, placement)) return;
 		}
 		// It may be there, or come later: a stop that is acknowledged settles it.
 		await this.stop(session, placement);
@@ -113,6 +117,11 @@
 	}
 }
 
+/** Whether a start is still wanted, and not known to have been carried out. */
+function isToStart(session: sessions.WorkerSession, placement: types.Placement): boolean {
+	return placement.phase === 'starting' && isPlaced(session, placement);
+}
+
 function isPlaced(session: sessions.WorkerSession, placement: types.Placement): boolean {
 	return session.placements.get(placement.task.name) === placement;
 }
--- /dev/null
+++ b/src/core/dispatch/task-locations.ts
@@ -0,0 +1,56 @@
+/**
+ * Where runs of earlier owners may be that have not answered this one yet. Short tasks may be on any worker whose entry
+ * in the roster does not say otherwise; they are too many to store each start. The worker of a lasting task is stored
+ * before it is started there, so a successor waits for that worker only.
+ */
+import type * as jobs from '../jobs/index.js';
+import type * as saver from './progress-saver.js';
+import type * as types from './types.js';
+import type * as workerPool from './worker-pool.js';
+
+/** Generation of the first owner. */
+const firstGeneration = 1;
+
+/** What locations are known from. */
+export interface TaskLocationsOptions {
+	workers: workerPool.WorkerPool;
+	progress: saver.ProgressSaver;
+	/** Generation from which on every owner has stored the workers of lasting tasks. */
+	workersStoredSince: number;
+}
+
+/** Where the tasks of one owner's jobs may be. */
+export class TaskLocations {
+	private constructor(private readonly opts: TaskLocationsOptions) {}
+
+	static create(opts: TaskLocationsOptions): TaskLocations {
+		return new TaskLocations(opts);
+	}
+
+	/** Whether every owner that may have started a job stored the workers of its lasting tasks. */
+	areStored(record: jobs.JobRecord): boolean {
+		const since = this.opts.workersStoredSince;
+		return since === firstGeneration || record.acceptedUnder >= since;
+	}
+
+	/** Whether a run of an inherited task, unknown to this owner, may be on a worker that has not answered it yet. */
+	mayBeHidden(task: jobs.Task): boolean {
+		const { workers } = this.opts;
+		if (!isStored(task)) return workers.mayHide(task.name);
+		// A worker that is not on the roster any more is proved to run nothing.
+		return workers.get(task.worker)?.mayHide(task.name) ?? false;
+	}
+
+	/** To be awaited before the start of a placed task is sent. */
+	async store(place: types.Placement): Promise<void> {
+		if (!isStored(place.task)) return;
+		const { job } = place.task.step;
+		this.opts.progress.mark(job);
+		await this.opts.progress.stored([job]);
+	}
+}
+
+/** Whether a task's worker is stored before each start. */
+function isStored(task: jobs.Task): boolean {
+	return task.step.spec.lasting && task.step.job.workersStored;
+}
--- a/src/core/jobs/active-job.ts
+++ b/src/core/jobs/active-job.ts
@@ -21,6 +21,8 @@
 	failedOn: Set<string>;
 	/** Clock time from which it may be started. */
 	readyAt: number;
+	/** Worker to which it was last given; empty: none, as far as this owner and the store know. */
+	worker: string;
 }
 
 /** One step at one of the job's times. */
@@ -40,6 +42,8 @@
 	cancelled: boolean;
 	/** A predecessor may have started tasks of it. */
 	inherited: boolean;
+	/** Every owner that may have started its lasting tasks stored their workers first. */
+	workersStored: boolean;
 	/** Clock time. */
 	now: number;
 	/** Milliseconds since the job was accepted. */
@@ -63,6 +67,8 @@
 	private timesOpen = 0;
 	/** Whether a predecessor may have started tasks of it. */
 	readonly inherited: boolean;
+	/** Whether the workers of its lasting tasks are stored before each start. */
+	readonly workersStored: boolean;
 	/** Clock time by which it should be done. */
 	readonly dueAt: number;
 	/** Clock time after which being done is worth nothing more to its caller. */
@@ -75,6 +81,7 @@
 	) {
 		this.cancelled = start.cancelled;
 		this.inherited = start.inherited;
+		this.workersStored = progress === undefined ? start.workersStored : progress.workers !== undefined;
 		const { stretch, objectiveMs } = record.queue;
 		const objective = stretch * longestChainMs(record) + objectiveMs;
 		this.dueAt = start.now - start.age + objective;
@@ -148,6 +155,7 @@
 		const finished: types.ProgressRecord['finished'] = {};
 		const failures: types.ProgressRecord['failures'] = {};
 		const checkpoints: types.ProgressRecord['checkpoints'] = {};
+		const workers: Record<string, string> = {};
 		for (const step of this.steps) {
 			const done = step.tasks.filter((task) => task.state === 'finished').map((task) => task.index);
 			if (done.length > 0) finished[stepKey(step.time, step.number)] = step.unfinished === 0 ? 'all' : done;
@@ -155,9 +163,12 @@
 				const key = taskKey(step, task.index);
 				if (task.failures.size > 0) failures[key] = [...task.failures];
 				if (task.checkpoint !== '' && task.state === 'ready') checkpoints[key] = task.checkpoint;
+				if (task.worker !== '' && step.spec.lasting) workers[key] = task.worker;
 			}
 		}
-		return { state: this.state, finished, failures, checkpoints, endedAt: this.endedAt };
+		const progress = { state: this.state, finished, failures, checkpoints, endedAt: this.endedAt };
+		const hasLasting = this.record.steps.some((spec) => spec.lasting);
+		return hasLasting && this.workersStored ? { ...progress, workers } : progress;
 	}
 
 	private allFinished(): boolean {
@@ -196,6 +207,7 @@
 			failures: new Set(this.progress?.failures[key]),
 			failedOn: new Set(),
 			readyAt: 0,
+			worker: this.progress?.workers?.[key] ?? '',
 		};
 	}
 
--- a/src/core/jobs/types.ts
+++ b/src/core/jobs/types.ts
@@ -94,6 +94,11 @@
 	checkpoints: Record<string, string>;
 	/** When the job reached its end; 0 before. */
 	endedAt: WallMs;
+	/**
+	 * Worker to which each lasting task was last given, by `time.step.index`; stored before its start, so one that is
+	 * missing was never started. Absent: not kept for this job.
+	 */
+	workers?: Record<string, string>;
 }
 
 /** Whether a job in this state will never run again. */
--- a/src/core/ledger/owner-ledger.ts
+++ b/src/core/ledger/owner-ledger.ts
@@ -23,6 +23,8 @@
 	roster: types.RosterEntry[];
 	/** What earlier owners learnt, as they stored it; undefined: nothing. */
 	learnt: unknown;
+	/** Generation from which on every owner has stored the workers of lasting tasks. */
+	workersStoredSince: number;
 	/** Follow the requests from here. */
 	revision: number;
 }
@@ -63,6 +65,7 @@
 		private readonly now: () => number,
 		private readonly epochVersion: number,
 		readonly generation: number,
+		private readonly workersStoredSince: number,
 		sentAt: number,
 	) {
 		this.confirmedAt = sentAt;
@@ -86,6 +89,7 @@
 			return results.fail(`generation ${named.generation} was first`);
 		const last = epoch && records.decodeEpoch(epoch.value);
 		const generation = (last?.generation ?? 0) + 1;
+		const workersStoredSince = last?.workersStoredSince ?? generation;
 		const { box, lease, strongest } = owner;
 		const sentAt = now();
 		const res = await store.commit({
@@ -94,14 +98,18 @@
 				{ key: keys.ownerKey, version: holder?.version ?? 0 },
 			],
 			writes: [
-				{ key: keys.epochKey, value: wire.encodeValue({ generation, box, strongest }) },
+				{
+					key: keys.epochKey,
+					value: wire.encodeValue({ generation, box, strongest, workersStoredSince }),
+				},
 				{ key: keys.ownerKey, value: encodeOwner(generation, owner), lease },
 			],
 			removes: [],
 		});
 		if (!res.ok) return results.fail(res.err.reason);
 		if (res.value.type !== 'committed') return results.fail(`another box was first (${res.value.type})`);
-		return results.ok(new OwnerLedger(store, now, res.value.version, generation, sentAt));
+		const { version } = res.value;
+		return results.ok(new OwnerLedger(store, now, version, generation, workersStoredSince, sentAt));
 	}
 
 	/** Reads everything; what a predecessor still writes fails from the takeover on. */
@@ -122,6 +130,7 @@
 			roster: entries ?? [],
 			// Without it the owner learns anew; it is no reason to fail a takeover.
 			learnt: learnt.ok && learnt.value ? records.decode(learnt.value.value) : undefined,
+			workersStoredSince: this.workersStoredSince,
 			revision: list.value.revision,
 		});
 	}
--- a/src/core/ledger/types.ts
+++ b/src/core/ledger/types.ts
@@ -8,6 +8,11 @@
 	box: string;
 	/** The strongest processor (cores) among all boxes, as that box knew it; absent: stored by an older version. */
 	strongest?: number;
+	/**
+	 * Generation from which on every owner has stored the worker of a lasting task before starting it there; absent: the
+	 * newest owner is of an older version, which does not.
+	 */
+	workersStoredSince?: number;
 }
 
 /** Who owns the dispatching now. */
--- a/test/upkeep.test.ts
+++ b/test/upkeep.test.ts
@@ -135,7 +135,7 @@
 test('the adviser is asked once at a time, and its tickets run out', async (t) => {
 	const clock = time.VirtualClock.create();
 	const record = world.job('job1', [world.step()]);
-	const opts = { cancelled: false, inherited: false, now: clock.now(), age: 0 };
+	const opts = { cancelled: false, inherited: false, workersStored: true, now: clock.now(), age: 0 };
 	const job = jobs.ActiveJob.create(record, undefined, opts);
 	job.openNextTime(clock.now());
 	const asked: string[][] = [];
