A wave of an ended step is set aside

Change: the wave leaves both with the step's end and is kept beside them, no longer than the step itself, for the looks that still ask for its load; a step first seen after its end is treated alike. Stopping tasks thus keep the load that was learnt, where a new wave began from the first guess. What is inherited is a map from which entries are deleted, no longer a record copied for each new wave; the stored form is the same.

--- a/src/core/dispatch/interference.ts
+++ b/src/core/dispatch/interference.ts
@@ -102,11 +102,13 @@
 	private readonly models = new Map<string, imageModel.ImageModel>();
 	private readonly profiles = new WeakMap<sessions.WorkerSession, Profile>();
 	private readonly waves = new Map<jobs.StepRun, loadWave.LoadWave>();
+	/** Of steps that have ended, whose tasks may still be stopping: kept no longer than the step. */
+	private readonly endedWaves = new WeakMap<jobs.StepRun, loadWave.LoadWave>();
 	/** By image: its steps swing alike, each in a phase of its own. */
 	private readonly periods = new Map<string, loadWave.LoadPeriod>();
 
 	/** What an earlier owner learnt of loads whose steps have not reported to this one yet. */
-	private inherited: Knowledge['loads'] = {};
+	private readonly inherited = new Map<string, waveFit.WaveSums>();
 	/** From the steady clock to the wall clock, as it stood at the beginning: later jumps of that clock change nothing. */
 	private readonly wallOffset: number;
 
@@ -131,7 +133,7 @@
 			format: knowledgeFormat,
 			images: Object.fromEntries(images),
 			periods: Object.fromEntries(periods),
-			loads: { ...this.inherited, ...Object.fromEntries(loads) },
+			loads: Object.fromEntries([...this.inherited, ...loads]),
 		};
 	}
 
@@ -144,8 +146,9 @@
 		for (const [image, period] of Object.entries(periods))
 			this.periods.set(image, loadWave.LoadPeriod.restore(period, this.time()));
 		const since = this.time() - inheritedMs;
-		const fresh = Object.entries(loads).filter(([, sums]) => (sums.updatedAt ?? 0) >= since);
-		this.inherited = Object.fromEntries(fresh);
+		this.inherited.clear();
+		for (const [name, sums] of Object.entries(loads))
+			if ((sums.updatedAt ?? 0) >= since) this.inherited.set(name, sums);
 		return true;
 	}
 
@@ -229,11 +232,11 @@
 		if (steady || isOver) model.learn(shares, busy / load - 1);
 	}
 
-	/** A lasting step has ended. */
+	/** A lasting step has ended: nothing that is learnt of its load from now on is of use to others. */
 	forget(step: jobs.StepRun): void {
 		const wave = this.waves.get(step);
-		if (wave !== undefined) this.periods.get(step.spec.image)?.remove(wave);
 		this.waves.delete(step);
+		if (wave !== undefined) this.setAside(step, wave);
 	}
 
 	/** The serving tasks of a worker beside what is placed there. */
@@ -284,18 +287,35 @@
 	}
 
 	private wave(step: jobs.StepRun): loadWave.LoadWave {
-		const known = this.waves.get(step);
+		const known = this.waves.get(step) ?? this.endedWaves.get(step);
 		if (known !== undefined) return known;
-		const { image } = step.spec;
-		const period = this.periods.get(image) ?? loadWave.LoadPeriod.create(this.time());
-		this.periods.set(image, period);
-		const name = nameOf(step);
-		const created = period.createWave(this.inherited[name]);
-		this.inherited = without(this.inherited, name);
-		this.waves.set(step, created);
+		const created = this.period(step.spec.image).createWave(this.takeInherited(step));
+		if (step.job.ended) this.setAside(step, created);
+		else this.waves.set(step, created);
+		return created;
+	}
+
+	/** Until the tasks of an ended step have stopped, looks at their worker still ask for its load. */
+	private setAside(step: jobs.StepRun, wave: loadWave.LoadWave): void {
+		this.period(step.spec.image).remove(wave);
+		this.endedWaves.set(step, wave);
+	}
+
+	private period(image: string): loadWave.LoadPeriod {
+		const known = this.periods.get(image);
+		if (known !== undefined) return known;
+		const created = loadWave.LoadPeriod.create(this.time());
+		this.periods.set(image, created);
 		return created;
 	}
 
+	private takeInherited(step: jobs.StepRun): waveFit.WaveSums | undefined {
+		const name = nameOf(step);
+		const sums = this.inherited.get(name);
+		this.inherited.delete(name);
+		return sums;
+	}
+
 	private model(image: string): imageModel.ImageModel {
 		const known = this.models.get(image);
 		if (known !== undefined) return known;
@@ -310,11 +330,6 @@
 	return `${step.job.id}.${String(step.time)}.${String(step.number)}`;
 }
 
-/** The entries of a record but for one. */
-function without<T>(entries: Record<string, T>, name: string): Record<string, T> {
-	return Object.fromEntries(Object.entries(entries).filter(([key]) => key !== name));
-}
-
 /** Part of the newest reading during which a neighbour was at work. */
 function partOfReading(place: types.Placement, now: number): number {
 	if (place.confirmedAt === 0) return 0;
--- a/test/loads.test.ts
+++ b/test/loads.test.ts
@@ -7,6 +7,7 @@
 import * as random from '../dev/random.js';
 import * as time from '../stand-ins/fleet/virtual-clock.js';
 import * as wire from '../src/core/wire/frame.js';
+import * as world from './fixtures/dispatching.js';
 
 const periodMs = 14_000;
 const tasks = 6;
@@ -103,3 +104,25 @@
 	t.false(other.adopt({ ...empty, format: empty.format + 1, periods: { web: 7 } }));
 	t.deepEqual(other.knowledge().periods, {});
 });
+
+test('what was learnt of a load is forgotten with its step, also when its tasks report once more', async (t) => {
+	const reading = 40;
+	const { clock, fleet, takeOver, submit } = world.createWorld(() => ({
+		ms: 'endless',
+		how: 'done',
+		reading,
+	}));
+	fleet.add('w1');
+	const owner = await takeOver();
+	const serving = world.step({ count: 3, lasting: true, image: 'web', targetMs: 100 });
+	await submit(owner, world.job('job1', [serving]));
+	await submit(owner, world.job('job2', [serving]));
+	await clock.pass(5_000);
+	t.deepEqual(Object.keys(owner.dispatcher.knowledge().loads), ['job1.0.0', 'job2.0.0']);
+	owner.dispatcher.cancelJob('job1');
+	// The first task that has stopped brings a report that still lists the others.
+	await clock.pass(1_000);
+	t.false(fleet.workers.get('w1')?.running.has('job1.0.0.0'));
+	t.deepEqual(Object.keys(owner.dispatcher.knowledge().loads), ['job2.0.0']);
+	owner.dispatcher.close();
+});
