A shard's owner: taking over, turns, the horizon and held answers are modules of their own

Change: what an owner is made with (owner-deps), reading and taking the log (taking), when it decides (turns), the age of the newest entry with what follows from it for leases and beats (horizon), answers held for callers who ask again (claim-answers). Behaviour unchanged.

--- a/src/core/scheduler/index.ts
+++ b/src/core/scheduler/index.ts
@@ -1,5 +1,6 @@
 /** The scheduler: owners of shards, and the process around them. */
 export * from './owner.js';
+export type * from './owner-deps.js';
 export { Scheduler } from './process.js';
 export type { JobStatus, ShardStatus, TaskExplanation, WorkerStatus } from './report.js';
 export type { ClaimAnswer, ClaimReply, SubmitReply } from './requests.js';
--- a/src/core/scheduler/owner.ts
+++ b/src/core/scheduler/owner.ts
@@ -8,63 +8,30 @@
 import * as results from '../result.js';
 import * as shards from '../shard/index.js';
 import * as boxes from './boxes.js';
+import * as claimAnswers from './claim-answers.js';
 import * as commands from './commands.js';
 import * as contacts from './contacts.js';
 import * as effects from './effects.js';
+import * as horizons from './horizon.js';
 import * as placing from './placing.js';
 import * as report from './report.js';
 import * as retention from './retention.js';
 import * as reports from './reports.js';
 import * as requests from './requests.js';
 import * as silence from './silence.js';
+import * as taking from './taking.js';
 import * as tasks from '../task/index.js';
+import * as turns from './turns.js';
 import * as waiting from './request-queue.js';
-import type * as events from '../events/index.js';
+import type * as owners from './owner-deps.js';
 import type * as placement from '../placement/index.js';
 import type * as types from './types.js';
-import type * as platform from '../platform/index.js';
-import type * as workers from '../worker/index.js';
-
-/** What an owner needs. */
-export interface OwnerDeps {
-	shard: string;
-	/** Box and boot of this process. */
-	owner: string;
-	store: platform.Store;
-	clock: clocks.Clock;
-	events: events.EventLog;
-	exchange: workers.Exchange;
-	opts: types.OwnerOptions;
-	/** Rates workers for placement. */
-	score: placement.Score;
-	nextShard: (part: shards.JobRecord['part']) => string | undefined;
-	holderGone: (holder: string) => boolean;
-	/** Called once when the shard turns out to be someone else's. */
-	onLost: () => void;
-	metrics: OwnerMetrics;
-}
-
-/** Counters of all owners of a process. */
-export interface OwnerMetrics {
-	appends: number;
-	decisions: number;
-	bytes: number;
-	exchanges: number;
-	starts: number;
-	recordCommitMs: (ms: number) => void;
-}
 
 interface Batch {
 	changes: shards.Change[];
 	replies: { waiter: waiting.Waiter; reply: results.Result<unknown, errors.Failure> }[];
 }
 
-/** How often silence and placement are looked at without being asked, in milliseconds. */
-const tickMs = 200;
-
-/** Answers of claimed requests held in memory, at most. */
-const maxAnswers = 1_000;
-
 /** How often retention is looked at, in milliseconds. */
 const retentionMs = 60_000;
 
@@ -80,23 +47,30 @@
 	private readonly contacts: contacts.WorkerContacts;
 	private readonly queue: waiting.RequestQueue;
 	private readonly uncommitted = new Set<string>();
-	private readonly answers = new Map<string, requests.ClaimAnswer>();
+	private readonly answers = claimAnswers.ClaimAnswers.create();
 	private readonly placing: placing.Placing;
+	private readonly horizon: horizons.Horizon;
+	private readonly turns: turns.Turns;
 	private listRead = false;
-	private pastHorizon = false;
 	private lastRetention = -Infinity;
 	private stage = ownerChart.initial;
-	private beatNow = false;
-	private dirty = false;
-	private wake: () => void = () => undefined;
 	private readonly loop: Promise<void>;
 
 	private constructor(
-		private readonly deps: OwnerDeps,
+		private readonly deps: owners.OwnerDeps,
 		private readonly log: shards.ShardLog,
 		private readonly takeover: silence.Takeover,
 	) {
-		this.queue = waiting.RequestQueue.create(deps.shard, deps.clock, deps.opts.requestWaitMs);
+		const { shard, clock, events, opts } = deps;
+		this.queue = waiting.RequestQueue.create(shard, clock, opts.requestWaitMs);
+		this.turns = turns.Turns.create(clock, opts.appendGapMs);
+		this.horizon = horizons.Horizon.create({
+			shard,
+			clock,
+			events,
+			horizonMs: opts.horizonMs,
+			lastCommitSentAt: () => log.lastCommitSentAt,
+		});
 		this.placing = placing.Placing.create({
 			score: deps.score,
 			incarnationOf: (worker) => this.contacts.views.get(worker)?.incarnation,
@@ -110,37 +84,20 @@
 			orders: (view, until) => this.orders(view, until),
 			mayHoldPlace: (worker) => this.mayHoldPlace(worker),
 			onNews: () => {
-				this.signal();
+				this.turns.signal();
 			},
 			onNewerEpoch: () => {
-				this.beatNow = true;
-				this.signal();
+				this.horizon.wantBeat();
+				this.turns.signal();
 			},
 		});
 		this.loop = this.run();
 	}
 
 	/** Reads the shard's log and takes it over under the next epoch. */
-	static async take(deps: OwnerDeps): Promise<results.Result<ShardOwner, string>> {
-		const { shard, owner, store, clock } = deps;
-		const onWrite = (bytes: number): void => {
-			deps.metrics.bytes += bytes;
-		};
-		const log = await shards.ShardLog.read({ shard, owner, store, clock, events: deps.events, onWrite });
-		if (!log.ok) return results.fail(log.err.reason);
-		const { state } = log.value;
-		const released = state.released;
-		const epoch = state.epoch + 1;
-		const taken: shards.Change = { type: 'shard.taken', owner, epoch };
-		if (log.value.full) {
-			const kept = await log.value.snapshot();
-			if (kept !== 'committed') return results.fail(`snapshot ${kept}`);
-		}
-		const outcome = await log.value.append(epoch, [taken]);
-		if (outcome !== 'committed') return results.fail(outcome);
-		shards.applyChange(state, taken, clock.wall());
-		effects.logChange(deps.events, shard, taken, state);
-		return results.ok(new ShardOwner(deps, log.value, { at: clock.now(), released }));
+	static async take(deps: owners.OwnerDeps): Promise<results.Result<ShardOwner, string>> {
+		const taken = await taking.takeShard(deps);
+		return taken.ok ? results.ok(new ShardOwner(deps, taken.value.log, taken.value.takeover)) : taken;
 	}
 
 	get epoch(): number {
@@ -151,15 +108,15 @@
 	setWorkers(listed: types.ListedWorker[]): void {
 		this.listRead = true;
 		this.contacts.setWorkers(listed);
-		this.signal();
+		this.turns.signal();
 	}
 
 	/** Answers a request; waits for its entry where it needs one. */
 	request(req: requests.ShardReq): Promise<results.Result<unknown, errors.Failure>> {
 		if (this.stage !== 'owning') return Promise.resolve(results.fail(this.notOwner()));
-		this.holdAnswer(req);
+		this.answers.hold(req);
 		const answered = this.queue.add(req);
-		this.signal();
+		this.turns.signal();
 		return answered;
 	}
 
@@ -193,7 +150,7 @@
 	/** Planned stop: gives no more orders, says so in the log, and resolves. */
 	async release(): Promise<void> {
 		if (!this.step('release')) return;
-		this.signal();
+		this.turns.signal();
 		// An append may be under way while the platform is out; the stop does not wait for it for ever.
 		this.deps.clock.after(this.deps.opts.requestWaitMs, () => {
 			this.log.abandon();
@@ -207,12 +164,6 @@
 		this.step('released');
 	}
 
-	/** Something is to be decided: now if the loop waits, else as soon as the append in flight is settled. */
-	private signal(): void {
-		this.dirty = true;
-		this.wake();
-	}
-
 	/** Takes a step of the chart; false if the stage does not allow it. */
 	private step(event: OwnerEvent): boolean {
 		const next = ownerChart.next(this.stage, event);
@@ -236,7 +187,7 @@
 			view,
 			this.placing.wishes,
 			this.uncommitted,
-			this.mayRenew(),
+			this.horizon.mayRenew(),
 			until,
 		);
 	}
@@ -246,48 +197,22 @@
 		return all.some((task) => task.worker === worker || task.held.some((place) => place.worker === worker));
 	}
 
-	/** Leases are renewed only within the horizon of the last committed entry, counted from its send. */
-	private mayRenew(): boolean {
-		const age = this.deps.clock.now() - this.log.lastCommitSentAt;
-		const may = age <= this.deps.opts.horizonMs;
-		if (!may && !this.pastHorizon)
-			this.deps.events.emit('shard.horizon', { shard: this.deps.shard, ageMs: Math.round(age) });
-		this.pastHorizon = !may;
-		return may;
-	}
-
 	private async run(): Promise<void> {
-		let lastAppendAt = -Infinity;
 		while (this.stage === 'owning') {
-			await this.nextTurn(lastAppendAt);
+			await this.turns.next();
 			if (this.stageNow() !== 'owning') break;
 			const batch = this.decide();
 			if (batch.changes.length === 0) {
 				this.answerAll(batch);
 				continue;
 			}
-			lastAppendAt = this.deps.clock.now();
+			this.turns.noteAppend();
 			if (!(await this.commit(batch))) break;
 			await this.keepSnapshots();
 		}
 		this.queue.refuseAll(this.notOwner());
 	}
 
-	/** Waits for something to do, and then for the shard's turn at the platform's write rate. */
-	private async nextTurn(lastAppendAt: number): Promise<void> {
-		await new Promise<void>((resolve) => {
-			const timer = this.deps.clock.after(tickMs, resolve);
-			this.wake = () => {
-				timer.cancel();
-				resolve();
-			};
-			if (this.dirty) this.wake();
-		});
-		this.dirty = false;
-		const wait = lastAppendAt + this.deps.opts.appendGapMs - this.deps.clock.now();
-		if (wait > 0) await clocks.sleep(this.deps.clock, wait);
-	}
-
 	private async commit(batch: Batch): Promise<boolean> {
 		const { clock, metrics } = this.deps;
 		const startedAt = clock.now();
@@ -313,7 +238,7 @@
 		if (!this.log.snapshotDue) return;
 		let outcome = await this.log.snapshot();
 		while (this.log.full && outcome !== 'superseded' && this.stageNow() === 'owning') {
-			await clocks.sleep(this.deps.clock, tickMs);
+			await clocks.sleep(this.deps.clock, turns.tickMs);
 			outcome = await this.log.snapshot();
 		}
 		if (outcome === 'superseded') this.loseShard();
@@ -334,7 +259,7 @@
 				views: this.contacts.views,
 				listRead: this.listRead,
 				nextShard: this.deps.nextShard,
-				answers: this.answers,
+				answers: this.answers.byKey,
 				holderGone: this.deps.holderGone,
 			});
 			this.adopt(batch, decision.changes);
@@ -350,8 +275,8 @@
 		this.adopt(batch, reports.quarantineChanges(state, this.contacts.views, this.deps.opts.quarantineJobs));
 		this.adopt(batch, this.place());
 		this.adopt(batch, this.retention());
-		if (batch.changes.length === 0 && this.beatDue()) this.adopt(batch, [{ type: 'beat' }]);
-		this.beatNow = false;
+		if (batch.changes.length === 0 && this.horizon.isBeatDue()) this.adopt(batch, [{ type: 'beat' }]);
+		this.horizon.decided();
 		return batch;
 	}
 
@@ -416,11 +341,6 @@
 		return expired ? [...changes, { type: 'claims.expired', before }] : changes;
 	}
 
-	private beatDue(): boolean {
-		const age = this.deps.clock.now() - this.log.lastCommitSentAt;
-		return this.beatNow || age > this.deps.opts.horizonMs / 3;
-	}
-
 	private kickFor(changes: shards.Change[]): void {
 		const kicked = new Set<string>();
 		for (const change of changes) {
@@ -440,13 +360,6 @@
 	private answerAll(batch: Batch): void {
 		for (const { waiter, reply } of batch.replies) this.queue.settle(waiter, reply);
 	}
-
-	private holdAnswer(req: requests.ShardReq): void {
-		if (req.type !== 'claim.end' || req.answer === undefined) return;
-		this.answers.set(req.key, req.answer);
-		const oldest = this.answers.keys().next().value;
-		if (this.answers.size > maxAnswers && oldest !== undefined) this.answers.delete(oldest);
-	}
 }
 
 /** Tasks that hold a place, by worker. */
--- a/src/core/scheduler/process.ts
+++ b/src/core/scheduler/process.ts
@@ -11,6 +11,7 @@
 import * as settings from './settings.js';
 import * as shards from '../shard/index.js';
 import * as workers from '../worker/index.js';
+import type * as ownerDeps from './owner-deps.js';
 import type * as types from './types.js';
 import type * as wire from '../wire/index.js';
 
@@ -23,7 +24,7 @@
 	private readonly owned = new Map<string, owners.ShardOwner>();
 	private readonly taking = new Set<string>();
 	private readonly client = workers.WorkerClient.create();
-	private readonly counters: owners.OwnerMetrics;
+	private readonly counters: ownerDeps.OwnerMetrics;
 	private listed: types.ListedWorker[] | undefined;
 	private electing: clocks.Timer | undefined;
 	private list: platform.Follower | undefined;
@@ -99,7 +100,7 @@
 		this.giveWorkers(shard, taken.value);
 	}
 
-	private ownerDeps(shard: string): owners.OwnerDeps {
+	private ownerDeps(shard: string): ownerDeps.OwnerDeps {
 		return {
 			shard,
 			owner: this.node.boot,
