A shard's owner: deciding is a module of its own, and so are the batch, the marks of what is not stored, and forgetting

Cause: what is decided and how it is stored stood in one class. Change: decider makes the changes of one entry; batch holds them with the replies that wait for it; uncommitted has the jobs and tasks that workers are told nothing of yet; forgetting says when retention is looked at. Functions of the state and the views alone went where their like are (boxes, commands, report, reports, retention; ids of a job's tasks to the shard's state). owner.ts keeps the stages, the loop and storing. Behaviour unchanged.

--- a/src/core/scheduler/boxes.ts
+++ b/src/core/scheduler/boxes.ts
@@ -30,6 +30,12 @@
 	return [...boxes.values()];
 }
 
+/** Whether a task may hold a place on a worker. */
+export function mayHoldPlace(state: shards.ShardState, worker: string): boolean {
+	const all = [...state.tasks.values()];
+	return all.some((task) => task.worker === worker || task.held.some((place) => place.worker === worker));
+}
+
 /** Attempts that run on a worker although the log places nothing there: they fill it until they have stopped. */
 function addStrays(
 	state: shards.ShardState,
--- a/src/core/scheduler/commands.ts
+++ b/src/core/scheduler/commands.ts
@@ -1,6 +1,6 @@
 /** What to tell a worker, from the committed state and its newest report. Pure. */
+import * as shards from '../shard/index.js';
 import * as types from './types.js';
-import type * as shards from '../shard/index.js';
 import type * as workers from '../worker/index.js';
 
 /** What the owner wants of running tasks beyond the log; forgotten when the owner changes. */
@@ -42,6 +42,21 @@
 	return orders;
 }
 
+/** Workers that have something to do because of changes that were committed. */
+export function workersToTell(state: shards.ShardState, changes: readonly shards.Change[]): Set<string> {
+	const told = new Set<string>();
+	for (const change of changes) {
+		if (change.type === 'task.placed') told.add(change.worker);
+		if (change.type === 'job.cancelled') for (const worker of workersOf(state, change.job)) told.add(worker);
+	}
+	return told;
+}
+
+/** Workers on which a job's tasks are placed. */
+function workersOf(state: shards.ShardState, job: string): string[] {
+	return shards.taskIdsOf(state, job).flatMap((id) => state.tasks.get(id)?.worker ?? []);
+}
+
 function placedOrders(
 	orders: Orders,
 	state: shards.ShardState,
--- a/src/core/scheduler/owner.ts
+++ b/src/core/scheduler/owner.ts
@@ -6,35 +6,27 @@
 import * as clocks from '../clock.js';
 import * as errors from '../errors/index.js';
 import * as results from '../result.js';
-import * as shards from '../shard/index.js';
 import * as boxes from './boxes.js';
 import * as claimAnswers from './claim-answers.js';
 import * as commands from './commands.js';
 import * as contacts from './contacts.js';
+import * as deciders from './decider.js';
 import * as effects from './effects.js';
 import * as horizons from './horizon.js';
 import * as placing from './placing.js';
 import * as report from './report.js';
-import * as retention from './retention.js';
-import * as reports from './reports.js';
-import * as requests from './requests.js';
-import * as silence from './silence.js';
 import * as taking from './taking.js';
 import * as tasks from '../task/index.js';
 import * as turns from './turns.js';
+import * as uncommitted from './uncommitted.js';
 import * as waiting from './request-queue.js';
+import type * as batches from './batch.js';
 import type * as owners from './owner-deps.js';
-import type * as placement from '../placement/index.js';
+import type * as requests from './requests.js';
+import type * as shards from '../shard/index.js';
+import type * as silence from './silence.js';
 import type * as types from './types.js';
 
-interface Batch {
-	changes: shards.Change[];
-	replies: { waiter: waiting.Waiter; reply: results.Result<unknown, errors.Failure> }[];
-}
-
-/** How often retention is looked at, in milliseconds. */
-const retentionMs = 60_000;
-
 type OwnerStage = 'owning' | 'releasing' | 'lost';
 
 type OwnerEvent = 'release' | 'released' | 'supersede';
@@ -46,20 +38,19 @@
 export class ShardOwner {
 	private readonly contacts: contacts.WorkerContacts;
 	private readonly queue: waiting.RequestQueue;
-	private readonly uncommitted = new Set<string>();
+	private readonly uncommitted = uncommitted.Uncommitted.create();
 	private readonly answers = claimAnswers.ClaimAnswers.create();
 	private readonly placing: placing.Placing;
 	private readonly horizon: horizons.Horizon;
 	private readonly turns: turns.Turns;
-	private listRead = false;
-	private lastRetention = -Infinity;
+	private readonly decider: deciders.Decider;
 	private stage = ownerChart.initial;
 	private readonly loop: Promise<void>;
 
 	private constructor(
 		private readonly deps: owners.OwnerDeps,
 		private readonly log: shards.ShardLog,
-		private readonly takeover: silence.Takeover,
+		takeover: silence.Takeover,
 	) {
 		const { shard, clock, events, opts } = deps;
 		this.queue = waiting.RequestQueue.create(shard, clock, opts.requestWaitMs);
@@ -82,7 +73,7 @@
 			...deps,
 			epoch: () => this.epoch,
 			orders: (view, until) => this.orders(view, until),
-			mayHoldPlace: (worker) => this.mayHoldPlace(worker),
+			mayHoldPlace: (worker) => boxes.mayHoldPlace(log.state, worker),
 			onNews: () => {
 				this.turns.signal();
 			},
@@ -91,6 +82,16 @@
 				this.turns.signal();
 			},
 		});
+		this.decider = deciders.Decider.create({
+			owner: deps,
+			state: log.state,
+			takeover,
+			views: this.contacts.views,
+			answers: this.answers,
+			horizon: this.horizon,
+			placing: this.placing,
+			uncommitted: this.uncommitted,
+		});
 		this.loop = this.run();
 	}
 
@@ -106,7 +107,7 @@
 
 	/** The platform's newest list of this shard's workers. */
 	setWorkers(listed: types.ListedWorker[]): void {
-		this.listRead = true;
+		this.decider.listRead = true;
 		this.contacts.setWorkers(listed);
 		this.turns.signal();
 	}
@@ -121,21 +122,16 @@
 	}
 
 	status(): report.ShardStatus {
+		const { shard, owner, clock } = this.deps;
 		const { state } = this.log;
+		const { views } = this.contacts;
 		return {
-			shard: this.deps.shard,
-			owner: this.deps.owner,
+			shard,
+			owner,
 			epoch: state.epoch,
 			entries: state.n,
-			jobs: report.jobStatuses(state, this.contacts.views, this.uncommitted),
-			workers: this.boxes().map((box) => ({
-				id: box.id,
-				state: box.closed ?? 'live',
-				tasks: box.residents.length,
-				silentMs: Math.round(
-					this.deps.clock.now() - (this.contacts.views.get(box.id)?.answeredAt ?? -Infinity),
-				),
-			})),
+			jobs: report.jobStatuses(state, views, this.uncommitted.names),
+			workers: report.workerStatuses(this.decider.boxes(), views, clock.now()),
 		};
 	}
 
@@ -144,7 +140,7 @@
 		const record = state.tasks.get(task);
 		if (record === undefined) return undefined;
 		const { waitsFor } = this.placing;
-		return report.explainTask(this.deps.shard, record, this.contacts.views, waitsFor, this.uncommitted);
+		return report.explainTask(this.deps.shard, record, this.contacts.views, waitsFor, this.uncommitted.names);
 	}
 
 	/** Planned stop: gives no more orders, says so in the log, and resolves. */
@@ -186,22 +182,17 @@
 			this.log.state,
 			view,
 			this.placing.wishes,
-			this.uncommitted,
+			this.uncommitted.names,
 			this.horizon.mayRenew(),
 			until,
 		);
 	}
 
-	private mayHoldPlace(worker: string): boolean {
-		const all = [...this.log.state.tasks.values()];
-		return all.some((task) => task.worker === worker || task.held.some((place) => place.worker === worker));
-	}
-
 	private async run(): Promise<void> {
 		while (this.stage === 'owning') {
 			await this.turns.next();
 			if (this.stageNow() !== 'owning') break;
-			const batch = this.decide();
+			const batch = this.decider.decide(this.queue.take());
 			if (batch.changes.length === 0) {
 				this.answerAll(batch);
 				continue;
@@ -213,7 +204,7 @@
 		this.queue.refuseAll(this.notOwner());
 	}
 
-	private async commit(batch: Batch): Promise<boolean> {
+	private async commit(batch: batches.Batch): Promise<boolean> {
 		const { clock, metrics } = this.deps;
 		const startedAt = clock.now();
 		const outcome = await this.log.append(this.epoch, batch.changes);
@@ -230,7 +221,7 @@
 			effects.logChange(this.deps.events, this.deps.shard, change, this.log.state);
 		effects.logEnded(this.deps.events, this.deps.shard, batch.changes, this.log.state);
 		this.answerAll(batch);
-		this.kickFor(batch.changes);
+		for (const worker of commands.workersToTell(this.log.state, batch.changes)) this.contacts.kick(worker);
 		return true;
 	}
 
@@ -251,128 +242,7 @@
 		this.deps.onLost();
 	}
 
-	private decide(): Batch {
-		const batch: Batch = { changes: [], replies: [] };
-		const { state } = this.log;
-		for (const waiter of this.queue.take()) {
-			const decision = requests.decideRequest(state, waiter.req, {
-				views: this.contacts.views,
-				listRead: this.listRead,
-				nextShard: this.deps.nextShard,
-				answers: this.answers.byKey,
-				holderGone: this.deps.holderGone,
-			});
-			this.adopt(batch, decision.changes);
-			batch.replies.push({ waiter, reply: decision.reply });
-		}
-		const byWorker = tasksByWorker(state);
-		for (const view of this.contacts.views.values()) {
-			if (!view.fresh) continue;
-			view.fresh = false;
-			this.adopt(batch, reports.reportChanges(state, view, byWorker.get(view.listed.id) ?? []));
-		}
-		this.adopt(batch, this.silenceChanges());
-		this.adopt(batch, reports.quarantineChanges(state, this.contacts.views, this.deps.opts.quarantineJobs));
-		this.adopt(batch, this.place());
-		this.adopt(batch, this.retention());
-		if (batch.changes.length === 0 && this.horizon.isBeatDue()) this.adopt(batch, [{ type: 'beat' }]);
-		this.horizon.decided();
-		return batch;
-	}
-
-	/** Applies changes at once, so that the next decision of the batch sees them; orders wait for the commit. */
-	private adopt(batch: Batch, changes: shards.Change[]): void {
-		const at = this.deps.clock.wall();
-		for (const change of changes) {
-			shards.applyChange(this.log.state, change, at);
-			batch.changes.push(change);
-			if ('task' in change) this.uncommitted.add(change.task);
-			if ('task' in change) this.placing.settled(change.task);
-			if (change.type === 'job.submitted') this.uncommitted.add(change.part.id);
-			if (change.type === 'job.cancelled') this.markJob(change.job);
-		}
-	}
-
-	private markJob(id: string): void {
-		this.uncommitted.add(id);
-		const part = this.log.state.jobs.get(id)?.part;
-		if (part === undefined) return;
-		for (const task of shards.taskIds(part)) this.uncommitted.add(task);
-	}
-
-	private silenceChanges(): shards.Change[] {
-		const now = this.deps.clock.now();
-		const { state } = this.log;
-		return [...this.contacts.views.values()].flatMap((view) => {
-			this.noteSilence(view, now);
-			return silence.silenceChanges(state, view, this.takeover, this.deps.opts, now);
-		});
-	}
-
-	private noteSilence(view: types.WorkerView, now: number): void {
-		if (view.unreachable || !silence.isUnreachable(view, this.takeover, this.deps.opts, now)) return;
-		view.unreachable = true;
-		this.deps.events.emit('worker.unreachable', { shard: this.deps.shard, worker: view.listed.id });
-	}
-
-	private boxes(): placement.Box[] {
-		return boxes.boxesOf(this.log.state, this.contacts.views, {
-			takeover: this.takeover,
-			waits: this.deps.opts,
-			now: this.deps.clock.now(),
-		});
-	}
-
-	private place(): shards.Change[] {
-		return this.placing.round(this.log.state, this.boxes());
-	}
-
-	/** Drops what has been kept long enough, ended jobs also when the snapshot grows large, the oldest first. */
-	private retention(): shards.Change[] {
-		const { state } = this.log;
-		const now = this.deps.clock.now();
-		const tight = shards.stateBytes(state) > shards.tightStateBytes;
-		if (!tight && now - this.lastRetention < retentionMs) return [];
-		this.lastRetention = now;
-		const wall = this.deps.clock.wall();
-		const changes = retention.droppedJobs(state, tight ? wall : wall - this.deps.opts.keepEndedMs);
-		const before = wall - this.deps.opts.keepClaimsMs;
-		const expired = [...state.claims.values()].some((claim) => claim.at < before);
-		return expired ? [...changes, { type: 'claims.expired', before }] : changes;
-	}
-
-	private kickFor(changes: shards.Change[]): void {
-		const kicked = new Set<string>();
-		for (const change of changes) {
-			if (change.type === 'task.placed') kicked.add(change.worker);
-			if (change.type === 'job.cancelled')
-				for (const worker of this.workersOf(change.job)) kicked.add(worker);
-		}
-		for (const worker of kicked) this.contacts.kick(worker);
-	}
-
-	private workersOf(job: string): string[] {
-		const part = this.log.state.jobs.get(job)?.part;
-		const ids = part === undefined ? [] : shards.taskIds(part);
-		return ids.flatMap((id) => this.log.state.tasks.get(id)?.worker ?? []);
-	}
-
-	private answerAll(batch: Batch): void {
+	private answerAll(batch: batches.Batch): void {
 		for (const { waiter, reply } of batch.replies) this.queue.settle(waiter, reply);
 	}
 }
-
-/** Tasks that hold a place, by worker. */
-function tasksByWorker(state: shards.ShardState): Map<string, shards.TaskRecord[]> {
-	const byWorker = new Map<string, shards.TaskRecord[]>();
-	for (const task of state.tasks.values()) {
-		const workers = [task.worker, ...task.held.map((place) => place.worker)];
-		for (const worker of new Set(workers)) {
-			if (worker === undefined) continue;
-			const here = byWorker.get(worker) ?? [];
-			here.push(task);
-			byWorker.set(worker, here);
-		}
-	}
-	return byWorker;
-}
--- a/src/core/scheduler/report.ts
+++ b/src/core/scheduler/report.ts
@@ -1,6 +1,7 @@
 /** What operators are told of a shard: status and explanation. */
 import * as shards from '../shard/index.js';
-import * as types from './types.js';
+import type * as placement from '../placement/index.js';
+import type * as types from './types.js';
 
 /** One job part in `status`. */
 export interface JobStatus {
@@ -84,6 +85,20 @@
 	return statuses;
 }
 
+/** The workers of a shard; `now`: on the owner's monotonic clock. */
+export function workerStatuses(
+	boxes: placement.Box[],
+	views: ReadonlyMap<string, types.WorkerView>,
+	now: number,
+): WorkerStatus[] {
+	return boxes.map((box) => ({
+		id: box.id,
+		state: box.closed ?? 'live',
+		tasks: box.residents.length,
+		silentMs: Math.round(now - (views.get(box.id)?.answeredAt ?? -Infinity)),
+	}));
+}
+
 /** Explains one task. */
 export function explainTask(
 	shard: string,
--- a/src/core/scheduler/reports.ts
+++ b/src/core/scheduler/reports.ts
@@ -124,3 +124,18 @@
 	}
 	return changes;
 }
+
+/** Tasks that hold a place, by worker. */
+export function tasksByWorker(state: shards.ShardState): Map<string, shards.TaskRecord[]> {
+	const byWorker = new Map<string, shards.TaskRecord[]>();
+	for (const task of state.tasks.values()) {
+		const workers = [task.worker, ...task.held.map((place) => place.worker)];
+		for (const worker of new Set(workers)) {
+			if (worker === undefined) continue;
+			const here = byWorker.get(worker) ?? [];
+			here.push(task);
+			byWorker.set(worker, here);
+		}
+	}
+	return byWorker;
+}
--- a/src/core/scheduler/retention.ts
+++ b/src/core/scheduler/retention.ts
@@ -1,4 +1,4 @@
-/** Which ended jobs a shard forgets. Pure. */
+/** Which ended jobs and old claims a shard forgets. Pure. */
 import * as shards from '../shard/index.js';
 
 /**
@@ -15,3 +15,9 @@
 	ended.sort((a, b) => a.endedAt - b.endedAt);
 	return ended.map(({ id }) => ({ type: 'job.dropped', job: id }));
 }
+
+/** Lets go of the claims from before `before` (wall milliseconds), if there are any. */
+export function expiredClaims(state: shards.ShardState, before: number): shards.Change[] {
+	const expired = [...state.claims.values()].some((claim) => claim.at < before);
+	return expired ? [{ type: 'claims.expired', before }] : [];
+}
--- a/src/core/shard/state.ts
+++ b/src/core/shard/state.ts
@@ -86,6 +86,12 @@
 	return Array.from({ length: part.tasks }, (_, index) => `${part.id}/${index}`);
 }
 
+/** Ids of the tasks of the job of that name; none if it is not known. */
+export function taskIdsOf(state: types.ShardState, job: string): string[] {
+	const part = state.jobs.get(job)?.part;
+	return part === undefined ? [] : taskIds(part);
+}
+
 /** How a job stands, from its tasks. */
 export function jobState(state: types.ShardState, job: types.JobRecord): types.JobState {
 	const all = taskIds(job.part).map((id) => state.tasks.get(id)?.state);
