Tests on real processes start and settle their clusters in one way

Cause: starting a cluster, waiting until it has settled, putting proxies on some of its ways, waiting for a job's state and for an entry box's first answer stood in the tests in the same words: 13 starts, two more with proxies, 13 waits for a state. Change: test/fixtures/clusters.ts starts them, with proxies or without; operate.reached waits for a job's state, callers.ready for an entry box; an outage's callers are one function.

--- a/test/operators.test.ts
+++ b/test/operators.test.ts
@@ -5,6 +5,7 @@
 import * as path from 'node:path';
 import test from 'ava';
 import * as clusters from '../dev/cluster.js';
+import * as fixtures from './fixtures/clusters.js';
 import * as operate from '../dev/operate.js';
 import * as processes from '../dev/processes.js';
 import * as wire from '../src/core/wire/index.js';
@@ -23,10 +24,7 @@
 test.serial(
 	'ten operators race with answers lost: accepted changes never revert, each submit makes one job',
 	async (t) => {
-		const cluster = await clusters.Cluster.create({ ...shape, schedulersPerZone: 2 });
-		t.teardown(() => cluster.close());
-		const client = operate.operatorOf(cluster);
-		await operate.settled(client);
+		const { cluster, client } = await fixtures.startSettled(t, { ...shape, schedulersPerZone: 2 });
 		await cluster.platformFault({ dropAnswerEvery: 3 });
 		const raced = Array.from({ length: operators }, async (_, index) => {
 			const set = await client.call(
@@ -62,19 +60,13 @@
 			4000,
 		);
 		t.is(done.filter((one) => one.job.ok && one.job.value.parts[0]?.created === true).length <= 1, true);
-		await operate.until(
-			'the one job finished',
-			async () => (await operate.jobState(client, 'press/same')) === 'finished',
-		);
+		await operate.reached(client, 'press/same', 'finished');
 		client.close();
 	},
 );
 
 test.serial('1,000 tasks are cancelled at once: all stop, other work goes on', async (t) => {
-	const cluster = await clusters.Cluster.create(shape);
-	t.teardown(() => cluster.close());
-	const client = operate.operatorOf(cluster);
-	await operate.settled(client);
+	const { cluster, client } = await fixtures.startSettled(t, shape);
 	const small = { needs: { cores: 0.1, memoryMb: 64 } };
 	await operate.submit(client, operate.batch('wave', 1000, 600_000, small));
 	const started = (): number =>
@@ -83,14 +75,8 @@
 	const cancelled = await client.call('cancel', { job: 'press/wave' });
 	t.true(cancelled.ok);
 	await operate.submit(client, operate.batch('other', 2, 100, small));
-	await operate.until(
-		'the other job finished',
-		async () => (await operate.jobState(client, 'press/other')) === 'finished',
-	);
-	await operate.until(
-		'all cancelled',
-		async () => (await operate.jobState(client, 'press/wave')) === 'cancelled',
-	);
+	await operate.reached(client, 'press/other', 'finished');
+	await operate.reached(client, 'press/wave', 'cancelled');
 	const explained = await client.call('explain', { task: 'press/wave/7' });
 	t.true(explained.ok && explained.value.state === 'cancelled');
 	client.close();
@@ -99,10 +85,7 @@
 test.serial(
 	'a worker that fails everything is quarantined with evidence; jobs finish elsewhere',
 	async (t) => {
-		const cluster = await clusters.Cluster.create(shape);
-		t.teardown(() => cluster.close());
-		const client = operate.operatorOf(cluster);
-		await operate.settled(client);
+		const { cluster, client } = await fixtures.startSettled(t, shape);
 		const bad = cluster.workers[0];
 		if (bad === undefined) return;
 		await clusters.post(bad.address, '/fault', { failAll: true });
@@ -123,10 +106,7 @@
 );
 
 test.serial('jobs that can never run: refused at once, or failed for good with the evidence', async (t) => {
-	const cluster = await clusters.Cluster.create(shape);
-	t.teardown(() => cluster.close());
-	const client = operate.operatorOf(cluster);
-	await operate.settled(client);
+	const { client } = await fixtures.startSettled(t, shape);
 	const huge = await client.call('submit', {
 		specJson: JSON.stringify(operate.batch('huge', 1, 10, { needs: { cores: 64, memoryMb: 1 } })),
 	});
@@ -136,7 +116,7 @@
 	});
 	t.snapshot(broken.ok ? 'accepted' : broken.err.message);
 	await operate.submit(client, operate.batch('fails', 1, 100, { run: { fails: true } }));
-	await operate.until('it failed', async () => (await operate.jobState(client, 'press/fails')) === 'failed');
+	await operate.reached(client, 'press/fails', 'failed');
 	const explained = await client.call('explain', { task: 'press/fails/0' });
 	t.true(explained.ok);
 	const failures = explained.ok ? explained.value.failures : [];
@@ -147,10 +127,7 @@
 test.serial(
 	'a peer that sends nonsense is cut off and told of in the log; the process goes on',
 	async (t) => {
-		const cluster = await clusters.Cluster.create(shape);
-		t.teardown(() => cluster.close());
-		const client = operate.operatorOf(cluster);
-		await operate.settled(client);
+		const { cluster, client } = await fixtures.startSettled(t, shape);
 		const program = cluster.of('scheduler')[0];
 		if (program === undefined) return;
 		const tooLong = Buffer.from([0xff, 0xff, 0xff, 0xff, 1]);
@@ -171,10 +148,7 @@
 		await operate.until('every connection is told of', () => Promise.resolve(reasons().length >= 4));
 		t.snapshot(reasons());
 		await operate.submit(client, operate.batch('after', 1, 10));
-		await operate.until(
-			'work goes on',
-			async () => (await operate.jobState(client, 'press/after')) === 'finished',
-		);
+		await operate.reached(client, 'press/after', 'finished');
 		client.close();
 	},
 );
--- a/test/platform-failures.test.ts
+++ b/test/platform-failures.test.ts
@@ -1,8 +1,8 @@
 /** The platform down, slow, losing answers or stalling its watches, while real processes work. */
 import test from 'ava';
 import * as clusters from '../dev/cluster.js';
-import * as proxies from '../stand-ins/proxy/index.js';
 import * as callers from './fixtures/callers.js';
+import * as fixtures from './fixtures/clusters.js';
 import * as journal from './fixtures/journal.js';
 import * as operate from '../dev/operate.js';
 
@@ -36,20 +36,24 @@
 
 const pause = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
 
+/** What callers of an entry box get who ask one after another until then, in wall milliseconds. */
+async function statusesUntil(entry: clusters.Program, endAt: number): Promise<number[]> {
+	const statuses: number[] = [];
+	while (Date.now() < endAt) {
+		statuses.push((await callers.ask(entry, { body: Buffer.from('proof') })).status);
+		await pause(50);
+	}
+	return statuses;
+}
+
 test.serial(
 	'the platform is down: callers are served, operators told the truth, tasks resume once',
 	async (t) => {
-		const cluster = await clusters.Cluster.create(shape);
-		t.teardown(() => cluster.close());
-		const client = operate.operatorOf(cluster);
-		await operate.settled(client);
+		const { cluster, client } = await fixtures.startSettled(t, shape);
 		await operate.submit(client, operate.batch('night', tasks, 4000));
 		const [entry] = cluster.of('entry');
 		if (entry === undefined) return;
-		await operate.until(
-			'an answer',
-			async () => (await callers.ask(entry, { method: 'GET' })).status === 200,
-		);
+		await callers.ready(entry);
 		await cluster.platformFault({ down: true });
 		const downAt = Date.now();
 		const submitted = client.call(
@@ -62,11 +66,7 @@
 			{ key: 'entry.queuePerSlot', value: '3', by: 'test', seenVersion: 0 },
 			20_000,
 		);
-		const statuses: number[] = [];
-		while (Date.now() - downAt < outageMs) {
-			statuses.push((await callers.ask(entry, { body: Buffer.from('proof') })).status);
-			await pause(50);
-		}
+		const statuses = await statusesUntil(entry, downAt + outageMs);
 		t.true(statuses.every((status) => status === 200));
 		const [submitRes, setRes] = await Promise.all([submitted, set]);
 		// "Not stored" must be true, and "unknown" is allowed; "accepted" is not.
@@ -76,10 +76,7 @@
 			names.join(),
 		);
 		await cluster.platformFault({});
-		await operate.until(
-			'the job finished',
-			async () => (await operate.jobState(client, 'press/night')) === 'finished',
-		);
+		await operate.reached(client, 'press/night', 'finished');
 		if (!submitRes.ok && submitRes.err.name !== 'OutcomeUnknown')
 			t.is(await operate.jobState(client, 'press/later'), '');
 		if (!setRes.ok && setRes.err.name === 'PlatformUnavailable') {
@@ -92,10 +89,7 @@
 );
 
 test.serial('every second answer of the platform is lost after the write took effect', async (t) => {
-	const cluster = await clusters.Cluster.create(shape);
-	t.teardown(() => cluster.close());
-	const client = operate.operatorOf(cluster);
-	await operate.settled(client);
+	const { cluster, client } = await fixtures.startSettled(t, shape);
 	const epoch = async (): Promise<number> => {
 		const status = await client.call('status', { team: '' });
 		return status.ok ? (status.value.shards[0]?.epoch ?? 0) : 0;
@@ -103,10 +97,7 @@
 	const before = await epoch();
 	await cluster.platformFault({ dropAnswerEvery: 2 });
 	await operate.submit(client, operate.batch('night', tasks, 500));
-	await operate.until(
-		'the job finished',
-		async () => (await operate.jobState(client, 'press/night')) === 'finished',
-	);
+	await operate.reached(client, 'press/night', 'finished');
 	// Reading back settles each append: no owner gives up the shard for a lost answer.
 	t.is(await epoch(), before);
 	const again = await operate.submit(client, operate.batch('night', tasks, 500));
@@ -119,17 +110,10 @@
 });
 
 test.serial('the platform answers after 2 s: the job still finishes, nothing runs twice', async (t) => {
-	const cluster = await clusters.Cluster.create(shape);
-	t.teardown(() => cluster.close());
-	const client = operate.operatorOf(cluster);
-	await operate.settled(client);
+	const { cluster, client } = await fixtures.startSettled(t, shape);
 	await cluster.platformFault({ writeMs: 2000, readMs: 500 });
 	await client.call('submit', { specJson: JSON.stringify(operate.batch('night', tasks, 500)) }, 20_000);
-	await operate.until(
-		'the job finished',
-		async () => (await operate.jobState(client, 'press/night')) === 'finished',
-		60_000,
-	);
+	await operate.reached(client, 'press/night', 'finished', 60_000);
 	client.close();
 	judge(t, cluster);
 });
@@ -137,10 +121,7 @@
 test.serial(
 	'watches stall without a word: a change is in force everywhere within 4 s all the same',
 	async (t) => {
-		const cluster = await clusters.Cluster.create({ ...shape, schedulersPerZone: 1 });
-		t.teardown(() => cluster.close());
-		const client = operate.operatorOf(cluster);
-		await operate.settled(client);
+		const { cluster, client } = await fixtures.startSettled(t, { ...shape, schedulersPerZone: 1 });
 		await cluster.platformFault({ stallWatches: true });
 		const from = Date.now();
 		const set = await client.call('setConfig', {
@@ -163,33 +144,17 @@
 	'a zone is cut off from the platform and from the other zone: both go on, nothing runs twice',
 	async (t) => {
 		const zones = ['rennes', 'brest'];
-		const cuts = new Map<string, proxies.FaultProxy>();
-		const cluster = await clusters.Cluster.create({
-			...shape,
-			...{ zones, schedulersPerZone: 1, workersPerZone: 2 },
-			via: async (from, to, address) => {
-				if (to !== 'platform') return address;
-				const proxy = await proxies.FaultProxy.create(address);
-				cuts.set(from, proxy);
-				return proxy.address;
-			},
-		});
-		t.teardown(async () => {
-			for (const proxy of cuts.values()) proxy.close();
-			await cluster.close();
-		});
-		const client = operate.operatorOf(cluster);
-		await operate.settled(client);
+		const { cluster, client, cuts } = await fixtures.startCuttable(
+			t,
+			{ ...shape, zones, schedulersPerZone: 1, workersPerZone: 2 },
+			(from, to) => (to === 'platform' ? from : undefined),
+		);
 		await operate.submit(client, operate.batch('night', tasks, 4000, { zones: ['brest'] }));
 		await operate.submit(client, { ...operate.batch('web', 2, 0), kind: 'service', run: {} });
 		const brest = cluster.of('entry', 'brest')[0];
 		const rennes = cluster.of('entry', 'rennes')[0];
 		if (brest === undefined || rennes === undefined) return;
-		await Promise.all(
-			[brest, rennes].map((entry) =>
-				operate.until('an answer', async () => (await callers.ask(entry, { method: 'GET' })).status === 200),
-			),
-		);
+		await Promise.all([brest, rennes].map(callers.ready));
 		// Brest loses the platform; rennes is frozen whole, which to brest is a cut as well.
 		const ofRennes = [...cluster.programs, ...cluster.backends, ...cluster.workers].filter(
 			(one) => one.zone === 'rennes',
@@ -198,20 +163,12 @@
 			cuts.get(program.box)?.set({ kind: 'cut' });
 		for (const one of ofRennes) one.process.child.kill('SIGSTOP');
 		const cutAt = Date.now();
-		const statuses: number[] = [];
-		while (Date.now() - cutAt < outageMs) {
-			statuses.push((await callers.ask(brest, { body: Buffer.from('proof') })).status);
-			await pause(50);
-		}
+		const statuses = await statusesUntil(brest, cutAt + outageMs);
 		t.true(statuses.every((status) => status === 200));
 		for (const one of ofRennes) one.process.child.kill('SIGCONT');
 		for (const proxy of cuts.values()) proxy.set({ kind: 'pass' });
 		t.is((await callers.ask(rennes, { body: Buffer.from('proof') })).status, 200);
-		await operate.until(
-			'the job finished',
-			async () => (await operate.jobState(client, 'press/night')) === 'finished',
-			60_000,
-		);
+		await operate.reached(client, 'press/night', 'finished', 60_000);
 		await operate.settled(client);
 		t.is(await operate.jobState(client, 'press/web'), 'active');
 		client.close();
--- a/test/requests.test.ts
+++ b/test/requests.test.ts
@@ -23,18 +23,13 @@
 	return [first, second];
 }
 
-/** Waits until an entry box knows its backend servers. */
-async function ready(entry: clusters.Program): Promise<void> {
-	await operate.until('an answer', async () => (await callers.ask(entry, { method: 'GET' })).status === 200);
-}
-
 async function start(
 	t: { teardown: (fn: () => Promise<void>) => void },
 	extra: Partial<clusters.ClusterOptions> = {},
 ): Promise<clusters.Cluster> {
 	const cluster = await clusters.Cluster.create({ ...shape, ...extra });
 	t.teardown(() => cluster.close());
-	await Promise.all(cluster.of('entry').map(ready));
+	await Promise.all(cluster.of('entry').map(callers.ready));
 	return cluster;
 }
 
--- a/test/scheduler-failures.test.ts
+++ b/test/scheduler-failures.test.ts
@@ -1,7 +1,7 @@
 /** Owners that die or freeze at each step, workers that die or are cut off; judged by the workers' journals. */
 import test from 'ava';
 import * as clusters from '../dev/cluster.js';
-import * as proxies from '../stand-ins/proxy/index.js';
+import * as fixtures from './fixtures/clusters.js';
 import * as journal from './fixtures/journal.js';
 import * as operate from '../dev/operate.js';
 import * as processes from '../dev/processes.js';
@@ -35,18 +35,12 @@
 	test.serial(
 		`the owner is killed when it logs ${step}: every task still finishes, none in two places`,
 		async (t) => {
-			const cluster = await clusters.Cluster.create(shape);
-			t.teardown(() => cluster.close());
-			const client = operate.operatorOf(cluster);
-			await operate.settled(client);
+			const { cluster, client } = await fixtures.startSettled(t, shape);
 			const killed = firstToLog(cluster, step).then((owner) => clusters.kill(owner.process));
 			await client.call('submit', { specJson: JSON.stringify(operate.batch('night', taskCount, 800)) });
 			await killed;
 			await operate.submit(client, operate.batch('night', taskCount, 800));
-			await operate.until(
-				'the job finished',
-				async () => (await operate.jobState(client, 'press/night')) === 'finished',
-			);
+			await operate.reached(client, 'press/night', 'finished');
 			client.close();
 			const ran = journal.ranFrom(journal.witnessesOf(cluster));
 			t.deepEqual(journal.faults(ran, clusters.workerCapacity.cores), []);
@@ -57,10 +51,7 @@
 
 for (const step of ['task.placed', 'task.running', 'task.finished']) {
 	test.serial(`the owner freezes when it logs ${step}, past lease and horizon, and comes back`, async (t) => {
-		const cluster = await clusters.Cluster.create(shape);
-		t.teardown(() => cluster.close());
-		const client = operate.operatorOf(cluster);
-		await operate.settled(client);
+		const { cluster, client } = await fixtures.startSettled(t, shape);
 		const frozen = firstToLog(cluster, step).then((owner) => {
 			owner.process.child.kill('SIGSTOP');
 			return owner;
@@ -81,10 +72,7 @@
 			(line) => line.name === 'shard.lost' || line.name === 'shard.taken',
 			30_000,
 		);
-		await operate.until(
-			'the job finished',
-			async () => (await operate.jobState(client, 'press/night')) === 'finished',
-		);
+		await operate.reached(client, 'press/night', 'finished');
 		client.close();
 		const ran = journal.ranFrom(journal.witnessesOf(cluster));
 		t.deepEqual(journal.faults(ran, clusters.workerCapacity.cores), []);
@@ -94,10 +82,7 @@
 }
 
 test.serial('a worker is killed and comes back: its tasks resume, each once', async (t) => {
-	const cluster = await clusters.Cluster.create(shape);
-	t.teardown(() => cluster.close());
-	const client = operate.operatorOf(cluster);
-	await operate.settled(client);
+	const { cluster, client } = await fixtures.startSettled(t, shape);
 	await operate.submit(client, operate.batch('night', taskCount, 3000));
 	const victim = cluster.workers[0];
 	t.truthy(victim);
@@ -109,10 +94,7 @@
 	const back = await cluster.startWorker(victim.id, victim.zone);
 	cluster.workers[0] = back;
 	await cluster.publish(victim.zone);
-	await operate.until(
-		'the job finished',
-		async () => (await operate.jobState(client, 'press/night')) === 'finished',
-	);
+	await operate.reached(client, 'press/night', 'finished');
 	client.close();
 	const ran = journal.ranFrom(journal.witnessesOf(cluster, [gone]));
 	t.deepEqual(journal.faults(ran, clusters.workerCapacity.cores), []);
@@ -123,31 +105,15 @@
 test.serial(
 	'a worker is cut off while its tasks run: they stop by their lease before they run elsewhere',
 	async (t) => {
-		const cuts = new Map<string, proxies.FaultProxy>();
-		const cluster = await clusters.Cluster.create({
-			...shape,
-			via: async (from, to, address) => {
-				if (from !== 'scheduler') return address;
-				const proxy = await proxies.FaultProxy.create(address);
-				cuts.set(to, proxy);
-				return proxy.address;
-			},
-		});
-		t.teardown(async () => {
-			for (const proxy of cuts.values()) proxy.close();
-			await cluster.close();
-		});
-		const client = operate.operatorOf(cluster);
-		await operate.settled(client);
+		const { cluster, client, cuts } = await fixtures.startCuttable(t, shape, (from, to) =>
+			from === 'scheduler' ? to : undefined,
+		);
 		await operate.submit(client, operate.batch('night', taskCount, 4000));
 		const victim = cluster.workers[0];
 		if (victim === undefined) return;
 		await processes.waitLine(victim.process, (line) => line.journal !== undefined);
 		cuts.get(victim.id)?.set({ kind: 'drop-answers' });
-		await operate.until(
-			'the job finished',
-			async () => (await operate.jobState(client, 'press/night')) === 'finished',
-		);
+		await operate.reached(client, 'press/night', 'finished');
 		cuts.get(victim.id)?.set({ kind: 'cut' });
 		cuts.get(victim.id)?.set({ kind: 'pass' });
 		await operate.settled(client);
@@ -163,10 +129,7 @@
 );
 
 test.serial('urgent work evicts batch work, which resumes from its checkpoint exactly once', async (t) => {
-	const cluster = await clusters.Cluster.create(shape);
-	t.teardown(() => cluster.close());
-	const client = operate.operatorOf(cluster);
-	await operate.settled(client);
+	const { cluster, client } = await fixtures.startSettled(t, shape);
 	const whole = { needs: { cores: 32, memoryMb: 1024 } };
 	await operate.submit(client, operate.batch('long', 3, 3000, whole));
 	await operate.until('the workers full', () =>
