Soak: faults of links are listed and carried out in one way

Cause: the four faults of a link stood there twice, for links to the store and to workers, and so did their course. Change: linkFaults lists them for a kind of link, troubleProxy carries one out. Order of the faults and of the draws from the seed are as before.

--- a/dev/soak/faults.ts
+++ b/dev/soak/faults.ts
@@ -13,19 +13,27 @@
 const leastMs = 200;
 const mostMs = 6_000;
 
+/** A slow link delays what goes over it by so long, in milliseconds. */
+const leastDelayMs = 20;
+const mostDelayMs = 300;
+
 /** Injects one fault, for `forMs` milliseconds if it lasts; says where it was. */
 type Fault = (world: worlds.World, next: () => number, forMs: number) => Promise<string> | string;
 
-/** What may be injected. */
+/** Gives one link of a kind a fault, and takes it away again. */
+type LinkFault = (
+	world: worlds.World,
+	next: () => number,
+	forMs: number,
+	mode: proxies.ProxyMode,
+) => Promise<string>;
+
+/** What may be injected; a seed picks by the order. */
 const faults: Record<string, Fault> = {
 	'box-killed': boxFaults.kill,
 	'box-stopped': boxFaults.stop,
 	'box-paused': boxFaults.pause,
-	'store-link-cut': (world, next, forMs) => storeLink(world, next, forMs, { kind: 'cut' }),
-	'store-link-silent': (world, next, forMs) => storeLink(world, next, forMs, { kind: 'freeze' }),
-	'store-link-one-way': (world, next, forMs) => storeLink(world, next, forMs, { kind: 'drop-answers' }),
-	'store-link-slow': (world, next, forMs) =>
-		storeLink(world, next, forMs, { kind: 'delay', ms: random.between(next, 20, 300) }),
+	...linkFaults('store-link', storeLink),
 	'store-down': (world, _next, forMs) => storeFault(world, forMs, 'down'),
 	'store-loses-answers': (world, _next, forMs) => storeFault(world, forMs, 'lost'),
 	'store-writes-late': (world, _next, forMs) => storeFault(world, forMs, 'late'),
@@ -33,11 +41,7 @@
 		world.platform.store.drop('woodcross/owner');
 		return 'owner';
 	},
-	'worker-link-cut': (world, next, forMs) => workerLink(world, next, forMs, { kind: 'cut' }),
-	'worker-link-silent': (world, next, forMs) => workerLink(world, next, forMs, { kind: 'freeze' }),
-	'worker-link-one-way': (world, next, forMs) => workerLink(world, next, forMs, { kind: 'drop-answers' }),
-	'worker-link-slow': (world, next, forMs) =>
-		workerLink(world, next, forMs, { kind: 'delay', ms: random.between(next, 20, 300) }),
+	...linkFaults('worker-link', workerLink),
 	'worker-loses-answers': (world, next, forMs) => workerFault(world, next, forMs, 'lost'),
 	'worker-orders-late': (world, next, forMs) => workerFault(world, next, forMs, 'late'),
 	'worker-crashed': (world, next) => {
@@ -88,6 +92,17 @@
 	if (at !== boxFaults.nowhere) log(`${name} at ${at ?? ''} for ${Math.round(world.now() - startedAt)} ms`);
 }
 
+/** Every way in which a link of a kind goes wrong. */
+function linkFaults(link: string, trouble: LinkFault): Record<string, Fault> {
+	return {
+		[`${link}-cut`]: (world, next, forMs) => trouble(world, next, forMs, { kind: 'cut' }),
+		[`${link}-silent`]: (world, next, forMs) => trouble(world, next, forMs, { kind: 'freeze' }),
+		[`${link}-one-way`]: (world, next, forMs) => trouble(world, next, forMs, { kind: 'drop-answers' }),
+		[`${link}-slow`]: (world, next, forMs) =>
+			trouble(world, next, forMs, { kind: 'delay', ms: random.between(next, leastDelayMs, mostDelayMs) }),
+	};
+}
+
 async function storeLink(
 	world: worlds.World,
 	next: () => number,
@@ -97,9 +112,7 @@
 	const box = boxFaults.pickSound(world, next);
 	if (box === undefined) return boxFaults.nowhere;
 	world.troubled(box, forMs);
-	box.store.set(mode);
-	await world.sleep(forMs);
-	box.store.set({ kind: 'pass' });
+	await troubleProxy(world, box.store, forMs, mode);
 	return box.name;
 }
 
@@ -123,12 +136,21 @@
 	mode: proxies.ProxyMode,
 ): Promise<string> {
 	const worker = random.pick(next, world.workers);
-	worker.proxy.set(mode);
-	await world.sleep(forMs);
-	worker.proxy.set({ kind: 'pass' });
+	await troubleProxy(world, worker.proxy, forMs, mode);
 	return worker.id;
 }
 
+async function troubleProxy(
+	world: worlds.World,
+	proxy: proxies.FaultProxy,
+	forMs: number,
+	mode: proxies.ProxyMode,
+): Promise<void> {
+	proxy.set(mode);
+	await world.sleep(forMs);
+	proxy.set({ kind: 'pass' });
+}
+
 async function workerFault(
 	world: worlds.World,
 	next: () => number,
