Tests of upkeep and ownership set their parts up in one way

Cause: two tests made the same Upkeep but for two functions; six started the first box and waited until it owned. Change: createUpkeep and Boxes.ownedBy. What the tests assert is as before.

--- a/test/ownership.test.ts
+++ b/test/ownership.test.ts
@@ -35,6 +35,14 @@
 		return new Boxes();
 	}
 
+	/** Boxes of which the first has had time to become owner. */
+	static async ownedBy(name: string, processor: number): Promise<{ boxes: Boxes; owner: TestBox }> {
+		const boxes = Boxes.create();
+		const owner = boxes.start(name, processor);
+		await boxes.clock.pass(300);
+		return { boxes, owner };
+	}
+
 	/** Starts a box. */
 	start(name: string, processor: number): TestBox {
 		const { clock } = this;
@@ -104,9 +112,7 @@
 }
 
 test('a weak owner hands over to a strong box that stays up, once', async (t) => {
-	const boxes = Boxes.create();
-	boxes.start('weak-1', weak);
-	await boxes.clock.pass(300);
+	const { boxes } = await Boxes.ownedBy('weak-1', weak);
 	boxes.start('weak-2', weak);
 	boxes.start('strong-1', strong);
 	await boxes.clock.pass(20_000);
@@ -114,9 +120,7 @@
 });
 
 test('boxes of like strength do not hand over', async (t) => {
-	const boxes = Boxes.create();
-	boxes.start('box-1', weak);
-	await boxes.clock.pass(300);
+	const { boxes } = await Boxes.ownedBy('box-1', weak);
 	boxes.start('box-2', weak);
 	boxes.start('box-3', weak);
 	await boxes.clock.pass(20_000);
@@ -124,9 +128,7 @@
 });
 
 test('after a strong owner died, another strong box comes first, however many weak ones race', async (t) => {
-	const boxes = Boxes.create();
-	const first = boxes.start('strong-1', strong);
-	await boxes.clock.pass(300);
+	const { boxes, owner: first } = await Boxes.ownedBy('strong-1', strong);
 	for (const name of ['weak-1', 'weak-2', 'weak-3']) boxes.start(name, weak);
 	boxes.start('strong-2', strong);
 	await boxes.clock.pass(3_000);
@@ -136,9 +138,7 @@
 });
 
 test('weak boxes take over where no strong one is left', async (t) => {
-	const boxes = Boxes.create();
-	const only = boxes.start('strong-1', strong);
-	await boxes.clock.pass(300);
+	const { boxes, owner: only } = await Boxes.ownedBy('strong-1', strong);
 	boxes.start('weak-1', weak);
 	await boxes.clock.pass(3_000);
 	only.isDown = true;
@@ -147,9 +147,7 @@
 });
 
 test('after all went down, a strong box that is up a little later than weak ones comes first', async (t) => {
-	const boxes = Boxes.create();
-	const before = boxes.start('strong-1', strong);
-	await boxes.clock.pass(300);
+	const { boxes, owner: before } = await Boxes.ownedBy('strong-1', strong);
 	const weakBefore = boxes.start('weak-1', weak);
 	await boxes.clock.pass(3_000);
 	before.isDown = true;
@@ -163,9 +161,7 @@
 });
 
 test('a strong box takes over within a tenth of a second once the lease of an owner that was cut off is over', async (t) => {
-	const boxes = Boxes.create();
-	const first = boxes.start('strong-1', strong);
-	await boxes.clock.pass(300);
+	const { boxes, owner: first } = await Boxes.ownedBy('strong-1', strong);
 	boxes.start('strong-2', strong);
 	boxes.start('weak-1', weak);
 	await boxes.clock.pass(3_000);
--- a/test/upkeep.test.ts
+++ b/test/upkeep.test.ts
@@ -44,23 +44,33 @@
 	return { calls, states, begun, most: () => most };
 }
 
-test('a wave takes every machine down once, few at a time, and is completed only then', async (t) => {
-	const clock = time.VirtualClock.create();
-	const machines = createMachines(clock, ['m1', 'm2', 'm3', 'm4', 'm5']);
-	const reports: string[] = [];
-	const running = upkeep.Upkeep.create({
+/** What a test's upkeep is told of workers, and tells of its waves. */
+type UpkeepEnds = Pick<upkeep.UpkeepOptions, 'vacate' | 'report'>;
+
+/** The upkeep of one owner. */
+function createUpkeep(clock: time.VirtualClock, machines: Machines, ends: UpkeepEnds): upkeep.Upkeep {
+	return upkeep.Upkeep.create({
 		clock,
 		events: events.EventLog.create('test', clock),
 		machines: machines.calls,
 		holder: 'entry-1',
 		epoch: 1,
-		vacate: () => 'empty',
 		reopen: () => undefined,
+		onFenced: () => undefined,
+		...ends,
+	});
+}
+
+test('a wave takes every machine down once, few at a time, and is completed only then', async (t) => {
+	const clock = time.VirtualClock.create();
+	const machines = createMachines(clock, ['m1', 'm2', 'm3', 'm4', 'm5']);
+	const reports: string[] = [];
+	const running = createUpkeep(clock, machines, {
+		vacate: () => 'empty',
 		report: (wave, state) => {
 			reports.push(`${wave} ${state} after ${machines.begun.length}`);
 			return Promise.resolve(true);
 		},
-		onFenced: () => undefined,
 	});
 	running.add({ number: 7, machines: ['m1', 'm2', 'm3', 'm4'], withinMs: 60_000, maximum: 2 });
 	await clock.pass(20_000);
@@ -74,16 +84,9 @@
 	const clock = time.VirtualClock.create();
 	const machines = createMachines(clock, ['m1']);
 	let state: 'protected' | 'empty' = 'protected';
-	const running = upkeep.Upkeep.create({
-		clock,
-		events: events.EventLog.create('test', clock),
-		machines: machines.calls,
-		holder: 'entry-1',
-		epoch: 1,
+	const running = createUpkeep(clock, machines, {
 		vacate: () => state,
-		reopen: () => undefined,
 		report: () => Promise.resolve(true),
-		onFenced: () => undefined,
 	});
 	running.add({ number: 1, machines: ['m1'], withinMs: 5_000, maximum: 1 });
 	await clock.pass(10_000);
