Tests of real boxes start their two boxes in one way

Cause: three tests started an owner and another box that finds it, two waited for a job's completion, in the same words; what setUp gave as the store's address nobody used. Change: startTwo and completed. What the tests assert is as before.

--- a/test/box.test.ts
+++ b/test/box.test.ts
@@ -34,17 +34,18 @@
 
 interface Setup {
 	platform: users.UsersPlatform;
-	storeAddress: string;
 	start: (box: string) => Promise<boxes.BoxProcess>;
+	/** Starts a box that becomes owner, and then another that finds it. */
+	startTwo: () => Promise<{ owner: boxes.BoxProcess; other: boxes.BoxProcess }>;
 }
 
-async function setUp(end: (fn: () => Promise<void>) => void): Promise<Setup> {
+async function setUp(t: { teardown: (fn: () => Promise<void>) => void }): Promise<Setup> {
 	const platform = users.UsersPlatform.create({ plan: () => ({ ms: 150, how: 'done' }) });
 	const storeAddress = await platform.startStore();
 	await platform.startWorker('i-1', (address) => address);
 	platform.configure(3, host);
 	const started: boxes.BoxProcess[] = [];
-	end(async () => {
+	t.teardown(async () => {
 		await Promise.all(started.map((box) => box.kill()));
 		platform.close();
 	});
@@ -54,37 +55,42 @@
 		await one.logged((line) => line.name === 'config.applied');
 		return one;
 	};
-	return { platform, storeAddress, start };
+	const startTwo: Setup['startTwo'] = async () => {
+		const owner = await start('entry-1');
+		await owner.logged((line) => line.name === 'owner.taken');
+		const other = await start('entry-2');
+		await other.logged((line) => line.name === 'owner.found');
+		return { owner, other };
+	};
+	return { platform, start, startTwo };
 }
 
 function ended(box: boxes.BoxProcess, job: string): Promise<boxes.LogLine> {
 	return box.logged((line) => line.name === 'job.ended' && line.fields.job === job);
 }
 
+/** Asks a box for a job's state until it is told that the job is completed. */
+async function completed(box: boxes.BoxProcess, job: string): Promise<void> {
+	let state = '';
+	while (state !== 'completed') state = String((await call(box.callers, 'GET', job)).body.state);
+}
+
 test('a job handed in at one box is run by the other, and both tell its state', async (t) => {
-	const { platform, start } = await setUp((fn) => {
-		t.teardown(fn);
-	});
-	const owner = await start('entry-1');
-	await owner.logged((line) => line.name === 'owner.taken');
-	const other = await start('entry-2');
-	await other.logged((line) => line.name === 'owner.found');
+	const { platform, startTwo } = await setUp(t);
+	const { owner, other } = await startTwo();
 	const id = '00000000000000a1';
 	t.is((await call(other.callers, 'POST', id, body)).status, 200);
 	t.is((await call(owner.callers, 'POST', id, body)).status, 200);
 	await ended(owner, id);
 	// The end is told once it is stored, some milliseconds after it was seen.
-	let state = '';
-	while (state !== 'completed') state = String((await call(other.callers, 'GET', id)).body.state);
+	await completed(other, id);
 	t.is(platform.fleet.starts.length, 2);
 	t.deepEqual((await call(owner.callers, 'GET', '')).body, { pending: 0 });
 	t.is((await call(other.callers, 'GET', '00000000000000ff')).status, 410);
 });
 
 test('bad input is turned away at once and nothing is stored', async (t) => {
-	const { platform, start } = await setUp((fn) => {
-		t.teardown(fn);
-	});
+	const { platform, start } = await setUp(t);
 	const box = await start('entry-1');
 	const before = platform.store.keys().filter((key) => key.includes('/jobs/'));
 	const id = '00000000000000b1';
@@ -112,9 +118,7 @@
 });
 
 test('without the store nothing is accepted, the answer says so at once, and service comes back', async (t) => {
-	const { platform, start } = await setUp((fn) => {
-		t.teardown(fn);
-	});
+	const { platform, start } = await setUp(t);
 	const box = await start('entry-1');
 	await box.logged((line) => line.name === 'owner.taken');
 	platform.storeFault = 'down';
@@ -130,32 +134,21 @@
 });
 
 test('when the owner is killed another box goes on, and no task runs twice', async (t) => {
-	const { platform, start } = await setUp((fn) => {
-		t.teardown(fn);
-	});
-	const first = await start('entry-1');
-	await first.logged((line) => line.name === 'owner.taken');
-	const second = await start('entry-2');
-	await second.logged((line) => line.name === 'owner.found');
+	const { platform, startTwo } = await setUp(t);
+	const { owner: first, other: second } = await startTwo();
 	const id = '00000000000000d1';
 	t.is((await call(second.callers, 'POST', id, body)).status, 200);
 	await first.logged((line) => line.name === 'task.placed');
 	await first.kill();
 	await second.logged((line) => line.name === 'owner.taken');
-	let state = '';
-	while (state !== 'completed') state = String((await call(second.callers, 'GET', id)).body.state);
+	await completed(second, id);
 	const starts = platform.fleet.starts.map((one) => one.task);
 	t.deepEqual([...starts].sort(), [...new Set(starts)].sort());
 });
 
 test('a planned stop hands the dispatching over and ends with status 0', async (t) => {
-	const { start } = await setUp((fn) => {
-		t.teardown(fn);
-	});
-	const first = await start('entry-1');
-	await first.logged((line) => line.name === 'owner.taken');
-	const second = await start('entry-2');
-	await second.logged((line) => line.name === 'owner.found');
+	const { startTwo } = await setUp(t);
+	const { owner: first, other: second } = await startTwo();
 	const ending = first.kill('SIGTERM');
 	await second.logged((line) => line.name === 'owner.taken');
 	t.is((await call(second.callers, 'POST', '00000000000000e1', body)).status, 200);
