--- a/test/loads.test.ts
+++ b/test/loads.test.ts
@@ -126,3 +126,27 @@
 	t.deepEqual(Object.keys(owner.dispatcher.knowledge().loads), ['job2.0.0']);
 	owner.dispatcher.close();
 });
+
+test('nothing is kept of a load whose step ends before its tasks have reported', async (t) => {
+	const { clock, fleet, takeOver, submit } = world.createWorld(() => ({
+		ms: 'endless',
+		how: 'done',
+		reading: 40,
+	}));
+	const w1 = fleet.add('w1');
+	const owner = await takeOver();
+	await submit(
+		owner,
+		world.job('job1', [world.step({ count: 3, lasting: true, image: 'web', targetMs: 100 })]),
+	);
+	await clock.pass(300);
+	t.is(w1.running.size, 3);
+	t.deepEqual(owner.dispatcher.knowledge().loads, {});
+	owner.dispatcher.cancelJob('job1');
+	await clock.pass(1_000);
+	t.is(w1.running.size, 0);
+	// The first task that has stopped brings a report that still lists the others, the first with readings.
+	t.deepEqual(Object.keys(owner.dispatcher.knowledge().periods), ['web']);
+	t.deepEqual(owner.dispatcher.knowledge().loads, {});
+	owner.dispatcher.close();
+});
