Model of dispatching: the roster in one write, and a lease's end believed only under a confirmed epoch

Cause: the model put workers on the roster one by one, the program writes all listed ones at once. With that alone the model as it was (two owners, 3 ticks, 2 starts) found two runs after 100,387 states, in 11 steps: an owner confirms, its successor reaches the silent worker and renews the lease there, and the owner, within its horizon, takes the run for lost and starts it elsewhere. Within 1 tick (12,690 states) or with 1 start each (368,442 states) it did not. Change: the roster is one write of its own, before the start; guard confirmLost. Guard confirmWaited: the same holds for a silent worker that was waited out, which takes three owners, hence a second variant (3 owners, 3 ticks, 1 start each). States that can't differ in what follows are made alike, and workers are told apart only once something happened at one. Figures: dispatch holds, 42,841 states (180,842 without making states alike; 796,544 before the change); three owners holds, 454,942 states in 66 s. Without confirmLost wrong after 20,436 states, without confirmWaited after 282,156. Conclusion: by the model both guards are needed; the program has neither.

--- a/spec/checks.ts
+++ b/spec/checks.ts
@@ -95,17 +95,33 @@
 	return [check('holds', config.configModel('config', operators, config.allConfigGuards)), ...mutants];
 }
 
+const dispatchBounds = {
+	dispatch: { owners: 2, ticks: 3, runs: 2 },
+	'dispatch: three owners': { owners: 3, ticks: 3, runs: 1 },
+} satisfies Record<string, dispatch.DispatchBounds>;
+
+/** Bounds within which leaving out a guard goes wrong, where the first ones don't do. */
+const dispatchMutants: Partial<Record<keyof dispatch.DispatchGuards, keyof typeof dispatchBounds>> = {
+	confirmWaited: 'dispatch: three owners',
+};
+
 function dispatchChecks(): Check[] {
-	const mutants = Object.keys(dispatch.allDispatchGuards).map((guard) =>
+	const guards = dispatch.allDispatchGuards;
+	const holds = Object.entries(dispatchBounds).map(([name, bounds]) =>
+		check('holds', dispatch.dispatchModel({ name, guards, bounds })),
+	);
+	const names = Object.keys(guards) as (keyof dispatch.DispatchGuards)[];
+	const mutants = names.map((guard) =>
 		check(
 			'wrong',
-			dispatch.dispatchModel(`dispatch without ${guard}`, {
-				...dispatch.allDispatchGuards,
-				[guard]: false,
+			dispatch.dispatchModel({
+				name: `dispatch without ${guard}`,
+				guards: { ...guards, [guard]: false },
+				bounds: dispatchBounds[dispatchMutants[guard] ?? 'dispatch'],
 			}),
 		),
 	);
-	return [check('holds', dispatch.dispatchModel('dispatch', dispatch.allDispatchGuards)), ...mutants];
+	return [...holds, ...mutants];
 }
 
 /** All checks, the longest first. */
--- a/spec/dispatch.ts
+++ b/spec/dispatch.ts
@@ -24,6 +24,10 @@
 	storeFirst: boolean;
 	/** An owner starts its own task again elsewhere only when the lease that it granted is over. */
 	ownWait: boolean;
+	/** It believes that end of a lease only after a confirmed call to the store that it sent after the end. */
+	confirmLost: boolean;
+	/** Likewise for a silent worker that was waited out. */
+	confirmWaited: boolean;
 }
 
 /** Every guard on. */
@@ -36,30 +40,43 @@
 	roster: true,
 	storeFirst: true,
 	ownWait: true,
+	confirmLost: true,
+	confirmWaited: true,
 };
 
 /** Ticks of a lease, and of the horizon. */
 const leaseTicks = 1;
 const horizonTicks = 1;
 
-/** Bounds of the exploration. */
-const lastTick = 3;
-const ownerCount = 2;
 const workerCount = 2;
 const mostMessages = 1;
 const runsPerEpoch = 10;
-const mostRuns = 2;
+
+/** Bounds of the exploration. */
+export interface DispatchBounds {
+	owners: number;
+	ticks: number;
+	/** Starts by each owner. */
+	runs: number;
+}
+
+/** What a model is made of. */
+export interface DispatchOptions {
+	name: string;
+	guards: DispatchGuards;
+	bounds: DispatchBounds;
+}
 
 interface Owner {
-	phase: 'new' | 'on' | 'over';
+	/** `barred`: replaced and past its horizon, so it can only ask, and let workers forget. */
+	phase: 'new' | 'on' | 'barred' | 'over';
 	epoch: number;
 	confirmedAt: number;
 	tookAt: number;
-	/** Roster as read at the takeover, and the workers settled since: bits. */
-	inherited: number;
-	settled: number;
-	/** Workers that it knows to be on the stored roster: bits. */
-	rostered: number;
+	/** The roster as read at the takeover, without the workers settled since. */
+	unsettled: Entry[];
+	/** The stored roster as it knows it, by its own read or write. */
+	roster: Entry[];
 	/** Where it believes the task to be; -1: nowhere. */
 	placed: number;
 	run: number;
@@ -68,11 +85,14 @@
 	sawEnd: EndListing;
 }
 
+/** What the stored roster says of a worker. */
+type Entry = 'none' | 'open';
+
 type EndListing = 'no' | 'counts' | 'lapsed';
 
 interface Worker {
 	epoch: number;
-	running: number;
+	running: boolean;
 	highest: number;
 	leaseUntil: number;
 	/** Whether it lists the task's end; one whose lease lapsed before anybody heard of it does not count. */
@@ -89,7 +109,7 @@
 /** A state of the model. */
 export interface DispatchState {
 	tick: number;
-	stored: { epoch: number; roster: number; end: EndListing };
+	stored: { epoch: number; roster: Entry[]; end: EndListing };
 	/** An end that counts was forgotten by its worker. */
 	forgotten: boolean;
 	owners: Owner[];
@@ -103,59 +123,65 @@
 	next: DispatchState;
 }
 
-function initialState(): DispatchState {
-	const owner: Owner = {
-		phase: 'new',
-		epoch: 0,
-		confirmedAt: 0,
-		tookAt: 0,
-		inherited: 0,
-		settled: 0,
-		rostered: 0,
-		placed: -1,
-		run: 0,
-		grantedUntil: 0,
-		sawEnd: 'no',
-	};
-	const worker: Worker = { epoch: 0, running: 0, highest: 0, leaseUntil: 0, listsEnd: 'no' };
+const newOwner: Owner = {
+	phase: 'new',
+	epoch: 0,
+	confirmedAt: 0,
+	tookAt: 0,
+	unsettled: [],
+	roster: [],
+	placed: -1,
+	run: 0,
+	grantedUntil: 0,
+	sawEnd: 'no',
+};
+
+const newWorker: Worker = { epoch: 0, running: false, highest: 0, leaseUntil: 0, listsEnd: 'no' };
+
+function initialState(bounds: DispatchBounds): DispatchState {
 	return {
 		tick: 0,
-		stored: { epoch: 0, roster: 0, end: 'no' },
+		stored: { epoch: 0, roster: Array.from({ length: workerCount }, () => 'none' as const), end: 'no' },
 		forgotten: false,
-		owners: Array.from({ length: ownerCount }, () => ({ ...owner })),
-		workers: Array.from({ length: workerCount }, () => ({ ...worker })),
+		owners: Array.from({ length: bounds.owners }, () => ({ ...newOwner })),
+		workers: Array.from({ length: workerCount }, () => ({ ...newWorker })),
 		starts: [],
 		wrong: '',
 	};
 }
 
-/** The model under some guards. */
-export function dispatchModel(name: string, guards: DispatchGuards): explore.Model<DispatchState> {
+/** The model under some guards, within some bounds. */
+export function dispatchModel(opts: DispatchOptions): explore.Model<DispatchState> {
+	const { owners, ticks, runs } = opts.bounds;
 	return {
-		name,
-		bounds: `${ownerCount} owners, ${workerCount} workers, ${lastTick} ticks, ${mostMessages} late starts`,
-		initial: initialState(),
-		steps: (state) => stepsOf(state, guards),
+		name: opts.name,
+		bounds: `${owners} owners, ${workerCount} workers, ${ticks} ticks, ${runs} starts each, ${mostMessages} late`,
+		initial: initialState(opts.bounds),
+		steps: (state) => stepsOf(state, opts),
 		wrong: (state) => (state.wrong === '' ? undefined : state.wrong),
 	};
 }
 
-function stepsOf(state: DispatchState, guards: DispatchGuards): Step[] {
+type AddStep = (name: string, change: (next: DispatchState) => void) => void;
+
+function stepsOf(state: DispatchState, opts: DispatchOptions): Step[] {
+	const { guards, bounds } = opts;
 	const steps: Step[] = [];
-	const step = (name: string, change: (next: DispatchState) => void): void => {
+	const step: AddStep = (name, change) => {
 		const next = copy(state);
 		change(next);
 		judge(next);
+		dropIrrelevant(next, guards);
 		steps.push({ name, next });
 	};
 	state.owners.forEach((owner, index) => {
-		ownerSteps(state, owner, index, guards, step);
+		ownerSteps(state, owner, index, opts, step);
 	});
 	state.workers.forEach((worker, index) => {
-		if (worker.running === 0) return;
+		if (!worker.running) return;
 		step(`worker ${index} finishes`, (next) => {
 			const one = at(next.workers, index);
-			one.running = 0;
+			one.running = false;
 			one.listsEnd = 'counts';
 		});
 	});
@@ -165,28 +191,65 @@
 			arrive(next, start, guards);
 		});
 	});
-	if (state.tick < lastTick) step('time passes', passTime);
+	if (state.tick < bounds.ticks) step('time passes', passTime);
 	return steps;
 }
 
+/** Makes alike what can't differ in what follows: fewer states, none lost. */
+function dropIrrelevant(next: DispatchState, guards: DispatchGuards): void {
+	for (const owner of next.owners) {
+		if (owner.placed === -1) owner.grantedUntil = 0;
+		const isLate = next.tick - owner.confirmedAt > horizonTicks && guards.horizon;
+		const isBarred = owner.phase === 'on' && owner.epoch < next.stored.epoch && isLate;
+		if (isBarred || owner.phase === 'barred') {
+			const { epoch, sawEnd } = owner;
+			Object.assign(owner, newOwner, { phase: 'barred', epoch, sawEnd });
+		}
+		if (owner.phase === 'over') Object.assign(owner, newOwner, { phase: 'over' });
+	}
+	next.workers.forEach((worker, index) => {
+		if (worker.leaseUntil < next.tick) worker.leaseUntil = 0;
+		const isOlder = (start: Start): boolean => start.worker === index && start.run <= worker.highest;
+		if (guards.fence && !next.starts.some(isOlder)) worker.highest = 0;
+	});
+}
+
+/** Workers to tell apart: as long as nothing ever happened at any, one stands for all. */
+function workersApart(state: DispatchState): Worker[] {
+	const isUsed =
+		state.starts.length > 0 ||
+		state.owners.some(
+			(owner) => owner.placed !== -1 || !isUniform(owner.roster) || !isUniform(owner.unsettled),
+		) ||
+		!isUniform(state.stored.roster) ||
+		!isUniform(state.workers.map((worker) => JSON.stringify(worker)));
+	return isUsed ? state.workers : state.workers.slice(0, 1);
+}
+
+function isUniform(items: string[]): boolean {
+	return items.every((item) => item === items[0]);
+}
+
 /** By hand: a general clone takes most of the exploration's time. */
 function copy(state: DispatchState): DispatchState {
 	return {
 		...state,
-		stored: { ...state.stored },
-		owners: state.owners.map((owner) => ({ ...owner })),
+		stored: { ...state.stored, roster: [...state.stored.roster] },
+		owners: state.owners.map((owner) => ({
+			...owner,
+			unsettled: [...owner.unsettled],
+			roster: [...owner.roster],
+		})),
 		workers: state.workers.map((worker) => ({ ...worker })),
 		starts: [...state.starts],
 	};
 }
 
-type AddStep = (name: string, change: (next: DispatchState) => void) => void;
-
 function ownerSteps(
 	state: DispatchState,
 	owner: Owner,
 	index: number,
-	guards: DispatchGuards,
+	opts: DispatchOptions,
 	step: AddStep,
 ): void {
 	if (owner.phase === 'new') {
@@ -208,51 +271,82 @@
 		step(`owner ${index} stores the end`, (next) => {
 			next.stored.end = owner.sawEnd;
 		});
-	state.workers.forEach((worker, where) => {
-		workerSteps(state, owner, index, worker, where, guards, step);
+	workersApart(state).forEach((worker, where) => {
+		const acting = { state, owner, index, worker, where, opts };
+		reportSteps(acting, step);
+		if (owner.phase === 'barred') return;
+		proofSteps(acting, step);
+		rosterSteps(acting, step);
+		startSteps(acting, step);
 	});
 }
 
-function workerSteps(
-	state: DispatchState,
-	owner: Owner,
-	index: number,
-	worker: Worker,
-	where: number,
-	guards: DispatchGuards,
-	step: AddStep,
-): void {
-	const bit = 1 << where;
-	const mayAct = !guards.horizon || state.tick - owner.confirmedAt <= horizonTicks;
+/** An owner and a worker between which steps are sought. */
+interface Acting {
+	state: DispatchState;
+	owner: Owner;
+	index: number;
+	worker: Worker;
+	where: number;
+	opts: DispatchOptions;
+}
+
+function mayAct({ state, owner, opts }: Acting): boolean {
+	if (owner.phase === 'barred') return false;
+	return !opts.guards.horizon || state.tick - owner.confirmedAt <= horizonTicks;
+}
+
+function reportSteps(acting: Acting, step: AddStep): void {
+	const { state, owner, index, worker, where, opts } = acting;
+	const mayRenew = mayAct(acting);
 	step(`owner ${index} asks worker ${where}`, (next) => {
-		ask(next, index, where, guards, mayAct);
+		ask(next, index, where, opts.guards, mayRenew);
 	});
-	const waited = state.tick - owner.tookAt > horizonTicks + leaseTicks;
-	if ((owner.inherited & ~owner.settled & bit) !== 0 && (waited || !guards.wait))
+	const mayForget = state.stored.end !== 'no' || (owner.sawEnd !== 'no' && !opts.guards.storeFirst);
+	if (worker.listsEnd !== 'no' && mayForget && owner.epoch >= worker.epoch)
+		step(`owner ${index} lets worker ${where} forget the end`, (next) => {
+			const one = at(next.workers, where);
+			if (one.listsEnd === 'counts') next.forgotten = true;
+			one.listsEnd = 'no';
+		});
+}
+
+/** What an owner believes by time alone. A confirmed call shows that no successor renewed a lease meanwhile. */
+function proofSteps({ state, owner, index, where, opts }: Acting, step: AddStep): void {
+	const { guards } = opts;
+	const waitedUntil = owner.tookAt + horizonTicks + leaseTicks;
+	const isWaited = state.tick > waitedUntil && (owner.confirmedAt > waitedUntil || !guards.confirmWaited);
+	if (owner.unsettled[where] !== 'none' && (isWaited || !guards.wait))
 		step(`owner ${index} takes worker ${where} for settled`, (next) => {
-			at(next.owners, index).settled |= bit;
+			at(next.owners, index).unsettled[where] = 'none';
 		});
-	if (owner.placed === where && (state.tick > owner.grantedUntil || !guards.ownWait))
+	const isConfirmed = owner.confirmedAt > owner.grantedUntil || !guards.confirmLost;
+	const isLost = state.tick > owner.grantedUntil && isConfirmed;
+	if (owner.placed === where && (isLost || !guards.ownWait))
 		step(`owner ${index} takes its run at worker ${where} for lost`, (next) => {
 			at(next.owners, index).placed = -1;
 		});
-	const isSettled = !guards.settle || (owner.inherited & ~owner.settled) === 0;
-	const hasRuns = owner.run % runsPerEpoch < mostRuns;
+}
+
+function rosterSteps({ state, owner, index, where }: Acting, step: AddStep): void {
+	if (state.stored.epoch !== owner.epoch) return;
+	if (owner.roster[where] !== 'open')
+		step(`owner ${index} puts all workers on the roster`, (next) => {
+			openEntries(next, index, where);
+		});
+}
+
+function startSteps(acting: Acting, step: AddStep): void {
+	const { state, owner, index, where, opts } = acting;
+	const { guards, bounds } = opts;
+	const isSettled = !guards.settle || owner.unsettled.every((entry) => entry === 'none');
+	const hasRuns = owner.run % runsPerEpoch < bounds.runs;
 	const isFree = owner.placed === -1 && owner.sawEnd === 'no' && hasRuns;
-	// The roster is written just before the first start on a worker, which fails for an owner that was replaced.
-	const isRostered = (owner.rostered & bit) !== 0 || state.stored.epoch === owner.epoch || !guards.roster;
-	if (isFree && isSettled && mayAct && isRostered && state.starts.length < mostMessages)
+	const isRostered = owner.roster[where] === 'open' || !guards.roster;
+	if (isFree && isSettled && mayAct(acting) && isRostered && state.starts.length < mostMessages)
 		step(`owner ${index} sends a start to worker ${where}`, (next) => {
-			if (guards.roster) putOnRoster(next, index, bit);
 			sendStart(next, index, where);
 		});
-	const mayForget = state.stored.end !== 'no' || (owner.sawEnd !== 'no' && !guards.storeFirst);
-	if (worker.listsEnd !== 'no' && mayForget && owner.epoch >= worker.epoch)
-		step(`owner ${index} lets worker ${where} forget the end`, (next) => {
-			const one = at(next.workers, where);
-			if (one.listsEnd === 'counts') next.forgotten = true;
-			one.listsEnd = 'no';
-		});
 }
 
 function takeOver(next: DispatchState, index: number): void {
@@ -262,8 +356,8 @@
 	owner.epoch = next.stored.epoch;
 	owner.confirmedAt = next.tick;
 	owner.tookAt = next.tick;
-	owner.inherited = next.stored.roster;
-	owner.rostered = next.stored.roster;
+	owner.unsettled = [...next.stored.roster];
+	owner.roster = [...next.stored.roster];
 	owner.run = owner.epoch * runsPerEpoch;
 	owner.sawEnd = next.stored.end;
 }
@@ -274,7 +368,7 @@
 	index: number,
 	where: number,
 	guards: DispatchGuards,
-	mayAct: boolean,
+	mayRenew: boolean,
 ): void {
 	const owner = at(next.owners, index);
 	const worker = at(next.workers, where);
@@ -283,24 +377,24 @@
 		return;
 	}
 	worker.epoch = Math.max(worker.epoch, owner.epoch);
-	owner.settled |= 1 << where;
+	if (owner.phase === 'on') owner.unsettled[where] = 'none';
 	if (worker.listsEnd !== 'no') owner.sawEnd = worker.listsEnd;
-	if (worker.running !== 0) {
+	if (worker.running) {
 		owner.placed = where;
 		// An earlier owner may have renewed its lease up to its own horizon.
 		owner.grantedUntil = Math.max(owner.grantedUntil, owner.tookAt + horizonTicks + leaseTicks);
-		if (mayAct) {
+		if (mayRenew) {
 			worker.leaseUntil = Math.max(worker.leaseUntil, next.tick + leaseTicks);
 			owner.grantedUntil = Math.max(owner.grantedUntil, next.tick + leaseTicks);
 		}
 	} else if (owner.placed === where && worker.listsEnd !== 'no') owner.placed = -1;
 }
 
-function putOnRoster(next: DispatchState, index: number, bit: number): void {
+/** One write names all listed workers; each that is new to the roster is open. */
+function openEntries(next: DispatchState, index: number, where: number): void {
 	const owner = at(next.owners, index);
-	if ((owner.rostered & bit) !== 0) return;
-	owner.rostered |= bit;
-	next.stored.roster |= bit;
+	owner.roster = owner.roster.map((entry, worker) => (worker === where || entry === 'none' ? 'open' : entry));
+	next.stored.roster = [...owner.roster];
 }
 
 function sendStart(next: DispatchState, index: number, where: number): void {
@@ -317,10 +411,10 @@
 	worker.epoch = Math.max(worker.epoch, start.epoch);
 	if (guards.notAfter && start.until < next.tick) return;
 	if (start.run <= worker.highest) return;
-	if (worker.running !== 0) return;
+	if (worker.running) return;
 	if (next.stored.end === 'counts' || next.forgotten)
 		next.wrong = 'the task starts after its end was taken note of';
-	worker.running = start.run;
+	worker.running = true;
 	worker.highest = Math.max(worker.highest, start.run);
 	worker.leaseUntil = Math.max(worker.leaseUntil, guards.notAfter ? start.until : next.tick + leaseTicks);
 }
@@ -329,13 +423,13 @@
 	next.tick += 1;
 	for (const worker of next.workers) {
 		if (worker.leaseUntil >= next.tick) continue;
-		worker.running = 0;
+		worker.running = false;
 		if (worker.listsEnd === 'counts') worker.listsEnd = 'lapsed';
 	}
 }
 
 function judge(next: DispatchState): void {
-	const running = next.workers.filter((worker) => worker.running !== 0);
+	const running = next.workers.filter((worker) => worker.running);
 	if (running.length > 1) next.wrong = 'the task runs in two places';
 }
 
