Model of dispatching: closed roster entries

Cause: a successor waits for every worker of the roster; one that emptied itself and left holds everything back. The protocol is to close entries: a closed one names the tasks that may be there. Change: an entry is open, or closed and lists the task or not. A write that closes is composed first and takes effect later, under its epoch alone. Guards, each with a mutant: rosterEpoch, reopen, closeAtOnce, listPlaced, closeKnown, and listEnds, which the draft of the protocol lacked: a task whose end was seen but isn't stored yet must still be listed. Else a successor starts it elsewhere, then hears of the end and stores it, and the start arrives after. An end may be seen at more than one worker, each entry lists it. What is stored for successors is made alike once none is left. Mutants rosterEpoch and closeKnown take three owners.

--- a/spec/checks.ts
+++ b/spec/checks.ts
@@ -95,29 +95,44 @@
 	return [check('holds', config.configModel('config', operators, config.allConfigGuards)), ...mutants];
 }
 
-const dispatchBounds = {
-	dispatch: { owners: 2, ticks: 3, runs: 2 },
-	'dispatch: three owners': { owners: 3, ticks: 3, runs: 1 },
-} satisfies Record<string, dispatch.DispatchBounds>;
+type DispatchVariant = Pick<dispatch.DispatchOptions, 'bounds'>;
 
-/** Bounds within which leaving out a guard goes wrong, where the first ones don't do. */
-const dispatchMutants: Partial<Record<keyof dispatch.DispatchGuards, keyof typeof dispatchBounds>> = {
+function dispatchVariant([owners, ticks, runs, closings]: [number, number, number, number]): DispatchVariant {
+	return { bounds: { owners, ticks, runs, closings } };
+}
+
+/** The dispatch model's variants: owners, ticks, starts and closed entries of each owner. */
+const dispatchVariants = {
+	dispatch: dispatchVariant([2, 3, 2, 0]),
+	'dispatch: three owners': dispatchVariant([3, 3, 1, 0]),
+	'dispatch: closed entries': dispatchVariant([2, 3, 2, 1]),
+	'dispatch: closed entries, three owners': dispatchVariant([3, 0, 1, 1]),
+} satisfies Record<string, DispatchVariant>;
+
+/** Variants in which leaving out a guard goes wrong, where it doesn't in the first one. */
+const dispatchMutants: Partial<Record<keyof dispatch.DispatchGuards, keyof typeof dispatchVariants>> = {
 	confirmWaited: 'dispatch: three owners',
+	rosterEpoch: 'dispatch: closed entries, three owners',
+	reopen: 'dispatch: closed entries',
+	closeAtOnce: 'dispatch: closed entries',
+	listPlaced: 'dispatch: closed entries',
+	listEnds: 'dispatch: closed entries',
+	closeKnown: 'dispatch: closed entries, three owners',
 };
 
 function dispatchChecks(): Check[] {
 	const guards = dispatch.allDispatchGuards;
-	const holds = Object.entries(dispatchBounds).map(([name, bounds]) =>
-		check('holds', dispatch.dispatchModel({ name, guards, bounds })),
+	const holds = Object.entries(dispatchVariants).map(([name, variant]) =>
+		check('holds', dispatch.dispatchModel({ name, guards, ...variant })),
 	);
 	const names = Object.keys(guards) as (keyof dispatch.DispatchGuards)[];
 	const mutants = names.map((guard) =>
 		check(
 			'wrong',
 			dispatch.dispatchModel({
+				...dispatchVariants[dispatchMutants[guard] ?? 'dispatch'],
 				name: `dispatch without ${guard}`,
 				guards: { ...guards, [guard]: false },
-				bounds: dispatchBounds[dispatchMutants[guard] ?? 'dispatch'],
 			}),
 		),
 	);
--- a/spec/dispatch.ts
+++ b/spec/dispatch.ts
@@ -1,8 +1,10 @@
 /**
- * Model of dispatching without stored placements: one task, two workers, owners that follow one another. Only the
- * epoch, the roster and the task's end are stored. Starts may arrive any time later, owners may sleep, workers may be
- * out of reach of any owner. What must hold: the task never runs twice at once, and never starts after its end was
- * stored or forgotten by the worker that listed it, unless that worker's lease had lapsed before.
+ * Model of dispatching without stored starts: one task, two workers, owners that follow one another. Only the epoch,
+ * the roster and the task's end are stored.
+ * An entry of the roster may be closed: a successor then waits for that worker only if the entry lists the task.
+ * Starts may arrive any time later, owners may sleep, workers may be out of reach of any owner. What must hold: the
+ * task never runs twice at once, and never starts after its end was stored or forgotten by the worker that listed it,
+ * unless that worker's lease had lapsed before.
  */
 import type * as explore from './explore.js';
 
@@ -28,6 +30,18 @@
 	confirmLost: boolean;
 	/** Likewise for a silent worker that was waited out. */
 	confirmWaited: boolean;
+	/** A roster write takes effect only under its epoch. */
+	rosterEpoch: boolean;
+	/** An owner starts nothing on a worker whose entry is closed before it has opened it again. */
+	reopen: boolean;
+	/** Nor from composing the write on that closes it. */
+	closeAtOnce: boolean;
+	/** A closed entry lists the task if it is placed there, orders under way included. */
+	listPlaced: boolean;
+	/** It lists the task also if it ended there, until the end is stored. */
+	listEnds: boolean;
+	/** An owner closes no worker of the roster it read before that worker is settled. */
+	closeKnown: boolean;
 }
 
 /** Every guard on. */
@@ -42,6 +56,12 @@
 	ownWait: true,
 	confirmLost: true,
 	confirmWaited: true,
+	rosterEpoch: true,
+	reopen: true,
+	closeAtOnce: true,
+	listPlaced: true,
+	listEnds: true,
+	closeKnown: true,
 };
 
 /** Ticks of a lease, and of the horizon. */
@@ -58,6 +78,8 @@
 	ticks: number;
 	/** Starts by each owner. */
 	runs: number;
+	/** Closing roster writes by each owner. */
+	closings: number;
 }
 
 /** What a model is made of. */
@@ -77,16 +99,32 @@
 	unsettled: Entry[];
 	/** The stored roster as it knows it, by its own read or write. */
 	roster: Entry[];
+	/** The roster write under way that closes an entry. */
+	closing: Closing;
+	closings: number;
 	/** Where it believes the task to be; -1: nowhere. */
 	placed: number;
 	run: number;
 	/** End of the latest lease that it granted there. */
 	grantedUntil: number;
 	sawEnd: EndListing;
+	/** Workers that showed it an end of the task, as long as no end is stored: bits. */
+	endsAt: number;
 }
 
-/** What the stored roster says of a worker. */
-type Entry = 'none' | 'open';
+/**
+ * What the stored roster says of a worker. `open`: the task may be there. Closed: `lists` the task, which may be there,
+ * or is `empty`.
+ */
+type Entry = 'none' | 'open' | 'lists' | 'empty';
+
+/** Composed, and not in force yet; worker -1: nothing is under way. */
+interface Closing {
+	worker: number;
+	entry: Entry;
+}
+
+const noClosing: Closing = { worker: -1, entry: 'none' };
 
 type EndListing = 'no' | 'counts' | 'lapsed';
 
@@ -130,10 +168,13 @@
 	tookAt: 0,
 	unsettled: [],
 	roster: [],
+	closing: noClosing,
+	closings: 0,
 	placed: -1,
 	run: 0,
 	grantedUntil: 0,
 	sawEnd: 'no',
+	endsAt: 0,
 };
 
 const newWorker: Worker = { epoch: 0, running: false, highest: 0, leaseUntil: 0, listsEnd: 'no' };
@@ -141,7 +182,11 @@
 function initialState(bounds: DispatchBounds): DispatchState {
 	return {
 		tick: 0,
-		stored: { epoch: 0, roster: Array.from({ length: workerCount }, () => 'none' as const), end: 'no' },
+		stored: {
+			epoch: 0,
+			roster: Array.from({ length: workerCount }, () => 'none' as const),
+			end: 'no',
+		},
 		forgotten: false,
 		owners: Array.from({ length: bounds.owners }, () => ({ ...newOwner })),
 		workers: Array.from({ length: workerCount }, () => ({ ...newWorker })),
@@ -152,10 +197,10 @@
 
 /** The model under some guards, within some bounds. */
 export function dispatchModel(opts: DispatchOptions): explore.Model<DispatchState> {
-	const { owners, ticks, runs } = opts.bounds;
+	const { owners, ticks, runs, closings } = opts.bounds;
 	return {
 		name: opts.name,
-		bounds: `${owners} owners, ${workerCount} workers, ${ticks} ticks, ${runs} starts each, ${mostMessages} late`,
+		bounds: `${owners} owners, ${workerCount} workers, ${ticks} ticks, ${runs} starts and ${closings} closed entries each, ${mostMessages} late`,
 		initial: initialState(opts.bounds),
 		steps: (state) => stepsOf(state, opts),
 		wrong: (state) => (state.wrong === '' ? undefined : state.wrong),
@@ -207,6 +252,7 @@
 		}
 		if (owner.phase === 'over') Object.assign(owner, newOwner, { phase: 'over' });
 	}
+	dropUnread(next, guards);
 	next.workers.forEach((worker, index) => {
 		if (worker.leaseUntil < next.tick) worker.leaseUntil = 0;
 		const isOlder = (start: Start): boolean => start.worker === index && start.run <= worker.highest;
@@ -214,12 +260,35 @@
 	});
 }
 
+/** What is stored or composed for successors, once none will read it. */
+function dropUnread(next: DispatchState, guards: DispatchGuards): void {
+	const isRead = hasSuccessor(next);
+	if (!isRead) next.stored.roster.fill('open');
+	for (const owner of next.owners) {
+		const inForce = owner.epoch === next.stored.epoch || !guards.rosterEpoch;
+		if (isRead && inForce) continue;
+		owner.endsAt = 0;
+		owner.closings = 0;
+		owner.roster = owner.roster.map((entry) => (entry === 'lists' ? 'empty' : entry));
+	}
+}
+
+/** Whether another owner may take over, which alone reads what is stored. */
+function hasSuccessor(state: DispatchState): boolean {
+	return state.owners.some((owner) => owner.phase === 'new');
+}
+
 /** Workers to tell apart: as long as nothing ever happened at any, one stands for all. */
 function workersApart(state: DispatchState): Worker[] {
 	const isUsed =
 		state.starts.length > 0 ||
 		state.owners.some(
-			(owner) => owner.placed !== -1 || !isUniform(owner.roster) || !isUniform(owner.unsettled),
+			(owner) =>
+				owner.placed !== -1 ||
+				owner.endsAt !== 0 ||
+				owner.closing.worker !== -1 ||
+				!isUniform(owner.roster) ||
+				!isUniform(owner.unsettled),
 		) ||
 		!isUniform(state.stored.roster) ||
 		!isUniform(state.workers.map((worker) => JSON.stringify(worker)));
@@ -270,6 +339,7 @@
 	if (inForce && owner.sawEnd !== 'no' && state.stored.end === 'no')
 		step(`owner ${index} stores the end`, (next) => {
 			next.stored.end = owner.sawEnd;
+			at(next.owners, index).endsAt = 0;
 		});
 	workersApart(state).forEach((worker, where) => {
 		const acting = { state, owner, index, worker, where, opts };
@@ -277,6 +347,7 @@
 		if (owner.phase === 'barred') return;
 		proofSteps(acting, step);
 		rosterSteps(acting, step);
+		closingSteps(acting, step);
 		startSteps(acting, step);
 	});
 }
@@ -328,27 +399,72 @@
 		});
 }
 
+/** Opening takes effect as it is composed: it adds nothing that a later start depends on before it is in force. */
 function rosterSteps({ state, owner, index, where }: Acting, step: AddStep): void {
-	if (state.stored.epoch !== owner.epoch) return;
+	if (state.stored.epoch !== owner.epoch || owner.closing.worker !== -1) return;
 	if (owner.roster[where] !== 'open')
-		step(`owner ${index} puts all workers on the roster`, (next) => {
+		step(`owner ${index} opens worker ${where} on the roster`, (next) => {
 			openEntries(next, index, where);
 		});
 }
 
+function closingSteps({ state, owner, index, where, opts }: Acting, step: AddStep): void {
+	const { guards, bounds } = opts;
+	const { worker, entry } = owner.closing;
+	const inForce = state.stored.epoch === owner.epoch;
+	if (worker === where && (inForce || !guards.rosterEpoch))
+		step(`owner ${index}'s write that closes worker ${where} takes effect`, (next) => {
+			at(next.owners, index).closing = noClosing;
+			at(next.owners, index).roster[where] = entry;
+			next.stored.roster[where] = entry;
+		});
+	const isKnown = owner.unsettled[where] === 'none' || !guards.closeKnown;
+	const mayClose =
+		inForce &&
+		isKnown &&
+		hasSuccessor(state) &&
+		owner.roster[where] !== 'none' &&
+		owner.closings < bounds.closings;
+	const closed = closedEntry(owner, where, guards);
+	if (worker === -1 && mayClose && owner.roster[where] !== closed)
+		step(`owner ${index} composes a write that closes worker ${where}: ${closed}`, (next) => {
+			const one = at(next.owners, index);
+			one.closing = { worker: where, entry: closed };
+			one.closings += 1;
+		});
+}
+
+function closedEntry(owner: Owner, where: number, guards: DispatchGuards): Entry {
+	const isPlaced = owner.placed === where && guards.listPlaced;
+	const isEnded = (owner.endsAt & (1 << where)) !== 0 && guards.listEnds;
+	return isPlaced || isEnded ? 'lists' : 'empty';
+}
+
 function startSteps(acting: Acting, step: AddStep): void {
 	const { state, owner, index, where, opts } = acting;
 	const { guards, bounds } = opts;
-	const isSettled = !guards.settle || owner.unsettled.every((entry) => entry === 'none');
-	const hasRuns = owner.run % runsPerEpoch < bounds.runs;
-	const isFree = owner.placed === -1 && owner.sawEnd === 'no' && hasRuns;
-	const isRostered = owner.roster[where] === 'open' || !guards.roster;
-	if (isFree && isSettled && mayAct(acting) && isRostered && state.starts.length < mostMessages)
+	if (owner.sawEnd !== 'no' || owner.run % runsPerEpoch >= bounds.runs) return;
+	const isFree = owner.placed === -1 && !isHeldBack(owner, guards);
+	const isOpen = mayStartAt(owner, where, guards);
+	if (isFree && isOpen && mayAct(acting) && state.starts.length < mostMessages)
 		step(`owner ${index} sends a start to worker ${where}`, (next) => {
 			sendStart(next, index, where);
 		});
 }
 
+/** Whether the task may still run for an earlier owner, at a worker that isn't settled. */
+function isHeldBack(owner: Owner, guards: DispatchGuards): boolean {
+	const mayBeAt = (entry: Entry): boolean => entry === 'open' || entry === 'lists';
+	return guards.settle && owner.unsettled.some(mayBeAt);
+}
+
+function mayStartAt(owner: Owner, where: number, guards: DispatchGuards): boolean {
+	if (owner.closing.worker === where && guards.closeAtOnce) return false;
+	const entry = at(owner.roster, where);
+	if (entry === 'open') return true;
+	return entry === 'none' ? !guards.roster : !guards.reopen;
+}
+
 function takeOver(next: DispatchState, index: number): void {
 	next.stored.epoch += 1;
 	const owner = at(next.owners, index);
@@ -378,7 +494,10 @@
 	}
 	worker.epoch = Math.max(worker.epoch, owner.epoch);
 	if (owner.phase === 'on') owner.unsettled[where] = 'none';
-	if (worker.listsEnd !== 'no') owner.sawEnd = worker.listsEnd;
+	if (worker.listsEnd !== 'no') {
+		owner.sawEnd = worker.listsEnd;
+		if (next.stored.end === 'no') owner.endsAt |= 1 << where;
+	}
 	if (worker.running) {
 		owner.placed = where;
 		// An earlier owner may have renewed its lease up to its own horizon.
