Model of dispatching: a lasting task's place is stored before its start

Cause: for tasks that last and start seldom, a stored place lets a successor wait for one worker instead of all. Change: variant stored place (parameter storesPlace): the owner stores the place under its epoch, sends the start after, also if it was replaced in between; a successor waits for the worker of the stored place alone, and only if its roster entry is open or lists the task. Guards, each with a mutant: placeFirst, placeOver (a place is replaced only when the run there is proved over), placeWait. Variant entries closed twice: an entry is written again with a shorter list.

--- a/spec/checks.ts
+++ b/spec/checks.ts
@@ -95,10 +95,13 @@
 	return [check('holds', config.configModel('config', operators, config.allConfigGuards)), ...mutants];
 }
 
-type DispatchVariant = Pick<dispatch.DispatchOptions, 'bounds'>;
+type DispatchVariant = Pick<dispatch.DispatchOptions, 'bounds' | 'storesPlace'>;
 
-function dispatchVariant([owners, ticks, runs, closings]: [number, number, number, number]): DispatchVariant {
-	return { bounds: { owners, ticks, runs, closings } };
+function dispatchVariant(
+	[owners, ticks, runs, closings]: [number, number, number, number],
+	storesPlace = false,
+): DispatchVariant {
+	return { bounds: { owners, ticks, runs, closings }, storesPlace };
 }
 
 /** The dispatch model's variants: owners, ticks, starts and closed entries of each owner. */
@@ -106,7 +109,10 @@
 	dispatch: dispatchVariant([2, 3, 2, 0]),
 	'dispatch: three owners': dispatchVariant([3, 3, 1, 0]),
 	'dispatch: closed entries': dispatchVariant([2, 3, 2, 1]),
+	'dispatch: entries closed twice': dispatchVariant([2, 2, 2, 2]),
 	'dispatch: closed entries, three owners': dispatchVariant([3, 0, 1, 1]),
+	'dispatch: stored place': dispatchVariant([2, 3, 2, 1], true),
+	'dispatch: stored place, three owners': dispatchVariant([3, 0, 1, 1], true),
 } satisfies Record<string, DispatchVariant>;
 
 /** Variants in which leaving out a guard goes wrong, where it doesn't in the first one. */
@@ -118,6 +124,9 @@
 	listPlaced: 'dispatch: closed entries',
 	listEnds: 'dispatch: closed entries',
 	closeKnown: 'dispatch: closed entries, three owners',
+	placeFirst: 'dispatch: stored place',
+	placeOver: 'dispatch: stored place',
+	placeWait: 'dispatch: stored place',
 };
 
 function dispatchChecks(): Check[] {
--- a/spec/dispatch.ts
+++ b/spec/dispatch.ts
@@ -1,6 +1,6 @@
 /**
  * Model of dispatching without stored starts: one task, two workers, owners that follow one another. Only the epoch,
- * the roster and the task's end are stored.
+ * the roster and the task's end are stored; in a variant, for tasks that last, also the task's place before its start.
  * An entry of the roster may be closed: a successor then waits for that worker only if the entry lists the task.
  * Starts may arrive any time later, owners may sleep, workers may be out of reach of any owner. What must hold: the
  * task never runs twice at once, and never starts after its end was stored or forgotten by the worker that listed it,
@@ -42,6 +42,12 @@
 	listEnds: boolean;
 	/** An owner closes no worker of the roster it read before that worker is settled. */
 	closeKnown: boolean;
+	/** An owner stores where the task is to be before it sends the start. */
+	placeFirst: boolean;
+	/** It replaces a stored place only when the run there is proved over. */
+	placeOver: boolean;
+	/** A successor starts the task only when the worker of the stored place is settled. */
+	placeWait: boolean;
 }
 
 /** Every guard on. */
@@ -62,6 +68,9 @@
 	listPlaced: true,
 	listEnds: true,
 	closeKnown: true,
+	placeFirst: true,
+	placeOver: true,
+	placeWait: true,
 };
 
 /** Ticks of a lease, and of the horizon. */
@@ -87,6 +96,8 @@
 	name: string;
 	guards: DispatchGuards;
 	bounds: DispatchBounds;
+	/** The task's place is stored before its start, so a successor waits for that worker alone. */
+	storesPlace: boolean;
 }
 
 interface Owner {
@@ -102,6 +113,9 @@
 	/** The roster write under way that closes an entry. */
 	closing: Closing;
 	closings: number;
+	/** The stored place as it knows it, by its own read or write, and as it read it at the takeover; -1: none. */
+	place: number;
+	inheritedPlace: number;
 	/** Where it believes the task to be; -1: nowhere. */
 	placed: number;
 	run: number;
@@ -147,7 +161,7 @@
 /** A state of the model. */
 export interface DispatchState {
 	tick: number;
-	stored: { epoch: number; roster: Entry[]; end: EndListing };
+	stored: { epoch: number; roster: Entry[]; place: number; end: EndListing };
 	/** An end that counts was forgotten by its worker. */
 	forgotten: boolean;
 	owners: Owner[];
@@ -170,6 +184,8 @@
 	roster: [],
 	closing: noClosing,
 	closings: 0,
+	place: -1,
+	inheritedPlace: -1,
 	placed: -1,
 	run: 0,
 	grantedUntil: 0,
@@ -185,6 +201,7 @@
 		stored: {
 			epoch: 0,
 			roster: Array.from({ length: workerCount }, () => 'none' as const),
+			place: -1,
 			end: 'no',
 		},
 		forgotten: false,
@@ -244,6 +261,7 @@
 function dropIrrelevant(next: DispatchState, guards: DispatchGuards): void {
 	for (const owner of next.owners) {
 		if (owner.placed === -1) owner.grantedUntil = 0;
+		if (owner.unsettled[owner.inheritedPlace] === 'none') owner.inheritedPlace = -1;
 		const isLate = next.tick - owner.confirmedAt > horizonTicks && guards.horizon;
 		const isBarred = owner.phase === 'on' && owner.epoch < next.stored.epoch && isLate;
 		if (isBarred || owner.phase === 'barred') {
@@ -263,7 +281,10 @@
 /** What is stored or composed for successors, once none will read it. */
 function dropUnread(next: DispatchState, guards: DispatchGuards): void {
 	const isRead = hasSuccessor(next);
-	if (!isRead) next.stored.roster.fill('open');
+	if (!isRead) {
+		next.stored.roster.fill('open');
+		next.stored.place = -1;
+	}
 	for (const owner of next.owners) {
 		const inForce = owner.epoch === next.stored.epoch || !guards.rosterEpoch;
 		if (isRead && inForce) continue;
@@ -282,9 +303,12 @@
 function workersApart(state: DispatchState): Worker[] {
 	const isUsed =
 		state.starts.length > 0 ||
+		state.stored.place !== -1 ||
 		state.owners.some(
 			(owner) =>
 				owner.placed !== -1 ||
+				owner.place !== -1 ||
+				owner.inheritedPlace !== -1 ||
 				owner.endsAt !== 0 ||
 				owner.closing.worker !== -1 ||
 				!isUniform(owner.roster) ||
@@ -442,10 +466,17 @@
 
 function startSteps(acting: Acting, step: AddStep): void {
 	const { state, owner, index, where, opts } = acting;
-	const { guards, bounds } = opts;
+	const { guards, bounds, storesPlace } = opts;
 	if (owner.sawEnd !== 'no' || owner.run % runsPerEpoch >= bounds.runs) return;
-	const isFree = owner.placed === -1 && !isHeldBack(owner, guards);
-	const isOpen = mayStartAt(owner, where, guards);
+	const isFree = owner.placed === -1 && !isHeldBack(owner, opts);
+	const mayStore = storesPlace && state.stored.epoch === owner.epoch && owner.place !== where;
+	if (mayStore && (isFree || !guards.placeOver))
+		step(`owner ${index} stores worker ${where} as the task's place`, (next) => {
+			next.stored.place = where;
+			at(next.owners, index).place = where;
+		});
+	const isStored = !storesPlace || owner.place === where || !guards.placeFirst;
+	const isOpen = isStored && mayStartAt(owner, where, guards);
 	if (isFree && isOpen && mayAct(acting) && state.starts.length < mostMessages)
 		step(`owner ${index} sends a start to worker ${where}`, (next) => {
 			sendStart(next, index, where);
@@ -453,8 +484,9 @@
 }
 
 /** Whether the task may still run for an earlier owner, at a worker that isn't settled. */
-function isHeldBack(owner: Owner, guards: DispatchGuards): boolean {
-	const mayBeAt = (entry: Entry): boolean => entry === 'open' || entry === 'lists';
+function isHeldBack(owner: Owner, { guards, storesPlace }: DispatchOptions): boolean {
+	const mayBeAt = (entry: Entry | undefined): boolean => entry === 'open' || entry === 'lists';
+	if (storesPlace) return guards.placeWait && mayBeAt(owner.unsettled[owner.inheritedPlace]);
 	return guards.settle && owner.unsettled.some(mayBeAt);
 }
 
@@ -474,6 +506,8 @@
 	owner.tookAt = next.tick;
 	owner.unsettled = [...next.stored.roster];
 	owner.roster = [...next.stored.roster];
+	owner.place = next.stored.place;
+	owner.inheritedPlace = next.stored.place;
 	owner.run = owner.epoch * runsPerEpoch;
 	owner.sawEnd = next.stored.end;
 }
