--- a/spec/checks.ts
+++ b/spec/checks.ts
@@ -95,17 +95,57 @@
 	return [check('holds', config.configModel('config', operators, config.allConfigGuards)), ...mutants];
 }
 
+type DispatchVariant = Pick<dispatch.DispatchOptions, 'bounds' | 'storesPlace'>;
+
+function dispatchVariant(
+	[owners, ticks, runs, closings]: [number, number, number, number],
+	storesPlace = false,
+): DispatchVariant {
+	return { bounds: { owners, ticks, runs, closings }, storesPlace };
+}
+
+/** The dispatch model's variants: owners, ticks, starts and closed entries of each owner. */
+const dispatchVariants = {
+	dispatch: dispatchVariant([2, 3, 2, 0]),
+	'dispatch: three owners': dispatchVariant([3, 3, 1, 0]),
+	'dispatch: closed entries': dispatchVariant([2, 3, 2, 1]),
+	'dispatch: entries closed twice': dispatchVariant([2, 2, 2, 2]),
+	'dispatch: closed entries, three owners': dispatchVariant([3, 0, 1, 1]),
+	'dispatch: stored place': dispatchVariant([2, 3, 2, 1], true),
+	'dispatch: stored place, three owners': dispatchVariant([3, 0, 1, 1], true),
+} satisfies Record<string, DispatchVariant>;
+
+/** Variants in which leaving out a guard goes wrong, where it doesn't in the first one. */
+const dispatchMutants: Partial<Record<keyof dispatch.DispatchGuards, keyof typeof dispatchVariants>> = {
+	confirmWaited: 'dispatch: three owners',
+	rosterEpoch: 'dispatch: closed entries, three owners',
+	reopen: 'dispatch: closed entries',
+	closeAtOnce: 'dispatch: closed entries',
+	listPlaced: 'dispatch: closed entries',
+	listEnds: 'dispatch: closed entries',
+	closeKnown: 'dispatch: closed entries, three owners',
+	placeFirst: 'dispatch: stored place',
+	placeOver: 'dispatch: stored place',
+	placeWait: 'dispatch: stored place',
+};
+
 function dispatchChecks(): Check[] {
-	const mutants = Object.keys(dispatch.allDispatchGuards).map((guard) =>
+	const guards = dispatch.allDispatchGuards;
+	const holds = Object.entries(dispatchVariants).map(([name, variant]) =>
+		check('holds', dispatch.dispatchModel({ name, guards, ...variant })),
+	);
+	const names = Object.keys(guards) as (keyof dispatch.DispatchGuards)[];
+	const mutants = names.map((guard) =>
 		check(
 			'wrong',
-			dispatch.dispatchModel(`dispatch without ${guard}`, {
-				...dispatch.allDispatchGuards,
-				[guard]: false,
+			dispatch.dispatchModel({
+				...dispatchVariants[dispatchMutants[guard] ?? 'dispatch'],
+				name: `dispatch without ${guard}`,
+				guards: { ...guards, [guard]: false },
 			}),
 		),
 	);
-	return [check('holds', dispatch.dispatchModel('dispatch', dispatch.allDispatchGuards)), ...mutants];
+	return [...holds, ...mutants];
 }
 
 /** All checks, the longest first. */
