A worker that left is forgotten only once its ends are stored

Cause: found by reading, beside the model: a worker that left the list and holds no placement was dropped from the roster though an end seen there might not be stored; a successor would start that task again while the worker, cut off rather than gone, still lists its end. Change: dropping it takes what a closed entry names, as the entry does.

--- a/src/core/dispatch/worker-pool.ts
+++ b/src/core/dispatch/worker-pool.ts
@@ -98,7 +98,7 @@
 	tick(): void {
 		for (const session of this.all()) {
 			if (session.checkLease()) this.confirm();
-			const holdsNothing = session.placements.size === 0 && session.settled;
+			const holdsNothing = session.settled && session.concerned.length === 0;
 			if (session.unlisted && !session.answering && holdsNothing)
 				session.end('it left the list and holds nothing');
 		}
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -243,7 +243,7 @@
 	 */
 	checkLease(): boolean {
 		if (this.answering || this.closed || this.deps.clock.now() < this.leaseOverAt) return false;
-		if (this.placements.size === 0 && this.settled) return false;
+		if (this.settled && this.concerned.length === 0) return false;
 		if (this.deps.confirmedAt() < this.leaseOverAt) return true;
 		this.loseAll('the lease has run out');
 		return false;
