An owner tells the other boxes when the leases of silent workers end, and gives none until the roster changes

A worker that died 5 to 10 s before its owner, or while the store was away, kept its own tasks away for 20 s, and each further takeover began again. Ruled out: shorter leases for all (they lapse in cuts of a zone that the present ones outlive); times in the store (boxes share no clock, and the store's leases may end early). Change: with its answers to the boxes' questions an owner states, by silent worker, how long until every lease there is over, and the version of the roster. From then on it gives that worker no lease until a roster write of its own is committed, which voids the statement; a worker that answers again gets that write at once. The next owner relies on the statement of its direct predecessor if the roster that it reads has the stated version.

--- a/src/core/box/box.ts
+++ b/src/core/box/box.ts
@@ -52,7 +52,7 @@
 		this.peers = wire.PeerClient.create(clock, events);
 		const { contact, peers } = this;
 		const { box, processor } = settings;
-		this.pings = pings.OwnerPings.create({ peers, contact, box, processor });
+		this.pings = pings.OwnerPings.create({ peers, contact, box, processor, now: () => clock.now() });
 		this.heldPings = held.HeldPings.create(clock);
 		this.service = service.JobService.create({
 			store: this.store,
@@ -214,6 +214,7 @@
 			},
 			owned,
 			contents,
+			this.pings.leaseEnds.for(owned.generation, owned.rosterVersion),
 		);
 		for (const wave of this.waves.values()) this.role.addWave(wave);
 	}
@@ -234,7 +235,7 @@
 			case 'owner.ping':
 				this.candidates.heard(req.candidate);
 				await this.heldPings.hold(req.waitMs);
-				return this.isOwner() ? results.ok(this.pingReply()) : notOwner;
+				return this.role === undefined ? notOwner : results.ok(this.pingReply(this.role));
 			case 'job.stored':
 				dispatcher.addJob(req.record);
 				return results.ok(null);
@@ -252,16 +253,12 @@
 		}
 	}
 
-	/** Read after an `await`, where the compiler thinks the field can't have changed. */
-	private isOwner(): boolean {
-		return this.role !== undefined;
-	}
-
-	private pingReply(): protocol.PingReply {
+	private pingReply(role: ownerRole.OwnerRole): protocol.PingReply {
 		return {
 			generation: this.ownership.current?.generation ?? 0,
 			strongest: this.candidates.strongest(this.settings.processor),
 			storeReachable: this.contact.reachable,
+			silent: role.silentWorkers(),
 		};
 	}
 }
--- /dev/null
+++ b/src/core/box/lease-ends.ts
@@ -0,0 +1,48 @@
+/**
+ * What the owner told this box of workers that were silent for it, for the time after that owner. It holds for the next
+ * owner only, and only while the roster in the store is as that owner knew it: with each write of the roster it may have
+ * given leases again.
+ */
+import type * as protocol from './peer-protocol.js';
+
+/** Added to each end: covers timers that fire late, and clocks of unlike rates over the longest lease; in milliseconds. */
+const marginMs = 150;
+
+/** What the newest answer of an owner said. */
+interface Statement {
+	generation: number;
+	rosterVersion: number;
+	/** Clock time of this box by which all leases at a worker are over. */
+	endsAt: Map<string, number>;
+}
+
+/** The ends of leases as the owner last told them. */
+export class LeaseEnds {
+	private newest: Statement | undefined;
+
+	private constructor(private readonly now: () => number) {}
+
+	static create(now: () => number): LeaseEnds {
+		return new LeaseEnds(now);
+	}
+
+	/** Takes in an answer of the owner; what it said before is void. */
+	take(reply: protocol.PingReply): void {
+		const { generation, silent } = reply;
+		if (silent === undefined) {
+			this.newest = undefined;
+			return;
+		}
+		// Counted from the answer's arrival: never earlier than the owner meant.
+		const base = this.now() + marginMs;
+		const endsAt = new Map(Object.entries(silent.leftMs).map(([worker, leftMs]) => [worker, base + leftMs]));
+		this.newest = { generation, rosterVersion: silent.rosterVersion, endsAt };
+	}
+
+	/** What an owner of this generation, which read the roster in this version, may rely on. */
+	for(generation: number, rosterVersion: number): ReadonlyMap<string, number> {
+		const { newest } = this;
+		const holds = newest?.generation === generation - 1 && newest.rosterVersion === rosterVersion;
+		return holds ? newest.endsAt : new Map();
+	}
+}
--- a/src/core/box/owner-pings.ts
+++ b/src/core/box/owner-pings.ts
@@ -1,5 +1,6 @@
 /** Questions to the owner whether it still is, and what it told with its answers. */
 import * as ownership from '../owner/index.js';
+import * as leaseEnds from './lease-ends.js';
 import type * as contacts from '../platform/contact.js';
 import type * as protocol from './peer-protocol.js';
 import type * as wire from '../wire/frames-only.js';
@@ -11,6 +12,8 @@
 	box: string;
 	/** Cores' worth of processor that this box may use. */
 	processor: number;
+	/** Clock time. */
+	now: () => number;
 }
 
 /** This box's questions to the owner. */
@@ -19,8 +22,12 @@
 	storeReachable = false;
 	/** The strongest processor among all boxes, as the owner last told. */
 	strongest: number | undefined;
+	/** What the owner last told of silent workers. */
+	readonly leaseEnds: leaseEnds.LeaseEnds;
 
-	private constructor(private readonly opts: OwnerPingsOptions) {}
+	private constructor(private readonly opts: OwnerPingsOptions) {
+		this.leaseEnds = leaseEnds.LeaseEnds.create(opts.now);
+	}
 
 	static create(opts: OwnerPingsOptions): OwnerPings {
 		return new OwnerPings(opts);
@@ -43,6 +50,7 @@
 	private take(reply: protocol.PingReply): void {
 		this.storeReachable = reply.storeReachable;
 		this.strongest = reply.strongest;
+		this.leaseEnds.take(reply);
 	}
 
 	private async pingAgain(address: string): Promise<ownership.PingOutcome> {
--- a/src/core/box/owner-role.ts
+++ b/src/core/box/owner-role.ts
@@ -7,6 +7,7 @@
 import * as wire from '../wire/frame.js';
 import type * as adapters from './platform-adapter.js';
 import type * as boxSettings from './settings.js';
+import type * as protocol from './peer-protocol.js';
 import type * as events from '../events/index.js';
 import type * as fleet from '../fleet/types.js';
 import type * as queues from '../queues/index.js';
@@ -45,15 +46,29 @@
 		private readonly deps: OwnerRoleDeps,
 		private readonly owned: ledger.OwnerLedger,
 		contents: ledger.LedgerContents,
+		leaseEnds: ReadonlyMap<string, number>,
 	) {
-		this.dispatcher = this.createDispatcher(contents);
+		this.dispatcher = this.createDispatcher(contents, leaseEnds);
 		this.learntTimer = clocks.every(deps.clock, learntGapMs, () => void this.storeLearnt());
 		this.upkeep = this.createUpkeep();
 		this.followers = [this.followRequests(contents.revision), this.followWorkers()];
 	}
 
-	static create(deps: OwnerRoleDeps, owned: ledger.OwnerLedger, contents: ledger.LedgerContents): OwnerRole {
-		return new OwnerRole(deps, owned, contents);
+	/** `leaseEnds`: clock time by which all leases at a worker are over, where the owner before said so. */
+	static create(
+		deps: OwnerRoleDeps,
+		owned: ledger.OwnerLedger,
+		contents: ledger.LedgerContents,
+		leaseEnds: ReadonlyMap<string, number>,
+	): OwnerRole {
+		return new OwnerRole(deps, owned, contents, leaseEnds);
+	}
+
+	/** What the next owner may rely on about workers that do not answer this one. */
+	silentWorkers(): protocol.SilentWorkers | undefined {
+		const leftMs = this.dispatcher.silentLeases();
+		if (Object.keys(leftMs).length === 0) return undefined;
+		return { rosterVersion: this.owned.rosterVersion, leftMs };
 	}
 
 	/** Takes in a wave of upkeep, unless an earlier owner saw it through. */
@@ -80,7 +95,10 @@
 			this.deps.events.emit('learnt.unstored', { epoch: this.owned.generation, reason: outcome });
 	}
 
-	private createDispatcher(contents: ledger.LedgerContents): dispatch.Dispatcher {
+	private createDispatcher(
+		contents: ledger.LedgerContents,
+		leaseEnds: ReadonlyMap<string, number>,
+	): dispatch.Dispatcher {
 		const { clock, events: log, settings, adapter, table, onFenced } = this.deps;
 		const { owned } = this;
 		return dispatch.Dispatcher.create(
@@ -104,6 +122,7 @@
 				askAdviser: adapter.askAdviser,
 				keepStateMs: settings.bounds.keepStateMs,
 				harmMs: settings.bounds.harmMs,
+				leaseEnds,
 			},
 			contents,
 			contents.learnt as dispatch.Knowledge | undefined,
--- a/src/core/box/peer-protocol.ts
+++ b/src/core/box/peer-protocol.ts
@@ -38,6 +38,19 @@
 	storeReachable: boolean;
 	/** The strongest processor (cores) among the boxes that ask the owner, and its own. */
 	strongest: number;
+	/** What the owner says of silent workers; absent: none is. */
+	silent?: SilentWorkers;
+}
+
+/**
+ * What an owner says of workers that do not answer it. Until its next roster write it gives none of them a lease, so the
+ * next owner need not wait for them from its own takeover on.
+ */
+export interface SilentWorkers {
+	/** Version of the roster in the store, as the owner knows it: a later write of it voids what is said here. */
+	rosterVersion: number;
+	/** By worker: how long until every lease there is over, in milliseconds. */
+	leftMs: Record<string, number>;
 }
 
 /** The answer to `job.state`; absent: the owner does not know the job. */
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -34,6 +34,8 @@
 	askAdviser?: fleet.AskAdviser;
 	/** A finished job's state is kept this long, in milliseconds. */
 	keepStateMs: number;
+	/** Clock time by which all leases at a worker are over, where the owner before said so. */
+	leaseEnds: ReadonlyMap<string, number>;
 	/** Longest time over its target that a serving task may be kept by what fills beside it. */
 	harmMs: number;
 }
@@ -140,6 +142,11 @@
 		if (session !== undefined) session.vacated = false;
 	}
 
+	/** By worker that is silent: how long until every lease there is over, in milliseconds, for the next owner. */
+	silentLeases(): Record<string, number> {
+		return this.workers.withholdSilent();
+	}
+
 	/** What was learnt of how tasks disturb each other, for the next owner. */
 	knowledge(): interference.Knowledge {
 		return this.estimates.knowledge();
--- a/src/core/dispatch/worker-pool.ts
+++ b/src/core/dispatch/worker-pool.ts
@@ -18,6 +18,8 @@
 	handlers: sessions.SessionHandlers;
 	/** More workers may take work. */
 	onOpened: () => void;
+	/** Clock time by which all leases at a worker are over, where the owner before said so. */
+	leaseEnds: ReadonlyMap<string, number>;
 }
 
 /** All workers under one owner. */
@@ -43,7 +45,8 @@
 		const inheritedUntil = opts.clock.now() + settings.renewalHorizonMs + longest + settings.leaseMarginMs;
 		for (const entry of roster) {
 			const isEmpty = entry.tasks?.length === 0;
-			const session = pool.open(entry, undefined, isEmpty ? -Infinity : inheritedUntil);
+			const until = Math.min(inheritedUntil, opts.leaseEnds.get(entry.id) ?? Infinity);
+			const session = pool.open(entry, undefined, isEmpty ? -Infinity : until);
 			session.rostered = entry.tasks === undefined;
 			session.rosteredTasks = entry.tasks && new Set(entry.tasks);
 			if (!session.settled) pool.unsettled.add(session);
@@ -94,6 +97,12 @@
 			this.opts.events.emit('takeover.settled', { epoch: this.opts.epoch });
 	}
 
+	/** By worker that is silent: how long until every lease there is over, in milliseconds. None is given meanwhile. */
+	withholdSilent(): Record<string, number> {
+		const silent = this.all().filter((one) => one.silent && !one.gone);
+		return Object.fromEntries(silent.map((one) => [one.id, one.withholdLease()]));
+	}
+
 	/** To be called now and then: silent workers lose what they held once their leases are over. */
 	tick(): void {
 		for (const session of this.all()) {
@@ -192,6 +201,7 @@
 				listed.forEach((session, index) => {
 					session.rosteredTasks = entries[index]?.tasks && new Set(entries[index].tasks);
 					session.rostered = session.rosteredTasks === undefined;
+					session.releaseLease();
 				});
 				this.opts.onOpened();
 				continue;
@@ -222,10 +232,15 @@
 	return session.target;
 }
 
-/** Whether a worker's stored entry should be closed, or opened again, or names tasks though the worker is empty now. */
+/**
+ * Whether a worker's stored entry should be closed, or opened again, or names tasks though the worker is empty now; or
+ * the roster has to change for the worker to get leases again.
+ */
 function isRosterOutdated(session: sessions.WorkerSession): boolean {
 	const { rosteredTasks } = session;
-	if (!session.settled || session.gone) return false;
+	if (session.gone) return false;
+	if (session.lacksLease) return true;
+	if (!session.settled) return false;
 	if (session.withdrawn !== (rosteredTasks !== undefined)) return true;
 	return rosteredTasks !== undefined && rosteredTasks.size > 0 && session.concerned.length === 0;
 }
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -69,6 +69,8 @@
 	private readonly createdAt: number;
 	/** The newest report, also one that was put off; undefined: none, or all that it tells of is over. */
 	private reported: fleet.WorkerReport | undefined;
+	/** The other boxes were told when the leases here end: none is given until a roster write voids that. */
+	private withheld = false;
 	/** The last question was not answered; a lease sent with the next would never be known to run out. */
 	private unanswered = false;
 
@@ -198,9 +200,25 @@
 		if (placement.task.step.spec.fills) this.relievedAt = this.neighboursChangedAt;
 	}
 
+	/** How long until every lease here is over, in milliseconds; from now on it does not grow. */
+	withholdLease(): number {
+		this.withheld = true;
+		return this.leaseLeftMs;
+	}
+
+	/** What the other boxes were told is void: the roster has changed since. */
+	releaseLease(): void {
+		this.withheld = false;
+	}
+
+	/** Whether it answers and gets no lease. */
+	get lacksLease(): boolean {
+		return this.withheld && !this.silent;
+	}
+
 	/** Lease end to send with an order, on the worker's clock; undefined: none can or may be given. */
 	grantLease(): number | undefined {
-		if (this.worker === undefined || !this.deps.mayAct()) return undefined;
+		if (this.worker === undefined || this.withheld || !this.deps.mayAct()) return undefined;
 		const now = this.deps.clock.now();
 		// The slowest rate its clock may have: the lease never reaches further than its limit.
 		const clockMs = this.worker.clockMs + (now - this.worker.at) * (1 - settings.clockSlowness);
@@ -288,7 +306,9 @@
 
 	/** Where tasks that fill disturb others, their effect is looked at more often. */
 	private waitMs(): number {
-		if (this.worker === undefined) return 0;
+		// Whether it answers again, and then when it may have a lease, is to be known at once.
+		if (this.worker === undefined || this.unanswered) return 0;
+		if (this.withheld) return settings.tickMs;
 		return this.fillMilliCores > 0 ? settings.holdWaitFillingMs : settings.holdWaitMs;
 	}
 
--- a/src/core/ledger/owner-ledger.ts
+++ b/src/core/ledger/owner-ledger.ts
@@ -58,7 +58,8 @@
 	/** Clock time at which the newest write or read that showed this epoch in force was sent. */
 	confirmedAt: number;
 	private readonly progressVersions = new Map<string, number>();
-	private rosterVersion = 0;
+	/** Version of the stored roster as this owner last wrote or read it. */
+	rosterVersion = 0;
 
 	private constructor(
 		private readonly store: platform.RecordStore,
--- a/test/roster.test.ts
+++ b/test/roster.test.ts
@@ -29,6 +29,7 @@
 			confirm: () => Promise.resolve(),
 			onFenced: () => undefined,
 			onOpened: () => undefined,
+			leaseEnds: new Map(),
 			saveRoster: (roster) => {
 				written.push(roster);
 				return Promise.resolve('committed');
--- a/test/takeover.test.ts
+++ b/test/takeover.test.ts
@@ -98,3 +98,61 @@
 	first.dispatcher.close();
 	second.dispatcher.close();
 });
+
+/** Ends of leases as a box takes them from an owner's answer. */
+function endsFrom(leftMs: Record<string, number>, now: number): Map<string, number> {
+	return new Map(Object.entries(leftMs).map(([worker, left]) => [worker, now + left]));
+}
+
+test('a successor waits for a silent worker no longer than its predecessor would have', async (t) => {
+	const { clock, fleet, takeOver, submit } = world.createWorld(endless);
+	const w1 = fleet.add('w1');
+	const first = await takeOver();
+	await submit(first, world.job('job1', lasting(1)));
+	await clock.pass(1_000);
+	w1.fault = 'silent';
+	await clock.pass(4_000);
+	const ends = endsFrom(first.dispatcher.silentLeases(), clock.now());
+	first.dispatcher.close();
+	const w2 = fleet.add('w2');
+	const second = await takeOver(undefined, undefined, ends);
+	for (let passed = 0; passed < 3_000; passed += 50) {
+		await clock.pass(50);
+		t.deepEqual(fleet.doubled(), []);
+	}
+	t.is(w2.running.size, 1);
+	second.dispatcher.close();
+});
+
+test('a worker whose lease was stated gets none before the roster has changed', async (t) => {
+	let fault: 'none' | 'down' = 'none';
+	const { clock, fleet, takeOver, submit } = world.createWorld(endless);
+	const w1 = fleet.add('w1');
+	const owner = await takeOver(undefined, () => fault);
+	await submit(owner, world.job('job1', lasting(1)));
+	await clock.pass(1_000);
+	w1.fault = 'silent';
+	await clock.pass(2_500);
+	t.deepEqual(Object.keys(owner.dispatcher.silentLeases()), ['w1']);
+	fault = 'down';
+	w1.fault = 'none';
+	await clock.pass(3_700);
+	t.is(w1.running.size, 0);
+	owner.dispatcher.close();
+});
+
+test('a worker whose lease was stated is renewed once the roster has changed', async (t) => {
+	const { clock, fleet, takeOver, submit } = world.createWorld(endless);
+	const w1 = fleet.add('w1');
+	const owner = await takeOver();
+	await submit(owner, world.job('job1', lasting(1)));
+	await clock.pass(1_000);
+	w1.fault = 'silent';
+	await clock.pass(2_500);
+	t.deepEqual(Object.keys(owner.dispatcher.silentLeases()), ['w1']);
+	w1.fault = 'none';
+	await clock.pass(20_000);
+	t.is(w1.running.size, 1);
+	t.is(fleet.starts.length, 1);
+	owner.dispatcher.close();
+});
