Model of dispatching: an owner states when the leases at a silent worker are over

Cause: a successor waits for a silent worker from its own takeover on, also when its predecessor had waited for most of that. The proposal is that an owner tells the others by when every lease there is over; it was to be modelled first. Change: bound statements (0 in the earlier variants). An owner states an end under the record's version, grants no lease there, writes the roster, hears of that, grants again; the next owner waits until the stated end. Each owner reckons one end by worker, as the program does, and each answered report renews a lease, also of an idle worker. Guards, each with a mutant: withhold, sameRoster, directStatement, statedGrants, statedInherited; and two that the proposal lacked or left open: liftLater (the answer to a roster write that took effect before the statement lifts nothing) and askFirst (no start on a worker that has not answered this owner; the program needs its clock first and so has it).

--- a/spec/checks.ts
+++ b/spec/checks.ts
@@ -98,13 +98,13 @@
 type DispatchVariant = Pick<dispatch.DispatchOptions, 'bounds' | 'storesPlace'>;
 
 function dispatchVariant(
-	[owners, ticks, runs, closings]: [number, number, number, number],
+	[owners, ticks, runs, closings, statements = 0]: [number, number, number, number, number?],
 	storesPlace = false,
 ): DispatchVariant {
-	return { bounds: { owners, ticks, runs, closings }, storesPlace };
+	return { bounds: { owners, ticks, runs, closings, statements }, storesPlace };
 }
 
-/** The dispatch model's variants: owners, ticks, starts and closed entries of each owner. */
+/** The dispatch model's variants: owners, ticks, starts, closed entries and statements of each owner. */
 const dispatchVariants = {
 	dispatch: dispatchVariant([2, 3, 2, 0]),
 	'dispatch: three owners': dispatchVariant([3, 3, 1, 0]),
@@ -113,6 +113,8 @@
 	'dispatch: closed entries, three owners': dispatchVariant([3, 0, 1, 1]),
 	'dispatch: stored place': dispatchVariant([2, 3, 2, 1], true),
 	'dispatch: stored place, three owners': dispatchVariant([3, 0, 1, 1], true),
+	'dispatch: statements': dispatchVariant([2, 2, 2, 0, 1]),
+	'dispatch: statements, three owners': dispatchVariant([3, 0, 1, 0, 1]),
 } satisfies Record<string, DispatchVariant>;
 
 /** Variants in which leaving out a guard goes wrong, where it doesn't in the first one. */
@@ -127,6 +129,13 @@
 	placeFirst: 'dispatch: stored place',
 	placeOver: 'dispatch: stored place',
 	placeWait: 'dispatch: stored place',
+	withhold: 'dispatch: statements',
+	liftLater: 'dispatch: statements',
+	sameRoster: 'dispatch: statements',
+	directStatement: 'dispatch: statements, three owners',
+	statedGrants: 'dispatch: statements',
+	statedInherited: 'dispatch: statements, three owners',
+	askFirst: 'dispatch: statements',
 };
 
 function dispatchChecks(): Check[] {
--- a/spec/dispatch.ts
+++ b/spec/dispatch.ts
@@ -2,6 +2,7 @@
  * Model of dispatching without stored starts: one task, two workers, owners that follow one another. Only the epoch,
  * the roster and the task's end are stored; in a variant, for tasks that last, also the task's place before its start.
  * An entry of the roster may be closed: a successor then waits for that worker only if the entry lists the task.
+ * In another variant an owner states to the next one when every lease at a silent worker is over.
  * Starts may arrive any time later, owners may sleep, workers may be out of reach of any owner. What must hold: the
  * task never runs twice at once, and never starts after its end was stored or forgotten by the worker that listed it,
  * unless that worker's lease had lapsed before.
@@ -48,6 +49,20 @@
 	placeOver: boolean;
 	/** A successor starts the task only when the worker of the stored place is settled. */
 	placeWait: boolean;
+	/** An owner that stated an end for a worker grants no lease there until it knows of a roster write. */
+	withhold: boolean;
+	/** That write has to have moved the record on from the stated version. */
+	liftLater: boolean;
+	/** A statement counts only if the roster record, as read under the new epoch, has the stated version. */
+	sameRoster: boolean;
+	/** A statement counts only for the owner that follows directly. */
+	directStatement: boolean;
+	/** A stated end covers the latest lease that the owner granted there. */
+	statedGrants: boolean;
+	/** It covers the leases that earlier owners may have granted there. */
+	statedInherited: boolean;
+	/** An owner starts nothing on a worker that hasn't answered it, where leases are granted to idle workers too. */
+	askFirst: boolean;
 }
 
 /** Every guard on. */
@@ -71,6 +86,13 @@
 	placeFirst: true,
 	placeOver: true,
 	placeWait: true,
+	withhold: true,
+	liftLater: true,
+	sameRoster: true,
+	directStatement: true,
+	statedGrants: true,
+	statedInherited: true,
+	askFirst: true,
 };
 
 /** Ticks of a lease, and of the horizon. */
@@ -89,6 +111,8 @@
 	runs: number;
 	/** Closing roster writes by each owner. */
 	closings: number;
+	/** Statements by each owner, of one worker each; 0: the protocol has none. */
+	statements: number;
 }
 
 /** What a model is made of. */
@@ -124,6 +148,27 @@
 	sawEnd: EndListing;
 	/** Workers that showed it an end of the task, as long as no end is stored: bits. */
 	endsAt: number;
+	/** By worker, the end of every lease there, as the owner reckons; kept only where statements are made. */
+	leaseOver: number[];
+	/** Workers that answered it, kept only there: bits. */
+	answered: number;
+	statements: number;
+	/** Workers of which it stated an end, so that it grants no lease there: bits. */
+	withheld: number;
+	/** Those of them whose statement is void by a write that it has not heard of. */
+	voided: number;
+	/** A roster write of its own took effect and it has not heard of that. */
+	unheard: boolean;
+}
+
+/** What an owner told all that may follow it; anybody may have got it, or not. */
+interface Statement {
+	epoch: number;
+	/** Of the roster record. */
+	version: number;
+	worker: number;
+	/** By then every lease there is over. */
+	end: number;
 }
 
 /**
@@ -161,12 +206,13 @@
 /** A state of the model. */
 export interface DispatchState {
 	tick: number;
-	stored: { epoch: number; roster: Entry[]; place: number; end: EndListing };
+	stored: { epoch: number; roster: Entry[]; version: number; place: number; end: EndListing };
 	/** An end that counts was forgotten by its worker. */
 	forgotten: boolean;
 	owners: Owner[];
 	workers: Worker[];
 	starts: Start[];
+	statements: Statement[];
 	wrong: string;
 }
 
@@ -191,8 +237,17 @@
 	grantedUntil: 0,
 	sawEnd: 'no',
 	endsAt: 0,
+	leaseOver: [],
+	answered: 0,
+	statements: 0,
+	withheld: 0,
+	voided: 0,
+	unheard: false,
 };
 
+/** Every lease of a worker is over, and the epoch was confirmed after. */
+const longOver = -1;
+
 const newWorker: Worker = { epoch: 0, running: false, highest: 0, leaseUntil: 0, listsEnd: 'no' };
 
 function initialState(bounds: DispatchBounds): DispatchState {
@@ -201,6 +256,7 @@
 		stored: {
 			epoch: 0,
 			roster: Array.from({ length: workerCount }, () => 'none' as const),
+			version: 0,
 			place: -1,
 			end: 'no',
 		},
@@ -208,16 +264,18 @@
 		owners: Array.from({ length: bounds.owners }, () => ({ ...newOwner })),
 		workers: Array.from({ length: workerCount }, () => ({ ...newWorker })),
 		starts: [],
+		statements: [],
 		wrong: '',
 	};
 }
 
 /** The model under some guards, within some bounds. */
 export function dispatchModel(opts: DispatchOptions): explore.Model<DispatchState> {
-	const { owners, ticks, runs, closings } = opts.bounds;
+	const { owners, ticks, runs, closings, statements } = opts.bounds;
+	const told = statements === 0 ? '' : `, ${statements} statements each`;
 	return {
 		name: opts.name,
-		bounds: `${owners} owners, ${workerCount} workers, ${ticks} ticks, ${runs} starts and ${closings} closed entries each, ${mostMessages} late`,
+		bounds: `${owners} owners, ${workerCount} workers, ${ticks} ticks, ${runs} starts and ${closings} closed entries each, ${mostMessages} late${told}`,
 		initial: initialState(opts.bounds),
 		steps: (state) => stepsOf(state, opts),
 		wrong: (state) => (state.wrong === '' ? undefined : state.wrong),
@@ -233,7 +291,7 @@
 		const next = copy(state);
 		change(next);
 		judge(next);
-		dropIrrelevant(next, guards);
+		dropIrrelevant(next, opts);
 		steps.push({ name, next });
 	};
 	state.owners.forEach((owner, index) => {
@@ -258,7 +316,7 @@
 }
 
 /** Makes alike what can't differ in what follows: fewer states, none lost. */
-function dropIrrelevant(next: DispatchState, guards: DispatchGuards): void {
+function dropIrrelevant(next: DispatchState, { guards, bounds: { statements } }: DispatchOptions): void {
 	for (const owner of next.owners) {
 		if (owner.placed === -1) owner.grantedUntil = 0;
 		if (owner.unsettled[owner.inheritedPlace] === 'none') owner.inheritedPlace = -1;
@@ -271,13 +329,21 @@
 		if (owner.phase === 'over') Object.assign(owner, newOwner, { phase: 'over' });
 	}
 	dropUnread(next, guards);
+	dropVoid(next, guards);
 	next.workers.forEach((worker, index) => {
 		if (worker.leaseUntil < next.tick) worker.leaseUntil = 0;
 		const isOlder = (start: Start): boolean => start.worker === index && start.run <= worker.highest;
+		if (statements > 0 && isLeaseUnused(next, worker, index)) worker.leaseUntil = 0;
 		if (guards.fence && !next.starts.some(isOlder)) worker.highest = 0;
 	});
 }
 
+/** Nothing at the worker rests on its lease, and later starts bring their own. */
+function isLeaseUnused(next: DispatchState, worker: Worker, index: number): boolean {
+	const isIdle = !worker.running && worker.listsEnd !== 'counts';
+	return isIdle && !next.starts.some((start) => start.worker === index);
+}
+
 /** What is stored or composed for successors, once none will read it. */
 function dropUnread(next: DispatchState, guards: DispatchGuards): void {
 	const isRead = hasSuccessor(next);
@@ -294,6 +360,25 @@
 	}
 }
 
+/** Statements that can't be used any more. Of the versions it matters only whether they are the record's. */
+function dropVoid(next: DispatchState, guards: DispatchGuards): void {
+	const isRead = hasSuccessor(next);
+	next.statements = next.statements.filter(
+		(statement) => isRead && isUsable(next, statement, next.stored.epoch, guards),
+	);
+	if (next.statements.length === 0 || guards.sameRoster) {
+		next.stored.version = 0;
+		for (const statement of next.statements) statement.version = 0;
+	}
+	for (const owner of next.owners) {
+		const isInForce = owner.epoch === next.stored.epoch;
+		// It may write the roster at any time, and nobody will use what it stated.
+		if (isInForce && !isRead) Object.assign(owner, { withheld: 0, voided: 0, unheard: false });
+		if (!isInForce || !isRead) owner.statements = 0;
+		owner.leaseOver = owner.leaseOver.map((end) => (end < owner.confirmedAt ? longOver : end));
+	}
+}
+
 /** Whether another owner may take over, which alone reads what is stored. */
 function hasSuccessor(state: DispatchState): boolean {
 	return state.owners.some((owner) => owner.phase === 'new');
@@ -303,6 +388,7 @@
 function workersApart(state: DispatchState): Worker[] {
 	const isUsed =
 		state.starts.length > 0 ||
+		state.statements.length > 0 ||
 		state.stored.place !== -1 ||
 		state.owners.some(
 			(owner) =>
@@ -311,6 +397,9 @@
 				owner.inheritedPlace !== -1 ||
 				owner.endsAt !== 0 ||
 				owner.closing.worker !== -1 ||
+				owner.withheld !== 0 ||
+				owner.answered !== 0 ||
+				!isUniform(owner.leaseOver) ||
 				!isUniform(owner.roster) ||
 				!isUniform(owner.unsettled),
 		) ||
@@ -319,7 +408,7 @@
 	return isUsed ? state.workers : state.workers.slice(0, 1);
 }
 
-function isUniform(items: string[]): boolean {
+function isUniform(items: (string | number)[]): boolean {
 	return items.every((item) => item === items[0]);
 }
 
@@ -332,9 +421,11 @@
 			...owner,
 			unsettled: [...owner.unsettled],
 			roster: [...owner.roster],
+			leaseOver: [...owner.leaseOver],
 		})),
 		workers: state.workers.map((worker) => ({ ...worker })),
 		starts: [...state.starts],
+		statements: state.statements.map((statement) => ({ ...statement })),
 	};
 }
 
@@ -350,7 +441,7 @@
 		const isNext = state.owners.findIndex((one) => one.phase === 'new') === index;
 		if (isNext)
 			step(`owner ${index} takes over`, (next) => {
-				takeOver(next, index);
+				takeOver(next, index, opts);
 			});
 		return;
 	}
@@ -365,6 +456,7 @@
 			next.stored.end = owner.sawEnd;
 			at(next.owners, index).endsAt = 0;
 		});
+	writeSteps(state, owner, index, opts, step);
 	workersApart(state).forEach((worker, where) => {
 		const acting = { state, owner, index, worker, where, opts };
 		reportSteps(acting, step);
@@ -372,6 +464,7 @@
 		proofSteps(acting, step);
 		rosterSteps(acting, step);
 		closingSteps(acting, step);
+		statementSteps(acting, step);
 		startSteps(acting, step);
 	});
 }
@@ -386,14 +479,16 @@
 	opts: DispatchOptions;
 }
 
-function mayAct({ state, owner, opts }: Acting): boolean {
+/** Whether it may grant a lease there. */
+function mayGrant({ state, owner, where, opts }: Acting): boolean {
 	if (owner.phase === 'barred') return false;
+	if (opts.guards.withhold && (owner.withheld & (1 << where)) !== 0) return false;
 	return !opts.guards.horizon || state.tick - owner.confirmedAt <= horizonTicks;
 }
 
 function reportSteps(acting: Acting, step: AddStep): void {
 	const { state, owner, index, worker, where, opts } = acting;
-	const mayRenew = mayAct(acting);
+	const mayRenew = mayGrant(acting);
 	step(`owner ${index} asks worker ${where}`, (next) => {
 		ask(next, index, where, opts.guards, mayRenew);
 	});
@@ -409,26 +504,32 @@
 /** What an owner believes by time alone. A confirmed call shows that no successor renewed a lease meanwhile. */
 function proofSteps({ state, owner, index, where, opts }: Acting, step: AddStep): void {
 	const { guards } = opts;
-	const waitedUntil = owner.tookAt + horizonTicks + leaseTicks;
+	const waitedUntil = owner.leaseOver[where] ?? inheritedUntil(owner);
 	const isWaited = state.tick > waitedUntil && (owner.confirmedAt > waitedUntil || !guards.confirmWaited);
 	if (owner.unsettled[where] !== 'none' && (isWaited || !guards.wait))
 		step(`owner ${index} takes worker ${where} for settled`, (next) => {
 			at(next.owners, index).unsettled[where] = 'none';
 		});
-	const isConfirmed = owner.confirmedAt > owner.grantedUntil || !guards.confirmLost;
-	const isLost = state.tick > owner.grantedUntil && isConfirmed;
+	const grantedUntil = owner.leaseOver[where] ?? owner.grantedUntil;
+	const isConfirmed = owner.confirmedAt > grantedUntil || !guards.confirmLost;
+	const isLost = state.tick > grantedUntil && isConfirmed;
 	if (owner.placed === where && (isLost || !guards.ownWait))
 		step(`owner ${index} takes its run at worker ${where} for lost`, (next) => {
 			at(next.owners, index).placed = -1;
 		});
 }
 
+/** By when the leases of earlier owners are over, whatever is known of them. */
+function inheritedUntil(owner: Owner): number {
+	return owner.tookAt + horizonTicks + leaseTicks;
+}
+
 /** Opening takes effect as it is composed: it adds nothing that a later start depends on before it is in force. */
-function rosterSteps({ state, owner, index, where }: Acting, step: AddStep): void {
-	if (state.stored.epoch !== owner.epoch || owner.closing.worker !== -1) return;
+function rosterSteps({ state, owner, index, where, opts: { guards } }: Acting, step: AddStep): void {
+	if (state.stored.epoch !== owner.epoch || owner.closing.worker !== -1 || owner.unheard) return;
 	if (owner.roster[where] !== 'open')
 		step(`owner ${index} opens worker ${where} on the roster`, (next) => {
-			openEntries(next, index, where);
+			openEntries(next, index, where, guards);
 		});
 }
 
@@ -441,11 +542,14 @@
 			at(next.owners, index).closing = noClosing;
 			at(next.owners, index).roster[where] = entry;
 			next.stored.roster[where] = entry;
+			noteWrite(next, index);
+			hearOfWrite(next, index, guards);
 		});
 	const isKnown = owner.unsettled[where] === 'none' || !guards.closeKnown;
 	const mayClose =
 		inForce &&
 		isKnown &&
+		!owner.unheard &&
 		hasSuccessor(state) &&
 		owner.roster[where] !== 'none' &&
 		owner.closings < bounds.closings;
@@ -464,6 +568,68 @@
 	return isPlaced || isEnded ? 'lists' : 'empty';
 }
 
+/** A roster write that changes no entry, and moves the record's version on; the owner hears of it later. */
+function writeSteps(
+	state: DispatchState,
+	owner: Owner,
+	index: number,
+	{ guards, bounds }: DispatchOptions,
+	step: AddStep,
+): void {
+	if (owner.unheard)
+		step(`owner ${index} hears that its roster write took effect`, (next) => {
+			hearOfWrite(next, index, guards);
+		});
+	const inForce = state.stored.epoch === owner.epoch;
+	const isOfUse = hasSuccessor(state) && (owner.withheld !== 0 || owner.statements < bounds.statements);
+	if (inForce && isOfUse && !owner.unheard && owner.closing.worker === -1)
+		step(`owner ${index} writes the roster as it is`, (next) => {
+			noteWrite(next, index);
+		});
+}
+
+/**
+ * It may state an end of any worker, as each may be silent for it. The version is the record's own, as if it had just
+ * read it, also before it hears of its write. Once it is replaced nobody can use what it states.
+ */
+function statementSteps({ state, owner, index, where, opts }: Acting, step: AddStep): void {
+	const { guards, bounds } = opts;
+	const isRead = state.stored.epoch === owner.epoch && hasSuccessor(state);
+	if (!isRead || owner.statements >= bounds.statements || owner.roster[where] === 'none') return;
+	const end = statedEnd(owner, where, guards);
+	step(`owner ${index} states that leases at worker ${where} are over ${overText(end)}`, (next) => {
+		const { epoch } = owner;
+		const one = at(next.owners, index);
+		one.statements += 1;
+		one.withheld |= 1 << where;
+		one.voided &= ~(1 << where);
+		next.statements.push({ epoch, version: next.stored.version, worker: where, end });
+		next.statements.sort(
+			(a, b) => a.epoch - b.epoch || a.version - b.version || a.worker - b.worker || a.end - b.end,
+		);
+	});
+}
+
+function overText(end: number): string {
+	return end === longOver ? 'already' : `after tick ${end}`;
+}
+
+function statedEnd(owner: Owner, where: number, guards: DispatchGuards): number {
+	const end = at(owner.leaseOver, where);
+	if (!guards.statedInherited && owner.unsettled[where] !== 'none') return longOver;
+	return guards.statedGrants ? end : Math.max(longOver, end - leaseTicks);
+}
+
+/** Whether an owner that takes over after this epoch may use a statement. */
+function isUsable(
+	{ stored }: DispatchState,
+	{ epoch, version }: Statement,
+	after: number,
+	guards: DispatchGuards,
+): boolean {
+	return (epoch === after || !guards.directStatement) && (version === stored.version || !guards.sameRoster);
+}
+
 function startSteps(acting: Acting, step: AddStep): void {
 	const { state, owner, index, where, opts } = acting;
 	const { guards, bounds, storesPlace } = opts;
@@ -477,7 +643,7 @@
 		});
 	const isStored = !storesPlace || owner.place === where || !guards.placeFirst;
 	const isOpen = isStored && mayStartAt(owner, where, guards);
-	if (isFree && isOpen && mayAct(acting) && state.starts.length < mostMessages)
+	if (isFree && isOpen && mayGrant(acting) && state.starts.length < mostMessages)
 		step(`owner ${index} sends a start to worker ${where}`, (next) => {
 			sendStart(next, index, where);
 		});
@@ -492,12 +658,15 @@
 
 function mayStartAt(owner: Owner, where: number, guards: DispatchGuards): boolean {
 	if (owner.closing.worker === where && guards.closeAtOnce) return false;
+	const isUnheard = owner.leaseOver.length > 0 && (owner.answered & (1 << where)) === 0;
+	if (isUnheard && guards.askFirst) return false;
 	const entry = at(owner.roster, where);
 	if (entry === 'open') return true;
 	return entry === 'none' ? !guards.roster : !guards.reopen;
 }
 
-function takeOver(next: DispatchState, index: number): void {
+function takeOver(next: DispatchState, index: number, { guards, bounds }: DispatchOptions): void {
+	const usable = next.statements.filter((one) => isUsable(next, one, next.stored.epoch, guards));
 	next.stored.epoch += 1;
 	const owner = at(next.owners, index);
 	owner.phase = 'on';
@@ -510,6 +679,32 @@
 	owner.inheritedPlace = next.stored.place;
 	owner.run = owner.epoch * runsPerEpoch;
 	owner.sawEnd = next.stored.end;
+	if (bounds.statements > 0)
+		owner.leaseOver = owner.unsettled.map((entry, where) => {
+			const ends = usable.filter((one) => one.worker === where).map((one) => one.end);
+			const isUsed = entry === 'open' || entry === 'lists';
+			return isUsed ? Math.min(inheritedUntil(owner), ...ends) : longOver;
+		});
+}
+
+/** The record moves on, so what was stated before is void. */
+function noteWrite(next: DispatchState, index: number): void {
+	const owner = at(next.owners, index);
+	next.stored.version += 1;
+	owner.voided = owner.withheld;
+	owner.unheard = true;
+}
+
+function hearOfWrite(next: DispatchState, index: number, guards: DispatchGuards): void {
+	const owner = at(next.owners, index);
+	owner.withheld &= guards.liftLater ? ~owner.voided : 0;
+	owner.voided = 0;
+	owner.unheard = false;
+}
+
+function noteLease(owner: Owner, where: number, until: number): void {
+	if (owner.leaseOver.length > 0) owner.leaseOver[where] = Math.max(at(owner.leaseOver, where), until);
+	else owner.grantedUntil = Math.max(owner.grantedUntil, until);
 }
 
 /** A report: shows what runs and what ended there, fences earlier owners, and renews the lease. */
@@ -528,6 +723,7 @@
 	}
 	worker.epoch = Math.max(worker.epoch, owner.epoch);
 	if (owner.phase === 'on') owner.unsettled[where] = 'none';
+	if (owner.leaseOver.length > 0) owner.answered |= 1 << where;
 	if (worker.listsEnd !== 'no') {
 		owner.sawEnd = worker.listsEnd;
 		if (next.stored.end === 'no') owner.endsAt |= 1 << where;
@@ -535,27 +731,31 @@
 	if (worker.running) {
 		owner.placed = where;
 		// An earlier owner may have renewed its lease up to its own horizon.
-		owner.grantedUntil = Math.max(owner.grantedUntil, owner.tookAt + horizonTicks + leaseTicks);
-		if (mayRenew) {
-			worker.leaseUntil = Math.max(worker.leaseUntil, next.tick + leaseTicks);
-			owner.grantedUntil = Math.max(owner.grantedUntil, next.tick + leaseTicks);
-		}
+		if (owner.leaseOver.length === 0) noteLease(owner, where, inheritedUntil(owner));
 	} else if (owner.placed === where && worker.listsEnd !== 'no') owner.placed = -1;
+	// Without statements, leases of idle workers are left out.
+	if (mayRenew && (worker.running || owner.leaseOver.length > 0)) {
+		worker.leaseUntil = Math.max(worker.leaseUntil, next.tick + leaseTicks);
+		noteLease(owner, where, next.tick + leaseTicks);
+	}
 }
 
 /** One write names all listed workers; each that is new to the roster is open. */
-function openEntries(next: DispatchState, index: number, where: number): void {
+function openEntries(next: DispatchState, index: number, where: number, guards: DispatchGuards): void {
 	const owner = at(next.owners, index);
 	owner.roster = owner.roster.map((entry, worker) => (worker === where || entry === 'none' ? 'open' : entry));
 	next.stored.roster = [...owner.roster];
+	noteWrite(next, index);
+	hearOfWrite(next, index, guards);
 }
 
 function sendStart(next: DispatchState, index: number, where: number): void {
 	const owner = at(next.owners, index);
 	owner.run += 1;
 	owner.placed = where;
-	owner.grantedUntil = next.tick + leaseTicks;
-	next.starts.push({ worker: where, epoch: owner.epoch, run: owner.run, until: owner.grantedUntil });
+	const until = next.tick + leaseTicks;
+	noteLease(owner, where, until);
+	next.starts.push({ worker: where, epoch: owner.epoch, run: owner.run, until });
 }
 
 function arrive(next: DispatchState, start: Start, guards: DispatchGuards): void {
