A worker that comes back gets no lease before runs in doubt are stopped there

If the worker answers again it gets a new lease, and the start, carried out late, begins under that: a second run beside the one elsewhere. Whether a worker goes by the start's own lease or by its latest is an open question; our stand-in takes the latest. Change: such runs are remembered; the worker gets no lease and no work until it has acknowledged a stop of each, after which it rejects the start. Test: takeover, 'a start that is carried out after its run was taken for lost does not begin', seen to fail before the change.

--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -69,6 +69,8 @@
 	private readonly createdAt: number;
 	/** The newest report, also one that was put off; undefined: none, or all that it tells of is over. */
 	private reported: fleet.WorkerReport | undefined;
+	/** Runs that were taken for lost while their start might still be under way: a new lease would let it begin. */
+	private inDoubt: types.Placement[] = [];
 	/** The other boxes were told when the leases here end: none is given until a roster write voids that. */
 	private withheld = false;
 	/** The last question was not answered; a lease sent with the next would never be known to run out. */
@@ -141,6 +143,7 @@
 	get open(): boolean {
 		if (this.gone || this.closed || !this.rostered || this.unlisted || this.vacated) return false;
 		if (this.entry === undefined || this.entry.draining) return false;
+		if (this.inDoubt.length > 0) return false;
 		return this.settled && this.answering && this.deps.clock.now() >= this.pausedUntil;
 	}
 
@@ -211,6 +214,11 @@
 		this.withheld = false;
 	}
 
+	/** Whether it gets no lease for now. */
+	private get isHeldBack(): boolean {
+		return this.withheld || this.inDoubt.length > 0;
+	}
+
 	/** Whether it answers and gets no lease. */
 	get lacksLease(): boolean {
 		return this.withheld && !this.silent;
@@ -218,7 +226,7 @@
 
 	/** Lease end to send with an order, on the worker's clock; undefined: none can or may be given. */
 	grantLease(): number | undefined {
-		if (this.worker === undefined || this.withheld || !this.deps.mayAct()) return undefined;
+		if (this.worker === undefined || this.isHeldBack || !this.deps.mayAct()) return undefined;
 		const now = this.deps.clock.now();
 		// The slowest rate its clock may have: the lease never reaches further than its limit.
 		const clockMs = this.worker.clockMs + (now - this.worker.at) * (1 - settings.clockSlowness);
@@ -269,6 +277,7 @@
 
 	private loseAll(proof: string): void {
 		const placements = [...this.placements.values()];
+		this.inDoubt.push(...placements.filter((one) => one.confirmedAt === 0 && one.stoppedAt === 0));
 		for (const placement of placements) this.free(placement);
 		this.reported = undefined;
 		this.settled = true;
@@ -308,7 +317,7 @@
 	private waitMs(): number {
 		// Whether it answers again, and then when it may have a lease, is to be known at once.
 		if (this.worker === undefined || this.unanswered) return 0;
-		if (this.withheld) return settings.tickMs;
+		if (this.isHeldBack) return settings.tickMs;
 		return this.fillMilliCores > 0 ? settings.holdWaitFillingMs : settings.holdWaitMs;
 	}
 
@@ -323,9 +332,23 @@
 			return;
 		}
 		this.settled = true;
+		await this.stopInDoubt();
 		await Promise.race([outcome.stored, clocks.sleep(this.deps.clock, settings.holdAfterEndsMs)]);
 	}
 
+	/** Stops runs whose start may still be under way; a worker rejects a start that comes after its stop. */
+	private async stopInDoubt(): Promise<void> {
+		for (const place of [...this.inDoubt]) {
+			const { calls, epoch } = this.deps;
+			const res = await calls.stop(this.target, place.task.name, place.run, epoch);
+			if (!res.ok) {
+				this.ended(res.err);
+				return;
+			}
+			this.inDoubt = this.inDoubt.filter((one) => one !== place);
+		}
+	}
+
 	/** Read after an `await`, where the compiler thinks the field can't have changed. */
 	private isClosed(): boolean {
 		return this.closed;
--- a/test/takeover.test.ts
+++ b/test/takeover.test.ts
@@ -156,3 +156,28 @@
 	t.is(fleet.starts.length, 1);
 	owner.dispatcher.close();
 });
+
+test('a start that is carried out after its run was taken for lost does not begin', async (t) => {
+	const { clock, fleet, takeOver, submit } = world.createWorld(() => ({ ms: 30_000, how: 'done' }));
+	const w1 = fleet.add('w1');
+	const owner = await takeOver();
+	await clock.pass(1_200);
+	// The first tries are lost on their way; the last one is on its way for longer than its lease.
+	w1.fault = 'silent';
+	await submit(owner, world.job('job1', [world.step()]));
+	await clock.pass(2_300);
+	w1.fault = 'late';
+	await clock.pass(500);
+	w1.fault = 'silent';
+	fleet.add('w2');
+	owner.dispatcher.setWorkers(fleet.entries(), [], true);
+	await clock.pass(3_700);
+	t.is(fleet.starts.length, 1);
+	w1.fault = 'none';
+	for (let passed = 0; passed < 10_000; passed += 50) {
+		await clock.pass(50);
+		t.deepEqual(fleet.doubled(), []);
+	}
+	t.is(fleet.starts.length, 1);
+	owner.dispatcher.close();
+});
