--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -1,8 +1,6 @@
 /** The owner's work: takes in jobs, workers and reports, and sees to it that every task runs as often as it should. */
 import * as clocks from '../clock.js';
 import * as ends from './ends.js';
-import * as evacuation from './evacuation.js';
-import * as hanging from './hanging.js';
 import * as interference from './interference.js';
 import * as jobBook from './job-book.js';
 import * as locations from './task-locations.js';
@@ -14,9 +12,11 @@
 import * as starter from './starter.js';
 import * as strangers from './strangers.js';
 import * as vacating from './vacating.js';
+import * as watch from './run-watch.js';
 import * as workerPool from './worker-pool.js';
 import type * as fleet from '../fleet/types.js';
 import type * as jobs from '../jobs/index.js';
+import type * as learnt from './knowledge.js';
 import type * as ledger from '../ledger/index.js';
 import type * as queues from '../queues/index.js';
 import type * as sessions from './worker-session.js';
@@ -84,7 +84,7 @@
 	static create(
 		opts: DispatcherOptions,
 		contents: ledger.LedgerContents,
-		knowledge?: interference.Knowledge,
+		knowledge?: learnt.Knowledge,
 	): Dispatcher {
 		const dispatcher = new Dispatcher(opts, contents);
 		if (knowledge !== undefined) dispatcher.adoptKnowledge(knowledge);
@@ -148,7 +148,7 @@
 	}
 
 	/** What was learnt of how tasks disturb each other, for the next owner. */
-	knowledge(): interference.Knowledge {
+	knowledge(): learnt.Knowledge {
 		return this.estimates.knowledge();
 	}
 
@@ -160,7 +160,7 @@
 		this.workers.close();
 	}
 
-	private adoptKnowledge(knowledge: interference.Knowledge): void {
+	private adoptKnowledge(knowledge: learnt.Knowledge): void {
 		const adopted = this.estimates.adopt(knowledge);
 		this.opts.events.emit('learnt.adopted', {
 			epoch: this.opts.epoch,
@@ -340,27 +340,10 @@
 	private tick(): void {
 		this.workers.tick();
 		for (const session of this.workers.all()) {
-			this.evacuate(session);
+			watch.watchRuns(session, this.starter, this.opts.clock.now());
 			this.placer.moveSlowed(session);
-			this.stopHanging(session);
 		}
 		this.book.tick();
 		this.placer.wake();
 	}
-
-	/** A run that hangs is tried elsewhere, and counts against its worker. */
-	private stopHanging(session: sessions.WorkerSession): void {
-		for (const place of hanging.hangingOn(session, this.opts.clock.now())) {
-			const { task } = place;
-			task.failedOn.add(session.id);
-			session.noteFailure(task.step.job.id);
-			this.starter.stopFor('hangs', session, place, { percent: place.percent });
-		}
-	}
-
-	/** Moves work off a worker that is about to end. */
-	private evacuate(session: sessions.WorkerSession): void {
-		for (const place of evacuation.leaving(session, this.opts.clock.now()))
-			void this.starter.stop(session, place);
-	}
 }
--- a/src/core/dispatch/ends.ts
+++ b/src/core/dispatch/ends.ts
@@ -59,7 +59,7 @@
 	if (isOver(task)) return;
 	if (end.how === 'failed') ctx.failed(session, task, end.run);
 	if (end.how === 'done') {
-		session.noteSuccess();
+		session.health.noteSuccess();
 		if (!task.step.spec.lasting) {
 			finish(ctx, task);
 			return;
--- a/src/core/dispatch/interference.ts
+++ b/src/core/dispatch/interference.ts
@@ -7,6 +7,7 @@
  * cautious first guess. docs/decisions/0011-interference.md has the measurements behind the form.
  */
 import * as imageModel from './image-model.js';
+import * as stored from './knowledge.js';
 import * as loadWave from './load-wave.js';
 import * as neighbours from './neighbours.js';
 import type * as clocks from '../clock.js';
@@ -52,21 +53,6 @@
 /** Mean difference of slopes from which two serving images count as wholly unlike. */
 const unlikeSlope = 1;
 
-/** Form of what is stored of the knowledge; to be counted up with each change of it. */
-const knowledgeFormat = 1;
-
-/** All that was learnt; another owner may go on from it. Times are of the wall clock: boxes share no other. */
-export interface Knowledge {
-	/** Form of this record: an owner of another version learns anew. */
-	format: number;
-	/** How neighbours disturb each serving image. */
-	images: Record<string, imageModel.LearntImage>;
-	/** Number of the period in which the loads of each serving image swing. */
-	periods: Record<string, number>;
-	/** The loads of lasting steps, by name. */
-	loads: Record<string, waveFit.WaveSums>;
-}
-
 /** A serving task, its load when a neighbour placed now is at work, and how much those there raise its busy part. */
 interface ServingProfile {
 	image: string;
@@ -121,7 +107,7 @@
 	}
 
 	/** What was learnt so far. */
-	knowledge(): Knowledge {
+	knowledge(): stored.Knowledge {
 		const time = this.time();
 		const images = [...this.models].map(([image, model]) => [image, model.learnt] as const);
 		const periods = [...this.periods].map(([image, period]) => [image, period.index(time)] as const);
@@ -130,7 +116,7 @@
 			return sums === undefined ? [] : [[nameOf(step), sums] as const];
 		});
 		return {
-			format: knowledgeFormat,
+			format: stored.format,
 			images: Object.fromEntries(images),
 			periods: Object.fromEntries(periods),
 			loads: Object.fromEntries([...this.inherited, ...loads]),
@@ -138,8 +124,8 @@
 	}
 
 	/** Goes on from what another owner learnt; false: it is stored in the form of another version. */
-	adopt(knowledge: Knowledge): boolean {
-		if (knowledge.format !== knowledgeFormat) return false;
+	adopt(knowledge: stored.Knowledge): boolean {
+		if (knowledge.format !== stored.format) return false;
 		const { images, periods, loads } = knowledge;
 		for (const [image, learnt] of Object.entries(images))
 			this.models.set(image, imageModel.ImageModel.restore(learnt));
--- a/src/core/dispatch/outcomes.ts
+++ b/src/core/dispatch/outcomes.ts
@@ -46,7 +46,7 @@
 			worker: session.id,
 			reason: err.kind,
 		});
-		if (err.kind !== 'stale-run') session.pause(settings.refusalPauseMs);
+		if (err.kind !== 'stale-run') session.health.pause(settings.refusalPauseMs);
 		this.opts.placer.addAgain(task);
 		this.breakGang(task);
 	}
@@ -77,7 +77,7 @@
 		const counted = spec.gang ? (tasks[0] ?? task) : task;
 		counted.failures.add(run);
 		task.failedOn.add(session.id);
-		session.noteFailure(job.id);
+		session.health.noteFailure(job.id);
 		const { attempts } = this.opts.policyOf(job);
 		if (!spec.lasting && counted.failures.size >= attempts) this.endJob(job, 'failed');
 		else this.breakGang(task);
--- a/src/core/dispatch/placement.ts
+++ b/src/core/dispatch/placement.ts
@@ -136,7 +136,7 @@
 /** What counts for a task of any kind. */
 function rateForAny(task: jobs.Task, worker: sessions.WorkerSession): number {
 	const { dataRack } = task.step.spec;
-	let score = worker.failuresInRow * weights.failing;
+	let score = worker.health.failuresInRow * weights.failing;
 	if (task.failedOn.has(worker.id)) score += weights.failedThere;
 	if (dataRack !== '' && worker.entry?.labels.includes(dataRack) !== true) score += weights.awayFromData;
 	return score;
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -4,6 +4,7 @@
  * at its address, or the lease of everything there has run out.
  */
 import * as clocks from '../clock.js';
+import * as health from './worker-health.js';
 import * as settings from './settings.js';
 import type * as fleet from '../fleet/types.js';
 import type * as jobs from '../jobs/index.js';
@@ -45,11 +46,7 @@
 	unlisted = false;
 	/** Clock time of the last answer. */
 	answeredAt = -Infinity;
-	/** No new work until then. */
-	private pausedUntil = -Infinity;
-	/** Jobs whose runs failed here since one last finished, and how many runs. */
-	private readonly failedJobs = new Set<string>();
-	failuresInRow = 0;
+	readonly health: health.WorkerHealth;
 	/** Ends up to here are stored. */
 	storedUpTo = 0;
 	/** Ends up to here have been taken in. */
@@ -83,7 +80,9 @@
 		private readonly handlers: SessionHandlers,
 		inheritedUntil: number,
 	) {
-		this.createdAt = deps.clock.now();
+		const { clock, events } = deps;
+		this.createdAt = clock.now();
+		this.health = health.WorkerHealth.create({ clock, events, worker: target.id });
 		this.leaseOverAt = inheritedUntil;
 		this.settled = inheritedUntil === -Infinity;
 	}
@@ -144,30 +143,7 @@
 		if (this.gone || this.closed || !this.rostered || this.unlisted || this.vacated) return false;
 		if (this.entry === undefined || this.entry.draining) return false;
 		if (this.inDoubt.length > 0) return false;
-		return this.settled && this.answering && this.deps.clock.now() >= this.pausedUntil;
-	}
-
-	/** A run failed here; several in a row, of several jobs, mark the worker as broken for a while. */
-	noteFailure(job: string): void {
-		this.failuresInRow += 1;
-		this.failedJobs.add(job);
-		if (this.failuresInRow < settings.quarantineFailures || this.failedJobs.size < 2) return;
-		this.pause(settings.quarantineMs);
-		this.deps.events.emit('worker.quarantined', {
-			worker: this.id,
-			reason: `${this.failuresInRow} failures in a row of ${this.failedJobs.size} jobs`,
-		});
-	}
-
-	/** A run finished here: the worker is sound. */
-	noteSuccess(): void {
-		this.failuresInRow = 0;
-		this.failedJobs.clear();
-	}
-
-	/** Takes no new work for so many milliseconds. */
-	pause(ms: number): void {
-		this.pausedUntil = this.deps.clock.now() + ms;
+		return this.settled && this.answering && !this.health.paused;
 	}
 
 	/** Takes a place for a task. */
