--- a/src/core/box/lease-ends.ts
+++ b/src/core/box/lease-ends.ts
@@ -5,9 +5,12 @@
  */
 import type * as protocol from './peer-protocol.js';
 
-/** Added to each end: covers timers that fire late, and clocks of unlike rates over the longest lease; in milliseconds. */
+/** Added to each end: covers timers that fire late, in milliseconds. */
 const marginMs = 150;
 
+/** The boxes' clocks may differ by this part of the time that passes: as much as a worker's may from ours. */
+const clockDrift = 0.02;
+
 /** What the newest answer of an owner said. */
 interface Statement {
 	generation: number;
@@ -35,7 +38,8 @@
 		}
 		// Counted from the answer's arrival: never earlier than the owner meant.
 		const base = this.now() + marginMs;
-		const endsAt = new Map(Object.entries(silent.leftMs).map(([worker, leftMs]) => [worker, base + leftMs]));
+		const ends = Object.entries(silent.leftMs);
+		const endsAt = new Map(ends.map(([worker, leftMs]) => [worker, base + leftMs * (1 + clockDrift)]));
 		this.newest = { generation, rosterVersion: silent.rosterVersion, endsAt };
 	}
 
--- a/src/core/dispatch/placement.ts
+++ b/src/core/dispatch/placement.ts
@@ -165,7 +165,7 @@
 	const share = shareOf(spec, worker);
 	const use = estimates.expectedUse(worker) + share;
 	// Harm only adds to it.
-	if (use > mostUse || use >= toBeat) return Infinity;
+	if ((use > mostUse && limit < Infinity) || use >= toBeat) return Infinity;
 	const harm = estimates.harmOf(worker, spec.image, share);
 	return harm > limit ? Infinity : use + harm * weights.harm;
 }
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -240,11 +240,14 @@
 	}
 
 	private placeOne(task: jobs.Task, round: rounds.PlacingRound): boolean {
-		const choice = this.choiceFor(task.step, round);
-		const chosen = placement.choose(task, choice);
-		if (typeof chosen === 'string') return false;
-		this.begin(task, chosen, chosen.place(task, this.nextRun(task), 'starting'));
-		return true;
+		return this.beginAll(this.onePlace(task, this.choiceFor(task.step, round)));
+	}
+
+	/** A place for a task; none: no worker takes it. */
+	private onePlace(task: jobs.Task, choice: placement.Choice): gangs.MemberPlace[] {
+		const session = placement.choose(task, choice);
+		if (typeof session === 'string') return [];
+		return [{ session, place: session.place(task, this.nextRun(task), 'starting') }];
 	}
 
 	/** Filling tasks that have waited too long, the longest first, go where they do least harm, whatever that is. */
@@ -254,23 +257,32 @@
 			const waitedMs = order.waitedMs(task, round.now);
 			if (!this.exemptions.isFree(task.step, waitedMs, choice.workers.length)) continue;
 			const workers = choice.workers.filter((one) => !this.exemptions.isOn(one));
-			const chosen = placement.choose(task, { ...choice, workers, anyHarm: true });
-			if (typeof chosen === 'string') continue;
-			const place = chosen.place(task, this.nextRun(task), 'starting');
-			this.exemptions.grant(chosen, place);
-			this.begin(task, chosen, place);
+			const exempt = { ...choice, workers, anyHarm: true };
+			const places = task.step.spec.gang ? this.gangPlaces(task.step, exempt) : this.onePlace(task, exempt);
+			for (const { session, place } of places) this.exemptions.grant(session, place);
+			this.beginAll(places);
 		}
 	}
 
 	private placeGang(step: jobs.StepRun, round: rounds.PlacingRound): boolean {
-		if (!gangs.isWhole(step)) return false;
+		return this.beginAll(this.gangPlaces(step, this.choiceFor(step, round)));
+	}
+
+	/** Places for all members of a gang; none: it has to wait. */
+	private gangPlaces(step: jobs.StepRun, choice: placement.Choice): gangs.MemberPlace[] {
+		// Each member may be somewhere else, unknown to this owner.
+		if (!gangs.isWhole(step) || !step.tasks.every((task) => this.mayStart(task))) return [];
 		const run = Math.max(...step.tasks.map((task) => this.nextRun(task)));
-		const choice = this.choiceFor(step, round);
 		const places = gangs.placeAll(step, run, choice.workers, choice);
-		if (places === undefined) return false;
+		if (places === undefined) return [];
 		gangs.shareCheckpoint(step);
+		return places;
+	}
+
+	/** Starts what was given places; false: nothing was. */
+	private beginAll(places: gangs.MemberPlace[]): boolean {
 		for (const { session, place } of places) this.begin(place.task, session, place);
-		return true;
+		return places.length > 0;
 	}
 
 	private begin(task: jobs.Task, session: sessions.WorkerSession, place: types.Placement): void {
--- a/src/core/dispatch/settings.ts
+++ b/src/core/dispatch/settings.ts
@@ -28,6 +28,12 @@
 /** A worker without an answer for this long gets no new work: a waiting report and a lost packet. */
 export const silentAfterMs = 2_200;
 
+/**
+ * After so long without an answer the other boxes are told when a worker's leases end. From then on it gets a lease only
+ * once the store has taken a write, so that short cuts of a worker's link are left alone.
+ */
+export const statedAfterMs = 3_000;
+
 /** A worker that refused a start is left alone this long. */
 export const refusalPauseMs = 500;
 
--- a/src/core/dispatch/starter.ts
+++ b/src/core/dispatch/starter.ts
@@ -35,6 +35,11 @@
 	async start(session: sessions.WorkerSession, placement: types.Placement, ticket = ''): Promise<void> {
 		await this.handlers.beforeStart(placement);
 		if (!isToStart(session, placement)) return;
+		// It may have begun to drain meanwhile.
+		if (session.leaving) {
+			this.notStarted(session, placement, { kind: 'too-late' });
+			return;
+		}
 		// One lease for all tries: each grant puts off the time by which a silent worker's tasks have ended.
 		const leaseUntil = session.grantLease();
 		if (leaseUntil === undefined) {
--- a/src/core/dispatch/waiting-order.ts
+++ b/src/core/dispatch/waiting-order.ts
@@ -40,8 +40,7 @@
 }
 
 function isStarved(task: jobs.Task, now: number): boolean {
-	const { fills, gang } = task.step.spec;
-	return fills && !gang && waitedMs(task, now) >= settings.starvedMs;
+	return task.step.spec.fills && waitedMs(task, now) >= settings.starvedMs;
 }
 
 /** Whether a task comes after the short ones of its priority. */
--- a/src/core/dispatch/worker-pool.ts
+++ b/src/core/dispatch/worker-pool.ts
@@ -97,10 +97,10 @@
 			this.opts.events.emit('takeover.settled', { epoch: this.opts.epoch });
 	}
 
-	/** By worker that is silent: how long until every lease there is over, in milliseconds. None is given meanwhile. */
+	/** By worker that is silent, or has not answered yet: how long until every lease there is over, in milliseconds. None is given meanwhile. */
 	withholdSilent(): Record<string, number> {
-		const silent = this.all().filter((one) => one.silent && !one.gone);
-		return Object.fromEntries(silent.map((one) => [one.id, one.withholdLease()]));
+		const stated = this.all().filter((one) => one.isLeaseStated);
+		return Object.fromEntries(stated.map((one) => [one.id, one.withholdLease()]));
 	}
 
 	/** To be called now and then: silent workers lose what they held once their leases are over. */
@@ -233,7 +233,7 @@
 }
 
 /**
- * Whether a worker's stored entry should be closed, or opened again, or names tasks though the worker is empty now; or
+ * Whether a worker's stored entry should be closed, or opened again, or names many tasks that are not there any more; or
  * the roster has to change for the worker to get leases again.
  */
 function isRosterOutdated(session: sessions.WorkerSession): boolean {
@@ -242,5 +242,6 @@
 	if (session.lacksLease) return true;
 	if (!session.settled) return false;
 	if (session.withdrawn !== (rosteredTasks !== undefined)) return true;
-	return rosteredTasks !== undefined && rosteredTasks.size > 0 && session.concerned.length === 0;
+	// Not for each task that leaves it: as often as their number has halved.
+	return rosteredTasks !== undefined && session.concerned.length < rosteredTasks.size / 2;
 }
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -121,8 +121,12 @@
 
 	/** Whether it gets no new work for a while, or never again: what may run there is known and grows no more. */
 	get withdrawn(): boolean {
-		const isLeaving = this.entry?.draining === true || this.unlisted || this.vacated;
-		return this.settled && (isLeaving || this.silent);
+		return this.settled && (this.leaving || this.silent);
+	}
+
+	/** Whether it is to get no more work: it drains, left the list, or its machine is to go down. */
+	get leaving(): boolean {
+		return this.entry?.draining === true || this.unlisted || this.vacated;
 	}
 
 	/** Tasks that a successor has to ask this worker about: placed or reported there, or ended there and not stored. */
@@ -140,9 +144,8 @@
 
 	/** Whether it may get new work now. */
 	get open(): boolean {
-		if (this.gone || this.closed || !this.rostered || this.unlisted || this.vacated) return false;
-		if (this.entry === undefined || this.entry.draining) return false;
-		if (this.inDoubt.length > 0) return false;
+		if (this.gone || this.closed || !this.rostered || this.leaving) return false;
+		if (this.entry === undefined || this.inDoubt.length > 0) return false;
 		return this.settled && this.answering && !this.health.paused;
 	}
 
@@ -174,6 +177,8 @@
 	free(placement: types.Placement): void {
 		if (this.placements.get(placement.task.name) !== placement) return;
 		this.placements.delete(placement.task.name);
+		// Proved to be nowhere: a successor has to wait for no worker.
+		if (placement.task.worker === this.id) placement.task.worker = '';
 		this.account(placement.task.step.spec, -1);
 		this.neighboursChangedAt = this.deps.clock.now();
 		if (placement.task.step.spec.fills) this.relievedAt = this.neighboursChangedAt;
@@ -195,9 +200,16 @@
 		return this.withheld || this.inDoubt.length > 0;
 	}
 
+	/** Whether the other boxes are to know when the leases here end: nobody may be able to ask it by then. */
+	get isLeaseStated(): boolean {
+		// Without any lease there is nothing to tell.
+		if (this.gone || this.leaseOverAt === -Infinity) return false;
+		return !this.settled || this.deps.clock.now() - this.answeredAt >= settings.statedAfterMs;
+	}
+
 	/** Whether it answers and gets no lease. */
 	get lacksLease(): boolean {
-		return this.withheld && !this.silent;
+		return this.withheld && this.answering;
 	}
 
 	/** Lease end to send with an order, on the worker's clock; undefined: none can or may be given. */
--- a/src/core/jobs/active-job.ts
+++ b/src/core/jobs/active-job.ts
@@ -25,7 +25,7 @@
 	waitingSince: number;
 	/** How long it had waited in all when it was last placed, in milliseconds. */
 	waitedMs: number;
-	/** Worker to which it was last given; empty: none, as far as this owner and the store know. */
+	/** Worker where it may be; empty: none, as far as this owner and the store know. */
 	worker: string;
 }
 
@@ -85,7 +85,7 @@
 	) {
 		this.cancelled = start.cancelled;
 		this.inherited = start.inherited;
-		this.workersStored = progress === undefined ? start.workersStored : progress.workers !== undefined;
+		this.workersStored = start.workersStored && (progress === undefined || progress.workers !== undefined);
 		const { stretch, objectiveMs } = record.queue;
 		const objective = stretch * longestChainMs(record) + objectiveMs;
 		this.dueAt = start.now - start.age + objective;
--- a/src/core/jobs/types.ts
+++ b/src/core/jobs/types.ts
@@ -95,8 +95,8 @@
 	/** When the job reached its end; 0 before. */
 	endedAt: WallMs;
 	/**
-	 * Worker to which each lasting task was last given, by `time.step.index`; stored before its start, so one that is
-	 * missing was never started. Absent: not kept for this job.
+	 * Worker where each lasting task may be, by `time.step.index`; stored before its start, so one that is missing is
+	 * nowhere. Absent: not kept for this job.
 	 */
 	workers?: Record<string, string>;
 }
--- a/test/filling.test.ts
+++ b/test/filling.test.ts
@@ -1,7 +1,13 @@
 /** Tasks that fill: none waits for ever because of what it would disturb. */
 import test from 'ava';
+import * as events from '../src/core/events/index.js';
+import * as exemptions from '../src/core/dispatch/harm-exemptions.js';
+import * as jobs from '../src/core/jobs/index.js';
+import * as sessions from '../src/core/dispatch/worker-session.js';
+import * as settings from '../src/core/dispatch/settings.js';
+import * as time from '../stand-ins/fleet/virtual-clock.js';
 import * as world from './fixtures/dispatching.js';
-import type * as workers from '../stand-ins/fleet/workers.js';
+import * as workers from '../stand-ins/fleet/workers.js';
 
 /** Users' latency target of the serving tasks, and what they report: close to it whatever stands beside them. */
 const targetMs = 150;
@@ -12,6 +18,27 @@
 	return { ms: 1_000, how: 'done', reading: 3_400 };
 }
 
+/** A session with a worker that does not answer. */
+function session(clock: time.VirtualClock, id: string): sessions.WorkerSession {
+	const fleet = workers.FakeFleet.create({ clock, maxLeaseMs: world.maxLeaseMs, plan });
+	const deps = {
+		clock,
+		events: events.EventLog.create('test', clock),
+		calls: fleet.calls(),
+		maxLeaseMs: world.maxLeaseMs,
+		epoch: 1,
+		mayAct: () => true,
+		confirmedAt: () => clock.now(),
+		confirm: () => Promise.resolve(),
+		onFenced: () => undefined,
+	};
+	const handlers: sessions.SessionHandlers = {
+		onReport: () => ({ type: 'put-off' }),
+		onLost: () => undefined,
+	};
+	return sessions.WorkerSession.create({ id, address: `${id}:1` }, undefined, deps, handlers, -Infinity);
+}
+
 test('a filling step that would disturb serving tasks on every worker is done in the end', async (t) => {
 	const { clock, fleet, takeOver, submit } = world.createWorld(plan);
 	fleet.add('w1');
@@ -28,3 +55,49 @@
 	t.is(owner.dispatcher.stateOf('filling'), 'completed');
 	owner.dispatcher.close();
 });
+
+test('so is a gang that fills', async (t) => {
+	const { clock, fleet, takeOver, submit } = world.createWorld(plan);
+	fleet.add('w1');
+	fleet.add('w2');
+	const owner = await takeOver();
+	const serving = { count: 8, milliCores: 3_200, lasting: true, image: 'serving', targetMs, maxPerWorker: 4 };
+	await submit(owner, world.job('serving', [world.step(serving)]));
+	await clock.pass(5_000);
+	const gang = { count: 2, milliCores: 3_400, fills: true, gang: true, image: 'filling' };
+	await submit(owner, world.job('filling', [world.step(gang)]));
+	await clock.pass(20_000);
+	t.is(owner.dispatcher.stateOf('filling'), 'completed');
+	owner.dispatcher.close();
+});
+
+test('few tasks are exempt at once: one of a step, one on a worker, a tenth of the workers, more with the wait', (t) => {
+	const clock = time.VirtualClock.create();
+	const owner = exemptions.HarmExemptions.create();
+	const steps = [1, 2, 3].map((number) => {
+		const record = world.job(`job${number}`, [world.step({ fills: true, count: 2 })]);
+		const start = { cancelled: false, inherited: false, workersStored: true, now: clock.now(), age: 0 };
+		const job = jobs.ActiveJob.create(record, undefined, start);
+		return job.openNextTime(clock.now());
+	});
+	const [one, two, three] = steps.map(([task]) => task);
+	if (one === undefined || two === undefined || three === undefined) throw new Error('no tasks');
+	const workers = 10;
+	const waitedMs = settings.starvedMs;
+	const on = session(clock, 'w1');
+	t.true(owner.isFree(one.step, waitedMs, workers));
+	const place = on.place(one, 1, 'running');
+	owner.grant(on, place);
+	t.true(place.exempt);
+	t.true(owner.isOn(on));
+	// A tenth of ten workers is taken; after twice the wait there is one more, but not for the same step.
+	t.false(owner.isFree(two.step, waitedMs, workers));
+	t.true(owner.isFree(two.step, 2 * waitedMs, workers));
+	t.false(owner.isFree(one.step, 2 * waitedMs, workers));
+	// One that stands still harms nobody.
+	place.pace = 0;
+	t.true(owner.isFree(two.step, waitedMs, workers));
+	on.free(place);
+	t.true(owner.isFree(one.step, waitedMs, workers));
+	on.close();
+});
--- a/test/roster.test.ts
+++ b/test/roster.test.ts
@@ -2,8 +2,11 @@
 import test from 'ava';
 import * as events from '../src/core/events/index.js';
 import * as fixtures from './fixtures/dispatching.js';
+import * as jobs from '../src/core/jobs/index.js';
+import * as ledgers from '../src/core/ledger/index.js';
 import * as time from '../stand-ins/fleet/virtual-clock.js';
 import * as workerPool from '../src/core/dispatch/worker-pool.js';
+import * as wire from '../src/core/wire/frame.js';
 import * as workers from '../stand-ins/fleet/workers.js';
 import type * as ledger from '../src/core/ledger/index.js';
 
@@ -66,3 +69,37 @@
 	);
 	pool.close();
 });
+
+test('an owner of the version before makes what is stored of lasting tasks unsure for all jobs until then', async (t) => {
+	const { clock, store, takeOver } = fixtures.createWorld(() => ({ ms: 500, how: 'done' }));
+	const first = await takeOver();
+	first.dispatcher.close();
+	const before = (generation: number): Uint8Array => wire.encodeValue({ generation, box: 'entry-1' });
+	store.put(ledgers.keys.epochKey, before(2));
+	const third = await takeOver();
+	third.dispatcher.close();
+	const fourth = await takeOver();
+	fourth.dispatcher.close();
+	const contents = await Promise.all([clock.pass(50), fourth.ledger.load()]);
+	const since = contents[1].ok ? contents[1].value.workersStoredSince : 0;
+	t.is(since, 3);
+	const progress: jobs.ProgressRecord = {
+		state: 'running',
+		finished: {},
+		failures: {},
+		checkpoints: {},
+		endedAt: 0,
+		workers: {},
+	};
+	const record = fixtures.job('job1', [fixtures.step({ lasting: true })], { acceptedUnder: 1 });
+	const start = {
+		cancelled: false,
+		inherited: true,
+		workersStored: record.acceptedUnder >= since,
+		now: 0,
+		age: 0,
+	};
+	// An owner of the version before may have started it without storing where.
+	t.false(jobs.ActiveJob.create(record, progress, start).workersStored);
+	t.true(jobs.ActiveJob.create(record, progress, { ...start, workersStored: true }).workersStored);
+});
