--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -8,6 +8,7 @@
 import * as room from './room.js';
 import * as rounds from './placing-round.js';
 import * as settings from './settings.js';
+import * as reasons from './waiting-reason.js';
 import * as waiting from './waiting-log.js';
 import type * as fleet from '../fleet/types.js';
 import type * as interference from './interference.js';
@@ -197,7 +198,7 @@
 			const placed = task.step.spec.gang ? this.placeGang(task.step, round) : this.placeOne(task, round);
 			if (placed) continue;
 			tried.add(task.step);
-			this.waitingLog.note(task, () => this.whyNoPlace(task, round));
+			this.waitingLog.note(task, () => reasons.whyNoPlace(task, this.choiceFor(task.step, round)));
 			// Workers are kept free in every round, or short tasks would take them in between.
 			if (order.isOverdue(task, now)) round.keepFor(task.step, this.opts.policyOf(task.step.job).pool);
 			else this.retryAt.set(task.step, now + retryMs(task.step));
@@ -222,23 +223,6 @@
 		return false;
 	}
 
-	/** For the log: what stands between a task and each open worker, and the least of it as the reason. */
-	private whyNoPlace(task: jobs.Task, round: rounds.PlacingRound): waiting.WaitingReason {
-		const { step } = task;
-		if (step.spec.gang && !gangs.isWhole(step)) return { reason: 'gang-incomplete' };
-		const choice = this.choiceFor(step, round);
-		const counts = new Map<string, number>();
-		for (const worker of choice.workers) {
-			const obstacle = placement.obstacleAt(task, worker, choice) ?? 'none';
-			counts.set(obstacle, (counts.get(obstacle) ?? 0) + 1);
-		}
-		if (counts.size === 0) return { reason: 'no-worker-open' };
-		const detail = [...counts].map(([obstacle, count]) => `${obstacle} ${String(count)}`).join(', ');
-		// A gang that finds places for some of its members waits for the others'.
-		if (counts.has('none')) return { reason: 'other-members', detail };
-		return { reason: placement.obstacles.findLast((one) => counts.has(one)) ?? 'no-room', detail };
-	}
-
 	private placeOne(task: jobs.Task, round: rounds.PlacingRound): boolean {
 		return this.beginAll(this.onePlace(task, this.choiceFor(task.step, round)));
 	}
--- a/test/filling.test.ts
+++ b/test/filling.test.ts
@@ -18,6 +18,19 @@
 	return { ms: 1_000, how: 'done', reading: 3_400 };
 }
 
+/** Two workers whose serving tasks any filling one would disturb; under half of the cores are reserved. */
+async function servingWorld(): Promise<world.TestWorld & { owner: world.TestOwner }> {
+	const made = world.createWorld(plan);
+	made.fleet.add('w1');
+	made.fleet.add('w2');
+	const owner = await made.takeOver();
+	const serving = { count: 8, milliCores: 3_200, lasting: true, image: 'serving', targetMs, maxPerWorker: 4 };
+	await made.submit(owner, world.job('serving', [world.step(serving)]));
+	await made.clock.pass(5_000);
+	if (made.fleet.starts.length !== 8) throw new Error('the serving tasks do not run');
+	return { ...made, owner };
+}
+
 /** A session with a worker that does not answer. */
 function session(clock: time.VirtualClock, id: string): sessions.WorkerSession {
 	const fleet = workers.FakeFleet.create({ clock, maxLeaseMs: world.maxLeaseMs, plan });
@@ -40,15 +53,7 @@
 }
 
 test('a filling step that would disturb serving tasks on every worker is done in the end', async (t) => {
-	const { clock, fleet, takeOver, submit } = world.createWorld(plan);
-	fleet.add('w1');
-	fleet.add('w2');
-	const owner = await takeOver();
-	// Under half of the cores are reserved.
-	const serving = { count: 8, milliCores: 3_200, lasting: true, image: 'serving', targetMs, maxPerWorker: 4 };
-	await submit(owner, world.job('serving', [world.step(serving)]));
-	await clock.pass(5_000);
-	t.is(fleet.starts.length, 8);
+	const { clock, submit, owner } = await servingWorld();
 	const filling = { count: 9, milliCores: 3_400, fills: true, image: 'filling', checkpoints: true };
 	await submit(owner, world.job('filling', [world.step(filling)]));
 	await clock.pass(40_000);
@@ -57,13 +62,7 @@
 });
 
 test('so is a gang that fills', async (t) => {
-	const { clock, fleet, takeOver, submit } = world.createWorld(plan);
-	fleet.add('w1');
-	fleet.add('w2');
-	const owner = await takeOver();
-	const serving = { count: 8, milliCores: 3_200, lasting: true, image: 'serving', targetMs, maxPerWorker: 4 };
-	await submit(owner, world.job('serving', [world.step(serving)]));
-	await clock.pass(5_000);
+	const { clock, submit, owner } = await servingWorld();
 	const gang = { count: 2, milliCores: 3_400, fills: true, gang: true, image: 'filling' };
 	await submit(owner, world.job('filling', [world.step(gang)]));
 	await clock.pass(20_000);
--- a/test/takeover.test.ts
+++ b/test/takeover.test.ts
@@ -2,6 +2,8 @@
 import test from 'ava';
 import * as world from './fixtures/dispatching.js';
 import type * as jobs from '../src/core/jobs/index.js';
+import type * as memory from '../stand-ins/fleet/memory-store.js';
+import type * as workers from '../stand-ins/fleet/workers.js';
 
 /** Time that a takeover and a start take, with room to spare; far less than any lease. */
 const soonMs = 2_000;
@@ -99,18 +101,26 @@
 	second.dispatcher.close();
 });
 
+/** A world whose only worker runs a lasting task and has just become silent. */
+async function silentWorld(
+	fault?: () => memory.StoreFault,
+): Promise<world.TestWorld & { owner: world.TestOwner; w1: workers.FakeWorker }> {
+	const made = world.createWorld(endless);
+	const w1 = made.fleet.add('w1');
+	const owner = await made.takeOver(undefined, fault);
+	await made.submit(owner, world.job('job1', lasting(1)));
+	await made.clock.pass(1_000);
+	w1.fault = 'silent';
+	return { ...made, owner, w1 };
+}
+
 /** Ends of leases as a box takes them from an owner's answer. */
 function endsFrom(leftMs: Record<string, number>, now: number): Map<string, number> {
 	return new Map(Object.entries(leftMs).map(([worker, left]) => [worker, now + left]));
 }
 
 test('a successor waits for a silent worker no longer than its predecessor would have', async (t) => {
-	const { clock, fleet, takeOver, submit } = world.createWorld(endless);
-	const w1 = fleet.add('w1');
-	const first = await takeOver();
-	await submit(first, world.job('job1', lasting(1)));
-	await clock.pass(1_000);
-	w1.fault = 'silent';
+	const { clock, fleet, takeOver, owner: first } = await silentWorld();
 	await clock.pass(4_000);
 	const ends = endsFrom(first.dispatcher.silentLeases(), clock.now());
 	first.dispatcher.close();
@@ -126,12 +136,7 @@
 
 test('a worker whose lease was stated gets none before the roster has changed', async (t) => {
 	let fault: 'none' | 'down' = 'none';
-	const { clock, fleet, takeOver, submit } = world.createWorld(endless);
-	const w1 = fleet.add('w1');
-	const owner = await takeOver(undefined, () => fault);
-	await submit(owner, world.job('job1', lasting(1)));
-	await clock.pass(1_000);
-	w1.fault = 'silent';
+	const { clock, owner, w1 } = await silentWorld(() => fault);
 	await clock.pass(3_300);
 	t.deepEqual(Object.keys(owner.dispatcher.silentLeases()), ['w1']);
 	fault = 'down';
@@ -142,12 +147,7 @@
 });
 
 test('a worker whose lease was stated is renewed once the roster has changed', async (t) => {
-	const { clock, fleet, takeOver, submit } = world.createWorld(endless);
-	const w1 = fleet.add('w1');
-	const owner = await takeOver();
-	await submit(owner, world.job('job1', lasting(1)));
-	await clock.pass(1_000);
-	w1.fault = 'silent';
+	const { clock, fleet, owner, w1 } = await silentWorld();
 	await clock.pass(3_300);
 	t.deepEqual(Object.keys(owner.dispatcher.silentLeases()), ['w1']);
 	w1.fault = 'none';
@@ -183,12 +183,7 @@
 });
 
 test('owners that follow each other quickly do not begin the wait for a silent worker anew', async (t) => {
-	const { clock, fleet, takeOver, submit } = world.createWorld(endless);
-	const w1 = fleet.add('w1');
-	const first = await takeOver();
-	await submit(first, world.job('job1', lasting(1)));
-	await clock.pass(1_000);
-	w1.fault = 'silent';
+	const { clock, fleet, takeOver, owner: first } = await silentWorld();
 	await clock.pass(3_500);
 	const ends = endsFrom(first.dispatcher.silentLeases(), clock.now());
 	first.dispatcher.close();
