Runs of cancelled jobs keep their room until they have ended

Traced: a successor finds runs of jobs that were cancelled meanwhile, tells the worker to stop them, and places others at once in the room that they still take. Change: such a run takes a place that is being stopped; it is freed by its end like any other. Only runs of unknown jobs, whose size nobody knows, are still stopped without.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -7,6 +7,7 @@
 import * as outcomes from './outcomes.js';
 import * as placer from './placer.js';
 import * as pressure from './pressure.js';
+import * as reportLog from './report-log.js';
 import * as saver from './progress-saver.js';
 import * as settings from './settings.js';
 import * as starter from './starter.js';
@@ -263,13 +264,15 @@
 
 	private createReportContext(): ends.ReportContext {
 		const { clock, events, calls, epoch } = this.opts;
+		const log = reportLog.ReportLog.create(events);
 		return {
 			now: () => clock.now(),
 			findTask: (name) => this.book.findTask(name),
 			sessionOf: (task) => this.placer.sessionOf(task),
 			adopt: (session, task, run) => this.adopt(session, task, run),
+			log,
 			stopStray: (session, task, run) => {
-				events.emit('run.stray', { worker: session.id, task, run });
+				log.stray(session, task, run);
 				void calls.stop(session.target, task, run, epoch);
 			},
 			stop: (session, place) => void this.starter.stop(session, place),
@@ -282,10 +285,6 @@
 			again: (task) => {
 				this.placer.add(task);
 			},
-			logEnd: (session, end) => {
-				const { task, run, how } = end;
-				events.emit('run.ended', { task, run, worker: session.id, how });
-			},
 		};
 	}
 
--- a/src/core/dispatch/ends.ts
+++ b/src/core/dispatch/ends.ts
@@ -1,6 +1,7 @@
 /** What a worker's report changes: runs that go on, runs that ended, and runs that nobody wants. */
 import * as jobs from '../jobs/index.js';
 import type * as fleet from '../fleet/types.js';
+import type * as reportLog from './report-log.js';
 import type * as sessions from './worker-session.js';
 import type * as types from './types.js';
 
@@ -12,14 +13,14 @@
 	sessionOf: (task: jobs.Task) => sessions.WorkerSession | undefined;
 	/** A run found on a worker is that task's run from now on. */
 	adopt: (session: sessions.WorkerSession, task: jobs.Task, run: number) => types.Placement;
-	/** Stops a run that nobody wants. */
+	/** Stops a run that nobody wants, of a task that is not known. */
 	stopStray: (session: sessions.WorkerSession, task: string, run: number) => void;
 	stop: (session: sessions.WorkerSession, placement: types.Placement) => void;
 	finished: (task: jobs.Task) => void;
 	failed: (session: sessions.WorkerSession, task: jobs.Task, run: number) => void;
 	/** The task runs nowhere and may be started again. */
 	again: (task: jobs.Task) => void;
-	logEnd: (session: sessions.WorkerSession, end: fleet.RunEnd) => void;
+	log: reportLog.ReportLog;
 }
 
 /** Takes in a report; returns the jobs whose progress changed. */
@@ -36,7 +37,7 @@
 		if (task !== undefined) changed.add(task.step.job);
 		if (end.seq <= session.seenUpTo) continue;
 		session.seenUpTo = end.seq;
-		ctx.logEnd(session, end);
+		ctx.log.ended(session, end);
 		if (task !== undefined) takeEnd(ctx, session, task, end);
 	}
 	for (const running of report.running) takeRunning(ctx, session, running);
@@ -79,10 +80,14 @@
 
 function takeRunning(ctx: ReportContext, session: sessions.WorkerSession, running: fleet.RunningTask): void {
 	const task = ctx.findTask(running.task);
-	if (task === undefined || (isOver(task) && !session.placements.has(task.name))) {
+	if (task === undefined) {
 		ctx.stopStray(session, running.task, running.run);
 		return;
 	}
+	if (isOver(task) && !session.placements.has(task.name)) {
+		stopUnwanted(ctx, session, task, running.run);
+		return;
+	}
 	const placement = session.placements.get(task.name) ?? adoptable(ctx, session, task, running.run);
 	if (placement === undefined) {
 		ctx.stopStray(session, running.task, running.run);
@@ -101,6 +106,17 @@
 	if (running.checkpoint !== '') task.checkpoint = running.checkpoint;
 }
 
+/** Stops a run of a task that is over. It keeps its place until it has ended, or the worker would be filled again. */
+function stopUnwanted(
+	ctx: ReportContext,
+	session: sessions.WorkerSession,
+	task: jobs.Task,
+	run: number,
+): void {
+	ctx.log.stray(session, task.name, run);
+	ctx.stop(session, session.place(task, run, 'running'));
+}
+
 /** Whether no run of the task is wanted any more. */
 function isOver(task: jobs.Task): boolean {
 	return task.state === 'finished' || task.step.job.ended;
--- a/test/cancelled-runs.test.ts
+++ b/test/cancelled-runs.test.ts
@@ -61,3 +61,23 @@
 	t.is(fleet.starts.length, 0);
 	owner.dispatcher.close();
 });
+
+test('a run of a cancelled job that a successor finds keeps its room until it has ended', async (t) => {
+	const { clock, store, fleet, takeOver, submit } = world.createWorld(() => long);
+	const w1 = fleet.add('w1');
+	const first = await takeOver();
+	await submit(first, world.job('job1', [world.step({ milliCores: 20_000 })]));
+	await clock.pass(500);
+	first.dispatcher.close();
+	const cancelling = ledger.cancel(store.view(), 'job1');
+	await clock.pass(50);
+	await cancelling;
+	const second = await takeOver();
+	await submit(second, world.job('job2', [world.step({ milliCores: 20_000 })]));
+	for (let passed = 0; passed < 2_000; passed += 10) {
+		await clock.pass(10);
+		t.true(w1.running.size <= 1);
+	}
+	t.deepEqual([...w1.running.keys()], ['job2.0.0.0']);
+	second.dispatcher.close();
+});
