--- a/dev/soak/main.ts
+++ b/dev/soak/main.ts
@@ -12,7 +12,7 @@
 
 /** The list of tests that are known to fail; its lines on seeds begin so. */
 const redFile = 'KNOWN-RED.txt';
-const redSeedLine = /^soak seed (\d+) /gm;
+const redSeedLine = /^soak seeds? ([\d, ]+)/gm;
 
 /** Seeds that once failed, without those that are known to fail still. */
 function knownSeeds(): KnownSeed[] {
@@ -25,7 +25,7 @@
 function redSeeds(): Set<number> {
 	if (!fs.existsSync(redFile)) return new Set();
 	const lines = fs.readFileSync(redFile, 'utf8').matchAll(redSeedLine);
-	const seeds = new Set([...lines].map(([, seed]) => Number(seed)));
+	const seeds = new Set([...lines].flatMap(([, listed]) => (listed ?? '').split(',').map(Number)));
 	console.log(`passed over, as ${redFile} says: ${[...seeds].join(', ')}`);
 	return seeds;
 }
