What a worker holds is gathered only once it has left the list; two limits of leases stand once

Cause: found on reading the change again. Each look at the workers, ten a second, gathered what every one of them holds, though the answer is used only for those that have left the list and are silent. The margin and the clocks' difference of stated leases were written again beside the dispatcher's. Change: the cheap conditions come first; the stated leases use the dispatcher's limits. The same values, the same decisions.

--- a/src/core/box/lease-ends.ts
+++ b/src/core/box/lease-ends.ts
@@ -3,13 +3,14 @@
  * owner only, and only while the roster in the store is as that owner knew it: with each write of the roster it may have
  * given leases again.
  */
+import * as dispatch from '../dispatch/index.js';
 import type * as protocol from './peer-protocol.js';
 
 /** Added to each end: covers timers that fire late, in milliseconds. */
-const marginMs = 150;
+const marginMs = dispatch.settings.leaseMarginMs;
 
 /** The boxes' clocks may differ by this part of the time that passes: as much as a worker's may from ours. */
-const clockDrift = 0.02;
+const clockDrift = dispatch.settings.clockSlowness;
 
 /** What the newest answer of an owner said. */
 interface Statement {
--- a/src/core/dispatch/worker-pool.ts
+++ b/src/core/dispatch/worker-pool.ts
@@ -107,9 +107,9 @@
 	tick(): void {
 		for (const session of this.all()) {
 			if (session.checkLease()) this.confirm();
-			const holdsNothing = session.settled && session.concerned.length === 0;
-			if (session.unlisted && !session.answering && holdsNothing)
-				session.end('it left the list and holds nothing');
+			// What it holds is asked last: it has to be gathered.
+			const hasLeft = session.unlisted && !session.answering && session.settled;
+			if (hasLeft && session.concerned.length === 0) session.end('it left the list and holds nothing');
 		}
 		this.logUnsettled();
 		if (this.all().some(isRosterOutdated)) this.rosterDirty = true;
