Logs: by which proof a run is taken for over, what a worker ran when a new owner first heard of it, and the generation of a start

Cause: when a task ran twice, the logs did not tell what a successor believed of each inherited run, nor why: worker.lost named a worker and a count. Ruled out: naming everything in one line a worker; a worker may hold dozens. Change: task.lost (3106) a run freed without an end, takeover.heard (2113) a worker of earlier owners, at most ten runs named, the epoch in task.placed and run.stray, and the time since the last answer in worker.lost.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -55,12 +55,14 @@
 	private readonly outcomes: outcomes.Outcomes;
 	private readonly ticks: clocks.Timer;
 	private readonly reportContext: ends.ReportContext;
+	private readonly reportLog: reportLog.ReportLog;
 
 	private constructor(
 		private readonly opts: DispatcherOptions,
 		contents: Pick<ledger.LedgerContents, 'roster' | 'workersStoredSince'>,
 	) {
 		const { clock } = opts;
+		this.reportLog = reportLog.ReportLog.create(opts.events, opts.epoch);
 		this.estimates = interference.Interference.create(clock);
 		this.pressure = pressure.PressureControl.create(opts, this.estimates, opts.harmMs);
 		this.progress = this.createSaver();
@@ -211,10 +213,8 @@
 	}
 
 	private createOutcomes(): outcomes.Outcomes {
-		const { clock, events } = this.opts;
 		return outcomes.Outcomes.create({
-			clock,
-			events,
+			...this.opts,
 			book: this.book,
 			placer: this.placer,
 			progress: this.progress,
@@ -263,8 +263,8 @@
 	}
 
 	private createReportContext(): ends.ReportContext {
-		const { clock, events, calls, epoch } = this.opts;
-		const log = reportLog.ReportLog.create(events);
+		const { clock, calls, epoch } = this.opts;
+		const log = this.reportLog;
 		return {
 			now: () => clock.now(),
 			findTask: (name) => this.book.findTask(name),
@@ -303,6 +303,7 @@
 		if (!this.strangers.clear(report)) return { type: 'put-off' };
 		const upTo = Math.max(session.seenUpTo, ...report.ended.map((end) => end.seq));
 		const changed = ends.takeReport(this.reportContext, session, report, sentAt);
+		if (!session.settled) this.reportLog.inherited(session, report);
 		for (const job of changed) this.progress.mark(job);
 		this.pressure.look(session);
 		this.workers.heard(session);
@@ -321,7 +322,7 @@
 	}
 
 	private onLost(session: sessions.WorkerSession, lost: types.Placement[], proof: string): void {
-		this.opts.events.emit('worker.lost', { worker: session.id, tasks: lost.length, reason: proof });
+		this.reportLog.lost(session, lost, proof);
 		for (const place of lost) this.outcomes.lost(place.task);
 		this.workers.heard(session);
 		this.placer.wake();
--- a/src/core/dispatch/ends.ts
+++ b/src/core/dispatch/ends.ts
@@ -144,6 +144,7 @@
 	const wasThere = placement.confirmedAt > 0 && placement.confirmedAt < sentAt;
 	const isStopped = placement.stoppedAt > 0 && placement.stoppedAt < sentAt;
 	if (!wasThere && !isStopped) return;
+	ctx.log.absent(session, placement);
 	session.free(placement);
 	if (!isOver(placement.task)) ctx.again(placement.task);
 }
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -281,6 +281,7 @@
 			task: task.name,
 			run: place.run,
 			worker: session.id,
+			epoch: this.opts.epoch,
 			waitedMs: Math.round(clock.now() - task.readyAt),
 		});
 		const { advised } = policyOf(task.step.job);
--- a/src/core/dispatch/report-log.ts
+++ b/src/core/dispatch/report-log.ts
@@ -1,14 +1,38 @@
-/** Log lines about what a worker's report tells. */
+/** Log lines about what a worker's report tells, and what its silence or its end proves. */
 import type * as events from '../events/index.js';
 import type * as fleet from '../fleet/types.js';
 import type * as sessions from './worker-session.js';
+import type * as types from './types.js';
 
-/** Writes the lines. */
+/** Tasks named in one line, at most. */
+const mostNamed = 10;
+
+/** Writes the lines of one owner. */
 export class ReportLog {
-	private constructor(private readonly log: events.EventLog) {}
+	private constructor(
+		private readonly log: events.EventLog,
+		private readonly epoch: number,
+	) {}
+
+	static create(log: events.EventLog, epoch: number): ReportLog {
+		return new ReportLog(log, epoch);
+	}
 
-	static create(log: events.EventLog): ReportLog {
-		return new ReportLog(log);
+	/** A worker of earlier owners reported for the first time: what it runs is known from now on. */
+	inherited(session: sessions.WorkerSession, report: fleet.WorkerReport): void {
+		const { epoch } = this;
+		const { running, ended } = report;
+		this.log.emit('takeover.heard', {
+			epoch,
+			worker: session.id,
+			running: running.length,
+			adopted: session.placements.size,
+			ended: ended.length,
+			named: running
+				.slice(0, mostNamed)
+				.map(({ task, run }) => `${task}#${run}`)
+				.join(' '),
+		});
 	}
 
 	/** A worker lists the end of a run. */
@@ -19,6 +43,34 @@
 
 	/** A worker runs what nobody wants there. */
 	stray(session: sessions.WorkerSession, task: string, run: number): void {
-		this.log.emit('run.stray', { worker: session.id, task, run });
+		this.log.emit('run.stray', { worker: session.id, task, run, epoch: this.epoch });
+	}
+
+	/** A report does not list a run that was there. */
+	absent(session: sessions.WorkerSession, place: types.Placement): void {
+		this.taskLost(session, place, 'a report does not list it');
+	}
+
+	/** Nothing that was placed on a worker runs there any more. */
+	lost(session: sessions.WorkerSession, places: types.Placement[], proof: string): void {
+		this.log.emit('worker.lost', {
+			worker: session.id,
+			tasks: places.length,
+			reason: proof,
+			epoch: this.epoch,
+			silentMs: session.silentMs,
+		});
+		for (const place of places) this.taskLost(session, place, proof);
+	}
+
+	private taskLost(session: sessions.WorkerSession, place: types.Placement, proof: string): void {
+		const { task, run } = place;
+		this.log.emit('task.lost', {
+			task: task.name,
+			run,
+			worker: session.id,
+			epoch: this.epoch,
+			reason: proof,
+		});
 	}
 }
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -114,6 +114,12 @@
 		return this.deps.clock.now() - this.answeredAt < settings.silentAfterMs;
 	}
 
+	/** How long since its last answer, in whole milliseconds; undefined: it has not answered this owner. */
+	get silentMs(): number | undefined {
+		if (this.answeredAt === -Infinity) return undefined;
+		return Math.round(this.deps.clock.now() - this.answeredAt);
+	}
+
 	/** Whether it has been given the time to answer and does not. */
 	get silent(): boolean {
 		return !this.answering && this.deps.clock.now() - this.createdAt >= settings.silentAfterMs;
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -101,6 +101,11 @@
 		level: 'info',
 		text: 'Every worker that an earlier owner used has been heard of; inherited tasks may start.',
 	},
+	'takeover.heard': {
+		id: 2113,
+		level: 'info',
+		text: 'A worker that an earlier owner used reported to this one for the first time; what it runs is named, and how much of it was taken over.',
+	},
 	'takeover.waiting': {
 		id: 2112,
 		level: 'info',
@@ -198,7 +203,7 @@
 	'worker.lost': {
 		id: 3205,
 		level: 'warn',
-		text: 'Nothing that was placed on a worker runs there any more; the proof is given.',
+		text: 'Nothing that was placed on a worker runs there any more; the proof is given, and the time since its last answer to this owner, if there was one.',
 	},
 	'worker.draining': {
 		id: 3206,
