Tests that fail: a dead worker's entry beside the living one at its address

Cause: an entry in the list of workers ends the session of every other worker at that address, with all that runs there taken for over; also when the entry is that of the life before, which lapses only three heartbeats after its last.

--- a/stand-ins/fleet/workers.ts
+++ b/stand-ins/fleet/workers.ts
@@ -227,6 +227,8 @@
 	readonly workers = new Map<string, FakeWorker>();
 	/** Every start that was carried out, in order. */
 	readonly starts: StartRecord[] = [];
+	/** Entries of lives that have ended, which the platform lists until they lapse. */
+	lapsing: fleet.WorkerEntry[] = [];
 
 	private constructor(private readonly opts: FleetOptions) {}
 
@@ -253,9 +255,10 @@
 		return worker;
 	}
 
-	/** Entries as the platform lists them. */
+	/** Entries as the platform lists them, by id. */
 	entries(): fleet.WorkerEntry[] {
-		return [...this.workers.values()].map((one) => one.entry);
+		const living = [...this.workers.values()].map((one) => one.entry);
+		return [...living, ...this.lapsing].sort((a, b) => (a.id < b.id ? -1 : 1));
 	}
 
 	/** Tasks with two runs at once. */
--- a/stand-ins/users-platform/server.ts
+++ b/stand-ins/users-platform/server.ts
@@ -67,13 +67,26 @@
 		return address;
 	}
 
-	/** A worker dies with all it runs; another life comes at the same address. */
-	replaceWorker(before: string, id: string, listedAs: string): void {
+	/**
+	 * A worker dies with all it runs; another life comes at the same address. `lapsing`: the entry of the one that died
+	 * stays listed beside it, as it does until it has gone three heartbeats without a word.
+	 */
+	replaceWorker(
+		before: string,
+		id: string,
+		listedAs: string,
+		entry: 'dropped' | 'lapsing' = 'dropped',
+	): void {
 		const address = this.fleet.workers.get(before)?.entry.address ?? '';
-		this.store.drop(`servers/${before}`);
+		if (entry === 'dropped') this.lapse(before);
 		this.addLife(id, address, listedAs);
 	}
 
+	/** The entry of a life that has ended goes. */
+	lapse(id: string): void {
+		this.store.drop(`servers/${id}`);
+	}
+
 	private addLife(id: string, address: string, listedAs: string): void {
 		this.fleet.add(id, { address });
 		const entry = {
