A list of workers proves no life to have ended

Cause: an unknown entry in the list ended the session of every other worker at its address, and all that ran there counted as over. An address is used again two seconds after a crash; the entry of the life before lapses 4.5 s after its last heartbeat. Whoever met the entries for the first time (a successor at its takeover, an owner that lists again) could take the dead life for the new one, free the living worker's tasks and start them elsewhere. Ruled out: comparing which entry was created later: it orders two keys in the store, and still tells nothing of who answers at the address; leaving the entry until it lapses: the living worker would get no work for seconds. Change: the entry only makes the owner ask every other life at that address at once whether it is still there. The answer (another life) or the end of its lease ends it, as before.

--- a/dev/bench-days.mjs
+++ b/dev/bench-days.mjs
@@ -47,6 +47,15 @@
 		'{ at = 5, kind = "platform_lost", x = 0.5, for_s = 8 }',
 		'{ at = 8, kind = "node_kill", on = "core", count = 1, how = "leader" }',
 	],
+	// Crashed workers are back at their addresses, and the entries of their lives before have not lapsed yet.
+	'reborn-then-owner-killed': [
+		'{ at = 16.0, kind = "srv_crash", share = 0.25, for_s = 2 }',
+		'{ at = 19.3, kind = "node_kill", on = "core", count = 1, how = "leader" }',
+	],
+	'reborn-then-history-gone': [
+		'{ at = 16.0, kind = "srv_crash", share = 0.25, for_s = 2 }',
+		'{ at = 19.3, kind = "platform_compact" }',
+	],
 	'freeze-and-zone-cut': [
 		'{ at = 6, kind = "node_freeze", on = "core", count = 1, for_s = 4, how = "leader" }',
 		'{ at = 7, kind = "zone_cut", for_s = 5, how = "reset" }',
--- a/src/core/dispatch/worker-pool.ts
+++ b/src/core/dispatch/worker-pool.ts
@@ -154,8 +154,9 @@
 			known.unlisted = false;
 			return;
 		}
-		for (const other of this.all())
-			if (other.target.address === entry.address) other.end('another life is listed at its address');
+		// Addresses are used again before the entry of the life that ended there lapses: the list may name either of them
+		// last, and taking the living one for gone would start its tasks a second time. Only an answer tells.
+		for (const other of this.all()) if (other.target.address === entry.address) void other.checkLife();
 		const session = this.open(entry, entry, -Infinity);
 		if (entry.draining) this.noteDrain(session, entry);
 		this.rosterDirty = true;
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -243,6 +243,13 @@
 		return this.gone || this.closed || err.kind === 'fenced';
 	}
 
+	/** Asks whether this life is still there, beside the question under way, which may wait for seconds. */
+	async checkLife(): Promise<void> {
+		const { epoch, calls } = this.deps;
+		const res = await calls.hold(this.target, { epoch, forgetUpTo: this.storedUpTo, waitMs: 0 });
+		if (!res.ok && !this.closed) this.ended(res.err);
+	}
+
 	/** Ends the session: this life of the worker is over. */
 	end(proof: string): void {
 		if (this.gone) return;
