Tests that fail: what is not known of a worker counts as nothing

A session that ends because its life left the list takes the runs in doubt with it; listed again, the life gets a lease under which a late start begins. And a worker that has not answered a new owner has no placements, which upkeep takes for empty: its machine would go down at once with all that runs there. Ruled out: nothing. Conclusion: the same class: a belief about runs without a proof.

--- a/test/takeover.test.ts
+++ b/test/takeover.test.ts
@@ -182,6 +182,44 @@
 	owner.dispatcher.close();
 });
 
+test('a start in doubt is not forgotten when its worker leaves the list and comes back', async (t) => {
+	const { clock, fleet, takeOver, submit } = world.createWorld(() => ({ ms: 30_000, how: 'done' }));
+	const w1 = fleet.add('w1');
+	const owner = await takeOver();
+	await clock.pass(1_200);
+	w1.fault = 'silent';
+	await submit(owner, world.job('job1', [world.step()]));
+	await clock.pass(2_300);
+	// The last try is on its way for longer than the lease that it brings.
+	w1.fault = 'late';
+	await clock.pass(500);
+	w1.fault = 'silent';
+	fleet.add('w2');
+	owner.dispatcher.setWorkers(fleet.entries(), ['w1'], false);
+	owner.dispatcher.setWorkers([], ['w1'], false);
+	await clock.pass(3_700);
+	t.is(fleet.starts.length, 1);
+	w1.fault = 'none';
+	owner.dispatcher.setWorkers([w1.entry], [], false);
+	for (let passed = 0; passed < 10_000; passed += 50) {
+		await clock.pass(50);
+		t.deepEqual(fleet.doubled(), []);
+	}
+	t.is(fleet.starts.length, 1);
+	owner.dispatcher.close();
+});
+
+test('a worker that has not answered a new owner is not taken for empty', async (t) => {
+	const { takeOver, clock, owner: first, w1 } = await silentWorld();
+	first.dispatcher.close();
+	const second = await takeOver();
+	t.is(second.dispatcher.vacate('w1'), 'protected');
+	w1.fault = 'none';
+	await clock.pass(soonMs);
+	t.is(second.dispatcher.vacate('w1'), 'moving');
+	second.dispatcher.close();
+});
+
 test('owners that follow each other quickly do not begin the wait for a silent worker anew', async (t) => {
 	const { clock, fleet, takeOver, owner: first } = await silentWorld();
 	await clock.pass(3_500);
