The lease of a worker is a module of its own

Ruled out: splitting off the account of places, which rounds of placing read field by field. Change: worker-lease.ts; no behaviour changes.

--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -5,6 +5,7 @@
  */
 import * as clocks from '../clock.js';
 import * as health from './worker-health.js';
+import * as leases from './worker-lease.js';
 import * as settings from './settings.js';
 import type * as fleet from '../fleet/types.js';
 import type * as jobs from '../jobs/index.js';
@@ -59,9 +60,7 @@
 	relievedAt = -Infinity;
 	/** Clock time at which a neighbour of what serves there last came, went or changed its pace. */
 	neighboursChangedAt = -Infinity;
-	private worker: { clockMs: number; at: number } | undefined;
-	/** Clock time by which every lease there has run out. */
-	private leaseOverAt: number;
+	private readonly lease: leases.WorkerLease;
 	private closed = false;
 	private readonly createdAt: number;
 	/** The newest report, also one that was put off; undefined: none, or all that it tells of is over. */
@@ -83,7 +82,7 @@
 		const { clock, events } = deps;
 		this.createdAt = clock.now();
 		this.health = health.WorkerHealth.create({ clock, events, worker: target.id });
-		this.leaseOverAt = inheritedUntil;
+		this.lease = leases.WorkerLease.create(deps, inheritedUntil);
 		this.settled = inheritedUntil === -Infinity;
 	}
 
@@ -106,7 +105,7 @@
 
 	/** How long it takes until every lease there has run out, in milliseconds. */
 	get leaseLeftMs(): number {
-		return Math.max(0, this.leaseOverAt - this.deps.clock.now());
+		return this.lease.leftMs;
 	}
 
 	/** Whether it answers, as far as is known. */
@@ -209,7 +208,7 @@
 	/** Whether the other boxes are to know when the leases here end: nobody may be able to ask it by then. */
 	get isLeaseStated(): boolean {
 		// Without any lease there is nothing to tell.
-		if (this.gone || this.leaseOverAt === -Infinity) return false;
+		if (this.gone || this.lease.overAt === -Infinity) return false;
 		return !this.settled || this.deps.clock.now() - this.answeredAt >= settings.statedAfterMs;
 	}
 
@@ -220,20 +219,13 @@
 
 	/** Lease end to send with an order, on the worker's clock; undefined: none can or may be given. */
 	grantLease(): number | undefined {
-		if (this.worker === undefined || this.isHeldBack || !this.deps.mayAct()) return undefined;
-		const now = this.deps.clock.now();
-		// The slowest rate its clock may have: the lease never reaches further than its limit.
-		const clockMs = this.worker.clockMs + (now - this.worker.at) * (1 - settings.clockSlowness);
-		const longest = this.deps.maxLeaseMs / (1 - settings.clockSlowness) + settings.leaseMarginMs;
-		this.leaseOverAt = Math.max(this.leaseOverAt, now + longest);
-		return clockMs + this.deps.maxLeaseMs;
+		return this.isHeldBack ? undefined : this.lease.grant();
 	}
 
 	/** Takes in the worker's clock from an answer. */
 	heard(reading: fleet.ClockReading): void {
-		const now = this.deps.clock.now();
-		this.answeredAt = now;
-		this.worker = { clockMs: reading.clockMs, at: now };
+		this.answeredAt = this.deps.clock.now();
+		this.lease.heard(reading);
 	}
 
 	/** Sorts out a failed call; true: the session is over. */
@@ -269,9 +261,9 @@
 	 * not yet.
 	 */
 	checkLease(): boolean {
-		if (this.answering || this.closed || this.deps.clock.now() < this.leaseOverAt) return false;
+		if (this.answering || this.closed || this.lease.leftMs > 0) return false;
 		if (this.settled && this.concerned.length === 0) return false;
-		if (this.deps.confirmedAt() < this.leaseOverAt) return true;
+		if (this.deps.confirmedAt() < this.lease.overAt) return true;
 		this.loseAll('the lease has run out');
 		return false;
 	}
@@ -317,7 +309,7 @@
 	/** Where tasks that fill disturb others, their effect is looked at more often. */
 	private waitMs(): number {
 		// Whether it answers again, and then when it may have a lease, is to be known at once.
-		if (this.worker === undefined || this.unanswered) return 0;
+		if (!this.lease.hasClock || this.unanswered) return 0;
 		if (this.isHeldBack) return settings.tickMs;
 		return this.fillMilliCores > 0 ? settings.holdWaitFillingMs : settings.holdWaitMs;
 	}
