Runs in doubt are remembered with the life of the worker, not with the session

Cause: a run was taken for lost while its start was under way, its life left the list, and the session ended with what it had in doubt. Listed again, the life got a lease, under which the late start began: two runs of one task. Ruled out: keeping the session until nothing is in doubt: one of a worker that is gone for good would be asked for ever. Change: the pool keeps what is in doubt by life, 10,000 at most, and hands it to the next session with that life; runs-in-doubt.ts holds the rule.

--- a/src/core/dispatch/worker-pool.ts
+++ b/src/core/dispatch/worker-pool.ts
@@ -2,6 +2,7 @@
 import * as clocks from '../clock.js';
 import * as sessions from './worker-session.js';
 import * as settings from './settings.js';
+import type * as doubts from './runs-in-doubt.js';
 import type * as fleet from '../fleet/types.js';
 import type * as ledger from '../ledger/index.js';
 import type * as types from './types.js';
@@ -12,6 +13,9 @@
 /** Workers named in one line, at most. */
 const mostNamed = 5;
 
+/** Lives whose runs in doubt are remembered, at most: some hundred bytes each; each has died with a start under way. */
+const mostDoubtful = 10_000;
+
 /** Settings of a pool. */
 export interface WorkerPoolOptions extends types.DispatchDeps {
 	saveRoster: (roster: ledger.RosterEntry[]) => Promise<ledger.WriteOutcome>;
@@ -27,6 +31,8 @@
 	private readonly workers = new Map<string, sessions.WorkerSession>();
 	/** Workers that may still run what an earlier owner started. */
 	private readonly unsettled = new Set<sessions.WorkerSession>();
+	/** Runs in doubt on lives that left the list and may come back, by worker. */
+	private readonly doubtful = new Map<string, readonly doubts.RunInDoubt[]>();
 	private rosterDirty = false;
 	private rosterSaving = false;
 	private confirming = false;
@@ -109,7 +115,7 @@
 			if (session.checkLease()) this.confirm();
 			// What it holds is asked last: it has to be gathered.
 			const hasLeft = session.unlisted && !session.answering && session.settled;
-			if (hasLeft && session.concerned.length === 0) session.end('it left the list and holds nothing');
+			if (hasLeft && session.concerned.length === 0) this.dismiss(session);
 		}
 		this.logUnsettled();
 		if (this.all().some(isRosterOutdated)) this.rosterDirty = true;
@@ -121,6 +127,14 @@
 		for (const session of this.workers.values()) session.close();
 	}
 
+	/** A life left the list and holds nothing. The list may be wrong, so what is in doubt there is kept for its return. */
+	private dismiss(session: sessions.WorkerSession): void {
+		const [oldest] = this.doubtful.keys();
+		if (oldest !== undefined && this.doubtful.size >= mostDoubtful) this.doubtful.delete(oldest);
+		if (session.inDoubt.any) this.doubtful.set(session.id, session.inDoubt.all());
+		session.end('it left the list and holds nothing');
+	}
+
 	/** Asks the store whether the epoch is in force, one question at a time. */
 	private confirm(): void {
 		if (this.confirming) return;
@@ -185,7 +199,9 @@
 			this.opts,
 			this.opts.handlers,
 			inheritedUntil,
+			this.doubtful.get(id),
 		);
+		this.doubtful.delete(id);
 		this.workers.set(id, session);
 		return session;
 	}
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -4,6 +4,7 @@
  * at its address, or the lease of everything there has run out.
  */
 import * as clocks from '../clock.js';
+import * as doubts from './runs-in-doubt.js';
 import * as health from './worker-health.js';
 import * as leases from './worker-lease.js';
 import * as settings from './settings.js';
@@ -65,8 +66,8 @@
 	private readonly createdAt: number;
 	/** The newest report, also one that was put off; undefined: none, or all that it tells of is over. */
 	private reported: fleet.WorkerReport | undefined;
-	/** Runs that were taken for lost while their start might still be under way: a new lease would let it begin. */
-	private inDoubt: types.Placement[] = [];
+	/** Runs taken for lost whose start may still be under way. */
+	readonly inDoubt: doubts.RunsInDoubt;
 	/** The other boxes were told when the leases here end: none is given until a roster write voids that. */
 	private withheld = false;
 	/** The last question was not answered; a lease sent with the next would never be known to run out. */
@@ -78,23 +79,29 @@
 		private readonly deps: types.DispatchDeps,
 		private readonly handlers: SessionHandlers,
 		inheritedUntil: number,
+		inDoubt: readonly doubts.RunInDoubt[],
 	) {
 		const { clock, events } = deps;
 		this.createdAt = clock.now();
 		this.health = health.WorkerHealth.create({ clock, events, worker: target.id });
 		this.lease = leases.WorkerLease.create(deps, inheritedUntil);
+		this.inDoubt = doubts.RunsInDoubt.create(inDoubt);
 		this.settled = inheritedUntil === -Infinity;
 	}
 
-	/** `inheritedUntil`: clock time by which leases given by earlier owners have run out. */
+	/**
+	 * `inheritedUntil`: clock time by which leases given by earlier owners have run out; `inDoubt`: what an earlier session
+	 * with this life left in doubt.
+	 */
 	static create(
 		target: fleet.WorkerTarget,
 		entry: fleet.WorkerEntry | undefined,
 		deps: types.DispatchDeps,
 		handlers: SessionHandlers,
 		inheritedUntil: number,
+		inDoubt: readonly doubts.RunInDoubt[] = [],
 	): WorkerSession {
-		const session = new WorkerSession(target, entry, deps, handlers, inheritedUntil);
+		const session = new WorkerSession(target, entry, deps, handlers, inheritedUntil, inDoubt);
 		void session.run();
 		return session;
 	}
@@ -150,7 +157,7 @@
 	/** Whether it may get new work now. */
 	get open(): boolean {
 		if (this.gone || this.closed || !this.rostered || this.leaving) return false;
-		if (this.entry === undefined || this.inDoubt.length > 0) return false;
+		if (this.entry === undefined || this.inDoubt.any) return false;
 		return this.settled && this.answering && !this.health.paused;
 	}
 
@@ -202,7 +209,7 @@
 
 	/** Whether it gets no lease for now. */
 	private get isHeldBack(): boolean {
-		return this.withheld || this.inDoubt.length > 0;
+		return this.withheld || this.inDoubt.any;
 	}
 
 	/** Whether the other boxes are to know when the leases here end: nobody may be able to ask it by then. */
@@ -270,7 +277,7 @@
 
 	private loseAll(proof: string): void {
 		const placements = [...this.placements.values()];
-		this.inDoubt.push(...placements.filter((one) => one.confirmedAt === 0 && one.stoppedAt === 0));
+		this.inDoubt.add(placements);
 		for (const placement of placements) this.free(placement);
 		this.reported = undefined;
 		this.settled = true;
@@ -325,21 +332,15 @@
 			return;
 		}
 		this.settled = true;
-		await this.stopInDoubt();
+		await this.inDoubt.settle((run) => this.stopInDoubt(run));
 		await Promise.race([outcome.stored, clocks.sleep(this.deps.clock, settings.holdAfterEndsMs)]);
 	}
 
-	/** Stops runs whose start may still be under way; a worker rejects a start that comes after its stop. */
-	private async stopInDoubt(): Promise<void> {
-		for (const place of [...this.inDoubt]) {
-			const { calls, epoch } = this.deps;
-			const res = await calls.stop(this.target, place.task.name, place.run, epoch);
-			if (!res.ok) {
-				this.ended(res.err);
-				return;
-			}
-			this.inDoubt = this.inDoubt.filter((one) => one !== place);
-		}
+	/** Stops a run whose start may still be under way; whether it was answered. */
+	private async stopInDoubt({ task, run }: doubts.RunInDoubt): Promise<boolean> {
+		const res = await this.deps.calls.stop(this.target, task, run, this.deps.epoch);
+		if (!res.ok) this.ended(res.err);
+		return res.ok;
 	}
 
 	/** Read after an `await`, where the compiler thinks the field can't have changed. */
