A worker that has not answered a new owner is not empty

Cause: upkeep asks what is placed on a worker. A successor knows nothing of one that has not answered it, took it for empty, and ordered its machine down with all that ran there. Ruled out: treating it as moving: its machine would go down after 2.5 s all the same, heard or not. Change: such a worker counts as protected until it answers or its leases are over (13.4 s at most). Figures: test "a worker that has not answered a new owner is not taken for empty": empty before, protected after.

--- a/src/core/dispatch/vacating.ts
+++ b/src/core/dispatch/vacating.ts
@@ -14,6 +14,8 @@
 
 /** Stops what may be stopped on a worker, and says what is left. */
 export function vacate(session: sessions.WorkerSession, ctx: VacateContext): VacateState {
+	// What an earlier owner started there is not known yet, and would die with the machine.
+	if (!session.settled) return 'protected';
 	let state: VacateState = 'empty';
 	for (const place of session.placements.values()) {
 		if (place.phase === 'running' && !maySpare(place.task, ctx)) {
