Test of the log lines about inherited and lost runs

Cause: the lines were added without a test. Ruled out: comparing times, which depend on the moment: only their presence is. Conclusion: sight is covered.

--- /dev/null
+++ b/test/run-log.test.ts
@@ -0,0 +1,49 @@
+/** What the log tells of runs that an owner inherits, and of those that it takes for over without an end. */
+import test from 'ava';
+import * as world from './fixtures/dispatching.js';
+import type * as events from '../src/core/events/index.js';
+
+const told: events.LoggedEvent['name'][] = ['task.placed', 'takeover.heard', 'worker.lost', 'task.lost'];
+
+/** Lines of these names as an owner logged them, without what depends on the moment. */
+function linesOf(owner: world.TestOwner): unknown[] {
+	const lines = owner.events.select((event) => told.includes(event.name));
+	return lines.map(({ name, fields }) => {
+		const { waitedMs, silentMs, ...others } = fields;
+		return { name, ...others, timed: typeof (waitedMs ?? silentMs) };
+	});
+}
+
+test('a successor tells what a worker ran when it first answered, and by which proof a run is over', async (t) => {
+	const { clock, fleet, takeOver, submit } = world.createWorld(() => ({ ms: 30_000, how: 'done' }));
+	const w1 = fleet.add('w1');
+	const first = await takeOver();
+	await submit(first, world.job('job1', [world.step({ count: 2, milliCores: 10_000 })]));
+	await clock.pass(1_000);
+	first.dispatcher.close();
+	const second = await takeOver();
+	await clock.pass(500);
+	fleet.add('w2', { address: w1.entry.address });
+	second.dispatcher.setWorkers(fleet.entries(), [], true);
+	await clock.pass(2_000);
+	t.snapshot(linesOf(second));
+	second.dispatcher.close();
+});
+
+test('a worker that never answered a successor is told of without the time of an answer', async (t) => {
+	const { clock, fleet, takeOver, submit } = world.createWorld(() => ({ ms: 30_000, how: 'done' }));
+	const w1 = fleet.add('w1');
+	const first = await takeOver();
+	await submit(first, world.job('job1', [world.step()]));
+	await clock.pass(1_000);
+	first.dispatcher.close();
+	w1.fault = 'silent';
+	const second = await takeOver();
+	await clock.pass(12_000);
+	const lost = second.events.select((event) => event.name === 'worker.lost');
+	t.deepEqual(
+		lost.map(({ fields }) => fields),
+		[{ worker: 'w1', tasks: 0, reason: 'the lease has run out', epoch: 2, silentMs: undefined }],
+	);
+	second.dispatcher.close();
+});
