Test that an owner asks at once which life is at an address

Cause: the question under way to a dead worker may wait for one to two seconds, and its tasks with it, now that the list ends no session. Ruled out: relying on that question. Change: the test.

--- a/test/address-reuse.test.ts
+++ b/test/address-reuse.test.ts
@@ -87,6 +87,24 @@
 	first.dispatcher.close();
 });
 
+test('what ran in the life before is started again as soon as the next life is listed at its address', async (t) => {
+	const made = world.createWorld(long);
+	const { clock, fleet, takeOver, submit } = made;
+	const w1 = fleet.add('w1');
+	const owner = await takeOver();
+	await clock.pass(1_200);
+	await submit(owner, world.job('job1', [world.step()]));
+	// The connection hangs: the question under way is given up after a second.
+	await clock.pass(300);
+	w1.fault = 'silent';
+	const w2 = fleet.add('w2', { address: w1.entry.address });
+	fleet.lapsing = [w1.entry];
+	owner.dispatcher.setWorkers([w2.entry], [], false);
+	await clock.pass(100);
+	t.deepEqual([...w2.running.keys()], ['job1.0.0.0']);
+	owner.dispatcher.close();
+});
+
 test('over real boxes: the owner dies while a dead entry is listed beside the living worker', async (t) => {
 	const starts: workers.StartRecord[] = [];
 	let noteStart = (): void => undefined;
