Tests: a silent worker's tasks counted as at work (fails); a run renewed by the successor, in the shape of the report

Cause: emptying a worker takes what a silent one held for at work until its lease is over, ten seconds; users notice after 4.5. And no test had the report's shape: two tasks, two workers, one instant, three generations, the store away. Ruled out: the second for today's code: it passes. Change: the tests. Conclusion: the first to be mended; the second keeps the guard.

--- a/test/beliefs.test.ts
+++ b/test/beliefs.test.ts
@@ -144,6 +144,22 @@
 	second.dispatcher.close();
 });
 
+test('tasks on a worker that is silent for seconds do not count as at work when another worker is emptied', async (t) => {
+	const { clock, fleet, takeOver, submit } = world.createWorld(long);
+	fleet.add('w1');
+	const w2 = fleet.add('w2');
+	const owner = await takeOver();
+	const spread = { count: 2, milliCores: 20_000, lasting: true, mayMiss: 1 };
+	await submit(owner, world.job('job1', [world.step(spread)]));
+	await clock.pass(1_000);
+	t.deepEqual(fleet.starts.map((one) => one.worker).sort(), ['w1', 'w2']);
+	w2.fault = 'silent';
+	// Longer than users take to notice that a task is away, shorter than the lease.
+	await clock.pass(5_000);
+	t.is(owner.dispatcher.vacate('w1'), 'protected');
+	owner.dispatcher.close();
+});
+
 /** A job of one time that is due a second from now. */
 function scheduled(made: world.TestWorld): Parameters<world.TestWorld['submit']>[1] {
 	const schedule = { times: 1, firstAt: made.clock.wall() + 1_000, intervalMs: 1_000 };
--- /dev/null
+++ b/test/renewed-by-successor.test.ts
@@ -0,0 +1,40 @@
+/**
+ * Two runs at once of two tasks, in the shape in which users reported them: both runs of the first owner on one worker,
+ * both of the second on two others, at one instant, just when the store turns the second away and a third is in office.
+ */
+import test from 'ava';
+import * as world from './fixtures/dispatching.js';
+import type * as memory from '../stand-ins/fleet/memory-store.js';
+
+test('an owner that the store turns away starts nothing whose lease the third one renews', async (t) => {
+	const { clock, fleet, takeOver, submit } = world.createWorld(() => ({ ms: 30_000, how: 'done' }));
+	const w1 = fleet.add('w1');
+	const first = await takeOver();
+	for (const id of ['job1', 'job2']) await submit(first, world.job(id, [world.step({ milliCores: 10_000 })]));
+	await clock.pass(1_000);
+	t.is(w1.running.size, 2);
+	first.dispatcher.close();
+	let isCut = false;
+	let fault: memory.StoreFault = 'none';
+	const second = await takeOver(
+		(worker) => worker === 'w1' && isCut,
+		() => fault,
+	);
+	await clock.pass(10_000);
+	for (const id of ['w2', 'w3'])
+		fleet.add(id, { capacity: { milliCores: 12_000, memoryMb: 128_000, accelerators: 0 } });
+	second.dispatcher.setWorkers(fleet.entries(), [], true);
+	isCut = true;
+	await clock.pass(4_500);
+	fault = 'down';
+	await clock.pass(500);
+	// It reaches the worker that the second one lost, and not yet the others.
+	const third = await takeOver((worker) => worker !== 'w1');
+	for (let passed = 0; passed < 6_000; passed += 10) {
+		await clock.pass(10);
+		t.deepEqual(fleet.doubled(), []);
+	}
+	t.is(w1.running.size, 2);
+	second.dispatcher.close();
+	third.dispatcher.close();
+});
