A box tells the owner of a job only what it has stored itself

Cause: a hand-in that is repeated, of a job that is stored already, told the owner the record that the box had just made. It names the owner of now; the stored one may name the owner before, which may have started the job. The successor took the job for its own and started it at once, whatever ran on workers that had not answered it. Ruled out: reading the stored record to tell that: the owner follows the store and has it within 250 ms. Change: only a hand-in that stored the record tells it. Figures: tests "a hand-in repeated at a box of the new owner ..." and "a repeated hand-in tells the owner ...": two runs at once before, none after. Conclusion: mended; it fits the record too (two jobs, one worker that has not answered), and nothing tells whether it was its cause.

--- a/src/core/box/job-service.ts
+++ b/src/core/box/job-service.ts
@@ -78,9 +78,11 @@
 			return answerUnstored(outcome);
 		}
 		log.emit('job.accepted', { job: id, queue: queue.name, outcome: outcome.type, tookMs });
-		this.tell({ type: 'job.stored', record }, (own) => {
-			own.addJob(record);
-		});
+		// A known job's record is another one: it may name an earlier owner, who may have started the job.
+		if (outcome.type === 'accepted')
+			this.tell({ type: 'job.stored', record }, (own) => {
+				own.addJob(record);
+			});
 		return { type: 'ok', value: 'accepted' };
 	}
 
