What a silent worker runs does not count as at work

Cause: emptying a worker asks how many tasks of a step are at work. Ruled out: waiting for the lease.

--- a/src/core/dispatch/vacating.ts
+++ b/src/core/dispatch/vacating.ts
@@ -38,6 +38,8 @@
 }
 
 function isAtWork(task: jobs.Task, ctx: VacateContext): boolean {
-	const place = ctx.sessionOf(task)?.placements.get(task.name);
-	return place?.phase === 'running' && place.percent === 100;
+	const session = ctx.sessionOf(task);
+	const place = session?.placements.get(task.name);
+	// What a silent worker runs may have ended, and its users notice long before its lease is over.
+	return session?.answering === true && place?.phase === 'running' && place.percent === 100;
 }
