A report that lists as many ends as it may is not taken for whole

Cause: a worker lists 500 ends at once, and the others once these are forgotten. A run that was neither running nor among the 500 counted as gone without an end and was started again, though it was done; and a successor took such a worker for heard. Ruled out: asking again at once: the ends have to be stored first. Change: the platform's folder tells whether there may be more; until there are none, absences prove nothing and an inherited worker is not settled. Conclusion: mended.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -306,7 +306,8 @@
 		if (!session.settled) this.reportLog.inherited(session, report);
 		for (const job of changed) this.progress.mark(job);
 		this.pressure.look(session);
-		this.workers.heard(session);
+		// Until the last of its ends is listed, what ran there may have ended unheard.
+		if (!report.hasMoreEnds) this.workers.heard(session);
 		this.placer.wake();
 		return { type: 'taken', stored: this.noteStored(session, changed, upTo) };
 	}
--- a/src/core/dispatch/ends.ts
+++ b/src/core/dispatch/ends.ts
@@ -41,6 +41,7 @@
 		if (task !== undefined) takeEnd(ctx, session, task, end);
 	}
 	for (const running of report.running) takeRunning(ctx, session, running);
+	if (report.hasMoreEnds) return changed;
 	const listed = new Set(report.running.map((one) => one.task));
 	for (const placement of [...session.placements.values()])
 		if (!listed.has(placement.task.name)) takeAbsence(ctx, session, placement, sentAt);
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -331,7 +331,7 @@
 			await clocks.sleep(this.deps.clock, settings.putOffMs);
 			return;
 		}
-		this.settled = true;
+		if (!report.hasMoreEnds) this.settled = true;
 		await this.inDoubt.settle((run) => this.stopInDoubt(run));
 		await Promise.race([outcome.stored, clocks.sleep(this.deps.clock, settings.holdAfterEndsMs)]);
 	}
--- a/src/core/fleet/types.ts
+++ b/src/core/fleet/types.ts
@@ -52,7 +52,10 @@
 	/** The worker's monotonic clock, in milliseconds. */
 	clockMs: number;
 	running: RunningTask[];
+	/** The oldest ends that are not forgotten yet. */
 	ended: RunEnd[];
+	/** There may be more ends than these: a run that is not listed at all may have ended. */
+	hasMoreEnds: boolean;
 }
 
 /** An order to start a run. */
--- a/stand-ins/fleet/workers.ts
+++ b/stand-ins/fleet/workers.ts
@@ -128,7 +128,8 @@
 			percent: one.percent,
 			reading: one.reading,
 		}));
-		return { clockMs: this.clockMs(), running, ended: this.ended.slice(0, mostEnds) };
+		const ended = this.ended.slice(0, mostEnds);
+		return { clockMs: this.clockMs(), running, ended, hasMoreEnds: ended.length === mostEnds };
 	}
 
 	/** Starts a run, unless the epoch, the run number or the lease forbids it; a repeated start changes nothing. */
