A job is forgotten only once the store keeps it no more

Cause: the owner forgot an ended job when it asked the store to clear it. If that failed, the next list of the store named a job that the owner did not know: it ran once more. Ruled out: reading the progress of every listed job. Change: it is forgotten ten seconds after the store has taken the removal, so that a list asked for before names a known job; a removal without an answer is tried again. Figures: test "a job that could not be cleared away is not run again ...": two starts before, one after. The test looked at the store after it was back, where the removal that is now tried again has been done. It looks, and names the job, while the store is away; it fails without the mend as before. Conclusion: mended.

--- a/src/core/dispatch/job-book.ts
+++ b/src/core/dispatch/job-book.ts
@@ -7,6 +7,9 @@
 /** Ended jobs cleared from the store in one write: three keys each of 32. */
 const clearBatch = 10;
 
+/** A job is known for so long after it was cleared from the store, in milliseconds: a list asked for before may name it. */
+const forgetAfterMs = 10_000;
+
 /** Settings of a book. */
 export interface JobBookOptions {
 	clock: clocks.Clock;
@@ -23,6 +26,9 @@
 	private readonly jobs = new Map<string, jobs.ActiveJob>();
 	/** Scheduled jobs whose next time has not come. */
 	private readonly scheduled = new Set<jobs.ActiveJob>();
+	/** Jobs that the store keeps no more, with the clock time of that, the longest ago first. */
+	private readonly cleared = new Map<string, number>();
+	private clearing = false;
 
 	private constructor(private readonly opts: JobBookOptions) {}
 
@@ -113,16 +119,36 @@
 		}
 	}
 
-	/** Forgets jobs that ended long ago, here and in the store. */
+	/** Forgets jobs that ended long ago, in the store and then here: one that is stored and not known would run again. */
 	private clearOld(): void {
+		this.forgetCleared();
+		if (this.clearing) return;
 		const before = this.opts.clock.wall() - this.opts.keepStateMs;
 		const old: string[] = [];
 		for (const job of this.jobs.values()) {
 			if (old.length >= clearBatch) break;
-			if (job.ended && job.storedState === job.state && job.endedAt < before) old.push(job.id);
+			const isOld = job.ended && job.storedState === job.state && job.endedAt < before;
+			if (isOld && !this.cleared.has(job.id)) old.push(job.id);
+		}
+		if (old.length > 0) void this.clear(old);
+	}
+
+	private async clear(old: string[]): Promise<void> {
+		this.clearing = true;
+		const outcome = await this.opts.clearJobs(old);
+		this.clearing = false;
+		// Without an answer they are tried again: clearing twice changes nothing.
+		if (outcome !== 'committed') return;
+		const now = this.opts.clock.now();
+		for (const id of old) this.cleared.set(id, now);
+	}
+
+	private forgetCleared(): void {
+		const before = this.opts.clock.now() - forgetAfterMs;
+		for (const [id, at] of this.cleared) {
+			if (at > before) return;
+			this.cleared.delete(id);
+			this.jobs.delete(id);
 		}
-		if (old.length === 0) return;
-		for (const id of old) this.jobs.delete(id);
-		void this.opts.clearJobs(old);
 	}
 }
--- a/test/beliefs.test.ts
+++ b/test/beliefs.test.ts
@@ -269,11 +269,10 @@
 	t.is(fleet.starts.length, 1);
 	fault = 'down';
 	await clock.pass(2_500);
-	fault = 'none';
-	await clock.pass(2_500);
 	t.true(store.keys().some((key) => key.endsWith('/job/job1')));
 	owner.dispatcher.addJob({ ...record, acceptedUnder: owner.ledger.generation });
-	await clock.pass(2_000);
+	fault = 'none';
+	await clock.pass(4_500);
 	t.is(fleet.starts.length, 1);
 	owner.dispatcher.close();
 });
