A worker that is listed at another address is followed there

Cause: a session kept the address under which its life was first known. Listed elsewhere, its calls went to whoever listens there now, whose answer (another life) counted as the end of a life that runs on. Ruled out: believing that answer only once the worker has answered at that address: a successor would have to wait 13.4 s for every worker that crashed before it took over. Change: calls go to the listed address; another life's answer counts only if it came from there. What a session tells the dispatcher moved to the types. Conclusion: mended as far as the list tells of it; a successor that reads the address before from the roster, with the list not read yet, stays open.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -250,7 +250,7 @@
 	}
 
 	private createPool(roster: ledger.RosterEntry[]): workerPool.WorkerPool {
-		const handlers: sessions.SessionHandlers = {
+		const handlers: types.SessionHandlers = {
 			onReport: (from, report, sentAt) => this.onReport(from, report, sentAt),
 			onLost: (from, lost, proof) => {
 				this.onLost(from, lost, proof);
@@ -299,7 +299,7 @@
 		session: sessions.WorkerSession,
 		report: fleet.WorkerReport,
 		sentAt: number,
-	): sessions.ReportOutcome {
+	): types.ReportOutcome {
 		if (!this.strangers.clear(report)) return { type: 'put-off' };
 		const upTo = Math.max(session.seenUpTo, ...report.ended.map((end) => end.seq));
 		const changed = ends.takeReport(this.reportContext, session, report, sentAt);
--- a/src/core/dispatch/pressure.ts
+++ b/src/core/dispatch/pressure.ts
@@ -92,9 +92,10 @@
 		before: number,
 	): Promise<void> {
 		const { epoch, calls } = this.deps;
-		const res = await calls.pace(session.target, place.task.name, place.run, percent, epoch);
+		const { target } = session;
+		const res = await calls.pace(target, place.task.name, place.run, percent, epoch);
 		if (res.ok) return;
-		session.ended(res.err);
+		session.ended(res.err, target);
 		// Unknown: the next report decides again from where it was.
 		if (place.pace === percent) place.pace = before;
 	}
--- a/src/core/dispatch/starter.ts
+++ b/src/core/dispatch/starter.ts
@@ -47,7 +47,8 @@
 			return;
 		}
 		for (let tries = 0; tries < settings.startTries; tries += 1) {
-			const res = await this.deps.calls.start(session.target, {
+			const { target } = session;
+			const res = await this.deps.calls.start(target, {
 				task: placement.task.name,
 				run: placement.run,
 				text: placement.task.step.job.record.text,
@@ -62,7 +63,7 @@
 				this.started(session, placement);
 				return;
 			}
-			if (session.ended(res.err)) return;
+			if (session.ended(res.err, target)) return;
 			const isFirst = tries === 0;
 			if (res.err.kind !== 'no-answer') {
 				// After a try without an answer no refusal proves that the run is not there, or does not come yet.
@@ -94,13 +95,14 @@
 		placement.phase = 'stopping';
 		while (isPlaced(session, placement)) {
 			const { task, run } = placement;
-			const res = await this.deps.calls.stop(session.target, task.name, run, this.deps.epoch);
+			const { target } = session;
+			const res = await this.deps.calls.stop(target, task.name, run, this.deps.epoch);
 			if (res.ok) {
 				session.heard(res.value);
 				placement.stoppedAt = this.deps.clock.now();
 				return;
 			}
-			if (session.ended(res.err)) return;
+			if (session.ended(res.err, target)) return;
 			await clocks.sleep(this.deps.clock, settings.orderRetryMs);
 		}
 	}
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -3,6 +3,7 @@
 import type * as events from '../events/index.js';
 import type * as fleet from '../fleet/types.js';
 import type * as jobs from '../jobs/index.js';
+import type * as sessions from './worker-session.js';
 
 /** A run of a task on a worker. */
 export interface Placement {
@@ -52,3 +53,17 @@
 	/** A worker has seen a newer epoch: this owner is replaced. */
 	onFenced: () => void;
 }
+
+/** What the dispatcher hears of a session. */
+export interface SessionHandlers {
+	/** A report came; `sentAt`: when it was asked for. */
+	onReport: (session: sessions.WorkerSession, report: fleet.WorkerReport, sentAt: number) => ReportOutcome;
+	/** Nothing that was placed runs there any more; `proof` says how that is known. */
+	onLost: (session: sessions.WorkerSession, placements: Placement[], proof: string) => void;
+}
+
+/**
+ * What became of a report. `taken`: it was, and `stored` resolves once its ends are stored. `put-off`: it names jobs
+ * that are being read from the store; the next report will be taken.
+ */
+export type ReportOutcome = { type: 'taken'; stored: Promise<void> } | { type: 'put-off' };
--- a/src/core/dispatch/worker-pool.ts
+++ b/src/core/dispatch/worker-pool.ts
@@ -19,7 +19,7 @@
 /** Settings of a pool. */
 export interface WorkerPoolOptions extends types.DispatchDeps {
 	saveRoster: (roster: ledger.RosterEntry[]) => Promise<ledger.WriteOutcome>;
-	handlers: sessions.SessionHandlers;
+	handlers: types.SessionHandlers;
 	/** More workers may take work. */
 	onOpened: () => void;
 	/** Clock time by which all leases at a worker are over, where the owner before said so. */
@@ -164,8 +164,8 @@
 		const known = this.workers.get(entry.id);
 		if (known !== undefined) {
 			if (entry.draining && known.entry?.draining !== true) this.noteDrain(known, entry);
-			known.entry = entry;
-			known.unlisted = false;
+			if (entry.address !== known.target.address) this.rosterDirty = true;
+			known.list(entry);
 			return;
 		}
 		// Addresses are used again before the entry of the life that ended there lapses: the list may name either of them
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -12,20 +12,6 @@
 import type * as jobs from '../jobs/index.js';
 import type * as types from './types.js';
 
-/** What the dispatcher hears of a session. */
-export interface SessionHandlers {
-	/** A report came; `sentAt`: when it was asked for. */
-	onReport: (session: WorkerSession, report: fleet.WorkerReport, sentAt: number) => ReportOutcome;
-	/** Nothing that was placed runs there any more; `proof` says how that is known. */
-	onLost: (session: WorkerSession, placements: types.Placement[], proof: string) => void;
-}
-
-/**
- * What became of a report. `taken`: it was, and `stored` resolves once its ends are stored. `put-off`: it names jobs
- * that are being read from the store; the next report will be taken.
- */
-export type ReportOutcome = { type: 'taken'; stored: Promise<void> } | { type: 'put-off' };
-
 /** A worker under this owner's epoch. */
 export class WorkerSession {
 	readonly placements = new Map<string, types.Placement>();
@@ -74,10 +60,11 @@
 	private unanswered = false;
 
 	private constructor(
-		readonly target: fleet.WorkerTarget,
+		/** Where it is reached. */
+		public target: fleet.WorkerTarget,
 		public entry: fleet.WorkerEntry | undefined,
 		private readonly deps: types.DispatchDeps,
-		private readonly handlers: SessionHandlers,
+		private readonly handlers: types.SessionHandlers,
 		inheritedUntil: number,
 		inDoubt: readonly doubts.RunInDoubt[],
 	) {
@@ -97,7 +84,7 @@
 		target: fleet.WorkerTarget,
 		entry: fleet.WorkerEntry | undefined,
 		deps: types.DispatchDeps,
-		handlers: SessionHandlers,
+		handlers: types.SessionHandlers,
 		inheritedUntil: number,
 		inDoubt: readonly doubts.RunInDoubt[] = [],
 	): WorkerSession {
@@ -235,18 +222,27 @@
 		this.lease.heard(reading);
 	}
 
-	/** Sorts out a failed call; true: the session is over. */
-	ended(err: fleet.WorkerFailure): boolean {
+	/** The platform lists it so from now on. */
+	list(entry: fleet.WorkerEntry): void {
+		this.entry = entry;
+		this.unlisted = false;
+		if (entry.address !== this.target.address) this.target = { id: this.id, address: entry.address };
+	}
+
+	/** Sorts out a failed call to `at`; true: the session is over. */
+	ended(err: fleet.WorkerFailure, at: fleet.WorkerTarget): boolean {
 		if (err.kind === 'fenced') this.deps.onFenced();
-		if (err.kind === 'other-life') this.end('another life of the worker answers at its address');
+		// At an address that it has left, another life proves nothing.
+		if (err.kind === 'other-life' && at.address === this.target.address)
+			this.end('another life of the worker answers at its address');
 		return this.gone || this.closed || err.kind === 'fenced';
 	}
 
 	/** Asks whether this life is still there, beside the question under way, which may wait for seconds. */
 	async checkLife(): Promise<void> {
-		const { epoch, calls } = this.deps;
-		const res = await calls.hold(this.target, { epoch, forgetUpTo: this.storedUpTo, waitMs: 0 });
-		if (!res.ok && !this.closed) this.ended(res.err);
+		const { target, deps, storedUpTo } = this;
+		const res = await deps.calls.hold(target, { epoch: deps.epoch, forgetUpTo: storedUpTo, waitMs: 0 });
+		if (!res.ok && !this.closed) this.ended(res.err, target);
 	}
 
 	/** Ends the session: this life of the worker is over. */
@@ -296,7 +292,8 @@
 	private async run(): Promise<void> {
 		while (!this.closed) {
 			const sentAt = this.deps.clock.now();
-			const res = await this.deps.calls.hold(this.target, {
+			const { target } = this;
+			const res = await this.deps.calls.hold(target, {
 				epoch: this.deps.epoch,
 				forgetUpTo: this.storedUpTo,
 				leaseUntil: this.unanswered ? undefined : this.grantLease(),
@@ -308,7 +305,7 @@
 				await this.takeReport(res.value, sentAt);
 				continue;
 			}
-			if (this.ended(res.err)) return;
+			if (this.ended(res.err, target)) return;
 			await clocks.sleep(this.deps.clock, settings.holdRetryMs);
 		}
 	}
@@ -338,8 +335,9 @@
 
 	/** Stops a run whose start may still be under way; whether it was answered. */
 	private async stopInDoubt({ task, run }: doubts.RunInDoubt): Promise<boolean> {
-		const res = await this.deps.calls.stop(this.target, task, run, this.deps.epoch);
-		if (!res.ok) this.ended(res.err);
+		const { target } = this;
+		const res = await this.deps.calls.stop(target, task, run, this.deps.epoch);
+		if (!res.ok) this.ended(res.err, target);
 		return res.ok;
 	}
 
--- a/test/filling.test.ts
+++ b/test/filling.test.ts
@@ -8,6 +8,7 @@
 import * as time from '../stand-ins/fleet/virtual-clock.js';
 import * as world from './fixtures/dispatching.js';
 import * as workers from '../stand-ins/fleet/workers.js';
+import type * as dispatchTypes from '../src/core/dispatch/types.js';
 
 /** Users' latency target of the serving tasks, and what they report: close to it whatever stands beside them. */
 const targetMs = 150;
@@ -45,7 +46,7 @@
 		confirm: () => Promise.resolve(),
 		onFenced: () => undefined,
 	};
-	const handlers: sessions.SessionHandlers = {
+	const handlers: dispatchTypes.SessionHandlers = {
 		onReport: () => ({ type: 'put-off' }),
 		onLost: () => undefined,
 	};
