Runs of jobs whose end is stored keep their room until they have ended

Ruled out: making the tasks of all ended jobs at the takeover, and of those whose ends are listed: thousands, and nobody needs their size. Change: the tasks of an ended job are made when a report lists one as running; the run takes a place that is being stopped and is freed by its end like any other. The end of such a run costs no write: the job's end is stored.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -264,15 +264,15 @@
 
 	private createReportContext(): ends.ReportContext {
 		const { clock, calls, epoch } = this.opts;
-		const log = this.reportLog;
 		return {
 			now: () => clock.now(),
 			findTask: (name) => this.book.findTask(name),
+			findRunning: (name) => this.book.findRunning(name),
 			sessionOf: (task) => this.placer.sessionOf(task),
 			adopt: (session, task, run) => this.adopt(session, task, run),
-			log,
+			log: this.reportLog,
 			stopStray: (session, task, run) => {
-				log.stray(session, task, run);
+				this.reportLog.stray(session, task, run);
 				void calls.stop(session.target, task, run, epoch);
 			},
 			stop: (session, place) => void this.starter.stop(session, place),
--- a/src/core/dispatch/ends.ts
+++ b/src/core/dispatch/ends.ts
@@ -9,6 +9,8 @@
 export interface ReportContext {
 	now: () => number;
 	findTask: (name: string) => jobs.Task | undefined;
+	/** The task of a run that is there, also of a job that has long ended. */
+	findRunning: (name: string) => jobs.Task | undefined;
 	/** Where a task is placed. */
 	sessionOf: (task: jobs.Task) => sessions.WorkerSession | undefined;
 	/** A run found on a worker is that task's run from now on. */
@@ -34,7 +36,7 @@
 	for (const end of report.ended) {
 		const task = ctx.findTask(end.task);
 		// An end that was seen before may still wait to be stored.
-		if (task !== undefined) changed.add(task.step.job);
+		if (task !== undefined && !task.step.job.endStored) changed.add(task.step.job);
 		if (end.seq <= session.seenUpTo) continue;
 		session.seenUpTo = end.seq;
 		ctx.log.ended(session, end);
@@ -79,7 +81,7 @@
 }
 
 function takeRunning(ctx: ReportContext, session: sessions.WorkerSession, running: fleet.RunningTask): void {
-	const task = ctx.findTask(running.task);
+	const task = ctx.findRunning(running.task);
 	if (task === undefined) {
 		ctx.stopStray(session, running.task, running.run);
 		return;
--- a/src/core/dispatch/job-book.ts
+++ b/src/core/dispatch/job-book.ts
@@ -64,6 +64,14 @@
 		return this.jobs.get(parsed.job)?.findTask(parsed.time, parsed.step, parsed.index);
 	}
 
+	/** The task of a run that is there. Of a job that ended under an earlier owner it is made now, as its size is needed. */
+	findRunning(name: string): jobs.Task | undefined {
+		const parsed = jobs.parseTaskName(name);
+		const job = parsed && this.jobs.get(parsed.job);
+		if (parsed !== undefined && job?.ended === true) job.makeTime(parsed.time);
+		return this.findTask(name);
+	}
+
 	/** How a job stands; undefined: not known here. */
 	stateOf(id: string): jobs.JobState | undefined {
 		const job = this.jobs.get(id);
@@ -119,7 +127,7 @@
 		const old: string[] = [];
 		for (const job of this.jobs.values()) {
 			if (old.length >= clearBatch) break;
-			if (job.ended && job.storedState === job.state && job.endedAt < before) old.push(job.id);
+			if (job.endStored && job.endedAt < before) old.push(job.id);
 		}
 		if (old.length === 0) return;
 		for (const id of old) this.jobs.delete(id);
--- a/src/core/jobs/active-job.ts
+++ b/src/core/jobs/active-job.ts
@@ -111,6 +111,11 @@
 		return types.isFinal(this.state);
 	}
 
+	/** Whether its end is stored: nothing that is still heard of its runs has to be. */
+	get endStored(): boolean {
+		return this.ended && this.storedState === this.state;
+	}
+
 	/** How many times the steps run. */
 	get times(): number {
 		return this.record.schedule?.times ?? 1;
@@ -132,6 +137,12 @@
 		return steps.flatMap((step) => this.unblock(step, now));
 	}
 
+	/** Makes the tasks of a time of a job that has ended: what its runs take is to be known. None of them may start. */
+	makeTime(time: number): void {
+		if (time >= this.times) return;
+		while (this.timesOpen <= time) this.openNextTime(0);
+	}
+
 	/** The task of that name, if it is one of this job's; opens no new time. */
 	findTask(time: number, step: number, index: number): Task | undefined {
 		return this.steps[time * this.record.steps.length + step]?.tasks[index];
