Test that fails: a request that has arrived on an idle connection is cut off when its box closes the address

Cause: the address is closed by a timer, and timers run before the event loop reads what has arrived: a request that waits in a socket is cut off with its connection, which counts as idle. The busier the box, the more requests wait so. It writes the request and closes the address in one turn of the event loop.

--- a/test/listening.test.ts
+++ b/test/listening.test.ts
@@ -4,6 +4,9 @@
 import test from 'ava';
 import * as listening from '../src/cli/box/listening.js';
 
+/** A whole request. */
+const question = 'GET / HTTP/1.1\r\nhost: a\r\n\r\n';
+
 /** Longer than any test: only answers end the wait. */
 const longMs = 100_000;
 
@@ -39,6 +42,21 @@
 	t.regex(await closed, /done/);
 });
 
+test('closing an address answers the request that has arrived on an idle connection and is not read yet', async (t) => {
+	const server = http.createServer((_req, res) => {
+		res.writeHead(200, { connection: server.listening ? 'keep-alive' : 'close' }).end('done');
+	});
+	const address = await listening.listen(server, '127.0.0.1:0');
+	const caller = net.connect(listening.toListenOptions(address));
+	const all = received(caller);
+	caller.write(question);
+	await new Promise((resolve) => caller.once('data', resolve));
+	// Written and closed in one turn of the event loop: the request is at the server's socket by then.
+	caller.write(question);
+	await listening.finish(server, longMs);
+	t.is((await all).match(/done/g)?.length, 2);
+});
+
 /** All that comes over a connection until its end; empty if it breaks. */
 function received(socket: net.Socket): Promise<string> {
 	return new Promise((resolve) => {
