An address is closed only once what has arrived at it is read

Cause: the idle connections were ended by the timer of the planned stop itself, and timers run before the event loop reads: a request that waited in a socket was cut off. On a busy box it waits for as long as the loop lags. Ruled out: leaving idle connections open until the end: a request may take 2.3 s, so it would be cut off then; ending the sending side only: a caller takes that for the end of the connection. Change: listening ends at once, as before; the idle connections two immediates later, between which the event loop reads. Conclusion: a request that is still on its way at that moment can be cut off as before: no HTTP/1.1 server can avoid that.

--- a/src/cli/box/listening.ts
+++ b/src/cli/box/listening.ts
@@ -1,6 +1,6 @@
 /** Servers on addresses as the settings write them, `host:port`. */
 import type * as http from 'node:http';
-import type * as net from 'node:net';
+import * as net from 'node:net';
 
 /** Listens, and says where: port 0 lets the kernel choose. Fails if the address can't be used. */
 export async function listen(server: net.Server, address: string): Promise<string> {
@@ -18,14 +18,23 @@
  */
 export function finish(server: http.Server, mostMs: number): Promise<void> {
 	return new Promise((resolve) => {
-		server.close(() => {
+		// Not the close of `http.Server`, which would end the idle connections at once: on some of them a request may have
+		// arrived that is not read yet, the more the busier this process is.
+		net.Server.prototype.close.call(server, () => {
 			resolve();
 		});
-		server.closeIdleConnections();
+		afterReading(() => {
+			server.closeIdleConnections();
+		});
 		setTimeout(resolve, mostMs).unref();
 	});
 }
 
+/** Calls `fn` once all that has arrived by now was read: the event loop reads between any two immediates. */
+function afterReading(fn: () => void): void {
+	setImmediate(() => setImmediate(fn));
+}
+
 /** Host and port of an address. */
 export function toListenOptions(address: string): { host: string; port: number } {
 	const cut = address.lastIndexOf(':');
