Tests that fail: an answer of a stopping box announces that its connection stays open

Cause: whether the connection stays is decided when a request comes. One that came before the box was told to stop is answered with 'keep-alive', also seconds later, after the address was closed. Nothing ends that connection but the end of the process, which cuts off what the caller has sent over it meanwhile; while the store loses answers, requests take up to 2.3 s.

--- a/test/listening.test.ts
+++ b/test/listening.test.ts
@@ -2,7 +2,9 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
 import test from 'ava';
+import * as ingress from '../platform/ingress.js';
 import * as listening from '../src/cli/box/listening.js';
+import type * as service from '../src/core/box/job-service.js';
 
 /** A whole request. */
 const question = 'GET / HTTP/1.1\r\nhost: a\r\n\r\n';
@@ -57,6 +59,28 @@
 	t.is((await all).match(/done/g)?.length, 2);
 });
 
+for (const closes of [false, true]) {
+	const when = closes ? 'after its address was closed' : 'while its address is open';
+	test(`a request that was under way when its box was told to stop, answered ${when}, is the last on its connection`, async (t) => {
+		const target = { leaving: false, queues: undefined, service: undefined as unknown as service.JobService };
+		const server = ingress.serveCallers(target);
+		const address = await listening.listen(server, '127.0.0.1:0');
+		const caller = net.connect(listening.toListenOptions(address));
+		const answered = received(caller);
+		const seen = new Promise((resolve) => server.once('request', resolve));
+		caller.write('POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nha');
+		await seen;
+		target.leaving = true;
+		const begun = new Promise((resolve) => caller.once('data', resolve));
+		if (closes) void listening.finish(server, longMs);
+		caller.write('lf');
+		await begun;
+		caller.destroy();
+		server.close();
+		t.regex(await answered, /^HTTP\/1.1 503 [^]*connection: close/i);
+	});
+}
+
 /** All that comes over a connection until its end; empty if it breaks. */
 function received(socket: net.Socket): Promise<string> {
 	return new Promise((resolve) => {
