Tests that fail: the soak holds a kill against a planned stop, and passes over requests that a stop found under way

The soak takes a box for stopping until three seconds after the stop began, and asks when a request is sent. So a kill of the next process counts as a planned stop, and a request that was sent before the stop does not count at all. A soak's box names the process that was stopped.

--- a/dev/soak/box-client.ts
+++ b/dev/soak/box-client.ts
@@ -20,7 +20,7 @@
 
 /** What a client uses. */
 export interface BoxClientOptions {
-	world: worlds.World;
+	world: Pick<worlds.World, 'boxes' | 'now' | 'isCalm'>;
 	judge: judges.Judge;
 	/** Decides which box is asked. */
 	next: () => number;
--- a/dev/soak/box-faults.ts
+++ b/dev/soak/box-faults.ts
@@ -30,6 +30,7 @@
 	const box = pickSound(world, next);
 	if (box?.process === undefined) return nowhere;
 	const running = box.process;
+	box.stopping = running;
 	box.stoppingUntil = world.now() + graceMs;
 	const killer = setTimeout(() => running.process.kill('SIGKILL'), graceMs);
 	await running.kill('SIGTERM');
--- a/dev/soak/world.ts
+++ b/dev/soak/world.ts
@@ -18,6 +18,8 @@
 	/** Its way to the store. */
 	store: proxies.FaultProxy;
 	process: boxes.BoxProcess | undefined;
+	/** The newest of its processes that was stopped as planned; it may have ended since. */
+	stopping: boxes.BoxProcess | undefined;
 	/** Counts its processes. */
 	life: number;
 	/** What all its processes logged. */
@@ -154,5 +156,6 @@
 
 /** A box without a process. */
 function newBox(name: string, store: proxies.FaultProxy): SoakBox {
-	return { name, store, process: undefined, life: 0, lines: [], troubledUntil: 0, stoppingUntil: 0 };
+	const processes = { process: undefined, stopping: undefined, life: 0, lines: [] };
+	return { name, store, ...processes, troubledUntil: 0, stoppingUntil: 0 };
 }
--- /dev/null
+++ b/test/soak-cuts.test.ts
@@ -0,0 +1,105 @@
+/** Which requests that end without an answer the soak holds against a planned stop. */
+import * as net from 'node:net';
+import test from 'ava';
+import * as clients from '../dev/soak/box-client.js';
+import * as judges from '../dev/soak/judge.js';
+import type * as boxes from '../stand-ins/box-process.js';
+import type * as worlds from '../dev/soak/world.js';
+
+/** A process that reads a request and then ends the connection. */
+interface Cutter {
+	process: boxes.BoxProcess;
+	/** Resolves once a request has come. */
+	asked: Promise<unknown>;
+	/** Ends the connection of the request. */
+	cut: () => void;
+	close: () => void;
+}
+
+/** Stands in for a process of which only its address is asked. */
+function processAt(callers: string): boxes.BoxProcess {
+	const only: unknown = { callers };
+	return only as boxes.BoxProcess;
+}
+
+async function startCutter(): Promise<Cutter> {
+	const server = net.createServer();
+	await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+	const callers = `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+	let open: net.Socket | undefined;
+	const asked = new Promise((resolve) => {
+		server.on('connection', (socket) => {
+			open = socket;
+			socket.once('data', resolve);
+		});
+	});
+	return {
+		process: processAt(callers),
+		asked,
+		cut: () => open?.end(),
+		close: () => server.close(),
+	};
+}
+
+/** A box whose newest process is this one. */
+function boxOf(process: boxes.BoxProcess): worlds.SoakBox {
+	const store = undefined as unknown as worlds.SoakBox['store'];
+	const calm = { troubledUntil: -Infinity, stoppingUntil: -Infinity };
+	return { name: 'entry-1', store, process, stopping: undefined, life: 2, lines: [], ...calm };
+}
+
+/** Sends a request, lets `meanwhile` happen, cuts it off; returns what is held against the box. */
+async function cutOff(
+	prepare: (box: worlds.SoakBox) => void,
+	meanwhile: (box: worlds.SoakBox) => void,
+): Promise<string[]> {
+	const cutter = await startCutter();
+	const box = boxOf(cutter.process);
+	const judge = judges.Judge.create(() => 0, 32_000);
+	const client = clients.BoxClient.create({
+		world: { boxes: [box], now: () => 0, isCalm: () => false },
+		judge,
+		next: () => 0,
+	});
+	prepare(box);
+	const reply = client.send(box, 'GET', '/jobs/a');
+	await cutter.asked;
+	meanwhile(box);
+	cutter.cut();
+	await reply;
+	await client.close();
+	cutter.close();
+	return judge.violations.map((one) => one.promise);
+}
+
+const nothing = (): void => undefined;
+
+/** Its process is told to stop. */
+function stop(box: worlds.SoakBox): void {
+	box.stopping = box.process;
+	box.stoppingUntil = Infinity;
+}
+
+test('a request that a planned stop cuts off is held against it', async (t) => {
+	t.deepEqual(await cutOff(stop, nothing), ['cut']);
+});
+
+test('a request that was under way when a planned stop began and is cut off is held against it', async (t) => {
+	t.deepEqual(await cutOff(nothing, stop), ['cut']);
+});
+
+test('a request that is cut off after the stopped process has ended and another has begun is held against it', async (t) => {
+	const replaced = await cutOff(stop, (box) => {
+		box.process = processAt('127.0.0.1:1');
+		box.stoppingUntil = -Infinity;
+	});
+	t.deepEqual(replaced, ['cut']);
+});
+
+test('a request that is cut off by a kill soon after an earlier process was stopped is not held against a planned stop', async (t) => {
+	const killed = await cutOff((box) => {
+		box.stopping = processAt('127.0.0.1:1');
+		box.stoppingUntil = Infinity;
+	}, nothing);
+	t.deepEqual(killed, []);
+});
