The soak holds a cut against the process that was stopped as planned, and against no other

Ruled out: ending the three seconds with the process: a cut may be seen just after its process's end, and would be passed over. Change: a cut counts if the process that was asked is the one that was stopped, whenever the request was sent; trouble of the box before the stop excuses none any more. Stricter for requests that were under way; a kill of another process is no cut.

--- a/dev/soak/box-client.ts
+++ b/dev/soak/box-client.ts
@@ -20,7 +20,7 @@
 
 /** What a client uses. */
 export interface BoxClientOptions {
-	world: Pick<worlds.World, 'boxes' | 'now' | 'isCalm'>;
+	world: Pick<worlds.World, 'boxes'>;
 	judge: judges.Judge;
 	/** Decides which box is asked. */
 	next: () => number;
@@ -38,13 +38,12 @@
 
 	/** One request to one box. */
 	async send(box: worlds.SoakBox, method: Method, path: string, body?: object): Promise<Reply> {
-		const { world, judge } = this.opts;
-		const callers = box.process?.callers;
-		if (callers === undefined) return { status: undefined, body: {} };
-		const isPlanned = box.stoppingUntil > world.now() && box.troubledUntil < world.now();
+		const { judge } = this.opts;
+		const { process } = box;
+		if (process === undefined) return { status: undefined, body: {} };
 		const headers = { host: worlds.host, 'content-type': 'application/json' };
 		try {
-			const res = await this.pool(callers).request({
+			const res = await this.pool(process.callers).request({
 				method,
 				path,
 				headers,
@@ -55,8 +54,8 @@
 			return { status: res.statusCode, body: parse(await res.body.text()) };
 		} catch (err) {
 			const { code } = err as NodeJS.ErrnoException;
-			// A request that was under way when a planned stop closed its connection.
-			if (isPlanned && code === 'UND_ERR_SOCKET' && !world.isCalm(box) && box.life > 0)
+			// A planned stop of the very process that was asked closed its connection.
+			if (box.stopping === process && code === 'UND_ERR_SOCKET')
 				judge.report('cut', `${box.name} ${method} ${path}: ${String(err)}`);
 			return { status: undefined, body: {} };
 		}
--- a/test/soak-cuts.test.ts
+++ b/test/soak-cuts.test.ts
@@ -57,7 +57,7 @@
 	const box = boxOf(cutter.process);
 	const judge = judges.Judge.create(() => 0, 32_000);
 	const client = clients.BoxClient.create({
-		world: { boxes: [box], now: () => 0, isCalm: () => false },
+		world: { boxes: [box] },
 		judge,
 		next: () => 0,
 	});
