Tests that fail: a job's time that a successor's clock has not reached is begun a second time

Cause: boxes share no clock. A successor whose wall clock is behind its predecessor's knows no tasks of a time that the predecessor has begun: it stops what runs of it, forgets its ends, leaves what is stored of it out when it stores the job, and starts the time's tasks when its own clock gets there. Conclusion: the same class as the runs of ended jobs: an incomplete account of what is inherited.

--- a/test/inherited-runs.test.ts
+++ b/test/inherited-runs.test.ts
@@ -2,6 +2,7 @@
 import test from 'ava';
 import * as ledger from '../src/core/ledger/index.js';
 import * as world from './fixtures/dispatching.js';
+import type * as fleet from '../src/core/fleet/types.js';
 import type * as workers from '../stand-ins/fleet/workers.js';
 
 /** Two tasks of this size don't fit on one worker, in thousandths of a core. */
@@ -70,6 +71,85 @@
 	second.dispatcher.close();
 });
 
+/** How far the clock of an owner is ahead of its successor's, at least, in milliseconds. */
+const aheadMs = 60;
+
+/** A job that runs twice, and the order that an owner whose clock is ahead gives for its second time. */
+function twice(firstAt: number): { record: ReturnType<typeof world.job>; order: fleet.StartOrder } {
+	const schedule = { times: 2, firstAt, intervalMs: 3_000 };
+	const record = world.job('job1', [world.step({ milliCores: big })], { schedule });
+	return { record, order: orderFor('job1.1.0.0', 1) };
+}
+
+/** A start as an earlier owner gave it. */
+function orderFor(task: string, epoch: number): fleet.StartOrder {
+	return { task, run: 1, text: '', epoch, leaseUntil: Infinity, checkpoint: '', ticket: '' };
+}
+
+/** Plays a job's first time, and its second by an owner whose clock is ahead; the next owner takes over. */
+async function takeOverEarly(made: world.TestWorld): Promise<world.TestOwner> {
+	const { clock, fleet: all } = made;
+	const [, , w3] = ['w1', 'w2', 'w3'].map((id) => all.add(id));
+	const first = await made.takeOver();
+	await clock.pass(1_200);
+	const startedAt = clock.wall();
+	const { record, order } = twice(startedAt);
+	await made.submit(first, record);
+	await clock.pass(3_000 - aheadMs - 50 - (clock.wall() - startedAt));
+	first.dispatcher.close();
+	w3?.start(order);
+	return made.takeOver();
+}
+
+test("a run of a time that has not come by the successor's clock goes on, and is the only one", async (t) => {
+	const made = world.createWorld((task) => ({ ms: task === 'job1.0.0.0' ? 100 : 60_000, how: 'done' }));
+	const second = await takeOverEarly(made);
+	await watch(made.clock, 5_000, () => t.deepEqual(made.fleet.doubled(), []));
+	t.is(made.fleet.starts.filter((one) => one.task === 'job1.1.0.0').length, 1);
+	second.dispatcher.close();
+});
+
+test("a task that is done before its time has come by the successor's clock is not run again", async (t) => {
+	const made = world.createWorld(() => ({ ms: 10, how: 'done' }));
+	const second = await takeOverEarly(made);
+	await made.clock.pass(5_000);
+	t.is(made.fleet.starts.filter((one) => one.task === 'job1.1.0.0').length, 1);
+	t.is(second.dispatcher.stateOf('job1'), 'completed');
+	second.dispatcher.close();
+});
+
+test("what is stored of a time that has not come by an owner's clock is not lost when that owner stores the job", async (t) => {
+	const made = world.createWorld(() => ({ ms: 1_000, how: 'done' }));
+	made.fleet.add('w1');
+	const first = await made.takeOver();
+	await made.clock.pass(1_200);
+	const schedule = { times: 3, firstAt: made.clock.wall(), intervalMs: 3_000 };
+	await made.submit(first, world.job('job1', [world.step()], { schedule }));
+	await made.clock.pass(100);
+	first.dispatcher.close();
+	const done = {
+		state: 'running' as const,
+		finished: { '1.0': 'all' as const },
+		failures: {},
+		checkpoints: {},
+	};
+	const saving = first.ledger.saveProgress(new Map([['job1', { ...done, endedAt: 0 }]]));
+	await made.clock.pass(50);
+	t.is(await saving, 'committed');
+	const second = await made.takeOver();
+	await made.clock.pass(1_500);
+	t.deepEqual((await read(made, 'job1'))?.progress?.finished['0.0'], 'all');
+	second.dispatcher.close();
+	const third = await made.takeOver();
+	await made.clock.pass(8_000);
+	t.deepEqual(
+		made.fleet.starts.map((one) => one.task),
+		['job1.0.0.0', 'job1.2.0.0'],
+	);
+	t.is(third.dispatcher.stateOf('job1'), 'completed');
+	third.dispatcher.close();
+});
+
 /** A job's stored state. */
 async function storedState(made: world.TestWorld, id: string): Promise<string | undefined> {
 	const stored = await read(made, id);
