A time that an owner has begun counts as come, whatever the clock of the next one says

Ruled out: keeping such a time's tasks back until this owner's clock gets there and adopting only the run that was found: the predecessor began the time as a whole, and a job whose tasks are all done by then would have nothing that ends it. Change: a report that names a task of a later time, and stored progress that names one, make the tasks of all times up to it. Tasks of ended jobs are made the same way.

--- a/src/core/dispatch/job-book.ts
+++ b/src/core/dispatch/job-book.ts
@@ -57,19 +57,14 @@
 		return job;
 	}
 
-	/** The task of that name. */
+	/** The task of that name; of a job that ended under an earlier owner only if a run of it was there. */
 	findTask(name: string): jobs.Task | undefined {
-		const parsed = jobs.parseTaskName(name);
-		if (parsed === undefined) return undefined;
-		return this.jobs.get(parsed.job)?.findTask(parsed.time, parsed.step, parsed.index);
+		return this.find(name, (job) => !job.ended);
 	}
 
-	/** The task of a run that is there. Of a job that ended under an earlier owner it is made now, as its size is needed. */
+	/** The task of a run that is there, also of a job that has long ended: how much it takes is needed. */
 	findRunning(name: string): jobs.Task | undefined {
-		const parsed = jobs.parseTaskName(name);
-		const job = parsed && this.jobs.get(parsed.job);
-		if (parsed !== undefined && job?.ended === true) job.makeTime(parsed.time);
-		return this.findTask(name);
+		return this.find(name, () => true);
 	}
 
 	/** How a job stands; undefined: not known here. */
@@ -104,6 +99,15 @@
 		this.clearOld();
 	}
 
+	/** A worker knows tasks of times that an owner has begun; they are made now if `mayMake` says so. */
+	private find(name: string, mayMake: (job: jobs.ActiveJob) => boolean): jobs.Task | undefined {
+		const parsed = jobs.parseTaskName(name);
+		const job = parsed && this.jobs.get(parsed.job);
+		if (parsed === undefined || job === undefined) return undefined;
+		if (mayMake(job) && job.reach(parsed.time)) this.openTimes(job);
+		return job.findTask(parsed.time, parsed.step, parsed.index);
+	}
+
 	/** Makes the tasks of every time that has come. */
 	private openTimes(job: jobs.ActiveJob): void {
 		const { clock } = this.opts;
--- a/src/core/jobs/active-job.ts
+++ b/src/core/jobs/active-job.ts
@@ -69,6 +69,8 @@
 	endedAt: types.WallMs = 0;
 	/** How many times of the schedule have come. */
 	private timesOpen = 0;
+	/** How many times an owner is known to have begun, whatever this owner's clock says: boxes share no clock. */
+	private timesReached = 0;
 	/** Whether a predecessor may have started tasks of it. */
 	readonly inherited: boolean;
 	/** Whether the workers of its lasting tasks are stored before each start. */
@@ -123,7 +125,9 @@
 
 	/** Wall time at which the next time comes; undefined: all have come. */
 	nextDue(): types.WallMs | undefined {
-		if (this.timesOpen >= this.times) return undefined;
+		if (this.timesOpen < this.timesReached) return 0;
+		// None comes any more; those that were begun may still have runs.
+		if (this.timesOpen >= this.times || this.ended) return undefined;
 		const { schedule } = this.record;
 		return schedule === undefined ? 0 : schedule.firstAt + this.timesOpen * schedule.intervalMs;
 	}
@@ -137,10 +141,11 @@
 		return steps.flatMap((step) => this.unblock(step, now));
 	}
 
-	/** Makes the tasks of a time of a job that has ended: what its runs take is to be known. None of them may start. */
-	makeTime(time: number): void {
-		if (time >= this.times) return;
-		while (this.timesOpen <= time) this.openNextTime(0);
+	/** An owner has begun this time, as its clock told; true: its tasks are not made yet. */
+	reach(time: number): boolean {
+		if (time >= this.times) return false;
+		this.timesReached = Math.max(this.timesReached, time + 1);
+		return time >= this.timesOpen;
 	}
 
 	/** The task of that name, if it is one of this job's; opens no new time. */
@@ -194,6 +199,9 @@
 		this.state = progress.state;
 		this.storedState = progress.state;
 		this.endedAt = progress.endedAt;
+		const { finished, failures, checkpoints, workers = {} } = progress;
+		for (const key of [finished, failures, checkpoints, workers].flatMap((one) => Object.keys(one)))
+			this.reach(Number(key.split('.', 1)[0]));
 	}
 
 	private createStep(time: number, number: number, spec: types.StepSpec): StepRun {
