Tests that fail: runs that are stopped without a place

Cause: a run of a job that is not kept any more, and a run of a number that is older than what is known of its task, are told to stop and forgotten: their worker gets new work over its cores, and the task of an old run is started elsewhere meanwhile. Ruled out: an older run beside a newer placement of the same task on one worker: workers reject the newer start, and the task's place holds the room of either. Conclusion: the same class as the runs of ended jobs.

--- a/test/inherited-runs.test.ts
+++ b/test/inherited-runs.test.ts
@@ -150,6 +150,56 @@
 	third.dispatcher.close();
 });
 
+test('a worker with a run of a job that is not kept any more gets no new work until that run has ended', async (t) => {
+	const made = world.createWorld(() => long);
+	const w1 = made.fleet.add('w1');
+	const first = await made.takeOver();
+	await made.clock.pass(500);
+	first.dispatcher.close();
+	w1.start(orderFor('gone.0.0.0', 1));
+	const second = await made.takeOver();
+	await made.submit(second, bigJob('job2'));
+	await watch(made.clock, 2_000, () => t.true(w1.running.size <= 1));
+	t.deepEqual([...w1.running.keys()], ['job2.0.0.0']);
+	second.dispatcher.close();
+});
+
+test('a worker with an old run of a task that is placed elsewhere gets no new work until that run has ended', async (t) => {
+	const made = world.createWorld(() => long);
+	const w1 = made.fleet.add('w1');
+	const owner = await made.takeOver();
+	await made.clock.pass(500);
+	await made.submit(owner, world.job('job1', [world.step({ milliCores: big, requiredLabel: 'other' })]));
+	made.fleet.add('w2', { labels: ['other'] });
+	owner.dispatcher.setWorkers(made.fleet.entries(), [], true);
+	await made.clock.pass(500);
+	// A worker that stood still past its leases shows what ran there for a moment when it goes on.
+	w1.start(orderFor('job1.0.0.0', 1));
+	await made.clock.pass(1_100);
+	await made.submit(owner, bigJob('job2'));
+	await watch(made.clock, 2_000, () => t.true(w1.running.size <= 1));
+	t.deepEqual([...w1.running.keys()], ['job2.0.0.0']);
+	owner.dispatcher.close();
+});
+
+test('a task with an old run somewhere is started only once that run has ended', async (t) => {
+	const plan = (_task: string, run: number): workers.RunPlan =>
+		run === 2 ? { ms: 10, how: 'failed' } : long;
+	const made = world.createWorld(plan);
+	const [w1, , w3] = ['w1', 'w2', 'w3'].map((id) => made.fleet.add(id));
+	const first = await made.takeOver();
+	await made.clock.pass(500);
+	first.dispatcher.close();
+	await made.submit(first, bigJob('job1'));
+	w3?.start(orderFor('job1.0.0.0', 1));
+	w1?.start({ ...orderFor('job1.0.0.0', 1), run: 2 });
+	await made.clock.pass(50);
+	const second = await made.takeOver();
+	await watch(made.clock, 2_000, () => t.deepEqual(made.fleet.doubled(), []));
+	t.is(made.fleet.starts.length, 3);
+	second.dispatcher.close();
+});
+
 /** A job's stored state. */
 async function storedState(made: world.TestWorld, id: string): Promise<string | undefined> {
 	const stored = await read(made, id);
