A worker gets no new work while a run is stopped there that has no place

Ruled out: a place for each: a run of a task that is placed elsewhere would be taken for that task's by its end, and the sizes of jobs that are not kept are known to nobody. Change: the worker is closed to new work as long as its newest report lists such a run; it is told to stop with each report. It costs the time of one stop on that worker.

--- a/src/core/dispatch/ends.ts
+++ b/src/core/dispatch/ends.ts
@@ -42,7 +42,7 @@
 		ctx.log.ended(session, end);
 		if (task !== undefined) takeEnd(ctx, session, task, end);
 	}
-	for (const running of report.running) takeRunning(ctx, session, running);
+	session.strays = report.running.filter((running) => !takeRunning(ctx, session, running)).length;
 	const listed = new Set(report.running.map((one) => one.task));
 	for (const placement of [...session.placements.values()])
 		if (!listed.has(placement.task.name)) takeAbsence(ctx, session, placement, sentAt);
@@ -80,25 +80,40 @@
 	ctx.finished(task);
 }
 
-function takeRunning(ctx: ReportContext, session: sessions.WorkerSession, running: fleet.RunningTask): void {
+/** Takes in one run that is there; false: it is stopped, and has no place. */
+function takeRunning(
+	ctx: ReportContext,
+	session: sessions.WorkerSession,
+	running: fleet.RunningTask,
+): boolean {
 	const task = ctx.findRunning(running.task);
-	if (task === undefined) {
-		ctx.stopStray(session, running.task, running.run);
-		return;
-	}
-	if (isOver(task) && !session.placements.has(task.name)) {
-		stopUnwanted(ctx, session, task, running.run);
-		return;
-	}
-	const placement = session.placements.get(task.name) ?? adoptable(ctx, session, task, running.run);
-	if (placement === undefined) {
+	const placement = task && placeOf(ctx, session, task, running.run);
+	if (task === undefined || placement === undefined || running.run < placement.run) {
 		ctx.stopStray(session, running.task, running.run);
-		return;
-	}
-	if (placement.run !== running.run) {
-		if (running.run < placement.run) ctx.stopStray(session, running.task, running.run);
-		return;
+		return false;
 	}
+	if (placement.run === running.run) noteRunning(ctx, task, placement, running);
+	return true;
+}
+
+/** The place of a run, taken now if it has none and may have one. */
+function placeOf(
+	ctx: ReportContext,
+	session: sessions.WorkerSession,
+	task: jobs.Task,
+	run: number,
+): types.Placement | undefined {
+	const known = session.placements.get(task.name);
+	if (known !== undefined) return known;
+	return isOver(task) ? stopUnwanted(ctx, session, task, run) : adoptable(ctx, session, task, run);
+}
+
+function noteRunning(
+	ctx: ReportContext,
+	task: jobs.Task,
+	placement: types.Placement,
+	running: fleet.RunningTask,
+): void {
 	if (placement.percent !== running.percent || placement.phase === 'starting')
 		placement.progressAt = ctx.now();
 	placement.percent = running.percent;
@@ -114,9 +129,11 @@
 	session: sessions.WorkerSession,
 	task: jobs.Task,
 	run: number,
-): void {
+): types.Placement {
 	ctx.log.stray(session, task.name, run);
-	ctx.stop(session, session.place(task, run, 'running'));
+	const placement = session.place(task, run, 'running');
+	ctx.stop(session, placement);
+	return placement;
 }
 
 /** Whether no run of the task is wanted any more. */
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -51,6 +51,8 @@
 	storedUpTo = 0;
 	/** Ends up to here have been taken in. */
 	seenUpTo = 0;
+	/** Runs in the newest report that are being stopped and have no place: what they take is not counted. */
+	strays = 0;
 	/** Clock time from which this worker's drain leaves no time to finish; undefined: it does not drain. */
 	endsAt: number | undefined;
 	/** Counts changes of what is placed there, and at which pace. */
@@ -151,7 +153,7 @@
 	/** Whether it may get new work now. */
 	get open(): boolean {
 		if (this.gone || this.closed || !this.rostered || this.leaving) return false;
-		if (this.entry === undefined || this.inDoubt.length > 0) return false;
+		if (this.entry === undefined || this.inDoubt.length > 0 || this.strays > 0) return false;
 		return this.settled && this.answering && !this.health.paused;
 	}
 
@@ -281,6 +283,7 @@
 		this.inDoubt.push(...placements.filter((one) => one.confirmedAt === 0 && one.stoppedAt === 0));
 		for (const placement of placements) this.free(placement);
 		this.reported = undefined;
+		this.strays = 0;
 		this.settled = true;
 		this.handlers.onLost(this, placements, proof);
 	}
