The task of an old run is started once that run has ended

Cause: a report lists a run with a number below the newest known of its task, which waits: the run was told to stop, and the task started elsewhere at once. Change: the run takes the task's place until its end; the next start keeps to the newest number known.

--- a/src/core/dispatch/ends.ts
+++ b/src/core/dispatch/ends.ts
@@ -141,15 +141,21 @@
 	return task.state === 'finished' || task.step.job.ended;
 }
 
-/** A run that an earlier owner started, if nothing newer is known of its task. */
+/** A run that an earlier owner started, unless its task is placed elsewhere; an old one is stopped before the next start. */
 function adoptable(
 	ctx: ReportContext,
 	session: sessions.WorkerSession,
 	task: jobs.Task,
 	run: number,
 ): types.Placement | undefined {
-	if (ctx.sessionOf(task) !== undefined || run < task.run) return undefined;
-	return ctx.adopt(session, task, run);
+	if (ctx.sessionOf(task) !== undefined) return undefined;
+	const newest = task.run;
+	const placement = ctx.adopt(session, task, run);
+	if (run >= newest) return placement;
+	task.run = newest;
+	ctx.log.stray(session, task.name, run);
+	ctx.stop(session, placement);
+	return placement;
 }
 
 /** A run that a report does not list, neither as running nor as ended. */
