Tests that fail: a process ends by itself once nobody reads its log

Cause: a write to a pipe whose reader is gone fails with EPIPE; nobody listens to errors of standard output.

--- /dev/null
+++ b/test/broken-log.test.ts
@@ -0,0 +1,41 @@
+/** Processes whose log is read by nobody any more. */
+import * as childProcess from 'node:child_process';
+import events from 'node:events';
+import test from 'ava';
+import * as real from './fixtures/real-boxes.js';
+import type * as stream from 'node:stream';
+
+/** Its other end sees that nobody reads any more. */
+async function breakOff(output: stream.Readable | null): Promise<void> {
+	if (output === null) throw new Error('no pipe');
+	const closed = events.once(output, 'close');
+	output.destroy();
+	await closed;
+}
+
+test('a box whose log is read by nobody any more goes on serving, and ends as planned', async (t) => {
+	const { start } = await real.setUp(t);
+	const box = await start('entry-1');
+	await breakOff(box.process.stdout);
+	for (const id of ['00000000000000a1', '00000000000000a2', '00000000000000a3']) {
+		t.is((await real.call(box.callers, 'POST', id, real.body)).status, 200);
+		t.is((await real.call(box.callers, 'GET', id)).status, 200);
+	}
+	t.is(await box.kill('SIGTERM'), 0);
+});
+
+test('a process goes on when neither its lines nor its errors are read any more', async (t) => {
+	const child = childProcess.spawn(process.execPath, ['dist/test/fixtures/line-writer.js'], {
+		stdio: ['ignore', 'pipe', 'pipe', 'ipc'],
+	});
+	t.teardown(() => child.kill('SIGKILL'));
+	const ended = events.once(child, 'exit').then(() => ['ended']);
+	const write = (): Promise<unknown[]> => {
+		child.send('write');
+		return Promise.race([events.once(child, 'message'), ended]);
+	};
+	t.is((await write())[0], 'written');
+	await breakOff(child.stdout);
+	await breakOff(child.stderr);
+	for (let number = 0; number < 3; number += 1) t.is((await write())[0], 'written');
+});
