A reader of the log that is gone costs lines, not the process

Ruled out: writing nothing any more after the first error: a log may be a named pipe whose reader starts again. Change: errors of standard output are listened to and told once on standard error, whose own errors are passed over as there is no place left; a line that could not be written is counted as dropped, and told (1106) once one goes through.

--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -41,7 +41,7 @@
 	'log.dropped': {
 		id: 1106,
 		level: 'warn',
-		text: 'So many lines were left out because the reader of the log was too slow.',
+		text: 'So many lines were left out because the reader of the log was too slow, or gone.',
 	},
 	'figures.unserved': { id: 1109, level: 'warn', text: 'The address for figures could not be used.' },
 	'settings.refused': {
--- a/src/core/events/json-lines.ts
+++ b/src/core/events/json-lines.ts
@@ -1,6 +1,7 @@
 /**
- * JSON lines on standard output, bounded: a slow reader costs lines, which are counted, never waiting. A line is handed
- * over before what it tells of takes effect, so that a process that dies has told what it did.
+ * JSON lines on standard output, bounded: a slow reader costs lines, which are counted, never waiting; one that is gone
+ * costs lines too, never the process. A line is handed over before what it tells of takes effect, so that a process that
+ * dies has told what it did.
  */
 import * as catalogue from './catalogue.js';
 
@@ -8,18 +9,45 @@
 const maxWaitingBytes = 1024 * 1024;
 
 let dropped = 0;
+let isWatched = false;
 
 /** Writes one line, or counts it as dropped. */
 export function writeLine(value: object): void {
+	if (!isWatched) watchOutput();
 	if (process.stdout.writableLength > maxWaitingBytes) {
 		dropped += 1;
 		return;
 	}
-	if (dropped > 0) {
-		const name = 'log.dropped';
-		const { id, level } = catalogue.eventCatalogue[name];
-		process.stdout.write(`${JSON.stringify({ id, name, fields: { dropped }, level })}\n`);
-		dropped = 0;
-	}
-	process.stdout.write(`${JSON.stringify(value)}\n`);
+	if (dropped > 0) tellDropped();
+	put(value, 1);
+}
+
+/** Tells how many lines were left out. */
+function tellDropped(): void {
+	const name = 'log.dropped';
+	const { id, level } = catalogue.eventCatalogue[name];
+	const count = dropped;
+	dropped = 0;
+	put({ id, name, fields: { dropped: count }, level }, count);
+}
+
+/** Writes a line; if that fails, `lines` more are left out. */
+function put(value: object, lines: number): void {
+	process.stdout.write(`${JSON.stringify(value)}\n`, (err) => {
+		if (err) dropped += lines;
+	});
+}
+
+/** An error of the output must not end the process. Another reader may come: each line is tried. */
+function watchOutput(): void {
+	isWatched = true;
+	let isTold = false;
+	process.stdout.on('error', (err: Error) => {
+		if (isTold) return;
+		isTold = true;
+		process.stderr.write(`log lines are lost: ${err.message}\n`);
+	});
+	process.stderr.on('error', () => {
+		// Nobody reads either of them: there is no place left to tell it, and the lines are counted.
+	});
 }
