--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -70,9 +70,8 @@
 		inheritedUntil: number,
 		inDoubt: readonly doubts.RunInDoubt[],
 	) {
-		const { clock, events } = deps;
-		this.createdAt = clock.now();
-		this.health = health.WorkerHealth.create({ clock, events, worker: target.id });
+		this.createdAt = deps.clock.now();
+		this.health = health.WorkerHealth.create({ ...deps, worker: target.id });
 		this.lease = leases.WorkerLease.create(deps, inheritedUntil);
 		this.inDoubt = doubts.RunsInDoubt.create(inDoubt);
 		this.settled = inheritedUntil === -Infinity;
