--- a/dev/bench-days.mjs
+++ b/dev/bench-days.mjs
@@ -52,9 +52,14 @@
 		'{ at = 16.0, kind = "srv_crash", share = 0.25, for_s = 2 }',
 		'{ at = 19.3, kind = "node_kill", on = "core", count = 1, how = "leader" }',
 	],
+	'reborn-soon-then-owner-killed': [
+		'{ at = 16.0, kind = "srv_crash", share = 0.25, for_s = 1 }',
+		'{ at = 18.3, kind = "node_kill", on = "core", count = 1, how = "leader" }',
+	],
+	// The list is read again a second after that.
 	'reborn-then-history-gone': [
-		'{ at = 16.0, kind = "srv_crash", share = 0.25, for_s = 2 }',
-		'{ at = 19.3, kind = "platform_compact" }',
+		'{ at = 16.0, kind = "srv_crash", share = 0.25, for_s = 1 }',
+		'{ at = 17.7, kind = "platform_compact" }',
 	],
 	'freeze-and-zone-cut': [
 		'{ at = 6, kind = "node_freeze", on = "core", count = 1, for_s = 4, how = "leader" }',
