Soak: lives at one address, entries that lapse, lists read again

Cause: the soak dropped a dead worker's entry at once, named lives so that the later always sorted last, and no list of workers was read while it held two lives of one address, so it could not see an owner that takes the living for the dead.

Ruled out: entries that lapse alone.

Change: a second set of faults. Workers write their entries every 1.5 s, crash one to three at a time, and come back at their addresses under random ids, while the dead entries lapse after three heartbeats. The store forgets its history. One fault does both in a row, or takes the owner's name away in between. A twentieth of the runs lasts 2 to 6 s; the others are shorter, so that the workers have as much to do. A life that ends takes its runs and the calls that wait there with it.

--- a/dev/soak/faults.ts
+++ b/dev/soak/faults.ts
@@ -1,6 +1,7 @@
 /** Faults from outside the processes, in an order that the seed decides; they overlap and come in series. */
 import * as boxFaults from './box-faults.js';
 import * as random from '../random.js';
+import * as workerFaults from './worker-faults.js';
 import type * as proxies from '../../stand-ins/proxy/index.js';
 import type * as workers from '../../stand-ins/fleet/workers.js';
 import type * as worlds from './world.js';
@@ -17,9 +18,6 @@
 const leastDelayMs = 20;
 const mostDelayMs = 300;
 
-/** Injects one fault, for `forMs` milliseconds if it lasts; says where it was. */
-type Fault = (world: worlds.World, next: () => number, forMs: number) => Promise<string> | string;
-
 /** Gives one link of a kind a fault, and takes it away again. */
 type LinkFault = (
 	world: worlds.World,
@@ -28,8 +26,8 @@
 	mode: proxies.ProxyMode,
 ) => Promise<string>;
 
-/** What may be injected; a seed picks by the order. */
-const faults: Record<string, Fault> = {
+/** The first set; a seed picks by the order. */
+const formerFaults: Record<string, worlds.Fault> = {
 	'box-killed': boxFaults.kill,
 	'box-stopped': boxFaults.stop,
 	'box-paused': boxFaults.pause,
@@ -62,6 +60,16 @@
 	},
 };
 
+/** What may be injected, by set. */
+const faultSets: Record<worlds.FaultSet, Record<string, worlds.Fault>> = {
+	1: formerFaults,
+	2: {
+		...formerFaults,
+		...workerFaults.faults,
+		'store-forgets': workerFaults.forget,
+	},
+};
+
 /** Injects faults until `until` (clock time), and resolves once the last has ended. */
 export async function inject(
 	world: worlds.World,
@@ -70,6 +78,7 @@
 	log: (line: string) => void,
 ): Promise<void> {
 	const open: Promise<void>[] = [];
+	const faults = faultSets[world.faults];
 	while (world.now() < until) {
 		const name = random.pick(next, Object.keys(faults));
 		const forMs = random.between(next, leastMs, mostMs);
@@ -88,12 +97,12 @@
 	log: (line: string) => void,
 ): Promise<void> {
 	const startedAt = world.now();
-	const at = await faults[name]?.(world, next, forMs);
+	const at = await faultSets[world.faults][name]?.(world, next, forMs);
 	if (at !== boxFaults.nowhere) log(`${name} at ${at ?? ''} for ${Math.round(world.now() - startedAt)} ms`);
 }
 
 /** Every way in which a link of a kind goes wrong. */
-function linkFaults(link: string, trouble: LinkFault): Record<string, Fault> {
+function linkFaults(link: string, trouble: LinkFault): Record<string, worlds.Fault> {
 	return {
 		[`${link}-cut`]: (world, next, forMs) => trouble(world, next, forMs, { kind: 'cut' }),
 		[`${link}-silent`]: (world, next, forMs) => trouble(world, next, forMs, { kind: 'freeze' }),
--- a/dev/soak/main.ts
+++ b/dev/soak/main.ts
@@ -2,12 +2,15 @@
 import * as cmd from 'cmd-ts';
 import * as fs from 'node:fs';
 import * as soak from './soak.js';
+import type * as worlds from './world.js';
 
 /** A seed that once failed, and why; played again in CI. */
 interface KnownSeed {
 	seed: number;
 	seconds: number;
 	cause: string;
+	/** The set of faults with which it failed; absent: the first. */
+	faults?: worlds.FaultSet;
 }
 
 /** The list of tests that are known to fail; its lines on seeds begin so. */
@@ -45,6 +48,12 @@
 	description: 'how long faults are injected, a seed',
 } as const;
 
+const faultsArg = {
+	type: cmd.oneOf(['1', '2']),
+	long: 'faults',
+	description: 'set of faults; 1: the former one, as the seeds in seeds.json play it',
+} as const;
+
 const command = cmd.command({
 	name: 'soak',
 	description: 'Runs boxes under random faults and checks what must always hold.',
@@ -52,16 +61,22 @@
 		seed: cmd.option({ ...seedArg, defaultValue: () => 1 }),
 		seeds: cmd.option({ ...seedsArg, defaultValue: () => 1 }),
 		seconds: cmd.option({ ...secondsArg, defaultValue: () => 15 }),
+		faults: cmd.option({ ...faultsArg, defaultValue: () => '2' as const }),
 		known: cmd.flag({ long: 'known', description: 'play the seeds that once failed first' }),
 		boxes: cmd.option({ type: cmd.number, long: 'boxes', defaultValue: () => 4 }),
 		workers: cmd.option({ type: cmd.number, long: 'workers', defaultValue: () => 6 }),
 		callers: cmd.option({ type: cmd.number, long: 'callers', defaultValue: () => 4 }),
 		logs: cmd.option({ type: cmd.string, long: 'logs', defaultValue: () => 'target/soak' }),
 	},
-	handler: async (args) => {
+	handler: async (given) => {
+		const chosen: worlds.FaultSet = given.faults === '1' ? 1 : 2;
+		const args = { ...given, faults: chosen };
 		const known = args.known ? knownSeeds() : [];
 		const fresh = Array.from({ length: args.seeds }, (_, number) => ({ ...args, seed: args.seed + number }));
-		const all = [...known.map(({ seed, seconds }) => ({ ...args, seed, seconds })), ...fresh];
+		const all = [
+			...known.map(({ seed, seconds, faults = 1 }) => ({ ...args, seed, seconds, faults })),
+			...fresh,
+		];
 		process.exitCode = (await soakAll(all)) === 0 ? 0 : 1;
 	},
 });
--- a/dev/soak/soak.ts
+++ b/dev/soak/soak.ts
@@ -17,9 +17,16 @@
  */
 const settleMs = 25_000;
 
-/** A run takes from so long to so long, in milliseconds. */
-const shortestRunMs = 50;
-const longestRunMs = 900;
+/** A run takes from so long to so long, in milliseconds, by the set of faults. */
+const runMs: Record<worlds.FaultSet, { shortest: number; longest: number }> = {
+	1: { shortest: 50, longest: 900 },
+	// Leaves the workers as much to do, with the lasting ones.
+	2: { shortest: 50, longest: 500 },
+};
+
+/** With the second set this part of the tasks outlasts a change of the owner: they take from so long to so long. */
+const lastingPart = 0.05;
+const lastingMs = { shortest: 2_000, longest: 6_000 };
 
 /** Parts of runs that fail by themselves; a task fails three times in a row once in 30,000 tasks. */
 const failingPart = 0.03;
@@ -35,6 +42,7 @@
 	workers: number;
 	callers: number;
 	logs: string;
+	faults: worlds.FaultSet;
 }
 
 /** Plays one seed; returns the broken promises. */
@@ -43,7 +51,12 @@
 	const seconds = (): number => Math.round((clocks.systemClock.now() - startedAt) / 10) / 100;
 	const next = random.seeded(opts.seed);
 	const judge = judges.Judge.create(seconds, workerMilliCores);
-	const world = await worlds.World.create({ boxes: opts.boxes, workers: opts.workers, judge, plan });
+	const world = await worlds.World.create({
+		...opts,
+		judge,
+		plan: planFor(opts.faults),
+		next: random.seeded(opts.seed + 2),
+	});
 	const until = clocks.systemClock.now() + opts.seconds * 1_000;
 	const shared: callers.CallersOptions = { world, judge, next: random.seeded(opts.seed + 1), until };
 	const lines: string[] = [];
@@ -59,13 +72,15 @@
 	return judge.violations;
 }
 
-/** How a run goes: the same for every soak. */
-function plan(task: string, run: number): workers.RunPlan {
-	// Never the last attempt: a job that fails by itself is not lost.
-	const fails = random.seeded(random.hash(`${task} ${run}`))() < failingPart && run % attempts === 1;
-	return {
-		ms: random.between(random.seeded(random.hash(task)), shortestRunMs, longestRunMs),
-		how: fails ? 'failed' : 'done',
+/** How a run goes: the same for every soak with a set of faults. */
+function planFor(faultSet: worlds.FaultSet): (task: string, run: number) => workers.RunPlan {
+	return (task, run) => {
+		// Never the last attempt: a job that fails by itself is not lost.
+		const fails = random.seeded(random.hash(`${task} ${run}`))() < failingPart && run % attempts === 1;
+		const next = random.seeded(random.hash(task));
+		const isLasting = faultSet !== 1 && random.seeded(random.hash(`${task} lasts`))() < lastingPart;
+		const { shortest, longest } = isLasting ? lastingMs : runMs[faultSet];
+		return { ms: random.between(next, shortest, longest), how: fails ? 'failed' : 'done' };
 	};
 }
 
--- /dev/null
+++ b/dev/soak/worker-faults.ts
@@ -0,0 +1,50 @@
+/** Faults of workers and of what the store lists of them. */
+import * as random from '../random.js';
+import type * as worlds from './world.js';
+
+/** At one time so many workers crash at most: half of the usual six. */
+const mostCrashed = 3;
+
+/** The entries of dead lives stay listed for about so long, in milliseconds: three heartbeats. */
+const listedMs = 4_500;
+
+/** Some workers crash, and their next lives come at the same addresses. */
+function crash(world: worlds.World, next: () => number): string {
+	const count = random.between(next, 1, Math.min(mostCrashed, world.workers.length));
+	const crashed = Array.from({ length: count }, () => random.pick(next, world.workers));
+	const named = crashed.map((worker) => {
+		const before = worker.id;
+		world.replaceWorker(worker);
+		return `${before} (now ${worker.id})`;
+	});
+	return named.join(', ');
+}
+
+/** The store forgets its history: every box reads its lists again. */
+export function forget(world: worlds.World): string {
+	world.platform.store.forget();
+	return 'the store';
+}
+
+/** What makes an owner read the list of workers anew. */
+const rereads: worlds.Fault[] = [
+	forget,
+	(world) => {
+		world.platform.store.drop('woodcross/owner');
+		return 'owner';
+	},
+];
+
+/** Workers crash, and the list is read while it holds both their lives. */
+async function crashAndReread(world: worlds.World, next: () => number, forMs: number): Promise<string> {
+	const where = crash(world, next);
+	const reread = random.pick(next, rereads);
+	await world.sleep(random.between(next, 0, listedMs));
+	return `${where}, ${await reread(world, next, forMs)}`;
+}
+
+/** By name, for the sets of faults. */
+export const faults: Record<string, worlds.Fault> = {
+	'worker-crashed': crash,
+	'worker-crashed-and-list-read': crashAndReread,
+};
--- a/dev/soak/world.ts
+++ b/dev/soak/world.ts
@@ -12,6 +12,15 @@
 /** After trouble at a box ended, nothing with a time bound is asked of it for so long, in milliseconds. */
 const calmAfterMs = 3_000;
 
+/** Workers of the second set write their entries so often, in milliseconds: as the users' workers do. */
+const heartbeatMs = 1_500;
+
+/**
+ * Which faults are injected. 1: the former set, which seeds that were found with it go on to play; workers keep one entry
+ * that goes when they crash. 2: all; workers have heartbeats, and entries of dead lives lapse.
+ */
+export type FaultSet = 1 | 2;
+
 /** A box, over all the processes that it has run. */
 export interface SoakBox {
 	name: string;
@@ -28,6 +37,9 @@
 	stoppingUntil: number;
 }
 
+/** Injects one fault, for `forMs` milliseconds if it lasts; says where it was. */
+export type Fault = (world: World, next: () => number, forMs: number) => Promise<string> | string;
+
 /** A worker, over all its lives. */
 export interface SoakWorker {
 	id: string;
@@ -41,6 +53,9 @@
 	workers: number;
 	judge: judges.Judge;
 	plan: (task: string, run: number) => workers.RunPlan;
+	faults: FaultSet;
+	/** Decides the ids of workers' lives. */
+	next: () => number;
 }
 
 /** Everything that a soak started. */
@@ -58,22 +73,28 @@
 
 	private constructor(
 		readonly platform: users.UsersPlatform,
-		private readonly judge: judges.Judge,
+		private readonly opts: WorldOptions,
 	) {}
 
 	static async create(opts: WorldOptions): Promise<World> {
 		const { judge, plan } = opts;
-		const world = new World(users.UsersPlatform.create({ plan, journal: judge }), judge);
+		const beats = opts.faults === 1 ? {} : { heartbeatMs };
+		const world = new World(users.UsersPlatform.create({ plan, journal: judge, ...beats }), opts);
 		judge.running = () => world.running();
 		const storeAddress = await world.platform.startStore();
 		world.configure();
-		for (let number = 1; number <= opts.workers; number += 1) await world.addWorker(`i-${number}`);
+		for (let number = 1; number <= opts.workers; number += 1)
+			await world.addWorker(opts.faults === 1 ? `i-${number}` : world.newId());
 		for (let number = 1; number <= opts.boxes; number += 1)
 			world.boxes.push(newBox(`entry-${number}`, await proxies.FaultProxy.create(storeAddress)));
 		await Promise.all(world.boxes.map((box) => world.startBox(box)));
 		return world;
 	}
 
+	get faults(): FaultSet {
+		return this.opts.faults;
+	}
+
 	now(): number {
 		return clocks.systemClock.now();
 	}
@@ -93,7 +114,7 @@
 			const isAsked = this.closing || signal === 'SIGKILL' || box.stoppingUntil > this.now();
 			if (box.life === life) box.process = undefined;
 			if (!isAsked)
-				this.judge.report('process-ended', `${box.name}: status ${String(code)}, ${String(signal)}`);
+				this.opts.judge.report('process-ended', `${box.name}: status ${String(code)}, ${String(signal)}`);
 		});
 		this.troubled(box, 0);
 		if (this.closing) await started.kill();
@@ -113,9 +134,11 @@
 	/** Another life of a worker begins at its address. */
 	replaceWorker(worker: SoakWorker): void {
 		const before = worker.id;
+		const isFormer = this.opts.faults === 1;
 		worker.lives += 1;
-		worker.id = `${before.split('.')[0] ?? before}.${worker.lives}`;
-		this.platform.replaceWorker(before, worker.id, worker.proxy.address);
+		worker.id = isFormer ? `${before.split('.')[0] ?? before}.${worker.lives}` : this.newId();
+		const entry = isFormer ? 'dropped' : 'lapsing';
+		this.platform.replaceWorker(before, worker.id, worker.proxy.address, entry);
 	}
 
 	/** Stores a new version of the configuration; `added`: prefix of one more queue. */
@@ -145,6 +168,12 @@
 		if (proxy !== undefined) this.workers.push({ id, proxy, lives: 1 });
 	}
 
+	/** A new life's id, which may sort before or after that of the one before it. */
+	private newId(): string {
+		const number = Math.floor(this.opts.next() * 0x1_0000_0000);
+		return `i-${number.toString(16).padStart(8, '0')}`;
+	}
+
 	private running(): { worker: string; task: string }[] {
 		return [...this.platform.fleet.workers].flatMap(([worker, one]) =>
 			[...one.running.keys()].map((task) => ({ worker, task })),
--- a/stand-ins/fleet/memory-store.ts
+++ b/stand-ins/fleet/memory-store.ts
@@ -37,7 +37,9 @@
 	/** Writing calls that were carried out. */
 	writes = 0;
 	private readonly entries = new Map<string, Entry>();
-	private readonly history: platform.StoreChange[] = [];
+	private history: platform.StoreChange[] = [];
+	/** Changes up to this revision are not known any more. */
+	private forgottenUpTo = 0;
 	private readonly leases = new Map<string, { ttlMs: number; timer: clocks.Timer }>();
 	private waiters: Waiter[] = [];
 	private nextLease = 1;
@@ -73,6 +75,13 @@
 		if (this.entries.has(key)) this.apply(key, undefined);
 	}
 
+	/** Forgets all changes so far: whoever follows from before has to read the list again. */
+	forget(): void {
+		this.history = [];
+		this.forgottenUpTo = this.revision;
+		for (const waiter of [...this.waiters]) if (waiter.after < this.forgottenUpTo) this.answer(waiter);
+	}
+
 	/** Keys that stand in the store. */
 	keys(): string[] {
 		return [...this.entries.keys()].sort();
@@ -146,7 +155,8 @@
 				this.clock.after(waitMs, () => {
 					this.answer(waiter);
 				});
-				this.wake();
+				if (after < this.forgottenUpTo) this.answer(waiter);
+				else this.wake();
 			});
 		});
 	}
@@ -158,6 +168,10 @@
 	private answer(waiter: Waiter): void {
 		if (!this.waiters.includes(waiter)) return;
 		this.waiters = this.waiters.filter((one) => one !== waiter);
+		if (waiter.after < this.forgottenUpTo) {
+			waiter.resolve(results.ok({ type: 'compacted' }));
+			return;
+		}
 		const changes = this.changesFor(waiter);
 		waiter.resolve(results.ok({ type: 'changes', changes, revision: this.revision }));
 	}
--- a/stand-ins/fleet/workers.ts
+++ b/stand-ins/fleet/workers.ts
@@ -80,6 +80,8 @@
 	rate = 1;
 	readonly running = new Map<string, Running>();
 	readonly ended: fleet.RunEnd[] = [];
+	/** Whether this life is over. */
+	dead = false;
 	private epoch = 0;
 	private leaseUntil = 0;
 	private leaseTimer: clocks.Timer | undefined;
@@ -155,6 +157,15 @@
 		return results.ok({ clockMs: this.clockMs() });
 	}
 
+	/** This life is over: what runs dies without an end, and calls that wait get no answer. */
+	die(): void {
+		this.dead = true;
+		this.leaseTimer?.cancel();
+		for (const one of this.running.values()) one.timer?.cancel();
+		this.running.clear();
+		this.wake();
+	}
+
 	/** Calls `fn` at the next end. */
 	onEnd(fn: () => void): void {
 		this.waiting.push(fn);
@@ -213,6 +224,10 @@
 		const ended: fleet.RunEnd = { seq: this.seq, task, run, how, checkpoint: '' };
 		this.ended.push(ended);
 		this.opts.journal?.ended(ended);
+		this.wake();
+	}
+
+	private wake(): void {
 		const waiting = this.waiting;
 		this.waiting = [];
 		for (const fn of waiting) fn();
@@ -249,12 +264,17 @@
 			...more,
 		};
 		for (const other of [...this.workers.values()])
-			if (other.entry.address === entry.address) this.workers.delete(other.entry.id);
+			if (other.entry.address === entry.address) this.remove(other);
 		const worker = FakeWorker.create(entry, this.opts, this.starts);
 		this.workers.set(id, worker);
 		return worker;
 	}
 
+	private remove(worker: FakeWorker): void {
+		worker.die();
+		this.workers.delete(worker.entry.id);
+	}
+
 	/** Entries as the platform lists them, by id. */
 	entries(): fleet.WorkerEntry[] {
 		const living = [...this.workers.values()].map((one) => one.entry);
@@ -314,7 +334,7 @@
 		if (!first.ok || worker === undefined || order.waitMs === 0) return first;
 		if (first.value.ended.length > 0) return first;
 		await this.endOrTimeout(worker, order.waitMs);
-		if (isCut(worker.entry.id) || worker.fault !== 'none') return results.fail(noAnswer);
+		if (worker.dead || isCut(worker.entry.id) || worker.fault !== 'none') return results.fail(noAnswer);
 		return results.ok(worker.report());
 	}
 
--- a/stand-ins/users-platform/server.ts
+++ b/stand-ins/users-platform/server.ts
@@ -5,6 +5,7 @@
 import * as http from 'node:http';
 import * as clocks from '../../src/core/clock.js';
 import * as memory from '../fleet/memory-store.js';
+import * as listings from './listing.js';
 import * as workers from '../fleet/workers.js';
 import type * as fleet from '../../src/core/fleet/types.js';
 import type * as net from 'node:net';
@@ -22,6 +23,8 @@
 	plan: (task: string, run: number) => workers.RunPlan;
 	/** Told of each start that a worker carried out, and each end that it forgot. */
 	journal?: workers.FleetJournal;
+	/** Workers write their entries anew so often, in milliseconds; absent: never. */
+	heartbeatMs?: number;
 }
 
 /** Longest lease of the workers, in milliseconds; `box-process.ts` tells boxes the same. */
@@ -42,10 +45,12 @@
 	readonly fleet: workers.FakeFleet;
 	/** What the store does to every call. */
 	storeFault: memory.StoreFault = 'none';
+	private readonly listing: listings.Listing;
 	private readonly servers: http.Server[] = [];
 
 	private constructor(opts: UsersPlatformOptions) {
 		this.fleet = workers.FakeFleet.create({ clock: clocks.systemClock, maxLeaseMs, ...opts });
+		this.listing = listings.Listing.create(this.store, opts.heartbeatMs);
 	}
 
 	static create(opts: UsersPlatformOptions): UsersPlatform {
@@ -69,7 +74,8 @@
 
 	/**
 	 * A worker dies with all it runs; another life comes at the same address. `lapsing`: the entry of the one that died
-	 * stays listed beside it, as it does until it has gone three heartbeats without a word.
+	 * stays listed beside it, as it does until it has gone three heartbeats without a word; without heartbeats it stays
+	 * until `lapse`.
 	 */
 	replaceWorker(
 		before: string,
@@ -79,26 +85,25 @@
 	): void {
 		const address = this.fleet.workers.get(before)?.entry.address ?? '';
 		if (entry === 'dropped') this.lapse(before);
+		else this.listing.silence(before);
 		this.addLife(id, address, listedAs);
 	}
 
 	/** The entry of a life that has ended goes. */
 	lapse(id: string): void {
-		this.store.drop(`servers/${id}`);
+		this.listing.drop(id);
 	}
 
 	private addLife(id: string, address: string, listedAs: string): void {
 		this.fleet.add(id, { address });
-		const entry = {
+		this.listing.add(id, {
 			service: 'press',
 			address: listedAs,
 			zone: 'rennes',
 			state: 'ready',
 			capacity: { cpu: 32_000, mem_mb: 128_000, gpu: 0 },
 			labels: ['a', 'r1'],
-			seq_no: 1,
-		};
-		this.store.put(`servers/${id}`, Buffer.from(JSON.stringify(entry)));
+		});
 	}
 
 	/** Writes the operators' configuration: queues at `host`, one for each prefix of paths. */
@@ -109,6 +114,7 @@
 
 	/** Ends every server. */
 	close(): void {
+		this.listing.close();
 		for (const server of this.servers) {
 			server.closeAllConnections();
 			server.close();
