Soak: a job is lost that makes no progress, not one that waits in a backlog

Cause: the judge called every job lost that had not completed 25 s after faults ceased to be injected.

Change: from the end of the last fault on, a job is lost if nothing of it starts or ends for 19.4 s with half of the workers free; if nothing at all starts or ends for so long; if it is passed over for longer, which is that of the tasks that started since and ask for as much as its least one whose turn has come, more belong to jobs handed in later; or if a cap passes, 25 s and twice what all open work takes. The bounds come from leases, horizon and tries; `dev/soak/patience.ts` names each. For a job that stands still with room this is as strict as before (6 s of a last fault and 19.4 s), and it finds what stands still only for a while.

--- a/dev/soak/callers.ts
+++ b/dev/soak/callers.ts
@@ -26,14 +26,16 @@
 	next: () => number;
 	/** Clock time until which new jobs are handed in. */
 	until: number;
+	/** Whether nobody need wait for open jobs any longer. */
+	isOver: () => boolean;
 }
 
-/** One caller, until the time is over and all its jobs have ended or `giveUpAt` (clock time) has come. */
-export async function call(opts: CallersOptions, giveUpAt: number): Promise<void> {
+/** One caller, until the time is over and all its jobs have ended, or nobody need wait for them. */
+export async function call(opts: CallersOptions): Promise<void> {
 	const client = clients.BoxClient.create(opts);
 	const open: Promise<void>[] = [];
 	while (opts.world.now() < opts.until) {
-		open.push(follow(opts, client, giveUpAt));
+		open.push(follow(opts, client));
 		await opts.world.sleep(betweenJobsMs);
 	}
 	await Promise.all(open);
@@ -58,13 +60,13 @@
 }
 
 /** Hands one job in and follows it to its end. */
-async function follow(opts: CallersOptions, client: clients.BoxClient, giveUpAt: number): Promise<void> {
+async function follow(opts: CallersOptions, client: clients.BoxClient): Promise<void> {
 	const { world, judge, next } = opts;
 	const job = makeJob(next);
 	const isToCancel = next() < cancelledPart;
 	judge.sent(job);
-	if (!(await submit(opts.world, client, job, giveUpAt))) return;
-	while (world.now() < giveUpAt) {
+	if (!(await submit(opts, client, job))) return;
+	while (!opts.isOver()) {
 		await world.sleep(betweenQuestionsMs);
 		if (isToCancel && !job.cancelled && next() < cancelNowPart) await cancel(client, job);
 		const reply = await client.sendAnywhere('GET', `/jobs/${job.id}`);
@@ -78,17 +80,17 @@
 
 /** Hands a job in, again and again while it may not be kept; false: given up. */
 async function submit(
-	world: worlds.World,
+	opts: CallersOptions,
 	client: clients.BoxClient,
 	job: judges.SoakJob,
-	giveUpAt: number,
 ): Promise<boolean> {
+	const { world, judge } = opts;
 	const body = { spec: 'soak', steps: spellSteps(job) };
-	for (let tries = 0; world.now() < giveUpAt; tries += 1) {
+	for (let tries = 0; !opts.isOver(); tries += 1) {
 		if (tries >= mostTries && !job.unknown) return false;
 		const reply = await client.sendAnywhere('POST', `/jobs/${job.id}`, body);
 		if (reply.status === 200) {
-			job.accepted = true;
+			judge.accepted(job);
 			return true;
 		}
 		if (reply.status === undefined || reply.status === 502 || reply.status === 504) job.unknown = true;
@@ -122,5 +124,6 @@
 		milliCores: random.between(next, 500, 12_000),
 		after: number === 0 ? [] : [number - 1],
 	}));
-	return { id, steps, accepted: false, unknown: false, cancelled: false, completed: false };
+	const times = { sentAt: 0, acceptedAt: 0, movedAt: 0 };
+	return { id, steps, accepted: false, unknown: false, cancelled: false, completed: false, ...times };
 }
--- a/dev/soak/judge.ts
+++ b/dev/soak/judge.ts
@@ -39,6 +39,17 @@
 	unknown: boolean;
 	cancelled: boolean;
 	completed: boolean;
+	/** Seconds, as the judge counts them: when it was first sent, accepted, and when something of it started or ended. */
+	sentAt: number;
+	acceptedAt: number;
+	movedAt: number;
+}
+
+/** A task that is not done. */
+export interface OpenTask {
+	name: string;
+	step: number;
+	milliCores: number;
 }
 
 /** Takes note of everything that callers and workers see. */
@@ -52,10 +63,14 @@
 	private readonly startedJobs = new Set<string>();
 	/** Runs that go on, as the workers know them; set once there are workers. */
 	running: () => { worker: string; task: string }[] = () => [];
+	/** Told of each start of a job's task, and what it asks for in thousandths of a core. */
+	onStart: (job: SoakJob, milliCores: number) => void = () => undefined;
 	starts = 0;
+	/** When something last started or ended, in seconds from the start. */
+	movedAt = 0;
 
 	private constructor(
-		private readonly now: () => number,
+		readonly now: () => number,
 		private readonly workerMilliCores: number,
 	) {}
 
@@ -66,9 +81,45 @@
 
 	/** A caller is about to hand a job in. */
 	sent(job: SoakJob): void {
+		job.sentAt = this.now();
 		this.jobs.set(job.id, job);
 	}
 
+	/** An answer said that a job is kept. */
+	accepted(job: SoakJob): void {
+		job.accepted = true;
+		job.acceptedAt = this.now();
+	}
+
+	/** Jobs that have to complete and have not. */
+	open(): SoakJob[] {
+		return this.all().filter((job) => job.accepted && !job.cancelled && !job.completed);
+	}
+
+	/** Tasks of a job that are not done. */
+	openTasks(job: SoakJob): OpenTask[] {
+		return job.steps.flatMap(({ milliCores }, step) =>
+			taskNames(job, step)
+				.filter((name) => !this.done.has(name))
+				.map((name) => ({ name, step, milliCores })),
+		);
+	}
+
+	/** Least of what the tasks of a job ask for whose turn has come and that don't run, in thousandths of a core; none: infinite. */
+	leastWaiting(job: SoakJob): number {
+		const running = new Set(this.running().map((one) => one.task));
+		const open = this.openTasks(job);
+		const isDue = (step: number): boolean =>
+			(job.steps[step]?.after ?? []).every((before) => open.every((task) => task.step !== before));
+		const waiting = open.filter((task) => isDue(task.step) && !running.has(task.name));
+		return Math.min(...waiting.map((task) => task.milliCores));
+	}
+
+	/** What all that runs takes, in thousandths of a core. */
+	usedMilliCores(): number {
+		return this.running().reduce((sum, one) => sum + this.milliCoresOf(one.task), 0);
+	}
+
 	/** All jobs that were handed in. */
 	all(): SoakJob[] {
 		return [...this.jobs.values()];
@@ -90,10 +141,15 @@
 			return;
 		}
 		this.startedJobs.add(job.id);
+		this.moved(job);
 		this.judgeStart(start, job, parsed.step);
+		this.onStart(job, this.milliCoresOf(start.task));
 	}
 
 	ended(end: fleet.RunEnd): void {
+		const parsed = jobs.parseTaskName(end.task);
+		const job = parsed && this.jobs.get(parsed.job);
+		if (job !== undefined) this.moved(job);
 		if (end.how === 'done') this.done.add(end.task);
 	}
 
@@ -106,8 +162,6 @@
 		for (const job of this.jobs.values()) {
 			const isRefused = !job.accepted && !job.unknown;
 			if (isRefused && this.startedJobs.has(job.id)) this.report('refused-ran', job.id);
-			if (job.accepted && !job.cancelled && !job.completed)
-				this.report('lost', `${job.id} was accepted and does not complete`);
 		}
 	}
 
@@ -116,6 +170,11 @@
 		this.violations.push({ at: this.now(), promise, detail });
 	}
 
+	private moved(job: SoakJob): void {
+		job.movedAt = this.now();
+		this.movedAt = job.movedAt;
+	}
+
 	private judgeStart(start: workers.StartRecord, job: SoakJob, step: number): void {
 		const running = this.running();
 		const copies = running.filter((one) => one.task === start.task);
--- a/dev/soak/soak.ts
+++ b/dev/soak/soak.ts
@@ -4,6 +4,7 @@
 import * as clocks from '../../src/core/clock.js';
 import * as faults from './faults.js';
 import * as judges from './judge.js';
+import * as patiences from './patience.js';
 import * as random from '../random.js';
 import * as worlds from './world.js';
 import type * as workers from '../../stand-ins/fleet/workers.js';
@@ -11,12 +12,6 @@
 /** What the stand-in's workers hold, in thousandths of a core. */
 const workerMilliCores = 32_000;
 
-/**
- * After the last fault, accepted jobs have so long to complete, in milliseconds: a lease and the horizon that have to
- * be waited out, orders carried out late, and the work itself.
- */
-const settleMs = 25_000;
-
 /** A run takes from so long to so long, in milliseconds, by the set of faults. */
 const runMs: Record<worlds.FaultSet, { shortest: number; longest: number }> = {
 	1: { shortest: 50, longest: 900 },
@@ -28,6 +23,9 @@
 const lastingPart = 0.05;
 const lastingMs = { shortest: 2_000, longest: 6_000 };
 
+/** How often it is looked whether jobs are lost, in milliseconds. */
+const lookGapMs = 200;
+
 /** Parts of runs that fail by themselves; a task fails three times in a row once in 30,000 tasks. */
 const failingPart = 0.03;
 
@@ -51,20 +49,34 @@
 	const seconds = (): number => Math.round((clocks.systemClock.now() - startedAt) / 10) / 100;
 	const next = random.seeded(opts.seed);
 	const judge = judges.Judge.create(seconds, workerMilliCores);
+	const plan = planFor(opts.faults);
 	const world = await worlds.World.create({
 		...opts,
 		judge,
-		plan: planFor(opts.faults),
+		plan,
 		next: random.seeded(opts.seed + 2),
 	});
 	const until = clocks.systemClock.now() + opts.seconds * 1_000;
-	const shared: callers.CallersOptions = { world, judge, next: random.seeded(opts.seed + 1), until };
+	const patience = patiences.Patience.create({
+		judge,
+		milliCores: opts.workers * workerMilliCores,
+		workMs: (task) => plan(task, 1).ms,
+	});
+	const isOver = (): boolean => patience.isOver;
+	const shared: callers.CallersOptions = { world, judge, next: random.seeded(opts.seed + 1), until, isOver };
 	const lines: string[] = [];
 	const log = (line: string): void => {
 		lines.push(`${seconds()} s: ${line}`);
 	};
-	const calls = Array.from({ length: opts.callers }, () => callers.call(shared, until + settleMs));
-	await Promise.all([faults.inject(world, next, until, log), callers.watchConfiguration(shared), ...calls]);
+	const calls = Array.from({ length: opts.callers }, () => callers.call(shared));
+	const injected = faults.inject(world, next, until, log).then(() => {
+		patience.begin();
+	});
+	const looks = clocks.every(clocks.systemClock, lookGapMs, () => {
+		patience.look();
+	});
+	await Promise.all([injected, callers.watchConfiguration(shared), ...calls]);
+	looks.cancel();
 	judge.atEnd();
 	if (judge.violations.length > 0) keepLogs(opts, world, lines, judge.violations);
 	await world.close();
@@ -72,8 +84,11 @@
 	return judge.violations;
 }
 
+/** A run that ends by itself. */
+type FinitePlan = workers.RunPlan & { ms: number };
+
 /** How a run goes: the same for every soak with a set of faults. */
-function planFor(faultSet: worlds.FaultSet): (task: string, run: number) => workers.RunPlan {
+function planFor(faultSet: worlds.FaultSet): (task: string, run: number) => FinitePlan {
 	return (task, run) => {
 		// Never the last attempt: a job that fails by itself is not lost.
 		const fails = random.seeded(random.hash(`${task} ${run}`))() < failingPart && run % attempts === 1;
