Soak: a part of the faults outlasts a lease

Cause: no fault lasted longer than 6 s; leases are 10 s and a successor waits 13.4 s, so what is freed by a lease's end was hardly reached.

Change, second set only: a quarter of the faults of links and pauses of boxes lasts 9 to 18 s, if it ends no later than 6 s after faults cease, as a short one may. Of several faults of a link that overlap the newest counts, and the end of one does not lift the others: a short one would else end a long one. `--keep` keeps the logs of seeds that break nothing too.

--- a/dev/soak/faults.ts
+++ b/dev/soak/faults.ts
@@ -14,6 +14,17 @@
 const leastMs = 200;
 const mostMs = 6_000;
 
+/**
+ * With the second set this part of the faults of links and pauses of boxes outlasts a lease (10 s): from just below one to
+ * beyond a lease and the horizon that a successor waits for (13.4 s); in milliseconds.
+ */
+const longPart = 0.25;
+const leastLongMs = 9_000;
+const mostLongMs = 18_000;
+
+/** Faults that may last so long. */
+const mayBeLong = /-link-|^box-paused$/;
+
 /** A slow link delays what goes over it by so long, in milliseconds. */
 const leastDelayMs = 20;
 const mostDelayMs = 300;
@@ -81,13 +92,23 @@
 	const faults = faultSets[world.faults];
 	while (world.now() < until) {
 		const name = random.pick(next, Object.keys(faults));
-		const forMs = random.between(next, leastMs, mostMs);
+		const forMs = lastsMs(world, next, name, until);
 		open.push(run(name, world, next, forMs, log));
 		await world.sleep(random.between(next, leastGapMs, mostGapMs));
 	}
 	await Promise.all(open);
 }
 
+/** How long a fault lasts; none goes on for longer after `until` than a short one could. */
+function lastsMs(world: worlds.World, next: () => number, name: string, until: number): number {
+	const shortMs = random.between(next, leastMs, mostMs);
+	if (world.faults === 1) return shortMs;
+	const isLong = next() < longPart;
+	const longMs = random.between(next, leastLongMs, mostLongMs);
+	const isInTime = world.now() + longMs < until + mostMs;
+	return isLong && isInTime && mayBeLong.test(name) ? longMs : shortMs;
+}
+
 /** Injects one fault and logs it once it is over. */
 async function run(
 	name: string,
@@ -155,9 +176,15 @@
 	forMs: number,
 	mode: proxies.ProxyMode,
 ): Promise<void> {
-	proxy.set(mode);
+	if (world.faults === 1) {
+		proxy.set(mode);
+		await world.sleep(forMs);
+		proxy.set({ kind: 'pass' });
+		return;
+	}
+	const lift = proxy.trouble(mode);
 	await world.sleep(forMs);
-	proxy.set({ kind: 'pass' });
+	lift();
 }
 
 async function workerFault(
--- a/dev/soak/main.ts
+++ b/dev/soak/main.ts
@@ -66,6 +66,7 @@
 		boxes: cmd.option({ type: cmd.number, long: 'boxes', defaultValue: () => 4 }),
 		workers: cmd.option({ type: cmd.number, long: 'workers', defaultValue: () => 6 }),
 		callers: cmd.option({ type: cmd.number, long: 'callers', defaultValue: () => 4 }),
+		keep: cmd.flag({ long: 'keep', description: 'keep the logs of seeds that break nothing too' }),
 		logs: cmd.option({ type: cmd.string, long: 'logs', defaultValue: () => 'target/soak' }),
 	},
 	handler: async (given) => {
--- a/dev/soak/soak.ts
+++ b/dev/soak/soak.ts
@@ -40,6 +40,8 @@
 	workers: number;
 	callers: number;
 	logs: string;
+	/** Whether they are kept also where nothing broke. */
+	keep: boolean;
 	faults: worlds.FaultSet;
 }
 
@@ -78,7 +80,7 @@
 	await Promise.all([injected, callers.watchConfiguration(shared), ...calls]);
 	looks.cancel();
 	judge.atEnd();
-	if (judge.violations.length > 0) keepLogs(opts, world, lines, judge.violations);
+	if (opts.keep || judge.violations.length > 0) keepLogs(opts, world, lines, judge.violations);
 	await world.close();
 	print(opts.seed, lines.length, judge, seconds());
 	return judge.violations;
--- a/stand-ins/proxy/index.ts
+++ b/stand-ins/proxy/index.ts
@@ -16,7 +16,11 @@
 
 /** One proxied target. */
 export class FaultProxy {
+	/** Where it listens, also once it is closed. */
+	address = '';
 	private mode: ProxyMode = { kind: 'pass' };
+	/** Troubles under way, the newest last. */
+	private troubles: ProxyMode[] = [];
 	private readonly sockets = new Set<net.Socket>();
 
 	private constructor(
@@ -34,13 +38,10 @@
 		await new Promise<void>((resolve) => {
 			server.listen(0, '127.0.0.1', resolve);
 		});
+		proxy.address = `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
 		return proxy;
 	}
 
-	get address(): string {
-		return `127.0.0.1:${(this.server.address() as net.AddressInfo).port}`;
-	}
-
 	/** Changes what happens from now on; connections from before a cut or freeze are treated alike. */
 	set(mode: ProxyMode): void {
 		this.mode = mode;
@@ -49,6 +50,18 @@
 		if (mode.kind === 'pass') for (const socket of this.sockets) if (socket.isPaused()) socket.destroy();
 	}
 
+	/** Changes what happens until the call that is returned; of several troubles the newest counts. */
+	trouble(mode: ProxyMode): () => void {
+		const own = { ...mode };
+		this.troubles.push(own);
+		this.set(own);
+		return () => {
+			this.troubles = this.troubles.filter((one) => one !== own);
+			const left = this.troubles.at(-1) ?? { kind: 'pass' };
+			if (left !== this.mode) this.set(left);
+		};
+	}
+
 	close(): void {
 		this.server.close();
 		for (const socket of this.sockets) socket.destroy();
