Soak: a way of its own from each box to each worker and each other box

Cause: one proxy stood before a worker for all boxes, and none between boxes, so no worker was reached by one box and not by another, and no box was cut off from its peers alone. Two owners with two beliefs of one worker need the first.

Ruled out: rewriting `address` in the workers' entries only. Boxes keep workers' addresses in the roster and their own in the owner's entry, where the next owner reads them; it would go through its predecessor's proxies.

Change, second set only for the faults: each box has a store server of its own whose view translates every address on loopback in what it reads and writes; the store holds the real ones. An address that a box writes and that is nobody's is its own: the others get proxies to it before the write is done. When a process ends its proxies refuse connections, as its port does. Faults: the ways of a box to one worker, to a third of them, to another box, in the four kinds that links have; half of the time the box is the owner. The worker's links of the first set are those of all boxes to it, drawn in the same order.

Whether this finds a fault that the former set could not is not shown: no play of a program with such a fault was made.

--- a/dev/soak/faults.ts
+++ b/dev/soak/faults.ts
@@ -1,8 +1,8 @@
 /** Faults from outside the processes, in an order that the seed decides; they overlap and come in series. */
 import * as boxFaults from './box-faults.js';
+import * as linkFaults from './link-faults.js';
 import * as random from '../random.js';
 import * as workerFaults from './worker-faults.js';
-import type * as proxies from '../../stand-ins/proxy/index.js';
 import type * as workers from '../../stand-ins/fleet/workers.js';
 import type * as worlds from './world.js';
 
@@ -25,24 +25,12 @@
 /** Faults that may last so long. */
 const mayBeLong = /-link-|^box-paused$/;
 
-/** A slow link delays what goes over it by so long, in milliseconds. */
-const leastDelayMs = 20;
-const mostDelayMs = 300;
-
-/** Gives one link of a kind a fault, and takes it away again. */
-type LinkFault = (
-	world: worlds.World,
-	next: () => number,
-	forMs: number,
-	mode: proxies.ProxyMode,
-) => Promise<string>;
-
 /** The first set; a seed picks by the order. */
 const formerFaults: Record<string, worlds.Fault> = {
 	'box-killed': boxFaults.kill,
 	'box-stopped': boxFaults.stop,
 	'box-paused': boxFaults.pause,
-	...linkFaults('store-link', storeLink),
+	...linkFaults.storeFaults,
 	'store-down': (world, _next, forMs) => storeFault(world, forMs, 'down'),
 	'store-loses-answers': (world, _next, forMs) => storeFault(world, forMs, 'lost'),
 	'store-writes-late': (world, _next, forMs) => storeFault(world, forMs, 'late'),
@@ -50,7 +38,7 @@
 		world.platform.store.drop('woodcross/owner');
 		return 'owner';
 	},
-	...linkFaults('worker-link', workerLink),
+	...linkFaults.workerFaults,
 	'worker-loses-answers': (world, next, forMs) => workerFault(world, next, forMs, 'lost'),
 	'worker-orders-late': (world, next, forMs) => workerFault(world, next, forMs, 'late'),
 	'worker-crashed': (world, next) => {
@@ -76,6 +64,7 @@
 	1: formerFaults,
 	2: {
 		...formerFaults,
+		...linkFaults.pairFaults,
 		...workerFaults.faults,
 		'store-forgets': workerFaults.forget,
 	},
@@ -122,30 +111,6 @@
 	if (at !== boxFaults.nowhere) log(`${name} at ${at ?? ''} for ${Math.round(world.now() - startedAt)} ms`);
 }
 
-/** Every way in which a link of a kind goes wrong. */
-function linkFaults(link: string, trouble: LinkFault): Record<string, worlds.Fault> {
-	return {
-		[`${link}-cut`]: (world, next, forMs) => trouble(world, next, forMs, { kind: 'cut' }),
-		[`${link}-silent`]: (world, next, forMs) => trouble(world, next, forMs, { kind: 'freeze' }),
-		[`${link}-one-way`]: (world, next, forMs) => trouble(world, next, forMs, { kind: 'drop-answers' }),
-		[`${link}-slow`]: (world, next, forMs) =>
-			trouble(world, next, forMs, { kind: 'delay', ms: random.between(next, leastDelayMs, mostDelayMs) }),
-	};
-}
-
-async function storeLink(
-	world: worlds.World,
-	next: () => number,
-	forMs: number,
-	mode: proxies.ProxyMode,
-): Promise<string> {
-	const box = boxFaults.pickSound(world, next);
-	if (box === undefined) return boxFaults.nowhere;
-	world.troubled(box, forMs);
-	await troubleProxy(world, box.store, forMs, mode);
-	return box.name;
-}
-
 async function storeFault(
 	world: worlds.World,
 	forMs: number,
@@ -159,34 +124,6 @@
 	return 'the store';
 }
 
-async function workerLink(
-	world: worlds.World,
-	next: () => number,
-	forMs: number,
-	mode: proxies.ProxyMode,
-): Promise<string> {
-	const worker = random.pick(next, world.workers);
-	await troubleProxy(world, worker.proxy, forMs, mode);
-	return worker.id;
-}
-
-async function troubleProxy(
-	world: worlds.World,
-	proxy: proxies.FaultProxy,
-	forMs: number,
-	mode: proxies.ProxyMode,
-): Promise<void> {
-	if (world.faults === 1) {
-		proxy.set(mode);
-		await world.sleep(forMs);
-		proxy.set({ kind: 'pass' });
-		return;
-	}
-	const lift = proxy.trouble(mode);
-	await world.sleep(forMs);
-	lift();
-}
-
 async function workerFault(
 	world: worlds.World,
 	next: () => number,
--- a/dev/soak/world.ts
+++ b/dev/soak/world.ts
@@ -1,6 +1,7 @@
 /** The real programs as processes, behind proxies, over the stand-in of the users' platform. */
 import * as boxes from '../../stand-ins/box-process.js';
 import * as clocks from '../../src/core/clock.js';
+import * as linking from './links.js';
 import * as proxies from '../../stand-ins/proxy/index.js';
 import * as users from '../../stand-ins/users-platform/server.js';
 import type * as judges from './judge.js';
@@ -43,7 +44,8 @@
 /** A worker, over all its lives. */
 export interface SoakWorker {
 	id: string;
-	proxy: proxies.FaultProxy;
+	/** Where all its lives listen. */
+	address: string;
 	lives: number;
 }
 
@@ -62,6 +64,8 @@
 export class World {
 	readonly boxes: SoakBox[] = [];
 	readonly workers: SoakWorker[] = [];
+	/** From boxes to workers and to each other. */
+	readonly links: linking.Links;
 	/** Prefixes of paths that have a queue; the newest last. */
 	prefixes = ['/jobs/'];
 	version = 1;
@@ -74,19 +78,22 @@
 	private constructor(
 		readonly platform: users.UsersPlatform,
 		private readonly opts: WorldOptions,
-	) {}
+	) {
+		this.links = linking.Links.create(boxNames(opts.boxes));
+	}
 
 	static async create(opts: WorldOptions): Promise<World> {
 		const { judge, plan } = opts;
 		const beats = opts.faults === 1 ? {} : { heartbeatMs };
 		const world = new World(users.UsersPlatform.create({ plan, journal: judge, ...beats }), opts);
 		judge.running = () => world.running();
-		const storeAddress = await world.platform.startStore();
 		world.configure();
 		for (let number = 1; number <= opts.workers; number += 1)
 			await world.addWorker(opts.faults === 1 ? `i-${number}` : world.newId());
-		for (let number = 1; number <= opts.boxes; number += 1)
-			world.boxes.push(newBox(`entry-${number}`, await proxies.FaultProxy.create(storeAddress)));
+		for (const name of boxNames(opts.boxes)) {
+			const store = await world.platform.startStore(world.links.bookOf(name));
+			world.boxes.push(newBox(name, await proxies.FaultProxy.create(store)));
+		}
 		await Promise.all(world.boxes.map((box) => world.startBox(box)));
 		return world;
 	}
@@ -111,6 +118,7 @@
 		box.lines.push(started.lines);
 		const { life } = box;
 		started.process.once('exit', (code, signal) => {
+			this.links.left(box.name);
 			const isAsked = this.closing || signal === 'SIGKILL' || box.stoppingUntil > this.now();
 			if (box.life === life) box.process = undefined;
 			if (!isAsked)
@@ -125,6 +133,14 @@
 		box.troubledUntil = Math.max(box.troubledUntil, this.now() + ms);
 	}
 
+	/** The box that owned last, as far as the boxes' logs tell; undefined: none, or it has no process. */
+	owner(): SoakBox | undefined {
+		const generations = this.boxes.map((box) => Math.max(0, ...box.lines.flat().map(generationTaken)));
+		const newest = Math.max(...generations);
+		const owner = newest === 0 ? undefined : this.boxes[generations.indexOf(newest)];
+		return owner?.process === undefined ? undefined : owner;
+	}
+
 	/** Whether a box has been without trouble for a while, the store too. */
 	isCalm(box: SoakBox): boolean {
 		const until = Math.max(box.troubledUntil, this.storeTroubledUntil, box.stoppingUntil);
@@ -138,7 +154,7 @@
 		worker.lives += 1;
 		worker.id = isFormer ? `${before.split('.')[0] ?? before}.${worker.lives}` : this.newId();
 		const entry = isFormer ? 'dropped' : 'lapsing';
-		this.platform.replaceWorker(before, worker.id, worker.proxy.address, entry);
+		this.platform.replaceWorker(before, worker.id, worker.address, entry);
 	}
 
 	/** Stores a new version of the configuration; `added`: prefix of one more queue. */
@@ -155,17 +171,16 @@
 		const running = this.boxes.flatMap((box) => box.process ?? []);
 		await Promise.all(running.map((one) => one.kill()));
 		for (const box of this.boxes) box.store.close();
-		for (const worker of this.workers) worker.proxy.close();
+		this.links.close();
 		this.platform.close();
 	}
 
 	private async addWorker(id: string): Promise<void> {
-		let proxy: proxies.FaultProxy | undefined;
-		await this.platform.startWorker(id, async (address) => {
-			proxy = await proxies.FaultProxy.create(address);
-			return proxy.address;
+		const address = await this.platform.startWorker(id, async (listening) => {
+			await this.links.reach(listening);
+			return listening;
 		});
-		if (proxy !== undefined) this.workers.push({ id, proxy, lives: 1 });
+		this.workers.push({ id, address, lives: 1 });
 	}
 
 	/** A new life's id, which may sort before or after that of the one before it. */
@@ -181,6 +196,15 @@
 	}
 }
 
+function boxNames(count: number): string[] {
+	return Array.from({ length: count }, (_, index) => `entry-${index + 1}`);
+}
+
+/** The generation in which a box says that it owns; 0: another line. */
+function generationTaken(line: boxes.LogLine): number {
+	return line.name === 'owner.taken' ? Number(line.fields.generation) : 0;
+}
+
 /** A box without a process. */
 function newBox(name: string, store: proxies.FaultProxy): SoakBox {
 	return { name, store, process: undefined, life: 0, lines: [], troubledUntil: 0, stoppingUntil: 0 };
--- a/stand-ins/users-platform/server.ts
+++ b/stand-ins/users-platform/server.ts
@@ -3,6 +3,7 @@
  * It keeps to what a box sends; faults are switches of the memory store and the fake workers behind it.
  */
 import * as http from 'node:http';
+import * as addressViews from './address-view.js';
 import * as clocks from '../../src/core/clock.js';
 import * as memory from '../fleet/memory-store.js';
 import * as listings from './listing.js';
@@ -57,9 +58,10 @@
 		return new UsersPlatform(opts);
 	}
 
-	/** Starts the store; returns its address. */
-	startStore(): Promise<string> {
-		const view = this.store.view(() => this.storeFault);
+	/** Starts the store, or one box's view of it if it has its own addresses for everyone else; returns its address. */
+	startStore(book?: addressViews.AddressBook): Promise<string> {
+		const plain = this.store.view(() => this.storeFault);
+		const view = book === undefined ? plain : addressViews.withAddresses(plain, book);
 		return this.listen((req, url, body) => answerStore(view, req.method ?? '', url, body));
 	}
 
