Soak: the box that owns is killed, in series

Cause: with four boxes and one fault in 0.6 s the same box seldom owned again after a restart.

Change, second set: a fault that kills the box whose `owner.taken` has the highest generation, one to three times 0.3 to 2 s apart. In two of five the others don't reach the store until 2.2 s after its restart, so that the lease of the process that was killed runs out and the same box takes over. It is also one of the three ways in which a list is read while two lives of a worker are listed.

--- a/dev/soak/box-faults.ts
+++ b/dev/soak/box-faults.ts
@@ -14,17 +14,53 @@
 /** A box that has just started anew is given so long, in milliseconds. */
 const settleStartMs = 1_500;
 
+/** An owner is killed so often in a row at most. */
+const mostKills = 3;
+
+/** From so long to so long after an owner's restart the box that owns then is killed, in milliseconds. */
+const leastOwnedMs = 300;
+const mostOwnedMs = 2_000;
+
+/**
+ * In this part of these faults the others don't reach the store until so long after the restart, in milliseconds: until
+ * the lease of the process that was killed (2 s) has run out and the new one has taken over.
+ */
+const alonePart = 0.4;
+const aloneMs = 2_200;
+
 /** Kills a box's process and starts another. */
 export async function kill(world: worlds.World, next: () => number): Promise<string> {
 	const box = pickSound(world, next);
-	if (box?.process === undefined) return nowhere;
-	world.troubled(box, restartMs + settleStartMs);
-	await box.process.kill();
-	await world.sleep(restartMs);
-	await world.startBox(box);
+	if (box === undefined) return nowhere;
+	await restart(world, box);
 	return box.name;
 }
 
+/**
+ * Kills the box that owns, and the one that owns then, some times in a row. Now and then the others don't reach the store
+ * meanwhile, so that the box that was killed owns again.
+ */
+export async function killOwner(world: worlds.World, next: () => number): Promise<string> {
+	const times = random.between(next, 1, mostKills);
+	const isAlone = next() < alonePart;
+	const killed: string[] = [];
+	for (let time = 0; time < times; time += 1) {
+		const owner = world.owner();
+		// A box that is in trouble already may be the last one left, or be started anew by another fault.
+		if (owner !== undefined && isSound(world, owner)) {
+			const others = world.boxes.filter((box) => isAlone && box !== owner);
+			const lifts = others.map((box) => box.store.trouble({ kind: 'freeze' }));
+			for (const box of others) world.troubled(box, restartMs + aloneMs);
+			await restart(world, owner);
+			killed.push(isAlone ? `${owner.name} (others without store)` : owner.name);
+			if (isAlone) await world.sleep(aloneMs);
+			for (const lift of lifts) lift();
+		}
+		await world.sleep(random.between(next, leastOwnedMs, mostOwnedMs));
+	}
+	return killed.length === 0 ? nowhere : killed.join(', ');
+}
+
 /** Stops a box as planned and starts it anew; killed if it takes longer than its grace. */
 export async function stop(world: worlds.World, next: () => number): Promise<string> {
 	const box = pickSound(world, next);
@@ -53,8 +89,18 @@
 
 /** A box without trouble of its own; undefined: the last such box is left alone. */
 export function pickSound(world: worlds.World, next: () => number): worlds.SoakBox | undefined {
-	const sound = world.boxes.filter(
-		(box) => box.process !== undefined && Math.max(box.troubledUntil, box.stoppingUntil) < world.now(),
-	);
+	const sound = world.boxes.filter((box) => isSound(world, box));
 	return sound.length > 1 ? random.pick(next, sound) : undefined;
 }
+
+/** Kills a box's process and starts another a little later. */
+async function restart(world: worlds.World, box: worlds.SoakBox): Promise<void> {
+	world.troubled(box, restartMs + settleStartMs);
+	await box.process?.kill();
+	await world.sleep(restartMs);
+	await world.startBox(box);
+}
+
+function isSound(world: worlds.World, box: worlds.SoakBox): boolean {
+	return box.process !== undefined && Math.max(box.troubledUntil, box.stoppingUntil) < world.now();
+}
--- a/dev/soak/faults.ts
+++ b/dev/soak/faults.ts
@@ -64,6 +64,7 @@
 	1: formerFaults,
 	2: {
 		...formerFaults,
+		'owner-killed': boxFaults.killOwner,
 		...linkFaults.pairFaults,
 		...workerFaults.faults,
 		'store-forgets': workerFaults.forget,
--- a/dev/soak/worker-faults.ts
+++ b/dev/soak/worker-faults.ts
@@ -1,4 +1,5 @@
 /** Faults of workers and of what the store lists of them. */
+import * as boxFaults from './box-faults.js';
 import * as random from '../random.js';
 import type * as worlds from './world.js';
 
@@ -29,6 +30,7 @@
 /** What makes an owner read the list of workers anew. */
 const rereads: worlds.Fault[] = [
 	forget,
+	boxFaults.killOwner,
 	(world) => {
 		world.platform.store.drop('woodcross/owner');
 		return 'owner';
