Soak: only the process that stops as planned answers for cut requests

Cause: a request counted as cut by a planned stop for 3 s from the stop's begin, also if the stop was over and another process ran.

Ruled out: a fault of the box.

Change: a flag that is set while the stop is under way, instead of the time. Whatever breaks during the stop, also by its kill after the grace, still counts. 'cut' says how long after it was sent a request was cut off.

--- a/dev/soak/box-client.ts
+++ b/dev/soak/box-client.ts
@@ -41,7 +41,8 @@
 		const { world, judge } = this.opts;
 		const callers = box.process?.callers;
 		if (callers === undefined) return { status: undefined, body: {} };
-		const isPlanned = box.stoppingUntil > world.now() && box.troubledUntil < world.now();
+		const isPlanned = box.stopping && box.troubledUntil < world.now();
+		const sentAt = world.now();
 		const headers = { host: worlds.host, 'content-type': 'application/json' };
 		try {
 			const res = await this.pool(callers).request({
@@ -57,7 +58,10 @@
 			const { code } = err as NodeJS.ErrnoException;
 			// A request that was under way when a planned stop closed its connection.
 			if (isPlanned && code === 'UND_ERR_SOCKET' && !world.isCalm(box) && box.life > 0)
-				judge.report('cut', `${box.name} ${method} ${path}: ${String(err)}`);
+				judge.report(
+					'cut',
+					`${box.name} ${method} ${path}, ${Math.round(world.now() - sentAt)} ms after it was sent: ${String(err)}`,
+				);
 			return { status: undefined, body: {} };
 		}
 	}
--- a/dev/soak/box-faults.ts
+++ b/dev/soak/box-faults.ts
@@ -67,8 +67,10 @@
 	if (box?.process === undefined) return nowhere;
 	const running = box.process;
 	box.stoppingUntil = world.now() + graceMs;
+	box.stopping = true;
 	const killer = setTimeout(() => running.process.kill('SIGKILL'), graceMs);
 	await running.kill('SIGTERM');
+	box.stopping = false;
 	clearTimeout(killer);
 	world.troubled(box, settleStartMs);
 	await world.startBox(box);
--- a/dev/soak/world.ts
+++ b/dev/soak/world.ts
@@ -34,7 +34,9 @@
 	lines: boxes.LogLine[][];
 	/** Clock time until which trouble at it lasts. */
 	troubledUntil: number;
-	/** Clock time until which it is in a planned stop. */
+	/** Whether its process is in a planned stop: the next one has nothing to do with that. */
+	stopping: boolean;
+	/** Clock time until which a planned stop may last. */
 	stoppingUntil: number;
 }
 
@@ -207,5 +209,14 @@
 
 /** A box without a process. */
 function newBox(name: string, store: proxies.FaultProxy): SoakBox {
-	return { name, store, process: undefined, life: 0, lines: [], troubledUntil: 0, stoppingUntil: 0 };
+	return {
+		name,
+		store,
+		process: undefined,
+		life: 0,
+		lines: [],
+		troubledUntil: 0,
+		stopping: false,
+		stoppingUntil: 0,
+	};
 }
