--- a/dev/soak/box-client.ts
+++ b/dev/soak/box-client.ts
@@ -20,7 +20,7 @@
 
 /** What a client uses. */
 export interface BoxClientOptions {
-	world: Pick<worlds.World, 'boxes'>;
+	world: Pick<worlds.World, 'boxes' | 'now'>;
 	judge: judges.Judge;
 	/** Decides which box is asked. */
 	next: () => number;
@@ -38,9 +38,10 @@
 
 	/** One request to one box. */
 	async send(box: worlds.SoakBox, method: Method, path: string, body?: object): Promise<Reply> {
-		const { judge } = this.opts;
+		const { world, judge } = this.opts;
 		const { process } = box;
 		if (process === undefined) return { status: undefined, body: {} };
+		const sentAt = world.now();
 		const headers = { host: worlds.host, 'content-type': 'application/json' };
 		try {
 			const res = await this.pool(process.callers).request({
@@ -54,9 +55,10 @@
 			return { status: res.statusCode, body: parse(await res.body.text()) };
 		} catch (err) {
 			const { code } = err as NodeJS.ErrnoException;
+			const afterMs = Math.round(world.now() - sentAt);
 			// A planned stop of the very process that was asked closed its connection.
 			if (box.stopping === process && code === 'UND_ERR_SOCKET')
-				judge.report('cut', `${box.name} ${method} ${path}: ${String(err)}`);
+				judge.report('cut', `${box.name} ${method} ${path}, ${afterMs} ms after it was sent: ${String(err)}`);
 			return { status: undefined, body: {} };
 		}
 	}
--- a/dev/soak/faults.ts
+++ b/dev/soak/faults.ts
@@ -1,7 +1,8 @@
 /** Faults from outside the processes, in an order that the seed decides; they overlap and come in series. */
 import * as boxFaults from './box-faults.js';
+import * as linkFaults from './link-faults.js';
 import * as random from '../random.js';
-import type * as proxies from '../../stand-ins/proxy/index.js';
+import * as workerFaults from './worker-faults.js';
 import type * as workers from '../../stand-ins/fleet/workers.js';
 import type * as worlds from './world.js';
 
@@ -13,27 +14,23 @@
 const leastMs = 200;
 const mostMs = 6_000;
 
-/** A slow link delays what goes over it by so long, in milliseconds. */
-const leastDelayMs = 20;
-const mostDelayMs = 300;
+/**
+ * With the second set this part of the faults of links and pauses of boxes outlasts a lease (10 s): from just below one to
+ * beyond a lease and the horizon that a successor waits for (13.4 s); in milliseconds.
+ */
+const longPart = 0.25;
+const leastLongMs = 9_000;
+const mostLongMs = 18_000;
 
-/** Injects one fault, for `forMs` milliseconds if it lasts; says where it was. */
-type Fault = (world: worlds.World, next: () => number, forMs: number) => Promise<string> | string;
+/** Faults that may last so long. */
+const mayBeLong = /-link-|^box-paused$/;
 
-/** Gives one link of a kind a fault, and takes it away again. */
-type LinkFault = (
-	world: worlds.World,
-	next: () => number,
-	forMs: number,
-	mode: proxies.ProxyMode,
-) => Promise<string>;
-
-/** What may be injected; a seed picks by the order. */
-const faults: Record<string, Fault> = {
+/** The first set; a seed picks by the order. */
+const formerFaults: Record<string, worlds.Fault> = {
 	'box-killed': boxFaults.kill,
 	'box-stopped': boxFaults.stop,
 	'box-paused': boxFaults.pause,
-	...linkFaults('store-link', storeLink),
+	...linkFaults.storeFaults,
 	'store-down': (world, _next, forMs) => storeFault(world, forMs, 'down'),
 	'store-loses-answers': (world, _next, forMs) => storeFault(world, forMs, 'lost'),
 	'store-writes-late': (world, _next, forMs) => storeFault(world, forMs, 'late'),
@@ -41,7 +38,7 @@
 		world.platform.store.drop('woodcross/owner');
 		return 'owner';
 	},
-	...linkFaults('worker-link', workerLink),
+	...linkFaults.workerFaults,
 	'worker-loses-answers': (world, next, forMs) => workerFault(world, next, forMs, 'lost'),
 	'worker-orders-late': (world, next, forMs) => workerFault(world, next, forMs, 'late'),
 	'worker-crashed': (world, next) => {
@@ -62,6 +59,18 @@
 	},
 };
 
+/** What may be injected, by set. */
+const faultSets: Record<worlds.FaultSet, Record<string, worlds.Fault>> = {
+	1: formerFaults,
+	2: {
+		...formerFaults,
+		'owner-killed': boxFaults.killOwner,
+		...linkFaults.pairFaults,
+		...workerFaults.faults,
+		'store-forgets': workerFaults.forget,
+	},
+};
+
 /** Injects faults until `until` (clock time), and resolves once the last has ended. */
 export async function inject(
 	world: worlds.World,
@@ -70,15 +79,26 @@
 	log: (line: string) => void,
 ): Promise<void> {
 	const open: Promise<void>[] = [];
+	const faults = faultSets[world.faults];
 	while (world.now() < until) {
 		const name = random.pick(next, Object.keys(faults));
-		const forMs = random.between(next, leastMs, mostMs);
+		const forMs = lastsMs(world, next, name, until);
 		open.push(run(name, world, next, forMs, log));
 		await world.sleep(random.between(next, leastGapMs, mostGapMs));
 	}
 	await Promise.all(open);
 }
 
+/** How long a fault lasts; none goes on for longer after `until` than a short one could. */
+function lastsMs(world: worlds.World, next: () => number, name: string, until: number): number {
+	const shortMs = random.between(next, leastMs, mostMs);
+	if (world.faults === 1) return shortMs;
+	const isLong = next() < longPart;
+	const longMs = random.between(next, leastLongMs, mostLongMs);
+	const isInTime = world.now() + longMs < until + mostMs;
+	return isLong && isInTime && mayBeLong.test(name) ? longMs : shortMs;
+}
+
 /** Injects one fault and logs it once it is over. */
 async function run(
 	name: string,
@@ -88,34 +108,10 @@
 	log: (line: string) => void,
 ): Promise<void> {
 	const startedAt = world.now();
-	const at = await faults[name]?.(world, next, forMs);
+	const at = await faultSets[world.faults][name]?.(world, next, forMs);
 	if (at !== boxFaults.nowhere) log(`${name} at ${at ?? ''} for ${Math.round(world.now() - startedAt)} ms`);
 }
 
-/** Every way in which a link of a kind goes wrong. */
-function linkFaults(link: string, trouble: LinkFault): Record<string, Fault> {
-	return {
-		[`${link}-cut`]: (world, next, forMs) => trouble(world, next, forMs, { kind: 'cut' }),
-		[`${link}-silent`]: (world, next, forMs) => trouble(world, next, forMs, { kind: 'freeze' }),
-		[`${link}-one-way`]: (world, next, forMs) => trouble(world, next, forMs, { kind: 'drop-answers' }),
-		[`${link}-slow`]: (world, next, forMs) =>
-			trouble(world, next, forMs, { kind: 'delay', ms: random.between(next, leastDelayMs, mostDelayMs) }),
-	};
-}
-
-async function storeLink(
-	world: worlds.World,
-	next: () => number,
-	forMs: number,
-	mode: proxies.ProxyMode,
-): Promise<string> {
-	const box = boxFaults.pickSound(world, next);
-	if (box === undefined) return boxFaults.nowhere;
-	world.troubled(box, forMs);
-	await troubleProxy(world, box.store, forMs, mode);
-	return box.name;
-}
-
 async function storeFault(
 	world: worlds.World,
 	forMs: number,
@@ -129,28 +125,6 @@
 	return 'the store';
 }
 
-async function workerLink(
-	world: worlds.World,
-	next: () => number,
-	forMs: number,
-	mode: proxies.ProxyMode,
-): Promise<string> {
-	const worker = random.pick(next, world.workers);
-	await troubleProxy(world, worker.proxy, forMs, mode);
-	return worker.id;
-}
-
-async function troubleProxy(
-	world: worlds.World,
-	proxy: proxies.FaultProxy,
-	forMs: number,
-	mode: proxies.ProxyMode,
-): Promise<void> {
-	proxy.set(mode);
-	await world.sleep(forMs);
-	proxy.set({ kind: 'pass' });
-}
-
 async function workerFault(
 	world: worlds.World,
 	next: () => number,
