Stand-in workers: what a judge sees of runs is a module of its own

Change: the types of plans, starts and journals move to `types.ts`; no behaviour changes, and they are still exported from where they were.

--- /dev/null
+++ b/stand-ins/fleet/types.ts
@@ -0,0 +1,32 @@
+/** Runs of the workers in memory, and what a judge sees of them. */
+import type * as fleet from '../../src/core/fleet/types.js';
+
+/** How a run goes; `endless` ones end only by a stop or with their lease. */
+export interface RunPlan {
+	ms: number | 'endless';
+	how: 'done' | 'failed';
+	/** Tail latency to report, in milliseconds. */
+	reading?: number;
+	/** Progress to report, in per cent; absent: all. */
+	percent?: number;
+}
+
+/** A start that was carried out, as the judge of a test sees it. */
+export interface StartRecord {
+	at: number;
+	task: string;
+	run: number;
+	worker: string;
+	checkpoint: string;
+	epoch: number;
+}
+
+/** What a judge is told of workers, as it happens. */
+export interface FleetJournal {
+	/** A start was carried out. */
+	started: (start: StartRecord) => void;
+	/** A run ended. */
+	ended: (end: fleet.RunEnd) => void;
+	/** An end was forgotten, as the boxes asked. */
+	forgotten: (end: fleet.RunEnd) => void;
+}
--- a/stand-ins/fleet/workers.ts
+++ b/stand-ins/fleet/workers.ts
@@ -2,6 +2,9 @@
 import * as results from '../../src/core/result.js';
 import type * as clocks from '../../src/core/clock.js';
 import type * as fleet from '../../src/core/fleet/types.js';
+import type * as types from './types.js';
+
+export type { FleetJournal, RunPlan, StartRecord } from './types.js';
 
 /**
  * What happens to calls. `lost`: carried out, not answered. `late`: not answered, and carried out much later.
@@ -27,26 +30,6 @@
 /** What a call does at a worker. */
 type Order<T> = (worker: FakeWorker) => results.Result<T, fleet.WorkerFailure>;
 
-/** How a run goes; `endless` ones end only by a stop or with their lease. */
-export interface RunPlan {
-	ms: number | 'endless';
-	how: 'done' | 'failed';
-	/** Tail latency to report, in milliseconds. */
-	reading?: number;
-	/** Progress to report, in per cent; absent: all. */
-	percent?: number;
-}
-
-/** A start that was carried out, as the judge of a test sees it. */
-export interface StartRecord {
-	at: number;
-	task: string;
-	run: number;
-	worker: string;
-	checkpoint: string;
-	epoch: number;
-}
-
 interface Running {
 	run: number;
 	timer: clocks.Timer | undefined;
@@ -55,22 +38,12 @@
 	percent: number;
 }
 
-/** What a judge is told of workers, as it happens. */
-export interface FleetJournal {
-	/** A start was carried out. */
-	started: (start: StartRecord) => void;
-	/** A run ended. */
-	ended: (end: fleet.RunEnd) => void;
-	/** An end was forgotten, as the boxes asked. */
-	forgotten: (end: fleet.RunEnd) => void;
-}
-
 /** Settings of a fleet. */
 export interface FleetOptions {
 	clock: clocks.Clock;
 	maxLeaseMs: number;
-	plan: (task: string, run: number) => RunPlan;
-	journal?: FleetJournal;
+	plan: (task: string, run: number) => types.RunPlan;
+	journal?: types.FleetJournal;
 }
 
 /** One worker. */
@@ -94,11 +67,11 @@
 	private constructor(
 		readonly entry: fleet.WorkerEntry,
 		private readonly opts: FleetOptions,
-		private readonly starts: StartRecord[],
+		private readonly starts: types.StartRecord[],
 	) {}
 
 	/** `starts`: where the starts that it carries out are listed. */
-	static create(entry: fleet.WorkerEntry, opts: FleetOptions, starts: StartRecord[]): FakeWorker {
+	static create(entry: fleet.WorkerEntry, opts: FleetOptions, starts: types.StartRecord[]): FakeWorker {
 		return new FakeWorker(entry, opts, starts);
 	}
 
@@ -202,7 +175,7 @@
 			reading: plan.reading ?? 0,
 			percent: plan.percent ?? 100,
 		});
-		const start: StartRecord = {
+		const start: types.StartRecord = {
 			at: this.opts.clock.now(),
 			task: req.task,
 			run: req.run,
@@ -241,7 +214,7 @@
 export class FakeFleet {
 	readonly workers = new Map<string, FakeWorker>();
 	/** Every start that was carried out, in order. */
-	readonly starts: StartRecord[] = [];
+	readonly starts: types.StartRecord[] = [];
 	/** Entries of lives that have ended, which the platform lists until they lapse. */
 	lapsing: fleet.WorkerEntry[] = [];
 
