Only a doubt that is kept displaces the oldest one

Cause: at the limit of 10,000 lives each session that ended forgot a doubt, also one that left none. Ruled out: nothing. Change: the limit is kept after adding. Conclusion: found in reading the change.

--- a/src/core/dispatch/worker-pool.ts
+++ b/src/core/dispatch/worker-pool.ts
@@ -129,9 +129,9 @@
 
 	/** A life left the list and holds nothing. The list may be wrong, so what is in doubt there is kept for its return. */
 	private dismiss(session: sessions.WorkerSession): void {
-		const [oldest] = this.doubtful.keys();
-		if (oldest !== undefined && this.doubtful.size >= mostDoubtful) this.doubtful.delete(oldest);
 		if (session.inDoubt.any) this.doubtful.set(session.id, session.inDoubt.all());
+		const [oldest] = this.doubtful.keys();
+		if (oldest !== undefined && this.doubtful.size > mostDoubtful) this.doubtful.delete(oldest);
 		session.end('it left the list and holds nothing');
 	}
 
