An owner's lease is renewed on a beat of its own, from its grant on

Cause: a renewal waited for the answer to the one before and to the question for the epoch; where calls take most of a second the renewals reach the store more than a lease apart, and an owner that works is replaced. A takeover that reads many jobs renewed nothing at all until it had read them. Conclusion: what counts for a lease is when a renewal arrives.

--- a/src/core/owner/ownership.ts
+++ b/src/core/owner/ownership.ts
@@ -4,6 +4,7 @@
  * epoch does it, in the store and on every worker.
  */
 import * as clocks from '../clock.js';
+import * as keeping from './lease-keeper.js';
 import * as ledger from '../ledger/index.js';
 import * as names from './owner-name.js';
 import * as results from '../result.js';
@@ -56,6 +57,7 @@
 	reachable = false;
 	private owned: ledger.OwnerLedger | undefined;
 	private lease: string | undefined;
+	private keeper: keeping.LeaseKeeper | undefined;
 	private stopping = false;
 	/** Generation of the owner last logged as found. */
 	private lastFound = 0;
@@ -83,6 +85,7 @@
 		const { generation } = this.owned;
 		this.opts.events.emit('owner.lost', { generation, reason });
 		this.owned = undefined;
+		this.keeper?.close();
 		this.owner = undefined;
 		this.reachable = false;
 		this.opts.onLost();
@@ -181,12 +184,15 @@
 		if (await this.waitTurn(replaces)) return 0;
 		const lease = await this.opts.store.grantLease(this.opts.leaseMs);
 		if (!lease.ok) return settings.findRetryMs;
+		// From now on, as reading what is kept of many jobs may take longer than the lease.
+		this.keeper = this.createKeeper(lease.value);
 		const taken = await this.takeUnder(lease.value, replaces);
 		if (taken.ok && !this.isStopping()) {
 			this.begin(lease.value, taken.value);
 			return 0;
 		}
 		const reason = taken.ok ? 'this box stops' : taken.err;
+		this.keeper.close();
 		this.opts.events.emit('owner.not-taken', { reason });
 		void this.opts.store.endLease(lease.value);
 		return settings.findRetryMs;
@@ -229,7 +235,13 @@
 		onOwned(owned, contents);
 	}
 
-	/** One turn of the owner: keeps the lease, and asks the store whether it still owns. */
+	private createKeeper(lease: string): keeping.LeaseKeeper {
+		const { store, clock } = this.opts;
+		const onGone = async (): Promise<string | undefined> => this.owned && this.renew(this.owned);
+		return keeping.LeaseKeeper.create({ store, clock, lease, onGone });
+	}
+
+	/** One turn of the owner: asks the store whether it still owns. */
 	private async keep(owned: ledger.OwnerLedger): Promise<number> {
 		const stronger = this.strongerInTurn();
 		if (stronger !== undefined) {
@@ -244,10 +256,6 @@
 				return 0;
 			}
 		}
-		if (this.lease !== undefined) {
-			const kept = await this.opts.store.keepLease(this.lease);
-			if (kept.ok && !kept.value) await this.renew(owned);
-		}
 		return settings.keepGapMs;
 	}
 
@@ -268,17 +276,21 @@
 	/** Stops owning and lets the name go away, so that another box can be first at once. */
 	private async giveBack(): Promise<void> {
 		this.owned = undefined;
+		this.keeper?.close();
 		this.opts.onLost();
 		if (this.lease !== undefined) await this.opts.store.endLease(this.lease);
 	}
 
-	/** The lease lapsed while the store was away: names this box again unless another has taken over. */
-	private async renew(owned: ledger.OwnerLedger): Promise<void> {
+	/** The lease lapsed while the store was away: names this box again, under the lease returned, unless another has taken over. */
+	private async renew(owned: ledger.OwnerLedger): Promise<string | undefined> {
 		const lease = await this.opts.store.grantLease(this.opts.leaseMs);
-		if (!lease.ok) return;
+		if (!lease.ok || this.owned !== owned) return undefined;
 		const { box, peer } = this.opts;
 		const outcome = await owned.rename({ box, peer, lease: lease.value });
-		if (outcome === 'committed') this.lease = lease.value;
+		if (this.owned !== owned) return undefined;
 		if (outcome === 'superseded') this.lose('another box took over after the lease lapsed');
+		if (outcome !== 'committed') return undefined;
+		this.lease = lease.value;
+		return lease.value;
 	}
 }
--- a/test/ownership.test.ts
+++ b/test/ownership.test.ts
@@ -4,6 +4,7 @@
 import * as memory from '../stand-ins/fleet/memory-store.js';
 import * as ownership from '../src/core/owner/index.js';
 import * as time from '../stand-ins/fleet/virtual-clock.js';
+import type * as platform from '../src/core/platform/types.js';
 
 const weak = 0.3;
 const strong = 1.35;
@@ -43,16 +44,17 @@
 		return { boxes, owner };
 	}
 
-	/** Starts a box. */
-	start(name: string, processor: number): TestBox {
+	/** Starts a box; `storeDelayMs`: how long its calls to the store are on their way. */
+	start(name: string, processor: number, storeDelayMs = 0): TestBox {
 		const { clock } = this;
 		const candidates = ownership.Candidates.create(() => clock.now());
 		let strongest: number | undefined;
 		const box: TestBox = { owns: false, isDown: false, isCut: false, race: undefined as never };
 		this.boxes.set(name, box);
 		this.candidates.set(name, candidates);
+		const store = this.store.view(() => (box.isDown || box.isCut ? 'down' : 'none'));
 		box.race = ownership.Ownership.create({
-			store: this.store.view(() => (box.isDown || box.isCut ? 'down' : 'none')),
+			store: this.delayed(store, storeDelayMs),
 			clock,
 			events: events.EventLog.create(name, clock),
 			box: name,
@@ -81,6 +83,22 @@
 		return box;
 	}
 
+	/** A store whose calls are carried out so much later, in any number at once. */
+	private delayed(store: platform.RecordStore, ms: number): platform.RecordStore {
+		const later = async <T>(call: () => Promise<T>): Promise<T> => {
+			await this.sleep(ms);
+			return call();
+		};
+		return {
+			...store,
+			get: (key) => later(() => store.get(key)),
+			list: (prefix) => later(() => store.list(prefix)),
+			commit: (txn) => later(() => store.commit(txn)),
+			grantLease: (ttlMs) => later(() => store.grantLease(ttlMs)),
+			keepLease: (lease) => later(() => store.keepLease(lease)),
+		};
+	}
+
 	private async ask(peer: string, by: ownership.Candidate): Promise<number | ownership.PingOutcome> {
 		const owner = this.boxes.get(peer);
 		const heard = this.candidates.get(peer);
@@ -182,3 +200,13 @@
 	await boxes.clock.pass(1_000);
 	t.snapshot(boxes.owners);
 });
+
+test('an owner whose calls to the store take most of a second stays the owner', async (t) => {
+	const boxes = Boxes.create();
+	boxes.start('slow-1', strong, 900);
+	await boxes.clock.pass(8_000);
+	t.deepEqual(boxes.owners, ['slow-1']);
+	boxes.start('box-2', strong);
+	await boxes.clock.pass(20_000);
+	t.deepEqual(boxes.owners, ['slow-1']);
+});
