A call that gets no reply in time leaves the other calls on its connection alone

Cause: one overdue answer to a caller's question (500 ms) closed the connection to the owner, cut off all other questions and the held ping, and made the box open a new one to an owner that was slow already. Change: the connection is closed only if nothing at all came over it since that call was sent, and for a second.

--- a/src/core/wire/client.ts
+++ b/src/core/wire/client.ts
@@ -7,6 +7,12 @@
 import type * as errors from '../errors/index.js';
 import type * as events from '../events/index.js';
 
+/**
+ * A connection from which nothing came for so long, with a call on it, is taken for dead, in milliseconds. A peer that
+ * is only slow answers other calls meanwhile; closing its connection would cut those off and add new ones to its load.
+ */
+export const silentLinkMs = 1_000;
+
 /**
  * Why a call brought no reply. `none`: no byte of it left, so it had no effect.
  * `unknown`: it may or may not have taken effect.
@@ -45,10 +51,10 @@
 	async call<T>(address: string, req: Req, timeoutMs: number): Promise<CallResult<T>> {
 		let link = this.links.get(address);
 		if (link === undefined || link.closed) {
-			link = Link.create(address, this.log);
+			link = Link.create(address, this.clock, this.log);
 			this.links.set(address, link);
 		}
-		return (await link.call(req, timeoutMs, this.clock)) as CallResult<T>;
+		return (await link.call(req, timeoutMs)) as CallResult<T>;
 	}
 
 	/** Closes every connection; calls under way end as `unknown`. */
@@ -62,21 +68,27 @@
 	closed = false;
 	private nextId = 1;
 	private connected = false;
+	/** Clock time of the newest byte from the peer, or of the opening. */
+	private heardAt: number;
 	private readonly waiting = new Map<number, Waiting>();
 	private readonly reader = frames.FrameReader.create();
 
 	private constructor(
 		private readonly socket: net.Socket,
+		private readonly clock: clocks.Clock,
 		private readonly log: events.EventLog,
-	) {}
+	) {
+		this.heardAt = clock.now();
+	}
 
-	static create(address: string, log: events.EventLog): Link {
+	static create(address: string, clock: clocks.Clock, log: events.EventLog): Link {
 		const cut = address.lastIndexOf(':');
 		const socket = net.connect({ host: address.slice(0, cut), port: Number(address.slice(cut + 1)) });
-		const link = new Link(socket, log);
+		const link = new Link(socket, clock, log);
 		socket.setNoDelay(true);
 		socket.on('connect', () => {
 			link.connected = true;
+			link.heardAt = clock.now();
 		});
 		socket.on('data', (chunk: Buffer) => {
 			link.take(chunk);
@@ -91,15 +103,15 @@
 		return link;
 	}
 
-	call(req: unknown, timeoutMs: number, clock: clocks.Clock): Promise<CallResult<unknown>> {
+	call(req: unknown, timeoutMs: number): Promise<CallResult<unknown>> {
 		const id = this.nextId;
 		this.nextId += 1;
+		const sentAt = this.clock.now();
 		return new Promise((resolve) => {
-			const timer = clock.after(timeoutMs, () => {
+			const timer = this.clock.after(timeoutMs, () => {
 				const effect = this.connected ? 'unknown' : 'none';
 				settle(results.fail({ effect, cause: 'silent', reason: `no reply within ${timeoutMs} ms` }));
-				// A connection that swallows requests is not trusted with the next one.
-				this.close('a reply is overdue');
+				if (this.isSilentSince(sentAt)) this.close('a reply is overdue, and nothing else comes either');
 			});
 			const settle = (result: CallResult<unknown>): void => {
 				if (!this.waiting.delete(id)) return;
@@ -120,7 +132,14 @@
 		for (const waiting of [...this.waiting.values()]) waiting.settle(results.fail({ effect, cause, reason }));
 	}
 
+	/** Whether nothing came since a call was sent, and for so long that it never will. */
+	private isSilentSince(sentAt: number): boolean {
+		if (!this.connected) return true;
+		return this.heardAt <= sentAt && this.clock.now() - this.heardAt >= silentLinkMs;
+	}
+
 	private take(chunk: Buffer): void {
+		this.heardAt = this.clock.now();
 		const values = this.reader.push(chunk);
 		if (!values.ok) {
 			this.close(values.err);
--- /dev/null
+++ b/test/peer-links.test.ts
@@ -0,0 +1,62 @@
+/** Connections between boxes: a call that gets no reply in time, beside others that do. */
+import test from 'ava';
+import * as events from '../src/core/events/index.js';
+import * as results from '../src/core/result.js';
+import * as time from '../stand-ins/fleet/virtual-clock.js';
+import * as wire from '../src/core/wire/frames-only.js';
+
+/** A peer that answers `quick` at once, and all else when it is told to. */
+async function slowPeer(): Promise<{ server: wire.PeerServer<string>; answerAll: () => void }> {
+	const waiting: (() => void)[] = [];
+	const log = events.EventLog.create('peer', time.VirtualClock.create());
+	const server = await wire.PeerServer.create(
+		'127.0.0.1',
+		0,
+		log,
+		(body) => results.ok(String(body)),
+		async (req) => {
+			if (req !== 'quick') await new Promise<void>((resolve) => waiting.push(resolve));
+			return results.ok(req);
+		},
+	);
+	return {
+		server,
+		answerAll: () => {
+			for (const answer of waiting) answer();
+		},
+	};
+}
+
+test('a call that gets no reply in time leaves the others on its connection alone', async (t) => {
+	const { server, answerAll } = await slowPeer();
+	const clock = time.VirtualClock.create();
+	const client = wire.PeerClient.create<string>(clock, events.EventLog.create('client', clock));
+	t.deepEqual(await client.call(server.address, 'quick', 500), results.ok(results.ok('quick')));
+	const held = client.call(server.address, 'held', 5_000);
+	const overdue = client.call(server.address, 'overdue', 500);
+	await clock.pass(100);
+	await client.call(server.address, 'quick', 500);
+	await clock.pass(500);
+	const outcome = await overdue;
+	t.is(outcome.ok ? undefined : outcome.err.cause, 'silent');
+	answerAll();
+	t.deepEqual(await held, results.ok(results.ok('held')));
+	client.close();
+	await server.close();
+});
+
+test('a connection on which nothing comes any more is opened anew', async (t) => {
+	const { server } = await slowPeer();
+	const clock = time.VirtualClock.create();
+	const client = wire.PeerClient.create<string>(clock, events.EventLog.create('client', clock));
+	await client.call(server.address, 'quick', 500);
+	const held = client.call(server.address, 'held', 10_000);
+	const overdue = client.call(server.address, 'overdue', 1_200);
+	await clock.pass(1_300);
+	await overdue;
+	const broken = await held;
+	t.is(broken.ok ? undefined : broken.err.cause, 'broken');
+	t.deepEqual(await client.call(server.address, 'quick', 500), results.ok(results.ok('quick')));
+	client.close();
+	await server.close();
+});
