--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -175,6 +175,9 @@
 	private createStarter(): starter.Starter {
 		return starter.Starter.create(this.opts, {
 			beforeStart: (place) => this.locations.store(place),
+			onRoom: () => {
+				this.placer.wake();
+			},
 			onStarted: (place) => {
 				this.outcomes.begun(place.task.step.job);
 			},
@@ -192,6 +195,7 @@
 			mayBeHidden: (task) => this.locations.mayBeHidden(task),
 			policyOf: (job) => this.policyOf(job),
 			estimates: this.estimates,
+			startRoom: () => this.starter.room,
 			start: (session, place, ticket) => void this.starter.start(session, place, ticket),
 			stopFor: (reason, session, place) => {
 				this.starter.stopFor(reason, session, place);
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -27,6 +27,8 @@
 	policyOf: (job: jobs.ActiveJob) => jobs.QueuePolicy;
 	estimates: interference.Interference;
 	askAdviser: fleet.AskAdviser | undefined;
+	/** How many more starts may be on their way now. */
+	startRoom: () => number;
 	start: (session: sessions.WorkerSession, place: types.Placement, ticket: string) => void;
 	/** Stops a run, and logs why. */
 	stopFor: (reason: string, session: sessions.WorkerSession, place: types.Placement) => void;
@@ -185,7 +187,7 @@
 
 	/** Places what is ready and `included`, in the order of `waiting-order.ts`; makes room for what finds none. */
 	private placeReady(included: (task: jobs.Task) => boolean): void {
-		if (!this.opts.mayAct()) return;
+		if (!this.opts.mayAct() || this.opts.startRoom() === 0) return;
 		const now = this.opts.clock.now();
 		const due = [...this.ready].filter((task) => included(task) && this.isDue(task.step, now));
 		const startable = due.filter((task) => this.mayStart(task));
@@ -194,6 +196,7 @@
 		const inOrder = order.sort(startable, (job) => this.opts.policyOf(job).priority, now);
 		const tried = new Set<jobs.StepRun>();
 		for (const task of inOrder) {
+			if (this.opts.startRoom() === 0) return;
 			if (tried.has(task.step) || task.state !== 'ready') continue;
 			const placed = task.step.spec.gang ? this.placeGang(task.step, round) : this.placeOne(task, round);
 			if (placed) continue;
--- a/src/core/dispatch/starter.ts
+++ b/src/core/dispatch/starter.ts
@@ -1,8 +1,10 @@
 /** Sends starts and stops, and follows each until it is known what became of it. */
 import * as clocks from '../clock.js';
 import * as settings from './settings.js';
+import * as windows from './start-window.js';
 import type * as events from '../events/index.js';
 import type * as fleet from '../fleet/types.js';
+import type * as results from '../result.js';
 import type * as sessions from './worker-session.js';
 import type * as types from './types.js';
 
@@ -10,6 +12,8 @@
 export interface StarterHandlers {
 	/** Resolves once a successor could know of the start. */
 	beforeStart: (placement: types.Placement) => Promise<void>;
+	/** Another start may be sent. */
+	onRoom: () => void;
 	/** The run is known to be there. */
 	onStarted: (placement: types.Placement) => void;
 	/** The run is known never to start; its place is free again. */
@@ -22,17 +26,41 @@
 
 /** Orders to workers. */
 export class Starter {
+	private readonly window: windows.StartWindow;
+
 	private constructor(
 		private readonly deps: types.DispatchDeps,
 		private readonly handlers: StarterHandlers,
-	) {}
+	) {
+		this.window = windows.StartWindow.create(() => deps.clock.now());
+	}
 
 	static create(deps: types.DispatchDeps, handlers: StarterHandlers): Starter {
 		return new Starter(deps, handlers);
 	}
 
+	/** How many more starts may be on their way now. */
+	get room(): number {
+		return this.window.free;
+	}
+
 	/** Starts a placed run. The same run is repeated while there is no answer: a worker starts it once. */
 	async start(session: sessions.WorkerSession, placement: types.Placement, ticket = ''): Promise<void> {
+		const slot = this.window.take();
+		try {
+			await this.startIn(slot, session, placement, ticket);
+		} finally {
+			this.window.release(slot);
+			this.handlers.onRoom();
+		}
+	}
+
+	private async startIn(
+		slot: windows.StartSlot,
+		session: sessions.WorkerSession,
+		placement: types.Placement,
+		ticket: string,
+	): Promise<void> {
 		await this.handlers.beforeStart(placement);
 		if (!isToStart(session, placement)) return;
 		// It may have begun to drain meanwhile.
@@ -46,6 +74,7 @@
 			this.notStarted(session, placement, { kind: 'too-late' });
 			return;
 		}
+		this.window.sent(slot);
 		for (let tries = 0; tries < settings.startTries; tries += 1) {
 			const { target } = session;
 			const res = await this.deps.calls.start(target, {
@@ -57,6 +86,8 @@
 				checkpoint: placement.task.checkpoint,
 				ticket,
 			});
+			// A start that was repeated took the time of both tries.
+			if (answersAtAll(res) && tries === 0) this.window.answered(slot);
 			if (!isPlaced(session, placement)) return;
 			if (res.ok) {
 				session.heard(res.value);
@@ -124,6 +155,11 @@
 	}
 }
 
+/** Whether the worker answered, whatever it said. */
+function answersAtAll(res: results.Result<unknown, fleet.WorkerFailure>): boolean {
+	return res.ok || res.err.kind !== 'no-answer';
+}
+
 /** Whether a start is still wanted, and not known to have been carried out. */
 function isToStart(session: sessions.WorkerSession, placement: types.Placement): boolean {
 	return placement.phase === 'starting' && isPlaced(session, placement);
--- a/test/placer.test.ts
+++ b/test/placer.test.ts
@@ -40,6 +40,7 @@
 		estimates: interference.Interference.create(clock),
 		askAdviser: undefined,
 		start: () => undefined,
+		startRoom: () => Infinity,
 		stopFor: () => undefined,
 	});
 	return { placer: created, spentMs: () => spentMs };
--- /dev/null
+++ b/test/start-window.test.ts
@@ -0,0 +1,72 @@
+/** Many starts at once over a link or processor that can't carry them: what else the owner sends, and what comes first. */
+import test from 'ava';
+import * as windows from '../src/core/dispatch/start-window.js';
+import * as world from './fixtures/dispatching.js';
+
+/** A link of two megabits a second: with the fields around it, a start of such a job takes 6.4 ms on it. */
+const bytesPerS = 250_000;
+const text = 'x'.repeat(1_200);
+
+function brief(): { ms: number; how: 'done' } {
+	return { ms: 300, how: 'done' };
+}
+
+test('a burst of starts over a slow link does not hold up calls to the store', async (t) => {
+	const { clock, fleet, takeOverLinked, submit } = world.createWorld(brief);
+	for (let number = 1; number <= 60; number += 1) fleet.add(`w${String(number)}`);
+	const { owner, link } = await takeOverLinked(bytesPerS);
+	await clock.pass(1_000);
+	const steps = [world.step({ count: 500, milliCores: 500, memoryMb: 10 })];
+	await submit(owner, world.job('burst', steps, { text }));
+	await clock.pass(6_000);
+	t.is(fleet.starts.length, 500);
+	// 500 starts sent at once occupy the link for 3,200 ms, longer than the owner's lease.
+	t.true(
+		link.longestStoreWaitMs < 600,
+		`a call to the store waited for ${String(link.longestStoreWaitMs)} ms`,
+	);
+	owner.dispatcher.close();
+});
+
+test('an urgent task that comes while a burst is sent is started before the rest of it', async (t) => {
+	const { clock, fleet, takeOverLinked, submit } = world.createWorld(brief);
+	for (let number = 1; number <= 60; number += 1) fleet.add(`w${String(number)}`);
+	const { owner } = await takeOverLinked(bytesPerS);
+	await clock.pass(1_000);
+	const steps = [world.step({ count: 500, milliCores: 500, memoryMb: 10 })];
+	await submit(owner, world.job('burst', steps, { text, queue: { ...world.queue, priority: 2 } }));
+	await clock.pass(100);
+	const sentAt = clock.now();
+	await submit(owner, world.job('urgent', [world.step()], { text }));
+	await clock.pass(6_000);
+	const urgent = fleet.starts.find((one) => one.task.startsWith('urgent'));
+	t.true((urgent?.at ?? Infinity) - sentAt < 600, `it waited for ${String((urgent?.at ?? 0) - sentAt)} ms`);
+	t.is(fleet.starts.length, 501);
+	owner.dispatcher.close();
+});
+
+test('the limit follows what the answers take, within its bounds', (t) => {
+	const { nextLimit, targetMs, leastLimit, mostLimit } = windows;
+	t.is(nextLimit(100, { medianMs: targetMs / 4, wasFull: true }), 150);
+	t.is(nextLimit(100, { medianMs: targetMs / 4, wasFull: false }), 100);
+	t.is(nextLimit(100, { medianMs: targetMs * 1.25, wasFull: true }), 80);
+	t.is(nextLimit(100, { medianMs: targetMs * 10, wasFull: true }), 50);
+	t.is(nextLimit(leastLimit, { medianMs: targetMs * 10, wasFull: true }), leastLimit);
+	t.is(nextLimit(mostLimit, { medianMs: 1, wasFull: true }), mostLimit);
+});
+
+test('starts to silent workers take up no room once others have overtaken them', (t) => {
+	let now = 0;
+	const window = windows.StartWindow.create(() => now);
+	const first = window.free;
+	for (let number = 0; number < first; number += 1) window.take();
+	t.is(window.free, 0);
+	const silent = windows.StartWindow.create(() => now);
+	for (let number = 0; number < first / 2; number += 1) silent.take();
+	for (let answered = 0; answered < first * 2; answered += 1) {
+		const slot = silent.take();
+		now += 5;
+		silent.answered(slot);
+	}
+	t.is(silent.free, first);
+});
