An owner logs its load once a second; the measure 'load' plays loads in memory

Cause: what binds an owner at this size could not be read from the log. Change: owner.load (starts, answers, reports, rounds and their time, processor, waiting tasks, the window); stand-ins/fleet/load-patterns.ts and npm run measure -- load, which samples the processor by source file.

--- a/dev/measure/main.ts
+++ b/dev/measure/main.ts
@@ -1,5 +1,6 @@
 /** `npm run measure -- <name>`: prints a table and keeps it as JSON under measurements/. */
 import * as commit from './commit.js';
+import * as dispatchLoad from './dispatch-load.js';
 import * as entry from './entry.js';
 import * as placement from './placement.js';
 import * as recovery from './recovery.js';
@@ -9,6 +10,7 @@
 const measurements: Record<string, () => Promise<void>> = {
 	commit: commit.measureCommit,
 	entry: entry.measureEntry,
+	load: dispatchLoad.measureDispatchLoad,
 	placement: placement.measurePlacement,
 	recovery: recovery.measureRecovery,
 	slots: slots.measureSlots,
--- a/src/core/box/owner-role.ts
+++ b/src/core/box/owner-role.ts
@@ -22,6 +22,9 @@
 /** What was learnt is stored this often, in milliseconds: loads move little in that time, and each call is paid for. */
 const learntGapMs = 3_000;
 
+/** The owner logs its load this often, in milliseconds. */
+const loadGapMs = 1_000;
+
 /** What the role uses of its box. */
 export interface OwnerRoleDeps {
 	settings: boxSettings.BoxSettings;
@@ -41,6 +44,8 @@
 	private readonly upkeep: upkeep.Upkeep | undefined;
 	private readonly followers: followers.RecordFollower[];
 	private readonly learntTimer: clocks.Timer;
+	private readonly loadTimer: clocks.Timer;
+	private cpuBefore = process.cpuUsage();
 
 	private constructor(
 		private readonly deps: OwnerRoleDeps,
@@ -50,6 +55,9 @@
 	) {
 		this.dispatcher = this.createDispatcher(contents, leaseEnds);
 		this.learntTimer = clocks.every(deps.clock, learntGapMs, () => void this.storeLearnt());
+		this.loadTimer = clocks.every(deps.clock, loadGapMs, () => {
+			this.logLoad();
+		});
 		this.upkeep = this.createUpkeep();
 		this.followers = [this.followRequests(contents.revision), this.followWorkers()];
 	}
@@ -80,10 +88,26 @@
 	close(): void {
 		for (const follower of this.followers) follower.close();
 		this.learntTimer.cancel();
+		this.loadTimer.cancel();
 		this.upkeep?.close();
 		this.dispatcher.close();
 	}
 
+	/** One line a second while anything is done or waits. */
+	private logLoad(): void {
+		const { roundMs, longestRoundMs, ...load } = this.dispatcher.load();
+		if (load.reports === 0 && load.waiting === 0) return;
+		const { user, system } = process.cpuUsage(this.cpuBefore);
+		this.cpuBefore = process.cpuUsage();
+		this.deps.events.emit('owner.load', {
+			epoch: this.owned.generation,
+			...load,
+			roundMs: Math.round(roundMs),
+			longestRoundMs: Math.round(longestRoundMs),
+			cpuMs: Math.round((user + system) / 1_000),
+		});
+	}
+
 	/** Stores what was learnt, for the next owner; a write that fails is made good by the next one. */
 	private async storeLearnt(): Promise<void> {
 		const outcome = await this.owned.publish(
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -3,6 +3,7 @@
 import * as ends from './ends.js';
 import * as interference from './interference.js';
 import * as jobBook from './job-book.js';
+import * as meters from './load-meter.js';
 import * as locations from './task-locations.js';
 import * as outcomes from './outcomes.js';
 import * as placer from './placer.js';
@@ -41,6 +42,15 @@
 	harmMs: number;
 }
 
+/** An owner's load. */
+export interface DispatchLoad extends meters.LoadReading {
+	/** Tasks that wait for a worker. */
+	waiting: number;
+	/** Starts on their way, and how many may be. */
+	onTheirWay: number;
+	startLimit: number;
+}
+
 /** Dispatches all jobs under one epoch. */
 export class Dispatcher {
 	private readonly book: jobBook.JobBook;
@@ -56,6 +66,7 @@
 	private readonly ticks: clocks.Timer;
 	private readonly reportContext: ends.ReportContext;
 	private readonly reportLog: reportLog.ReportLog;
+	private readonly meter = meters.LoadMeter.create();
 
 	private constructor(
 		private readonly opts: DispatcherOptions,
@@ -150,6 +161,12 @@
 		return this.workers.withholdSilent();
 	}
 
+	/** What was done since this was last asked, and what waits now. */
+	load(): DispatchLoad {
+		const { limit, count } = this.starter.onTheirWay;
+		return { ...this.meter.read(), waiting: this.placer.waiting, onTheirWay: count, startLimit: limit };
+	}
+
 	/** What was learnt of how tasks disturb each other, for the next owner. */
 	knowledge(): learnt.Knowledge {
 		return this.estimates.knowledge();
@@ -173,7 +190,7 @@
 	}
 
 	private createStarter(): starter.Starter {
-		return starter.Starter.create(this.opts, {
+		return starter.Starter.create(this.opts, this.meter, {
 			beforeStart: (place) => this.locations.store(place),
 			onRoom: () => {
 				this.placer.wake();
@@ -195,6 +212,7 @@
 			mayBeHidden: (task) => this.locations.mayBeHidden(task),
 			policyOf: (job) => this.policyOf(job),
 			estimates: this.estimates,
+			meter: this.meter,
 			startRoom: () => this.starter.room,
 			start: (session, place, ticket) => void this.starter.start(session, place, ticket),
 			stopFor: (reason, session, place) => {
@@ -281,6 +299,7 @@
 			},
 			stop: (session, place) => void this.starter.stop(session, place),
 			finished: (task) => {
+				this.meter.count('finished');
 				this.outcomes.finished(task);
 			},
 			failed: (session, task, run) => {
@@ -305,6 +324,7 @@
 		sentAt: number,
 	): types.ReportOutcome {
 		if (!this.strangers.clear(report)) return { type: 'put-off' };
+		this.meter.count('reports');
 		const upTo = Math.max(session.seenUpTo, ...report.ended.map((end) => end.seq));
 		const changed = ends.takeReport(this.reportContext, session, report, sentAt);
 		if (!session.settled) this.reportLog.inherited(session, report);
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -13,6 +13,7 @@
 import type * as fleet from '../fleet/types.js';
 import type * as interference from './interference.js';
 import type * as jobs from '../jobs/index.js';
+import type * as meters from './load-meter.js';
 import type * as sessions from './worker-session.js';
 import type * as types from './types.js';
 
@@ -26,6 +27,7 @@
 	mayBeHidden: (task: jobs.Task) => boolean;
 	policyOf: (job: jobs.ActiveJob) => jobs.QueuePolicy;
 	estimates: interference.Interference;
+	meter: meters.LoadMeter;
 	askAdviser: fleet.AskAdviser | undefined;
 	/** How many more starts may be on their way now. */
 	startRoom: () => number;
@@ -88,6 +90,11 @@
 		if (session === undefined) this.places.delete(task);
 	}
 
+	/** How many tasks wait. */
+	get waiting(): number {
+		return this.ready.size;
+	}
+
 	/** Where a task is placed. */
 	sessionOf(task: jobs.Task): sessions.WorkerSession | undefined {
 		const session = this.places.get(task);
@@ -182,6 +189,7 @@
 		const startedAt = clock.now();
 		this.placeReady(included);
 		const tookMs = clock.now() - startedAt;
+		this.opts.meter.round(tookMs);
 		return Math.max(settings.roundGapMs, tookMs * settings.roundGapFactor);
 	}
 
--- a/src/core/dispatch/start-window.ts
+++ b/src/core/dispatch/start-window.ts
@@ -86,6 +86,11 @@
 		return Math.max(0, free);
 	}
 
+	/** How many starts may be on their way, and how many are. */
+	get state(): { limit: number; count: number } {
+		return { limit: Math.floor(this.limit), count: this.slots.size };
+	}
+
 	/** A start takes up room from now on. */
 	take(): StartSlot {
 		const slot = { sentAt: this.now(), answersBefore: this.answers, ahead: this.slots.size };
--- a/src/core/dispatch/starter.ts
+++ b/src/core/dispatch/starter.ts
@@ -2,6 +2,7 @@
 import * as clocks from '../clock.js';
 import * as settings from './settings.js';
 import * as windows from './start-window.js';
+import type * as meters from './load-meter.js';
 import type * as events from '../events/index.js';
 import type * as fleet from '../fleet/types.js';
 import type * as results from '../result.js';
@@ -30,13 +31,14 @@
 
 	private constructor(
 		private readonly deps: types.DispatchDeps,
+		private readonly meter: meters.LoadMeter,
 		private readonly handlers: StarterHandlers,
 	) {
 		this.window = windows.StartWindow.create(() => deps.clock.now());
 	}
 
-	static create(deps: types.DispatchDeps, handlers: StarterHandlers): Starter {
-		return new Starter(deps, handlers);
+	static create(deps: types.DispatchDeps, meter: meters.LoadMeter, handlers: StarterHandlers): Starter {
+		return new Starter(deps, meter, handlers);
 	}
 
 	/** How many more starts may be on their way now. */
@@ -44,6 +46,11 @@
 		return this.window.free;
 	}
 
+	/** How many starts may be on their way, and how many are. */
+	get onTheirWay(): { limit: number; count: number } {
+		return this.window.state;
+	}
+
 	/** Starts a placed run. The same run is repeated while there is no answer: a worker starts it once. */
 	async start(session: sessions.WorkerSession, placement: types.Placement, ticket = ''): Promise<void> {
 		const slot = this.window.take();
@@ -75,6 +82,7 @@
 			return;
 		}
 		this.window.sent(slot);
+		this.meter.count('starts');
 		for (let tries = 0; tries < settings.startTries; tries += 1) {
 			const { target } = session;
 			const res = await this.deps.calls.start(target, {
@@ -87,7 +95,10 @@
 				ticket,
 			});
 			// A start that was repeated took the time of both tries.
-			if (answersAtAll(res) && tries === 0) this.window.answered(slot);
+			if (answersAtAll(res) && tries === 0) {
+				this.window.answered(slot);
+				this.meter.count('answers');
+			}
 			if (!isPlaced(session, placement)) return;
 			if (res.ok) {
 				session.heard(res.value);
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -96,6 +96,11 @@
 		text: 'This box handed the dispatching over to a stronger box, which is named.',
 	},
 	'owner.released': { id: 2106, level: 'info', text: 'This box handed the dispatching over, as it stops.' },
+	'owner.load': {
+		id: 2114,
+		level: 'info',
+		text: "The owner's last second: starts sent and answered, reports, tasks finished, rounds of placing and what they took, processor, tasks that wait, starts on their way and their limit.",
+	},
 	'takeover.settled': {
 		id: 2107,
 		level: 'info',
--- /dev/null
+++ b/stand-ins/fleet/load-patterns.ts
@@ -0,0 +1,146 @@
+/** Loads that an owner has to bear, as seeded lists of jobs: what arrives when, how large it is and how long it runs. */
+import * as random from '../../dev/random.js';
+import type * as jobs from '../../src/core/jobs/index.js';
+import type * as types from './types.js';
+
+/** Kinds of work: short urgent steps, wide steps that fill, and steps that last. */
+export type WorkKind = 'urgent' | 'wide' | 'lasting';
+
+/** A job that arrives. */
+export interface Arrival {
+	/** Milliseconds after the beginning. */
+	atMs: number;
+	kind: WorkKind;
+	record: Pick<jobs.JobRecord, 'id' | 'queue' | 'steps'>;
+}
+
+/** One load. */
+export interface LoadPattern {
+	name: string;
+	workers: number;
+	/** How long jobs arrive, in milliseconds. */
+	lengthMs: number;
+	/** The earliest first. */
+	arrivals: Arrival[];
+	/** How the run of a task goes. */
+	plan: (task: string) => types.RunPlan;
+}
+
+/** What a second of traffic brings a worker, in jobs: a busy printing fleet's. */
+const urgentPerWorkerS = 0.0303;
+const widePerWorkerS = 0.0295;
+const lastingPerWorkerS = 0.00107;
+
+/** Lasting jobs a worker that are there at the beginning: they reserve nearly all cores. */
+const residentPerWorker = 0.17;
+
+/** Tail of an idle serving task, and the target of its users, in milliseconds. */
+const tailMs = 25;
+const targetMs = 150;
+
+const queues: Record<WorkKind, jobs.QueuePolicy> = {
+	urgent: queue('urgent', 0, 1.5, 250),
+	wide: queue('wide', 2, 2, 1_000),
+	lasting: queue('lasting', 0, 2.2, 2_500),
+};
+
+/** How a load differs from steady traffic. */
+export interface LoadShape {
+	/** Wide jobs arrive at so many times the usual rate from `fromMs` on, for `forMs`. */
+	burst?: { factor: number; fromMs: number; forMs: number };
+	/** Nothing is handed in before this; then all of it at once. */
+	heldBackMs?: number;
+	/** Tasks run so many times longer than usual. */
+	slowdown?: number;
+}
+
+/** The shapes that have names. */
+export const shapes: Record<string, LoadShape> = {
+	steady: {},
+	burst: { burst: { factor: 2.6, fromMs: 2_000, forMs: 4_000 } },
+	comeback: { heldBackMs: 4_000 },
+	slow: { slowdown: 3 },
+};
+
+/** Traffic in proportion to the workers. */
+export function createPattern(name: string, workers: number, lengthMs: number, seed: number): LoadPattern {
+	const shape = shapes[name];
+	if (shape === undefined) throw new Error(`no load is called '${name}'`);
+	const next = random.seeded(seed);
+	const resident = Math.round(workers * residentPerWorker);
+	const arrivals: Arrival[] = [];
+	for (let number = 0; number < resident; number += 1) arrivals.push(arrive('lasting', number, 0, next));
+	const rates: [WorkKind, number][] = [
+		['urgent', urgentPerWorkerS],
+		['wide', widePerWorkerS],
+		['lasting', lastingPerWorkerS],
+	];
+	for (const [kind, perWorkerS] of rates) {
+		const gapMs = 1_000 / (perWorkerS * workers);
+		for (let atMs = gapMs * next(); atMs < lengthMs; atMs += gapOf(kind, gapMs, atMs, shape, next))
+			arrivals.push(arrive(kind, arrivals.length, Math.max(atMs, shape.heldBackMs ?? 0), next));
+	}
+	arrivals.sort((a, b) => a.atMs - b.atMs);
+	return { name, workers, lengthMs, arrivals, plan: (task) => planOf(task, shape.slowdown ?? 1) };
+}
+
+function gapOf(kind: WorkKind, gapMs: number, atMs: number, shape: LoadShape, next: () => number): number {
+	const { burst } = shape;
+	const isBurst =
+		burst !== undefined && kind === 'wide' && atMs >= burst.fromMs && atMs < burst.fromMs + burst.forMs;
+	return ((0.5 + next()) * gapMs) / (isBurst ? burst.factor : 1);
+}
+
+function queue(name: string, priority: number, stretch: number, objectiveMs: number): jobs.QueuePolicy {
+	return { name, pool: 'press', priority, attempts: 3, stretch, objectiveMs, advised: false };
+}
+
+function arrive(kind: WorkKind, number: number, atMs: number, next: () => number): Arrival {
+	const id = `${kind}-${String(number)}`;
+	return { atMs, kind, record: { id, queue: queues[kind], steps: stepsOf(kind, next) } };
+}
+
+function stepsOf(kind: WorkKind, next: () => number): jobs.StepSpec[] {
+	if (kind === 'lasting') {
+		const image = `serving-${String(random.between(next, 1, 16))}`;
+		const milliCores = random.between(next, 5_000, 8_000);
+		return [
+			{ ...plainStep, count: random.between(next, 12, 36), milliCores, lasting: true, image, targetMs },
+		];
+	}
+	const isWide = kind === 'wide';
+	const count = isWide ? random.between(next, 8, 70) : random.between(next, 3, 16);
+	const milliCores = isWide ? random.between(next, 2_500, 4_500) : random.between(next, 4_000, 9_000);
+	const image = isWide ? `filling-${String(random.between(next, 1, 30))}` : '';
+	const spec = { ...plainStep, count, milliCores, image, fills: isWide, checkpoints: isWide };
+	const steps = isWide ? 2 : random.between(next, 1, 2);
+	return Array.from({ length: steps }, (_, i) => ({ ...spec, after: i === 0 ? [] : [i - 1] }));
+}
+
+/** The same for a task whenever it is asked. */
+function planOf(task: string, slowdown: number): types.RunPlan {
+	const part = (random.hash(task) % 1_000) / 1_000;
+	if (task.startsWith('lasting')) return { ms: 'endless', how: 'done', reading: tailMs * (1 + 4 * part) };
+	const meanMs = task.startsWith('wide') ? 1_700 : 640;
+	return { ms: meanMs * (0.5 + part) * slowdown, how: 'done', reading: 3_000 };
+}
+
+const plainStep: jobs.StepSpec = {
+	count: 1,
+	milliCores: 1_000,
+	memoryMb: 500,
+	accelerators: 0,
+	estimateMs: 1_000,
+	after: [],
+	checkpoints: false,
+	gang: false,
+	sameRack: false,
+	requiredLabel: '',
+	dataRack: '',
+	maxPerWorker: 0,
+	speculative: false,
+	lasting: false,
+	image: '',
+	targetMs: 0,
+	fills: false,
+};
--- a/stand-ins/fleet/virtual-clock.ts
+++ b/stand-ins/fleet/virtual-clock.ts
@@ -5,6 +5,7 @@
 	at: number;
 	order: number;
 	fn: () => void;
+	cancelled: boolean;
 }
 
 /** Rounds of the event loop after each timer; enough for the longest chain of promises between two timers. */
@@ -14,7 +15,8 @@
 export class VirtualClock implements clocks.Clock {
 	private time = 1_000;
 	private order = 0;
-	private pending: Pending[] = [];
+	/** A binary heap, the earliest first: some tests keep thousands of timers. */
+	private readonly heap: Pending[] = [];
 
 	private constructor() {
 		// Built by `create`, like every class here.
@@ -33,11 +35,11 @@
 	}
 
 	after(ms: number, fn: () => void): clocks.Timer {
-		const one = { at: this.time + Math.max(0, ms), order: (this.order += 1), fn };
-		this.pending.push(one);
+		const one = { at: this.time + Math.max(0, ms), order: (this.order += 1), fn, cancelled: false };
+		this.push(one);
 		return {
 			cancel: () => {
-				this.pending = this.pending.filter((other) => other !== one);
+				one.cancelled = true;
 			},
 		};
 	}
@@ -46,9 +48,9 @@
 	async pass(ms: number): Promise<void> {
 		const end = this.time + ms;
 		await settle();
-		for (let next = this.next(end); next !== undefined; next = this.next(end)) {
+		for (let next = this.pop(end); next !== undefined; next = this.pop(end)) {
+			if (next.cancelled) continue;
 			this.time = Math.max(this.time, next.at);
-			this.pending = this.pending.filter((one) => one !== next);
 			next.fn();
 			await settle();
 		}
@@ -60,10 +62,53 @@
 		this.time += ms;
 	}
 
-	private next(end: number): Pending | undefined {
-		const due = this.pending.filter((one) => one.at <= end);
-		due.sort((a, b) => a.at - b.at || a.order - b.order);
-		return due[0];
+	private push(one: Pending): void {
+		const { heap } = this;
+		let at = heap.length;
+		heap.push(one);
+		while (at > 0) {
+			const parent = (at - 1) >> 1;
+			if (!this.isEarlier(at, parent)) return;
+			this.swap(at, parent);
+			at = parent;
+		}
+	}
+
+	/** Takes the earliest timer off; undefined: none is due by `end`. */
+	private pop(end: number): Pending | undefined {
+		const { heap } = this;
+		const first = heap[0];
+		if (first === undefined || first.at > end) return undefined;
+		const last = heap.pop();
+		if (last !== undefined && heap.length > 0) {
+			heap[0] = last;
+			this.sink();
+		}
+		return first;
+	}
+
+	private sink(): void {
+		for (let at = 0; ;) {
+			let earliest = at;
+			for (const child of [2 * at + 1, 2 * at + 2])
+				if (child < this.heap.length && this.isEarlier(child, earliest)) earliest = child;
+			if (earliest === at) return;
+			this.swap(at, earliest);
+			at = earliest;
+		}
+	}
+
+	private isEarlier(a: number, b: number): boolean {
+		const [one, other] = [this.heap[a], this.heap[b]];
+		if (one === undefined || other === undefined) return false;
+		return one.at < other.at || (one.at === other.at && one.order < other.order);
+	}
+
+	private swap(a: number, b: number): void {
+		const [one, other] = [this.heap[a], this.heap[b]];
+		if (one === undefined || other === undefined) return;
+		this.heap[a] = other;
+		this.heap[b] = one;
 	}
 }
 
--- a/stand-ins/fleet/workers.ts
+++ b/stand-ins/fleet/workers.ts
@@ -219,6 +219,7 @@
 	readonly workers = new Map<string, FakeWorker>();
 	/** Every start that was carried out, in order. */
 	readonly starts: types.StartRecord[] = [];
+	private readonly byAddress = new Map<string, FakeWorker>();
 	/** Entries of lives that have ended, which the platform lists until they lapse. */
 	lapsing: fleet.WorkerEntry[] = [];
 
@@ -240,10 +241,11 @@
 			draining: false,
 			...more,
 		};
-		for (const other of [...this.workers.values()])
-			if (other.entry.address === entry.address) this.remove(other);
+		const other = this.atAddress(entry.address);
+		if (other !== undefined) this.remove(other);
 		const worker = FakeWorker.create(entry, this.opts, this.starts);
 		this.workers.set(id, worker);
+		this.byAddress.set(entry.address, worker);
 		return worker;
 	}
 
@@ -316,7 +318,9 @@
 	}
 
 	private atAddress(address: string): FakeWorker | undefined {
-		return [...this.workers.values()].find((one) => one.entry.address === address);
+		const known = this.byAddress.get(address);
+		// Tests take workers out of the map themselves.
+		return known !== undefined && this.workers.get(known.entry.id) === known ? known : undefined;
 	}
 
 	private endOrTimeout(worker: FakeWorker, ms: number): Promise<void> {
--- a/test/placer.test.ts
+++ b/test/placer.test.ts
@@ -4,6 +4,7 @@
 import * as fixtures from './fixtures/dispatching.js';
 import * as interference from '../src/core/dispatch/interference.js';
 import * as jobs from '../src/core/jobs/index.js';
+import * as meters from '../src/core/dispatch/load-meter.js';
 import * as placer from '../src/core/dispatch/placer.js';
 import * as time from '../stand-ins/fleet/virtual-clock.js';
 import * as workers from '../stand-ins/fleet/workers.js';
@@ -40,6 +41,7 @@
 		estimates: interference.Interference.create(clock),
 		askAdviser: undefined,
 		start: () => undefined,
+		meter: meters.LoadMeter.create(),
 		startRoom: () => Infinity,
 		stopFor: () => undefined,
 	});
