Slopes, unlike shares and victims are worked out once, not for each question

Change: victims are looked for only while room is missing, the cheapest a worker first; the equations are solved anew after one in a hundred reports; unlike shares, unlikenesses and loads of one moment are kept for it.

--- a/src/core/dispatch/image-model.ts
+++ b/src/core/dispatch/image-model.ts
@@ -38,12 +38,27 @@
 	results: number[];
 }
 
+/**
+ * The equations are solved anew once so many new reports, as a part of those that count, have come in. Solving takes
+ * thousands of steps and one report of many moves a slope by less than this part.
+ */
+const newPart = 0.01;
+
+/** So many reports count, old ones having faded. */
+const mostReports = 2_000;
+
 /** The model of one serving image. */
 export class ImageModel {
-	/** Solution of the equations; undefined: out of date. */
-	private solution: number[] | undefined;
-
-	private constructor(private readonly sums: LearntImage) {}
+	/** Slope by neighbour image; undefined: to be solved for. */
+	private slopes: ReadonlyMap<string, number> | undefined;
+	private readonly indices: Map<string, number>;
+	/** Reports that count, and those among them that came after the newest solution. */
+	private reports = 0;
+	private newReports = 0;
+
+	private constructor(private readonly sums: LearntImage) {
+		this.indices = new Map(sums.images.map((image, index) => [image, index]));
+	}
 
 	static create(): ImageModel {
 		return new ImageModel({ lowest: Infinity, images: [], products: [], results: [] });
@@ -76,25 +91,24 @@
 
 	/** Learns that neighbours with these shares raised the busy part by `raised`, as a part of the load. */
 	learn(shares: Shares, raised: number): void {
-		for (const image of shares.keys()) if (!this.sums.images.includes(image)) this.addImage(image);
+		for (const image of shares.keys()) if (!this.indices.has(image)) this.addImage(image);
 		const { images, products, results } = this.sums;
 		const inputs = images.map((image) => shares.get(image) ?? 0);
 		const result = Math.min(mostRaised, raised);
-		products.forEach((row, i) => {
-			row.forEach((sum, j) => {
-				row[j] = sum * keptEvidence + (inputs[i] ?? 0) * (inputs[j] ?? 0);
-			});
-		});
-		results.forEach((sum, i) => {
-			results[i] = sum * keptEvidence + (inputs[i] ?? 0) * result;
-		});
-		this.solution = undefined;
+		for (const [i, row] of products.entries()) {
+			const input = inputs[i] ?? 0;
+			for (let j = 0; j < row.length; j += 1)
+				row[j] = (row[j] ?? 0) * keptEvidence + input * (inputs[j] ?? 0);
+			results[i] = (results[i] ?? 0) * keptEvidence + input * result;
+		}
+		this.reports = Math.min(mostReports, this.reports + 1);
+		this.newReports += 1;
+		if (this.newReports >= this.reports * newPart) this.slopes = undefined;
 	}
 
 	/** How much a whole worker of a neighbour raises the busy part; a neighbour never lowers it. */
 	slope(neighbour: string): number {
-		const index = this.sums.images.indexOf(neighbour);
-		return index < 0 ? firstSlope : Math.max(0, this.solve()[index] ?? firstSlope);
+		return (this.slopes ?? this.solve()).get(neighbour) ?? firstSlope;
 	}
 
 	/** How much all these neighbours together raise the busy part. */
@@ -112,22 +126,24 @@
 	/** Adds an image's unknown, with the first guess of its slope. */
 	private addImage(image: string): void {
 		const { images, products, results } = this.sums;
+		this.indices.set(image, images.length);
 		images.push(image);
 		for (const row of products) row.push(0);
 		products.push([...images.slice(1).map(() => 0), firstWeight]);
 		results.push(firstWeight * firstSlope);
-		this.solution = undefined;
+		this.slopes = undefined;
 	}
 
 	/** Solves the equations by elimination; the first guesses keep them regular. */
-	private solve(): number[] {
-		if (this.solution !== undefined) return this.solution;
-		const { products, results } = this.sums;
+	private solve(): ReadonlyMap<string, number> {
+		const { images, products, results } = this.sums;
 		const size = results.length;
 		const rows = products.map((row, i) => [...row, results[i] ?? 0]);
 		for (let pivot = 0; pivot < size; pivot += 1) eliminate(rows, pivot);
-		this.solution = rows.map((row, i) => (row[size] ?? 0) / (row[i] ?? 1));
-		return this.solution;
+		const solved = rows.map((row, i) => Math.max(0, (row[size] ?? 0) / (row[i] ?? 1)));
+		this.slopes = new Map(images.map((image, i) => [image, solved[i] ?? firstSlope]));
+		this.newReports = 0;
+		return this.slopes;
 	}
 }
 
@@ -135,10 +151,9 @@
 function eliminate(rows: number[][], pivot: number): void {
 	const pivotRow = rows[pivot] ?? [];
 	const head = pivotRow[pivot] ?? 1;
-	rows.forEach((row, i) => {
-		if (i === pivot) return;
+	for (const [i, row] of rows.entries()) {
 		const factor = (row[pivot] ?? 0) / head;
-		if (factor === 0) return;
+		if (i === pivot || factor === 0) continue;
 		for (let j = pivot; j < row.length; j += 1) row[j] = (row[j] ?? 0) - factor * (pivotRow[j] ?? 0);
-	});
+	}
 }
--- a/src/core/dispatch/interference.ts
+++ b/src/core/dispatch/interference.ts
@@ -73,6 +73,13 @@
 	use: number;
 }
 
+/** Unlike shares of a worker, worked out for one state of it. */
+interface UnlikeShares {
+	revision: number;
+	at: number;
+	byImage: Map<string, number | undefined>;
+}
+
 /** What stood beside a worker's serving tasks during its newest readings. */
 interface Surroundings {
 	shares: imageModel.Shares;
@@ -87,12 +94,17 @@
 export class Interference {
 	private readonly models = new Map<string, imageModel.ImageModel>();
 	private readonly profiles = new WeakMap<sessions.WorkerSession, Profile>();
+	private readonly unlikeShares = new WeakMap<sessions.WorkerSession, UnlikeShares>();
 	private readonly waves = new Map<jobs.StepRun, loadWave.LoadWave>();
 	/** Of steps that have ended, whose tasks may still be stopping: kept no longer than the step. */
 	private readonly endedWaves = new WeakMap<jobs.StepRun, loadWave.LoadWave>();
 	/** By image: its steps swing alike, each in a phase of its own. */
 	private readonly periods = new Map<string, loadWave.LoadPeriod>();
 
+	/** By pair of images, as of a moment ago: each choice asks for hundreds of them. */
+	private readonly unlikenesses = new Map<string, number>();
+	private unlikenessAt = -Infinity;
+
 	/** What an earlier owner learnt of loads whose steps have not reported to this one yet. */
 	private readonly inherited = new Map<string, waveFit.WaveSums>();
 	/** From the steady clock to the wall clock, as it stood at the beginning: later jumps of that clock change nothing. */
@@ -188,6 +200,48 @@
 	 */
 	unlikeness(one: string, other: string): number {
 		if (one === other) return 0;
+		const now = this.clock.now();
+		if (now - this.unlikenessAt >= profileMs) {
+			this.unlikenesses.clear();
+			this.unlikenessAt = now;
+		}
+		const key = `${one}\n${other}`;
+		const known = this.unlikenesses.get(key);
+		if (known !== undefined) return known;
+		const found = this.compare(one, other);
+		this.unlikenesses.set(key, found);
+		return found;
+	}
+
+	/**
+	 * Part of the worker's serving cores whose images are disturbed by other neighbours than `image` is; undefined: nothing
+	 * serves there.
+	 */
+	unlikeShare(image: string, session: sessions.WorkerSession): number | undefined {
+		const known = this.unlikeShares.get(session);
+		const now = this.clock.now();
+		const isFresh = known?.revision === session.revision && now - known.at < profileMs;
+		const kept = isFresh ? known : { revision: session.revision, at: now, byImage: new Map() };
+		if (!isFresh) this.unlikeShares.set(session, kept);
+		if (kept.byImage.has(image)) return kept.byImage.get(image);
+		const share = this.workOutUnlikeShare(image, session);
+		kept.byImage.set(image, share);
+		return share;
+	}
+
+	private workOutUnlikeShare(image: string, session: sessions.WorkerSession): number | undefined {
+		let serving = 0;
+		let unlike = 0;
+		for (const { task } of session.placements.values()) {
+			const { spec } = task.step;
+			if (spec.targetMs === 0) continue;
+			serving += spec.milliCores;
+			unlike += spec.milliCores * this.unlikeness(image, spec.image);
+		}
+		return serving === 0 ? undefined : unlike / serving;
+	}
+
+	private compare(one: string, other: string): number {
 		const images = new Set([...this.model(one).neighbours, ...this.model(other).neighbours]);
 		images.delete(neighbours.ordinary);
 		images.delete(neighbours.crowding);
--- a/src/core/dispatch/load-wave.ts
+++ b/src/core/dispatch/load-wave.ts
@@ -30,6 +30,9 @@
 /** A reading covers the last half second: it tells the value of so long ago, in milliseconds. */
 export const readingAgeMs = 250;
 
+/** Times so close are one moment to a load, in milliseconds: it swings over five seconds at least. */
+const sameMomentMs = 50;
+
 /** The period is chosen anew after so long, in milliseconds: it is a lasting property of what runs. */
 const choiceMs = 1_000;
 
@@ -104,6 +107,8 @@
 	private readonly fits: waveFit.WaveFit[];
 	/** How many samples were taken. */
 	private samples = 0;
+	/** The newest answer of `loadAt`, which is asked for the same moment by every worker that holds a task. */
+	private newest: { time: number; load: number } | undefined;
 	/** When each task last reported. */
 	private readonly reportedAt = new Map<number, number>();
 
@@ -128,6 +133,7 @@
 		const above = busy - this.loadAt(at, now);
 		const weight = above <= noise ? 1 : (disturbedWeight * noise) / above;
 		const chosen = this.period.index(now);
+		this.newest = undefined;
 		this.samples += 1;
 		const isForAll = this.samples % samplesPerOther === 0;
 		this.fits.forEach((fit, i) => {
@@ -139,8 +145,12 @@
 
 	/** The load at a time not far from now. */
 	loadAt(time: number, now: number): number {
-		const load = this.fits[this.period.index(now)]?.at(time) ?? firstLoad;
-		return Math.min(mostLoad, Math.max(leastLoad, load));
+		const { newest } = this;
+		if (newest !== undefined && Math.abs(time - newest.time) < sameMomentMs) return newest.load;
+		const fitted = this.fits[this.period.index(now)]?.at(time) ?? firstLoad;
+		const load = Math.min(mostLoad, Math.max(leastLoad, fitted));
+		this.newest = { time, load };
+		return load;
 	}
 
 	/** Whether enough tasks report to tell the load from a disturbance. */
--- a/src/core/dispatch/placement.ts
+++ b/src/core/dispatch/placement.ts
@@ -150,7 +150,7 @@
 ): number {
 	const capacity = worker.entry?.capacity.milliCores ?? 1;
 	const filling = (worker.fillMilliCores / capacity) * weights.besideFilling;
-	const unlike = unlikeShare(image, worker, estimates);
+	const unlike = estimates.unlikeShare(image, worker);
 	return filling + (unlike === undefined ? weights.firstOfImage : unlike * weights.otherImages);
 }
 
@@ -193,20 +193,3 @@
 	}
 	return false;
 }
-
-/** Part of the worker's serving cores whose images are disturbed by other neighbours; undefined: nothing serves. */
-export function unlikeShare(
-	image: string,
-	worker: sessions.WorkerSession,
-	estimates: interference.Interference,
-): number | undefined {
-	let serving = 0;
-	let unlike = 0;
-	for (const { task } of worker.placements.values()) {
-		const { spec } = task.step;
-		if (spec.targetMs === 0) continue;
-		serving += spec.milliCores;
-		unlike += spec.milliCores * estimates.unlikeness(image, spec.image);
-	}
-	return serving === 0 ? undefined : unlike / serving;
-}
--- a/src/core/dispatch/preemption.ts
+++ b/src/core/dispatch/preemption.ts
@@ -2,7 +2,6 @@
  * Makes room for short tasks that find none: lasting tasks of the same priority, and any task of a lesser one, are
  * stopped and go on elsewhere or later. A lasting task loses seconds of many; a short task would lose all it is for.
  */
-import * as placement from './placement.js';
 import type * as interference from './interference.js';
 import type * as jobs from '../jobs/index.js';
 import type * as sessions from './worker-session.js';
@@ -34,6 +33,11 @@
 	estimates: interference.Interference;
 }
 
+/** The cheapest task to stop on a worker. */
+interface Candidate extends Victim {
+	cost: number;
+}
+
 /** Chooses whom to stop so that the waiting tasks fit. */
 export function chooseVictims(
 	waiting: jobs.Task[],
@@ -46,26 +50,28 @@
 	const priority = ctx.priorityOf(first.step.job);
 	// One pool a round; the others' turn comes when this one's tasks have found room.
 	const pool = ctx.poolOf(first.step.job);
-	const short = urgent.filter((task) => ctx.poolOf(task.step.job) === pool);
 	const open = [...workers].filter((one) => one.open && one.entry?.pool === pool);
-	const wanted = sum(short.map((task) => task.step.spec.milliCores)) - comingFree(open);
-	const candidates = open.flatMap((session) => candidatesOn(session, priority, ctx));
-	return takeCheapest(candidates, wanted, ctx);
+	let missing = -comingFree(open);
+	for (const task of urgent) if (ctx.poolOf(task.step.job) === pool) missing += task.step.spec.milliCores;
+	// Looking at all that runs is dear; mostly enough is coming free already.
+	return missing > 0 ? takeCheapest(open, missing, priority, ctx) : [];
 }
 
-/** The cheapest candidates that free `wanted` thousandths of a core, one a worker at most. */
-function takeCheapest(candidates: Victim[], wanted: number, ctx: PreemptionContext): Victim[] {
-	const costs = new Map(candidates.map((victim) => [victim, cost(victim, ctx)]));
-	const cheapestFirst = [...candidates].sort((a, b) => (costs.get(a) ?? 0) - (costs.get(b) ?? 0));
+/** The cheapest that free `missing` thousandths of a core, one a worker at most. */
+function takeCheapest(
+	open: sessions.WorkerSession[],
+	missing: number,
+	priority: number,
+	ctx: PreemptionContext,
+): Victim[] {
+	const candidates = open.flatMap((session) => cheapestOn(session, priority, ctx) ?? []);
+	candidates.sort((a, b) => a.cost - b.cost);
 	const victims: Victim[] = [];
-	let missing = wanted;
-	const used = new Set<sessions.WorkerSession>();
-	for (const victim of cheapestFirst) {
-		if (missing <= 0 || victims.length >= mostVictims) break;
-		if (used.has(victim.session)) continue;
-		used.add(victim.session);
-		victims.push(victim);
-		missing -= victim.place.task.step.spec.milliCores;
+	let left = missing;
+	for (const { session, place } of candidates) {
+		if (left <= 0 || victims.length >= mostVictims) break;
+		victims.push({ session, place });
+		left -= place.task.step.spec.milliCores;
 	}
 	return victims;
 }
@@ -79,23 +85,43 @@
 
 /** Thousandths of a core that stopping tasks are about to free. */
 function comingFree(workers: sessions.WorkerSession[]): number {
-	const stopping = workers.flatMap((one) =>
-		[...one.placements.values()].filter((place) => place.phase === 'stopping'),
-	);
-	return sum(stopping.map((place) => (place.task.step.spec.fills ? 0 : place.task.step.spec.milliCores)));
+	let total = 0;
+	for (const { placements } of workers)
+		for (const { phase, task } of placements.values())
+			if (phase === 'stopping' && !task.step.spec.fills) total += task.step.spec.milliCores;
+	return total;
+}
+
+/** The cheapest task on a worker that may be stopped for one of this priority. */
+function cheapestOn(
+	session: sessions.WorkerSession,
+	priority: number,
+	ctx: PreemptionContext,
+): Candidate | undefined {
+	let cheapest: Candidate | undefined;
+	for (const place of session.placements.values()) {
+		const least = cheapest?.cost ?? Infinity;
+		if (leastCost(place) >= least || !mayStop(place, priority, ctx)) continue;
+		const found = cost({ session, place }, ctx);
+		if (found < least) cheapest = { session, place, cost: found };
+	}
+	return cheapest;
+}
+
+/** Whether a task may be stopped for one of this priority. */
+function mayStop(place: types.Placement, priority: number, ctx: PreemptionContext): boolean {
+	const { spec, job } = place.task.step;
+	if (place.phase !== 'running' || spec.fills || spec.gang) return false;
+	if (ctx.now - place.placedAt < leastStayMs) return false;
+	// A step that may miss few of its tasks keeps them all.
+	if (spec.mayMiss !== undefined) return false;
+	return spec.lasting ? ctx.priorityOf(job) >= priority : ctx.priorityOf(job) > priority;
 }
 
-/** What may be stopped on a worker for a task of this priority. */
-function candidatesOn(session: sessions.WorkerSession, priority: number, ctx: PreemptionContext): Victim[] {
-	const places = [...session.placements.values()].filter((place) => {
-		const { spec, job } = place.task.step;
-		if (place.phase !== 'running' || spec.fills || spec.gang) return false;
-		if (ctx.now - place.placedAt < leastStayMs) return false;
-		// A step that may miss few of its tasks keeps them all.
-		if (spec.mayMiss !== undefined) return false;
-		return spec.lasting ? ctx.priorityOf(job) >= priority : ctx.priorityOf(job) > priority;
-	});
-	return places.map((place) => ({ session, place }));
+/** What stopping a task costs at least, whatever stands beside it. */
+function leastCost(place: types.Placement): number {
+	const { milliCores } = place.task.step.spec;
+	return (milliCores * (1 - unlikeDiscount)) / (place.overSince === undefined ? 1 : 2);
 }
 
 /**
@@ -106,10 +132,6 @@
 	const { place, session } = victim;
 	const { spec } = place.task.step;
 	const isOver = place.overSince !== undefined;
-	const unlike = placement.unlikeShare(spec.image, session, ctx.estimates) ?? 0;
+	const unlike = ctx.estimates.unlikeShare(spec.image, session) ?? 0;
 	return (spec.milliCores * (1 - unlikeDiscount * unlike)) / (isOver ? 2 : 1);
 }
-
-function sum(values: number[]): number {
-	return values.reduce((total, value) => total + value, 0);
-}
