A round of placing looks at steps, and rates the workers for a step once

Cause: every waiting task was put in order and every worker rated for each of them, in each round: cost grows with tasks times workers. Ruled out: fewer rounds (urgent tasks would wait for them). Change: WaitingSteps, StepCandidates: all workers are rated roughly once a step and round, exactly only when they come to the front, and again only once something was placed there.

--- a/src/core/dispatch/placement.ts
+++ b/src/core/dispatch/placement.ts
@@ -73,21 +73,66 @@
 	anyHarm?: boolean;
 }
 
+/** What depends on how long a task has waited. */
+export interface Terms {
+	/** Serving tasks that it may keep over their targets. */
+	harmLimit: number;
+	/** Thousandths of a core that it has to leave free. */
+	reserve: number;
+}
+
+/** The terms of a task now. */
+export function termsOf(task: jobs.Task, now: number): Terms {
+	return { harmLimit: harmLimit(task, now), reserve: reserveFor(task, now) };
+}
+
 /** The best worker for a task. */
 export function choose(task: jobs.Task, choice: Choice): sessions.WorkerSession | NoPlace {
-	const { workers, now } = choice;
+	const terms = termsOf(task, choice.now);
 	let best: sessions.WorkerSession | undefined;
 	let bestScore = Infinity;
-	const reserve = reserveFor(task, now);
-	for (const worker of workers) {
-		if (!room.fits(task.step, worker, reserve)) continue;
-		const score = rate(task, worker, choice, bestScore);
-		if (score < bestScore) {
-			best = worker;
-			bestScore = score;
-		}
+	for (const worker of choice.workers) {
+		if (leastScore(task, worker, choice, terms) >= bestScore) continue;
+		const found = score(task, worker, choice, terms);
+		if (found >= bestScore) continue;
+		best = worker;
+		bestScore = found;
 	}
-	return best ?? (workers.length > 0 ? 'no-room' : 'no-worker-open');
+	return best ?? (choice.workers.length > 0 ? 'no-room' : 'no-worker-open');
+}
+
+/** Lower is better; infinite: not there. Disturbance is looked at last, as it is the dearest question. */
+export function score(task: jobs.Task, worker: sessions.WorkerSession, choice: Choice, terms: Terms): number {
+	const { spec } = task.step;
+	const { estimates, now, anyHarm = false } = choice;
+	const least = leastScore(task, worker, choice, terms);
+	if (least === Infinity) return Infinity;
+	if (!spec.fills) return spec.targetMs > 0 ? least + rateUnlike(spec.image, worker, estimates) : least;
+	const harm = estimates.harmOf(worker, spec.image, shareOf(spec, worker));
+	if (!anyHarm && harm > terms.harmLimit) return Infinity;
+	if (!anyHarm && disturbsOverloaded(spec.image, worker, estimates, now)) return Infinity;
+	return least + harm * weights.harm;
+}
+
+/** The least that `score` may be, by what is quickly asked; infinite: not there. */
+export function leastScore(
+	task: jobs.Task,
+	worker: sessions.WorkerSession,
+	choice: Choice,
+	terms: Terms,
+): number {
+	const { spec } = task.step;
+	if (!room.fits(task.step, worker, terms.reserve)) return Infinity;
+	const base = rateForAny(task, worker);
+	if (spec.fills) {
+		const use = choice.estimates.expectedUse(worker) + shareOf(spec, worker);
+		return use > mostUse && choice.anyHarm !== true ? Infinity : base + use;
+	}
+	const capacity = worker.entry?.capacity.milliCores ?? 1;
+	// The fullest that fits: whole workers stay free for other images, and for tasks that need much.
+	const reserved = worker.used.milliCores / capacity;
+	const filling = spec.targetMs > 0 ? (worker.fillMilliCores / capacity) * weights.besideFilling : 0;
+	return base + filling - reserved;
 }
 
 /** What stands between a task and a worker; undefined: nothing does. For logs: `choose` asks less. */
@@ -113,26 +158,6 @@
 	return now - task.readyAt < reserveMs ? shortReserve : 0;
 }
 
-/** Lower is better; infinite: not there, or not under `toBeat`. */
-function rate(task: jobs.Task, worker: sessions.WorkerSession, choice: Choice, toBeat: number): number {
-	const { spec } = task.step;
-	const { estimates, now } = choice;
-	const base = rateForAny(task, worker);
-	if (spec.fills) {
-		const limit = choice.anyHarm === true ? Infinity : harmLimit(task, now);
-		const score = base + rateFilling(spec, worker, estimates, limit, toBeat - base);
-		// The dearest question last.
-		if (score >= toBeat || choice.anyHarm === true) return score;
-		if (disturbsOverloaded(spec.image, worker, estimates, now)) return Infinity;
-		return score;
-	}
-	const capacity = worker.entry?.capacity.milliCores ?? 1;
-	const reserved = worker.used.milliCores / capacity;
-	// The fullest that fits: whole workers stay free for other images, and for tasks that need much.
-	const serving = spec.targetMs > 0 ? rateServing(spec.image, worker, estimates) : 0;
-	return base + serving - reserved;
-}
-
 /** What counts for a task of any kind. */
 function rateForAny(task: jobs.Task, worker: sessions.WorkerSession): number {
 	const { dataRack } = task.step.spec;
@@ -142,32 +167,14 @@
 	return score;
 }
 
-/** What a task that serves users has around it there. */
-function rateServing(
+/** How unlike the serving tasks are that one which serves users would stand among. */
+function rateUnlike(
 	image: string,
 	worker: sessions.WorkerSession,
 	estimates: interference.Interference,
 ): number {
-	const capacity = worker.entry?.capacity.milliCores ?? 1;
-	const filling = (worker.fillMilliCores / capacity) * weights.besideFilling;
 	const unlike = estimates.unlikeShare(image, worker);
-	return filling + (unlike === undefined ? weights.firstOfImage : unlike * weights.otherImages);
-}
-
-/** How full a worker gets with one more task that fills, and whom it harms; infinite: beyond the limits. */
-function rateFilling(
-	spec: jobs.StepSpec,
-	worker: sessions.WorkerSession,
-	estimates: interference.Interference,
-	limit: number,
-	toBeat: number,
-): number {
-	const share = shareOf(spec, worker);
-	const use = estimates.expectedUse(worker) + share;
-	// Harm only adds to it.
-	if ((use > mostUse && limit < Infinity) || use >= toBeat) return Infinity;
-	const harm = estimates.harmOf(worker, spec.image, share);
-	return harm > limit ? Infinity : use + harm * weights.harm;
+	return unlike === undefined ? weights.firstOfImage : unlike * weights.otherImages;
 }
 
 /** Part of a worker's cores that a task asks for. */
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -10,6 +10,7 @@
 import * as settings from './settings.js';
 import * as reasons from './waiting-reason.js';
 import * as waiting from './waiting-log.js';
+import * as waitingSteps from './waiting-steps.js';
 import type * as fleet from '../fleet/types.js';
 import type * as interference from './interference.js';
 import type * as jobs from '../jobs/index.js';
@@ -38,7 +39,7 @@
 
 /** Tasks that wait, and where the others are. */
 export class Placer {
-	private readonly ready = new Set<jobs.Task>();
+	private readonly ready = waitingSteps.WaitingSteps.create();
 	private readonly places = new Map<jobs.Task, sessions.WorkerSession>();
 	private readonly advisory: advice.Advisory;
 	private readonly waitingLog: waiting.WaitingLog;
@@ -144,7 +145,7 @@
 		this.quickRoundDue = true;
 		this.opts.clock.after(this.quickGapMs, () => {
 			this.quickRoundDue = false;
-			if (!this.closed) this.quickGapMs = this.playTimed((task) => !task.step.spec.fills);
+			if (!this.closed) this.quickGapMs = this.playTimed((step) => !step.spec.fills);
 		});
 	}
 
@@ -184,7 +185,7 @@
 	}
 
 	/** Plays a round; returns how long to wait until the next of its kind: each looks at all that waits again. */
-	private playTimed(included: (task: jobs.Task) => boolean): number {
+	private playTimed(included: (step: jobs.StepRun) => boolean): number {
 		const { clock } = this.opts;
 		const startedAt = clock.now();
 		this.placeReady(included);
@@ -194,31 +195,56 @@
 	}
 
 	/** Places what is ready and `included`, in the order of `waiting-order.ts`; makes room for what finds none. */
-	private placeReady(included: (task: jobs.Task) => boolean): void {
+	private placeReady(included: (step: jobs.StepRun) => boolean): void {
 		if (!this.opts.mayAct() || this.opts.startRoom() === 0) return;
 		const now = this.opts.clock.now();
-		const due = [...this.ready].filter((task) => included(task) && this.isDue(task.step, now));
-		const startable = due.filter((task) => this.mayStart(task));
-		if (startable.length === 0) return;
+		const steps = this.startable(included, now);
+		if (steps.length === 0) return;
 		const round = rounds.PlacingRound.create(this.opts.workers(), now);
-		const inOrder = order.sort(startable, (job) => this.opts.policyOf(job).priority, now);
-		const tried = new Set<jobs.StepRun>();
-		for (const task of inOrder) {
+		for (const { step, tasks } of order.sort(steps, (job) => this.opts.policyOf(job).priority, now)) {
+			// What comes next has to be chosen when it can be sent.
 			if (this.opts.startRoom() === 0) return;
-			if (tried.has(task.step) || task.state !== 'ready') continue;
-			const placed = task.step.spec.gang ? this.placeGang(task.step, round) : this.placeOne(task, round);
-			if (placed) continue;
-			tried.add(task.step);
-			this.waitingLog.note(task, () => reasons.whyNoPlace(task, this.choiceFor(task.step, round)));
-			// Workers are kept free in every round, or short tasks would take them in between.
-			if (order.isOverdue(task, now)) round.keepFor(task.step, this.opts.policyOf(task.step.job).pool);
-			else this.retryAt.set(task.step, now + retryMs(task.step));
+			const failed = this.placeStep(step, tasks, round);
+			if (failed !== undefined) this.noteNoPlace(failed, round);
 		}
-		const unplaced = inOrder.filter((task) => task.state === 'ready');
+		const unplaced = steps.flatMap(({ tasks }) => tasks.filter((task) => task.state === 'ready'));
 		this.placeStarved(unplaced, round);
 		this.preempt(unplaced);
 	}
 
+	/** The steps whose turn it is, with those of their tasks that may be started. */
+	private startable(included: (step: jobs.StepRun) => boolean, now: number): order.WaitingStep[] {
+		const due = this.ready.steps().filter((step) => included(step) && this.isDue(step, now));
+		const all = due.map((step) => {
+			const tasks = this.ready.tasksOf(step).filter((task) => this.mayStart(task));
+			return { step, tasks };
+		});
+		return all.filter(({ tasks }) => tasks.length > 0);
+	}
+
+	/** Places a step's tasks as long as there are places and starts may be sent; returns the first that found no place. */
+	private placeStep(
+		step: jobs.StepRun,
+		tasks: jobs.Task[],
+		round: rounds.PlacingRound,
+	): jobs.Task | undefined {
+		if (step.spec.gang) return this.placeGang(step, round) ? undefined : tasks[0];
+		const choice = this.choiceFor(step, round);
+		for (const task of tasks) {
+			if (this.opts.startRoom() === 0) return undefined;
+			if (!this.beginAll(this.placeAt(task, round.choose(task, choice)))) return task;
+		}
+		return undefined;
+	}
+
+	private noteNoPlace(task: jobs.Task, round: rounds.PlacingRound): void {
+		const { now } = round;
+		this.waitingLog.note(task, () => reasons.whyNoPlace(task, this.choiceFor(task.step, round)));
+		// Workers are kept free in every round, or short tasks would take them in between.
+		if (order.isOverdue(task, now)) round.keepFor(task.step, this.opts.policyOf(task.step.job).pool);
+		else this.retryAt.set(task.step, now + retryMs(task.step));
+	}
+
 	private isDue(step: jobs.StepRun, now: number): boolean {
 		return (this.retryAt.get(step) ?? 0) <= now;
 	}
@@ -234,15 +260,10 @@
 		return false;
 	}
 
-	private placeOne(task: jobs.Task, round: rounds.PlacingRound): boolean {
-		return this.beginAll(this.onePlace(task, this.choiceFor(task.step, round)));
-	}
-
-	/** A place for a task; none: no worker takes it. */
-	private onePlace(task: jobs.Task, choice: placement.Choice): gangs.MemberPlace[] {
-		const session = placement.choose(task, choice);
-		if (typeof session === 'string') return [];
-		return [{ session, place: session.place(task, this.nextRun(task), 'starting') }];
+	/** A place for a task where it was chosen to go; none: no worker takes it. */
+	private placeAt(task: jobs.Task, chosen: sessions.WorkerSession | placement.NoPlace): gangs.MemberPlace[] {
+		if (typeof chosen === 'string') return [];
+		return [{ session: chosen, place: chosen.place(task, this.nextRun(task), 'starting') }];
 	}
 
 	/** Filling tasks that have waited too long, the longest first, go where they do least harm, whatever that is. */
@@ -253,7 +274,9 @@
 			if (!this.exemptions.isFree(task.step, waitedMs, choice.workers.length)) continue;
 			const workers = choice.workers.filter((one) => !this.exemptions.isOn(one));
 			const exempt = { ...choice, workers, anyHarm: true };
-			const places = task.step.spec.gang ? this.gangPlaces(task.step, exempt) : this.onePlace(task, exempt);
+			const places = task.step.spec.gang
+				? this.gangPlaces(task.step, exempt)
+				: this.placeAt(task, placement.choose(task, exempt));
 			for (const { session, place } of places) this.exemptions.grant(session, place);
 			this.beginAll(places);
 		}
--- a/src/core/dispatch/placing-round.ts
+++ b/src/core/dispatch/placing-round.ts
@@ -1,7 +1,9 @@
 /** One round of placing: the open workers as they were at its beginning, without those kept for overdue tasks. */
+import * as candidates from './step-candidates.js';
 import * as order from './waiting-order.js';
 import * as room from './room.js';
 import * as settings from './settings.js';
+import type * as placement from './placement.js';
 import type * as jobs from '../jobs/index.js';
 import type * as sessions from './worker-session.js';
 
@@ -11,6 +13,9 @@
 	/** Open workers, by pool, without those that are kept. */
 	private readonly unkept: Map<string, sessions.WorkerSession[]>;
 
+	/** Of the step that was placed last: a round takes the tasks of a step one after the other. */
+	private newest: candidates.StepCandidates | undefined;
+
 	private constructor(
 		/** Clock time of its beginning. */
 		readonly now: number,
@@ -41,6 +46,12 @@
 		return (fills || lasting ? this.open : this.unkept).get(pool) ?? [];
 	}
 
+	/** The best worker for a task. */
+	choose(task: jobs.Task, choice: placement.Choice): sessions.WorkerSession | placement.NoPlace {
+		if (this.newest?.serve(task) !== true) this.newest = candidates.StepCandidates.create(task, choice);
+		return this.newest.best();
+	}
+
 	/** Keeps the emptiest workers that may hold a step free for its overdue tasks, for the rest of the round. */
 	keepFor(step: jobs.StepRun, pool: string): void {
 		const unkept = this.unkept.get(pool) ?? [];
--- a/src/core/dispatch/waiting-order.ts
+++ b/src/core/dispatch/waiting-order.ts
@@ -1,26 +1,39 @@
 /**
- * Which waiting task comes first: by priority, then short before lasting, then what can still be in time before what is
+ * Which waiting step comes first: by priority, then short before lasting, then what can still be in time before what is
  * late, then by the time left.
  */
 import * as settings from './settings.js';
 import type * as jobs from '../jobs/index.js';
 
-/** Sorts tasks in place; the first is to be placed first. */
+/** A step of which tasks wait. */
+export interface WaitingStep {
+	step: jobs.StepRun;
+	tasks: jobs.Task[];
+}
+
+/** Sorts steps in place; the first is to be placed first. */
 export function sort(
-	tasks: jobs.Task[],
+	steps: WaitingStep[],
 	priorityOf: (job: jobs.ActiveJob) => number,
 	now: number,
-): jobs.Task[] {
-	const priority = new Map(tasks.map((task) => [task, priorityOf(task.step.job)]));
-	return tasks.sort(
-		(a, b) =>
-			(priority.get(a) ?? 0) - (priority.get(b) ?? 0) ||
-			Number(comesLate(a, now)) - Number(comesLate(b, now)) ||
-			lateness(a, now) - lateness(b, now) ||
-			a.step.job.dueAt - b.step.job.dueAt ||
-			a.step.number - b.step.number ||
-			a.index - b.index,
-	);
+): WaitingStep[] {
+	const ranks = new Map(steps.map((one) => [one, rankOf(one, priorityOf, now)]));
+	return steps.sort((a, b) => compare(ranks.get(a) ?? [], ranks.get(b) ?? []));
+}
+
+/** What counts for a step's turn, the weightiest first. */
+function rankOf(waiting: WaitingStep, priorityOf: (job: jobs.ActiveJob) => number, now: number): number[] {
+	const { step, tasks } = waiting;
+	const comesLate = step.spec.lasting && !tasks.some((task) => isOverdue(task, now));
+	return [priorityOf(step.job), Number(comesLate), lateness(step, now), step.job.dueAt, step.number];
+}
+
+function compare(a: number[], b: number[]): number {
+	for (const [index, value] of a.entries()) {
+		const difference = value - (b[index] ?? 0);
+		if (difference !== 0) return difference;
+	}
+	return 0;
 }
 
 /** Whether a lasting task has waited so long that it goes before short ones. */
@@ -43,17 +56,12 @@
 	return task.step.spec.fills && waitedMs(task, now) >= settings.starvedMs;
 }
 
-/** Whether a task comes after the short ones of its priority. */
-function comesLate(task: jobs.Task, now: number): boolean {
-	return task.step.spec.lasting && !isOverdue(task, now);
-}
-
 /**
  * 0 before a job's due time, 1 while it is late, 2 once it is worth nothing. By due time alone, a queue that has fallen
  * behind would make every job late in turn. A lasting task serves whenever it runs.
  */
-function lateness(task: jobs.Task, now: number): number {
-	const { job, spec } = task.step;
+function lateness(step: jobs.StepRun, now: number): number {
+	const { job, spec } = step;
 	if (spec.lasting || now <= job.dueAt) return 0;
 	return now <= job.worthlessAt ? 1 : 2;
 }
--- /dev/null
+++ b/src/core/dispatch/waiting-steps.ts
@@ -0,0 +1,48 @@
+/** Tasks that wait for a worker, by step: the tasks of a step are alike, so a round looks at steps. */
+import type * as jobs from '../jobs/index.js';
+
+/** The waiting tasks. */
+export class WaitingSteps {
+	private readonly byStep = new Map<jobs.StepRun, Set<jobs.Task>>();
+	private count = 0;
+
+	private constructor() {
+		// Built by `create`, like every class here.
+	}
+
+	static create(): WaitingSteps {
+		return new WaitingSteps();
+	}
+
+	/** How many tasks wait. */
+	get size(): number {
+		return this.count;
+	}
+
+	/** Steps of which a task waits. */
+	steps(): jobs.StepRun[] {
+		return [...this.byStep.keys()];
+	}
+
+	/** The tasks of a step that wait. */
+	tasksOf(step: jobs.StepRun): jobs.Task[] {
+		return [...(this.byStep.get(step) ?? [])];
+	}
+
+	/** A task waits from now on. */
+	add(task: jobs.Task): void {
+		const known = this.byStep.get(task.step);
+		if (known?.has(task) === true) return;
+		this.count += 1;
+		if (known === undefined) this.byStep.set(task.step, new Set([task]));
+		else known.add(task);
+	}
+
+	/** A task waits no more. */
+	delete(task: jobs.Task): void {
+		const known = this.byStep.get(task.step);
+		if (known?.delete(task) !== true) return;
+		this.count -= 1;
+		if (known.size === 0) this.byStep.delete(task.step);
+	}
+}
