--- a/src/core/dispatch/interference.ts
+++ b/src/core/dispatch/interference.ts
@@ -221,7 +221,9 @@
 		const known = this.unlikeShares.get(session);
 		const now = this.clock.now();
 		const isFresh = known?.revision === session.revision && now - known.at < profileMs;
-		const kept = isFresh ? known : { revision: session.revision, at: now, byImage: new Map() };
+		const kept = isFresh
+			? known
+			: { revision: session.revision, at: now, byImage: new Map<string, number | undefined>() };
 		if (!isFresh) this.unlikeShares.set(session, kept);
 		if (kept.byImage.has(image)) return kept.byImage.get(image);
 		const share = this.workOutUnlikeShare(image, session);
