An entry of the workers' list that can't be read names no worker to use

Cause: such an entry was passed over in a change, so its worker went on getting work, but was absent in a list; a missing capacity counted as none and an address was not looked at. Change: platform/worker-list.ts is strict; box/worker-list.ts takes what can't be read for absent in changes and lists alike, with one log line a change. Figures: tests worker-entries (over the decoder, in memory, over a real box) and decoders (fast-check, seeded, every decoder of platform/).

--- a/src/core/box/owner-role.ts
+++ b/src/core/box/owner-role.ts
@@ -5,18 +5,18 @@
 import * as ledger from '../ledger/index.js';
 import * as upkeep from '../upkeep/index.js';
 import * as wire from '../wire/frame.js';
+import * as workerList from './worker-list.js';
 import type * as adapters from './platform-adapter.js';
 import type * as boxSettings from './settings.js';
 import type * as protocol from './peer-protocol.js';
 import type * as events from '../events/index.js';
-import type * as fleet from '../fleet/types.js';
 import type * as queues from '../queues/index.js';
 import type * as stores from '../platform/types.js';
 
 /** Jobs that other boxes stored are read this often at most, in milliseconds; the boxes also tell them at once. */
 const requestGapMs = 250;
 
-/** How long the owner waits for news of jobs and workers, in milliseconds. */
+/** How long the owner waits for news of jobs, in milliseconds. */
 const ownerWaitMs = 2_500;
 
 /** What was learnt is stored this often, in milliseconds: loads move little in that time, and each call is paid for. */
@@ -59,7 +59,16 @@
 			this.logLoad();
 		});
 		this.upkeep = this.createUpkeep();
-		this.followers = [this.followRequests(contents.revision), this.followWorkers()];
+		const { dispatcher } = this;
+		this.followers = [
+			this.followRequests(contents.revision),
+			workerList.followWorkers({
+				...deps,
+				setWorkers: (entries, removed, whole) => {
+					dispatcher.setWorkers(entries, removed, whole);
+				},
+			}),
+		];
 	}
 
 	/** `leaseEnds`: clock time by which all leases at a worker are over, where the owner before said so. */
@@ -207,36 +216,4 @@
 			},
 		});
 	}
-
-	private followWorkers(): followers.RecordFollower {
-		const { workerPrefix, decodeWorker } = this.deps.adapter;
-		const decode = (key: string, value: Uint8Array): fleet.WorkerEntry[] => {
-			const entry = decodeWorker(key, value);
-			if (entry === undefined) this.deps.events.emit('wire.rejected', { reason: `worker entry ${key}` });
-			return entry === undefined ? [] : [entry];
-		};
-		return followers.RecordFollower.create({
-			store: this.deps.store,
-			clock: this.deps.clock,
-			prefix: workerPrefix,
-			waitMs: ownerWaitMs,
-			gapMs: dispatch.settings.listGapMs,
-			onList: (items) => {
-				this.dispatcher.setWorkers(
-					items.flatMap((item) => decode(item.key, item.value)),
-					[],
-					true,
-				);
-			},
-			onChanges: (changes) => {
-				const entries = changes.flatMap((one) => (one.value === undefined ? [] : decode(one.key, one.value)));
-				const removed = changes.filter((one) => one.value === undefined);
-				this.dispatcher.setWorkers(
-					entries,
-					removed.map((one) => one.key.slice(workerPrefix.length)),
-					false,
-				);
-			},
-		});
-	}
 }
--- /dev/null
+++ b/src/core/box/worker-list.ts
@@ -0,0 +1,70 @@
+/** Keeps a dispatcher up to date with the platform's list of workers. */
+import * as dispatch from '../dispatch/index.js';
+import * as followers from '../platform/record-follower.js';
+import type * as adapters from './platform-adapter.js';
+import type * as clocks from '../clock.js';
+import type * as events from '../events/index.js';
+import type * as fleet from '../fleet/types.js';
+import type * as stores from '../platform/types.js';
+
+/** How long one call waits for news of workers, in milliseconds. */
+const waitMs = 2_500;
+
+/** What following needs. */
+export interface WorkerListOptions {
+	adapter: Pick<adapters.PlatformAdapter, 'workerPrefix' | 'decodeWorker'>;
+	store: stores.RecordStore;
+	clock: clocks.Clock;
+	events: events.EventLog;
+	/** Told what the list says, in part or whole. */
+	setWorkers: dispatch.Dispatcher['setWorkers'];
+}
+
+/** What the list says of a worker. */
+type ListedWorker = { type: 'listed'; entry: fleet.WorkerEntry } | { type: 'absent'; id: string };
+
+/**
+ * The list, until the follower is closed. Others write it too: an entry that can't be read names no worker to use, just as
+ * one that is absent, and as that one it proves nothing about what runs there.
+ */
+export function followWorkers(opts: WorkerListOptions): followers.RecordFollower {
+	const { workerPrefix, decodeWorker } = opts.adapter;
+	/** Version of the entry that was last found unreadable, by key: each is told of once, however often it is read. */
+	const unreadable = new Map<string, number>();
+	const read = (key: string, value: Uint8Array | undefined, version: number): ListedWorker => {
+		const entry = value && decodeWorker(key, value);
+		if (entry !== undefined) return { type: 'listed', entry };
+		if (value === undefined) unreadable.delete(key);
+		else if (unreadable.get(key) !== version) {
+			unreadable.set(key, version);
+			opts.events.emit('wire.rejected', { reason: `worker entry ${key}`, version });
+		}
+		return { type: 'absent', id: key.slice(workerPrefix.length) };
+	};
+	const tell = (read: ListedWorker[], whole: boolean): void => {
+		opts.setWorkers(
+			read.flatMap((one) => (one.type === 'listed' ? [one.entry] : [])),
+			read.flatMap((one) => (one.type === 'absent' ? [one.id] : [])),
+			whole,
+		);
+	};
+	return followers.RecordFollower.create({
+		store: opts.store,
+		clock: opts.clock,
+		prefix: workerPrefix,
+		waitMs,
+		gapMs: dispatch.settings.listGapMs,
+		onList: (items) => {
+			tell(
+				items.map((item) => read(item.key, item.value, item.version)),
+				true,
+			);
+		},
+		onChanges: (changes) => {
+			tell(
+				changes.map((one) => read(one.key, one.value, one.version)),
+				false,
+			);
+		},
+	});
+}
--- /dev/null
+++ b/test/decoders.test.ts
@@ -0,0 +1,111 @@
+/** Everything that `platform/` decodes, fed with what others may have written: no decoder throws, and none invents. */
+import * as fc from 'fast-check';
+import test from 'ava';
+import * as configuration from '../platform/queue-configuration.js';
+import * as jobBody from '../platform/job-body.js';
+import * as json from '../platform/json.js';
+import * as waves from '../platform/waves.js';
+import * as workerEntries from '../platform/worker-list.js';
+
+/** Each run of the tests tries the same values. */
+const params = { seed: 20_261, numRuns: 500 };
+
+/** A field as its writer meant it, missing, or of any other type. */
+function spoilt<T>(good: fc.Arbitrary<T>): fc.Arbitrary<unknown> {
+	return fc.oneof(
+		{ weight: 4, arbitrary: good as fc.Arbitrary<unknown> },
+		fc.constant(undefined),
+		fc.jsonValue(),
+	);
+}
+
+const amount = spoilt(fc.nat());
+const word = spoilt(fc.string());
+
+const workerEntry = fc.record({
+	service: word,
+	address: spoilt(fc.constant('10.0.0.1:80')),
+	zone: word,
+	state: spoilt(fc.constantFrom('ready', 'draining', 'resting')),
+	capacity: spoilt(fc.record({ cpu: amount, mem_mb: amount, gpu: amount })),
+	labels: spoilt(fc.array(fc.string())),
+	remaining_ms: amount,
+});
+
+const operatorsConfiguration = fc.record({
+	version: amount,
+	routes: spoilt(
+		fc.array(fc.record({ name: word, host: word, path_prefix: word, service: word, attempts: amount })),
+	),
+	services: spoilt(fc.array(fc.record({ name: word, admission_check: spoilt(fc.boolean()) }))),
+	limits: spoilt(fc.record({ max_header_bytes: amount, max_body_bytes: amount })),
+});
+
+const wave = fc.record({
+	wave: amount,
+	machines: spoilt(fc.array(fc.string())),
+	within_s: amount,
+	maximum: amount,
+});
+
+const job = fc.record({
+	spec: word,
+	steps: spoilt(fc.array(fc.record({ count: amount, cpu: amount, after: spoilt(fc.array(fc.nat())) }))),
+	max_runs: amount,
+});
+
+/** A value as JSON, or any bytes at all. */
+function written(value: fc.Arbitrary<unknown>): fc.Arbitrary<Uint8Array> {
+	const text = value.map((one) => Buffer.from(JSON.stringify(one)) as Uint8Array);
+	return fc.oneof({ weight: 3, arbitrary: text }, fc.uint8Array());
+}
+
+test('worker entries', (t) => {
+	const property = fc.property(written(workerEntry), (value) => {
+		const entry = workerEntries.decodeWorker('servers/w1', value);
+		if (entry === undefined) return;
+		const { capacity } = entry;
+		t.regex(entry.address, /^[\w.-]+:\d+$/);
+		t.true(Object.values(capacity).every((one) => Number.isFinite(one) && one >= 0));
+	});
+	fc.assert(property, params);
+	t.pass();
+});
+
+test('configurations', (t) => {
+	const property = fc.property(written(operatorsConfiguration), (value) => {
+		const decoded = configuration.decodeConfiguration(value);
+		if (decoded.ok) t.is(typeof decoded.value.version, 'number');
+		else t.not(decoded.err, '');
+	});
+	fc.assert(property, params);
+	t.pass();
+});
+
+test('waves of upkeep', (t) => {
+	const property = fc.property(written(wave), (value) => {
+		const decoded = waves.decodeWave('op/wave/3', value);
+		if (decoded !== undefined) t.true(Number.isInteger(decoded.number) && Number.isFinite(decoded.withinMs));
+	});
+	fc.assert(property, params);
+	t.pass();
+});
+
+test('jobs that callers hand in', (t) => {
+	const property = fc.property(written(job), (value) => {
+		const decoded = jobBody.decodeJob(value);
+		if (!decoded.ok) return;
+		t.true(decoded.value.steps.every((step) => step.count >= 1 && step.milliCores >= 0));
+	});
+	fc.assert(property, params);
+	t.pass();
+});
+
+test('any bytes as JSON', (t) => {
+	fc.assert(
+		fc.property(fc.uint8Array(), (value) => {
+			t.notThrows(() => json.parseJson(value));
+		}),
+		params,
+	);
+});
--- /dev/null
+++ b/test/worker-entries.test.ts
@@ -0,0 +1,104 @@
+/** Entries of the platform's list of workers that others have written: unreadable, incomplete, or of something else. */
+import test from 'ava';
+import * as events from '../src/core/events/index.js';
+import * as memory from '../stand-ins/fleet/memory-store.js';
+import * as real from './fixtures/real-boxes.js';
+import * as time from '../stand-ins/fleet/virtual-clock.js';
+import * as workerEntries from '../platform/worker-list.js';
+import * as workerList from '../src/core/box/worker-list.js';
+
+const good = {
+	service: 'press',
+	address: '10.0.0.1:80',
+	zone: 'rennes',
+	state: 'ready',
+	capacity: { cpu: 32_000, mem_mb: 128_000 },
+	labels: ['a', 'r1'],
+};
+
+/** Entries that name no worker to use, by what is wrong with them. */
+const unusable: Record<string, unknown> = {
+	'no object': 7,
+	'an array': [],
+	'no service': { ...good, service: undefined },
+	'a service of another type': { ...good, service: 4 },
+	'no address': { ...good, address: undefined },
+	'an address without a port': { ...good, address: '10.0.0.1' },
+	'an address that is none': { ...good, address: 'nowhere at all:80' },
+	'an empty address': { ...good, address: '' },
+	'no zone': { ...good, zone: undefined },
+	'a state that is not known': { ...good, state: 'resting' },
+	'no state': { ...good, state: undefined },
+	'no capacity': { ...good, capacity: undefined },
+	'a capacity of another type': { ...good, capacity: 'large' },
+	'less than no capacity': { ...good, capacity: { cpu: -1, mem_mb: 1 } },
+	'labels of another type': { ...good, labels: 'a' },
+	'a time left of another type': { ...good, remaining_ms: 'long' },
+};
+
+function bytes(value: unknown): Uint8Array {
+	return Buffer.from(JSON.stringify(value));
+}
+
+test('an entry of another form names no worker to use', (t) => {
+	t.truthy(workerEntries.decodeWorker('servers/w1', bytes(good)));
+	for (const [what, value] of Object.entries(unusable))
+		t.is(workerEntries.decodeWorker('servers/w1', bytes(value)), undefined, what);
+	t.is(workerEntries.decodeWorker('servers/w1', Buffer.from([0xff, 0x00, 0x7b])), undefined);
+	t.is(workerEntries.decodeWorker('servers/w1', new Uint8Array(0)), undefined);
+});
+
+test('an entry that becomes unreadable counts as absent, in a change and in a list alike, and is told of once', async (t) => {
+	const clock = time.VirtualClock.create();
+	const store = memory.MemoryStore.create(clock);
+	const log = events.EventLog.create('test', clock);
+	const told: unknown[] = [];
+	store.put('servers/w1', bytes(good));
+	store.put('servers/w2', bytes(good));
+	const follower = workerList.followWorkers({
+		adapter: workerEntries,
+		store: store.view(),
+		clock,
+		events: log,
+		setWorkers: (entries, removed, whole) => {
+			told.push({ listed: [...entries].map((one) => one.id), absent: [...removed], whole });
+		},
+	});
+	await clock.pass(1_000);
+	store.put('servers/w1', Buffer.from('{'));
+	await clock.pass(1_000);
+	// The history is gone: the list is read again, with that entry in it.
+	store.forget();
+	await clock.pass(3_000);
+	store.put('servers/w1', bytes(good));
+	await clock.pass(1_000);
+	store.drop('servers/w1');
+	await clock.pass(1_000);
+	follower.close();
+	const rejected = log.select((event) => event.name === 'wire.rejected').map((event) => event.fields.reason);
+	t.snapshot({ told, rejected });
+});
+
+test('over a real box: a worker whose entry is unreadable gets nothing new, and what runs there goes on', async (t) => {
+	let endFirst = (): void => undefined;
+	const firstEnds = new Promise<void>((resolve) => (endFirst = resolve));
+	const { platform, start } = await real.setUp(t, { plan: () => ({ ms: 1_000, how: 'done' }) });
+	const box = await start('entry-1');
+	const first = '00000000000000a1';
+	const second = '00000000000000a2';
+	await real.call(box.callers, 'POST', first, real.body);
+	await box.logged((line) => line.name === 'task.placed');
+	const entry = platform.store.keys().find((key) => key.startsWith('servers/')) ?? '';
+	const before = await platform.store.view().get(entry);
+	platform.store.put(entry, Buffer.from([0xff]));
+	await box.logged((line) => line.name === 'wire.rejected');
+	await real.call(box.callers, 'POST', second, real.body);
+	void real.ended(box, first).then(endFirst);
+	await firstEnds;
+	const placed = box.lines.filter((line) => line.name === 'task.placed');
+	t.true(placed.every((line) => String(line.fields.task).startsWith(first)));
+	t.is(box.lines.filter((line) => line.name === 'worker.lost').length, 0);
+	platform.store.put(entry, before.ok && before.value !== undefined ? before.value.value : new Uint8Array(0));
+	await real.ended(box, second);
+	t.is(box.lines.filter((line) => line.name === 'wire.rejected').length, 1);
+});
