Jobs that could not be of use any more are turned away at once, and told when to come back

Cause: an owner took everything in. Change: core/admission, pure: the owner tells its boxes with each answer what is owed and how long that takes at the rate of its busy seconds; a job that would wait beyond its use, or for 10 s, is refused with Retry-After from the excess, spread for all but urgent queues. It is refused only after a look whether it is kept already. Retry-After of outages follows their age after 5 s. Figures: in memory, three times what can be finished for 60 s: the backlog stays under 16 s, no urgent job refused; without a limit more than 127 s are owed at the end.

--- /dev/null
+++ b/src/core/admission/backlog.ts
@@ -0,0 +1,60 @@
+/**
+ * How fast an owner's work is finished while there is more of it than can be started, and how long what is owed takes at
+ * that rate. Seconds in which nothing waits tell how much there was to do, not how much could be done.
+ */
+import type * as types from './types.js';
+
+/** Busy seconds that count, the newest: a fleet changes within half a minute. */
+const mostSamples = 15;
+
+/** So many busy seconds have to be seen before anything is told: the first ones still fill the workers. */
+const leastSamples = 4;
+
+/** A second in which fewer tasks wait than finish in so many seconds is not busy. */
+const busyS = 1;
+
+/** Tasks that are owed, by priority. */
+export type OwedTasks = ReadonlyMap<number, number>;
+
+/** The rate at which an owner's work is finished. */
+export class FinishRate {
+	private readonly samples: number[] = [];
+
+	private constructor() {
+		// Built by `create`, like every class here.
+	}
+
+	static create(): FinishRate {
+		return new FinishRate();
+	}
+
+	/** A second has passed. */
+	note(finished: number, waiting: number): void {
+		if (waiting <= finished * busyS) {
+			// What waited has found its place: the next backlog is another one.
+			if (waiting === 0) this.samples.length = 0;
+			return;
+		}
+		this.samples.push(finished);
+		if (this.samples.length > mostSamples) this.samples.shift();
+	}
+
+	/** Tasks a second; undefined: not known. */
+	get perS(): number | undefined {
+		if (this.samples.length < leastSamples) return undefined;
+		return this.samples.reduce((sum, one) => sum + one, 0) / this.samples.length;
+	}
+}
+
+/** How long what is owed takes; nothing is told without a rate. */
+export function backlogOf(owed: OwedTasks, perS: number | undefined): types.Backlog {
+	if (perS === undefined) return [];
+	const rate = Math.max(1, perS);
+	let tasks = 0;
+	return [...owed]
+		.sort(([a], [b]) => a - b)
+		.map(([priority, count]) => {
+			tasks += count;
+			return { priority, waitMs: Math.round((tasks * 1_000) / rate) };
+		});
+}
--- a/src/core/box/box.ts
+++ b/src/core/box/box.ts
@@ -46,7 +46,7 @@
 		private readonly clock: clocks.Clock,
 		private readonly events: events.EventLog,
 	) {
-		const watched = contacts.watchContact(adapter.store, events);
+		const watched = contacts.watchContact(adapter.store, events, () => clock.now());
 		this.store = watched.store;
 		this.contact = watched.contact;
 		this.peers = wire.PeerClient.create(clock, events);
@@ -62,6 +62,8 @@
 			dispatcher: () => this.role?.dispatcher,
 			askOwner: (req, timeoutMs) => this.askOwner(req, timeoutMs),
 			ownerGeneration: () => this.ownership.owner?.generation ?? 0,
+			backlog: () => this.role?.backlog ?? this.pings.backlog,
+			random: () => Math.random(),
 			ownerHasStore: () => this.ownership.reachable && this.pings.storeReachable,
 		});
 	}
@@ -258,6 +260,7 @@
 			generation: this.ownership.current?.generation ?? 0,
 			strongest: this.candidates.strongest(this.settings.processor),
 			storeReachable: this.contact.reachable,
+			backlog: role.backlog,
 			silent: role.silentWorkers(),
 		};
 	}
--- a/src/core/box/job-service.ts
+++ b/src/core/box/job-service.ts
@@ -1,4 +1,5 @@
 /** What callers may ask of any box, and the true answer whoever the owner is. */
+import * as admission from '../admission/index.js';
 import * as ledger from '../ledger/index.js';
 import * as protocol from './peer-protocol.js';
 import type * as clocks from '../clock.js';
@@ -25,7 +26,10 @@
 export type Answer<T> =
 	| { type: 'ok'; value: T }
 	| { type: 'no-such-job' }
-	| { type: 'unavailable'; reason: string }
+	/** `retryAfterS`: when the caller is to come back. */
+	| { type: 'unavailable'; reason: string; retryAfterS: number }
+	/** Not taken in, as it could not be in time; nothing of it is stored. */
+	| { type: 'overloaded'; reason: string; retryAfterS: number }
 	| { type: 'unknown'; reason: string };
 
 /** What the service uses. */
@@ -40,6 +44,10 @@
 	askOwner: <T>(req: protocol.BoxReq, timeoutMs: number) => Promise<results.Result<T, OwnerFailure>>;
 	/** Generation of the owner as this box knows it; 0: it knows none. */
 	ownerGeneration: () => number;
+	/** The work that is owed, as far as this box knows. */
+	backlog: () => admission.Backlog;
+	/** A number from 0 to 1; seeded in tests. */
+	random: () => number;
 	/** Whether the owner said lately that the store answers it. */
 	ownerHasStore: () => boolean;
 }
@@ -70,12 +78,14 @@
 		const record: jobs.JobRecord = { id, queue, acceptedAt, acceptedUnder, ...request };
 		const { events: log, clock } = this.opts;
 		const startedAt = clock.now();
+		const refusal = await this.refusal(record);
+		if (refusal !== undefined) return refusal;
 		const outcome = await this.storeJob(record);
 		const tookMs = Math.round(clock.now() - startedAt);
 		if (ledger.isUnstored(outcome)) {
 			const { type, reason } = outcome;
 			log.emit('job.refused', { job: id, queue: queue.name, outcome: type, reason, tookMs });
-			return answerUnstored(outcome);
+			return this.answerUnstored(outcome, queue.priority);
 		}
 		log.emit('job.accepted', { job: id, queue: queue.name, outcome: outcome.type, tookMs });
 		// A known job's record is another one: it may name an earlier owner, who may have started the job.
@@ -94,9 +104,9 @@
 			return { type: 'ok', value: known };
 		}
 		if (!this.opts.contact.reachable && !this.opts.ownerHasStore())
-			return { type: 'unavailable', reason: 'neither owner nor store answers' };
+			return this.unavailable('neither owner nor store answers');
 		const stored = await ledger.readJob(this.opts.store, id);
-		if (!stored.ok) return { type: 'unavailable', reason: stored.err.reason };
+		if (!stored.ok) return this.unavailable(stored.err.reason);
 		if (stored.value === undefined) return { type: 'no-such-job' };
 		const state = ledger.storedState(stored.value);
 		this.opts.events.emit('job.state', { job: id, state, source: 'store' });
@@ -112,7 +122,7 @@
 			reason: 'reason' in outcome ? outcome.reason : undefined,
 		});
 		if (outcome.type === 'no-such-job') return { type: 'no-such-job' };
-		if (ledger.isUnstored(outcome)) return answerUnstored(outcome);
+		if (ledger.isUnstored(outcome)) return this.answerUnstored(outcome);
 		this.tell({ type: 'job.cancelled', job: id }, (own) => {
 			own.cancelJob(id);
 		});
@@ -124,7 +134,42 @@
 		const own = this.opts.dispatcher();
 		if (own !== undefined) return { type: 'ok', value: own.pendingOf(queue) };
 		const res = await this.opts.askOwner<number>({ type: 'queue.pending', queue }, stateTimeoutMs);
-		return res.ok ? { type: 'ok', value: res.value } : { type: 'unavailable', reason: res.err.reason };
+		return res.ok ? { type: 'ok', value: res.value } : this.unavailable(res.err.reason);
+	}
+
+	/** Why a job is not taken in; undefined: it is, or has been already. */
+	private async refusal(record: jobs.JobRecord): Promise<Answer<never> | undefined> {
+		const verdict = admission.decide(record, this.opts.backlog());
+		if (verdict.type === 'admit') return undefined;
+		// A job that was taken in before, and whose answer was lost, must not be called refused; nor one that may have been.
+		const known = await ledger.isKept(this.opts.store, record.id);
+		if (!known.ok || known.value) return undefined;
+		const { waitMs, limitMs } = verdict;
+		const { name, priority } = record.queue;
+		const seconds = this.retryAfterS({ type: 'backlog', excessMs: waitMs - limitMs }, priority);
+		const fields = { job: record.id, queue: name, waitMs, limitMs, retryAfterS: seconds };
+		this.opts.events.emit('job.turned-away', fields);
+		const reason = `what is owed takes ${String(waitMs)} ms, and the job may wait for ${String(limitMs)} ms`;
+		return { type: 'overloaded', reason, retryAfterS: seconds };
+	}
+
+	private unavailable(reason: string, priority = 0): Answer<never> {
+		const ageMs = this.opts.contact.lostForMs;
+		return {
+			type: 'unavailable',
+			reason,
+			retryAfterS: this.retryAfterS({ type: 'outage', ageMs }, priority),
+		};
+	}
+
+	private retryAfterS(obstruction: admission.Obstruction, priority: number): number {
+		return admission.retryAfterS(obstruction, priority, this.opts.random());
+	}
+
+	/** What a caller is told of a write that failed. */
+	private answerUnstored(outcome: ledger.Unstored, priority = 0): Answer<never> {
+		const { type, reason } = outcome;
+		return type === 'unknown' ? { type, reason } : this.unavailable(reason, priority);
 	}
 
 	private storeJob(record: jobs.JobRecord): Promise<ledger.AcceptOutcome> {
@@ -173,8 +218,3 @@
 		else void this.opts.askOwner(req, stateTimeoutMs);
 	}
 }
-
-/** What a caller is told of a write that failed. */
-function answerUnstored(outcome: ledger.Unstored): Answer<never> {
-	return { type: outcome.type === 'unknown' ? 'unknown' : 'unavailable', reason: outcome.reason };
-}
--- a/src/core/box/owner-pings.ts
+++ b/src/core/box/owner-pings.ts
@@ -1,10 +1,17 @@
 /** Questions to the owner whether it still is, and what it told with its answers. */
 import * as ownership from '../owner/index.js';
 import * as leaseEnds from './lease-ends.js';
+import type * as admission from '../admission/index.js';
 import type * as contacts from '../platform/contact.js';
 import type * as protocol from './peer-protocol.js';
 import type * as wire from '../wire/frames-only.js';
 
+/**
+ * What the owner told of its backlog counts for so long, in milliseconds: it answers twice a second, and a box that has
+ * lost it for longer had better take work in than turn it away for a backlog that may be gone.
+ */
+const backlogCountsMs = 5_000;
+
 /** What the questions need. */
 export interface OwnerPingsOptions {
 	peers: wire.PeerClient<protocol.BoxReq>;
@@ -24,6 +31,7 @@
 	strongest: number | undefined;
 	/** What the owner last told of silent workers. */
 	readonly leaseEnds: leaseEnds.LeaseEnds;
+	private told: { backlog: admission.Backlog; at: number } | undefined;
 
 	private constructor(private readonly opts: OwnerPingsOptions) {
 		this.leaseEnds = leaseEnds.LeaseEnds.create(opts.now);
@@ -33,6 +41,13 @@
 		return new OwnerPings(opts);
 	}
 
+	/** The work that is owed, as the owner told lately. */
+	get backlog(): admission.Backlog {
+		const { told } = this;
+		const isFresh = told !== undefined && this.opts.now() - told.at < backlogCountsMs;
+		return isFresh ? told.backlog : [];
+	}
+
 	/** Asks the owner at an address; answered late while it is. */
 	async ping(address: string): Promise<ownership.PingOutcome> {
 		const { pingWaitMs, pingTimeoutMs } = ownership.settings;
@@ -50,6 +65,7 @@
 	private take(reply: protocol.PingReply): void {
 		this.storeReachable = reply.storeReachable;
 		this.strongest = reply.strongest;
+		this.told = { backlog: reply.backlog ?? [], at: this.opts.now() };
 		this.leaseEnds.take(reply);
 	}
 
--- a/src/core/box/owner-role.ts
+++ b/src/core/box/owner-role.ts
@@ -1,4 +1,5 @@
 /** What a box does while it owns the dispatching: it dispatches, reads what the boxes stored, and keeps machines up. */
+import * as admission from '../admission/index.js';
 import * as clocks from '../clock.js';
 import * as dispatch from '../dispatch/index.js';
 import * as followers from '../platform/record-follower.js';
@@ -45,6 +46,9 @@
 	private readonly followers: followers.RecordFollower[];
 	private readonly learntTimer: clocks.Timer;
 	private readonly loadTimer: clocks.Timer;
+	private readonly finishRate = admission.FinishRate.create();
+	/** The work that is owed, as of the last second. */
+	backlog: admission.Backlog = [];
 	private cpuBefore = process.cpuUsage();
 
 	private constructor(
@@ -56,7 +60,7 @@
 		this.dispatcher = this.createDispatcher(contents, leaseEnds);
 		this.learntTimer = clocks.every(deps.clock, learntGapMs, () => void this.storeLearnt());
 		this.loadTimer = clocks.every(deps.clock, loadGapMs, () => {
-			this.logLoad();
+			this.noteLoad();
 		});
 		this.upkeep = this.createUpkeep();
 		const { dispatcher } = this;
@@ -102,9 +106,11 @@
 		this.dispatcher.close();
 	}
 
-	/** One line a second while anything is done or waits. */
-	private logLoad(): void {
+	/** Works out what is owed, and logs a line a second while anything is done or waits. */
+	private noteLoad(): void {
 		const { roundMs, longestRoundMs, ...load } = this.dispatcher.load();
+		this.finishRate.note(load.finished, load.waitingShort);
+		this.backlog = admission.backlogOf(this.dispatcher.owed(), this.finishRate.perS);
 		if (load.reports === 0 && load.waiting === 0) return;
 		const { user, system } = process.cpuUsage(this.cpuBefore);
 		this.cpuBefore = process.cpuUsage();
@@ -114,6 +120,7 @@
 			roundMs: Math.round(roundMs),
 			longestRoundMs: Math.round(longestRoundMs),
 			cpuMs: Math.round((user + system) / 1_000),
+			backlogMs: this.backlog.at(-1)?.waitMs ?? 0,
 		});
 	}
 
--- a/src/core/box/peer-protocol.ts
+++ b/src/core/box/peer-protocol.ts
@@ -1,6 +1,7 @@
 /** What the boxes ask of each other. The owner answers; any other box says that it is not the owner. */
 import * as zod from 'zod/mini';
 import * as results from '../result.js';
+import type * as admission from '../admission/index.js';
 import type * as jobs from '../jobs/index.js';
 
 const z = zod;
@@ -38,6 +39,8 @@
 	storeReachable: boolean;
 	/** The strongest processor (cores) among the boxes that ask the owner, and its own. */
 	strongest: number;
+	/** The work that is owed; absent: the owner is of an older version. */
+	backlog?: admission.Backlog;
 	/** What the owner says of silent workers; absent: none is. */
 	silent?: SilentWorkers;
 }
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -46,6 +46,8 @@
 export interface DispatchLoad extends meters.LoadReading {
 	/** Tasks that wait for a worker. */
 	waiting: number;
+	/** Those of them that run for a while only: lasting ones may wait for as long as there is no room. */
+	waitingShort: number;
 	/** Starts on their way, and how many may be. */
 	onTheirWay: number;
 	startLimit: number;
@@ -164,7 +166,13 @@
 	/** What was done since this was last asked, and what waits now. */
 	load(): DispatchLoad {
 		const { limit, count } = this.starter.onTheirWay;
-		return { ...this.meter.read(), waiting: this.placer.waiting, onTheirWay: count, startLimit: limit };
+		const { waiting, waitingShort } = this.placer;
+		return { ...this.meter.read(), waiting, waitingShort, onTheirWay: count, startLimit: limit };
+	}
+
+	/** Tasks that are owed, by the priority of their queues. */
+	owed(): ReadonlyMap<number, number> {
+		return this.book.owed((job) => this.policyOf(job).priority);
 	}
 
 	/** What was learnt of how tasks disturb each other, for the next owner. */
--- a/src/core/dispatch/job-book.ts
+++ b/src/core/dispatch/job-book.ts
@@ -83,6 +83,18 @@
 		return job.state;
 	}
 
+	/** Tasks that have not finished, by the priority of their jobs; lasting ones never do, and are left out. */
+	owed(priorityOf: (job: jobs.ActiveJob) => number): Map<number, number> {
+		const owed = new Map<number, number>();
+		for (const job of this.jobs.values()) {
+			if (job.ended) continue;
+			const priority = priorityOf(job);
+			for (const { spec, unfinished } of job.steps)
+				if (!spec.lasting) owed.set(priority, (owed.get(priority) ?? 0) + unfinished);
+		}
+		return owed;
+	}
+
 	/** Jobs of a queue of which no task has begun. */
 	pendingOf(queue: string): number {
 		let count = 0;
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -96,6 +96,11 @@
 		return this.ready.size;
 	}
 
+	/** How many of them do not last. */
+	get waitingShort(): number {
+		return this.ready.count((step) => !step.spec.lasting);
+	}
+
 	/** Where a task is placed. */
 	sessionOf(task: jobs.Task): sessions.WorkerSession | undefined {
 		const session = this.places.get(task);
--- a/src/core/dispatch/waiting-steps.ts
+++ b/src/core/dispatch/waiting-steps.ts
@@ -4,7 +4,7 @@
 /** The waiting tasks. */
 export class WaitingSteps {
 	private readonly byStep = new Map<jobs.StepRun, Set<jobs.Task>>();
-	private count = 0;
+	private total = 0;
 
 	private constructor() {
 		// Built by `create`, like every class here.
@@ -16,7 +16,14 @@
 
 	/** How many tasks wait. */
 	get size(): number {
-		return this.count;
+		return this.total;
+	}
+
+	/** How many tasks of such steps wait. */
+	count(wanted: (step: jobs.StepRun) => boolean): number {
+		let count = 0;
+		for (const [step, tasks] of this.byStep) if (wanted(step)) count += tasks.size;
+		return count;
 	}
 
 	/** Steps of which a task waits. */
@@ -33,7 +40,7 @@
 	add(task: jobs.Task): void {
 		const known = this.byStep.get(task.step);
 		if (known?.has(task) === true) return;
-		this.count += 1;
+		this.total += 1;
 		if (known === undefined) this.byStep.set(task.step, new Set([task]));
 		else known.add(task);
 	}
@@ -42,7 +49,7 @@
 	delete(task: jobs.Task): void {
 		const known = this.byStep.get(task.step);
 		if (known?.delete(task) !== true) return;
-		this.count -= 1;
+		this.total -= 1;
 		if (known.size === 0) this.byStep.delete(task.step);
 	}
 }
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -137,6 +137,11 @@
 		level: 'info',
 		text: 'A job was not taken, or it is not known whether it was; the answer and the reason are given.',
 	},
+	'job.turned-away': {
+		id: 3016,
+		level: 'info',
+		text: 'A job was not taken in, because what is owed already takes too long; the wait, the limit and when the caller is to come back are given.',
+	},
 	'job.cancel': { id: 3013, level: 'info', text: 'A caller asked to cancel a job; the outcome is given.' },
 	'job.state': {
 		id: 3014,
--- a/src/core/jobs/active-job.ts
+++ b/src/core/jobs/active-job.ts
@@ -88,10 +88,9 @@
 		this.cancelled = start.cancelled;
 		this.inherited = start.inherited;
 		this.workersStored = start.workersStored && (progress === undefined || progress.workers !== undefined);
-		const { stretch, objectiveMs } = record.queue;
-		const objective = stretch * longestChainMs(record) + objectiveMs;
-		this.dueAt = start.now - start.age + objective;
-		this.worthlessAt = this.dueAt + (latestInObjectives - 1) * objective;
+		const { dueMs, worthlessMs } = patienceOf(record);
+		this.dueAt = start.now - start.age + dueMs;
+		this.worthlessAt = start.now - start.age + worthlessMs;
 		if (progress !== undefined) this.adopt(progress);
 	}
 
@@ -280,8 +279,26 @@
 	return `${stepKey(step.time, step.number)}.${index}`;
 }
 
+/** How long a caller waits for a job, in milliseconds from its acceptance. */
+export interface Patience {
+	/** Its longest chain of work, as its caller estimates it. */
+	chainMs: number;
+	/** By then it should be done. */
+	dueMs: number;
+	/** Afterwards being done is worth nothing more. */
+	worthlessMs: number;
+}
+
+/** How long the caller of a job waits for it. */
+export function patienceOf(record: Pick<types.JobRecord, 'queue' | 'steps'>): Patience {
+	const { stretch, objectiveMs } = record.queue;
+	const chainMs = longestChainMs(record);
+	const dueMs = stretch * chainMs + objectiveMs;
+	return { chainMs, dueMs, worthlessMs: latestInObjectives * dueMs };
+}
+
 /** Longest chain of estimated run times through the steps, in milliseconds. */
-function longestChainMs(record: types.JobRecord): number {
+function longestChainMs(record: Pick<types.JobRecord, 'steps'>): number {
 	const ends: number[] = [];
 	for (const step of record.steps) {
 		const start = Math.max(0, ...step.after.map((number) => ends[number] ?? 0));
--- a/src/core/jobs/index.ts
+++ b/src/core/jobs/index.ts
@@ -1,5 +1,5 @@
 /** Jobs of callers: what they ask for, how far they are, and which of their tasks may start. */
-export { ActiveJob, parseTaskName } from './active-job.js';
-export type { JobStart, StepRun, Task, TaskName, TaskState } from './active-job.js';
+export { ActiveJob, parseTaskName, patienceOf } from './active-job.js';
+export type { JobStart, Patience, StepRun, Task, TaskName, TaskState } from './active-job.js';
 export { isFinal } from './types.js';
 export type * from './types.js';
--- a/src/core/ledger/requests.ts
+++ b/src/core/ledger/requests.ts
@@ -41,6 +41,15 @@
 	return res.ok ? { type: 'cancelled' } : unstored(res.err);
 }
 
+/** Whether anything is kept of a job, so that it was taken in before. */
+export async function isKept(
+	store: platform.RecordStore,
+	id: string,
+): Promise<results.Result<boolean, platform.StoreFailure>> {
+	const job = await store.get(keys.jobKey(id));
+	return job.ok ? results.ok(job.value !== undefined) : job;
+}
+
 /** Reads how a job stands; undefined: there is no such job. */
 export async function readJob(
 	store: platform.RecordStore,
--- a/src/core/platform/contact.ts
+++ b/src/core/platform/contact.ts
@@ -6,6 +6,8 @@
 /** Whether the store answers. */
 export interface StoreContact {
 	readonly reachable: boolean;
+	/** How long it has not answered, in milliseconds; 0: it does. */
+	readonly lostForMs: number;
 }
 
 /** A store whose calls are watched. */
@@ -15,8 +17,18 @@
 }
 
 /** Wraps a store. One unanswered call counts as lost contact, one answer as regained. */
-export function watchContact(store: types.RecordStore, log: events.EventLog): WatchedStore {
-	const contact = { reachable: true };
+export function watchContact(
+	store: types.RecordStore,
+	log: events.EventLog,
+	now: () => number,
+): WatchedStore {
+	let lostAt = 0;
+	const contact = {
+		reachable: true,
+		get lostForMs(): number {
+			return this.reachable ? 0 : now() - lostAt;
+		},
+	};
 	let calls = 0;
 	const watched = async <T>(
 		call: Promise<results.Result<T, types.StoreFailure>>,
@@ -25,6 +37,7 @@
 		const res = await call;
 		if (res.ok === contact.reachable) return res;
 		contact.reachable = res.ok;
+		lostAt = now();
 		if (res.ok) log.emit('store.regained', { calls });
 		else log.emit('store.lost', { reason: res.err.reason, calls });
 		return res;
--- /dev/null
+++ b/test/admission.test.ts
@@ -0,0 +1,152 @@
+/** Which jobs are taken in while more is owed than can be done in time, and when those turned away are to come back. */
+import test from 'ava';
+import * as admission from '../src/core/admission/index.js';
+import * as contacts from '../src/core/platform/contact.js';
+import * as events from '../src/core/events/index.js';
+import * as memory from '../stand-ins/fleet/memory-store.js';
+import * as results from '../src/core/result.js';
+import * as service from '../src/core/box/job-service.js';
+import * as time from '../stand-ins/fleet/virtual-clock.js';
+import * as world from './fixtures/dispatching.js';
+import type * as jobs from '../src/core/jobs/index.js';
+
+const urgent: jobs.QueuePolicy = {
+	...world.queue,
+	name: 'urgent',
+	priority: 0,
+	stretch: 1.5,
+	objectiveMs: 250,
+};
+const wide: jobs.QueuePolicy = { ...world.queue, name: 'wide', priority: 2, stretch: 2, objectiveMs: 1_000 };
+
+/** A chain of two steps of 1.7 s. */
+const wideSteps = [
+	world.step({ count: 40, estimateMs: 1_700 }),
+	world.step({ count: 40, estimateMs: 1_700, after: [0] }),
+];
+
+/** A box that knows of this backlog. */
+function createBox(
+	store: memory.MemoryStore,
+	clock: time.VirtualClock,
+	backlog: () => admission.Backlog,
+): { box: service.JobService; log: events.EventLog } {
+	const log = events.EventLog.create('entry-1', clock);
+	const box = service.JobService.create({
+		...contacts.watchContact(store.view(), log, () => clock.now()),
+		clock,
+		events: log,
+		dispatcher: () => undefined,
+		askOwner: () => Promise.resolve(results.fail({ sent: false, reason: 'no owner is known' })),
+		ownerGeneration: () => 1,
+		backlog,
+		random: () => 0,
+		ownerHasStore: () => false,
+	});
+	return { box, log };
+}
+
+test('a job waits behind its own priority and those before, and no longer than it is of use', (t) => {
+	const backlog = admission.backlogOf(
+		new Map([
+			[2, 3_000],
+			[0, 400],
+		]),
+		200,
+	);
+	t.deepEqual(backlog, [
+		{ priority: 0, waitMs: 2_000 },
+		{ priority: 2, waitMs: 17_000 },
+	]);
+	const short = [world.step({ estimateMs: 600 })];
+	t.deepEqual(admission.decide({ queue: urgent, steps: short }, backlog), { type: 'admit' });
+	t.deepEqual(admission.decide({ queue: wide, steps: wideSteps }, backlog), {
+		type: 'refuse',
+		waitMs: 17_000,
+		limitMs: admission.mostWaitMs,
+	});
+	// 3 x (1.5 x 600 + 250) ms after its acceptance it is worth nothing, and it takes 600 ms.
+	t.is(admission.waitLimitMs({ queue: urgent, steps: short }), 2_850);
+});
+
+test('without a rate nothing is known of the backlog, and all is taken in', (t) => {
+	const rate = admission.FinishRate.create();
+	t.is(rate.perS, undefined);
+	// The first seconds of a burst: much waits, little has finished yet.
+	for (const finished of [0, 20, 90]) rate.note(finished, 2_000);
+	t.is(rate.perS, undefined);
+	rate.note(90, 2_000);
+	t.is(rate.perS, 50);
+	// A second with little to wait for tells how much there was to do, not how much can be done.
+	rate.note(5, 3);
+	t.is(rate.perS, 50);
+	rate.note(5, 0);
+	t.is(rate.perS, undefined);
+	t.deepEqual(admission.backlogOf(new Map([[0, 10_000]]), rate.perS), []);
+});
+
+test('a load that goes on above what can be started: the backlog stays bounded, urgent work is never refused', (t) => {
+	const rate = admission.FinishRate.create();
+	const perS = 110;
+	const owed = new Map<number, number>([
+		[0, 0],
+		[2, 0],
+	]);
+	const refused = { urgent: 0, wide: 0 };
+	let longest = 0;
+	for (let second = 0; second < 60; second += 1) {
+		const backlog = admission.backlogOf(owed, rate.perS);
+		// Each second 24 urgent tasks and four wide jobs of 80 tasks: three times what is finished.
+		const takes = (queue: jobs.QueuePolicy, steps: jobs.StepSpec[]): boolean =>
+			admission.decide({ queue, steps }, backlog).type === 'admit';
+		if (takes(urgent, [world.step({ estimateMs: 600 })])) owed.set(0, (owed.get(0) ?? 0) + 24);
+		else refused.urgent += 1;
+		for (let job = 0; job < 4; job += 1)
+			if (takes(wide, wideSteps)) owed.set(2, (owed.get(2) ?? 0) + 80);
+			else refused.wide += 1;
+		const first = Math.min(perS, owed.get(0) ?? 0);
+		owed.set(0, (owed.get(0) ?? 0) - first);
+		owed.set(2, Math.max(0, (owed.get(2) ?? 0) - (perS - first)));
+		rate.note(perS, (owed.get(0) ?? 0) + (owed.get(2) ?? 0));
+		longest = Math.max(longest, (owed.get(2) ?? 0) / perS);
+	}
+	t.is(refused.urgent, 0);
+	t.true(refused.wide > 100);
+	// Without a limit 14,000 tasks, more than two minutes' work, would be owed at the end.
+	t.true(longest < 16, `the backlog came to ${longest.toFixed(1)} s`);
+});
+
+test('callers come back by what they wait for, spread, those of urgent queues first', (t) => {
+	const { retryAfterS } = admission;
+	t.is(retryAfterS({ type: 'outage', ageMs: 0 }, 2, 0), 1);
+	t.is(retryAfterS({ type: 'outage', ageMs: 4_000 }, 0, 1), 1);
+	t.is(retryAfterS({ type: 'outage', ageMs: 12_000 }, 0, 1), 6);
+	t.is(retryAfterS({ type: 'backlog', excessMs: 200 }, 2, 0), 1);
+	t.is(retryAfterS({ type: 'backlog', excessMs: 7_000 }, 2, 0), 7);
+	t.is(retryAfterS({ type: 'backlog', excessMs: 7_000 }, 2, 0.99), 11);
+	t.is(retryAfterS({ type: 'backlog', excessMs: 7_000 }, 0, 0.99), 7);
+	t.is(retryAfterS({ type: 'backlog', excessMs: 600_000 }, 2, 0), 30);
+});
+
+test('a job that is turned away is not stored; one that was stored before is never called refused', async (t) => {
+	const clock = time.VirtualClock.create();
+	const store = memory.MemoryStore.create(clock);
+	let backlog: admission.Backlog = [];
+	const { box, log } = createBox(store, clock, () => backlog);
+	const submit = async (id: string): Promise<service.Answer<'accepted'>> => {
+		const answer = box.submit(wide, id, { text: '', steps: wideSteps });
+		await clock.pass(50);
+		return answer;
+	};
+	t.like(await submit('00000000000000a1'), { type: 'ok' });
+	backlog = [{ priority: 2, waitMs: 25_000 }];
+	t.like(await submit('00000000000000a2'), { type: 'overloaded', retryAfterS: 15 });
+	t.false(store.keys().some((key) => key.endsWith('a2')));
+	t.like(await submit('00000000000000a1'), { type: 'ok' });
+	backlog = [];
+	t.like(await submit('00000000000000a2'), { type: 'ok' });
+	t.deepEqual(
+		log.select((event) => event.name === 'job.turned-away').map((event) => event.fields.job),
+		['00000000000000a2'],
+	);
+});
--- a/test/beliefs.test.ts
+++ b/test/beliefs.test.ts
@@ -39,7 +39,7 @@
 	const { clock, store } = made;
 	const log = events.EventLog.create('entry-2', clock);
 	return service.JobService.create({
-		...contacts.watchContact(store.view(), log),
+		...contacts.watchContact(store.view(), log, () => clock.now()),
 		clock,
 		events: log,
 		dispatcher: () => undefined,
@@ -48,6 +48,8 @@
 			return Promise.resolve(results.fail({ sent: true, reason: 'not awaited' }));
 		},
 		ownerGeneration: generation,
+		backlog: () => [],
+		random: () => 0,
 		ownerHasStore: () => true,
 	});
 }
--- a/test/job-service.test.ts
+++ b/test/job-service.test.ts
@@ -24,6 +24,7 @@
 	const watched = contacts.watchContact(
 		store.view(() => fault),
 		log,
+		() => clock.now(),
 	);
 	const jobs = service.JobService.create({
 		...watched,
@@ -32,6 +33,8 @@
 		dispatcher: () => undefined,
 		askOwner: () => Promise.resolve(results.fail({ sent: false, reason: 'no owner is known' })),
 		ownerGeneration: () => 1,
+		backlog: () => [],
+		random: () => 0,
 		ownerHasStore: () => false,
 	});
 	const set = (next: memory.StoreFault): void => {
--- a/test/two-beliefs.test.ts
+++ b/test/two-beliefs.test.ts
@@ -126,12 +126,14 @@
 	await made.clock.pass(20);
 	t.is(worker.running.size, 2);
 	const jobs = service.JobService.create({
-		...contacts.watchContact(made.store.view(), second.events),
+		...contacts.watchContact(made.store.view(), second.events, () => made.clock.now()),
 		clock: made.clock,
 		events: second.events,
 		dispatcher: () => second.dispatcher,
 		askOwner: () => Promise.resolve(results.fail({ sent: false, reason: 'this box owns' })),
 		ownerGeneration: () => second.ledger.generation,
+		backlog: () => [],
+		random: () => 0,
 		ownerHasStore: () => true,
 	});
 	for (const id of ids) void jobs.submit(world.queue, id, { text: `text of ${id}`, steps });
