Real boxes over narrow links; the finish rate is that of the better half of the busy seconds

Change: the better half of the busy seconds counts. stand-ins/proxy gets a narrow link that connections share.

--- a/src/core/admission/backlog.ts
+++ b/src/core/admission/backlog.ts
@@ -39,10 +39,14 @@
 		if (this.samples.length > mostSamples) this.samples.shift();
 	}
 
-	/** Tasks a second; undefined: not known. */
+	/**
+	 * Tasks a second, of the better half of the seconds; undefined: not known. The others, in which workers fill up, an
+	 * owner has just started or the store is slow, tell less than what can be done, and jobs would be turned away for it.
+	 */
 	get perS(): number | undefined {
 		if (this.samples.length < leastSamples) return undefined;
-		return this.samples.reduce((sum, one) => sum + one, 0) / this.samples.length;
+		const best = [...this.samples].sort((a, b) => b - a).slice(0, Math.ceil(this.samples.length / 2));
+		return best.reduce((sum, one) => sum + one, 0) / best.length;
 	}
 }
 
--- a/stand-ins/proxy/index.ts
+++ b/stand-ins/proxy/index.ts
@@ -1,5 +1,6 @@
-/** A small TCP proxy that injects faults between two processes: cut, one-way cut, delay, freeze. Not shipped. */
+/** A small TCP proxy that injects faults between two processes: cut, one-way cut, delay, freeze, a narrow link. Not shipped. */
 import * as net from 'node:net';
+import type * as narrow from './narrow-link.js';
 
 /** What the proxy does with traffic. */
 export type ProxyMode =
@@ -12,7 +13,9 @@
 	/** Requests reach the target; answers are dropped. */
 	| { kind: 'drop-answers' }
 	/** Holds each piece back for so many milliseconds. */
-	| { kind: 'delay'; ms: number };
+	| { kind: 'delay'; ms: number }
+	/** Sends over links that others may share, one for requests and one for answers. */
+	| { kind: 'narrow'; links: Record<'request' | 'answer', narrow.NarrowLink> };
 
 /** One proxied target. */
 export class FaultProxy {
@@ -99,6 +102,10 @@
 			return;
 		}
 		if (mode.kind === 'drop-answers' && direction === 'answer') return;
+		if (mode.kind === 'narrow') {
+			mode.links[direction].send(chunk.length, () => to.write(chunk));
+			return;
+		}
 		if (mode.kind === 'delay') {
 			setTimeout(() => to.write(chunk), mode.ms);
 			return;
