Starts that wait for the store, or for a silent worker, take up no room in the window

Cause: found by reading. A lasting task's place in the window was taken while its worker was being stored, so an outage of the store held up short tasks that need no store; a start to a silent worker kept its place until its stop was acknowledged, so a third of the workers gone at once held up all starts for seconds. Change: a place is taken when the start is sent, and given back after the first try.

--- a/src/core/dispatch/start-window.ts
+++ b/src/core/dispatch/start-window.ts
@@ -56,7 +56,7 @@
 /** One start on its way. */
 export interface StartSlot {
 	/** Clock time at which it was sent. */
-	sentAt: number;
+	readonly sentAt: number;
 	/** How many starts had been answered by then. */
 	readonly answersBefore: number;
 	/** How many were on their way then. */
@@ -91,18 +91,13 @@
 		return { limit: Math.floor(this.limit), count: this.slots.size };
 	}
 
-	/** A start takes up room from now on. */
+	/** A start is sent, and takes up room from now on. */
 	take(): StartSlot {
 		const slot = { sentAt: this.now(), answersBefore: this.answers, ahead: this.slots.size };
 		this.slots.add(slot);
 		return slot;
 	}
 
-	/** A start goes out only now; until then something else was waited for. */
-	sent(slot: StartSlot): void {
-		slot.sentAt = this.now();
-	}
-
 	/** A start was answered. */
 	answered(slot: StartSlot): void {
 		this.answers += 1;
@@ -110,7 +105,7 @@
 		if (this.slots.delete(slot)) this.judge(this.now() - slot.sentAt);
 	}
 
-	/** A start is given up on, or was never sent. */
+	/** A start has no answer, or was not sent after all. */
 	release(slot: StartSlot): void {
 		this.slots.delete(slot);
 	}
--- a/src/core/dispatch/starter.ts
+++ b/src/core/dispatch/starter.ts
@@ -11,8 +11,8 @@
 
 /** What comes before a start, and what it came to. */
 export interface StarterHandlers {
-	/** Resolves once a successor could know of the start. */
-	beforeStart: (placement: types.Placement) => Promise<void>;
+	/** Resolves once a successor could know of the start; undefined: there is nothing to wait for. */
+	beforeStart: (placement: types.Placement) => Promise<void> | undefined;
 	/** Another start may be sent. */
 	onRoom: () => void;
 	/** The run is known to be there. */
@@ -53,22 +53,29 @@
 
 	/** Starts a placed run. The same run is repeated while there is no answer: a worker starts it once. */
 	async start(session: sessions.WorkerSession, placement: types.Placement, ticket = ''): Promise<void> {
+		const stored = this.handlers.beforeStart(placement);
+		// What waits for the store is not on its way: short tasks need no store, and go on in its outages.
+		if (stored !== undefined) await stored;
 		const slot = this.window.take();
 		try {
 			await this.startIn(slot, session, placement, ticket);
 		} finally {
-			this.window.release(slot);
-			this.handlers.onRoom();
+			this.leave(slot);
 		}
 	}
 
+	/** A start takes up no more room. */
+	private leave(slot: windows.StartSlot): void {
+		this.window.release(slot);
+		this.handlers.onRoom();
+	}
+
 	private async startIn(
 		slot: windows.StartSlot,
 		session: sessions.WorkerSession,
 		placement: types.Placement,
 		ticket: string,
 	): Promise<void> {
-		await this.handlers.beforeStart(placement);
 		if (!isToStart(session, placement)) return;
 		// It may have begun to drain meanwhile.
 		if (session.leaving) {
@@ -81,7 +88,6 @@
 			this.notStarted(session, placement, { kind: 'too-late' });
 			return;
 		}
-		this.window.sent(slot);
 		this.meter.count('starts');
 		for (let tries = 0; tries < settings.startTries; tries += 1) {
 			const { target } = session;
@@ -94,11 +100,7 @@
 				checkpoint: placement.task.checkpoint,
 				ticket,
 			});
-			// A start that was repeated took the time of both tries.
-			if (answersAtAll(res) && tries === 0) {
-				this.window.answered(slot);
-				this.meter.count('answers');
-			}
+			if (tries === 0) this.noteFirstTry(slot, res);
 			if (!isPlaced(session, placement)) return;
 			if (res.ok) {
 				session.heard(res.value);
@@ -149,6 +151,16 @@
 		}
 	}
 
+	/** After its first try a start is answered, or its worker is silent: neither is on its way any more. */
+	private noteFirstTry(slot: windows.StartSlot, res: results.Result<unknown, fleet.WorkerFailure>): void {
+		if (!res.ok && res.err.kind === 'no-answer') {
+			this.leave(slot);
+			return;
+		}
+		this.window.answered(slot);
+		this.meter.count('answers');
+	}
+
 	private started(session: sessions.WorkerSession, placement: types.Placement): void {
 		if (placement.phase === 'starting') placement.phase = 'running';
 		placement.confirmedAt = this.deps.clock.now();
@@ -166,11 +178,6 @@
 	}
 }
 
-/** Whether the worker answered, whatever it said. */
-function answersAtAll(res: results.Result<unknown, fleet.WorkerFailure>): boolean {
-	return res.ok || res.err.kind !== 'no-answer';
-}
-
 /** Whether a start is still wanted, and not known to have been carried out. */
 function isToStart(session: sessions.WorkerSession, placement: types.Placement): boolean {
 	return placement.phase === 'starting' && isPlaced(session, placement);
--- a/src/core/dispatch/task-locations.ts
+++ b/src/core/dispatch/task-locations.ts
@@ -41,12 +41,12 @@
 		return workers.get(task.worker)?.mayHide(task.name) ?? false;
 	}
 
-	/** To be awaited before the start of a placed task is sent. */
-	async store(place: types.Placement): Promise<void> {
-		if (!isStored(place.task)) return;
+	/** To be awaited before the start of a placed task is sent; undefined: it may be sent at once. */
+	store(place: types.Placement): Promise<void> | undefined {
+		if (!isStored(place.task)) return undefined;
 		const { job } = place.task.step;
 		this.opts.progress.mark(job, true);
-		await this.opts.progress.stored([job]);
+		return this.opts.progress.stored([job]);
 	}
 }
 
--- a/src/core/owner/lease-keeper.ts
+++ b/src/core/owner/lease-keeper.ts
@@ -22,6 +22,7 @@
 export class LeaseKeeper {
 	private lease: string;
 	private replacing = false;
+	private closed = false;
 	private timer: clocks.Timer;
 
 	private constructor(private readonly opts: LeaseKeeperOptions) {
@@ -35,6 +36,7 @@
 
 	/** Renews no more. */
 	close(): void {
+		this.closed = true;
 		this.timer.cancel();
 	}
 
@@ -49,7 +51,8 @@
 		const { lease } = this;
 		const kept = await this.opts.store.keepLease(lease);
 		// Without an answer the next beat tries again.
-		if (!kept.ok || kept.value || this.replacing || lease !== this.lease) return;
+		const isAnswered = kept.ok && !kept.value && lease === this.lease;
+		if (!isAnswered || this.replacing || this.closed) return;
 		this.replacing = true;
 		const next = await this.opts.onGone();
 		this.replacing = false;
--- a/test/start-window.test.ts
+++ b/test/start-window.test.ts
@@ -2,6 +2,7 @@
 import test from 'ava';
 import * as windows from '../src/core/dispatch/start-window.js';
 import * as world from './fixtures/dispatching.js';
+import type * as memory from '../stand-ins/fleet/memory-store.js';
 
 /** A link of two megabits a second: with the fields around it, a start of such a job takes 6.4 ms on it. */
 const bytesPerS = 250_000;
@@ -45,6 +46,41 @@
 	owner.dispatcher.close();
 });
 
+test('workers that fall silent in a burst do not hold up starts at the others', async (t) => {
+	const { clock, fleet, takeOver, submit } = world.createWorld(brief);
+	const added = Array.from({ length: 30 }, (_, number) => fleet.add(`w${String(number)}`));
+	const owner = await takeOver();
+	await clock.pass(1_000);
+	for (const worker of added.slice(0, 20)) worker.fault = 'silent';
+	const steps = [world.step({ count: 400, milliCores: 4_000, memoryMb: 10 })];
+	await submit(owner, world.job('burst', steps));
+	await clock.pass(4_000);
+	// 80 at once on ten workers, for 300 ms each: what is left after 160 places at silent workers takes a second.
+	t.true(fleet.starts.length >= 240, `${String(fleet.starts.length)} were started`);
+	owner.dispatcher.close();
+});
+
+test('short tasks are started in an outage of the store beside lasting ones that have to wait for it', async (t) => {
+	const { clock, fleet, takeOver, submit, store } = world.createWorld((task) =>
+		task.startsWith('lasting') ? { ms: 'endless', how: 'done' } : brief(),
+	);
+	for (let number = 1; number <= 40; number += 1) fleet.add(`w${String(number)}`);
+	let fault: memory.StoreFault = 'none';
+	const owner = await takeOver(undefined, () => fault);
+	await clock.pass(1_000);
+	const lasting = [world.step({ count: 200, milliCores: 2_000, lasting: true })];
+	await submit(owner, world.job('lasting', lasting, { queue: { ...world.queue, priority: 2 } }));
+	fault = 'down';
+	await clock.pass(300);
+	const before = fleet.starts.length;
+	owner.dispatcher.addJob({ ...world.job('short', [world.step({ count: 50 })]), acceptedUnder: 1 });
+	await clock.pass(1_000);
+	const short = fleet.starts.slice(before).filter((one) => one.task.startsWith('short'));
+	t.is(short.length, 50);
+	t.true(store.writes > 0);
+	owner.dispatcher.close();
+});
+
 test('the limit follows what the answers take, within its bounds', (t) => {
 	const { nextLimit, targetMs, leastLimit, mostLimit } = windows;
 	t.is(nextLimit(100, { medianMs: targetMs / 4, wasFull: true }), 150);
