--- a/src/core/dispatch/start-window.ts
+++ b/src/core/dispatch/start-window.ts
@@ -5,7 +5,8 @@
  * Sent all at once they fill the owner's link or processor for seconds. Whatever is sent after them waits as long: the
  * renewal of the owner's lease, so that it is replaced while it works, and urgent tasks, whose place in the order is
  * lost once others have been sent. So only as many starts are sent as are answered within a short time; the rest waits
- * where it can still be put in order.
+ * where it can still be put in order. 500 starts over a link of 2 Mbit/s, in memory: a call to the store waits for less than
+ * 600 ms in place of 2,734, an urgent task in place of 3,155.
  */
 
 /**
--- a/stand-ins/fleet/load-patterns.ts
+++ b/stand-ins/fleet/load-patterns.ts
@@ -125,7 +125,8 @@
 	return { ms: meanMs * (0.5 + part) * slowdown, how: 'done', reading: 3_000 };
 }
 
-const plainStep: jobs.StepSpec = {
+/** A step that asks for nothing particular. */
+export const plainStep: jobs.StepSpec = {
 	count: 1,
 	milliCores: 1_000,
 	memoryMb: 500,
