--- a/src/core/box/job-service.ts
+++ b/src/core/box/job-service.ts
@@ -141,7 +141,8 @@
 	private async refusal(record: jobs.JobRecord): Promise<Answer<never> | undefined> {
 		const verdict = admission.decide(record, this.opts.backlog());
 		if (verdict.type === 'admit') return undefined;
-		// A job that was taken in before, and whose answer was lost, must not be called refused; nor one that may have been.
+		// A job that was taken in before, and whose answer was lost, must not be called refused. Where the store does not tell,
+		// the job is handed in as any other.
 		const known = await ledger.isKept(this.opts.store, record.id);
 		if (!known.ok || known.value) return undefined;
 		const { waitMs, limitMs } = verdict;
--- a/src/core/box/worker-list.ts
+++ b/src/core/box/worker-list.ts
@@ -41,10 +41,10 @@
 		}
 		return { type: 'absent', id: key.slice(workerPrefix.length) };
 	};
-	const tell = (read: ListedWorker[], whole: boolean): void => {
+	const tell = (found: ListedWorker[], whole: boolean): void => {
 		opts.setWorkers(
-			read.flatMap((one) => (one.type === 'listed' ? [one.entry] : [])),
-			read.flatMap((one) => (one.type === 'absent' ? [one.id] : [])),
+			found.flatMap((one) => (one.type === 'listed' ? [one.entry] : [])),
+			found.flatMap((one) => (one.type === 'absent' ? [one.id] : [])),
 			whole,
 		);
 	};
