A set where only membership is asked; a constant that nobody else uses is not exported

Behaviour is unchanged: the map's positions were never read. Checked: build, format, lint of the two folders.

--- a/src/core/dispatch/image-model.ts
+++ b/src/core/dispatch/image-model.ts
@@ -51,13 +51,13 @@
 export class ImageModel {
 	/** Slope by neighbour image; undefined: to be solved for. */
 	private slopes: ReadonlyMap<string, number> | undefined;
-	private readonly indices: Map<string, number>;
+	private readonly known: Set<string>;
 	/** Reports that count, and those among them that came after the newest solution. */
 	private reports = 0;
 	private newReports = 0;
 
 	private constructor(private readonly sums: LearntImage) {
-		this.indices = new Map(sums.images.map((image, index) => [image, index]));
+		this.known = new Set(sums.images);
 	}
 
 	static create(): ImageModel {
@@ -91,7 +91,7 @@
 
 	/** Learns that neighbours with these shares raised the busy part by `raised`, as a part of the load. */
 	learn(shares: Shares, raised: number): void {
-		for (const image of shares.keys()) if (!this.indices.has(image)) this.addImage(image);
+		for (const image of shares.keys()) if (!this.known.has(image)) this.addImage(image);
 		const { images, products, results } = this.sums;
 		const inputs = images.map((image) => shares.get(image) ?? 0);
 		const result = Math.min(mostRaised, raised);
@@ -126,7 +126,7 @@
 	/** Adds an image's unknown, with the first guess of its slope. */
 	private addImage(image: string): void {
 		const { images, products, results } = this.sums;
-		this.indices.set(image, images.length);
+		this.known.add(image);
 		images.push(image);
 		for (const row of products) row.push(0);
 		products.push([...images.slice(1).map(() => 0), firstWeight]);
--- a/src/core/wire/client.ts
+++ b/src/core/wire/client.ts
@@ -11,7 +11,7 @@
  * A connection from which nothing came for so long, with a call on it, is taken for dead, in milliseconds. A peer that
  * is only slow answers other calls meanwhile; closing its connection would cut those off and add new ones to its load.
  */
-export const silentLinkMs = 1_000;
+const silentLinkMs = 1_000;
 
 /**
  * Why a call brought no reply. `none`: no byte of it left, so it had no effect.
