A worker that ceases to answer is logged with what was started there last

worker.unanswered: how the first call failed, how long ago the worker was last heard, and what was started there last; task.lost: whether the start was answered, and how long it ran before the first failed call.

No logic is changed.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -282,6 +282,9 @@
 	private createPool(roster: ledger.RosterEntry[]): workerPool.WorkerPool {
 		const handlers: types.SessionHandlers = {
 			onReport: (from, report, sentAt) => this.onReport(from, report, sentAt),
+			onUnanswered: (from, err) => {
+				this.reportLog.unanswered(from, err);
+			},
 			onLost: (from, lost, proof) => {
 				this.onLost(from, lost, proof);
 			},
--- a/src/core/dispatch/report-log.ts
+++ b/src/core/dispatch/report-log.ts
@@ -51,6 +51,22 @@
 		this.taskLost(session, place, 'a report does not list it');
 	}
 
+	/** A worker ceases to answer; what was started there last, and how long before. */
+	unanswered(session: sessions.WorkerSession, err: fleet.WorkerFailure): void {
+		const { failedAt, placements } = session;
+		if (failedAt === undefined || placements.size === 0) return;
+		const newest = [...placements.values()].reduce((a, b) => (a.placedAt > b.placedAt ? a : b));
+		this.log.emit('worker.unanswered', {
+			worker: session.id,
+			epoch: this.epoch,
+			reason: err.kind,
+			silentMs: session.silentMs,
+			tasks: placements.size,
+			newest: newest.task.name,
+			newestMs: Math.round(failedAt - newest.placedAt),
+		});
+	}
+
 	/** Nothing that was placed on a worker runs there any more. */
 	lost(session: sessions.WorkerSession, places: types.Placement[], proof: string): void {
 		this.log.emit('worker.lost', {
@@ -71,6 +87,8 @@
 			worker: session.id,
 			epoch: this.epoch,
 			reason: proof,
+			answeredMs: place.confirmedAt > 0 ? Math.round(place.confirmedAt - place.placedAt) : undefined,
+			ranMs: session.failedAt && Math.round(session.failedAt - place.placedAt),
 		});
 	}
 }
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -58,6 +58,8 @@
 export interface SessionHandlers {
 	/** A report came; `sentAt`: when it was asked for. */
 	onReport: (session: sessions.WorkerSession, report: fleet.WorkerReport, sentAt: number) => ReportOutcome;
+	/** A call failed, the first since the last answer. */
+	onUnanswered: (session: sessions.WorkerSession, err: fleet.WorkerFailure) => void;
 	/** Nothing that was placed runs there any more; `proof` says how that is known. */
 	onLost: (session: sessions.WorkerSession, placements: Placement[], proof: string) => void;
 }
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -34,6 +34,8 @@
 	unlisted = false;
 	/** Clock time of the last answer. */
 	answeredAt = -Infinity;
+	/** Clock time of the first call since then that failed; undefined: none has. */
+	failedAt: number | undefined;
 	readonly health: health.WorkerHealth;
 	/** Ends up to here are stored. */
 	storedUpTo = 0;
@@ -220,9 +222,17 @@
 	/** Takes in the worker's clock from an answer. */
 	heard(reading: fleet.ClockReading): void {
 		this.answeredAt = this.deps.clock.now();
+		this.failedAt = undefined;
 		this.lease.heard(reading);
 	}
 
+	/** A call was not answered. A crash breaks connections, so the first failure is the closest to its moment. */
+	private noteFailedCall(err: fleet.WorkerFailure): void {
+		if (this.failedAt !== undefined) return;
+		this.failedAt = this.deps.clock.now();
+		this.handlers.onUnanswered(this, err);
+	}
+
 	/** The platform lists it so from now on. */
 	list(entry: fleet.WorkerEntry): void {
 		this.entry = entry;
@@ -232,6 +242,7 @@
 
 	/** Sorts out a failed call to `at`; true: the session is over. */
 	ended(err: fleet.WorkerFailure, at: fleet.WorkerTarget): boolean {
+		if (isUnanswered(err)) this.noteFailedCall(err);
 		if (err.kind === 'fenced') this.deps.onFenced();
 		// At an address that it has left, another life proves nothing.
 		if (err.kind === 'other-life' && at.address === this.target.address)
@@ -348,3 +359,8 @@
 		return this.closed;
 	}
 }
+
+/** Whether a failure says that nobody answered; a refusal is an answer. */
+function isUnanswered(err: fleet.WorkerFailure): boolean {
+	return err.kind === 'no-answer' || err.kind === 'unreachable';
+}
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -179,7 +179,11 @@
 		level: 'info',
 		text: 'A task gave its place back; it resumes from the checkpoint given.',
 	},
-	'task.lost': { id: 3106, level: 'warn', text: 'A task is proved not to run any more; the proof is given.' },
+	'task.lost': {
+		id: 3106,
+		level: 'warn',
+		text: 'A task is proved not to run any more; the proof is given, whether its start was answered, and how long after its placing the worker first failed to answer.',
+	},
 	'task.stopped': { id: 3107, level: 'info', text: 'A cancelled task is confirmed as stopped.' },
 	'run.ended': { id: 3108, level: 'info', text: 'A worker lists the end of a run; how it ended is given.' },
 	'run.stray': {
@@ -225,6 +229,11 @@
 		level: 'warn',
 		text: 'Nothing that was placed on a worker runs there any more; the proof is given, and the time since its last answer to this owner, if there was one.',
 	},
+	'worker.unanswered': {
+		id: 3207,
+		level: 'warn',
+		text: 'A worker with tasks ceases to answer: how the first call failed, how long ago it was last heard, what was started there last and how long before.',
+	},
 	'worker.draining': {
 		id: 3206,
 		level: 'info',
--- a/test/filling.test.ts
+++ b/test/filling.test.ts
@@ -48,6 +48,7 @@
 	};
 	const handlers: dispatchTypes.SessionHandlers = {
 		onReport: () => ({ type: 'put-off' }),
+		onUnanswered: () => undefined,
 		onLost: () => undefined,
 	};
 	return sessions.WorkerSession.create({ id, address: `${id}:1` }, undefined, deps, handlers, -Infinity);
--- a/test/roster.test.ts
+++ b/test/roster.test.ts
@@ -47,6 +47,7 @@
 					});
 					return { type: 'taken', stored };
 				},
+				onUnanswered: () => undefined,
 				onLost: () => undefined,
 			},
 		},
