--- a/stand-ins/fleet/workers.ts
+++ b/stand-ins/fleet/workers.ts
@@ -201,7 +201,10 @@
 		};
 		this.starts.push(start);
 		this.opts.journal?.started(start);
-		if (plan.crashMs !== undefined) this.opts.clock.after(plan.crashMs, () => { this.crashUnder(req); });
+		if (plan.crashMs !== undefined)
+			this.opts.clock.after(plan.crashMs, () => {
+				this.crashUnder(req);
+			});
 	}
 
 	/** A run brings its worker down, if it still runs there. */
