A task under which workers crash is counted, tried alone, and given up

What callers saw: a job with a task that crashes each worker that starts it never ended, and sound jobs beside it were lost with it again and again, as what goes down together was placed together again.

Cause: a run that went down with its worker went back to the placer as if it had never been started. Nothing was counted, nothing stored, nothing told the culprit from its neighbours. The class: a retry without a bound on what each try destroys.

Five seconds at work clear a task.

Why it holds: the bound rests on counts that are stored before the start they count, and on nothing that is estimated; the estimate only gives up sooner.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -1,5 +1,6 @@
 /** The owner's work: takes in jobs, workers and reports, and sees to it that every task runs as often as it should. */
 import * as clocks from '../clock.js';
+import * as blame from './crash-blame.js';
 import * as ends from './ends.js';
 import * as interference from './interference.js';
 import * as jobBook from './job-book.js';
@@ -8,6 +9,7 @@
 import * as outcomes from './outcomes.js';
 import * as placer from './placer.js';
 import * as pressure from './pressure.js';
+import * as probation from './probation.js';
 import * as reportLog from './report-log.js';
 import * as saver from './progress-saver.js';
 import * as settings from './settings.js';
@@ -65,6 +67,8 @@
 	private readonly estimates: interference.Interference;
 	private readonly pressure: pressure.PressureControl;
 	private readonly outcomes: outcomes.Outcomes;
+	private readonly blame: blame.CrashBlame;
+	private readonly probations: probation.Probations;
 	private readonly ticks: clocks.Timer;
 	private readonly reportContext: ends.ReportContext;
 	private readonly reportLog: reportLog.ReportLog;
@@ -79,6 +83,8 @@
 		this.estimates = interference.Interference.create(clock);
 		this.pressure = pressure.PressureControl.create(opts, this.estimates, opts.harmMs);
 		this.progress = this.createSaver();
+		this.blame = blame.CrashBlame.create(clock);
+		this.probations = this.createProbations();
 		this.starter = this.createStarter();
 		this.placer = this.createPlacer();
 		this.book = this.createBook();
@@ -199,7 +205,7 @@
 
 	private createStarter(): starter.Starter {
 		return starter.Starter.create(this.opts, this.meter, {
-			beforeStart: (place) => this.locations.store(place),
+			beforeStart: (session, place) => this.beforeStart(session, place),
 			onRoom: () => {
 				this.placer.wake();
 			},
@@ -220,6 +226,8 @@
 			mayBeHidden: (task) => this.locations.mayBeHidden(task),
 			policyOf: (job) => this.policyOf(job),
 			estimates: this.estimates,
+			probations: this.probations,
+			mayStartAgain: (task) => this.outcomes.mayStartAgain(task),
 			meter: this.meter,
 			startRoom: () => this.starter.room,
 			start: (session, place, ticket) => void this.starter.start(session, place, ticket),
@@ -248,12 +256,32 @@
 			book: this.book,
 			placer: this.placer,
 			progress: this.progress,
+			blame: this.blame,
+			probations: this.probations,
 			starter: this.starter,
 			policyOf: (job) => this.policyOf(job),
 			estimates: this.estimates,
+			mayHaveCrashed: (task) => this.locations.mayHaveCrashed(task),
 		});
 	}
 
+	private createProbations(): probation.Probations {
+		return probation.Probations.create({
+			...this.opts,
+			workers: () => this.workers.all(),
+			onChanged: (job) => {
+				this.progress.mark(job);
+			},
+		});
+	}
+
+	/** What a start waits for: what has to be stored, and quiet where it is to be on probation. */
+	private beforeStart(session: sessions.WorkerSession, place: types.Placement): Promise<void> | undefined {
+		const stored = this.locations.store(place);
+		if (session.probation !== place) return stored;
+		return Promise.all([stored, this.probations.quietAt(session)]).then(() => undefined);
+	}
+
 	private createStrangers(): strangers.Strangers {
 		return strangers.Strangers.create({
 			readJob: this.opts.readJob,
@@ -283,6 +311,7 @@
 		const handlers: types.SessionHandlers = {
 			onReport: (from, report, sentAt) => this.onReport(from, report, sentAt),
 			onUnanswered: (from, err) => {
+				this.blame.noteSilence(from);
 				this.reportLog.unanswered(from, err);
 			},
 			onLost: (from, lost, proof) => {
@@ -316,6 +345,9 @@
 			failed: (session, task, run) => {
 				this.outcomes.failed(session, task, run);
 			},
+			survived: (task, run) => {
+				this.outcomes.survived(task, run);
+			},
 			again: (task) => {
 				this.placer.add(task);
 			},
@@ -341,6 +373,7 @@
 		if (!session.settled) this.reportLog.inherited(session, report);
 		for (const job of changed) this.progress.mark(job);
 		this.pressure.look(session);
+		this.probations.look(session);
 		// Until the last of its ends is listed, what ran there may have ended unheard.
 		if (!report.hasMoreEnds) this.workers.heard(session);
 		this.placer.wake();
@@ -359,7 +392,8 @@
 
 	private onLost(session: sessions.WorkerSession, lost: types.Placement[], proof: string): void {
 		this.reportLog.lost(session, lost, proof);
-		for (const place of lost) this.outcomes.lost(place.task);
+		this.locations.noteLost(session);
+		this.outcomes.lost(session, lost);
 		this.workers.heard(session);
 		this.placer.wake();
 	}
--- a/src/core/dispatch/ends.ts
+++ b/src/core/dispatch/ends.ts
@@ -20,6 +20,8 @@
 	stop: (session: sessions.WorkerSession, placement: types.Placement) => void;
 	finished: (task: jobs.Task) => void;
 	failed: (session: sessions.WorkerSession, task: jobs.Task, run: number) => void;
+	/** A run is over, and its worker lives. */
+	survived: (task: jobs.Task, run: number) => void;
 	/** The task runs nowhere and may be started again. */
 	again: (task: jobs.Task) => void;
 	log: reportLog.ReportLog;
@@ -61,6 +63,7 @@
 	if (placement !== undefined && current) session.free(placement);
 	task.run = Math.max(task.run, end.run);
 	if (isOver(task)) return;
+	ctx.survived(task, end.run);
 	if (end.how === 'failed') ctx.failed(session, task, end.run);
 	if (end.how === 'done') {
 		session.health.noteSuccess();
@@ -172,5 +175,7 @@
 	if (!wasThere && !isStopped) return;
 	ctx.log.absent(session, placement);
 	session.free(placement);
-	if (!isOver(placement.task)) ctx.again(placement.task);
+	if (isOver(placement.task)) return;
+	ctx.survived(placement.task, placement.run);
+	ctx.again(placement.task);
 }
--- a/src/core/dispatch/outcomes.ts
+++ b/src/core/dispatch/outcomes.ts
@@ -1,12 +1,14 @@
 /** What becomes of jobs as their runs begin, end, fail or are lost. */
+import * as jobs from '../jobs/index.js';
 import * as settings from './settings.js';
 import type * as clocks from '../clock.js';
+import type * as blame from './crash-blame.js';
 import type * as events from '../events/index.js';
 import type * as fleet from '../fleet/types.js';
 import type * as interference from './interference.js';
 import type * as jobBook from './job-book.js';
-import type * as jobs from '../jobs/index.js';
 import type * as placer from './placer.js';
+import type * as probation from './probation.js';
 import type * as saver from './progress-saver.js';
 import type * as sessions from './worker-session.js';
 import type * as starter from './starter.js';
@@ -19,11 +21,18 @@
 	book: jobBook.JobBook;
 	placer: placer.Placer;
 	progress: saver.ProgressSaver;
+	blame: blame.CrashBlame;
+	probations: probation.Probations;
 	starter: starter.Starter;
 	policyOf: (job: jobs.ActiveJob) => jobs.QueuePolicy;
 	estimates: interference.Interference;
+	/** Whether a worker may have gone down under a run of the task that this owner never heard of. */
+	mayHaveCrashed: (task: jobs.Task) => boolean;
 }
 
+/** Stands for the run of an earlier owner whose number is not known. */
+const unseenRun = 0;
+
 /** Carries outcomes over to jobs and to the other tasks of a gang. */
 export class Outcomes {
 	private constructor(private readonly opts: OutcomesOptions) {}
@@ -46,15 +55,64 @@
 			worker: session.id,
 			reason: err.kind,
 		});
+		task.crashes?.noteNotStarted(run);
 		if (err.kind !== 'stale-run') session.health.pause(settings.refusalPauseMs);
 		this.opts.placer.addAgain(task);
 		this.breakGang(task);
 	}
 
-	/** A run went down with its worker. */
-	lost(task: jobs.Task): void {
-		this.opts.placer.add(task);
-		this.breakGang(task);
+	/** Runs went down with their worker, or may have. */
+	lost(session: sessions.WorkerSession, places: types.Placement[]): void {
+		const blamed = this.opts.blame.blamed(session.id);
+		for (const place of places) {
+			const { task } = place;
+			// A worker that ends as planned was brought down by nobody, nor by a start that was never sent.
+			if (place.sentAt !== undefined && !session.endsAsPlanned) this.noteCrash(place, blamed.has(place));
+			this.opts.placer.add(task);
+			this.breakGang(task);
+		}
+	}
+
+	/** A run is over, and its worker lives. */
+	survived(task: jobs.Task, run: number): void {
+		task.crashes?.noteEnd(run);
+		if (task.crashes?.empty === true) task.crashes = undefined;
+	}
+
+	/** Whether a task may be started once more after what became of its workers; if not, it is given up. */
+	mayStartAgain(task: jobs.Task): boolean {
+		if (task.crashes === undefined && this.opts.mayHaveCrashed(task)) {
+			task.crashes = jobs.CrashHistory.create();
+			task.crashes.noteCrash(unseenRun, false);
+		}
+		const { crashes } = task;
+		if (crashes === undefined) return true;
+		crashes.settleTries();
+		return !this.giveUpSpent(task, crashes);
+	}
+
+	/** A worker went down under a run. */
+	private noteCrash({ task, run }: types.Placement, isBlamed: boolean): void {
+		const { job } = task.step;
+		if (job.ended || task.state === 'finished') return;
+		const crashes = (task.crashes ??= jobs.CrashHistory.create());
+		crashes.noteCrash(run, isBlamed);
+		this.opts.probations.noteCrash(task);
+		this.opts.progress.mark(job);
+		const { crashed, blamed } = crashes;
+		this.opts.events.emit('task.crashed', { task: task.name, run, crashed, blamed });
+		this.giveUpSpent(task, crashes);
+	}
+
+	/** Gives a task up, and its job with it, if too many workers went down under it; true: it was. */
+	private giveUpSpent(task: jobs.Task, crashes: jobs.CrashHistory): boolean {
+		const { verdict, crashed, blamed } = crashes;
+		if (verdict === undefined) return false;
+		const { job } = task.step;
+		job.failure = `${String(crashed)} workers went down under task ${task.name}: ${verdict}`;
+		this.opts.events.emit('task.given-up', { task: task.name, crashed, blamed, reason: verdict });
+		this.endJob(job, 'failed');
+		return true;
 	}
 
 	/** A task is done, and with it what waited for it may start. */
@@ -79,8 +137,12 @@
 		task.failedOn.add(session.id);
 		session.health.noteFailure(job.id);
 		const { attempts } = this.opts.policyOf(job);
-		if (!spec.lasting && counted.failures.size >= attempts) this.endJob(job, 'failed');
-		else this.breakGang(task);
+		if (spec.lasting || counted.failures.size < attempts) {
+			this.breakGang(task);
+			return;
+		}
+		job.failure = `task ${counted.name} failed ${String(counted.failures.size)} times`;
+		this.endJob(job, 'failed');
 	}
 
 	/** Closes a job and stops what still runs of it. */
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -5,6 +5,7 @@
 import * as order from './waiting-order.js';
 import * as placement from './placement.js';
 import * as preemption from './preemption.js';
+import * as probation from './probation.js';
 import * as room from './room.js';
 import * as rounds from './placing-round.js';
 import * as settings from './settings.js';
@@ -28,6 +29,9 @@
 	mayBeHidden: (task: jobs.Task) => boolean;
 	policyOf: (job: jobs.ActiveJob) => jobs.QueuePolicy;
 	estimates: interference.Interference;
+	probations: probation.Probations;
+	/** Whether a task may be started once more; if not, it is given up. */
+	mayStartAgain: (task: jobs.Task) => boolean;
 	meter: meters.LoadMeter;
 	askAdviser: fleet.AskAdviser | undefined;
 	/** How many more starts may be on their way now. */
@@ -212,16 +216,21 @@
 			const failed = this.placeStep(step, tasks, round);
 			if (failed !== undefined) this.noteNoPlace(failed, round);
 		}
-		const unplaced = steps.flatMap(({ tasks }) => tasks.filter((task) => task.state === 'ready'));
+		const unplaced = steps.flatMap(({ tasks }) => tasks.filter((task) => this.mayDisplace(task)));
 		this.placeStarved(unplaced, round);
 		this.preempt(unplaced);
 	}
 
+	/** Whether others may be stopped or harmed for a waiting task: not for one that may bring its worker down. */
+	private mayDisplace(task: jobs.Task): boolean {
+		return task.state === 'ready' && !this.opts.probations.isSuspect(task);
+	}
+
 	/** The steps whose turn it is, with those of their tasks that may be started. */
 	private startable(included: (step: jobs.StepRun) => boolean, now: number): order.WaitingStep[] {
 		const due = this.ready.steps().filter((step) => included(step) && this.isDue(step, now));
 		const all = due.map((step) => {
-			const tasks = this.ready.tasksOf(step).filter((task) => this.mayStart(task));
+			const tasks = this.ready.tasksOf(step).filter((task) => this.mayStart(task, now));
 			return { step, tasks };
 		});
 		return all.filter(({ tasks }) => tasks.length > 0);
@@ -235,13 +244,29 @@
 	): jobs.Task | undefined {
 		if (step.spec.gang) return this.placeGang(step, round) ? undefined : tasks[0];
 		const choice = this.choiceFor(step, round);
-		for (const task of tasks) {
+		for (const task of probation.inTurn(tasks)) {
 			if (this.opts.startRoom() === 0) return undefined;
-			if (!this.beginAll(this.placeAt(task, round.choose(task, choice)))) return task;
+			const isSuspect = this.opts.probations.isSuspect(task);
+			if (isSuspect ? this.tryOut(task, choice) : this.placeBest(task, choice, round)) continue;
+			// Suspects wait for each other, and the rest of the step does not.
+			if (!isSuspect) return task;
 		}
 		return undefined;
 	}
 
+	private placeBest(task: jobs.Task, choice: placement.Choice, round: rounds.PlacingRound): boolean {
+		return this.beginAll(this.placeAt(task, round.choose(task, choice)));
+	}
+
+	/** Places a suspect on probation, if its turn has come and a worker takes it. */
+	private tryOut(task: jobs.Task, choice: placement.Choice): boolean {
+		const { probations } = this.opts;
+		if (!probations.isFree(task.step, choice.workers.length)) return false;
+		const places = this.placeAt(task, probations.choose(task, choice));
+		for (const { session, place } of places) session.probation = place;
+		return this.beginAll(places);
+	}
+
 	private noteNoPlace(task: jobs.Task, round: rounds.PlacingRound): void {
 		const { now } = round;
 		this.waitingLog.note(task, () => reasons.whyNoPlace(task, this.choiceFor(task.step, round)));
@@ -255,12 +280,13 @@
 	}
 
 	/** What an earlier owner may have started waits for the workers where it may be. */
-	private mayStart(task: jobs.Task): boolean {
+	private mayStart(task: jobs.Task, now: number): boolean {
+		if (now < task.pausedUntil) return false;
 		const { job } = task.step;
 		// Told to a later owner: that one starts it.
 		const isLater = job.record.acceptedUnder > this.opts.epoch;
 		const waitsForWorkers = job.inherited && this.opts.mayBeHidden(task);
-		if (!isLater && !waitsForWorkers) return true;
+		if (!isLater && !waitsForWorkers) return this.opts.mayStartAgain(task);
 		this.waitingLog.note(task, () => ({ reason: isLater ? 'later-owner' : 'workers-unheard' }));
 		return false;
 	}
@@ -294,7 +320,7 @@
 	/** Places for all members of a gang; none: it has to wait. */
 	private gangPlaces(step: jobs.StepRun, choice: placement.Choice): gangs.MemberPlace[] {
 		// Each member may be somewhere else, unknown to this owner.
-		if (!gangs.isWhole(step) || !step.tasks.every((task) => this.mayStart(task))) return [];
+		if (!gangs.isWhole(step) || !step.tasks.every((task) => this.mayStart(task, choice.now))) return [];
 		const run = Math.max(...step.tasks.map((task) => this.nextRun(task)));
 		const places = gangs.placeAll(step, run, choice.workers, choice);
 		if (places === undefined) return [];
@@ -315,6 +341,7 @@
 		task.waitedMs = clock.now() - task.waitingSince;
 		task.run = place.run;
 		task.worker = session.id;
+		task.crashes?.noteTry(place.run);
 		this.places.set(task, session);
 		events.emit('task.placed', {
 			task: task.name,
--- /dev/null
+++ b/src/core/dispatch/probation.ts
@@ -0,0 +1,160 @@
+/**
+ * How tasks under suspicion of crashing their workers are started: one on a worker, where little would go down with it and
+ * nothing else is started until it has outlived the moment at which it seemed to crash the last one. So a second crash
+ * names the task alone, tasks that went down together do not meet again, and a job of a thousand such tasks takes down few
+ * workers at a time.
+ */
+import * as blame from './crash-blame.js';
+import * as clocks from '../clock.js';
+import * as placement from './placement.js';
+import type * as events from '../events/index.js';
+import type * as jobs from '../jobs/index.js';
+import type * as sessions from './worker-session.js';
+import type * as types from './types.js';
+
+/** Workers with a run on probation at the same time, at most: this part of those that may run it, and always one. */
+const mostPart = 0.1;
+
+/** Runs of a step on probation at the same time: one, and so many more for each that has passed. */
+const morePerPass = 2;
+
+/** A step of which so many tasks are suspected is suspected whole. */
+const mostSuspectsOfStep = 2;
+
+/** After a second crash a task waits so long before its next start, after a third twice as long, in milliseconds. */
+const pauseMs = 250;
+
+/** A run that has worked for so long clears its task of all crashes before, in milliseconds. */
+const clearedAfterMs = 5_000;
+
+/** What is lost with a lasting task, or a member of a gang, as a multiple of its cores. */
+const lastingLoss = 4;
+const gangLoss = 4;
+
+/** What probations use. */
+export interface ProbationOptions {
+	clock: clocks.Clock;
+	events: events.EventLog;
+	workers: () => sessions.WorkerSession[];
+	/** What is stored of a job has changed. */
+	onChanged: (job: jobs.ActiveJob) => void;
+}
+
+/** What is known of a step's suspects. */
+interface StepRecord {
+	suspects: Set<jobs.Task>;
+	passed: number;
+}
+
+/** Tasks under suspicion, and the runs by which they are tried. */
+export class Probations {
+	private readonly steps = new WeakMap<jobs.StepRun, StepRecord>();
+
+	private constructor(private readonly opts: ProbationOptions) {}
+
+	static create(opts: ProbationOptions): Probations {
+		return new Probations(opts);
+	}
+
+	/** A worker went down under a task; the task is not started again for a while. */
+	noteCrash(task: jobs.Task): void {
+		const { crashed = 0, blamed = 0 } = task.crashes ?? {};
+		task.pausedUntil = this.opts.clock.now() + pauseMs * (crashed - 1);
+		if (blamed > 0) this.recordOf(task.step).suspects.add(task);
+	}
+
+	/** Whether a task is to be started on probation. Gangs are not: their members need each other. */
+	isSuspect(task: jobs.Task): boolean {
+		if (task.step.spec.gang) return false;
+		const { crashed = 0, blamed = 0 } = task.crashes ?? {};
+		if (blamed > 0 || crashed > 1) return true;
+		const record = this.steps.get(task.step);
+		return record?.passed === 0 && record.suspects.size >= mostSuspectsOfStep;
+	}
+
+	/** Whether one more run of the step may be on probation now, in a pool of so many open workers. */
+	isFree(step: jobs.StepRun, workers: number): boolean {
+		const tried = this.opts.workers().flatMap((one) => one.probation ?? []);
+		if (tried.length >= Math.max(1, Math.floor(workers * mostPart))) return false;
+		const ofStep = tried.filter((place) => place.task.step === step).length;
+		return ofStep <= (this.steps.get(step)?.passed ?? 0) * morePerPass;
+	}
+
+	/** The worker that takes a suspect at the least loss to others. */
+	choose(task: jobs.Task, choice: placement.Choice): sessions.WorkerSession | placement.NoPlace {
+		const terms = placement.termsOf(task, choice.now);
+		const able = choice.workers.filter(
+			(one) => one.open && placement.score(task, one, choice, terms) < Infinity,
+		);
+		const [first, ...others] = able;
+		if (first === undefined) return choice.workers.length > 0 ? 'no-room' : 'no-worker-open';
+		return others.reduce((best, one) => (lossAt(one) < lossAt(best) ? one : best), first);
+	}
+
+	/** Until then a run on probation is not sent: a crash would be held against what was started there before it. */
+	quietAt(session: sessions.WorkerSession): Promise<void> {
+		const ms = session.newestStartAt + blame.suspicionMs - this.opts.clock.now();
+		return ms > 0 ? clocks.sleep(this.opts.clock, ms) : Promise.resolve();
+	}
+
+	/** A worker has just reported: runs that have outlived what they were suspected of are cleared. */
+	look(session: sessions.WorkerSession): void {
+		const { probation } = session;
+		if (probation !== undefined && this.hasWorked(probation, blame.suspicionMs)) {
+			session.probation = undefined;
+			this.pass(probation, 'probation');
+		}
+		for (const place of session.placements.values())
+			if (place.task.crashes !== undefined && this.hasWorked(place, clearedAfterMs)) this.clear(place);
+	}
+
+	/** Whether a run has been at work for so long. */
+	private hasWorked(place: types.Placement, ms: number): boolean {
+		const isAtWork = place.phase === 'running' && place.confirmedAt > 0 && place.pace > 0;
+		return isAtWork && this.opts.clock.now() - place.confirmedAt > ms;
+	}
+
+	private pass(place: types.Placement, reason: string): void {
+		const { task, run } = place;
+		const record = this.recordOf(task.step);
+		record.passed += 1;
+		record.suspects.delete(task);
+		task.crashes?.acquit();
+		this.opts.events.emit('task.cleared', { task: task.name, run, reason });
+		this.opts.onChanged(task.step.job);
+	}
+
+	private clear(place: types.Placement): void {
+		place.task.crashes = undefined;
+		this.pass(place, 'at work');
+	}
+
+	private recordOf(step: jobs.StepRun): StepRecord {
+		const known = this.steps.get(step) ?? { suspects: new Set(), passed: 0 };
+		this.steps.set(step, known);
+		return known;
+	}
+}
+
+/** Tasks of a step in the order in which they are tried: one more crash of the most suspect tells most. */
+export function inTurn(tasks: jobs.Task[]): jobs.Task[] {
+	if (tasks.every((task) => task.crashes === undefined)) return tasks;
+	return [...tasks].sort((a, b) => weightOf(b) - weightOf(a));
+}
+
+function weightOf({ crashes }: jobs.Task): number {
+	return crashes === undefined ? 0 : crashes.blamed + crashes.crashed;
+}
+
+/** What would be lost with a worker, in thousandths of a core: tasks that can't go on elsewhere weigh by how far they are. */
+function lossAt(session: sessions.WorkerSession): number {
+	let loss = 0;
+	for (const { task, percent } of session.placements.values()) loss += lossOf(task.step.spec, percent);
+	return loss;
+}
+
+function lossOf(spec: jobs.StepSpec, percent: number): number {
+	if (spec.lasting) return spec.milliCores * lastingLoss;
+	const share = spec.checkpoints ? 0.1 : 0.5 + percent / 200;
+	return spec.milliCores * share * (spec.gang ? gangLoss : 1);
+}
--- a/src/core/dispatch/room.ts
+++ b/src/core/dispatch/room.ts
@@ -30,7 +30,7 @@
 /** Whether a worker can hold one more task of the step now, and keep `reserve` thousandths of a core free. */
 export function fits(step: jobs.StepRun, worker: sessions.WorkerSession, reserve: number): boolean {
 	const capacity = worker.entry?.capacity;
-	if (capacity === undefined || !allows(step, worker)) return false;
+	if (capacity === undefined || worker.probation !== undefined || !allows(step, worker)) return false;
 	return hasRoom(step.spec, worker.used, capacity, reserve);
 }
 
--- a/src/core/dispatch/starter.ts
+++ b/src/core/dispatch/starter.ts
@@ -11,8 +11,8 @@
 
 /** What comes before a start, and what it came to. */
 export interface StarterHandlers {
-	/** Resolves once a successor could know of the start; undefined: there is nothing to wait for. */
-	beforeStart: (placement: types.Placement) => Promise<void> | undefined;
+	/** Resolves once the start may be sent, as a successor could know of it; undefined: there is nothing to wait for. */
+	beforeStart: (session: sessions.WorkerSession, placement: types.Placement) => Promise<void> | undefined;
 	/** Another start may be sent. */
 	onRoom: () => void;
 	/** The run is known to be there. */
@@ -53,7 +53,7 @@
 
 	/** Starts a placed run. The same run is repeated while there is no answer: a worker starts it once. */
 	async start(session: sessions.WorkerSession, placement: types.Placement, ticket = ''): Promise<void> {
-		const stored = this.handlers.beforeStart(placement);
+		const stored = this.handlers.beforeStart(session, placement);
 		// What waits for the store is not on its way: short tasks need no store, and go on in its outages.
 		if (stored !== undefined) await stored;
 		const slot = this.window.take();
@@ -89,6 +89,8 @@
 			return;
 		}
 		this.meter.count('starts');
+		placement.sentAt = this.deps.clock.now();
+		session.newestStartAt = placement.sentAt;
 		for (let tries = 0; tries < settings.startTries; tries += 1) {
 			const { target } = session;
 			const res = await this.deps.calls.start(target, {
--- a/src/core/dispatch/task-locations.ts
+++ b/src/core/dispatch/task-locations.ts
@@ -5,6 +5,7 @@
  */
 import type * as jobs from '../jobs/index.js';
 import type * as saver from './progress-saver.js';
+import type * as sessions from './worker-session.js';
 import type * as types from './types.js';
 import type * as workerPool from './worker-pool.js';
 
@@ -21,6 +22,9 @@
 
 /** Where the tasks of one owner's jobs may be. */
 export class TaskLocations {
+	/** Workers that were lost before they could tell what earlier owners had started there. */
+	private readonly lostUnheard: sessions.WorkerSession[] = [];
+
 	private constructor(private readonly opts: TaskLocationsOptions) {}
 
 	static create(opts: TaskLocationsOptions): TaskLocations {
@@ -41,9 +45,22 @@
 		return workers.get(task.worker)?.mayHide(task.name) ?? false;
 	}
 
+	/** A worker and all that ran there is lost. */
+	noteLost(session: sessions.WorkerSession): void {
+		if (session.lostUnheard) this.lostUnheard.push(session);
+	}
+
+	/** Whether a worker may have gone down under a run that an earlier owner started and this one never heard of. */
+	mayHaveCrashed(task: jobs.Task): boolean {
+		if (!task.step.job.inherited || task.run > 0) return false;
+		if (isStored(task)) return this.lostUnheard.some((one) => one.id === task.worker);
+		return this.lostUnheard.some((one) => one.rosteredTasks?.has(task.name) ?? true);
+	}
+
 	/** To be awaited before the start of a placed task is sent; undefined: it may be sent at once. */
 	store(place: types.Placement): Promise<void> | undefined {
-		if (!isStored(place.task)) return undefined;
+		// A start after a crash is counted before it is sent, or an owner that goes down with the worker would take it along.
+		if (!isStored(place.task) && place.task.crashes === undefined) return undefined;
 		const { job } = place.task.step;
 		this.opts.progress.mark(job, true);
 		return this.opts.progress.stored([job]);
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -13,6 +13,8 @@
 	phase: 'starting' | 'running' | 'stopping';
 	/** Clock time of the placing. */
 	placedAt: number;
+	/** Clock time at which its start was first sent, `-Infinity` by an earlier owner; undefined: not yet. */
+	sentAt: number | undefined;
 	/** Clock time of the answer that showed the run there; 0 before. */
 	confirmedAt: number;
 	/** Clock time of the answer to the stop; 0 before. */
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -26,6 +26,8 @@
 	rosteredTasks: ReadonlySet<string> | undefined;
 	/** No earlier owner used it, or it has answered this epoch, or is proved to run nothing. */
 	settled: boolean;
+	/** It went down, or its leases ran out, before it had answered this epoch: what earlier owners started there is unknown. */
+	lostUnheard = false;
 	/** This life has ended. */
 	gone = false;
 	/** Its machine is to go down: it gets no new work. */
@@ -45,6 +47,10 @@
 	strays = 0;
 	/** Clock time from which this worker's drain leaves no time to finish; undefined: it does not drain. */
 	endsAt: number | undefined;
+	/** Clock time at which a start was last sent there. */
+	newestStartAt = -Infinity;
+	/** A run under suspicion of crashing workers, beside which nothing is started until it is cleared; undefined: none. */
+	probation: types.Placement | undefined;
 	/** Counts changes of what is placed there, and at which pace. */
 	revision = 0;
 	/** Clock time at which a task that fills last ended here or was slowed. */
@@ -131,6 +137,11 @@
 		return this.entry?.draining === true || this.unlisted || this.vacated;
 	}
 
+	/** Whether its end is planned: it drains, or its machine is to go down at our order. */
+	get endsAsPlanned(): boolean {
+		return this.entry?.draining === true || this.vacated;
+	}
+
 	/** Tasks that a successor has to ask this worker about: placed or reported there, or ended there and not stored. */
 	get concerned(): string[] {
 		const { running = [], ended = [] } = this.reported ?? {};
@@ -146,7 +157,8 @@
 
 	/** Whether it may get new work now. */
 	get open(): boolean {
-		if (this.gone || this.closed || !this.rostered || this.leaving) return false;
+		if (this.gone || this.closed || !this.rostered || this.leaving || this.probation !== undefined)
+			return false;
 		if (this.entry === undefined || this.inDoubt.any || this.strays > 0) return false;
 		return this.settled && this.answering && !this.health.paused;
 	}
@@ -159,6 +171,7 @@
 			run,
 			phase,
 			placedAt: now,
+			sentAt: phase === 'running' ? -Infinity : undefined,
 			confirmedAt: phase === 'running' ? now : 0,
 			stoppedAt: 0,
 			percent: 0,
@@ -179,6 +192,7 @@
 	free(placement: types.Placement): void {
 		if (this.placements.get(placement.task.name) !== placement) return;
 		this.placements.delete(placement.task.name);
+		if (this.probation === placement) this.probation = undefined;
 		// Proved to be nowhere: a successor has to wait for no worker.
 		if (placement.task.worker === this.id) placement.task.worker = '';
 		this.account(placement.task.step.spec, -1);
@@ -289,6 +303,7 @@
 		for (const placement of placements) this.free(placement);
 		this.reported = undefined;
 		this.strays = 0;
+		this.lostUnheard = !this.settled;
 		this.settled = true;
 		this.handlers.onLost(this, placements, proof);
 	}
@@ -327,7 +342,7 @@
 	private waitMs(): number {
 		// Whether it answers again, and then when it may have a lease, is to be known at once.
 		if (!this.lease.hasClock || this.unanswered) return 0;
-		if (this.isHeldBack) return settings.tickMs;
+		if (this.isHeldBack || this.probation !== undefined) return settings.tickMs;
 		return this.fillMilliCores > 0 ? settings.holdWaitFillingMs : settings.holdWaitMs;
 	}
 
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -184,6 +184,21 @@
 		level: 'warn',
 		text: 'A task is proved not to run any more; the proof is given, whether its start was answered, and how long after its placing the worker first failed to answer.',
 	},
+	'task.crashed': {
+		id: 3116,
+		level: 'warn',
+		text: 'A worker went down under a run: how many did under this task so far, and how many it seems to have brought down.',
+	},
+	'task.cleared': {
+		id: 3117,
+		level: 'info',
+		text: 'A task that was suspected of bringing workers down has worked for long enough; the reason is given.',
+	},
+	'task.given-up': {
+		id: 3118,
+		level: 'error',
+		text: 'A task is not started again, as too many workers went down under it, and its job has failed; operators should look at what it runs.',
+	},
 	'task.stopped': { id: 3107, level: 'info', text: 'A cancelled task is confirmed as stopped.' },
 	'run.ended': { id: 3108, level: 'info', text: 'A worker lists the end of a run; how it ended is given.' },
 	'run.stray': {
--- a/src/core/jobs/active-job.ts
+++ b/src/core/jobs/active-job.ts
@@ -1,4 +1,5 @@
 /** A job that the owner works on: its steps and tasks, and what has to be stored of them. */
+import * as crashes from './crash-history.js';
 import * as types from './types.js';
 
 /** Where a task stands. `stopping`: placed, and told to stop. */
@@ -19,6 +20,10 @@
 	failures: Set<number>;
 	/** Workers where it failed; taken again only if nothing else fits. */
 	failedOn: Set<string>;
+	/** What became of the workers under it; undefined: none went down. */
+	crashes: crashes.CrashHistory | undefined;
+	/** Clock time before which it is not started again. */
+	pausedUntil: number;
 	/** Clock time from which it may be started. */
 	readyAt: number;
 	/** Clock time from which it would have waited if all its waits were one. */
@@ -65,6 +70,8 @@
 	storedState: types.JobState = 'pending';
 	/** A caller has asked to cancel it. */
 	cancelled: boolean;
+	/** Why it has failed, for people; empty: it has not. */
+	failure = '';
 	/** When it reached its end; 0 before. */
 	endedAt: types.WallMs = 0;
 	/** How many times of the schedule have come. */
@@ -157,6 +164,7 @@
 		if (task.state === 'finished') return [];
 		task.state = 'finished';
 		task.checkpoint = '';
+		task.crashes = undefined;
 		task.step.unfinished -= 1;
 		if (task.step.unfinished > 0) return [];
 		if (this.allFinished()) {
@@ -174,6 +182,7 @@
 		const finished: types.ProgressRecord['finished'] = {};
 		const failures: types.ProgressRecord['failures'] = {};
 		const checkpoints: types.ProgressRecord['checkpoints'] = {};
+		const crashed: Record<string, crashes.StoredCrashes> = {};
 		const workers: Record<string, string> = {};
 		for (const step of this.steps) {
 			const done = step.tasks.filter((task) => task.state === 'finished').map((task) => task.index);
@@ -181,11 +190,20 @@
 			for (const task of step.tasks) {
 				const key = taskKey(step, task.index);
 				if (task.failures.size > 0) failures[key] = [...task.failures];
+				if (task.crashes?.empty === false) crashed[key] = task.crashes.toStored();
 				if (task.checkpoint !== '' && task.state === 'ready') checkpoints[key] = task.checkpoint;
 				if (task.worker !== '' && step.spec.lasting) workers[key] = task.worker;
 			}
 		}
-		const progress = { state: this.state, finished, failures, checkpoints, endedAt: this.endedAt };
+		const progress: types.ProgressRecord = {
+			state: this.state,
+			finished,
+			failures,
+			checkpoints,
+			...(Object.keys(crashed).length > 0 && { crashes: crashed }),
+			...(this.failure !== '' && { failure: this.failure }),
+			endedAt: this.endedAt,
+		};
 		const hasLasting = this.record.steps.some((spec) => spec.lasting);
 		return hasLasting && this.workersStored ? { ...progress, workers } : progress;
 	}
@@ -198,8 +216,9 @@
 		this.state = progress.state;
 		this.storedState = progress.state;
 		this.endedAt = progress.endedAt;
-		const { finished, failures, checkpoints, workers = {} } = progress;
-		for (const key of [finished, failures, checkpoints, workers].flatMap((one) => Object.keys(one)))
+		this.failure = progress.failure ?? '';
+		const { finished, failures, checkpoints, crashes: crashed = {}, workers = {} } = progress;
+		for (const key of [finished, failures, checkpoints, crashed, workers].flatMap((one) => Object.keys(one)))
 			this.reach(Number(key.split('.', 1)[0]));
 	}
 
@@ -219,6 +238,7 @@
 
 	private createTask(step: StepRun, index: number): Task {
 		const key = taskKey(step, index);
+		const crashed = this.progress?.crashes?.[key];
 		return {
 			name: `${this.id}.${key}`,
 			index,
@@ -228,6 +248,8 @@
 			checkpoint: this.progress?.checkpoints[key] ?? '',
 			failures: new Set(this.progress?.failures[key]),
 			failedOn: new Set(),
+			crashes: crashed && crashes.CrashHistory.create(crashed),
+			pausedUntil: 0,
 			readyAt: 0,
 			waitingSince: 0,
 			waitedMs: 0,
--- a/src/core/jobs/types.ts
+++ b/src/core/jobs/types.ts
@@ -1,4 +1,5 @@
 /** What a caller hands in as a job, and what is kept of it. */
+import type * as crashes from './crash-history.js';
 
 /** Milliseconds since 1970 on the wall clock. */
 export type WallMs = number;
@@ -92,6 +93,10 @@
 	failures: Record<string, number[]>;
 	/** Newest checkpoint of tasks that run nowhere, by `time.step.index`. */
 	checkpoints: Record<string, string>;
+	/** Of tasks whose workers crashed, by `time.step.index`; absent: there are none. */
+	crashes?: Record<string, crashes.StoredCrashes>;
+	/** Why the job has failed, for people; absent: it has not, or an older version stored it. */
+	failure?: string;
 	/** When the job reached its end; 0 before. */
 	endedAt: WallMs;
 	/**
--- a/test/placer.test.ts
+++ b/test/placer.test.ts
@@ -6,6 +6,7 @@
 import * as jobs from '../src/core/jobs/index.js';
 import * as meters from '../src/core/dispatch/load-meter.js';
 import * as placer from '../src/core/dispatch/placer.js';
+import * as probation from '../src/core/dispatch/probation.js';
 import * as time from '../stand-ins/fleet/virtual-clock.js';
 import * as workers from '../stand-ins/fleet/workers.js';
 
@@ -41,6 +42,13 @@
 		estimates: interference.Interference.create(clock),
 		askAdviser: undefined,
 		start: () => undefined,
+		probations: probation.Probations.create({
+			clock,
+			events: events.EventLog.create('test', clock),
+			workers: () => [],
+			onChanged: () => undefined,
+		}),
+		mayStartAgain: () => true,
 		meter: meters.LoadMeter.create(),
 		startRoom: () => Infinity,
 		stopFor: () => undefined,
