A caller who asks for a failed job is told why

The answer to a job's state, its progress record and the log line job.state give the cause: runs that failed by themselves, or workers that went down under a task. Before, a caller whose job was given up saw 'failed' and nothing else, and could not tell its own fault from ours.

--- a/src/core/box/box.ts
+++ b/src/core/box/box.ts
@@ -260,7 +260,7 @@
 			case 'job.cancel':
 				return results.ok(await ledger.cancel(this.store, req.job));
 			case 'job.state':
-				return results.ok({ state: dispatcher.stateOf(req.job) });
+				return results.ok({ ...dispatcher.viewOf(req.job) });
 			case 'queue.pending':
 				return results.ok(dispatcher.pendingOf(req.queue));
 			case 'configuration.read':
--- a/src/core/box/job-service.ts
+++ b/src/core/box/job-service.ts
@@ -97,10 +97,10 @@
 	}
 
 	/** How a job stands. */
-	async state(id: string): Promise<Answer<jobs.JobState>> {
-		const known = await this.ownersState(id);
+	async state(id: string): Promise<Answer<jobs.JobView>> {
+		const known = await this.ownersView(id);
 		if (known !== undefined) {
-			this.opts.events.emit('job.state', { job: id, state: known, source: 'owner' });
+			this.opts.events.emit('job.state', { job: id, ...known, source: 'owner' });
 			return { type: 'ok', value: known };
 		}
 		if (!this.opts.contact.reachable && !this.opts.ownerHasStore())
@@ -108,9 +108,9 @@
 		const stored = await ledger.readJob(this.opts.store, id);
 		if (!stored.ok) return this.unavailable(stored.err.reason);
 		if (stored.value === undefined) return { type: 'no-such-job' };
-		const state = ledger.storedState(stored.value);
-		this.opts.events.emit('job.state', { job: id, state, source: 'store' });
-		return { type: 'ok', value: state };
+		const view = ledger.storedView(stored.value);
+		this.opts.events.emit('job.state', { job: id, ...view, source: 'store' });
+		return { type: 'ok', value: view };
 	}
 
 	/** Cancels a job. It is cancelled once that is stored. */
@@ -204,12 +204,13 @@
 		return { type: unknown ? 'unknown' : 'not-stored', reason };
 	}
 
-	private async ownersState(id: string): Promise<jobs.JobState | undefined> {
+	private async ownersView(id: string): Promise<jobs.JobView | undefined> {
 		const own = this.opts.dispatcher();
-		if (own !== undefined) return own.stateOf(id);
+		if (own !== undefined) return own.viewOf(id);
 		const req = { type: 'job.state' as const, job: id };
 		const res = await this.opts.askOwner<protocol.StateReply>(req, stateTimeoutMs);
-		return res.ok ? res.value.state : undefined;
+		if (!res.ok || res.value.state === undefined) return undefined;
+		return { ...res.value, state: res.value.state };
 	}
 
 	/** Tells the owner what was stored, to save it the wait until it reads it; no harm if that fails. */
--- a/src/core/box/peer-protocol.ts
+++ b/src/core/box/peer-protocol.ts
@@ -69,10 +69,8 @@
 	leftMs: Record<string, number>;
 }
 
-/** The answer to `job.state`; absent: the owner does not know the job. */
-export interface StateReply {
-	state?: jobs.JobState;
-}
+/** The answer to `job.state`; without a state the owner does not know the job. */
+export type StateReply = Partial<jobs.JobView>;
 
 /** Checks a request of a box. */
 export function parseBoxReq(body: unknown): results.Result<BoxReq, string> {
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -136,6 +136,11 @@
 		return this.book.stateOf(id);
 	}
 
+	/** How a job stands, and why it has failed; undefined: not known here. */
+	viewOf(id: string): jobs.JobView | undefined {
+		return this.book.viewOf(id);
+	}
+
 	/** Jobs of a queue of which no task has begun. */
 	pendingOf(queue: string): number {
 		return this.book.pendingOf(queue);
--- a/src/core/dispatch/job-book.ts
+++ b/src/core/dispatch/job-book.ts
@@ -83,6 +83,13 @@
 		return job.state;
 	}
 
+	/** How a job stands, and why it has failed; undefined: not known here. */
+	viewOf(id: string): jobs.JobView | undefined {
+		const state = this.stateOf(id);
+		const failure = this.jobs.get(id)?.failure ?? '';
+		return state && { state, ...(state === 'failed' && failure !== '' && { failure }) };
+	}
+
 	/** Tasks that have not finished, by the priority of their jobs; lasting ones never do, and are left out. */
 	owed(priorityOf: (job: jobs.ActiveJob) => number): Map<number, number> {
 		const owed = new Map<number, number>();
--- a/src/core/jobs/types.ts
+++ b/src/core/jobs/types.ts
@@ -84,6 +84,13 @@
 /** How a job stands, as callers see it. */
 export type JobState = 'pending' | 'running' | 'completed' | 'failed' | 'cancelled';
 
+/** How a job stands, as its callers are told. */
+export interface JobView {
+	state: JobState;
+	/** Why it has failed, for people; absent: it has not, or that is not known. */
+	failure?: string;
+}
+
 /** What is stored of a job's progress: all that a new owner could not learn from the workers. */
 export interface ProgressRecord {
 	state: JobState;
--- a/src/core/ledger/requests.ts
+++ b/src/core/ledger/requests.ts
@@ -73,9 +73,12 @@
 }
 
 /** State of a job as far as the store tells. */
-export function storedState(job: types.StoredJob): jobs.JobState {
-	if (job.progress !== undefined && job.progress.state !== 'pending') return job.progress.state;
-	return job.cancelled ? 'cancelled' : 'pending';
+export function storedView(job: types.StoredJob): jobs.JobView {
+	const { progress, cancelled } = job;
+	if (progress === undefined || progress.state === 'pending')
+		return { state: cancelled ? 'cancelled' : 'pending' };
+	const { state, failure } = progress;
+	return { state, ...(failure !== undefined && { failure }) };
 }
 
 /** Whether a write failed. */
--- a/test/crashing-tasks.test.ts
+++ b/test/crashing-tasks.test.ts
@@ -6,6 +6,7 @@
  * 5 ms after that. Sixty-seven tasks were lost within 3.6 s: sixteen for the second time, seven for the third.
  */
 import test from 'ava';
+import * as ledger from '../src/core/ledger/index.js';
 import * as random from '../dev/random.js';
 import * as world from './fixtures/dispatching.js';
 import type * as jobs from '../src/core/jobs/index.js';
@@ -201,3 +202,17 @@
 		t.is(reign.owner.dispatcher.stateOf('lasting'), 'running');
 		reign.close();
 	});
+
+test('a caller is told why a job has failed, by its owner and by the store', async (t) => {
+	const made = createWorld(10);
+	const reign = await Reign.begin(made);
+	await made.submit(reign.owner, world.job('bad', [world.step()]));
+	await made.clock.pass(soundWithinMs);
+	const failure = '2 workers went down under task bad.0.0.0: it brought them down';
+	t.deepEqual(reign.owner.dispatcher.viewOf('bad'), { state: 'failed', failure });
+	const reading = ledger.readJob(made.store.view(), 'bad');
+	await made.clock.pass(50);
+	const stored = await reading;
+	t.deepEqual(stored.ok && stored.value && ledger.storedView(stored.value), { state: 'failed', failure });
+	reign.close();
+});
