A start is checked against the worker's room when it is sent

What operators would see: a worker whose capacity shrinks while it runs is given more than it holds by starts that took their place before.

Cause: room was checked when a place was taken. A start that waits for the store (lasting ones, suspects) or had no answer is sent up to seconds later; and a list of workers that is not read any more tells of no change at all.

Change: a start is held back where the room has shrunk, where a run on probation stands, or where the list is not known to have held within the last 4 s (an entry's beat and the 3 s after which a box is in touch make 4.5); one that had no answer is stopped in place of being repeated. What an answer says holds as of when it can have been given, not as of when this process read it, for the configuration too. What runs in a room that has shrunk goes on: it would be lost, and nothing new comes until it fits.

Adopted runs are in the account already, and a worker with strays takes nothing (read again, no change).

--- a/src/core/box/configuration.ts
+++ b/src/core/box/configuration.ts
@@ -86,8 +86,8 @@
 			waitMs: waitFor(opts.applyMs),
 			gapMs: 0,
 			isShort: true,
-			onAnswered: () => {
-				this.confirmed(opts.clock.now());
+			onAnswered: (heldAt) => {
+				this.confirmed(heldAt);
 			},
 			onList: (items, revision) => {
 				for (const item of items) this.take(item.key, item.value, { source: 'list', revision });
--- a/src/core/box/owner-role.ts
+++ b/src/core/box/owner-role.ts
@@ -69,6 +69,9 @@
 				setWorkers: (entries, removed, whole) => {
 					dispatcher.setWorkers(entries, removed, whole);
 				},
+				onRead: (heldAt) => {
+					dispatcher.noteListRead(heldAt);
+				},
 			}),
 		];
 	}
--- a/src/core/box/worker-list.ts
+++ b/src/core/box/worker-list.ts
@@ -16,6 +16,8 @@
 	events: events.EventLog;
 	/** Told what the list says, in part or whole. */
 	setWorkers: dispatch.Dispatcher['setWorkers'];
+	/** Told of each answer: what the list said held at that clock time. */
+	onRead: (heldAt: number) => void;
 }
 
 /** What the list says of a worker. */
@@ -53,6 +55,7 @@
 		waitMs: limits.ownerWaitMs,
 		gapMs: dispatch.settings.listGapMs,
 		isShort: false,
+		onAnswered: opts.onRead,
 		onList: (items) => {
 			tell(
 				items.map((item) => read(item.key, item.value, item.version)),
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -73,6 +73,8 @@
 	private readonly reportContext: ends.ReportContext;
 	private readonly reportLog: reportLog.ReportLog;
 	private readonly meter = meters.LoadMeter.create();
+	/** Clock time at which the list of workers was last known to be what it is; undefined: nobody tells. */
+	private listHeldAt: number | undefined;
 
 	private constructor(
 		private readonly opts: DispatcherOptions,
@@ -152,6 +154,11 @@
 		this.placer.wake();
 	}
 
+	/** The platform's list of workers is as was told, as of that clock time. */
+	noteListRead(heldAt: number): void {
+		this.listHeldAt = heldAt;
+	}
+
 	/** Closes a worker to new work and moves what runs there; an unknown worker is empty. */
 	vacate(worker: string): vacating.VacateState {
 		const session = this.workers.get(worker);
@@ -211,9 +218,13 @@
 	private createStarter(): starter.Starter {
 		return starter.Starter.create(this.opts, this.meter, {
 			beforeStart: (session, place) => this.beforeStart(session, place),
+			isListFresh: () => this.isListFresh(),
 			onRoom: () => {
 				this.placer.wake();
 			},
+			onWithdrawn: (session, place, reason) => {
+				this.outcomes.withdrawn(session, place, reason);
+			},
 			onStarted: (place) => {
 				this.outcomes.begun(place.task.step.job);
 			},
@@ -232,6 +243,7 @@
 			policyOf: (job) => this.policyOf(job),
 			estimates: this.estimates,
 			probations: this.probations,
+			mayAct: () => this.opts.mayAct() && this.isListFresh(),
 			mayStartAgain: (task) => this.outcomes.mayStartAgain(task),
 			meter: this.meter,
 			startRoom: () => this.starter.room,
@@ -270,6 +282,12 @@
 		});
 	}
 
+	/** Whether the list of workers was read lately: it tells how much room each has, and rooms shrink. */
+	private isListFresh(): boolean {
+		const { listHeldAt } = this;
+		return listHeldAt === undefined || this.opts.clock.now() - listHeldAt < settings.listAgeMs;
+	}
+
 	private createProbations(): probation.Probations {
 		return probation.Probations.create({
 			...this.opts,
--- a/src/core/dispatch/outcomes.ts
+++ b/src/core/dispatch/outcomes.ts
@@ -61,6 +61,15 @@
 		this.breakGang(task);
 	}
 
+	/** A start was held back: its place is not what it was when it was taken. */
+	withdrawn(session: sessions.WorkerSession, place: types.Placement, reason: string): void {
+		const { task, run } = place;
+		this.opts.events.emit('start.withdrawn', { task: task.name, run, worker: session.id, reason });
+		task.crashes?.noteNotStarted(run);
+		this.opts.placer.addAgain(task);
+		this.breakGang(task);
+	}
+
 	/** Runs went down with their worker, or may have. */
 	lost(session: sessions.WorkerSession, places: types.Placement[]): void {
 		const blamed = this.opts.blame.blamed(session.id);
--- a/src/core/dispatch/room.ts
+++ b/src/core/dispatch/room.ts
@@ -34,6 +34,13 @@
 	return hasRoom(step.spec, worker.used, capacity, reserve);
 }
 
+/** Whether a worker holds more than it can, as its room has shrunk since. */
+export function isOverfull({ used, entry }: sessions.WorkerSession): boolean {
+	if (entry === undefined) return false;
+	const { milliCores, memoryMb, accelerators } = entry.capacity;
+	return used.milliCores > milliCores || used.memoryMb > memoryMb || used.accelerators > accelerators;
+}
+
 /** Whether a step's label and its limit per worker allow one more task there. */
 function allows(step: jobs.StepRun, worker: sessions.WorkerSession): boolean {
 	const { spec } = step;
--- a/src/core/dispatch/settings.ts
+++ b/src/core/dispatch/settings.ts
@@ -49,6 +49,12 @@
 /** How often due times, silent workers and drains are looked at. */
 export const tickMs = 100;
 
+/**
+ * Nothing is started by a list of workers that was last known to hold so long ago: a worker's room may have shrunk. Two
+ * waits for changes, the first of them without an answer.
+ */
+export const listAgeMs = 4_000;
+
 /** How long after the list of workers was read it is read again. */
 export const listGapMs = 350;
 
--- a/src/core/dispatch/starter.ts
+++ b/src/core/dispatch/starter.ts
@@ -1,5 +1,6 @@
 /** Sends starts and stops, and follows each until it is known what became of it. */
 import * as clocks from '../clock.js';
+import * as room from './room.js';
 import * as settings from './settings.js';
 import * as windows from './start-window.js';
 import type * as meters from './load-meter.js';
@@ -13,10 +14,14 @@
 export interface StarterHandlers {
 	/** Resolves once the start may be sent, as a successor could know of it; undefined: there is nothing to wait for. */
 	beforeStart: (session: sessions.WorkerSession, placement: types.Placement) => Promise<void> | undefined;
+	/** Whether the list of workers is read, so that what it says of their room holds. */
+	isListFresh: () => boolean;
 	/** Another start may be sent. */
 	onRoom: () => void;
 	/** The run is known to be there. */
 	onStarted: (placement: types.Placement) => void;
+	/** A start was not sent, as its place is not what it was; it is free again. */
+	onWithdrawn: (session: sessions.WorkerSession, placement: types.Placement, reason: string) => void;
 	/** The run is known never to start; its place is free again. */
 	onNotStarted: (
 		session: sessions.WorkerSession,
@@ -88,6 +93,12 @@
 			this.notStarted(session, placement, { kind: 'too-late' });
 			return;
 		}
+		const reason = this.obstacle(session, placement);
+		if (reason !== undefined) {
+			session.free(placement);
+			this.handlers.onWithdrawn(session, placement, reason);
+			return;
+		}
 		this.meter.count('starts');
 		placement.sentAt = this.deps.clock.now();
 		session.newestStartAt = placement.sentAt;
@@ -119,11 +130,23 @@
 			}
 			await clocks.sleep(this.deps.clock, settings.orderRetryMs);
 			if (!isToStart(session, placement)) return;
+			if (this.obstacle(session, placement) !== undefined) break;
 		}
 		// It may be there, or come later: a stop that is acknowledged settles it.
 		await this.stop(session, placement);
 	}
 
+	/**
+	 * Why a start may not be sent any more, though its place was taken: it may have waited for the store, or been sent once
+	 * without an answer, and the worker's room may have shrunk since.
+	 */
+	private obstacle(session: sessions.WorkerSession, placement: types.Placement): string | undefined {
+		const { probation } = session;
+		if (room.isOverfull(session)) return 'room-shrunk';
+		if (probation !== undefined && probation !== placement) return 'probation';
+		return this.handlers.isListFresh() ? undefined : 'list-unread';
+	}
+
 	/** Stops a run, and logs why; `more`: what else the log line tells. */
 	stopFor(
 		reason: string,
--- a/src/core/platform/record-follower.ts
+++ b/src/core/platform/record-follower.ts
@@ -3,6 +3,7 @@
  * changes bring no answer.
  */
 import * as clocks from '../clock.js';
+import * as limits from './limits.js';
 import type * as types from './types.js';
 
 /** Calls that fail follow each other at this distance in milliseconds; one that took longer is repeated at once. */
@@ -31,8 +32,11 @@
 	/** All there is, and the store's revision. */
 	onList: (items: types.Stored[], revision: number) => void;
 	onChanges: (changes: types.StoreChange[], revision: number) => void;
-	/** Told of each call that was answered, before what it brought. */
-	onAnswered?: () => void;
+	/**
+	 * Told of each call that was answered, before what it brought; `heldAt`: clock time at which that held. An answer may
+	 * have lain here unread while this process stood still.
+	 */
+	onAnswered?: (heldAt: number) => void;
 }
 
 /** A prefix that is followed until it is closed. */
@@ -72,10 +76,11 @@
 
 	/** One list; returns how long to wait before the next call. */
 	private async list(): Promise<number | 'failed'> {
+		const startedAt = this.opts.clock.now();
 		const res = await this.opts.store.list(this.opts.prefix);
 		if (this.isClosed()) return 0;
 		if (!res.ok) return 'failed';
-		this.opts.onAnswered?.();
+		this.opts.onAnswered?.(startedAt);
 		const { items, revision } = res.value;
 		this.revision = revision;
 		this.opts.onList(items, revision);
@@ -98,7 +103,7 @@
 			return 0;
 		}
 		this.unanswered = 0;
-		this.opts.onAnswered?.();
+		this.opts.onAnswered?.(Math.min(clock.now(), startedAt + waitMs + limits.lateAnswerMs));
 		const { changes, revision } = res.value;
 		this.revision = revision;
 		if (changes.length === 0) return 0;
--- /dev/null
+++ b/test/shrinking-rooms.test.ts
@@ -0,0 +1,98 @@
+/**
+ * A worker's capacity may shrink while it runs, and its entry in the platform's list says so. Places are checked against
+ * the capacity when they are taken; a start may be sent much later, after it has waited for the store or was not answered,
+ * and a list that is not read any more tells of no change at all.
+ */
+import test from 'ava';
+import * as world from './fixtures/dispatching.js';
+import type * as fleet from '../src/core/fleet/types.js';
+import type * as memory from '../stand-ins/fleet/memory-store.js';
+
+const long = { ms: 60_000, how: 'done' as const };
+
+/** A task that fills most of a worker, in thousandths of a core, and what a worker shrinks to. */
+const milliCores = 20_000;
+const shrunk: fleet.Capacity = { milliCores: 16_000, memoryMb: 128_000, accelerators: 0 };
+
+/** The list says that a worker's room has shrunk. */
+function shrink(owner: world.TestOwner, entry: fleet.WorkerEntry): void {
+	owner.dispatcher.setWorkers([{ ...entry, capacity: shrunk }], [], false);
+}
+
+test('a start that waited for the store is not sent to a worker whose room has shrunk meanwhile', async (t) => {
+	const made = world.createWorld(() => long);
+	const { clock, fleet: all } = made;
+	const w1 = all.add('w1');
+	let fault: memory.StoreFault = 'none';
+	const owner = await made.takeOver(undefined, () => fault);
+	await clock.pass(1_200);
+	fault = 'down';
+	const record = world.job('job1', [world.step({ milliCores, lasting: true })]);
+	owner.dispatcher.addJob({ ...record, acceptedUnder: 1 });
+	await clock.pass(500);
+	t.is(all.starts.length, 0);
+	shrink(owner, w1.entry);
+	const w2 = all.add('w2');
+	owner.dispatcher.setWorkers([w2.entry], [], false);
+	fault = 'none';
+	await clock.pass(4_000);
+	t.deepEqual(
+		all.starts.map((one) => one.worker),
+		['w2'],
+	);
+	owner.dispatcher.close();
+});
+
+test('a start without an answer is not repeated at a worker whose room has shrunk meanwhile', async (t) => {
+	const made = world.createWorld(() => long);
+	const { clock, fleet: all } = made;
+	const w1 = all.add('w1');
+	const owner = await made.takeOver();
+	await clock.pass(1_200);
+	w1.fault = 'silent';
+	await made.submit(owner, world.job('job1', [world.step({ milliCores })]));
+	await clock.pass(500);
+	shrink(owner, w1.entry);
+	w1.fault = 'none';
+	await clock.pass(5_000);
+	t.is(w1.running.size, 0);
+	t.is(all.starts.length, 0);
+	owner.dispatcher.close();
+});
+
+test('no start is sent by a list of workers that has not been read for long', async (t) => {
+	const made = world.createWorld(() => long);
+	const { clock, fleet: all } = made;
+	all.add('w1');
+	const owner = await made.takeOver();
+	owner.dispatcher.noteListRead(clock.now());
+	await clock.pass(1_200);
+	await made.submit(owner, world.job('job1', [world.step({ milliCores: 1_000 })]));
+	await clock.pass(3_500);
+	t.is(all.starts.length, 1);
+	await made.submit(owner, world.job('job2', [world.step({ milliCores: 1_000 })]));
+	await clock.pass(3_000);
+	t.is(all.starts.length, 1);
+	owner.dispatcher.noteListRead(clock.now());
+	await clock.pass(500);
+	t.is(all.starts.length, 2);
+	owner.dispatcher.close();
+});
+
+test('a room that is over-full takes nothing more, and what runs there goes on', async (t) => {
+	const made = world.createWorld(() => long);
+	const { clock, fleet: all } = made;
+	const w1 = all.add('w1');
+	const owner = await made.takeOver();
+	await clock.pass(1_200);
+	await made.submit(owner, world.job('job1', [world.step({ milliCores })]));
+	await clock.pass(500);
+	shrink(owner, w1.entry);
+	await made.submit(owner, world.job('job2', [world.step({ milliCores: 1_000 })]));
+	await clock.pass(3_000);
+	t.deepEqual([...w1.running.keys()], ['job1.0.0.0']);
+	owner.dispatcher.setWorkers([w1.entry], [], false);
+	await clock.pass(500);
+	t.is(w1.running.size, 2);
+	owner.dispatcher.close();
+});
--- a/test/worker-entries.test.ts
+++ b/test/worker-entries.test.ts
@@ -63,6 +63,7 @@
 		setWorkers: (entries, removed, whole) => {
 			told.push({ listed: [...entries].map((one) => one.id), absent: [...removed], whole });
 		},
+		onRead: () => undefined,
 	});
 	await clock.pass(1_000);
 	store.put('servers/w1', Buffer.from('{'));
