An owner that may have been replaced takes no machine down

What operators would see: a box that owned, and froze or lost the store for longer than its lease, goes on with a wave of upkeep while its successor does so too: more machines down than may be. Where the platform does not check fences nothing turns its orders away.

Cause: leases and starts ask whether the epoch was shown in force within the last three seconds; upkeep did not. Found by reading, looking for beliefs that outlast a suspension. Now it asks the same before each order. The test fails without it.

--- a/src/core/box/owner-role.ts
+++ b/src/core/box/owner-role.ts
@@ -187,6 +187,7 @@
 			machines: adapter.machines,
 			holder: settings.box,
 			epoch: this.owned.generation,
+			mayAct: () => this.mayAct(),
 			vacate: (worker) => this.dispatcher.vacate(worker),
 			reopen: (worker) => {
 				this.dispatcher.reopen(worker);
--- a/src/core/upkeep/upkeep.ts
+++ b/src/core/upkeep/upkeep.ts
@@ -22,6 +22,8 @@
 	/** Who gives the orders, and under which epoch. */
 	holder: string;
 	epoch: number;
+	/** Whether machines may be taken down: the epoch was shown in force lately. */
+	mayAct: () => boolean;
 	/** Closes a worker to new work and moves what runs there; `protected`: something there must stay for now. */
 	vacate: (worker: string) => 'empty' | 'moving' | 'protected';
 	/** Opens a worker again. */
@@ -124,7 +126,9 @@
 
 	/** Orders a machine's upkeep. */
 	private async takeDown(open: OpenWave, name: string, one: Leaving): Promise<void> {
-		const { machines, holder, epoch } = this.opts;
+		const { machines, holder, epoch, mayAct } = this.opts;
+		// Not every platform turns the orders of a replaced owner away.
+		if (!mayAct()) return;
 		const outcome = await machines.upkeep(name, open.wave.number, holder, epoch);
 		this.opts.events.emit('machine.upkeep', { machine: name, wave: open.wave.number, outcome });
 		if (outcome === 'fenced') {
--- a/test/upkeep.test.ts
+++ b/test/upkeep.test.ts
@@ -45,7 +45,7 @@
 }
 
 /** What a test's upkeep is told of workers, and tells of its waves. */
-type UpkeepEnds = Pick<upkeep.UpkeepOptions, 'vacate' | 'report'>;
+type UpkeepEnds = Pick<upkeep.UpkeepOptions, 'vacate' | 'report'> & Partial<upkeep.UpkeepOptions>;
 
 /** The upkeep of one owner. */
 function createUpkeep(clock: time.VirtualClock, machines: Machines, ends: UpkeepEnds): upkeep.Upkeep {
@@ -55,6 +55,7 @@
 		machines: machines.calls,
 		holder: 'entry-1',
 		epoch: 1,
+		mayAct: () => true,
 		reopen: () => undefined,
 		onFenced: () => undefined,
 		...ends,
@@ -168,3 +169,21 @@
 	await clock.pass(150);
 	t.deepEqual(asked, [['w1', 'w2'], ['w2']]);
 });
+
+test('an owner that may have been replaced takes no machine down', async (t) => {
+	const clock = time.VirtualClock.create();
+	const machines = createMachines(clock, ['m1', 'm2']);
+	let mayAct = false;
+	const running = createUpkeep(clock, machines, {
+		vacate: () => 'empty',
+		report: () => Promise.resolve(true),
+		mayAct: () => mayAct,
+	});
+	running.add({ number: 1, machines: ['m1', 'm2'], withinMs: 10_000, maximum: 2 });
+	await clock.pass(3_000);
+	t.deepEqual(machines.begun, []);
+	mayAct = true;
+	await clock.pass(3_000);
+	t.deepEqual(machines.begun, ['m1', 'm2']);
+	running.close();
+});
