A stored job that can't be worked on costs itself, not one owner after the other

What callers would see: no job is dispatched any more, at any box. One job of a thousand million times that are all due, or of two million tasks, took all memory of the owner that made its tasks; its successor read the same record, and so on. A record that did not decode threw in each of them.

Cause: the same class as the tasks that crash their workers, with ourselves as the worker: a try that is repeated by one box after the other without a bound on what it destroys. Found by looking for it.

Change: a job's record and progress are checked when they are read, and left out with a line (job.unreadable) where they can't be worked on; what runs of such a job is stopped, its state is answered with 503, as it is there and nothing can be said of it. What owners learnt is no reason to fail a takeover either.

--- a/src/core/box/owner-role.ts
+++ b/src/core/box/owner-role.ts
@@ -213,8 +213,11 @@
 	private followRequests(from: number): followers.RecordFollower {
 		const take = (key: string, value: Uint8Array): void => {
 			const parsed = ledger.keys.parseKey(key);
-			if (parsed?.kind === 'job') this.dispatcher.addJob(ledger.decodeJob(value));
 			if (parsed?.kind === 'cancel') this.dispatcher.cancelJob(parsed.id);
+			if (parsed?.kind !== 'job') return;
+			const record = ledger.decodeJob(value);
+			if (record.ok) this.dispatcher.addJob(record.value);
+			else this.dispatcher.leaveOut({ id: parsed.id, reason: record.err });
 		};
 		return followers.RecordFollower.create({
 			store: this.deps.store,
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -115,6 +115,7 @@
 	): Dispatcher {
 		const dispatcher = new Dispatcher(opts, contents);
 		if (knowledge !== undefined) dispatcher.adoptKnowledge(knowledge);
+		for (const unreadable of contents.unreadable) dispatcher.leaveOut(unreadable);
 		for (const stored of contents.jobs.values()) dispatcher.addStored(stored);
 		return dispatcher;
 	}
@@ -128,6 +129,12 @@
 		this.book.add(record, undefined, { cancelled: false, inherited, workersStored });
 	}
 
+	/** A stored job can't be worked on. It costs itself only: whoever owned would stop working by it, one after the other. */
+	leaveOut({ id, reason }: ledger.UnreadableJob): void {
+		this.opts.events.emit('job.unreadable', { job: id, reason });
+		this.strangers.leaveOut(id);
+	}
+
 	/** Takes in a stored cancellation. */
 	cancelJob(id: string): void {
 		const job = this.book.get(id);
--- a/src/core/dispatch/strangers.ts
+++ b/src/core/dispatch/strangers.ts
@@ -25,7 +25,7 @@
 /** Looks unknown jobs up, each once. */
 export class Strangers {
 	private readonly asking = new Set<string>();
-	/** Jobs that are not kept: what still runs of them is to be stopped. */
+	/** Jobs that are not kept, or can't be worked on: what still runs of them is to be stopped. */
 	private readonly absent = new Set<string>();
 
 	private constructor(private readonly opts: StrangersOptions) {}
@@ -34,6 +34,11 @@
 		return new Strangers(opts);
 	}
 
+	/** A job is stored and can't be worked on. */
+	leaveOut(job: string): void {
+		this.absent.add(job);
+	}
+
 	/** Whether a report names no job that has to be looked up first; looks up those that it does. */
 	clear(report: fleet.WorkerReport): boolean {
 		let isClear = true;
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -157,6 +157,11 @@
 		level: 'info',
 		text: 'A job was not taken in, because what is owed already takes too long; the wait, the limit and when the caller is to come back are given.',
 	},
+	'job.unreadable': {
+		id: 3017,
+		level: 'error',
+		text: "A stored job can't be worked on, for the reason given; the others are.",
+	},
 	'job.cancel': { id: 3013, level: 'info', text: 'A caller asked to cancel a job; the outcome is given.' },
 	'job.state': {
 		id: 3014,
--- a/src/core/jobs/index.ts
+++ b/src/core/jobs/index.ts
@@ -3,5 +3,6 @@
 export type { StoredCrashes } from './crash-history.js';
 export { ActiveJob, parseTaskName, patienceOf } from './active-job.js';
 export type { JobStart, Patience, StepRun, Task, TaskName, TaskState } from './active-job.js';
+export { mostTasks, mostTasksAtOnce, oversize } from './size.js';
 export { isFinal } from './types.js';
 export type * from './types.js';
--- a/src/core/ledger/owner-ledger.ts
+++ b/src/core/ledger/owner-ledger.ts
@@ -20,6 +20,8 @@
 /** All that an owner reads at its takeover. */
 export interface LedgerContents {
 	jobs: Map<string, types.StoredJob>;
+	/** Left out of `jobs`. */
+	unreadable: types.UnreadableJob[];
 	roster: types.RosterEntry[];
 	/** What earlier owners learnt, as they stored it; undefined: nothing. */
 	learnt: unknown;
@@ -124,13 +126,14 @@
 		if (!roster.ok) return results.fail(roster.err.reason);
 		this.rosterVersion = roster.value?.version ?? 0;
 		const entries = roster.value && records.decodeRoster(roster.value.value);
-		const jobsById = collect(list.value.items);
+		const { jobsById, unreadable } = collect(list.value.items);
 		for (const [id, job] of jobsById) this.progressVersions.set(id, job.progressVersion);
 		return results.ok({
 			jobs: jobsById,
+			unreadable,
 			roster: entries ?? [],
 			// Without it the owner learns anew; it is no reason to fail a takeover.
-			learnt: learnt.ok && learnt.value ? records.decode(learnt.value.value) : undefined,
+			learnt: learnt.ok && learnt.value ? records.decodeLearnt(learnt.value.value) : undefined,
 			workersStoredSince: this.workersStoredSince,
 			revision: list.value.revision,
 		});
@@ -238,8 +241,16 @@
 }
 
 /** The jobs in a list of all that concerns jobs; progress and cancellations without a job are left out. */
-function collect(items: platform.Stored[]): Map<string, types.StoredJob> {
+function collect(items: platform.Stored[]): {
+	jobsById: Map<string, types.StoredJob>;
+	unreadable: types.UnreadableJob[];
+} {
 	const found = new Map<string, types.StoredJob>();
+	const unreadable: types.UnreadableJob[] = [];
+	const leaveOut = (id: string, reason: string): void => {
+		found.delete(id);
+		unreadable.push({ id, reason });
+	};
 	const parsed = items.flatMap((item) => {
 		const key = keys.parseKey(item.key);
 		return key === undefined ? [] : [{ item, ...key }];
@@ -247,16 +258,22 @@
 	for (const { item, kind, id } of parsed) {
 		if (kind !== 'job') continue;
 		const record = records.decodeJob(item.value);
-		found.set(id, { record, progressVersion: 0, cancelled: false });
+		if (record.ok) found.set(id, { record: record.value, progressVersion: 0, cancelled: false });
+		else leaveOut(id, record.err);
 	}
 	for (const { item, kind, id } of parsed) {
 		const job = found.get(id);
 		if (job === undefined || kind === 'job') continue;
 		if (kind === 'cancel') job.cancelled = true;
 		else {
-			job.progress = records.decodeProgress(item.value);
+			const progress = records.decodeProgress(item.value);
+			if (!progress.ok) {
+				leaveOut(id, progress.err);
+				continue;
+			}
+			job.progress = progress.value;
 			job.progressVersion = item.version;
 		}
 	}
-	return found;
+	return { jobsById: found, unreadable };
 }
--- a/src/core/ledger/records.ts
+++ b/src/core/ledger/records.ts
@@ -1,17 +1,60 @@
-/** Decodes what is stored; a record of ours that does not decode breaks an invariant, as only the boxes write there. */
+/**
+ * Decodes what is stored. Only the boxes write there, so a record of who owns that does not decode breaks an invariant.
+ * Jobs are many, of callers' making, and read by one owner after the other: one that can't be worked on costs itself only.
+ */
+import * as zod from 'zod/mini';
+import * as jobSize from '../jobs/size.js';
 import * as results from '../result.js';
 import * as wire from '../wire/frame.js';
 import type * as jobs from '../jobs/types.js';
 import type * as types from './types.js';
 
-/** An accepted job. */
-export function decodeJob(bytes: Uint8Array): jobs.JobRecord {
-	return decode(bytes) as jobs.JobRecord;
+const z = zod;
+
+/** What has to stand in a job's record for its tasks to be made. */
+const jobForm = z.looseObject({
+	id: z.string(),
+	queue: z.looseObject({ name: z.string(), pool: z.string() }),
+	steps: z.array(z.looseObject({ count: z.int(), after: z.array(z.int()) })).check(z.minLength(1)),
+	acceptedAt: z.number(),
+});
+
+/** The same of its progress. */
+const progressForm = z.looseObject({
+	state: z.enum(['pending', 'running', 'completed', 'failed', 'cancelled']),
+	finished: z.record(z.string(), z.unknown()),
+	failures: z.record(z.string(), z.array(z.number())),
+	checkpoints: z.record(z.string(), z.string()),
+});
+
+/** An accepted job, or why it can't be worked on. */
+export function decodeJob(bytes: Uint8Array): results.Result<jobs.JobRecord, string> {
+	const decoded = decodeForm(bytes, jobForm);
+	if (!decoded.ok) return decoded;
+	const record = decoded.value as unknown as jobs.JobRecord;
+	const tooLarge = jobSize.oversize(record);
+	return tooLarge === undefined ? results.ok(record) : results.fail(tooLarge);
+}
+
+/** A job's progress, or why it can't be read. */
+export function decodeProgress(bytes: Uint8Array): results.Result<jobs.ProgressRecord, string> {
+	const decoded = decodeForm(bytes, progressForm);
+	return decoded.ok ? results.ok(decoded.value as unknown as jobs.ProgressRecord) : decoded;
 }
 
-/** A job's progress. */
-export function decodeProgress(bytes: Uint8Array): jobs.ProgressRecord {
-	return decode(bytes) as jobs.ProgressRecord;
+/** What owners have learnt; undefined: none, or nothing that can be read. */
+export function decodeLearnt(bytes: Uint8Array): unknown {
+	const value = wire.decodeValue(bytes);
+	return value.ok ? value.value : undefined;
+}
+
+function decodeForm<T>(bytes: Uint8Array, form: zod.ZodMiniType<T>): results.Result<T, string> {
+	const value = wire.decodeValue(bytes);
+	if (!value.ok) return value;
+	const parsed = form.safeParse(value.value);
+	if (parsed.success) return results.ok(parsed.data);
+	const issue = parsed.error.issues[0];
+	return results.fail(`field ${issue?.path.join('.') ?? ''}: ${issue?.message ?? ''}`);
 }
 
 /** The count of takeovers. */
@@ -29,8 +72,7 @@
 	return decode(bytes) as types.RosterEntry[];
 }
 
-/** Any record of ours. */
-export function decode(bytes: Uint8Array): unknown {
+function decode(bytes: Uint8Array): unknown {
 	const value = wire.decodeValue(bytes);
 	results.invariant(value.ok, 'a stored record decodes');
 	return value.value;
--- a/src/core/ledger/requests.ts
+++ b/src/core/ledger/requests.ts
@@ -64,14 +64,23 @@
 	if (!progress.ok) return progress;
 	if (!cancelled.ok) return cancelled;
 	if (job.value === undefined) return results.ok(undefined);
+	const record = records.decodeJob(job.value.value);
+	const reached = progress.value && records.decodeProgress(progress.value.value);
+	if (!record.ok) return unreadable(record.err);
+	if (reached?.ok === false) return unreadable(reached.err);
 	return results.ok({
-		record: records.decodeJob(job.value.value),
-		progress: progress.value && records.decodeProgress(progress.value.value),
+		record: record.value,
+		progress: reached?.value,
 		progressVersion: progress.value?.version ?? 0,
 		cancelled: cancelled.value !== undefined,
 	});
 }
 
+/** What is kept of a job can't be read: it is there, and nothing can be said of it. */
+function unreadable(reason: string): results.Result<never, platform.StoreFailure> {
+	return results.fail({ effect: 'none', reason: `the job's record can't be read: ${reason}` });
+}
+
 /** State of a job as far as the store tells. */
 export function storedView(job: types.StoredJob): jobs.JobView {
 	const { progress, cancelled } = job;
--- a/src/core/ledger/types.ts
+++ b/src/core/ledger/types.ts
@@ -40,6 +40,12 @@
 	cancelled: boolean;
 }
 
+/** A job whose record can't be worked on. */
+export interface UnreadableJob {
+	id: string;
+	reason: string;
+}
+
 /** A write that failed. `not-stored`: it is not kept and never will be. `unknown`: it may be kept now, or a little later. */
 export type Unstored = { type: 'not-stored'; reason: string } | { type: 'unknown'; reason: string };
 
