A job whose progress the store refuses holds up no other

What callers would see: jobs that are done are told as running, all of them. Progress is written in batches; one record that the store does not take (a value over its limit, say) fails the write for all in it, and the same batch was tried for ever.

The test does not end on the code before: nothing is stored.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -342,6 +342,9 @@
 				job.storedState = state;
 			},
 			onSuperseded: this.opts.onFenced,
+			onRefused: (job) => {
+				events.emit('progress.refused', { job: job.id, epoch });
+			},
 			onFailure: (outcome) => {
 				events.emit('progress.unsaved', { epoch, reason: outcome });
 			},
--- a/src/core/dispatch/progress-saver.ts
+++ b/src/core/dispatch/progress-saver.ts
@@ -14,6 +14,9 @@
 /** A write that failed is tried again after this many milliseconds. */
 const retryMs = 150;
 
+/** A job whose progress the store refuses is set aside for so long, in milliseconds. */
+const asideMs = 5_000;
+
 /** Where progress goes. */
 export type SaveProgress = (batch: Map<string, jobs.ProgressRecord>) => Promise<ledger.WriteOutcome>;
 
@@ -25,6 +28,8 @@
 	onSaved: (job: jobs.ActiveJob, state: jobs.JobState) => void;
 	/** Another box has taken over. */
 	onSuperseded: () => void;
+	/** The store refuses a job's progress; it is tried again after a while. */
+	onRefused: (job: jobs.ActiveJob) => void;
 	/** A write failed; it is tried again. */
 	onFailure: (outcome: ledger.WriteOutcome) => void;
 }
@@ -44,6 +49,8 @@
 	/** In the write under way. */
 	private inFlight = new Set<jobs.ActiveJob>();
 	private waiters: Waiter[] = [];
+	/** Jobs in one write, at most: fewer after one that the store refused, until the job that it refuses stands alone. */
+	private most: number = ledger.maxProgressPerWrite;
 	/** Number of the newest write. */
 	private writes = 0;
 	private running = false;
@@ -91,7 +98,7 @@
 
 	/** Stores the next batch; what could not be stored is marked again. */
 	private async saveBatch(): Promise<void> {
-		const batch = chooseBatch(this.dirty, this.awaited);
+		const batch = chooseBatch(this.dirty, this.awaited, this.most);
 		const awaited = new Set(batch.filter((job) => this.awaited.has(job)));
 		const records = new Map(batch.map((job) => [job.id, job.toProgress()]));
 		for (const job of batch) {
@@ -103,11 +110,18 @@
 		const outcome = await this.opts.save(records);
 		this.inFlight = new Set();
 		if (outcome === 'committed') {
+			this.most = Math.min(ledger.maxProgressPerWrite, this.most * 2);
 			for (const job of batch) this.opts.onSaved(job, records.get(job.id)?.state ?? 'pending');
 			this.settle(batch);
 			return;
 		}
+		const [only] = batch;
+		if (outcome === 'refused' && batch.length === 1 && only !== undefined) {
+			this.setAside(only);
+			return;
+		}
 		for (const job of batch) this.mark(job, awaited.has(job));
+		if (outcome === 'refused') this.most = Math.ceil(batch.length / 2);
 		if (outcome === 'superseded') {
 			this.closed = true;
 			this.opts.onSuperseded();
@@ -118,6 +132,15 @@
 		if (outcome === 'failed') await clocks.sleep(this.opts.clock, retryMs);
 	}
 
+	/** One job's progress is refused, whatever it is written with: the others go on without it. */
+	private setAside(job: jobs.ActiveJob): void {
+		this.most = ledger.maxProgressPerWrite;
+		this.opts.onRefused(job);
+		this.opts.clock.after(asideMs, () => {
+			if (!this.closed) this.mark(job);
+		});
+	}
+
 	/** Answers those who waited for these jobs only. */
 	private settle(saved: jobs.ActiveJob[]): void {
 		const open: Waiter[] = [];
@@ -134,7 +157,11 @@
 }
 
 /** What the next write holds: what is waited for first, then what has been changed for longest. */
-export function chooseBatch<T>(dirty: ReadonlySet<T>, awaited: ReadonlySet<T>): T[] {
+export function chooseBatch<T>(
+	dirty: ReadonlySet<T>,
+	awaited: ReadonlySet<T>,
+	most: number = ledger.maxProgressPerWrite,
+): T[] {
 	const others = [...dirty].filter((one) => !awaited.has(one));
-	return [...awaited, ...others].slice(0, ledger.maxProgressPerWrite);
+	return [...awaited, ...others].slice(0, most);
 }
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -162,6 +162,11 @@
 		level: 'error',
 		text: "A stored job can't be worked on, for the reason given; the others are.",
 	},
+	'progress.refused': {
+		id: 3018,
+		level: 'error',
+		text: "The store refuses a job's progress, for its size or form; other jobs are stored, and this one is tried again after a while.",
+	},
 	'job.cancel': { id: 3013, level: 'info', text: 'A caller asked to cancel a job; the outcome is given.' },
 	'job.state': {
 		id: 3014,
--- a/src/core/ledger/owner-ledger.ts
+++ b/src/core/ledger/owner-ledger.ts
@@ -14,8 +14,8 @@
 /** Progress records in one write: the store takes 32 rows at once; each record is two, and the epoch is one. */
 export const maxProgressPerWrite = 15;
 
-/** What a write of the owner came to. `superseded`: another box has taken over. */
-export type WriteOutcome = 'committed' | 'conflict' | 'failed' | 'superseded';
+/** What a write of the owner came to. `superseded`: another box has taken over. `refused`: it is not taken as it is, ever. */
+export type WriteOutcome = 'committed' | 'conflict' | 'failed' | 'refused' | 'superseded';
 
 /** All that an owner reads at its takeover. */
 export interface LedgerContents {
@@ -210,7 +210,8 @@
 		const sentAt = this.now();
 		const res = await this.store.commit({ expected: [fence, ...expected], writes, removes });
 		const none = { version: 0, current: [] };
-		if (!res.ok || res.value.type === 'lease-gone') return { outcome: 'failed', ...none };
+		if (!res.ok) return { outcome: res.err.refused === true ? 'refused' : 'failed', ...none };
+		if (res.value.type === 'lease-gone') return { outcome: 'failed', ...none };
 		if (res.value.type === 'committed') {
 			this.confirmedAt = sentAt;
 			return { outcome: 'committed', version: res.value.version, current: [] };
--- a/src/core/platform/types.ts
+++ b/src/core/platform/types.ts
@@ -12,6 +12,8 @@
 export interface StoreFailure {
 	effect: 'none' | 'unknown';
 	reason: string;
+	/** The store turns the call away for what it holds, also when it is repeated. */
+	refused?: boolean;
 }
 
 /** What a compare-and-swap came to. */
--- a/test/progress-saver.test.ts
+++ b/test/progress-saver.test.ts
@@ -27,6 +27,7 @@
 		},
 		onSaved: () => undefined,
 		onSuperseded: () => undefined,
+		onRefused: () => undefined,
 		onFailure: () => undefined,
 	});
 	const running = Array.from({ length: 120 }, (_, number) => createJob(`job${String(number)}`, clock.now()));
@@ -47,3 +48,30 @@
 	const dirty = new Set(Array.from({ length: 20 }, (_, number) => number));
 	t.deepEqual(saver.chooseBatch(dirty, new Set([19, 7])).slice(0, 5), [19, 7, 0, 1, 2]);
 });
+
+test('a job whose progress the store refuses holds up no other', async (t) => {
+	const clock = time.VirtualClock.create();
+	const stored = new Set<string>();
+	const refused: string[] = [];
+	const progress = saver.ProgressSaver.create({
+		clock,
+		save: async (batch) => {
+			await new Promise<void>((resolve) => clock.after(4, resolve));
+			if (batch.has('job7')) return 'refused';
+			for (const id of batch.keys()) stored.add(id);
+			return 'committed';
+		},
+		onSaved: () => undefined,
+		onSuperseded: () => undefined,
+		onRefused: (job) => refused.push(job.id),
+		onFailure: () => undefined,
+	});
+	for (let number = 0; number < 40; number += 1)
+		progress.mark(createJob(`job${String(number)}`, clock.now()), number % 3 === 1);
+	await clock.pass(1_000);
+	t.is(stored.size, 39);
+	t.deepEqual(refused, ['job7']);
+	await clock.pass(5_000);
+	t.deepEqual(refused, ['job7', 'job7']);
+	progress.close();
+});
