Who is to blame for a crash is told more narrowly, and suspects wait for no dead worker

A run that worked for five seconds counts nothing, as it would clear its task; one that outlived twice the time after which its earlier workers went down, and a second, clears it; a start that was sent after its worker had ceased to answer is not held against it.

--- a/dev/soak/callers.ts
+++ b/dev/soak/callers.ts
@@ -89,7 +89,11 @@
 		const { state } = reply.body;
 		if (state === 'completed') judge.toldCompleted(job);
 		if (state === 'completed' || state === 'cancelled' || job.cancelled) return;
-		if (state === 'failed') judge.report('lost', `${job.id} is shown as failed`);
+		if (state === 'failed') {
+			if (!judge.mayFail(job)) judge.report('lost', `${job.id} is shown as failed`);
+			job.failed = true;
+			return;
+		}
 	}
 }
 
@@ -140,5 +144,14 @@
 		after: number === 0 ? [] : [number - 1],
 	}));
 	const times = { sentAt: 0, acceptedAt: 0, movedAt: 0 };
-	return { id, steps, accepted: false, unknown: false, cancelled: false, completed: false, ...times };
+	return {
+		id,
+		steps,
+		accepted: false,
+		unknown: false,
+		cancelled: false,
+		completed: false,
+		failed: false,
+		...times,
+	};
 }
--- a/dev/soak/faults.ts
+++ b/dev/soak/faults.ts
@@ -73,15 +73,19 @@
 	'store-forgets': workerFaults.forget,
 };
 
+/** The third set. */
+const thirdFaults: Record<string, worlds.Fault> = {
+	...secondFaults,
+	...linkFaults.silentFaults,
+	'queues-changed': changeQueues,
+};
+
 /** What may be injected, by set. */
 const faultSets: Record<worlds.FaultSet, Record<string, worlds.Fault>> = {
 	1: formerFaults,
 	2: secondFaults,
-	3: {
-		...secondFaults,
-		...linkFaults.silentFaults,
-		'queues-changed': changeQueues,
-	},
+	3: thirdFaults,
+	4: { ...thirdFaults, 'worker-shrunk': workerFaults.shrink },
 };
 
 /** Injects faults until `until` (clock time), and resolves once the last has ended. */
@@ -167,6 +171,7 @@
 	const life = world.platform.fleet.workers.get(id);
 	if (life === undefined) return boxFaults.nowhere;
 	life.fault = fault;
+	if (fault === 'late') world.ordersLate(id, forMs);
 	await world.sleep(forMs);
 	life.fault = 'none';
 	return id;
--- a/dev/soak/judge.ts
+++ b/dev/soak/judge.ts
@@ -1,4 +1,5 @@
 /** What must hold whatever is injected, judged by what callers see and by what workers carry out. */
+import * as crashing from './crashing.js';
 import * as jobs from '../../src/core/jobs/index.js';
 import type * as fleet from '../../src/core/fleet/types.js';
 import type * as workers from '../../stand-ins/fleet/workers.js';
@@ -16,6 +17,7 @@
 		| 'refused-ran'
 		| 'completed-early'
 		| 'lost'
+		| 'crashes'
 		| 'cut'
 		| 'configuration'
 		| 'process-ended';
@@ -39,6 +41,7 @@
 	unknown: boolean;
 	cancelled: boolean;
 	completed: boolean;
+	failed: boolean;
 	/** Seconds, as the judge counts them: when it was first sent, accepted, and when something of it started or ended. */
 	sentAt: number;
 	acceptedAt: number;
@@ -65,18 +68,41 @@
 	running: () => { worker: string; task: string }[] = () => [];
 	/** Told of each start of a job's task, and what it asks for in thousandths of a core. */
 	onStart: (job: SoakJob, milliCores: number) => void = () => undefined;
+	/** What a worker holds now, in thousandths of a core. */
+	roomOf: (worker: string) => number = () => Infinity;
+	/** Workers that went down under a task, and its starts after the last that is put up with. */
+	private readonly crashes = new Map<string, { count: number; startsAfter: number }>();
 	starts = 0;
 	/** When something last started or ended, in seconds from the start. */
 	movedAt = 0;
 
 	private constructor(
 		readonly now: () => number,
-		private readonly workerMilliCores: number,
+		private readonly hasCrashing: boolean,
 	) {}
 
-	/** `now`: seconds from the start; `workerMilliCores`: thousandths of a core that a worker holds. */
-	static create(now: () => number, workerMilliCores: number): Judge {
-		return new Judge(now, workerMilliCores);
+	/** `now`: seconds from the start; `hasCrashing`: some jobs bring their workers down. */
+	static create(now: () => number, hasCrashing: boolean): Judge {
+		return new Judge(now, hasCrashing);
+	}
+
+	/** Whether a job brings its workers down, and may be given up. */
+	isCrashing(job: SoakJob): boolean {
+		return this.hasCrashing && crashing.isCrashing(job.id);
+	}
+
+	/** Whether a job may be shown as failed: enough workers went down under one of its tasks. */
+	mayFail(job: SoakJob): boolean {
+		const counts = taskNames(job).map((name) => this.crashes.get(name)?.count ?? 0);
+		return this.hasCrashing && Math.max(...counts) >= crashing.crashesBeforeGivingUp;
+	}
+
+	/** A worker went down while these tasks ran there. */
+	crashed(tasks: string[]): void {
+		for (const task of tasks) {
+			const known = this.crashes.get(task) ?? { count: 0, startsAfter: 0 };
+			this.crashes.set(task, { ...known, count: known.count + 1 });
+		}
 	}
 
 	/** A caller is about to hand a job in. */
@@ -93,7 +119,8 @@
 
 	/** Jobs that have to complete and have not. */
 	open(): SoakJob[] {
-		return this.all().filter((job) => job.accepted && !job.cancelled && !job.completed);
+		const open = this.all().filter((job) => job.accepted && !job.cancelled && !job.completed && !job.failed);
+		return open.filter((job) => !this.isCrashing(job));
 	}
 
 	/** Tasks of a job that are not done. */
@@ -141,6 +168,7 @@
 			return;
 		}
 		this.startedJobs.add(job.id);
+		this.judgeCrashes(start.task);
 		this.moved(job);
 		this.judgeStart(start, job, parsed.step);
 		this.onStart(job, this.milliCoresOf(start.task));
@@ -185,10 +213,19 @@
 		for (const before of job.steps[step]?.after ?? []) this.judgeOrder(start, job, before);
 		const here = running.filter((one) => one.worker === start.worker);
 		const milliCores = here.reduce((sum, one) => sum + this.milliCoresOf(one.task), 0);
-		if (milliCores > this.workerMilliCores)
+		if (milliCores > this.roomOf(start.worker))
 			this.report('room', `${start.worker} holds ${milliCores} thousandths of a core`);
 	}
 
+	private judgeCrashes(task: string): void {
+		const known = this.crashes.get(task);
+		const isCrashing = this.hasCrashing && crashing.crashMsOf(task) !== undefined;
+		if (!isCrashing || known === undefined || known.count < crashing.crashesBeforeBound) return;
+		known.startsAfter += 1;
+		if (known.startsAfter > crashing.startsAfterBound)
+			this.report('crashes', `${task} is started after ${known.count} workers went down under it`);
+	}
+
 	private judgeOrder(start: workers.StartRecord, job: SoakJob, before: number): void {
 		const open = taskNames(job, before).filter((name) => !this.done.has(name));
 		if (open.length > 0) this.report('order', `${start.task} before ${open.join(' ')}`);
--- a/dev/soak/soak.ts
+++ b/dev/soak/soak.ts
@@ -2,22 +2,22 @@
 import * as fs from 'node:fs';
 import * as callers from './callers.js';
 import * as clocks from '../../src/core/clock.js';
+import * as crashing from './crashing.js';
 import * as faults from './faults.js';
 import * as judges from './judge.js';
 import * as patiences from './patience.js';
 import * as random from '../random.js';
+import * as users from '../../stand-ins/users-platform/server.js';
 import * as worlds from './world.js';
 import type * as workers from '../../stand-ins/fleet/workers.js';
 
-/** What the stand-in's workers hold, in thousandths of a core. */
-const workerMilliCores = 32_000;
-
 /** A run takes from so long to so long, in milliseconds, by the set of faults. */
 const runMs: Record<worlds.FaultSet, { shortest: number; longest: number }> = {
 	1: { shortest: 50, longest: 900 },
 	// Leaves the workers as much to do, with the lasting ones.
 	2: { shortest: 50, longest: 500 },
 	3: { shortest: 50, longest: 500 },
+	4: { shortest: 50, longest: 500 },
 };
 
 /** With the later sets this part of the tasks outlasts a change of the owner: they take from so long to so long. */
@@ -51,7 +51,7 @@
 	const startedAt = clocks.systemClock.now();
 	const seconds = (): number => Math.round((clocks.systemClock.now() - startedAt) / 10) / 100;
 	const next = random.seeded(opts.seed);
-	const judge = judges.Judge.create(seconds, workerMilliCores);
+	const judge = judges.Judge.create(seconds, opts.faults === 4);
 	const plan = planFor(opts.faults);
 	const world = await worlds.World.create({
 		...opts,
@@ -62,7 +62,7 @@
 	const until = clocks.systemClock.now() + opts.seconds * 1_000;
 	const patience = patiences.Patience.create({
 		judge,
-		milliCores: opts.workers * workerMilliCores,
+		milliCores: opts.workers * users.workerMilliCores,
 		workMs: (task) => plan(task, 1).ms,
 	});
 	const isOver = (): boolean => patience.isOver;
@@ -98,7 +98,13 @@
 		const next = random.seeded(random.hash(task));
 		const isLasting = faultSet !== 1 && random.seeded(random.hash(`${task} lasts`))() < lastingPart;
 		const { shortest, longest } = isLasting ? lastingMs : runMs[faultSet];
-		return { ms: random.between(next, shortest, longest), how: fails ? 'failed' : 'done' };
+		const plan: FinitePlan = {
+			ms: random.between(next, shortest, longest),
+			how: fails ? 'failed' : 'done',
+		};
+		const crashMs = faultSet === 4 ? crashing.crashMsOf(task) : undefined;
+		// It works on until it brings its worker down.
+		return crashMs === undefined ? plan : { ...plan, ms: 2 * crashMs, crashMs };
 	};
 }
 
--- a/dev/soak/worker-faults.ts
+++ b/dev/soak/worker-faults.ts
@@ -45,6 +45,20 @@
 	return `${where}, ${await reread(world, next, forMs)}`;
 }
 
+/** A room shrinks to a part of what it was, for longer than that takes to count. */
+const leastShrunk = 4_000;
+const mostShrunk = 24_000;
+const longerMs = 4_500;
+
+/** A worker's room shrinks and grows again; once at a time. */
+export async function shrink(world: worlds.World, next: () => number, forMs: number): Promise<string> {
+	const worker = random.pick(next, world.workers);
+	const milliCores = random.between(next, leastShrunk, mostShrunk);
+	if (worker.shrunk !== undefined) return boxFaults.nowhere;
+	await world.shrink(worker, milliCores, forMs + longerMs);
+	return `${worker.id} to ${String(milliCores)}`;
+}
+
 /** By name, for the sets of faults. */
 export const faults: Record<string, worlds.Fault> = {
 	'worker-crashed': crash,
--- a/dev/soak/world.ts
+++ b/dev/soak/world.ts
@@ -1,6 +1,7 @@
 /** The real programs as processes, behind proxies, over the stand-in of the users' platform. */
 import * as boxes from '../../stand-ins/box-process.js';
 import * as clocks from '../../src/core/clock.js';
+import * as crashing from './crashing.js';
 import * as linking from './links.js';
 import * as proxies from '../../stand-ins/proxy/index.js';
 import * as users from '../../stand-ins/users-platform/server.js';
@@ -19,12 +20,18 @@
 /** Workers of the second set write their entries so often, in milliseconds: as the users' workers do. */
 const heartbeatMs = 1_500;
 
+/** A room that has shrunk counts after so long: a box is in touch again, and has heard a heartbeat. */
+const shrunkAfterMs = calmAfterMs + heartbeatMs;
+
+/** An order that a worker leaves unanswered is carried out by then, in milliseconds; no room is promised to such orders. */
+const lateOrdersMs = 8_000;
+
 /**
  * Which faults are injected. 1: the former set, which seeds that were found with it go on to play; workers keep one entry
  * that goes when they crash. 2: workers have heartbeats, and entries of dead lives lapse. 3: open connections go silent
- * besides, and queues are added and dropped one after another.
+ * besides, and queues are added and dropped one after another. 4: some tasks crash their workers besides, and rooms shrink.
  */
-export type FaultSet = 1 | 2 | 3;
+export type FaultSet = 1 | 2 | 3 | 4;
 
 /** A change of a queue. */
 export interface QueueChange {
@@ -62,6 +69,10 @@
 	/** Where all its lives listen. */
 	address: string;
 	lives: number;
+	/** Since when it holds less than it did, and how much; undefined: it does not. */
+	shrunk: { milliCores: number; at: number } | undefined;
+	/** Clock time until which orders may be carried out late there. */
+	lateUntil: number;
 }
 
 /** Sizes of a soak. */
@@ -102,6 +113,10 @@
 		const beats = opts.faults === 1 ? {} : { heartbeatMs };
 		const world = new World(users.UsersPlatform.create({ plan, journal: judge, ...beats }), opts);
 		judge.running = () => world.running();
+		judge.roomOf = (id) => world.roomOf(id);
+		world.platform.fleet.onCrash = (life) => {
+			world.takeDown(life);
+		};
 		world.configure();
 		world.noteChange(firstQueue, true);
 		for (let number = 1; number <= opts.workers; number += 1)
@@ -168,11 +183,49 @@
 		const before = worker.id;
 		const isFormer = this.opts.faults === 1;
 		worker.lives += 1;
+		// What it says of itself anew is what its machine has.
+		worker.shrunk = undefined;
 		worker.id = isFormer ? `${before.split('.')[0] ?? before}.${worker.lives}` : this.newId();
 		const entry = isFormer ? 'dropped' : 'lapsing';
 		this.platform.replaceWorker(before, worker.id, worker.address, entry);
 	}
 
+	/** A worker goes down under what runs there, and is back after a while. */
+	private takeDown(life: workers.FakeWorker): void {
+		const worker = this.workers.find((one) => one.id === life.entry.id);
+		if (worker === undefined || life.dead) return;
+		this.platform.fleet.takeDown(life);
+		this.platform.silence(worker.id);
+		clocks.systemClock.after(crashing.downMs, () => {
+			// Another fault may have brought it back already.
+			if (!this.closing && worker.id === life.entry.id) this.replaceWorker(worker);
+		});
+	}
+
+	/** A worker holds so much less for a while, as its entry says. */
+	async shrink(worker: SoakWorker, milliCores: number, forMs: number): Promise<void> {
+		worker.shrunk = { milliCores, at: this.now() };
+		this.platform.resize(worker.id, worker.address, milliCores);
+		await this.sleep(forMs);
+		worker.shrunk = undefined;
+		this.platform.resize(worker.id, worker.address, users.workerMilliCores);
+	}
+
+	/** Orders that are under way to a worker may be carried out late. */
+	ordersLate(id: string, forMs: number): void {
+		const worker = this.workers.find((one) => one.id === id);
+		if (worker !== undefined) worker.lateUntil = this.now() + forMs + lateOrdersMs;
+	}
+
+	/** What a worker holds, as far as its owner has to know, in thousandths of a core. */
+	private roomOf(id: string): number {
+		const worker = this.workers.find((one) => one.id === id);
+		const { shrunk, lateUntil = 0 } = worker ?? {};
+		const now = this.now();
+		const counts = shrunk !== undefined && now - shrunk.at > shrunkAfterMs && now > lateUntil;
+		return counts ? shrunk.milliCores : users.workerMilliCores;
+	}
+
 	/** Stores a new version of the configuration, with one more queue if one is given. */
 	configure(added?: string): void {
 		this.changeQueues(added === undefined ? this.prefixes : [...this.prefixes, added]);
@@ -212,7 +265,7 @@
 			await this.links.reach(listening);
 			return listening;
 		});
-		this.workers.push({ id, address, lives: 1 });
+		this.workers.push({ id, address, lives: 1, shrunk: undefined, lateUntil: 0 });
 	}
 
 	/** A new life's id, which may sort before or after that of the one before it. */
--- a/src/core/dispatch/crash-blame.ts
+++ b/src/core/dispatch/crash-blame.ts
@@ -9,10 +9,10 @@
 import type * as types from './types.js';
 
 /**
- * A run that was sent so long before its worker ceased to answer may have brought it down, in milliseconds: the crash, and
- * the time for which the worker may not be asked while its last report is being stored.
+ * A run that was sent so long before its worker ceased to answer may have brought it down, in milliseconds: the way there
+ * and a crash at once. What takes longer to crash befalls neighbours that were started meanwhile too, and names nobody.
  */
-export const suspicionMs = 500;
+export const suspicionMs = 150;
 
 /** Workers that cease to answer within this of each other have one cause, in milliseconds: they break off together. */
 const togetherMs = 60;
--- a/src/core/dispatch/outcomes.ts
+++ b/src/core/dispatch/outcomes.ts
@@ -75,14 +75,14 @@
 		const blamed = this.opts.blame.blamed(session.id);
 		for (const place of places) {
 			const { task } = place;
-			// A worker that ends as planned was brought down by nobody, nor by a start that was never sent.
-			if (place.sentAt !== undefined && !session.endsAsPlanned) this.noteCrash(place, blamed.has(place));
+			if (mayHaveCrashed(session, place)) this.noteCrash(session, place, blamed.has(place));
+			else this.survived(task, place.run);
 			this.opts.placer.add(task);
 			this.breakGang(task);
 		}
 	}
 
-	/** A run is over, and its worker lives. */
+	/** A run is over, and its worker lives, or went down for another reason. */
 	survived(task: jobs.Task, run: number): void {
 		task.crashes?.noteEnd(run);
 		if (task.crashes?.empty === true) task.crashes = undefined;
@@ -101,11 +101,12 @@
 	}
 
 	/** A worker went down under a run. */
-	private noteCrash({ task, run }: types.Placement, isBlamed: boolean): void {
+	private noteCrash(session: sessions.WorkerSession, place: types.Placement, isBlamed: boolean): void {
+		const { task, run, sentAt = -Infinity } = place;
 		const { job } = task.step;
 		if (job.ended || task.state === 'finished') return;
 		const crashes = (task.crashes ??= jobs.CrashHistory.create());
-		crashes.noteCrash(run, isBlamed);
+		crashes.noteCrash(run, isBlamed, (session.failedAt ?? Infinity) - sentAt);
 		this.opts.probations.noteCrash(task);
 		this.opts.progress.mark(job);
 		const { crashed, blamed } = crashes;
@@ -179,3 +180,14 @@
 		if (session !== undefined && place !== undefined) void this.opts.starter.stop(session, place);
 	}
 }
+
+/** Whether a run that was lost with its worker may have brought it down. */
+function mayHaveCrashed(session: sessions.WorkerSession, place: types.Placement): boolean {
+	const { sentAt, confirmedAt } = place;
+	// A worker that ends as planned was brought down by nobody, nor by a start that was never sent.
+	if (sentAt === undefined || session.endsAsPlanned) return false;
+	// It had ceased to answer before.
+	if (session.failedAt !== undefined && session.failedAt <= sentAt) return false;
+	// A run that has worked for so long clears its task, so it clears itself.
+	return confirmedAt === 0 || session.answeredAt - confirmedAt < jobs.mostToClearMs;
+}
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -261,8 +261,12 @@
 	/** Places a suspect on probation, if its turn has come and a worker takes it. */
 	private tryOut(task: jobs.Task, choice: placement.Choice): boolean {
 		const { probations } = this.opts;
-		if (!probations.isFree(task.step, choice.workers.length)) return false;
+		if (!probations.isFree(task.step, choice.workers.length)) {
+			this.waitingLog.note(task, () => ({ reason: 'other-suspects' }));
+			return false;
+		}
 		const places = this.placeAt(task, probations.choose(task, choice));
+		if (places.length === 0) this.waitingLog.note(task, () => reasons.whyNoPlace(task, choice));
 		for (const { session, place } of places) session.probation = place;
 		return this.beginAll(places);
 	}
--- a/src/core/dispatch/probation.ts
+++ b/src/core/dispatch/probation.ts
@@ -4,7 +4,6 @@
  * names the task alone, tasks that went down together do not meet again, and a job of a thousand such tasks takes down few
  * workers at a time.
  */
-import * as blame from './crash-blame.js';
 import * as clocks from '../clock.js';
 import * as placement from './placement.js';
 import type * as events from '../events/index.js';
@@ -12,6 +11,9 @@
 import type * as sessions from './worker-session.js';
 import type * as types from './types.js';
 
+/** A run on probation is on its worker for so long before it has passed, and nothing was started there for so long before, in milliseconds. */
+const probationMs = 500;
+
 /** Workers with a run on probation at the same time, at most: this part of those that may run it, and always one. */
 const mostPart = 0.1;
 
@@ -24,9 +26,6 @@
 /** After a second crash a task waits so long before its next start, after a third twice as long, in milliseconds. */
 const pauseMs = 250;
 
-/** A run that has worked for so long clears its task of all crashes before, in milliseconds. */
-const clearedAfterMs = 5_000;
-
 /** What is lost with a lasting task, or a member of a gang, as a multiple of its cores. */
 const lastingLoss = 4;
 const gangLoss = 4;
@@ -74,9 +73,11 @@
 
 	/** Whether one more run of the step may be on probation now, in a pool of so many open workers. */
 	isFree(step: jobs.StepRun, workers: number): boolean {
-		const tried = this.opts.workers().flatMap((one) => one.probation ?? []);
-		if (tried.length >= Math.max(1, Math.floor(workers * mostPart))) return false;
-		const ofStep = tried.filter((place) => place.task.step === step).length;
+		const tried = this.opts.workers().filter((one) => one.probation !== undefined);
+		// A worker that has ceased to answer is tried by nobody any more, and may take long to be proved dead.
+		const underWay = tried.filter((one) => one.failedAt === undefined).length;
+		if (underWay >= Math.max(1, Math.floor(workers * mostPart))) return false;
+		const ofStep = tried.filter((one) => one.probation?.task.step === step).length;
 		return ofStep <= (this.steps.get(step)?.passed ?? 0) * morePerPass;
 	}
 
@@ -93,19 +94,21 @@
 
 	/** Until then a run on probation is not sent: a crash would be held against what was started there before it. */
 	quietAt(session: sessions.WorkerSession): Promise<void> {
-		const ms = session.newestStartAt + blame.suspicionMs - this.opts.clock.now();
+		const ms = session.newestStartAt + probationMs - this.opts.clock.now();
 		return ms > 0 ? clocks.sleep(this.opts.clock, ms) : Promise.resolve();
 	}
 
 	/** A worker has just reported: runs that have outlived what they were suspected of are cleared. */
 	look(session: sessions.WorkerSession): void {
 		const { probation } = session;
-		if (probation !== undefined && this.hasWorked(probation, blame.suspicionMs)) {
+		if (probation !== undefined && this.hasWorked(probation, probationMs)) {
 			session.probation = undefined;
 			this.pass(probation, 'probation');
 		}
-		for (const place of session.placements.values())
-			if (place.task.crashes !== undefined && this.hasWorked(place, clearedAfterMs)) this.clear(place);
+		for (const place of session.placements.values()) {
+			const { crashes } = place.task;
+			if (crashes !== undefined && this.hasWorked(place, crashes.clearedAfterMs)) this.clear(place);
+		}
 	}
 
 	/** Whether a run has been at work for so long. */
--- a/src/core/jobs/crash-history.ts
+++ b/src/core/jobs/crash-history.ts
@@ -14,6 +14,14 @@
 /** Crashes that name the task itself, after which it is given up. */
 const mostBlamed = 2;
 
+/**
+ * A run that is at work for long after the moment at which earlier ones went down clears the task: a fault of its own would
+ * have struck again. Twice that time and a second, and never more than this, in milliseconds.
+ */
+const clearFactor = 2;
+const clearMarginMs = 1_000;
+export const mostToClearMs = 5_000;
+
 /** A history as stored. */
 export interface StoredCrashes {
 	/** Runs under which a worker went down, or may have. */
@@ -29,11 +37,14 @@
 	private readonly crashedRuns: Set<number>;
 	private readonly blamedRuns: Set<number>;
 	private readonly tries: Set<number>;
+	/** How long after its start the latest of the crashes came, in milliseconds; infinite: not known of each. */
+	private latestMs: number;
 
 	private constructor(stored: StoredCrashes) {
 		this.crashedRuns = new Set(stored.crashed);
 		this.blamedRuns = new Set(stored.blamed);
 		this.tries = new Set(stored.tries);
+		this.latestMs = stored.crashed.length > 0 ? Infinity : 0;
 	}
 
 	static create(stored: StoredCrashes = { crashed: [], blamed: [], tries: [] }): CrashHistory {
@@ -63,8 +74,17 @@
 		return isSpent ? 'no more starts are left' : undefined;
 	}
 
-	/** A worker went down under a run; `isBlamed`: the run seems to have brought it down. */
-	noteCrash(run: number, isBlamed: boolean): void {
+	/** A run that has been at work for so long clears the task, in milliseconds. */
+	get clearedAfterMs(): number {
+		return Math.min(mostToClearMs, clearFactor * this.latestMs + clearMarginMs);
+	}
+
+	/**
+	 * A worker went down under a run; `isBlamed`: the run seems to have brought it down; `afterMs`: so long after its start
+	 * at most, infinite if that is not known.
+	 */
+	noteCrash(run: number, isBlamed: boolean, afterMs = Infinity): void {
+		this.latestMs = Math.max(this.latestMs, afterMs);
 		this.tries.delete(run);
 		this.crashedRuns.add(run);
 		if (isBlamed) this.blamedRuns.add(run);
--- a/stand-ins/fleet/types.ts
+++ b/stand-ins/fleet/types.ts
@@ -45,6 +45,8 @@
 	started: (start: StartRecord) => void;
 	/** A run ended. */
 	ended: (end: fleet.RunEnd) => void;
+	/** A worker went down with these tasks; absent: nobody asks. */
+	crashed?: (tasks: string[]) => void;
 	/** An end was forgotten, as the boxes asked. */
 	forgotten: (end: fleet.RunEnd) => void;
 }
--- a/stand-ins/fleet/workers.ts
+++ b/stand-ins/fleet/workers.ts
@@ -245,6 +245,10 @@
 	lapsing: fleet.WorkerEntry[] = [];
 	/** Every crash, in order. */
 	readonly crashes: types.CrashRecord[] = [];
+	/** A run brings its worker down. */
+	onCrash: (worker: FakeWorker) => void = (worker) => {
+		this.crash(worker, plainCrash);
+	};
 	/** Told as the platform's list changes by crashes: entries that are new, ids that went. */
 	onListed: (added: fleet.WorkerEntry[], removed: string[]) => void = () => undefined;
 	/** Addresses of workers that crashed and are not back; `dark`: nothing answers there. */
@@ -271,29 +275,35 @@
 		const other = this.atAddress(entry.address);
 		if (other !== undefined) this.remove(other);
 		const worker = FakeWorker.create(entry, this.opts, this.starts, (one) => {
-			this.crash(one, plainCrash);
+			this.onCrash(one);
 		});
+		this.down.delete(entry.address);
 		this.workers.set(id, worker);
 		this.byAddress.set(entry.address, worker);
 		return worker;
 	}
 
+	/** A worker goes down with all that runs there; nobody listens at its address until another life is added there. */
+	takeDown(worker: FakeWorker, dark = false): void {
+		const { id, address } = worker.entry;
+		this.crashes.push({ at: this.opts.clock.now(), worker: id, tasks: [...worker.running.keys()] });
+		this.remove(worker);
+		this.down.set(address, dark ? 'dark' : 'closed');
+	}
+
 	/** A worker goes down with all that runs there, and comes back under a new id. */
 	crash(worker: FakeWorker, how: types.Crash): void {
 		if (worker.dead) return;
 		const { entry } = worker;
 		const { id, ...place } = entry;
 		const { clock } = this.opts;
-		this.crashes.push({ at: clock.now(), worker: id, tasks: [...worker.running.keys()] });
-		this.remove(worker);
-		this.down.set(entry.address, how.dark ? 'dark' : 'closed');
+		this.takeDown(worker, how.dark);
 		this.lapsing.push(entry);
 		clock.after(lapseMs, () => {
 			this.lapsing = this.lapsing.filter((one) => one !== entry);
 			this.onListed([], [id]);
 		});
 		clock.after(how.downMs, () => {
-			this.down.delete(entry.address);
 			const [name = id, life = '1'] = id.split('~');
 			const reborn = this.add(`${name}~${String(Number(life) + 1)}`, place);
 			this.onListed([reborn.entry], []);
@@ -301,6 +311,7 @@
 	}
 
 	private remove(worker: FakeWorker): void {
+		this.opts.journal?.crashed?.([...worker.running.keys()]);
 		worker.die();
 		this.workers.delete(worker.entry.id);
 	}
--- a/stand-ins/users-platform/listing.ts
+++ b/stand-ins/users-platform/listing.ts
@@ -37,6 +37,15 @@
 		this.beat(id, listed);
 	}
 
+	/** A worker writes an entry with other fields from now on. */
+	update(id: string, fields: object): void {
+		const listed = this.entries.get(id);
+		if (listed === undefined) return;
+		listed.timer?.cancel();
+		listed.fields = fields;
+		this.beat(id, listed);
+	}
+
 	/** A worker writes no more; its entry goes by and by. */
 	silence(id: string): void {
 		const listed = this.entries.get(id);
--- a/stand-ins/users-platform/server.ts
+++ b/stand-ins/users-platform/server.ts
@@ -31,6 +31,9 @@
 /** Longest lease of the workers, in milliseconds; `box-process.ts` tells boxes the same. */
 const maxLeaseMs = 10_000;
 
+/** What a worker holds unless its room has shrunk, in thousandths of a core. */
+export const workerMilliCores = 32_000;
+
 /** Status of each refusal of a worker, and its reason on the wire. */
 const refusals: Record<string, [number, string]> = {
 	fenced: [409, 'fence'],
@@ -85,7 +88,8 @@
 		listedAs: string,
 		entry: 'dropped' | 'lapsing' = 'dropped',
 	): void {
-		const address = this.fleet.workers.get(before)?.entry.address ?? '';
+		// One that went down before has no life there.
+		const address = this.fleet.workers.get(before)?.entry.address ?? listedAs;
 		if (entry === 'dropped') this.lapse(before);
 		else this.listing.silence(before);
 		this.addLife(id, address, listedAs);
@@ -98,14 +102,17 @@
 
 	private addLife(id: string, address: string, listedAs: string): void {
 		this.fleet.add(id, { address });
-		this.listing.add(id, {
-			service: 'press',
-			address: listedAs,
-			zone: 'rennes',
-			state: 'ready',
-			capacity: { cpu: 32_000, mem_mb: 128_000, gpu: 0 },
-			labels: ['a', 'r1'],
-		});
+		this.listing.add(id, entryOf(listedAs, workerMilliCores));
+	}
+
+	/** A worker that is listed at `listedAs` holds so many thousandths of a core from now on, as its entry says. */
+	resize(id: string, listedAs: string, milliCores: number): void {
+		this.listing.update(id, entryOf(listedAs, milliCores));
+	}
+
+	/** The entry of a worker that went down is not written any more. */
+	silence(id: string): void {
+		this.listing.silence(id);
 	}
 
 	/** Writes the operators' configuration: queues at `host`, one for each prefix of paths. */
@@ -174,6 +181,18 @@
 	});
 }
 
+/** What a worker says of itself. */
+function entryOf(address: string, milliCores: number): object {
+	return {
+		service: 'press',
+		address,
+		zone: 'rennes',
+		state: 'ready',
+		capacity: { cpu: milliCores, mem_mb: 128_000, gpu: 0 },
+		labels: ['a', 'r1'],
+	};
+}
+
 /** What stands in every version of the operators' configuration. */
 function configurationFor(host: string, prefixes: string[]): object {
 	const routes = prefixes.map((prefix, number) => ({
--- a/test/soak-cuts.test.ts
+++ b/test/soak-cuts.test.ts
@@ -55,7 +55,7 @@
 ): Promise<string[]> {
 	const cutter = await startCutter();
 	const box = boxOf(cutter.process);
-	const judge = judges.Judge.create(() => 0, 32_000);
+	const judge = judges.Judge.create(() => 0, false);
 	const client = clients.BoxClient.create({
 		world: { boxes: [box], now: () => 0 },
 		judge,
--- a/test/soak-patience.test.ts
+++ b/test/soak-patience.test.ts
@@ -22,7 +22,8 @@
 
 function make(): Made {
 	let now = 0;
-	const judge = judges.Judge.create(() => now, workerMilliCores);
+	const judge = judges.Judge.create(() => now, false);
+	judge.roomOf = () => workerMilliCores;
 	const running = new Map<string, { worker: string; task: string }>();
 	judge.running = () => [...running.values()];
 	const patience = patiences.Patience.create({ judge, milliCores: workerMilliCores, workMs: () => runMs });
@@ -47,6 +48,7 @@
 				unknown: false,
 				cancelled: false,
 				completed: false,
+				failed: false,
 				...times,
 			};
 			judge.sent(job);
