A dead worker stays on the roster until what went down with it is stored

A model of crashes under owners that die (spec/crashes.ts, with the program's own CrashHistory) found it: an owner that hears of a crash, takes the worker off the roster and dies before it has stored the crash leaves nothing to its successor, which starts the task as if nothing had been. Four such deaths in a row, and a task is started a third time after three crashes.

Now the roster names a dead worker, closed to the tasks that went down there, until those are stored. The model holds with it for four deaths of owners (57,773 states), and goes wrong without each of its four guards: stored before the start, a stored start that is nowhere counts, a worker that died unheard counts, and this one. Test: roster, which fails without it.

--- a/spec/checks.ts
+++ b/spec/checks.ts
@@ -1,6 +1,7 @@
 /** Every check that CI runs: the protocols within bounds, and each guard's mutant, which must be found wrong. */
 import * as claim from './claim.js';
 import * as config from './config.js';
+import * as crashes from './crashes.js';
 import * as dispatch from './dispatch.js';
 import * as lease from './lease.js';
 import * as lives from './lives/index.js';
@@ -223,6 +224,17 @@
 	return [...holds, ...mutants];
 }
 
+/** Owners that die, in the model of crashes. */
+const crashDeaths = 4;
+
+function crashChecks(): Check[] {
+	const mutants = Object.keys(crashes.allCrashGuards).map((guard) => {
+		const guards = { ...crashes.allCrashGuards, [guard]: false };
+		return check('wrong', crashes.crashModel(`crashes without ${guard}`, crashDeaths, guards));
+	});
+	return [check('holds', crashes.crashModel('crashes', crashDeaths, crashes.allCrashGuards)), ...mutants];
+}
+
 /** All checks, the longest first. */
 export const checks: Check[] = [
 	...dispatchChecks(),
@@ -230,4 +242,5 @@
 	...leaseChecks(),
 	...claimChecks(),
 	...configChecks(),
+	...crashChecks(),
 ];
--- /dev/null
+++ b/spec/crashes.ts
@@ -0,0 +1,175 @@
+/**
+ * Model of one task that crashes each worker that starts it, under owners that die at any moment. Its history is the
+ * program's own (`CrashHistory`); what the model adds is when that history is stored, and what a successor makes of it.
+ * The promise: once three workers have crashed under the task, it is started twice more at most.
+ */
+import * as jobs from '../src/core/jobs/index.js';
+import type * as explore from './explore.js';
+
+/** The guards, all on in the protocol. */
+export interface CrashGuards {
+	/** A task with a history is stored before each further start. */
+	storeFirst: boolean;
+	/** A successor takes a stored start that it finds nowhere for a crash. */
+	settleTries: boolean;
+	/** A worker that died before it had answered a successor may have died under any task that may have been there. */
+	countUnseen: boolean;
+	/** A worker that died is forgotten by the roster only once what went down with it is stored. */
+	forgetLast: boolean;
+}
+
+/** Every guard on. */
+export const allCrashGuards: CrashGuards = {
+	storeFirst: true,
+	settleTries: true,
+	countUnseen: true,
+	forgetLast: true,
+};
+
+/** Stated by the users. */
+const crashesBeforeBound = 3;
+const startsAfterBound = 2;
+
+/** More starts than any run within the bounds comes to. */
+const mostStarts = 9;
+
+/**
+ * `waiting`: to be started. `storing`: its history is being stored. `sending`: the start is on its way. `running`,
+ * `down`: its worker lives, or does not and nobody has noticed. `given-up`: by the owner of the moment.
+ */
+type Phase = 'waiting' | 'storing' | 'sending' | 'running' | 'down' | 'given-up';
+
+/** A state of the model. */
+export interface CrashState {
+	phase: Phase;
+	/** As the owner knows it, and as it is stored; null: none. */
+	known: jobs.StoredCrashes | null;
+	stored: jobs.StoredCrashes | null;
+	/** The roster names a worker that has died. */
+	rostered: boolean;
+	/** The owner has taken over and not heard of that worker. */
+	unheard: boolean;
+	/** Number of the newest run; what really happened: workers crashed, and starts after the third of them. */
+	run: number;
+	crashes: number;
+	late: number;
+	deaths: number;
+}
+
+const initial: CrashState = {
+	phase: 'waiting',
+	known: null,
+	stored: null,
+	rostered: false,
+	unheard: false,
+	run: 0,
+	crashes: 0,
+	late: 0,
+	deaths: 0,
+};
+
+/** Does something to the owner's history. */
+function change(state: CrashState, fn: (history: jobs.CrashHistory) => void): void {
+	const history = jobs.CrashHistory.create(state.known ?? undefined);
+	fn(history);
+	state.known = history.empty ? null : history.toStored();
+}
+
+/** The model for so many deaths of owners. */
+export function crashModel(name: string, deaths: number, guards: CrashGuards): explore.Model<CrashState> {
+	const begin = (next: CrashState): void => {
+		// The worker of before answers as another life, and nothing was heard of the task.
+		if (next.unheard && next.known === null && guards.countUnseen)
+			change(next, (history) => {
+				history.noteCrash(0, false);
+			});
+		next.unheard = false;
+		if (guards.settleTries)
+			change(next, (history) => {
+				history.settleTries();
+			});
+		const isSpent = next.known !== null && jobs.CrashHistory.create(next.known).verdict !== undefined;
+		if (isSpent) {
+			next.phase = 'given-up';
+			return;
+		}
+		next.run += 1;
+		const isStored = next.known !== null && guards.storeFirst;
+		if (next.known !== null)
+			change(next, (history) => {
+				history.noteTry(next.run);
+			});
+		next.phase = isStored ? 'storing' : 'sending';
+	};
+
+	const start = (next: CrashState): void => {
+		next.phase = 'running';
+		if (next.crashes >= crashesBeforeBound) next.late += 1;
+	};
+
+	const notice = (next: CrashState): void => {
+		change(next, (history) => {
+			history.noteCrash(next.run, false);
+		});
+		next.phase = 'waiting';
+		if (!guards.forgetLast) next.rostered = false;
+	};
+
+	const store = (next: CrashState): void => {
+		next.stored = next.known;
+		// What went down with the dead worker is stored: it may be forgotten.
+		if (next.phase !== 'down') next.rostered = false;
+		if (next.phase === 'storing') next.phase = 'sending';
+	};
+
+	const takeOver = (next: CrashState): void => {
+		next.deaths += 1;
+		next.known = next.stored;
+		// A start on its way is fenced, or carried out first; a run is found, or its end is listed.
+		if (next.phase !== 'running') next.phase = 'waiting';
+		next.unheard = next.rostered;
+	};
+
+	const steps = (state: CrashState): { name: string; next: CrashState }[] => {
+		const found: { name: string; next: CrashState }[] = [];
+		const step = (label: string, isPossible: boolean, act: (next: CrashState) => void): void => {
+			if (!isPossible) return;
+			const next = structuredClone(state);
+			act(next);
+			found.push({ name: label, next });
+		};
+		const { phase } = state;
+		step('the owner places the task', phase === 'waiting', begin);
+		step('its history is stored', JSON.stringify(state.known) !== JSON.stringify(state.stored), store);
+		step('the start is carried out', phase === 'sending', start);
+		step('the start is refused', phase === 'sending', (next) => {
+			change(next, (history) => {
+				history.noteNotStarted(next.run);
+			});
+			next.phase = 'waiting';
+		});
+		step('the worker crashes', phase === 'running', (next) => {
+			next.phase = 'down';
+			next.crashes += 1;
+			next.rostered = true;
+		});
+		step('the run is stopped first', phase === 'running', (next) => {
+			change(next, (history) => {
+				history.noteEnd(next.run);
+			});
+			next.phase = 'waiting';
+		});
+		step('the owner hears of the crash', phase === 'down', notice);
+		step('the owner dies', state.deaths < deaths, takeOver);
+		return found;
+	};
+
+	return {
+		name,
+		bounds: `${String(deaths)} deaths of owners`,
+		initial,
+		steps: (state) => (state.run >= mostStarts ? [] : steps(state)),
+		wrong: (state) =>
+			state.late > startsAfterBound ? `${String(state.late)} starts after the third crash` : undefined,
+	};
+}
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -439,6 +439,11 @@
 		this.locations.noteLost(session);
 		this.outcomes.lost(session, lost);
 		this.workers.heard(session);
+		// Until then the roster names the worker, or a successor would not know that it went down under anything.
+		const changed = new Set(lost.map((place) => place.task.step.job));
+		void this.progress.stored(changed).then(() => {
+			this.workers.forget(session);
+		});
 		this.placer.wake();
 	}
 
--- a/src/core/dispatch/worker-pool.ts
+++ b/src/core/dispatch/worker-pool.ts
@@ -93,12 +93,15 @@
 		if (this.rosterDirty) void this.saveRoster();
 	}
 
+	/** What went down with a dead worker is stored, or is nothing: no successor has to hear of that worker. */
+	forget(session: sessions.WorkerSession): void {
+		if (!session.gone || this.workers.get(session.id) !== session) return;
+		this.workers.delete(session.id);
+		this.rosterDirty = true;
+	}
+
 	/** A worker reported, or is proved to run nothing. */
 	heard(session: sessions.WorkerSession): void {
-		if (session.gone && this.workers.get(session.id) === session) {
-			this.workers.delete(session.id);
-			this.rosterDirty = true;
-		}
 		if (this.unsettled.delete(session) && this.unsettled.size === 0)
 			this.opts.events.emit('takeover.settled', { epoch: this.opts.epoch });
 	}
@@ -213,7 +216,7 @@
 		this.rosterSaving = true;
 		while (this.rosterDirty && !this.closed) {
 			this.rosterDirty = false;
-			const listed = this.all().filter((one) => !one.gone);
+			const listed = this.all();
 			const entries = listed.map(toRosterEntry);
 			const outcome = await this.opts.saveRoster(entries);
 			if (outcome === 'committed') {
@@ -241,6 +244,7 @@
  * has to wait for nothing else. From now on nothing is started there until the entry is open again.
  */
 function toRosterEntry(session: sessions.WorkerSession): ledger.RosterEntry {
+	if (session.gone) return { ...session.target, tasks: session.lostTasks };
 	if (session.withdrawn) {
 		session.rostered = false;
 		return { ...session.target, tasks: session.concerned };
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -28,6 +28,8 @@
 	settled: boolean;
 	/** It went down, or its leases ran out, before it had answered this epoch: what earlier owners started there is unknown. */
 	lostUnheard = false;
+	/** Tasks that went down with it. */
+	lostTasks: string[] = [];
 	/** This life has ended. */
 	gone = false;
 	/** Its machine is to go down: it gets no new work. */
@@ -301,6 +303,7 @@
 		const placements = [...this.placements.values()];
 		this.inDoubt.add(placements);
 		for (const placement of placements) this.free(placement);
+		this.lostTasks = placements.map((place) => place.task.name);
 		this.reported = undefined;
 		this.strays = 0;
 		this.lostUnheard = !this.settled;
--- a/test/roster.test.ts
+++ b/test/roster.test.ts
@@ -9,17 +9,15 @@
 import * as wire from '../src/core/wire/frame.js';
 import * as workers from '../stand-ins/fleet/workers.js';
 import type * as ledger from '../src/core/ledger/index.js';
+import type * as types from '../src/core/dispatch/types.js';
 
-test('a closed entry names tasks whose ends are not stored, until they are', async (t) => {
-	const clock = time.VirtualClock.create();
-	const fleet = workers.FakeFleet.create({
-		clock,
-		maxLeaseMs: fixtures.maxLeaseMs,
-		plan: () => ({ ms: 500, how: 'done' }),
-	});
-	const worker = fleet.add('w1');
+/** A pool of the workers of a fleet under an owner, and the rosters that it wrote. */
+function createPool(
+	clock: time.VirtualClock,
+	fleet: workers.FakeFleet,
+	handlers: Partial<types.SessionHandlers>,
+): { pool: workerPool.WorkerPool; written: ledger.RosterEntry[][] } {
 	const written: ledger.RosterEntry[][] = [];
-	let storeEnds = (): void => undefined;
 	const pool = workerPool.WorkerPool.create(
 		{
 			clock,
@@ -38,21 +36,37 @@
 				return Promise.resolve('committed');
 			},
 			handlers: {
-				onReport: (session) => {
-					const stored = new Promise<void>((resolve) => {
-						storeEnds = () => {
-							session.storedUpTo = 1;
-							resolve();
-						};
-					});
-					return { type: 'taken', stored };
-				},
+				onReport: () => ({ type: 'taken', stored: Promise.resolve() }),
 				onUnanswered: () => undefined,
 				onLost: () => undefined,
+				...handlers,
 			},
 		},
 		[],
 	);
+	return { pool, written };
+}
+
+test('a closed entry names tasks whose ends are not stored, until they are', async (t) => {
+	const clock = time.VirtualClock.create();
+	const fleet = workers.FakeFleet.create({
+		clock,
+		maxLeaseMs: fixtures.maxLeaseMs,
+		plan: () => ({ ms: 500, how: 'done' }),
+	});
+	const worker = fleet.add('w1');
+	let storeEnds = (): void => undefined;
+	const { pool, written } = createPool(clock, fleet, {
+		onReport: (session) => {
+			const stored = new Promise<void>((resolve) => {
+				storeEnds = () => {
+					session.storedUpTo = 1;
+					resolve();
+				};
+			});
+			return { type: 'taken', stored };
+		},
+	});
 	pool.setWorkers(fleet.entries(), [], true);
 	await clock.pass(50);
 	const order = { task: 'job1.0.0.0', run: 1, text: '', epoch: 1, checkpoint: '', ticket: '' };
@@ -71,6 +85,40 @@
 	pool.close();
 });
 
+test('a dead worker stays on the roster with what went down there until that is stored', async (t) => {
+	const clock = time.VirtualClock.create();
+	const fleet = workers.FakeFleet.create({
+		clock,
+		maxLeaseMs: fixtures.maxLeaseMs,
+		plan: () => ({ ms: 'endless', how: 'done' }),
+	});
+	const worker = fleet.add('w1');
+	const { pool, written } = createPool(clock, fleet, {});
+	pool.setWorkers(fleet.entries(), [], true);
+	await clock.pass(50);
+	const start = { cancelled: false, inherited: false, workersStored: true, now: 0, age: 0 };
+	const job = jobs.ActiveJob.create(fixtures.job('job1', [fixtures.step()]), undefined, start);
+	const [task] = job.openNextTime(clock.now());
+	const session = pool.get('w1');
+	if (task === undefined || session === undefined) throw new Error('nothing to lose');
+	session.place(task, 1, 'running');
+	fleet.crash(worker, { downMs: 500, dark: false });
+	await clock.pass(1_500);
+	t.true(session.gone);
+	// Another worker comes, so the roster is written.
+	pool.setWorkers([fleet.add('w2').entry], [], false);
+	await clock.pass(10);
+	t.deepEqual(written.at(-1), [
+		{ id: 'w1', address: 'w1:1', tasks: ['job1.0.0.0'] },
+		{ id: 'w2', address: 'w2:1' },
+	]);
+	pool.forget(session);
+	pool.tick();
+	await clock.pass(10);
+	t.deepEqual(written.at(-1), [{ id: 'w2', address: 'w2:1' }]);
+	pool.close();
+});
+
 test('an owner of the version before makes what is stored of lasting tasks unsure for all jobs until then', async (t) => {
 	const { clock, store, takeOver } = fixtures.createWorld(() => ({ ms: 500, how: 'done' }));
 	const first = await takeOver();
