Placing: rounds' timing, the list's age, options and places stand in modules of their own

No change of behaviour, but for one: tasks of a job that was given up while its waiting tasks were looked at are not placed in the rest of that round.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -5,6 +5,7 @@
 import * as interference from './interference.js';
 import * as jobBook from './job-book.js';
 import * as meters from './load-meter.js';
+import * as freshness from './list-freshness.js';
 import * as locations from './task-locations.js';
 import * as outcomes from './outcomes.js';
 import * as placer from './placer.js';
@@ -20,43 +21,12 @@
 import * as workerPool from './worker-pool.js';
 import type * as fleet from '../fleet/types.js';
 import type * as jobs from '../jobs/index.js';
+import type * as options from './options.js';
 import type * as learnt from './knowledge.js';
 import type * as ledger from '../ledger/index.js';
-import type * as queues from '../queues/index.js';
 import type * as sessions from './worker-session.js';
 import type * as types from './types.js';
 
-/** What a dispatcher needs beyond its calls to workers. */
-export interface DispatcherOptions extends types.DispatchDeps {
-	saveProgress: saver.SaveProgress;
-	readJob: strangers.ReadJob;
-	/** Reads the list of workers now. */
-	readList: () => void;
-	saveRoster: (roster: ledger.RosterEntry[]) => Promise<ledger.WriteOutcome>;
-	clearJobs: (ids: string[]) => Promise<ledger.WriteOutcome>;
-	/** The queues in force; undefined before the first configuration. */
-	table: () => queues.QueueTable | undefined;
-	/** Asks the adviser; absent: there is none. */
-	askAdviser?: fleet.AskAdviser;
-	/** A finished job's state is kept this long, in milliseconds. */
-	keepStateMs: number;
-	/** Clock time by which all leases at a worker are over, where the owner before said so. */
-	leaseEnds: ReadonlyMap<string, number>;
-	/** Longest time over its target that a serving task may be kept by what fills beside it. */
-	harmMs: number;
-}
-
-/** An owner's load. */
-export interface DispatchLoad extends meters.LoadReading {
-	/** Tasks that wait for a worker. */
-	waiting: number;
-	/** Those of them that run for a while only: lasting ones may wait for as long as there is no room. */
-	waitingShort: number;
-	/** Starts on their way, and how many may be. */
-	onTheirWay: number;
-	startLimit: number;
-}
-
 /** Dispatches all jobs under one epoch. */
 export class Dispatcher {
 	private readonly book: jobBook.JobBook;
@@ -75,12 +45,10 @@
 	private readonly reportContext: ends.ReportContext;
 	private readonly reportLog: reportLog.ReportLog;
 	private readonly meter = meters.LoadMeter.create();
-	/** Clock time at which the list of workers was last known to be what it is; undefined: nobody tells. */
-	private listHeldAt: number | undefined;
-	private listWantedAt = -Infinity;
+	private readonly list: freshness.ListFreshness;
 
 	private constructor(
-		private readonly opts: DispatcherOptions,
+		private readonly opts: options.DispatcherOptions,
 		contents: Pick<ledger.LedgerContents, 'roster' | 'workersStoredSince'>,
 	) {
 		const { clock } = opts;
@@ -88,6 +56,7 @@
 		this.estimates = interference.Interference.create(clock);
 		this.pressure = pressure.PressureControl.create(opts, this.estimates, opts.harmMs);
 		this.progress = this.createSaver();
+		this.list = freshness.ListFreshness.create(clock, opts.readList);
 		this.blame = blame.CrashBlame.create(clock);
 		this.probations = this.createProbations();
 		this.starter = this.createStarter();
@@ -109,7 +78,7 @@
 
 	/** Starts work under a new epoch: asks every worker of the roster what it runs. */
 	static create(
-		opts: DispatcherOptions,
+		opts: options.DispatcherOptions,
 		contents: ledger.LedgerContents,
 		knowledge?: learnt.Knowledge,
 	): Dispatcher {
@@ -166,7 +135,7 @@
 
 	/** The platform's list of workers is as was told, as of that clock time. */
 	noteListRead(heldAt: number): void {
-		this.listHeldAt = heldAt;
+		this.list.note(heldAt);
 	}
 
 	/** Closes a worker to new work and moves what runs there; an unknown worker is empty. */
@@ -192,7 +161,7 @@
 	}
 
 	/** What was done since this was last asked, and what waits now. */
-	load(): DispatchLoad {
+	load(): options.DispatchLoad {
 		const { limit, count } = this.starter.onTheirWay;
 		const { waiting, waitingShort } = this.placer;
 		return { ...this.meter.read(), waiting, waitingShort, onTheirWay: count, startLimit: limit };
@@ -228,7 +197,7 @@
 	private createStarter(): starter.Starter {
 		return starter.Starter.create(this.opts, this.meter, {
 			beforeStart: (session, place) => this.beforeStart(session, place),
-			isListFresh: () => this.isListFresh(),
+			isListFresh: () => this.list.isFresh,
 			onRoom: () => {
 				this.placer.wake();
 			},
@@ -253,7 +222,7 @@
 			policyOf: (job) => this.policyOf(job),
 			estimates: this.estimates,
 			probations: this.probations,
-			mayAct: () => this.opts.mayAct() && this.isListFresh(),
+			mayAct: () => this.opts.mayAct() && this.list.isFresh,
 			mayStartAgain: (task) => this.outcomes.mayStartAgain(task),
 			meter: this.meter,
 			startRoom: () => this.starter.room,
@@ -292,20 +261,6 @@
 		});
 	}
 
-	/** Whether the list of workers was read lately: it tells how much room each has, and rooms shrink. */
-	private isListFresh(): boolean {
-		const { listHeldAt } = this;
-		return listHeldAt === undefined || clocks.isFresh(this.opts.clock, listHeldAt, settings.listAgeMs);
-	}
-
-	/** Has the list of workers read where nothing may be started by what is known of it. */
-	private refreshList(): void {
-		const now = this.opts.clock.now();
-		if (this.isListFresh() || now - this.listWantedAt < settings.listRetryMs) return;
-		this.listWantedAt = now;
-		this.opts.readList();
-	}
-
 	private createProbations(): probation.Probations {
 		return probation.Probations.create({
 			...this.opts,
@@ -457,7 +412,7 @@
 	}
 
 	private tick(): void {
-		this.refreshList();
+		this.list.refresh();
 		this.workers.tick();
 		for (const session of this.workers.all()) {
 			watch.watchRuns(session, this.starter, this.opts.clock.now());
--- a/src/core/dispatch/index.ts
+++ b/src/core/dispatch/index.ts
@@ -1,5 +1,5 @@
 /** Dispatching: the owner's tasks, the workers they run on, and what is stored of them. */
 export { Dispatcher } from './dispatcher.js';
-export type { DispatcherOptions } from './dispatcher.js';
+export type { DispatcherOptions, DispatchLoad } from './options.js';
 export type { Knowledge } from './knowledge.js';
 export * as settings from './settings.js';
--- /dev/null
+++ b/src/core/dispatch/placements.ts
@@ -0,0 +1,30 @@
+/** Places of runs on workers, as they are taken. */
+import type * as jobs from '../jobs/index.js';
+import type * as types from './types.js';
+
+/** A place that is taken now; one that is taken as `running` was found there, started by an earlier owner. */
+export function create(
+	task: jobs.Task,
+	run: number,
+	phase: types.Placement['phase'],
+	now: number,
+): types.Placement {
+	const isFound = phase === 'running';
+	return {
+		task,
+		run,
+		phase,
+		placedAt: now,
+		sentAt: isFound ? -Infinity : undefined,
+		confirmedAt: isFound ? now : 0,
+		stoppedAt: 0,
+		percent: 0,
+		progressAt: now,
+		reading: 0,
+		pace: 100,
+		pacedAt: 0,
+		exempt: false,
+		overSince: undefined,
+		overAt: -Infinity,
+	};
+}
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -8,8 +8,10 @@
 import * as probation from './probation.js';
 import * as room from './room.js';
 import * as rounds from './placing-round.js';
+import * as timers from './round-timer.js';
 import * as settings from './settings.js';
 import * as reasons from './waiting-reason.js';
+import * as slowed from './slowed.js';
 import * as waiting from './waiting-log.js';
 import * as waitingSteps from './waiting-steps.js';
 import type * as fleet from '../fleet/types.js';
@@ -50,15 +52,18 @@
 	private readonly exemptions = exemptions.HarmExemptions.create();
 	/** Clock time from which a step that found no place is looked at again. */
 	private readonly retryAt = new WeakMap<jobs.StepRun, number>();
-	private roundDue = false;
-	private quickRoundDue = false;
-	/** How long after a wake a round without filling tasks is played, in milliseconds. */
-	private quickGapMs: number = settings.roundGapMs;
-	/** Clock time before which no round begins. */
-	private nextRoundAt = -Infinity;
-	private closed = false;
+	private readonly rounds: timers.RoundTimer;
 
 	private constructor(private readonly opts: PlacerOptions) {
+		this.rounds = timers.RoundTimer.create({
+			...opts,
+			playAll: () => {
+				this.placeReady(() => true);
+			},
+			playQuick: () => {
+				this.placeReady((step) => !step.spec.fills);
+			},
+		});
 		this.waitingLog = waiting.WaitingLog.create(opts.clock, opts.events);
 		this.advisory = advice.Advisory.create({
 			clock: opts.clock,
@@ -135,27 +140,7 @@
 
 	/** Asks for a round of placing; many asks come to one round. */
 	wake(): void {
-		if (this.closed || this.ready.size === 0) return;
-		this.wakeQuick();
-		if (this.roundDue) return;
-		this.roundDue = true;
-		const run = (): void => {
-			this.roundDue = false;
-			if (!this.closed) this.playRound();
-		};
-		const wait = this.nextRoundAt - this.opts.clock.now();
-		if (wait > 0) this.opts.clock.after(wait, run);
-		else setImmediate(run);
-	}
-
-	/** A round without filling tasks: there may be hundreds of those, and short tasks have no time to wait for them. */
-	private wakeQuick(): void {
-		if (this.quickRoundDue) return;
-		this.quickRoundDue = true;
-		this.opts.clock.after(this.quickGapMs, () => {
-			this.quickRoundDue = false;
-			if (!this.closed) this.quickGapMs = this.playTimed((step) => !step.spec.fills);
-		});
+		if (this.ready.size > 0) this.rounds.wake();
 	}
 
 	/** Moves tasks that were slowed to almost nothing to workers where they would disturb nobody. */
@@ -163,7 +148,7 @@
 		const now = this.opts.clock.now();
 		let round: rounds.PlacingRound | undefined;
 		for (const place of session.placements.values()) {
-			if (!isMovable(place, now)) continue;
+			if (!slowed.isMovable(place, now)) continue;
 			round ??= rounds.PlacingRound.create(this.opts.workers(), now);
 			if (!this.hasPlaceElsewhere(place.task, session, round)) continue;
 			this.opts.stopFor('slowed', session, place);
@@ -173,7 +158,7 @@
 	}
 
 	close(): void {
-		this.closed = true;
+		this.rounds.close();
 	}
 
 	/** Whether a worker other than `from` takes a task now. */
@@ -187,22 +172,6 @@
 		return typeof placement.choose(task, elsewhere) !== 'string';
 	}
 
-	/** One round of everything, and when the next may begin. */
-	private playRound(): void {
-		const gapMs = this.playTimed(() => true);
-		this.nextRoundAt = this.opts.clock.now() + gapMs;
-	}
-
-	/** Plays a round; returns how long to wait until the next of its kind: each looks at all that waits again. */
-	private playTimed(included: (step: jobs.StepRun) => boolean): number {
-		const { clock } = this.opts;
-		const startedAt = clock.now();
-		this.placeReady(included);
-		const tookMs = clock.now() - startedAt;
-		this.opts.meter.round(tookMs);
-		return Math.max(settings.roundGapMs, tookMs * settings.roundGapFactor);
-	}
-
 	/** Places what is ready and `included`, in the order of `waiting-order.ts`; makes room for what finds none. */
 	private placeReady(included: (step: jobs.StepRun) => boolean): void {
 		if (!this.opts.mayAct() || this.opts.startRoom() === 0) return;
@@ -213,6 +182,8 @@
 		for (const { step, tasks } of order.sort(steps, (job) => this.opts.policyOf(job).priority, now)) {
 			// What comes next has to be chosen when it can be sent.
 			if (this.opts.startRoom() === 0) return;
+			// A task of it was given up when it was looked at.
+			if (step.job.ended) continue;
 			const failed = this.placeStep(step, tasks, round);
 			if (failed !== undefined) this.noteNoPlace(failed, round);
 		}
@@ -223,7 +194,8 @@
 
 	/** Whether others may be stopped or harmed for a waiting task: not for one that may bring its worker down. */
 	private mayDisplace(task: jobs.Task): boolean {
-		return task.state === 'ready' && !this.opts.probations.isSuspect(task);
+		const isWaiting = task.state === 'ready' && !task.step.job.ended;
+		return isWaiting && !this.opts.probations.isSuspect(task);
 	}
 
 	/** The steps whose turn it is, with those of their tasks that may be started. */
@@ -395,13 +367,6 @@
 	}
 }
 
-/** Whether a run was slowed to almost nothing for a while, and can go on elsewhere from a checkpoint. */
-function isMovable(place: types.Placement, now: number): boolean {
-	const { spec } = place.task.step;
-	if (place.phase !== 'running' || !spec.fills || !spec.checkpoints) return false;
-	return place.pace <= settings.movedPace && now - place.pacedAt >= settings.movedAfterMs;
-}
-
 /** How long a step that found no place waits at least until it is looked at again, in milliseconds. */
 function retryMs(step: jobs.StepRun): number {
 	return step.spec.lasting || step.spec.fills ? settings.patientRetryMs : 0;
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -7,6 +7,7 @@
 import * as doubts from './runs-in-doubt.js';
 import * as health from './worker-health.js';
 import * as leases from './worker-lease.js';
+import * as placements from './placements.js';
 import * as settings from './settings.js';
 import type * as fleet from '../fleet/types.js';
 import type * as jobs from '../jobs/index.js';
@@ -167,24 +168,7 @@
 
 	/** Takes a place for a task. */
 	place(task: jobs.Task, run: number, phase: types.Placement['phase']): types.Placement {
-		const now = this.deps.clock.now();
-		const placement: types.Placement = {
-			task,
-			run,
-			phase,
-			placedAt: now,
-			sentAt: phase === 'running' ? -Infinity : undefined,
-			confirmedAt: phase === 'running' ? now : 0,
-			stoppedAt: 0,
-			percent: 0,
-			progressAt: now,
-			reading: 0,
-			pace: 100,
-			pacedAt: 0,
-			exempt: false,
-			overSince: undefined,
-			overAt: -Infinity,
-		};
+		const placement = placements.create(task, run, phase, this.deps.clock.now());
 		this.placements.set(task.name, placement);
 		this.account(task.step.spec, 1);
 		return placement;
@@ -300,15 +284,15 @@
 	}
 
 	private loseAll(proof: string): void {
-		const placements = [...this.placements.values()];
-		this.inDoubt.add(placements);
-		for (const placement of placements) this.free(placement);
-		this.lostTasks = placements.map((place) => place.task.name);
+		const lost = [...this.placements.values()];
+		this.inDoubt.add(lost);
+		for (const placement of lost) this.free(placement);
+		this.lostTasks = lost.map((place) => place.task.name);
 		this.reported = undefined;
 		this.strays = 0;
 		this.lostUnheard = !this.settled;
 		this.settled = true;
-		this.handlers.onLost(this, placements, proof);
+		this.handlers.onLost(this, lost, proof);
 	}
 
 	private account(spec: jobs.StepSpec, sign: 1 | -1): void {
