--- a/dev/bench-days.mjs
+++ b/dev/bench-days.mjs
@@ -45,6 +45,23 @@
 		'{ at = 5, kind = "platform_lost", x = 0.5, for_s = 8 }',
 		'{ at = 8, kind = "node_kill", on = "core", count = 1, how = "leader" }',
 	],
+	// A tenth of the workers crash every three seconds: many tasks are lost more than once, and none is to blame.
+	'crashes-by-chance': Array.from(
+		{ length: 9 },
+		(_, turn) => `{ at = ${4 + 3 * turn}, kind = "srv_crash", share = 0.1, for_s = 3 }`,
+	),
+	'power-losses-by-chance': Array.from(
+		{ length: 8 },
+		(_, turn) => `{ at = ${4 + 3.5 * turn}, kind = "srv_crash", share = 0.15, for_s = 3, how = "dark" }`,
+	),
+	'crashes-by-chance-then-owner-killed': [
+		...Array.from(
+			{ length: 9 },
+			(_, turn) => `{ at = ${4 + 3 * turn}, kind = "srv_crash", share = 0.1, for_s = 3 }`,
+		),
+		'{ at = 8.5, kind = "node_kill", on = "core", count = 1, how = "leader" }',
+		'{ at = 18.2, kind = "node_kill", on = "core", count = 1, how = "leader" }',
+	],
 	// Crashed workers are back at their addresses, and the entries of their lives before have not lapsed yet.
 	'reborn-then-owner-killed': [
 		'{ at = 16.0, kind = "srv_crash", share = 0.25, for_s = 2 }',
