Suspects of a step wait together, and a start that another life turned away counts nothing

A step of ten thousand suspects looked at every worker for each of them, in every round; now the first that has to wait speaks for the rest. A start answered by another life was not carried out by the one it was meant for, so it is not counted among the runs under which that one went down.

--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -216,12 +216,12 @@
 	): jobs.Task | undefined {
 		if (step.spec.gang) return this.placeGang(step, round) ? undefined : tasks[0];
 		const choice = this.choiceFor(step, round);
+		// Suspects wait for each other, and the rest of the step does not.
+		let mayTryOut = true;
 		for (const task of probation.inTurn(tasks)) {
 			if (this.opts.startRoom() === 0) return undefined;
-			const isSuspect = this.opts.probations.isSuspect(task);
-			if (isSuspect ? this.tryOut(task, choice) : this.placeBest(task, choice, round)) continue;
-			// Suspects wait for each other, and the rest of the step does not.
-			if (!isSuspect) return task;
+			if (this.opts.probations.isSuspect(task)) mayTryOut = mayTryOut && this.tryOut(task, choice);
+			else if (!this.placeBest(task, choice, round)) return task;
 		}
 		return undefined;
 	}
--- a/src/core/dispatch/starter.ts
+++ b/src/core/dispatch/starter.ts
@@ -120,8 +120,10 @@
 				this.started(session, placement);
 				return;
 			}
-			if (session.ended(res.err, target)) return;
 			const isFirst = tries === 0;
+			// Another life turned it away, so it was not what ended the life that it was meant for.
+			if (isFirst && res.err.kind === 'other-life') placement.sentAt = undefined;
+			if (session.ended(res.err, target)) return;
 			if (res.err.kind !== 'no-answer') {
 				// After a try without an answer no refusal proves that the run is not there, or does not come yet.
 				if (!isFirst) break;
