--- a/src/core/dispatch/outcomes.ts
+++ b/src/core/dispatch/outcomes.ts
@@ -119,7 +119,7 @@
 		const { verdict, crashed, blamed } = crashes;
 		if (verdict === undefined) return false;
 		const { job } = task.step;
-		job.failure = `${String(crashed)} workers went down under task ${task.name}: ${verdict}`;
+		job.failure = `${String(crashed)} workers went down, or may have, under task ${task.name}: ${verdict}`;
 		this.opts.events.emit('task.given-up', { task: task.name, crashed, blamed, reason: verdict });
 		this.endJob(job, 'failed');
 		return true;
--- a/test/crashing-tasks.test.ts
+++ b/test/crashing-tasks.test.ts
@@ -208,7 +208,7 @@
 	const reign = await Reign.begin(made);
 	await made.submit(reign.owner, world.job('bad', [world.step()]));
 	await made.clock.pass(soundWithinMs);
-	const failure = '2 workers went down under task bad.0.0.0: it brought them down';
+	const failure = '2 workers went down, or may have, under task bad.0.0.0: it brought them down';
 	t.deepEqual(reign.owner.dispatcher.viewOf('bad'), { state: 'failed', failure });
 	const reading = ledger.readJob(made.store.view(), 'bad');
 	await made.clock.pass(50);
