The log tells of workers that started anew, of ends forgotten unread, and of steps that go on waiting

What callers saw can't be told apart by the lines there are: a report that does not list a run says neither that it comes of another life of the worker nor that ends were forgotten before anybody read them, and a step that no round of placing looks at is not told of at all.

worker.restarted: an answer names another start of the worker than the one before it. ends.unread: the first end that a worker lists is not the next one. step.stalled: every three seconds, for the steps whose tasks have waited for three seconds or longer, the reason that holds at that moment, how many workers of the pool are open, and why the others are not, as counts.

No decision is changed; what may be placed is worked out as before, by the reason for which it may not.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -367,6 +367,7 @@
 	): types.ReportOutcome {
 		if (!this.strangers.clear(report)) return { type: 'put-off' };
 		this.meter.count('reports');
+		this.noteBorn(session, report);
 		const upTo = Math.max(session.seenUpTo, ...report.ended.map((end) => end.seq));
 		const changed = ends.takeReport(this.reportContext, session, report, sentAt);
 		if (!session.settled) this.reportLog.inherited(session, report);
@@ -379,6 +380,12 @@
 		return { type: 'taken', stored: this.noteStored(session, changed, upTo) };
 	}
 
+	private noteBorn(session: sessions.WorkerSession, report: fleet.WorkerReport): void {
+		const { born } = session;
+		if (born !== undefined && born !== report.born) this.reportLog.restarted(session, report, born);
+		session.born = report.born;
+	}
+
 	/** Lets the worker forget its ends up to `upTo` once they are stored. */
 	private async noteStored(
 		session: sessions.WorkerSession,
@@ -419,6 +426,7 @@
 			this.placer.moveSlowed(session);
 		}
 		this.book.tick();
+		this.placer.logStalled();
 		this.placer.wake();
 	}
 }
--- a/src/core/dispatch/ends.ts
+++ b/src/core/dispatch/ends.ts
@@ -35,6 +35,7 @@
 	sentAt: number,
 ): Set<jobs.ActiveJob> {
 	const changed = new Set<jobs.ActiveJob>();
+	noteUnread(ctx, session, report);
 	for (const end of report.ended) {
 		const task = ctx.findTask(end.task);
 		// An end that was seen before may still wait to be stored.
@@ -52,6 +53,13 @@
 	return changed;
 }
 
+/** Ends are numbered without gaps, so one that is missing between two reports was forgotten before anybody read it. */
+function noteUnread(ctx: ReportContext, session: sessions.WorkerSession, report: fleet.WorkerReport): void {
+	const first = report.ended[0];
+	const isKnown = session.seenUpTo > 0;
+	if (isKnown && first !== undefined && first.seq > session.seenUpTo + 1) ctx.log.unread(session, first);
+}
+
 function takeEnd(
 	ctx: ReportContext,
 	session: sessions.WorkerSession,
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -12,6 +12,7 @@
 import * as settings from './settings.js';
 import * as reasons from './waiting-reason.js';
 import * as slowed from './slowed.js';
+import * as stalled from './stalled-log.js';
 import * as waiting from './waiting-log.js';
 import * as waitingSteps from './waiting-steps.js';
 import type * as fleet from '../fleet/types.js';
@@ -49,6 +50,7 @@
 	private readonly places = new Map<jobs.Task, sessions.WorkerSession>();
 	private readonly advisory: advice.Advisory;
 	private readonly waitingLog: waiting.WaitingLog;
+	private readonly stalledLog: stalled.StalledLog;
 	private readonly exemptions = exemptions.HarmExemptions.create();
 	/** Clock time from which a step that found no place is looked at again. */
 	private readonly retryAt = new WeakMap<jobs.StepRun, number>();
@@ -65,6 +67,12 @@
 			},
 		});
 		this.waitingLog = waiting.WaitingLog.create(opts.clock, opts.events);
+		this.stalledLog = stalled.StalledLog.create({
+			...opts,
+			waiting: () => this.ready.longest(),
+			workersFor: (step) => this.workersOf(opts.policyOf(step.job).pool),
+			explain: (task) => this.explain(task),
+		});
 		this.advisory = advice.Advisory.create({
 			clock: opts.clock,
 			events: opts.events,
@@ -157,10 +165,38 @@
 		}
 	}
 
+	/** To be called now and then: tells what waits for long, and why. */
+	logStalled(): void {
+		this.stalledLog.look();
+	}
+
 	close(): void {
 		this.rounds.close();
 	}
 
+	private workersOf(pool: string): sessions.WorkerSession[] {
+		return this.opts.workers().filter((one) => one.entry?.pool === pool);
+	}
+
+	/** What holds a task up now, also where no round looks at it. */
+	private explain(task: jobs.Task): waiting.WaitingReason {
+		const now = this.opts.clock.now();
+		const { step } = task;
+		if (!this.opts.mayAct()) return { reason: 'may-not-act' };
+		if (this.opts.startRoom() === 0) return { reason: 'starts-under-way' };
+		if (now < task.pausedUntil) return { reason: 'paused-after-crash' };
+		const withheld = this.withheldBecause(task);
+		if (withheld !== undefined) return { reason: withheld };
+		const choice = this.choiceFor(step, rounds.PlacingRound.create(this.opts.workers(), now));
+		const isTried = this.opts.probations.isSuspect(task);
+		if (isTried && !this.opts.probations.isFree(step, choice.workers.length))
+			return { reason: 'other-suspects' };
+		const { advised, pool } = this.opts.policyOf(step.job);
+		const isOpen = this.workersOf(pool).some((one) => one.open);
+		if (advised && choice.workers.length === 0 && isOpen) return { reason: 'no-ticket' };
+		return reasons.whyNoPlace(task, choice);
+	}
+
 	/** Whether a worker other than `from` takes a task now. */
 	private hasPlaceElsewhere(
 		task: jobs.Task,
@@ -258,13 +294,18 @@
 	/** What an earlier owner may have started waits for the workers where it may be. */
 	private mayStart(task: jobs.Task, now: number): boolean {
 		if (now < task.pausedUntil) return false;
+		const withheld = this.withheldBecause(task);
+		if (withheld === undefined) return this.opts.mayStartAgain(task);
+		this.waitingLog.note(task, () => ({ reason: withheld }));
+		return false;
+	}
+
+	/** Why this owner may not start a task that a worker may take; undefined: it may. */
+	private withheldBecause(task: jobs.Task): string | undefined {
 		const { job } = task.step;
 		// Told to a later owner: that one starts it.
-		const isLater = job.record.acceptedUnder > this.opts.epoch;
-		const waitsForWorkers = job.inherited && this.opts.mayBeHidden(task);
-		if (!isLater && !waitsForWorkers) return this.opts.mayStartAgain(task);
-		this.waitingLog.note(task, () => ({ reason: isLater ? 'later-owner' : 'workers-unheard' }));
-		return false;
+		if (job.record.acceptedUnder > this.opts.epoch) return 'later-owner';
+		return job.inherited && this.opts.mayBeHidden(task) ? 'workers-unheard' : undefined;
 	}
 
 	/** A place for a task where it was chosen to go; none: no worker takes it. */
--- a/src/core/dispatch/report-log.ts
+++ b/src/core/dispatch/report-log.ts
@@ -35,6 +35,18 @@
 		});
 	}
 
+	/** A report tells of another start of the worker than the one before. */
+	restarted(session: sessions.WorkerSession, report: fleet.WorkerReport, knownBorn: number): void {
+		const { born, clockMs } = report;
+		this.log.emit('worker.restarted', { worker: session.id, born, knownBorn, clockMs: Math.round(clockMs) });
+	}
+
+	/** A worker's ends before this one are forgotten there, and `seenUpTo` is the newest that was read. */
+	unread(session: sessions.WorkerSession, first: fleet.RunEnd): void {
+		const { id: worker, seenUpTo } = session;
+		this.log.emit('ends.unread', { worker, epoch: this.epoch, seenUpTo, first: first.seq });
+	}
+
 	/** A worker lists the end of a run. */
 	ended(session: sessions.WorkerSession, end: fleet.RunEnd): void {
 		const { task, run, how } = end;
--- a/src/core/dispatch/settings.ts
+++ b/src/core/dispatch/settings.ts
@@ -119,3 +119,7 @@
  * gains a per cent in half a second, and reports come once a second.
  */
 export const hangingMs = 2_500;
+
+/** A step of which a task has waited so long is told of in the log, again after each further gap, in milliseconds. */
+export const stalledAfterMs = 3_000;
+export const stalledGapMs = 3_000;
--- /dev/null
+++ b/src/core/dispatch/stalled-log.ts
@@ -0,0 +1,76 @@
+/**
+ * Tells which steps have waited for long, and what holds each of them up at that moment. Every waiting step is told of,
+ * also one that no round of placing looks at.
+ */
+import * as settings from './settings.js';
+import type * as clocks from '../clock.js';
+import type * as events from '../events/index.js';
+import type * as jobs from '../jobs/index.js';
+import type * as sessions from './worker-session.js';
+import type * as waiting from './waiting-log.js';
+
+/** Steps told of in one look, at most; the longest waits come first. */
+const mostTold = 8;
+
+/** What telling uses. */
+export interface StalledLogOptions {
+	clock: clocks.Clock;
+	events: events.EventLog;
+	/** Tasks that wait, one of each step: the one that has waited longest. */
+	waiting: () => jobs.Task[];
+	/** Workers of the pool where a step may run. */
+	workersFor: (step: jobs.StepRun) => sessions.WorkerSession[];
+	/** What holds a task up now. */
+	explain: (task: jobs.Task) => waiting.WaitingReason;
+}
+
+/** Writes the lines. */
+export class StalledLog {
+	private nextLookAt = -Infinity;
+
+	private constructor(private readonly opts: StalledLogOptions) {}
+
+	static create(opts: StalledLogOptions): StalledLog {
+		return new StalledLog(opts);
+	}
+
+	/** To be called now and then. */
+	look(): void {
+		const now = this.opts.clock.now();
+		if (now < this.nextLookAt) return;
+		this.nextLookAt = now + settings.stalledGapMs;
+		const stalled = this.opts.waiting().filter((task) => now - task.readyAt >= settings.stalledAfterMs);
+		stalled.sort((a, b) => a.readyAt - b.readyAt);
+		for (const task of stalled.slice(0, mostTold)) this.tell(task, now, stalled.length);
+	}
+
+	private tell(task: jobs.Task, now: number, steps: number): void {
+		const { step } = task;
+		const workers = this.opts.workersFor(step);
+		const { reason, detail } = this.opts.explain(task);
+		this.opts.events.emit('step.stalled', {
+			task: task.name,
+			waitedMs: Math.round(now - task.readyAt),
+			waiting: countOf(step, 'ready'),
+			placed: countOf(step, 'placed'),
+			reason,
+			detail,
+			open: workers.filter((one) => one.open).length,
+			closed: closedReasons(workers),
+			steps,
+		});
+	}
+}
+
+function countOf(step: jobs.StepRun, state: jobs.TaskState): number {
+	return step.tasks.filter((task) => task.state === state).length;
+}
+
+/** How many workers are closed for which reason; undefined: all are open. */
+function closedReasons(workers: sessions.WorkerSession[]): string | undefined {
+	const counts = new Map<string, number>();
+	for (const { closedBecause } of workers)
+		if (closedBecause !== undefined) counts.set(closedBecause, (counts.get(closedBecause) ?? 0) + 1);
+	if (counts.size === 0) return undefined;
+	return [...counts].map(([reason, count]) => `${reason} ${String(count)}`).join(', ');
+}
--- a/src/core/dispatch/waiting-steps.ts
+++ b/src/core/dispatch/waiting-steps.ts
@@ -36,6 +36,11 @@
 		return [...(this.byStep.get(step) ?? [])];
 	}
 
+	/** Of each step the task that has waited longest. */
+	longest(): jobs.Task[] {
+		return this.steps().map((step) => this.tasksOf(step).reduce((a, b) => (b.readyAt < a.readyAt ? b : a)));
+	}
+
 	/** A task waits from now on. */
 	add(task: jobs.Task): void {
 		const known = this.byStep.get(task.step);
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -13,6 +13,23 @@
 import type * as jobs from '../jobs/index.js';
 import type * as types from './types.js';
 
+/**
+ * Why a worker gets no new work. `unheard`: it has not answered this owner. `unrostered`: a successor would not ask it.
+ * `in-doubt`: starts of lost runs may still be under way. `strays`: what it runs there unasked is being stopped.
+ */
+export type ClosedReason =
+	| 'gone'
+	| 'unlisted'
+	| 'draining'
+	| 'vacated'
+	| 'silent'
+	| 'unheard'
+	| 'unrostered'
+	| 'probation'
+	| 'in-doubt'
+	| 'strays'
+	| 'paused';
+
 /** A worker under this owner's epoch. */
 export class WorkerSession {
 	readonly placements = new Map<string, types.Placement>();
@@ -37,6 +54,8 @@
 	vacated = false;
 	/** Missing from a list of workers that is known to be fresh. */
 	unlisted = false;
+	/** When it started, as its newest report tells. */
+	born: number | undefined;
 	/** Clock time of the last answer. */
 	answeredAt = -Infinity;
 	/** Clock time of the first call since then that failed; undefined: none has. */
@@ -160,10 +179,22 @@
 
 	/** Whether it may get new work now. */
 	get open(): boolean {
-		if (this.gone || this.closed || !this.rostered || this.leaving || this.probation !== undefined)
-			return false;
-		if (this.entry === undefined || this.inDoubt.any || this.strays > 0) return false;
-		return this.settled && this.answering && !this.health.paused;
+		return this.closedBecause === undefined;
+	}
+
+	/** Why it gets no new work now; undefined: it does. */
+	get closedBecause(): ClosedReason | undefined {
+		if (this.gone || this.closed) return 'gone';
+		if (this.entry === undefined || this.unlisted) return 'unlisted';
+		if (this.entry.draining) return 'draining';
+		if (this.vacated) return 'vacated';
+		if (!this.answering) return 'silent';
+		if (!this.settled) return 'unheard';
+		if (!this.rostered) return 'unrostered';
+		if (this.probation !== undefined) return 'probation';
+		if (this.inDoubt.any) return 'in-doubt';
+		if (this.strays > 0) return 'strays';
+		return this.health.paused ? 'paused' : undefined;
 	}
 
 	/** Takes a place for a task. */
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -242,6 +242,16 @@
 		level: 'info',
 		text: "A step's tasks have waited a second or longer; the reason is given when it changes, with how many workers stand in which way.",
 	},
+	'step.stalled': {
+		id: 3120,
+		level: 'info',
+		text: "A step's task has waited for seconds and is told of again and again until it is placed: what holds it up at that moment, how many of its step run, how many workers of its pool are open, and why the others are not.",
+	},
+	'ends.unread': {
+		id: 3121,
+		level: 'warn',
+		text: 'A worker lists ends from a number on that leaves out some which nobody has read: they are forgotten there.',
+	},
 	'advice.given': { id: 3113, level: 'info', text: 'The adviser said which workers may run a step.' },
 	'advice.missed': {
 		id: 3114,
@@ -279,6 +289,11 @@
 		level: 'info',
 		text: 'A worker answered for the first time, or again, or with a new incarnation.',
 	},
+	'worker.restarted': {
+		id: 3208,
+		level: 'warn',
+		text: 'An answer comes from a worker that has started anew under the same name: when it started (its own time of day), when the one started that was known, and its clock now.',
+	},
 	'worker.unreachable': {
 		id: 3202,
 		level: 'warn',
--- a/src/core/fleet/types.ts
+++ b/src/core/fleet/types.ts
@@ -49,6 +49,8 @@
 
 /** What a worker says of itself. */
 export interface WorkerReport {
+	/** Its own time of day at its start, in Unix milliseconds; absent: it does not tell. */
+	born?: number;
 	/** The worker's monotonic clock, in milliseconds. */
 	clockMs: number;
 	running: RunningTask[];
--- a/test/waiting-log.test.ts
+++ b/test/waiting-log.test.ts
@@ -33,3 +33,40 @@
 	);
 	second.dispatcher.close();
 });
+
+test('a step that goes on waiting is told of every few seconds, with why its workers are closed', async (t) => {
+	const { clock, fleet, takeOver, submit } = world.createWorld(() => ({ ms: 'endless', how: 'done' }));
+	fleet.add('w1');
+	const w2 = fleet.add('w2', { draining: true, remainingMs: 60_000 });
+	const owner = await takeOver();
+	await submit(owner, world.job('first', [world.step({ milliCores: 30_000 })]));
+	await submit(owner, world.job('second', [world.step({ milliCores: 16_000, count: 2 })]));
+	await clock.pass(7_000);
+	owner.dispatcher.setWorkers([{ ...w2.entry, draining: false }], [], false);
+	await clock.pass(4_000);
+	t.snapshot(owner.events.select((event) => event.name === 'step.stalled').map((event) => event.fields));
+	owner.dispatcher.close();
+});
+
+test('ends that a worker has forgotten unread are told of', async (t) => {
+	const { clock, fleet, takeOver, submit } = world.createWorld(() => ({ ms: 100, how: 'done' }));
+	const w1 = fleet.add('w1');
+	const owner = await takeOver();
+	await submit(owner, world.job('first', [world.step()]));
+	await clock.pass(1_000);
+	w1.fault = 'silent';
+	await submit(owner, world.job('second', [world.step({ count: 2 })]));
+	await clock.pass(300);
+	for (const task of ['lost.0.0.0', 'lost.0.0.1'])
+		w1.start({ task, run: 1, text: '', epoch: 1, leaseUntil: Infinity, checkpoint: '', ticket: '' });
+	await clock.pass(200);
+	w1.hold({ epoch: 1, forgetUpTo: 2, waitMs: 0 });
+	w1.fault = 'none';
+	await clock.pass(3_000);
+	const lines = owner.events.select((event) => event.name === 'ends.unread');
+	t.deepEqual(
+		lines.map((event) => event.fields),
+		[{ worker: 'w1', epoch: 1, seenUpTo: 1, first: 3 }],
+	);
+	owner.dispatcher.close();
+});
