--- a/stand-ins/fleet/types.ts
+++ b/stand-ins/fleet/types.ts
@@ -15,10 +15,12 @@
 
 /** How a worker goes down. */
 export interface Crash {
-	/** It is back at its address under a new id after so long, in milliseconds. */
+	/** It is back at its address after so long, in milliseconds. */
 	downMs: number;
 	/** Its connections go silent; else they break, and new ones are turned away. */
 	dark: boolean;
+	/** It comes back under the name that it had, and tells when it started; else under a new one. */
+	keepsName?: boolean;
 }
 
 /** A worker went down. */
--- a/stand-ins/fleet/workers.ts
+++ b/stand-ins/fleet/workers.ts
@@ -28,6 +28,12 @@
 /** First reading of a worker's clock, in milliseconds: far from ours, so that nobody takes one for the other. */
 const firstClockMs = 500_000;
 
+/** First reading of the clock of a worker that tells when it started, in milliseconds. */
+const restartClockMs = 1_000;
+
+/** When the first worker that tells it started, in Unix milliseconds. */
+export const firstBornMs = 1_796_000_000_000;
+
 const noAnswer: fleet.WorkerFailure = { kind: 'no-answer', reason: 'silent' };
 
 /** What a call does at a worker. */
@@ -72,13 +78,18 @@
 	/** Number of the newest end. */
 	private seq = 0;
 	private waiting: (() => void)[] = [];
+	private readonly startedAt: number;
 
 	private constructor(
 		readonly entry: fleet.WorkerEntry,
 		private readonly opts: FleetOptions,
 		private readonly starts: types.StartRecord[],
 		private readonly crash: (worker: FakeWorker) => void,
-	) {}
+		/** Its time of day at its start, in milliseconds; undefined: it does not tell. */
+		readonly born: number | undefined,
+	) {
+		this.startedAt = opts.clock.now();
+	}
 
 	/** `starts`: where the starts that it carries out are listed; `crash`: brings it down. */
 	static create(
@@ -86,13 +97,16 @@
 		opts: FleetOptions,
 		starts: types.StartRecord[],
 		crash: (worker: FakeWorker) => void,
+		born?: number,
 	): FakeWorker {
-		return new FakeWorker(entry, opts, starts, crash);
+		return new FakeWorker(entry, opts, starts, crash, born);
 	}
 
 	/** Its monotonic clock, in milliseconds. */
 	clockMs(): number {
-		return firstClockMs + this.opts.clock.now() * this.rate;
+		const now = this.opts.clock.now();
+		if (this.born !== undefined) return restartClockMs + (now - this.startedAt) * this.rate;
+		return firstClockMs + now * this.rate;
 	}
 
 	/** Extends the lease, forgets ends, and reports. */
@@ -116,7 +130,8 @@
 			reading: one.reading,
 		}));
 		const ended = this.ended.slice(0, mostEnds);
-		return { clockMs: this.clockMs(), running, ended, hasMoreEnds: ended.length === mostEnds };
+		const { born } = this;
+		return { born, clockMs: this.clockMs(), running, ended, hasMoreEnds: ended.length === mostEnds };
 	}
 
 	/** Starts a run, unless the epoch, the run number or the lease forbids it; a repeated start changes nothing. */
@@ -251,6 +266,8 @@
 	};
 	/** Told as the platform's list changes by crashes: entries that are new, ids that went. */
 	onListed: (added: fleet.WorkerEntry[], removed: string[]) => void = () => undefined;
+	/** How many workers have started again under their names. */
+	private restarts = 0;
 	/** Addresses of workers that crashed and are not back; `dark`: nothing answers there. */
 	private readonly down = new Map<string, 'dark' | 'closed'>();
 
@@ -260,8 +277,8 @@
 		return new FakeFleet(opts);
 	}
 
-	/** Adds a worker of 32 cores. */
-	add(id: string, more: Partial<fleet.WorkerEntry> = {}): FakeWorker {
+	/** Adds a worker of 32 cores; `born`: it tells that it started then. */
+	add(id: string, more: Partial<fleet.WorkerEntry> = {}, born?: number): FakeWorker {
 		const entry: fleet.WorkerEntry = {
 			id,
 			address: `${id}:1`,
@@ -274,9 +291,10 @@
 		};
 		const other = this.atAddress(entry.address);
 		if (other !== undefined) this.remove(other);
-		const worker = FakeWorker.create(entry, this.opts, this.starts, (one) => {
+		const onCrash = (one: FakeWorker): void => {
 			this.onCrash(one);
-		});
+		};
+		const worker = FakeWorker.create(entry, this.opts, this.starts, onCrash, born);
 		this.down.delete(entry.address);
 		this.workers.set(id, worker);
 		this.byAddress.set(entry.address, worker);
@@ -291,25 +309,53 @@
 		this.down.set(address, dark ? 'dark' : 'closed');
 	}
 
-	/** A worker goes down with all that runs there, and comes back under a new id. */
+	/** A worker goes down with all that runs there, and comes back. */
 	crash(worker: FakeWorker, how: types.Crash): void {
 		if (worker.dead) return;
 		const { entry } = worker;
-		const { id, ...place } = entry;
 		const { clock } = this.opts;
 		this.takeDown(worker, how.dark);
 		this.lapsing.push(entry);
-		clock.after(lapseMs, () => {
-			this.lapsing = this.lapsing.filter((one) => one !== entry);
-			this.onListed([], [id]);
+		const lapse = clock.after(lapseMs, () => {
+			this.unlist(entry);
+			this.onListed([], [entry.id]);
 		});
 		clock.after(how.downMs, () => {
-			const [name = id, life = '1'] = id.split('~');
-			const reborn = this.add(`${name}~${String(Number(life) + 1)}`, place);
-			this.onListed([reborn.entry], []);
+			if (how.keepsName !== true) {
+				this.onListed([this.addNext(entry).entry], []);
+				return;
+			}
+			// The entry of the life before stands under the same key.
+			lapse.cancel();
+			this.unlist(entry);
+			this.restart(worker);
 		});
 	}
 
+	/** A worker starts again under the name that it had, and knows nothing of before. */
+	private restart(worker: FakeWorker): void {
+		const { id, ...place } = worker.entry;
+		const reborn = this.add(id, place, this.bornAfter(worker));
+		this.onListed([reborn.entry], []);
+	}
+
+	/** Another worker comes at the address of one that went down. */
+	private addNext({ id, ...place }: fleet.WorkerEntry): FakeWorker {
+		const [name = id, life = '1'] = id.split('~');
+		return this.add(`${name}~${String(Number(life) + 1)}`, place);
+	}
+
+	/** When a worker's next life says that it started: the time of day, which may have been set back meanwhile. */
+	private bornAfter(worker: FakeWorker): number {
+		this.restarts += 1;
+		const isSetBack = this.restarts % 3 === 0;
+		return (worker.born ?? firstBornMs) + (isSetBack ? -1 : this.restarts);
+	}
+
+	private unlist(entry: fleet.WorkerEntry): void {
+		this.lapsing = this.lapsing.filter((one) => one !== entry);
+	}
+
 	private remove(worker: FakeWorker): void {
 		this.opts.journal?.crashed?.([...worker.running.keys()]);
 		worker.die();
@@ -358,10 +404,11 @@
 		return results.fail(noAnswer);
 	}
 
-	/** Carries an order out much later, unless that life of the worker has ended by then. */
+	/** Carries an order out much later, by whoever has the worker's name then. */
 	private carryOutLate<T>(worker: FakeWorker, order: Order<T>): void {
 		this.opts.clock.after(giveUpMs + lateMs, () => {
-			if (this.workers.get(worker.entry.id) === worker) order(worker);
+			const heir = this.workers.get(worker.entry.id);
+			if (heir !== undefined) order(heir);
 		});
 	}
 
--- a/stand-ins/users-platform/listing.ts
+++ b/stand-ins/users-platform/listing.ts
@@ -32,6 +32,7 @@
 
 	/** A worker writes its first entry. */
 	add(id: string, fields: object): void {
+		this.entries.get(id)?.timer?.cancel();
 		const listed: Listed = { fields, seq: 0, timer: undefined, beatAt: 0 };
 		this.entries.set(id, listed);
 		this.beat(id, listed);
--- a/stand-ins/users-platform/server.ts
+++ b/stand-ins/users-platform/server.ts
@@ -68,12 +68,19 @@
 		return this.listen((req, url, body) => answerStore(view, req.method ?? '', url, body));
 	}
 
-	/** Starts a worker and lists it in the store under `listedAs(address)`; returns where it listens. */
-	async startWorker(id: string, listedAs: (address: string) => Promise<string> | string): Promise<string> {
+	/**
+	 * Starts a worker and lists it in the store under `listedAs(address)`; returns where it listens. `born`: it tells that
+	 * it started then.
+	 */
+	async startWorker(
+		id: string,
+		listedAs: (address: string) => Promise<string> | string,
+		born?: number,
+	): Promise<string> {
 		const address = await this.listen((req, url, body) =>
 			this.answerWorker({ id: String(req.headers['target-instance']), address }, url.pathname, body),
 		);
-		this.addLife(id, address, await listedAs(address));
+		this.addLife(id, address, await listedAs(address), born);
 		return address;
 	}
 
@@ -95,14 +102,23 @@
 		this.addLife(id, address, listedAs);
 	}
 
+	/** A worker dies with all it runs, and starts again at once under its id at its address. */
+	restartWorker(id: string, listedAs: string): void {
+		const before = this.fleet.workers.get(id);
+		if (before === undefined) return;
+		const { entry, born = workers.firstBornMs } = before;
+		this.fleet.takeDown(before);
+		this.addLife(id, entry.address, listedAs, born + 1);
+	}
+
 	/** The entry of a life that has ended goes. */
 	lapse(id: string): void {
 		this.listing.drop(id);
 	}
 
-	private addLife(id: string, address: string, listedAs: string): void {
-		this.fleet.add(id, { address });
-		this.listing.add(id, entryOf(listedAs, workerMilliCores));
+	private addLife(id: string, address: string, listedAs: string, born?: number): void {
+		this.fleet.add(id, { address }, born);
+		this.listing.add(id, { ...entryOf(listedAs, workerMilliCores), born });
 	}
 
 	/** A worker that is listed at `listedAs` holds so many thousandths of a core from now on, as its entry says. */
@@ -226,6 +242,7 @@
 
 function spellReport(report: fleet.WorkerReport): object {
 	return {
+		born: report.born,
 		clock_ms: report.clockMs,
 		running: report.running.map((one) => [one.task, one.run, one.checkpoint, one.percent, one.reading]),
 		ended: report.ended.map((one) => [one.seq, one.task, one.run, one.how, one.checkpoint]),
