A worker that starts again under its name is another life, and orders to the life before end with it

What callers saw: tasks were done a second time after their end, for seconds after a worker had restarted, and a job whose task met such a worker again and again was never done. Under a task that crashed its workers, 128 went down in place of two, and the job was not given up.

Cause: what is kept of a worker was kept by its name. To the next life the owner named the newest end of the one before, so that life forgot ends that nobody had read; the runs were then listed nowhere, taken for lost, and started again. The lost runs of a crash counted as survived, a drain's deadline, a vacation, the clock of the lease and the adviser's tickets were carried over as well.

A life is proved over by an answer of another one, to a question that was sent after it was known; which start is the greater says nothing. Orders to the life before may still be carried out by the next one, as the platform tells only names apart: so each session has a token above all that were given out before, a life that has seen its own refuses the older ones, and nothing is taken for lost before that life has reported under its token; runs that it reports are taken over in place of being lost.

--- a/src/core/box/worker-list.ts
+++ b/src/core/box/worker-list.ts
@@ -21,7 +21,7 @@
 }
 
 /** What the list says of a worker. */
-type ListedWorker = { type: 'listed'; entry: fleet.WorkerEntry } | { type: 'absent'; id: string };
+type ListedWorker = { type: 'listed'; entry: fleet.WorkerEntry } | { type: 'absent'; name: string };
 
 /**
  * The list, until the follower is closed. Others write it too: an entry that can't be read names no worker to use, just as
@@ -39,12 +39,12 @@
 			unreadable.set(key, version);
 			opts.events.emit('wire.rejected', { reason: `worker entry ${key}`, version });
 		}
-		return { type: 'absent', id: key.slice(workerPrefix.length) };
+		return { type: 'absent', name: key.slice(workerPrefix.length) };
 	};
 	const tell = (found: ListedWorker[], whole: boolean): void => {
 		opts.setWorkers(
 			found.flatMap((one) => (one.type === 'listed' ? [one.entry] : [])),
-			found.flatMap((one) => (one.type === 'absent' ? [one.id] : [])),
+			found.flatMap((one) => (one.type === 'absent' ? [one.name] : [])),
 			whole,
 		);
 	};
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -2,6 +2,7 @@
 import * as clocks from '../clock.js';
 import * as blame from './crash-blame.js';
 import * as ends from './ends.js';
+import * as fencing from './fencing-tokens.js';
 import * as interference from './interference.js';
 import * as jobBook from './job-book.js';
 import * as meters from './load-meter.js';
@@ -138,21 +139,19 @@
 		this.list.note(heldAt);
 	}
 
-	/** Closes a worker to new work and moves what runs there; an unknown worker is empty. */
-	vacate(worker: string): vacating.VacateState {
-		const session = this.workers.get(worker);
-		if (session === undefined) return 'empty';
-		session.vacated = true;
-		return vacating.vacate(session, {
+	/** Closes a worker of that name to new work and moves what runs there; an unknown worker is empty. */
+	vacate(name: string): vacating.VacateState {
+		const known = this.workers.named(name);
+		for (const session of known) session.vacated = true;
+		return vacating.vacateAll(known, {
 			sessionOf: (task) => this.placer.sessionOf(task),
 			stop: (from, place) => void this.starter.stop(from, place),
 		});
 	}
 
-	/** Opens a worker to new work again. */
-	reopen(worker: string): void {
-		const session = this.workers.get(worker);
-		if (session !== undefined) session.vacated = false;
+	/** Opens a worker of that name to new work again. */
+	reopen(name: string): void {
+		for (const session of this.workers.named(name)) session.vacated = false;
 	}
 
 	/** By worker that is silent: how long until every lease there is over, in milliseconds, for the next owner. */
@@ -307,24 +306,26 @@
 	}
 
 	private createPool(roster: ledger.RosterEntry[]): workerPool.WorkerPool {
-		const handlers: types.SessionHandlers = {
-			onReport: (from, report, sentAt) => this.onReport(from, report, sentAt),
+		const handlers: types.ReportHandlers = {
+			onReport: (from, asked) => this.onReport(from, asked),
 			onUnanswered: (from, err) => {
 				this.blame.noteSilence(from);
 				this.reportLog.unanswered(from, err);
 			},
-			onLost: (from, lost, proof) => {
-				this.onLost(from, lost, proof);
+			onLost: (from, loss) => {
+				this.onLost(from, loss);
 			},
 		};
 		const onOpened = (): void => {
 			this.placer.wake();
 		};
-		return workerPool.WorkerPool.create({ ...this.opts, handlers, onOpened }, roster);
+		const { epoch, onFenced } = this.opts;
+		const tokens = fencing.FencingTokens.create(epoch, onFenced);
+		return workerPool.WorkerPool.create({ ...this.opts, tokens, handlers, onOpened }, roster);
 	}
 
 	private createReportContext(): ends.ReportContext {
-		const { clock, calls, epoch } = this.opts;
+		const { clock, calls } = this.opts;
 		return {
 			now: () => clock.now(),
 			findTask: (name) => this.book.findTask(name),
@@ -334,7 +335,7 @@
 			log: this.reportLog,
 			stopStray: (session, task, run) => {
 				this.reportLog.stray(session, task, run);
-				void calls.stop(session.target, task, run, epoch);
+				void calls.stop(session.target, task, run, session.stamp().token);
 			},
 			stop: (session, place) => void this.starter.stop(session, place),
 			finished: (task) => {
@@ -360,14 +361,11 @@
 		if (cancelled && !job.ended) this.outcomes.endJob(job, 'cancelled');
 	}
 
-	private onReport(
-		session: sessions.WorkerSession,
-		report: fleet.WorkerReport,
-		sentAt: number,
-	): types.ReportOutcome {
+	private onReport(session: sessions.WorkerSession, asked: types.AskedReport): types.ReportOutcome {
+		const { report, sentAt, others } = asked;
 		if (!this.strangers.clear(report)) return { type: 'put-off' };
 		this.meter.count('reports');
-		this.noteBorn(session, report);
+		for (const other of others) other.yieldTo(report);
 		const upTo = Math.max(session.seenUpTo, ...report.ended.map((end) => end.seq));
 		const changed = ends.takeReport(this.reportContext, session, report, sentAt);
 		if (!session.settled) this.reportLog.inherited(session, report);
@@ -380,12 +378,6 @@
 		return { type: 'taken', stored: this.noteStored(session, changed, upTo) };
 	}
 
-	private noteBorn(session: sessions.WorkerSession, report: fleet.WorkerReport): void {
-		const { born } = session;
-		if (born !== undefined && born !== report.born) this.reportLog.restarted(session, report, born);
-		session.born = report.born;
-	}
-
 	/** Lets the worker forget its ends up to `upTo` once they are stored. */
 	private async noteStored(
 		session: sessions.WorkerSession,
@@ -396,13 +388,16 @@
 		session.storedUpTo = Math.max(session.storedUpTo, upTo);
 	}
 
-	private onLost(session: sessions.WorkerSession, lost: types.Placement[], proof: string): void {
-		this.reportLog.lost(session, lost, proof);
+	private onLost(session: sessions.WorkerSession, loss: types.Loss): void {
+		const { lost, moved } = loss;
+		this.reportLog.lost(session, loss);
 		this.locations.noteLost(session);
 		this.outcomes.lost(session, lost);
 		this.workers.heard(session);
+		// The stored worker of a lasting task is another one now.
+		for (const { task } of moved) this.progress.mark(task.step.job, true);
 		// Until then the roster names the worker, or a successor would not know that it went down under anything.
-		const changed = new Set(lost.map((place) => place.task.step.job));
+		const changed = new Set([...lost, ...moved].map((place) => place.task.step.job));
 		void this.progress.stored(changed).then(() => {
 			this.workers.forget(session);
 		});
--- a/src/core/dispatch/outcomes.ts
+++ b/src/core/dispatch/outcomes.ts
@@ -71,7 +71,7 @@
 	}
 
 	/** Runs went down with their worker, or may have. */
-	lost(session: sessions.WorkerSession, places: types.Placement[]): void {
+	lost(session: sessions.WorkerSession, places: readonly types.Placement[]): void {
 		const blamed = this.opts.blame.blamed(session.id);
 		for (const place of places) {
 			const { task } = place;
--- a/src/core/dispatch/pressure.ts
+++ b/src/core/dispatch/pressure.ts
@@ -91,11 +91,11 @@
 		percent: number,
 		before: number,
 	): Promise<void> {
-		const { epoch, calls } = this.deps;
 		const { target } = session;
-		const res = await calls.pace(target, place.task.name, place.run, percent, epoch);
+		const stamp = session.stamp();
+		const res = await this.deps.calls.pace(target, place.task.name, place.run, percent, stamp.token);
 		if (res.ok) return;
-		session.ended(res.err, target);
+		session.ended(res.err, target, stamp);
 		// Unknown: the next report decides again from where it was.
 		if (place.pace === percent) place.pace = before;
 	}
--- a/src/core/dispatch/report-log.ts
+++ b/src/core/dispatch/report-log.ts
@@ -35,12 +35,6 @@
 		});
 	}
 
-	/** A report tells of another start of the worker than the one before. */
-	restarted(session: sessions.WorkerSession, report: fleet.WorkerReport, knownBorn: number): void {
-		const { born, clockMs } = report;
-		this.log.emit('worker.restarted', { worker: session.id, born, knownBorn, clockMs: Math.round(clockMs) });
-	}
-
 	/** A worker's ends before this one are forgotten there, and `seenUpTo` is the newest that was read. */
 	unread(session: sessions.WorkerSession, first: fleet.RunEnd): void {
 		const { id: worker, seenUpTo } = session;
@@ -80,15 +74,16 @@
 	}
 
 	/** Nothing that was placed on a worker runs there any more. */
-	lost(session: sessions.WorkerSession, places: types.Placement[], proof: string): void {
+	lost(session: sessions.WorkerSession, { lost, moved, proof }: types.Loss): void {
 		this.log.emit('worker.lost', {
 			worker: session.id,
-			tasks: places.length,
+			tasks: lost.length,
+			...(moved.length > 0 && { moved: moved.length }),
 			reason: proof,
 			epoch: this.epoch,
 			silentMs: session.silentMs,
 		});
-		for (const place of places) this.taskLost(session, place, proof);
+		for (const place of lost) this.taskLost(session, place, proof);
 	}
 
 	private taskLost(session: sessions.WorkerSession, place: types.Placement, proof: string): void {
--- a/src/core/dispatch/starter.ts
+++ b/src/core/dispatch/starter.ts
@@ -104,11 +104,12 @@
 		session.newestStartAt = placement.sentAt;
 		for (let tries = 0; tries < settings.startTries; tries += 1) {
 			const { target } = session;
+			const stamp = session.stamp();
 			const res = await this.deps.calls.start(target, {
 				task: placement.task.name,
 				run: placement.run,
 				text: placement.task.step.job.record.text,
-				epoch: this.deps.epoch,
+				token: stamp.token,
 				leaseUntil,
 				checkpoint: placement.task.checkpoint,
 				ticket,
@@ -123,7 +124,7 @@
 			const isFirst = tries === 0;
 			// Another life turned it away, so it was not what ended the life that it was meant for.
 			if (isFirst && res.err.kind === 'other-life') placement.sentAt = undefined;
-			if (session.ended(res.err, target)) return;
+			if (session.ended(res.err, target, stamp)) return;
 			if (res.err.kind !== 'no-answer') {
 				// After a try without an answer no refusal proves that the run is not there, or does not come yet.
 				if (!isFirst) break;
@@ -167,13 +168,14 @@
 		while (isPlaced(session, placement)) {
 			const { task, run } = placement;
 			const { target } = session;
-			const res = await this.deps.calls.stop(target, task.name, run, this.deps.epoch);
+			const stamp = session.stamp();
+			const res = await this.deps.calls.stop(target, task.name, run, stamp.token);
 			if (res.ok) {
 				session.heard(res.value);
 				placement.stoppedAt = this.deps.clock.now();
 				return;
 			}
-			if (session.ended(res.err, target)) return;
+			if (session.ended(res.err, target, stamp)) return;
 			await clocks.sleep(this.deps.clock, settings.orderRetryMs);
 		}
 	}
@@ -210,6 +212,7 @@
 	return placement.phase === 'starting' && isPlaced(session, placement);
 }
 
+/** Whether a run may still be there. What another life has of it is known by that one's report. */
 function isPlaced(session: sessions.WorkerSession, placement: types.Placement): boolean {
-	return session.placements.get(placement.task.name) === placement;
+	return !session.isOver && session.placements.get(placement.task.name) === placement;
 }
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -1,6 +1,7 @@
 /** What the parts of the dispatcher say to each other. */
 import type * as clocks from '../clock.js';
 import type * as events from '../events/index.js';
+import type * as fencing from './fencing-tokens.js';
 import type * as fleet from '../fleet/types.js';
 import type * as jobs from '../jobs/index.js';
 import type * as sessions from './worker-session.js';
@@ -56,16 +57,47 @@
 	onFenced: () => void;
 }
 
+/** What a session uses. */
+export interface SessionDeps extends DispatchDeps {
+	tokens: fencing.FencingTokens;
+}
+
+/** A report, and what was known when it was asked for. */
+export interface AskedReport {
+	report: fleet.WorkerReport;
+	/** Clock time of the question. */
+	sentAt: number;
+	/** Other lives of the worker, known by then: as this one answered after that, they are over. */
+	others: readonly sessions.WorkerSession[];
+}
+
+/** What is known of everything that was placed on a worker. */
+export interface Loss {
+	/** Runs that are nowhere any more. */
+	lost: readonly Placement[];
+	/** Runs that a later life of the worker has. */
+	moved: readonly Placement[];
+	/** How that is known. */
+	proof: string;
+}
+
 /** What the dispatcher hears of a session. */
 export interface SessionHandlers {
-	/** A report came; `sentAt`: when it was asked for. */
-	onReport: (session: sessions.WorkerSession, report: fleet.WorkerReport, sentAt: number) => ReportOutcome;
+	/** A report came. */
+	onReport: (session: sessions.WorkerSession, asked: AskedReport) => ReportOutcome;
 	/** A call failed, the first since the last answer. */
 	onUnanswered: (session: sessions.WorkerSession, err: fleet.WorkerFailure) => void;
-	/** Nothing that was placed runs there any more; `proof` says how that is known. */
-	onLost: (session: sessions.WorkerSession, placements: Placement[], proof: string) => void;
+	/** Nothing that was placed there runs there any more. */
+	onLost: (session: sessions.WorkerSession, loss: Loss) => void;
+	/** Sessions with other lives of the same name. */
+	otherLives: (session: sessions.WorkerSession) => readonly sessions.WorkerSession[];
+	/** A life of the same name, with this id, answered in a session's place. */
+	onSuperseded: (session: sessions.WorkerSession, later: string) => void;
 }
 
+/** The part of these that the dispatcher takes; the pool knows the lives. */
+export type ReportHandlers = Pick<SessionHandlers, 'onReport' | 'onUnanswered' | 'onLost'>;
+
 /**
  * What became of a report. `taken`: it was, and `stored` resolves once its ends are stored. `put-off`: it names jobs
  * that are being read from the store; the next report will be taken.
--- a/src/core/dispatch/vacating.ts
+++ b/src/core/dispatch/vacating.ts
@@ -12,8 +12,13 @@
 	stop: (session: sessions.WorkerSession, place: types.Placement) => void;
 }
 
-/** Stops what may be stopped on a worker, and says what is left. */
-export function vacate(session: sessions.WorkerSession, ctx: VacateContext): VacateState {
+/** Stops what may be stopped on the lives of a worker, and says what is left. */
+export function vacateAll(known: readonly sessions.WorkerSession[], ctx: VacateContext): VacateState {
+	const states = known.map((one) => vacate(one, ctx));
+	return states.find((one) => one === 'protected') ?? states.find((one) => one === 'moving') ?? 'empty';
+}
+
+function vacate(session: sessions.WorkerSession, ctx: VacateContext): VacateState {
 	// What an earlier owner started there is not known yet, and would die with the machine.
 	if (!session.settled) return 'protected';
 	let state: VacateState = 'empty';
--- a/src/core/dispatch/worker-pool.ts
+++ b/src/core/dispatch/worker-pool.ts
@@ -1,5 +1,6 @@
 /** The workers that the owner deals with: one session each, the roster in the store, and who was heard of. */
 import * as clocks from '../clock.js';
+import * as lives from '../fleet/lives.js';
 import * as sessions from './worker-session.js';
 import * as settings from './settings.js';
 import type * as doubts from './runs-in-doubt.js';
@@ -17,9 +18,9 @@
 const mostDoubtful = 10_000;
 
 /** Settings of a pool. */
-export interface WorkerPoolOptions extends types.DispatchDeps {
+export interface WorkerPoolOptions extends types.SessionDeps {
 	saveRoster: (roster: ledger.RosterEntry[]) => Promise<ledger.WriteOutcome>;
-	handlers: types.SessionHandlers;
+	handlers: types.ReportHandlers;
 	/** More workers may take work. */
 	onOpened: () => void;
 	/** Clock time by which all leases at a worker are over, where the owner before said so. */
@@ -29,6 +30,9 @@
 /** All workers under one owner. */
 export class WorkerPool {
 	private readonly workers = new Map<string, sessions.WorkerSession>();
+	/** The lives of each name that may not be over, by name. */
+	private readonly byName = new Map<string, readonly sessions.WorkerSession[]>();
+	private readonly handlers: types.SessionHandlers;
 	/** Workers that may still run what an earlier owner started. */
 	private readonly unsettled = new Set<sessions.WorkerSession>();
 	/** Runs in doubt on lives that left the list and may come back, by worker. */
@@ -42,6 +46,13 @@
 
 	private constructor(private readonly opts: WorkerPoolOptions) {
 		this.nextWaitingLogAt = opts.clock.now() + waitingLogGapMs;
+		this.handlers = {
+			...opts.handlers,
+			otherLives: (session) => this.livesOf(session.id).filter((one) => one !== session),
+			onSuperseded: (session, later) => {
+				this.meet(session, later);
+			},
+		};
 	}
 
 	/** Opens a session with every worker that earlier owners used. */
@@ -65,6 +76,11 @@
 		return this.workers.get(id);
 	}
 
+	/** The lives of a worker that may not be over, by its name. */
+	named(name: string): readonly sessions.WorkerSession[] {
+		return this.byName.get(name) ?? [];
+	}
+
 	/** All sessions. */
 	all(): sessions.WorkerSession[] {
 		return [...this.workers.values()];
@@ -81,15 +97,12 @@
 		return false;
 	}
 
-	/** The platform's list of workers, in part or whole. */
+	/** The platform's list of workers, in part or whole; `removed`: names. */
 	setWorkers(entries: Iterable<fleet.WorkerEntry>, removed: Iterable<string>, whole: boolean): void {
-		const listed = new Set<string>();
-		for (const entry of entries) {
-			listed.add(entry.id);
-			this.setWorker(entry);
-		}
-		for (const id of removed) this.unlist(id);
-		if (whole) for (const id of this.workers.keys()) if (!listed.has(id)) this.unlist(id);
+		const listed = new Set<sessions.WorkerSession>();
+		for (const entry of entries) listed.add(this.setWorker(entry));
+		for (const name of removed) for (const one of this.named(name)) one.unlisted = true;
+		if (whole) for (const one of this.workers.values()) if (!listed.has(one)) one.unlisted = true;
 		if (this.rosterDirty) void this.saveRoster();
 	}
 
@@ -100,8 +113,17 @@
 		this.rosterDirty = true;
 	}
 
+	/** A life is proved over. */
+	private bury(session: sessions.WorkerSession): void {
+		const name = lives.nameOf(session.id);
+		const others = this.named(name).filter((one) => one !== session);
+		if (others.length > 0) this.byName.set(name, others);
+		else this.byName.delete(name);
+	}
+
 	/** A worker reported, or is proved to run nothing. */
 	heard(session: sessions.WorkerSession): void {
+		if (session.gone) this.bury(session);
 		if (this.unsettled.delete(session) && this.unsettled.size === 0)
 			this.opts.events.emit('takeover.settled', { epoch: this.opts.epoch });
 	}
@@ -165,31 +187,65 @@
 		});
 	}
 
-	private setWorker(entry: fleet.WorkerEntry): void {
-		const known = this.workers.get(entry.id);
+	/** The platform lists a worker so; returns the life that it lists. */
+	private setWorker(entry: fleet.WorkerEntry): sessions.WorkerSession {
+		const known = this.lifeOf(entry);
 		if (known !== undefined) {
 			if (entry.draining && known.entry?.draining !== true) this.noteDrain(known, entry);
 			if (entry.address !== known.target.address) this.rosterDirty = true;
-			known.list(entry);
-			return;
+			known.list({ ...entry, id: known.id });
+			return known;
 		}
-		// Addresses are used again before the entry of the life that ended there lapses: the list may name either of them
-		// last, and taking the living one for gone would start its tasks a second time. Only an answer tells.
-		for (const other of this.all()) if (other.target.address === entry.address) void other.checkLife();
+		// A name has one entry: the lives before are listed no more, and only an answer tells that they are over.
+		for (const other of this.livesOf(entry.id)) other.unlisted = true;
+		this.checkAddress(entry);
 		const session = this.open(entry, entry, -Infinity);
 		if (entry.draining) this.noteDrain(session, entry);
 		this.rosterDirty = true;
+		return session;
+	}
+
+	/** The known life that an entry lists; one that does not tell its start lists whichever life answers. */
+	private lifeOf(entry: fleet.WorkerEntry): sessions.WorkerSession | undefined {
+		const known = this.workers.get(entry.id);
+		if (known?.gone === false) return known;
+		return lives.isBornKnown(entry.id) ? undefined : this.livesOf(entry.id).findLast((one) => !one.isOver);
+	}
+
+	/**
+	 * Addresses are used again before the entry of the life that ended there lapses: the list may name either of them last,
+	 * and taking the living one for gone would start its tasks a second time. Only an answer tells.
+	 */
+	private checkAddress(entry: fleet.WorkerEntry): void {
+		const name = lives.nameOf(entry.id);
+		for (const other of this.all())
+			if (other.target.address === entry.address && lives.nameOf(other.id) !== name) void other.checkLife();
+	}
+
+	private livesOf(id: string): readonly sessions.WorkerSession[] {
+		return this.named(lives.nameOf(id));
+	}
+
+	/**
+	 * A life answered in place of another that was known before, so it is the later one. Its token has to be above the
+	 * other's, which it may have seen. What it is like the list tells, unless lists don't tell lives apart.
+	 */
+	private meet(before: sessions.WorkerSession, id: string): void {
+		const known = this.workers.get(id);
+		if (known?.gone === false) {
+			if (known.isBelow(before)) known.renewToken();
+			return;
+		}
+		const { entry } = before;
+		const isListed = entry !== undefined && !lives.isBornKnown(before.id);
+		this.open({ id, address: before.target.address }, isListed ? { ...entry, id } : undefined, -Infinity);
+		this.rosterDirty = true;
 	}
 
 	private noteDrain(session: sessions.WorkerSession, entry: fleet.WorkerEntry): void {
 		const { clock, events } = this.opts;
 		session.endsAt = clock.now() + (entry.remainingMs ?? 0);
-		events.emit('worker.draining', { worker: entry.id, remainingMs: entry.remainingMs });
-	}
-
-	private unlist(id: string): void {
-		const session = this.workers.get(id);
-		if (session !== undefined) session.unlisted = true;
+		events.emit('worker.draining', { worker: session.id, remainingMs: entry.remainingMs });
 	}
 
 	private open(
@@ -202,12 +258,13 @@
 			{ id, address },
 			entry,
 			this.opts,
-			this.opts.handlers,
+			this.handlers,
 			inheritedUntil,
 			this.doubtful.get(id),
 		);
 		this.doubtful.delete(id);
 		this.workers.set(id, session);
+		this.byName.set(lives.nameOf(id), [...this.livesOf(id), session]);
 		return session;
 	}
 
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -1,12 +1,14 @@
 /**
  * One life of a worker: the task that asks it for reports and keeps its lease, and the account of what is placed
  * there. A place is freed only on a proof that its run has ended: the worker lists the end, another life answers
- * at its address, or the lease of everything there has run out.
+ * in its place, or the lease of everything there has run out.
  */
 import * as clocks from '../clock.js';
 import * as doubts from './runs-in-doubt.js';
+import * as fencing from './fencing-tokens.js';
 import * as health from './worker-health.js';
 import * as leases from './worker-lease.js';
+import * as lives from '../fleet/lives.js';
 import * as placements from './placements.js';
 import * as settings from './settings.js';
 import type * as fleet from '../fleet/types.js';
@@ -14,11 +16,12 @@
 import type * as types from './types.js';
 
 /**
- * Why a worker gets no new work. `unheard`: it has not answered this owner. `unrostered`: a successor would not ask it.
+ * Why a worker gets no new work. `superseded`: another life has answered in its place. `unheard`: it has not answered this owner. `unrostered`: a successor would not ask it.
  * `in-doubt`: starts of lost runs may still be under way. `strays`: what it runs there unasked is being stopped.
  */
 export type ClosedReason =
 	| 'gone'
+	| 'superseded'
 	| 'unlisted'
 	| 'draining'
 	| 'vacated'
@@ -54,8 +57,6 @@
 	vacated = false;
 	/** Missing from a list of workers that is known to be fresh. */
 	unlisted = false;
-	/** When it started, as its newest report tells. */
-	born: number | undefined;
 	/** Clock time of the last answer. */
 	answeredAt = -Infinity;
 	/** Clock time of the first call since then that failed; undefined: none has. */
@@ -81,7 +82,13 @@
 	neighboursChangedAt = -Infinity;
 	private readonly lease: leases.WorkerLease;
 	private closed = false;
+	/** Another life has answered in its place; what is there of its runs is known once that one's report is taken. */
+	private superseded = false;
+	/** Orders to it carry this token. */
+	private token: number;
 	private readonly createdAt: number;
+	/** A report of it was taken in. */
+	private isReportTaken = false;
 	/** The newest report, also one that was put off; undefined: none, or all that it tells of is over. */
 	private reported: fleet.WorkerReport | undefined;
 	/** Runs taken for lost whose start may still be under way. */
@@ -95,12 +102,13 @@
 		/** Where it is reached. */
 		public target: fleet.WorkerTarget,
 		public entry: fleet.WorkerEntry | undefined,
-		private readonly deps: types.DispatchDeps,
+		private readonly deps: types.SessionDeps,
 		private readonly handlers: types.SessionHandlers,
 		inheritedUntil: number,
 		inDoubt: readonly doubts.RunInDoubt[],
 	) {
 		this.createdAt = deps.clock.now();
+		this.token = deps.tokens.next();
 		this.health = health.WorkerHealth.create({ ...deps, worker: target.id });
 		this.lease = leases.WorkerLease.create(deps, inheritedUntil);
 		this.inDoubt = doubts.RunsInDoubt.create(inDoubt);
@@ -114,7 +122,7 @@
 	static create(
 		target: fleet.WorkerTarget,
 		entry: fleet.WorkerEntry | undefined,
-		deps: types.DispatchDeps,
+		deps: types.SessionDeps,
 		handlers: types.SessionHandlers,
 		inheritedUntil: number,
 		inDoubt: readonly doubts.RunInDoubt[] = [],
@@ -128,6 +136,21 @@
 		return this.target.id;
 	}
 
+	/** What an order to it is sent under now. */
+	stamp(): fencing.Stamp {
+		return this.deps.tokens.stamp(this.token);
+	}
+
+	/** Takes a token above all that were given out. */
+	renewToken(): void {
+		this.token = this.deps.tokens.next();
+	}
+
+	/** Whether orders to it carry a lower token than those to another session. */
+	isBelow(other: WorkerSession): boolean {
+		return this.token < other.token;
+	}
+
 	/** How long it takes until every lease there has run out, in milliseconds. */
 	get leaseLeftMs(): number {
 		return this.lease.leftMs;
@@ -185,11 +208,12 @@
 	/** Why it gets no new work now; undefined: it does. */
 	get closedBecause(): ClosedReason | undefined {
 		if (this.gone || this.closed) return 'gone';
+		if (this.superseded) return 'superseded';
 		if (this.entry === undefined || this.unlisted) return 'unlisted';
 		if (this.entry.draining) return 'draining';
 		if (this.vacated) return 'vacated';
 		if (!this.answering) return 'silent';
-		if (!this.settled) return 'unheard';
+		if (!this.settled || !this.isReportTaken) return 'unheard';
 		if (!this.rostered) return 'unrostered';
 		if (this.probation !== undefined) return 'probation';
 		if (this.inDoubt.any) return 'in-doubt';
@@ -271,21 +295,32 @@
 		if (entry.address !== this.target.address) this.target = { id: this.id, address: entry.address };
 	}
 
-	/** Sorts out a failed call to `at`; true: the session is over. */
-	ended(err: fleet.WorkerFailure, at: fleet.WorkerTarget): boolean {
+	/** Sorts out a failed call to `at`, sent under `stamp`; true: the session is over. */
+	ended(err: fleet.WorkerFailure, at: fleet.WorkerTarget, stamp: fencing.Stamp): boolean {
 		if (isUnanswered(err)) this.noteFailedCall(err);
-		if (err.kind === 'fenced') this.deps.onFenced();
-		// At an address that it has left, another life proves nothing.
+		// Under an older token the refusal may come of an order of our own.
+		const isReplaced = err.kind === 'fenced' && stamp.isNewest;
+		if (isReplaced) this.deps.onFenced();
+		else if (err.kind === 'fenced' && !this.isOver) this.renewToken();
+		// At an address that it has left, a worker of another name proves nothing.
 		if (err.kind === 'other-life' && at.address === this.target.address)
 			this.end('another life of the worker answers at its address');
-		return this.gone || this.closed || err.kind === 'fenced';
+		return this.isOver || isReplaced;
 	}
 
 	/** Asks whether this life is still there, beside the question under way, which may wait for seconds. */
 	async checkLife(): Promise<void> {
-		const { target, deps, storedUpTo } = this;
-		const res = await deps.calls.hold(target, { epoch: deps.epoch, forgetUpTo: storedUpTo, waitMs: 0 });
-		if (!res.ok && !this.closed) this.ended(res.err, target);
+		const { target, deps } = this;
+		const stamp = this.stamp();
+		const res = await deps.calls.hold(target, { token: stamp.token, forgetUpTo: 0, waitMs: 0 });
+		if (this.isOver) return;
+		if (!res.ok) this.ended(res.err, target, stamp);
+		else if (!this.isFrom(res.value)) this.supersede(res.value);
+	}
+
+	/** Whether no order to it makes sense any more. */
+	get isOver(): boolean {
+		return this.gone || this.closed || this.superseded;
 	}
 
 	/** Ends the session: this life of the worker is over. */
@@ -296,6 +331,33 @@
 		this.loseAll(proof);
 	}
 
+	/**
+	 * Ends the session, as a later life of the worker has reported under a token above this one's. Orders to this life may
+	 * have been carried out by that one: runs that it lists are not lost with this one.
+	 */
+	yieldTo(report: fleet.WorkerReport): void {
+		if (this.gone) return;
+		const listed = new Set([...report.running, ...report.ended].map(({ task, run }) => runKey(task, run)));
+		const moved = [...this.placements.values()].filter((one) => listed.has(runKey(one.task.name, one.run)));
+		for (const place of moved) this.free(place);
+		this.gone = true;
+		this.close();
+		this.loseAll('a later life of the worker answers', moved);
+	}
+
+	/** Whether a report comes of this life. */
+	private isFrom({ born }: fleet.WorkerReport): boolean {
+		return lives.idOf(lives.nameOf(this.id), born) === this.id;
+	}
+
+	/** Another life answered in this one's place, so this one is over; it is sent nothing more. */
+	private supersede({ born, clockMs }: fleet.WorkerReport): void {
+		this.superseded = true;
+		const later = lives.idOf(lives.nameOf(this.id), born);
+		this.deps.events.emit('worker.restarted', { worker: this.id, later, clockMs: Math.round(clockMs) });
+		this.handlers.onSuperseded(this, later);
+	}
+
 	/** Stops asking; the owner steps down or the session is over. */
 	close(): void {
 		this.closed = true;
@@ -314,16 +376,17 @@
 		return false;
 	}
 
-	private loseAll(proof: string): void {
+	/** `moved`: runs that are not lost, as another life has them. */
+	private loseAll(proof: string, moved: readonly types.Placement[] = []): void {
 		const lost = [...this.placements.values()];
 		this.inDoubt.add(lost);
 		for (const placement of lost) this.free(placement);
-		this.lostTasks = lost.map((place) => place.task.name);
+		this.lostTasks = [...lost, ...moved].map((place) => place.task.name);
 		this.reported = undefined;
 		this.strays = 0;
 		this.lostUnheard = !this.settled;
 		this.settled = true;
-		this.handlers.onLost(this, lost, proof);
+		this.handlers.onLost(this, { lost, moved, proof });
 	}
 
 	private account(spec: jobs.StepSpec, sign: 1 | -1): void {
@@ -336,23 +399,29 @@
 	}
 
 	private async run(): Promise<void> {
-		while (!this.closed) {
+		while (!this.isOver) {
 			const sentAt = this.deps.clock.now();
 			const { target } = this;
+			const stamp = this.stamp();
+			const others = this.handlers.otherLives(this);
 			const res = await this.deps.calls.hold(target, {
-				epoch: this.deps.epoch,
+				token: stamp.token,
 				forgetUpTo: this.storedUpTo,
 				leaseUntil: this.unanswered ? undefined : this.grantLease(),
 				waitMs: this.waitMs(),
 			});
-			if (this.isClosed()) return;
+			if (this.isOverNow()) return;
 			this.unanswered = !res.ok;
+			if (res.ok && !this.isFrom(res.value)) {
+				this.supersede(res.value);
+				return;
+			}
 			if (res.ok) {
-				await this.takeReport(res.value, sentAt);
+				await this.takeReport(res.value, sentAt, others);
 				continue;
 			}
-			if (this.ended(res.err, target)) return;
-			await clocks.sleep(this.deps.clock, settings.holdRetryMs);
+			if (this.ended(res.err, target, stamp)) return;
+			if (res.err.kind !== 'fenced') await clocks.sleep(this.deps.clock, settings.holdRetryMs);
 		}
 	}
 
@@ -364,16 +433,22 @@
 		return this.fillMilliCores > 0 ? settings.holdWaitFillingMs : settings.holdWaitMs;
 	}
 
-	private async takeReport(report: fleet.WorkerReport, sentAt: number): Promise<void> {
+	/** `others`: lives of the same name that were known when the report was asked for. */
+	private async takeReport(
+		report: fleet.WorkerReport,
+		sentAt: number,
+		others: readonly WorkerSession[],
+	): Promise<void> {
 		if (!this.answering)
 			this.deps.events.emit('worker.reached', { worker: this.id, clockMs: report.clockMs });
 		this.heard(report);
 		this.reported = report;
-		const outcome = this.handlers.onReport(this, report, sentAt);
+		const outcome = this.handlers.onReport(this, { report, sentAt, others });
 		if (outcome.type === 'put-off') {
 			await clocks.sleep(this.deps.clock, settings.putOffMs);
 			return;
 		}
+		this.isReportTaken = true;
 		if (!report.hasMoreEnds) this.settled = true;
 		await this.inDoubt.settle((run) => this.stopInDoubt(run));
 		await Promise.race([outcome.stored, clocks.sleep(this.deps.clock, settings.holdAfterEndsMs)]);
@@ -382,17 +457,22 @@
 	/** Stops a run whose start may still be under way; whether it was answered. */
 	private async stopInDoubt({ task, run }: doubts.RunInDoubt): Promise<boolean> {
 		const { target } = this;
-		const res = await this.deps.calls.stop(target, task, run, this.deps.epoch);
-		if (!res.ok) this.ended(res.err, target);
+		const stamp = this.stamp();
+		const res = await this.deps.calls.stop(target, task, run, stamp.token);
+		if (!res.ok) this.ended(res.err, target, stamp);
 		return res.ok;
 	}
 
-	/** Read after an `await`, where the compiler thinks the field can't have changed. */
-	private isClosed(): boolean {
-		return this.closed;
+	/** Read after an `await`, where the compiler thinks that it can't have changed. */
+	private isOverNow(): boolean {
+		return this.isOver;
 	}
 }
 
+function runKey(task: string, run: number): string {
+	return `${task}#${String(run)}`;
+}
+
 /** Whether a failure says that nobody answered; a refusal is an answer. */
 function isUnanswered(err: fleet.WorkerFailure): boolean {
 	return err.kind === 'no-answer' || err.kind === 'unreachable';
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -272,7 +272,7 @@
 	'worker.lost': {
 		id: 3205,
 		level: 'warn',
-		text: 'Nothing that was placed on a worker runs there any more; the proof is given, and the time since its last answer to this owner, if there was one.',
+		text: 'Nothing that was placed on a worker runs there any more; the proof is given, the time since its last answer to this owner, if there was one, and how many runs a later life of it has.',
 	},
 	'worker.unanswered': {
 		id: 3207,
@@ -292,7 +292,7 @@
 	'worker.restarted': {
 		id: 3208,
 		level: 'warn',
-		text: 'An answer comes from a worker that has started anew under the same name: when it started (its own time of day), when the one started that was known, and its clock now.',
+		text: 'A later life of a worker, under the same name, answered in place of the one that was known; its clock is given. What ran there has ended, unless the later life reports it.',
 	},
 	'worker.unreachable': {
 		id: 3202,
--- a/src/core/fleet/types.ts
+++ b/src/core/fleet/types.ts
@@ -10,7 +10,7 @@
 
 /** One life of a worker, as the platform lists it. */
 export interface WorkerEntry {
-	/** New with each start of the worker. */
+	/** New with each start of the worker (`lives.ts`). */
 	id: string;
 	address: string;
 	zone: string;
@@ -49,7 +49,7 @@
 
 /** What a worker says of itself. */
 export interface WorkerReport {
-	/** Its own time of day at its start, in Unix milliseconds; absent: it does not tell. */
+	/** Start of the life that answers, in Unix milliseconds by its own time of day; absent: it does not tell. */
 	born?: number;
 	/** The worker's monotonic clock, in milliseconds. */
 	clockMs: number;
@@ -65,7 +65,8 @@
 	task: string;
 	run: number;
 	text: string;
-	epoch: number;
+	/** A worker refuses an order with a lower one than it has seen. */
+	token: number;
 	/** End of the lease of everything there, on the worker's clock; absent before its clock is known. */
 	leaseUntil?: number;
 	checkpoint: string;
@@ -73,7 +74,10 @@
 	ticket: string;
 }
 
-/** Where an order goes: the worker's address and the life that is meant. */
+/**
+ * Where an order goes: the worker's address and the life that is meant. The platform keeps orders from workers of other
+ * names only; another life of the same name carries them out, unless it has seen a higher token.
+ */
 export interface WorkerTarget {
 	id: string;
 	address: string;
@@ -81,7 +85,7 @@
 
 /** A call to a worker that was not carried out, or of which that is not known. */
 export type WorkerFailure =
-	/** A newer epoch has been seen there. */
+	/** A higher token has been seen there. */
 	| { kind: 'fenced' }
 	/** The address belongs to another life of the worker now: the one meant has ended. */
 	| { kind: 'other-life' }
@@ -106,7 +110,7 @@
 
 /** How to ask for a report. */
 export interface HoldOrder {
-	epoch: number;
+	token: number;
 	/** Ends up to here are forgotten by the worker. */
 	forgetUpTo: number;
 	/** Extends the lease of all that runs there; on the worker's clock. */
@@ -121,7 +125,7 @@
 /** Calls to workers. */
 export interface WorkerCalls {
 	start: (at: WorkerTarget, order: StartOrder) => WorkerResult<ClockReading>;
-	stop: (at: WorkerTarget, task: string, run: number, epoch: number) => WorkerResult<ClockReading>;
+	stop: (at: WorkerTarget, task: string, run: number, token: number) => WorkerResult<ClockReading>;
 	hold: (at: WorkerTarget, order: HoldOrder) => WorkerResult<WorkerReport>;
 	/** Lets a run work at `percent` of its speed. */
 	pace: (
@@ -129,7 +133,7 @@
 		task: string,
 		run: number,
 		percent: number,
-		epoch: number,
+		token: number,
 	) => WorkerResult<ClockReading>;
 	/** Drops the connections to a worker that is gone. */
 	forget: (at: WorkerTarget) => void;
@@ -151,7 +155,7 @@
 	name: string;
 	pool: string;
 	state: 'up' | 'moving' | 'upkeep' | 'down';
-	/** Id of its present worker; empty: none. */
+	/** Name of its present worker; empty: none. */
 	worker: string;
 }
 
--- a/stand-ins/fleet/workers.ts
+++ b/stand-ins/fleet/workers.ts
@@ -1,4 +1,6 @@
 /** Workers in memory: leases on their own clocks, epochs, run numbers, and unanswered or late orders as switches. */
+import * as fencing from '../../src/core/dispatch/fencing-tokens.js';
+import * as lives from '../../src/core/fleet/lives.js';
 import * as results from '../../src/core/result.js';
 import type * as clocks from '../../src/core/clock.js';
 import type * as fleet from '../../src/core/fleet/types.js';
@@ -70,7 +72,8 @@
 	readonly ended: fleet.RunEnd[] = [];
 	/** Whether this life is over. */
 	dead = false;
-	private epoch = 0;
+	/** The highest token it has seen. */
+	private token = 0;
 	private leaseUntil = 0;
 	private leaseTimer: clocks.Timer | undefined;
 	/** Highest run number seen, by task. */
@@ -102,6 +105,11 @@
 		return new FakeWorker(entry, opts, starts, crash, born);
 	}
 
+	/** What it is called, over all its lives. */
+	get name(): string {
+		return lives.nameOf(this.entry.id);
+	}
+
 	/** Its monotonic clock, in milliseconds. */
 	clockMs(): number {
 		const now = this.opts.clock.now();
@@ -111,7 +119,7 @@
 
 	/** Extends the lease, forgets ends, and reports. */
 	hold(req: fleet.HoldOrder): results.Result<fleet.WorkerReport, fleet.WorkerFailure> {
-		if (!this.accepts(req.epoch)) return results.fail({ kind: 'fenced' });
+		if (!this.accepts(req.token)) return results.fail({ kind: 'fenced' });
 		this.extend(req.leaseUntil);
 		while (this.ended[0] !== undefined && this.ended[0].seq <= req.forgetUpTo) {
 			this.opts.journal?.forgotten(this.ended[0]);
@@ -134,9 +142,9 @@
 		return { born, clockMs: this.clockMs(), running, ended, hasMoreEnds: ended.length === mostEnds };
 	}
 
-	/** Starts a run, unless the epoch, the run number or the lease forbids it; a repeated start changes nothing. */
+	/** Starts a run, unless the token, the run number or the lease forbids it; a repeated start changes nothing. */
 	start(req: fleet.StartOrder): results.Result<fleet.ClockReading, fleet.WorkerFailure> {
-		if (!this.accepts(req.epoch)) return results.fail({ kind: 'fenced' });
+		if (!this.accepts(req.token)) return results.fail({ kind: 'fenced' });
 		this.extend(req.leaseUntil);
 		if (this.running.get(req.task)?.run === req.run) return results.ok({ clockMs: this.clockMs() });
 		if (req.run <= (this.highest.get(req.task) ?? 0) || this.running.has(req.task))
@@ -147,8 +155,8 @@
 	}
 
 	/** Ends a run after a while, and refuses later starts of it. */
-	stop(task: string, run: number, epoch: number): results.Result<fleet.ClockReading, fleet.WorkerFailure> {
-		if (!this.accepts(epoch)) return results.fail({ kind: 'fenced' });
+	stop(task: string, run: number, token: number): results.Result<fleet.ClockReading, fleet.WorkerFailure> {
+		if (!this.accepts(token)) return results.fail({ kind: 'fenced' });
 		this.highest.set(task, Math.max(run, this.highest.get(task) ?? 0));
 		const one = this.running.get(task);
 		if (one !== undefined && one.run <= run && !one.stopping) {
@@ -175,9 +183,9 @@
 		this.waiting.push(fn);
 	}
 
-	private accepts(epoch: number): boolean {
-		if (epoch < this.epoch) return false;
-		this.epoch = epoch;
+	private accepts(token: number): boolean {
+		if (token < this.token) return false;
+		this.token = token;
 		return true;
 	}
 
@@ -212,7 +220,7 @@
 			run: req.run,
 			worker: this.entry.id,
 			checkpoint: req.checkpoint,
-			epoch: req.epoch,
+			epoch: fencing.epochOf(req.token),
 		};
 		this.starts.push(start);
 		this.opts.journal?.started(start);
@@ -247,7 +255,13 @@
 	}
 }
 
-/** Whether a box's calls to a worker, by its id, do not arrive. */
+/** What a worker that comes in another's place has of its entry. */
+function placeOf({ entry }: FakeWorker): Partial<fleet.WorkerEntry> {
+	const { address, zone, pool, capacity, labels } = entry;
+	return { address, zone, pool, capacity, labels };
+}
+
+/** Whether a box's calls to a worker, by its name, do not arrive. */
 type IsCut = (worker: string) => boolean;
 
 /** All workers of a test, and the calls to them. */
@@ -278,10 +292,10 @@
 	}
 
 	/** Adds a worker of 32 cores; `born`: it tells that it started then. */
-	add(id: string, more: Partial<fleet.WorkerEntry> = {}, born?: number): FakeWorker {
+	add(name: string, more: Partial<fleet.WorkerEntry> = {}, born?: number): FakeWorker {
 		const entry: fleet.WorkerEntry = {
-			id,
-			address: `${id}:1`,
+			id: lives.idOf(name, born),
+			address: `${name}:1`,
 			zone: 'rennes',
 			pool: 'press',
 			capacity: { milliCores: 32_000, memoryMb: 128_000, accelerators: 0 },
@@ -296,7 +310,7 @@
 		};
 		const worker = FakeWorker.create(entry, this.opts, this.starts, onCrash, born);
 		this.down.delete(entry.address);
-		this.workers.set(id, worker);
+		this.workers.set(name, worker);
 		this.byAddress.set(entry.address, worker);
 		return worker;
 	}
@@ -318,11 +332,11 @@
 		this.lapsing.push(entry);
 		const lapse = clock.after(lapseMs, () => {
 			this.unlist(entry);
-			this.onListed([], [entry.id]);
+			this.onListed([], [worker.name]);
 		});
 		clock.after(how.downMs, () => {
 			if (how.keepsName !== true) {
-				this.onListed([this.addNext(entry).entry], []);
+				this.onListed([this.addNext(worker).entry], []);
 				return;
 			}
 			// The entry of the life before stands under the same key.
@@ -334,15 +348,14 @@
 
 	/** A worker starts again under the name that it had, and knows nothing of before. */
 	private restart(worker: FakeWorker): void {
-		const { id, ...place } = worker.entry;
-		const reborn = this.add(id, place, this.bornAfter(worker));
+		const reborn = this.add(worker.name, placeOf(worker), this.bornAfter(worker));
 		this.onListed([reborn.entry], []);
 	}
 
 	/** Another worker comes at the address of one that went down. */
-	private addNext({ id, ...place }: fleet.WorkerEntry): FakeWorker {
-		const [name = id, life = '1'] = id.split('~');
-		return this.add(`${name}~${String(Number(life) + 1)}`, place);
+	private addNext(worker: FakeWorker): FakeWorker {
+		const [name = worker.name, life = '1'] = worker.name.split('~');
+		return this.add(`${name}~${String(Number(life) + 1)}`, placeOf(worker));
 	}
 
 	/** When a worker's next life says that it started: the time of day, which may have been set back meanwhile. */
@@ -359,7 +372,7 @@
 	private remove(worker: FakeWorker): void {
 		this.opts.journal?.crashed?.([...worker.running.keys()]);
 		worker.die();
-		this.workers.delete(worker.entry.id);
+		if (this.workers.get(worker.name) === worker) this.workers.delete(worker.name);
 	}
 
 	/** Entries as the platform lists them, by id. */
@@ -392,9 +405,9 @@
 		await this.sleep(answerMs);
 		const worker = this.atAddress(at.address);
 		if (this.down.get(at.address) === 'closed') return results.fail({ kind: 'unreachable' });
-		const fault = worker === undefined || isCut(worker.entry.id) ? 'silent' : worker.fault;
+		const fault = worker === undefined || isCut(worker.name) ? 'silent' : worker.fault;
 		if (worker !== undefined && fault !== 'silent') {
-			if (worker.entry.id !== at.id) return results.fail({ kind: 'other-life' });
+			if (worker.name !== lives.nameOf(at.id)) return results.fail({ kind: 'other-life' });
 			if (fault === 'none') return order(worker);
 			if (fault === 'refused') return results.fail({ kind: 'unreachable' });
 			if (fault === 'lost') order(worker);
@@ -407,7 +420,7 @@
 	/** Carries an order out much later, by whoever has the worker's name then. */
 	private carryOutLate<T>(worker: FakeWorker, order: Order<T>): void {
 		this.opts.clock.after(giveUpMs + lateMs, () => {
-			const heir = this.workers.get(worker.entry.id);
+			const heir = this.workers.get(worker.name);
 			if (heir !== undefined) order(heir);
 		});
 	}
@@ -425,14 +438,14 @@
 		await this.endOrTimeout(worker, order.waitMs);
 		// A worker without power does not even break its connections.
 		if (this.down.get(at.address) === 'dark') await this.sleep(giveUpMs);
-		if (worker.dead || isCut(worker.entry.id) || worker.fault !== 'none') return results.fail(noAnswer);
+		if (worker.dead || isCut(worker.name) || worker.fault !== 'none') return results.fail(noAnswer);
 		return results.ok(worker.report());
 	}
 
 	private atAddress(address: string): FakeWorker | undefined {
 		const known = this.byAddress.get(address);
 		// Tests take workers out of the map themselves.
-		return known !== undefined && this.workers.get(known.entry.id) === known ? known : undefined;
+		return known !== undefined && this.workers.get(known.name) === known ? known : undefined;
 	}
 
 	private endOrTimeout(worker: FakeWorker, ms: number): Promise<void> {
--- a/stand-ins/users-platform/server.ts
+++ b/stand-ins/users-platform/server.ts
@@ -148,20 +148,20 @@
 
 	private async answerWorker(at: fleet.WorkerTarget, path: string, body: Body): Promise<Answer> {
 		const calls = this.fleet.calls();
-		const epoch = Number(body.fencing_token ?? 0);
+		const token = Number(body.fencing_token ?? 0);
 		const leaseUntil = body.deadline_ms as number | undefined;
 		if (path === '/api/hold') {
 			const forgetUpTo = Number(body.last_seen ?? 0);
 			const waitMs = Number(body.wait_ms ?? 0);
-			return spell(await calls.hold(at, { epoch, forgetUpTo, leaseUntil, waitMs }), spellReport);
+			return spell(await calls.hold(at, { token, forgetUpTo, leaseUntil, waitMs }), spellReport);
 		}
 		const task = String(body.task);
 		const run = Number(body.run);
 		const clock = (reading: fleet.ClockReading): object => ({ clock_ms: reading.clockMs });
-		if (path === '/api/run-stop') return spell(await calls.stop(at, task, run, epoch), clock);
+		if (path === '/api/run-stop') return spell(await calls.stop(at, task, run, token), clock);
 		const text = String(body.spec);
 		const checkpoint = (body.last_checkpoint ?? '') as string;
-		const order = { task, run, text, epoch, leaseUntil, checkpoint, ticket: '' };
+		const order = { task, run, text, token, leaseUntil, checkpoint, ticket: '' };
 		return spell(await calls.start(at, order), clock);
 	}
 
--- a/test/filling.test.ts
+++ b/test/filling.test.ts
@@ -1,6 +1,7 @@
 /** Tasks that fill: none waits for ever because of what it would disturb. */
 import test from 'ava';
 import * as events from '../src/core/events/index.js';
+import * as fencing from '../src/core/dispatch/fencing-tokens.js';
 import * as exemptions from '../src/core/dispatch/harm-exemptions.js';
 import * as jobs from '../src/core/jobs/index.js';
 import * as sessions from '../src/core/dispatch/worker-session.js';
@@ -45,11 +46,14 @@
 		confirmedAt: () => clock.now(),
 		confirm: () => Promise.resolve(),
 		onFenced: () => undefined,
+		tokens: fencing.FencingTokens.create(1, () => undefined),
 	};
 	const handlers: dispatchTypes.SessionHandlers = {
 		onReport: () => ({ type: 'put-off' }),
 		onUnanswered: () => undefined,
 		onLost: () => undefined,
+		otherLives: () => [],
+		onSuperseded: () => undefined,
 	};
 	return sessions.WorkerSession.create({ id, address: `${id}:1` }, undefined, deps, handlers, -Infinity);
 }
--- a/test/inherited-runs.test.ts
+++ b/test/inherited-runs.test.ts
@@ -1,5 +1,6 @@
 /** What a successor makes of runs that it finds and doesn't want: none is doubled, and no worker is filled over its cores. */
 import test from 'ava';
+import * as fencing from '../src/core/dispatch/fencing-tokens.js';
 import * as ledger from '../src/core/ledger/index.js';
 import * as world from './fixtures/dispatching.js';
 import type * as fleet from '../src/core/fleet/types.js';
@@ -83,7 +84,15 @@
 
 /** A start as an earlier owner gave it. */
 function orderFor(task: string, epoch: number): fleet.StartOrder {
-	return { task, run: 1, text: '', epoch, leaseUntil: Infinity, checkpoint: '', ticket: '' };
+	return {
+		task,
+		run: 1,
+		text: '',
+		token: fencing.lastOf(epoch),
+		leaseUntil: Infinity,
+		checkpoint: '',
+		ticket: '',
+	};
 }
 
 /** Plays a job's first time, and its second by an owner whose clock is ahead; the next owner takes over. */
@@ -174,7 +183,7 @@
 	owner.dispatcher.setWorkers(made.fleet.entries(), [], true);
 	await made.clock.pass(500);
 	// A worker that stood still past its leases shows what ran there for a moment when it goes on.
-	w1.start(orderFor('job1.0.0.0', 1));
+	w1.start({ ...orderFor('job1.0.0.0', 1), token: world.firstToken(1) });
 	await made.clock.pass(1_100);
 	await made.submit(owner, bigJob('job2'));
 	await watch(made.clock, 2_000, () => t.true(w1.running.size <= 1));
--- a/test/restarted-workers.test.ts
+++ b/test/restarted-workers.test.ts
@@ -21,9 +21,10 @@
 
 /** What the workers' own accounts say against the owner. */
 class Witness {
-	/** Starts of tasks of which an end as done had been forgotten, as the owner asked. */
+	/** Starts of tasks of which an end as done had been forgotten, as the owner asked, or which ran already. */
 	readonly again: string[] = [];
 	private readonly done = new Set<string>();
+	private readonly running = new Set<string>();
 
 	private constructor() {
 		// Built by `create`, like every class here.
@@ -36,9 +37,14 @@
 	get journal(): workers.FleetJournal {
 		return {
 			started: ({ task, run, worker }) => {
-				if (this.done.has(task)) this.again.push(`${task}#${String(run)} on ${worker}`);
+				if (this.done.has(task) || this.running.has(task))
+					this.again.push(`${task}#${String(run)} on ${worker}`);
+				this.running.add(task);
+			},
+			ended: ({ task }) => void this.running.delete(task),
+			crashed: (tasks) => {
+				for (const task of tasks) this.running.delete(task);
 			},
-			ended: () => undefined,
 			forgotten: ({ task, how }: fleetTypes.RunEnd) => {
 				if (how === 'done') this.done.add(task);
 			},
--- a/test/roster.test.ts
+++ b/test/roster.test.ts
@@ -1,6 +1,7 @@
 /** What the roster says of a worker that gets no new work. */
 import test from 'ava';
 import * as events from '../src/core/events/index.js';
+import * as fencing from '../src/core/dispatch/fencing-tokens.js';
 import * as fixtures from './fixtures/dispatching.js';
 import * as jobs from '../src/core/jobs/index.js';
 import * as ledgers from '../src/core/ledger/index.js';
@@ -15,7 +16,7 @@
 function createPool(
 	clock: time.VirtualClock,
 	fleet: workers.FakeFleet,
-	handlers: Partial<types.SessionHandlers>,
+	handlers: Partial<types.ReportHandlers>,
 ): { pool: workerPool.WorkerPool; written: ledger.RosterEntry[][] } {
 	const written: ledger.RosterEntry[][] = [];
 	const pool = workerPool.WorkerPool.create(
@@ -29,6 +30,7 @@
 			confirmedAt: () => clock.now(),
 			confirm: () => Promise.resolve(),
 			onFenced: () => undefined,
+			tokens: fencing.FencingTokens.create(1, () => undefined),
 			onOpened: () => undefined,
 			leaseEnds: new Map(),
 			saveRoster: (roster) => {
@@ -69,7 +71,8 @@
 	});
 	pool.setWorkers(fleet.entries(), [], true);
 	await clock.pass(50);
-	const order = { task: 'job1.0.0.0', run: 1, text: '', epoch: 1, checkpoint: '', ticket: '' };
+	const token = fixtures.firstToken(1);
+	const order = { task: 'job1.0.0.0', run: 1, text: '', token, checkpoint: '', ticket: '' };
 	worker.start({ ...order, leaseUntil: worker.clockMs() + 5_000 });
 	await clock.pass(1_000);
 	pool.setWorkers([{ ...worker.entry, draining: true }], [], false);
--- a/test/waiting-log.test.ts
+++ b/test/waiting-log.test.ts
@@ -57,10 +57,11 @@
 	w1.fault = 'silent';
 	await submit(owner, world.job('second', [world.step({ count: 2 })]));
 	await clock.pass(300);
+	const token = world.firstToken(1);
 	for (const task of ['lost.0.0.0', 'lost.0.0.1'])
-		w1.start({ task, run: 1, text: '', epoch: 1, leaseUntil: Infinity, checkpoint: '', ticket: '' });
+		w1.start({ task, run: 1, text: '', token, leaseUntil: Infinity, checkpoint: '', ticket: '' });
 	await clock.pass(200);
-	w1.hold({ epoch: 1, forgetUpTo: 2, waitMs: 0 });
+	w1.hold({ token, forgetUpTo: 2, waitMs: 0 });
 	w1.fault = 'none';
 	await clock.pass(3_000);
 	const lines = owner.events.select((event) => event.name === 'ends.unread');
