Suspects of a crash are tried more at a time for each that passes

What callers saw: after many crashes by chance jobs waited for tens of seconds with most of the room free, long after the last crash.

Cause: a task that was lost twice, or just after its start, is tried alone on a tenth of the workers at most, about one a second each. In a pool of ten, 58 crashes in 40 s make hundreds of suspects, and one after the other is tried. It is as old as probations and does not come of restarts: with new names the same trial waits as long.

Evidence: step.stalled, 31 steps for up to 52 s, 'other-suspects, open 9, closed probation 1', thirty seconds after the last crash; 19 to 30 of 60 jobs were not done.

Why this holds: what passes shows that chance was to blame, and raises the number that may be tried at once up to half of the workers; one that goes down with its worker puts it back to the tenth. A job of two hundred culprits takes twelve workers down at most, as before.

--- a/src/core/dispatch/outcomes.ts
+++ b/src/core/dispatch/outcomes.ts
@@ -1,8 +1,8 @@
 /** What becomes of jobs as their runs begin, end, fail or are lost. */
 import * as jobs from '../jobs/index.js';
 import * as settings from './settings.js';
-import type * as clocks from '../clock.js';
 import type * as blame from './crash-blame.js';
+import type * as clocks from '../clock.js';
 import type * as events from '../events/index.js';
 import type * as fleet from '../fleet/types.js';
 import type * as interference from './interference.js';
@@ -107,7 +107,7 @@
 		if (job.ended || task.state === 'finished') return;
 		const crashes = (task.crashes ??= jobs.CrashHistory.create());
 		crashes.noteCrash(run, isBlamed, (session.failedAt ?? Infinity) - sentAt);
-		this.opts.probations.noteCrash(task);
+		this.opts.probations.noteCrash(task, place.onProbation);
 		this.opts.progress.mark(job);
 		const { crashed, blamed } = crashes;
 		this.opts.events.emit('task.crashed', { task: task.name, run, crashed, blamed });
--- a/src/core/dispatch/placements.ts
+++ b/src/core/dispatch/placements.ts
@@ -24,6 +24,7 @@
 		pace: 100,
 		pacedAt: 0,
 		exempt: false,
+		onProbation: false,
 		overSince: undefined,
 		overAt: -Infinity,
 	};
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -275,7 +275,10 @@
 		}
 		const places = this.placeAt(task, probations.choose(task, choice));
 		if (places.length === 0) this.waitingLog.note(task, () => reasons.whyNoPlace(task, choice));
-		for (const { session, place } of places) session.probation = place;
+		for (const { session, place } of places) {
+			session.probation = place;
+			place.onProbation = true;
+		}
 		return this.beginAll(places);
 	}
 
--- a/src/core/dispatch/probation.ts
+++ b/src/core/dispatch/probation.ts
@@ -14,8 +14,14 @@
 /** A run on probation is on its worker for so long before it has passed, and nothing was started there for so long before, in milliseconds. */
 const probationMs = 500;
 
-/** Workers with a run on probation at the same time, at most: this part of those that may run it, and always one. */
-const mostPart = 0.1;
+/** Workers with a run on probation at the same time: this part of those that may run it, and always one. */
+const firstPart = 0.1;
+
+/**
+ * One more for each run that passes, up to this part, until one of them goes down with its worker. After many crashes by
+ * chance there are more suspects than could be tried in time otherwise.
+ */
+const mostPart = 0.5;
 
 /** Runs of a step on probation at the same time: one, and so many more for each that has passed. */
 const morePerPass = 2;
@@ -48,6 +54,8 @@
 /** Tasks under suspicion, and the runs by which they are tried. */
 export class Probations {
 	private readonly steps = new WeakMap<jobs.StepRun, StepRecord>();
+	/** Runs that have passed since one on probation last went down with its worker. */
+	private passedInRow = 0;
 
 	private constructor(private readonly opts: ProbationOptions) {}
 
@@ -55,9 +63,10 @@
 		return new Probations(opts);
 	}
 
-	/** A worker went down under a task; the task is not started again for a while. */
-	noteCrash(task: jobs.Task): void {
+	/** A worker went down under a task, `onProbation` or not; the task is not started again for a while. */
+	noteCrash(task: jobs.Task, onProbation: boolean): void {
 		const { crashed = 0, blamed = 0 } = task.crashes ?? {};
+		if (onProbation) this.passedInRow = 0;
 		task.pausedUntil = this.opts.clock.now() + pauseMs * (crashed - 1);
 		if (blamed > 0) this.recordOf(task.step).suspects.add(task);
 	}
@@ -76,11 +85,17 @@
 		const tried = this.opts.workers().filter((one) => one.probation !== undefined);
 		// A worker that has ceased to answer is tried by nobody any more, and may take long to be proved dead.
 		const underWay = tried.filter((one) => one.failedAt === undefined).length;
-		if (underWay >= Math.max(1, Math.floor(workers * mostPart))) return false;
+		if (underWay >= this.limitAmong(workers)) return false;
 		const ofStep = tried.filter((one) => one.probation?.task.step === step).length;
 		return ofStep <= (this.steps.get(step)?.passed ?? 0) * morePerPass;
 	}
 
+	/** Runs that may be on probation at the same time in a pool of so many open workers. */
+	private limitAmong(workers: number): number {
+		const first = Math.max(1, Math.floor(workers * firstPart));
+		return Math.max(first, Math.min(first + this.passedInRow, Math.floor(workers * mostPart)));
+	}
+
 	/** The worker that takes a suspect at the least loss to others. */
 	choose(task: jobs.Task, choice: placement.Choice): sessions.WorkerSession | placement.NoPlace {
 		const terms = placement.termsOf(task, choice.now);
@@ -103,6 +118,7 @@
 		const { probation } = session;
 		if (probation !== undefined && this.hasWorked(probation, probationMs)) {
 			session.probation = undefined;
+			probation.onProbation = false;
 			this.pass(probation, 'probation');
 		}
 		for (const place of session.placements.values()) {
@@ -121,6 +137,7 @@
 		const { task, run } = place;
 		const record = this.recordOf(task.step);
 		record.passed += 1;
+		this.passedInRow += 1;
 		record.suspects.delete(task);
 		task.crashes?.acquit();
 		this.opts.events.emit('task.cleared', { task: task.name, run, reason });
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -32,6 +32,8 @@
 	pacedAt: number;
 	/** It was placed whatever harm it does, because it had waited too long. */
 	exempt: boolean;
+	/** It is tried for whether it brings its worker down, and has not passed yet. */
+	onProbation: boolean;
 	/** Of a task that serves users: clock time from which its readings have been over the target; undefined: the newest is not. */
 	overSince: number | undefined;
 	/** Clock time of the newest reading over the target. */
