A start that was left without an answer before the crash counts as no crash

What callers saw: jobs shown as failed, 'workers went down, or may have', under tasks that no two workers had crashed under.

Cause: a start without an answer counted as a crash whenever its worker was lost, though a worker that lives answers a start at once: one that was left waiting was sent to a worker that was down already, or that carried nothing out.

Evidence: in the trial with connections that hang, job32 is given up after four workers, under none of which the workers' own accounts have its task.

Why this holds: such a start counts only if the worker ceased to answer within 50 ms of it, which is when a start that brings its worker down takes its own answer along.

--- a/src/core/dispatch/outcomes.ts
+++ b/src/core/dispatch/outcomes.ts
@@ -30,6 +30,9 @@
 	mayHaveCrashed: (task: jobs.Task) => boolean;
 }
 
+/** A worker that carries out a start answers within so long, in milliseconds, unless the start brings it down before. */
+const mostAnswerMs = 50;
+
 /** Stands for the run of an earlier owner whose number is not known. */
 const unseenRun = 0;
 
@@ -184,10 +187,13 @@
 /** Whether a run that was lost with its worker may have brought it down. */
 function mayHaveCrashed(session: sessions.WorkerSession, place: types.Placement): boolean {
 	const { sentAt, confirmedAt } = place;
+	const { failedAt = Infinity } = session;
 	// A worker that ends as planned was brought down by nobody, nor by a start that was never sent.
 	if (sentAt === undefined || session.endsAsPlanned) return false;
 	// It had ceased to answer before.
-	if (session.failedAt !== undefined && session.failedAt <= sentAt) return false;
+	if (failedAt <= sentAt) return false;
+	// One that was left without an answer for longer was not carried out.
+	if (confirmedAt === 0) return failedAt - sentAt <= mostAnswerMs;
 	// A run that has worked for so long clears its task, so it clears itself.
-	return confirmedAt === 0 || session.answeredAt - confirmedAt < jobs.mostToClearMs;
+	return session.answeredAt - confirmedAt < jobs.mostToClearMs;
 }
