A worker is let forget ends only right after a report of its present life

What callers saw: nothing yet; found by looking for the same cause elsewhere. A task that ended on a worker which had just started again could be done twice.

Cause: a question that was put to one life names the newest end that was read from it, and may be answered by the next one: after a connection that hung, the question that follows made the new life forget ends of runs that it had been given while nobody knew of the restart.

Why this holds: ends are named only if the newest report listed some that are stored, no call has failed since, and the report is at most 200 ms old: no worker starts again and ends a run in that time. A question that names none is harmless to whoever answers it. What this leaves is a question that is carried out seconds late by a life that has also ended a late start by then.

Seen to fail before: restarted-workers, 'an end is not forgotten by a question that was put to the life before'.

--- a/src/core/dispatch/settings.ts
+++ b/src/core/dispatch/settings.ts
@@ -25,6 +25,9 @@
 /** After a report with new ends, the next one waits at most this long for the ends to be stored. */
 export const holdAfterEndsMs = 400;
 
+/** A worker is let forget its ends only so long after a report of it: a restart takes longer, and a run after it. */
+export const forgetWithinMs = 200;
+
 /** A worker without an answer for this long gets no new work: a waiting report and a lost packet. */
 export const silentAfterMs = 2_200;
 
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -91,6 +91,8 @@
 	private isReportTaken = false;
 	/** The newest report, also one that was put off; undefined: none, or all that it tells of is over. */
 	private reported: fleet.WorkerReport | undefined;
+	/** Clock time at which it came. */
+	private reportedAt = -Infinity;
 	/** Runs taken for lost whose start may still be under way. */
 	readonly inDoubt: doubts.RunsInDoubt;
 	/** The other boxes were told when the leases here end: none is given until a roster write voids that. */
@@ -406,7 +408,7 @@
 			const others = this.handlers.otherLives(this);
 			const res = await this.deps.calls.hold(target, {
 				token: stamp.token,
-				forgetUpTo: this.storedUpTo,
+				forgetUpTo: this.forgettable(),
 				leaseUntil: this.unanswered ? undefined : this.grantLease(),
 				waitMs: this.waitMs(),
 			});
@@ -425,6 +427,17 @@
 		}
 	}
 
+	/**
+	 * Ends that the worker may forget now; 0: none. Another life may answer, and would forget its own: so the question has
+	 * to follow an answer of this one in less time than it takes to start again and to end a run.
+	 */
+	private forgettable(): number {
+		const [oldest] = this.reported?.ended ?? [];
+		const isFresh = this.deps.clock.now() - this.reportedAt <= settings.forgetWithinMs;
+		const isKnown = oldest !== undefined && oldest.seq <= this.storedUpTo;
+		return isKnown && isFresh && this.failedAt === undefined ? this.storedUpTo : 0;
+	}
+
 	/** Where tasks that fill disturb others, their effect is looked at more often. */
 	private waitMs(): number {
 		// Whether it answers again, and then when it may have a lease, is to be known at once.
@@ -443,6 +456,7 @@
 			this.deps.events.emit('worker.reached', { worker: this.id, clockMs: report.clockMs });
 		this.heard(report);
 		this.reported = report;
+		this.reportedAt = this.deps.clock.now();
 		const outcome = this.handlers.onReport(this, { report, sentAt, others });
 		if (outcome.type === 'put-off') {
 			await clocks.sleep(this.deps.clock, settings.putOffMs);
--- a/test/restarted-workers.test.ts
+++ b/test/restarted-workers.test.ts
@@ -228,6 +228,27 @@
 	owner.dispatcher.close();
 });
 
+test('an end is not forgotten by a question that was put to the life before', async (t) => {
+	const witness = Witness.create();
+	const made = world.createWorld(() => ({ ms: 100, how: 'done' }), witness.journal);
+	const { clock, fleet, takeOver, submit } = made;
+	const w1 = fleet.add('w1', {}, 1);
+	const owner = await takeOver();
+	await clock.pass(1_200);
+	await submit(owner, world.job('before', [world.step({ count: 3 })]));
+	await clock.pass(1_000);
+	// Nothing tells of the restart: the question under way hangs, and the list of workers is not read.
+	fleet.crash(w1, { downMs: 100, dark: true, keepsName: true });
+	await clock.pass(150);
+	await submit(owner, world.job('after', [world.step({ count: 2 })]));
+	await clock.pass(3_000);
+	owner.dispatcher.setWorkers(fleet.entries(), [], true);
+	await clock.pass(3_000);
+	t.deepEqual(witness.again, []);
+	t.is(owner.dispatcher.stateOf('after'), 'completed');
+	owner.dispatcher.close();
+});
+
 test('over real boxes: the ends of a worker that has restarted are read', async (t) => {
 	const starts: workers.StartRecord[] = [];
 	const { journal } = Witness.create();
