A life whose orders are refused gets no start before it has answered under its new token

A task could run twice at once.

Cause: a session whose token had been outdone by that of a later life took a higher one and went on giving starts under it: the later life, which had not been heard of yet, would have carried such a start out after its report had freed the task.

Evidence: the model's trace: the list names life 2, whose first question is carried out without an answer; a question to life 1 is refused; a start is sent to life 1 under the new token; life 2 answers, the task starts elsewhere, and the start arrives.

Why this holds: a refused session counts as unheard until a report of its own life was taken under the new token; starts wait for that, also those that are tried again. A question under that token tells which life is there.

--- a/spec/checks.ts
+++ b/spec/checks.ts
@@ -5,6 +5,7 @@
 import * as dispatch from './dispatch.js';
 import * as lease from './lease.js';
 import * as lives from './lives/index.js';
+import * as restarts from './restarts.js';
 import type * as explore from './explore.js';
 
 /** One check. */
@@ -235,6 +236,14 @@
 	return [check('holds', crashes.crashModel('crashes', crashDeaths, crashes.allCrashGuards)), ...mutants];
 }
 
+function restartChecks(): Check[] {
+	const mutants = Object.keys(restarts.noRestartFaults).map((fault) => {
+		const faults = { ...restarts.noRestartFaults, [fault]: true };
+		return check('wrong', restarts.restartModel(`restarts, with ${fault}`, faults));
+	});
+	return [check('holds', restarts.restartModel('restarts', restarts.noRestartFaults)), ...mutants];
+}
+
 /** All checks, the longest first. */
 export const checks: Check[] = [
 	...dispatchChecks(),
@@ -243,4 +252,5 @@
 	...claimChecks(),
 	...configChecks(),
 	...crashChecks(),
+	...restartChecks(),
 ];
--- a/src/core/dispatch/starter.ts
+++ b/src/core/dispatch/starter.ts
@@ -145,6 +145,7 @@
 	 */
 	private obstacle(session: sessions.WorkerSession, placement: types.Placement): string | undefined {
 		const { probation } = session;
+		if (!session.isHeard) return 'unheard';
 		if (room.isOverfull(session)) return 'room-shrunk';
 		if (probation !== undefined && probation !== placement) return 'probation';
 		return this.handlers.isListFresh() ? undefined : 'list-unread';
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -87,8 +87,8 @@
 	/** Orders to it carry this token. */
 	private token: number;
 	private readonly createdAt: number;
-	/** A report of it was taken in. */
-	private isReportTaken = false;
+	/** A report of it was taken in, under a token that nothing has been seen above. */
+	isHeard = false;
 	/** The newest report, also one that was put off; undefined: none, or all that it tells of is over. */
 	private reported: fleet.WorkerReport | undefined;
 	/** Clock time at which it came. */
@@ -148,6 +148,15 @@
 		this.token = this.deps.tokens.next();
 	}
 
+	/**
+	 * Orders to another life of the name were seen there, so this one may be over: nothing is started before it has answered
+	 * under a token above theirs.
+	 */
+	private startOver(): void {
+		this.renewToken();
+		this.isHeard = false;
+	}
+
 	/** Whether orders to it carry a lower token than those to another session. */
 	isBelow(other: WorkerSession): boolean {
 		return this.token < other.token;
@@ -215,7 +224,7 @@
 		if (this.entry.draining) return 'draining';
 		if (this.vacated) return 'vacated';
 		if (!this.answering) return 'silent';
-		if (!this.settled || !this.isReportTaken) return 'unheard';
+		if (!this.settled || !this.isHeard) return 'unheard';
 		if (!this.rostered) return 'unrostered';
 		if (this.probation !== undefined) return 'probation';
 		if (this.inDoubt.any) return 'in-doubt';
@@ -303,7 +312,7 @@
 		// Under an older token the refusal may come of an order of our own.
 		const isReplaced = err.kind === 'fenced' && stamp.isNewest;
 		if (isReplaced) this.deps.onFenced();
-		else if (err.kind === 'fenced' && !this.isOver) this.renewToken();
+		else if (err.kind === 'fenced' && !this.isOver) this.startOver();
 		// At an address that it has left, a worker of another name proves nothing.
 		if (err.kind === 'other-life' && at.address === this.target.address)
 			this.end('another life of the worker answers at its address');
@@ -462,7 +471,7 @@
 			await clocks.sleep(this.deps.clock, settings.putOffMs);
 			return;
 		}
-		this.isReportTaken = true;
+		this.isHeard = true;
 		if (!report.hasMoreEnds) this.settled = true;
 		await this.inDoubt.settle((run) => this.stopInDoubt(run));
 		await Promise.race([outcome.stored, clocks.sleep(this.deps.clock, settings.holdAfterEndsMs)]);
