The adviser is asked about further workers as long as a step finds no place on the good ones

What callers saw: nothing yet; found by looking for what else could run and doesn't. A gang on a queue with advice was never started.

Cause: a step counted as served while any worker with a ticket had room for one task of it, so nothing more was asked while its tickets held, also where the step needs more places, or that one is ruled out for another reason.

Evidence: of 90 workers, 30 of them good, a gang of 17 tasks of a worker each asks about 30, finds ten good, and waits for as long as the trial goes.

Why this holds: whatever the reason, a step that finds no place asks about workers with room that were not judged yet, one question at a time; once all are judged it asks no more.

Seen to fail before: advice, 'a gang that needs more good workers than one answer names is started'.

--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -284,9 +284,12 @@
 
 	private noteNoPlace(task: jobs.Task, round: rounds.PlacingRound): void {
 		const { now } = round;
+		const { pool, advised } = this.opts.policyOf(task.step.job);
+		// Room for one task on a good worker may be too little, or ruled out: a gang needs places for all its members.
+		if (advised) this.askFurther(task.step, round.openFor(task.step, pool));
 		this.waitingLog.note(task, () => reasons.whyNoPlace(task, this.choiceFor(task.step, round)));
 		// Workers are kept free in every round, or short tasks would take them in between.
-		if (order.isOverdue(task, now)) round.keepFor(task.step, this.opts.policyOf(task.step.job).pool);
+		if (order.isOverdue(task, now)) round.keepFor(task.step, pool);
 		else this.retryAt.set(task.step, now + retryMs(task.step));
 	}
 
@@ -387,10 +390,15 @@
 		if (!advised) return { workers: inPool, estimates, now };
 		const withTicket = inPool.filter((one) => this.advisory.ticket(step, one.id) !== undefined);
 		const hasPlace = withTicket.some((one) => room.hasPlace(step, one));
-		if (!hasPlace) this.advisory.want(step, this.likely(step, inPool));
+		if (!hasPlace) this.askFurther(step, inPool);
 		return { workers: withTicket, estimates, now };
 	}
 
+	/** Asks the adviser about workers with room that it has not judged for a step. */
+	private askFurther(step: jobs.StepRun, inPool: sessions.WorkerSession[]): void {
+		this.advisory.want(step, this.likely(step, inPool));
+	}
+
 	/** Workers with room for a step, the emptiest first. */
 	private likely(step: jobs.StepRun, workers: sessions.WorkerSession[]): string[] {
 		const fitting = workers.filter((one) => room.hasPlace(step, one));
--- /dev/null
+++ b/test/advice.test.ts
@@ -0,0 +1,47 @@
+/** The adviser's word on which workers may run a step, and how much of the fleet it is asked about. */
+import test from 'ava';
+import * as world from './fixtures/dispatching.js';
+import type * as fleet from '../src/core/fleet/types.js';
+import type * as jobs from '../src/core/jobs/index.js';
+
+const workerCount = 90;
+
+/** Every third worker is good. */
+const goodEvery = 3;
+
+const advised: jobs.QueuePolicy = { ...world.queue, advised: true };
+
+const adviser: fleet.AskAdviser = (_step, workers) => {
+	const good = workers.filter((id) => Number(id.slice(1)) % goodEvery === 0);
+	return Promise.resolve({
+		ok: true,
+		value: { good: good.map((worker) => ({ worker, ticket: `for ${worker}` })), validMs: 20_000 },
+	});
+};
+
+/** Plays a job of one step, whose tasks take a whole worker each, under the adviser. */
+async function play(spec: Partial<jobs.StepSpec>): Promise<jobs.JobState | undefined> {
+	const made = world.createWorld(() => ({ ms: 500, how: 'done' }), undefined, adviser);
+	for (let index = 0; index < workerCount; index += 1) made.fleet.add(`w${String(index)}`);
+	const owner = await made.takeOver();
+	await made.clock.pass(1_200);
+	await made.submit(
+		owner,
+		world.job('job1', [world.step({ milliCores: 32_000, ...spec })], { queue: advised }),
+	);
+	await made.clock.pass(10_000);
+	owner.dispatcher.close();
+	return owner.dispatcher.stateOf('job1');
+}
+
+test('a gang that needs more good workers than one answer names is started', async (t) => {
+	t.is(await play({ count: 17, gang: true }), 'completed');
+});
+
+test('a step that may have few tasks on a worker is done beyond the good workers of one answer', async (t) => {
+	t.is(await play({ count: 25, milliCores: 100, maxPerWorker: 1 }), 'completed');
+});
+
+test('a step of as many tasks as there are good workers is done', async (t) => {
+	t.is(await play({ count: 30 }), 'completed');
+});
