Soak: a fifth set of faults, with workers that restart under their names

The stand-ins gave a worker that came back a new id, so no soak could show the incident. Workers of the fifth set keep their names and tell when they started, by a time of day that is set back now and then; they restart one by one and several at once, beside late orders, takeovers and tasks that crash them. The former sets play as before.

--- a/dev/soak/faults.ts
+++ b/dev/soak/faults.ts
@@ -80,12 +80,16 @@
 	'queues-changed': changeQueues,
 };
 
+/** The fourth set. */
+const fourthFaults: Record<string, worlds.Fault> = { ...thirdFaults, 'worker-shrunk': workerFaults.shrink };
+
 /** What may be injected, by set. */
 const faultSets: Record<worlds.FaultSet, Record<string, worlds.Fault>> = {
 	1: formerFaults,
 	2: secondFaults,
 	3: thirdFaults,
-	4: { ...thirdFaults, 'worker-shrunk': workerFaults.shrink },
+	4: fourthFaults,
+	5: { ...fourthFaults, ...workerFaults.restarts },
 };
 
 /** Injects faults until `until` (clock time), and resolves once the last has ended. */
--- a/dev/soak/soak.ts
+++ b/dev/soak/soak.ts
@@ -18,6 +18,7 @@
 	2: { shortest: 50, longest: 500 },
 	3: { shortest: 50, longest: 500 },
 	4: { shortest: 50, longest: 500 },
+	5: { shortest: 50, longest: 500 },
 };
 
 /** With the later sets this part of the tasks outlasts a change of the owner: they take from so long to so long. */
@@ -51,7 +52,7 @@
 	const startedAt = clocks.systemClock.now();
 	const seconds = (): number => Math.round((clocks.systemClock.now() - startedAt) / 10) / 100;
 	const next = random.seeded(opts.seed);
-	const judge = judges.Judge.create(seconds, opts.faults === 4);
+	const judge = judges.Judge.create(seconds, opts.faults >= 4);
 	const plan = planFor(opts.faults);
 	const world = await worlds.World.create({
 		...opts,
@@ -102,7 +103,7 @@
 			ms: random.between(next, shortest, longest),
 			how: fails ? 'failed' : 'done',
 		};
-		const crashMs = faultSet === 4 ? crashing.crashMsOf(task) : undefined;
+		const crashMs = faultSet >= 4 ? crashing.crashMsOf(task) : undefined;
 		// It works on until it brings its worker down.
 		return crashMs === undefined ? plan : { ...plan, ms: 2 * crashMs, crashMs };
 	};
--- a/dev/soak/worker-faults.ts
+++ b/dev/soak/worker-faults.ts
@@ -59,6 +59,31 @@
 	return `${worker.id} to ${String(milliCores)}`;
 }
 
+/** A worker that restarts is down for so long at most, in milliseconds: from at once to as long as after a crash. */
+const mostDownMs = 3_000;
+
+/** Some workers start again under the names that they had, one after the other or at once. */
+async function restart(world: worlds.World, next: () => number): Promise<string> {
+	const count = random.between(next, 1, Math.min(mostCrashed, world.workers.length));
+	const names: string[] = [];
+	for (let index = 0; index < count; index += 1) {
+		const { id } = random.pick(next, world.workers);
+		const life = world.platform.fleet.workers.get(id);
+		if (life === undefined) continue;
+		world.takeDown(life, random.between(next, 1, mostDownMs));
+		names.push(id);
+		if (next() < 0.5) await world.sleep(random.between(next, 1, mostDownMs));
+	}
+	return names.length === 0 ? boxFaults.nowhere : names.join(', ');
+}
+
+/** By name, for the fifth set. */
+export const restarts: Record<string, worlds.Fault> = {
+	'worker-restarted': restart,
+	// Twice as often as other faults.
+	'worker-restarted-again': restart,
+};
+
 /** By name, for the sets of faults. */
 export const faults: Record<string, worlds.Fault> = {
 	'worker-crashed': crash,
--- a/dev/soak/world.ts
+++ b/dev/soak/world.ts
@@ -2,8 +2,10 @@
 import * as boxes from '../../stand-ins/box-process.js';
 import * as clocks from '../../src/core/clock.js';
 import * as crashing from './crashing.js';
+import * as fleets from '../../stand-ins/fleet/workers.js';
 import * as linking from './links.js';
 import * as proxies from '../../stand-ins/proxy/index.js';
+
 import * as users from '../../stand-ins/users-platform/server.js';
 import type * as judges from './judge.js';
 import type * as workers from '../../stand-ins/fleet/workers.js';
@@ -23,6 +25,10 @@
 /** A room that has shrunk counts after so long: a box is in touch again, and has heard a heartbeat. */
 const shrunkAfterMs = calmAfterMs + heartbeatMs;
 
+/** The start of a worker's next life differs by so much at most, in milliseconds, and this part of them are smaller. */
+const mostClockStepMs = 5_000;
+const setBackPart = 0.3;
+
 /** An order that a worker leaves unanswered is carried out by then, in milliseconds; no room is promised to such orders. */
 const lateOrdersMs = 8_000;
 
@@ -30,8 +36,9 @@
  * Which faults are injected. 1: the former set, which seeds that were found with it go on to play; workers keep one entry
  * that goes when they crash. 2: workers have heartbeats, and entries of dead lives lapse. 3: open connections go silent
  * besides, and queues are added and dropped one after another. 4: some tasks crash their workers besides, and rooms shrink.
+ * 5: workers start again under the names that they had.
  */
-export type FaultSet = 1 | 2 | 3 | 4;
+export type FaultSet = 1 | 2 | 3 | 4 | 5;
 
 /** A change of a queue. */
 export interface QueueChange {
@@ -71,6 +78,8 @@
 	lives: number;
 	/** Since when it holds less than it did, and how much; undefined: it does not. */
 	shrunk: { milliCores: number; at: number } | undefined;
+	/** When its newest life says that it started; undefined: it does not tell, and gets a new name with each life. */
+	born: number | undefined;
 	/** Clock time until which orders may be carried out late there. */
 	lateUntil: number;
 }
@@ -190,18 +199,33 @@
 		this.platform.replaceWorker(before, worker.id, worker.address, entry);
 	}
 
-	/** A worker goes down under what runs there, and is back after a while. */
-	private takeDown(life: workers.FakeWorker): void {
-		const worker = this.workers.find((one) => one.id === life.entry.id);
+	/** A worker goes down with what runs there, and is back after a while. */
+	takeDown(life: workers.FakeWorker, downMs = crashing.downMs): void {
+		const worker = this.workers.find((one) => one.id === life.name);
 		if (worker === undefined || life.dead) return;
+		const { lives } = worker;
 		this.platform.fleet.takeDown(life);
 		this.platform.silence(worker.id);
-		clocks.systemClock.after(crashing.downMs, () => {
+		clocks.systemClock.after(downMs, () => {
 			// Another fault may have brought it back already.
-			if (!this.closing && worker.id === life.entry.id) this.replaceWorker(worker);
+			if (!this.closing && worker.lives === lives) this.bringBack(worker);
 		});
 	}
 
+	private bringBack(worker: SoakWorker): void {
+		if (worker.born === undefined) this.replaceWorker(worker);
+		else this.restartWorker(worker, worker.born);
+	}
+
+	/** A worker starts again under its name; its time of day may have been set back meanwhile. */
+	private restartWorker(worker: SoakWorker, before: number): void {
+		const stepMs = 1 + Math.floor(this.opts.next() * mostClockStepMs);
+		worker.lives += 1;
+		worker.shrunk = undefined;
+		worker.born = before + (this.opts.next() < setBackPart ? -stepMs : stepMs);
+		this.platform.restartWorker(worker.id, worker.address, worker.born);
+	}
+
 	/** A worker holds so much less for a while, as its entry says. */
 	async shrink(worker: SoakWorker, milliCores: number, forMs: number): Promise<void> {
 		worker.shrunk = { milliCores, at: this.now() };
@@ -261,11 +285,13 @@
 	}
 
 	private async addWorker(id: string): Promise<void> {
-		const address = await this.platform.startWorker(id, async (listening) => {
+		const born = this.opts.faults === 5 ? fleets.firstBornMs : undefined;
+		const listedAs = async (listening: string): Promise<string> => {
 			await this.links.reach(listening);
 			return listening;
-		});
-		this.workers.push({ id, address, lives: 1, shrunk: undefined, lateUntil: 0 });
+		};
+		const address = await this.platform.startWorker(id, listedAs, born);
+		this.workers.push({ id, address, lives: 1, shrunk: undefined, lateUntil: 0, born });
 	}
 
 	/** A new life's id, which may sort before or after that of the one before it. */
--- a/stand-ins/fleet/workers.ts
+++ b/stand-ins/fleet/workers.ts
@@ -218,7 +218,7 @@
 			at: this.opts.clock.now(),
 			task: req.task,
 			run: req.run,
-			worker: this.entry.id,
+			worker: this.name,
 			checkpoint: req.checkpoint,
 			epoch: fencing.epochOf(req.token),
 		};
@@ -317,8 +317,8 @@
 
 	/** A worker goes down with all that runs there; nobody listens at its address until another life is added there. */
 	takeDown(worker: FakeWorker, dark = false): void {
-		const { id, address } = worker.entry;
-		this.crashes.push({ at: this.opts.clock.now(), worker: id, tasks: [...worker.running.keys()] });
+		const { address } = worker.entry;
+		this.crashes.push({ at: this.opts.clock.now(), worker: worker.name, tasks: [...worker.running.keys()] });
 		this.remove(worker);
 		this.down.set(address, dark ? 'dark' : 'closed');
 	}
--- a/stand-ins/users-platform/server.ts
+++ b/stand-ins/users-platform/server.ts
@@ -102,13 +102,11 @@
 		this.addLife(id, address, listedAs);
 	}
 
-	/** A worker dies with all it runs, and starts again at once under its id at its address. */
-	restartWorker(id: string, listedAs: string): void {
+	/** A worker starts again under its id at its address; if it lives, it dies with all it runs. */
+	restartWorker(id: string, listedAs: string, born: number): void {
 		const before = this.fleet.workers.get(id);
-		if (before === undefined) return;
-		const { entry, born = workers.firstBornMs } = before;
-		this.fleet.takeDown(before);
-		this.addLife(id, entry.address, listedAs, born + 1);
+		if (before !== undefined) this.fleet.takeDown(before);
+		this.addLife(id, before?.entry.address ?? listedAs, listedAs, born);
 	}
 
 	/** The entry of a life that has ended goes. */
--- a/test/restarted-workers.test.ts
+++ b/test/restarted-workers.test.ts
@@ -260,7 +260,7 @@
 	const [before, after] = ['00000000000000b1', '00000000000000b2'];
 	t.is((await real.call(box.callers, 'POST', before, real.body)).status, 200);
 	await real.completed(box, before);
-	platform.restartWorker('i-1', address);
+	platform.restartWorker('i-1', address, 1);
 	t.is((await real.call(box.callers, 'POST', after, real.body)).status, 200);
 	await real.completed(box, after);
 	const tasks = starts.map((one) => one.task).filter((task) => task.startsWith(after));
