--- a/test/advice.test.ts
+++ b/test/advice.test.ts
@@ -1,6 +1,8 @@
 /** The adviser's word on which workers may run a step, and how much of the fleet it is asked about. */
 import test from 'ava';
+import * as adviserCall from '../platform/adviser-call.js';
 import * as world from './fixtures/dispatching.js';
+import type * as http from '../platform/http-client.js';
 import type * as fleet from '../src/core/fleet/types.js';
 import type * as jobs from '../src/core/jobs/index.js';
 
@@ -45,3 +47,20 @@
 test('a step of as many tasks as there are good workers is done', async (t) => {
 	t.is(await play({ count: 30 }), 'completed');
 });
+
+test('the adviser hears the names of workers, and its tickets are for the lives that were asked about', async (t) => {
+	const asked: unknown[] = [];
+	const body = { good: [['i-2', 'a ticket']], validity_ms: 5_000 };
+	const client: Pick<http.JsonClient, 'send'> = {
+		send: (_address, call) => {
+			asked.push(call.body);
+			return Promise.resolve({ ok: true, value: { status: 200, body } });
+		},
+	};
+	const res = await adviserCall.askAdviser(client, 'adviser:1')('job1.0.0', ['i-1@5', 'i-2@7']);
+	t.deepEqual(asked, [{ step: 'job1.0.0', workers: ['i-1', 'i-2'] }]);
+	t.deepEqual(res, {
+		ok: true,
+		value: { good: [{ worker: 'i-2@7', ticket: 'a ticket' }], validMs: 5_000 },
+	});
+});
--- a/test/worker-entries.test.ts
+++ b/test/worker-entries.test.ts
@@ -1,6 +1,7 @@
 /** Entries of the platform's list of workers that others have written: unreadable, incomplete, or of something else. */
 import test from 'ava';
 import * as events from '../src/core/events/index.js';
+import * as lives from '../src/core/fleet/lives.js';
 import * as memory from '../stand-ins/fleet/memory-store.js';
 import * as real from './fixtures/real-boxes.js';
 import * as time from '../stand-ins/fleet/virtual-clock.js';
@@ -34,6 +35,8 @@
 	'less than no capacity': { ...good, capacity: { cpu: -1, mem_mb: 1 } },
 	'labels of another type': { ...good, labels: 'a' },
 	'a time left of another type': { ...good, remaining_ms: 'long' },
+	'a start of another type': { ...good, born: '1796000000000' },
+	'a start that is no whole number': { ...good, born: 0.5 },
 };
 
 function bytes(value: unknown): Uint8Array {
@@ -103,3 +106,16 @@
 	await real.ended(box, second);
 	t.is(box.lines.filter((line) => line.name === 'wire.rejected').length, 1);
 });
+
+test('an entry names one life of a worker, by its name and its start', (t) => {
+	const idOf = (value: unknown): string | undefined =>
+		workerEntries.decodeWorker('servers/i-1', bytes(value))?.id;
+	const [older, first, second] = [idOf(good), idOf({ ...good, born: 5 }), idOf({ ...good, born: 4 })];
+	t.is(older, 'i-1');
+	t.is(new Set([older, first, second]).size, 3);
+	t.deepEqual(
+		[older, first, second].map((id) => lives.nameOf(id ?? '')),
+		['i-1', 'i-1', 'i-1'],
+	);
+	t.is(lives.nameOf(lives.idOf('i-1@4', undefined)), 'i-1@4');
+});
