A worker that reports for the first time may hold the longest lease already

Found by reading the change: an order to the life before may have given the next one a lease that its own session never granted. If that life then falls silent while no lease may be granted, its runs would be taken for lost at once. The first report under a token counts as the longest lease from then on. The test beside it, a run that a restarted worker has by an order to the life before, also passes without this where the second question grants a lease.

--- a/src/core/dispatch/worker-lease.ts
+++ b/src/core/dispatch/worker-lease.ts
@@ -51,8 +51,13 @@
 		const now = this.deps.clock.now();
 		// The slowest rate its clock may have: the lease never reaches further than its limit.
 		const clockMs = this.reading.clockMs + (now - this.reading.at) * (1 - settings.clockSlowness);
-		const longest = this.deps.maxLeaseMs / (1 - settings.clockSlowness) + settings.leaseMarginMs;
-		this.endsBy = Math.max(this.endsBy, now + longest);
+		this.assumeLongest();
 		return clockMs + this.deps.maxLeaseMs;
 	}
+
+	/** An order that was not meant for this life may have given it the longest lease by now. */
+	assumeLongest(): void {
+		const longest = this.deps.maxLeaseMs / (1 - settings.clockSlowness) + settings.leaseMarginMs;
+		this.endsBy = Math.max(this.endsBy, this.deps.clock.now() + longest);
+	}
 }
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -16,8 +16,9 @@
 import type * as types from './types.js';
 
 /**
- * Why a worker gets no new work. `superseded`: another life has answered in its place. `unheard`: it has not answered this owner. `unrostered`: a successor would not ask it.
- * `in-doubt`: starts of lost runs may still be under way. `strays`: what it runs there unasked is being stopped.
+ * Why a worker gets no new work. `superseded`: another life has answered in its place. `unheard`: it has not reported to
+ * this owner under its newest token. `unrostered`: a successor would not ask it. `in-doubt`: starts of lost runs may still
+ * be under way. `strays`: what it runs unasked is being stopped.
  */
 export type ClosedReason =
 	| 'gone'
@@ -471,6 +472,7 @@
 			await clocks.sleep(this.deps.clock, settings.putOffMs);
 			return;
 		}
+		if (!this.isHeard) this.lease.assumeLongest();
 		this.isHeard = true;
 		if (!report.hasMoreEnds) this.settled = true;
 		await this.inDoubt.settle((run) => this.stopInDoubt(run));
--- a/test/restarted-workers.test.ts
+++ b/test/restarted-workers.test.ts
@@ -249,6 +249,28 @@
 	owner.dispatcher.close();
 });
 
+test('a run that a restarted worker has by an order to the life before is not lost before its lease is', async (t) => {
+	const witness = Witness.create();
+	const made = world.createWorld(() => ({ ms: 5_500, how: 'done' }), witness.journal);
+	const { clock, fleet, takeOver, submit } = made;
+	const w1 = fleet.add('w1', {}, 1);
+	const owner = await takeOver();
+	await clock.pass(1_200);
+	fleet.crash(w1, { downMs: 100, dark: true, keepsName: true });
+	await clock.pass(150);
+	await submit(owner, world.job('job1', [world.step()]));
+	const reborn = fleet.workers.get('w1');
+	const isHeardOf = (): boolean => owner.events.select((event) => event.name === 'worker.lost').length > 0;
+	while (!isHeardOf()) await clock.pass(1);
+	if (reborn !== undefined) reborn.fault = 'silent';
+	fleet.add('w2');
+	owner.dispatcher.setWorkers(fleet.entries(), [], true);
+	await clock.pass(15_000);
+	t.deepEqual(witness.again, []);
+	t.is(owner.dispatcher.stateOf('job1'), 'completed');
+	owner.dispatcher.close();
+});
+
 test('over real boxes: the ends of a worker that has restarted are read', async (t) => {
 	const starts: workers.StartRecord[] = [];
 	const { journal } = Witness.create();
