--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -395,7 +395,7 @@
 		this.outcomes.lost(session, lost);
 		this.workers.heard(session);
 		// The stored worker of a lasting task is another one now.
-		for (const { task } of moved) this.progress.mark(task.step.job, true);
+		for (const { task } of moved) if (task.step.spec.lasting) this.progress.mark(task.step.job, true);
 		// Until then the roster names the worker, or a successor would not know that it went down under anything.
 		const changed = new Set([...lost, ...moved].map((place) => place.task.step.job));
 		void this.progress.stored(changed).then(() => {
