Explaining why a task waits asks nobody, and a life's session ends in one place

The log's look at stalled steps chose workers by the same function as placing, which also asks the adviser; choosing and asking are apart now. What asks on goes by the step's own policy. yieldTo repeated the body of end. Placing decides as before.

--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -187,12 +187,13 @@
 		if (now < task.pausedUntil) return { reason: 'paused-after-crash' };
 		const withheld = this.withheldBecause(task);
 		if (withheld !== undefined) return { reason: withheld };
-		const choice = this.choiceFor(step, rounds.PlacingRound.create(this.opts.workers(), now));
+		const round = rounds.PlacingRound.create(this.opts.workers(), now);
+		const choice = this.choiceAmong(step, round);
 		const isTried = this.opts.probations.isSuspect(task);
 		if (isTried && !this.opts.probations.isFree(step, choice.workers.length))
 			return { reason: 'other-suspects' };
 		const { advised, pool } = this.opts.policyOf(step.job);
-		const isOpen = this.workersOf(pool).some((one) => one.open);
+		const isOpen = round.openFor(step, pool).length > 0;
 		if (advised && choice.workers.length === 0 && isOpen) return { reason: 'no-ticket' };
 		return reasons.whyNoPlace(task, choice);
 	}
@@ -284,12 +285,11 @@
 
 	private noteNoPlace(task: jobs.Task, round: rounds.PlacingRound): void {
 		const { now } = round;
-		const { pool, advised } = this.opts.policyOf(task.step.job);
 		// Room for one task on a good worker may be too little, or ruled out: a gang needs places for all its members.
-		if (advised) this.askFurther(task.step, round.openFor(task.step, pool));
+		this.askFurther(task.step, round);
 		this.waitingLog.note(task, () => reasons.whyNoPlace(task, this.choiceFor(task.step, round)));
 		// Workers are kept free in every round, or short tasks would take them in between.
-		if (order.isOverdue(task, now)) round.keepFor(task.step, pool);
+		if (order.isOverdue(task, now)) round.keepFor(task.step, this.opts.policyOf(task.step.job).pool);
 		else this.retryAt.set(task.step, now + retryMs(task.step));
 	}
 
@@ -382,21 +382,28 @@
 	}
 
 	/** Workers that may run a step by pool and advice, and how to rate them. */
-	private choiceFor(step: jobs.StepRun, round: rounds.PlacingRound): placement.Choice {
+	private choiceAmong(step: jobs.StepRun, round: rounds.PlacingRound): placement.Choice {
 		const { pool, advised } = this.opts.policyOf(step.job);
 		const inPool = round.openFor(step, pool);
-		const { now } = round;
-		const { estimates } = this.opts;
-		if (!advised) return { workers: inPool, estimates, now };
-		const withTicket = inPool.filter((one) => this.advisory.ticket(step, one.id) !== undefined);
-		const hasPlace = withTicket.some((one) => room.hasPlace(step, one));
-		if (!hasPlace) this.askFurther(step, inPool);
-		return { workers: withTicket, estimates, now };
+		const hasTicket = (one: sessions.WorkerSession): boolean =>
+			this.advisory.ticket(step, one.id) !== undefined;
+		const workers = advised ? inPool.filter(hasTicket) : inPool;
+		return { workers, estimates: this.opts.estimates, now: round.now };
 	}
 
-	/** Asks the adviser about workers with room that it has not judged for a step. */
-	private askFurther(step: jobs.StepRun, inPool: sessions.WorkerSession[]): void {
-		this.advisory.want(step, this.likely(step, inPool));
+	/** The same to place by: if no worker that the adviser has allowed has room, it is asked about others. */
+	private choiceFor(step: jobs.StepRun, round: rounds.PlacingRound): placement.Choice {
+		const choice = this.choiceAmong(step, round);
+		const { advised } = this.opts.policyOf(step.job);
+		const lacksRoom = advised && !choice.workers.some((one) => room.hasPlace(step, one));
+		if (lacksRoom) this.askFurther(step, round);
+		return choice;
+	}
+
+	/** Asks the adviser, if the step's policy wants advice, about workers with room that it has not judged. */
+	private askFurther(step: jobs.StepRun, round: rounds.PlacingRound): void {
+		const { pool, advised } = this.opts.policyOf(step.job);
+		if (advised) this.advisory.want(step, this.likely(step, round.openFor(step, pool)));
 	}
 
 	/** Workers with room for a step, the emptiest first. */
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -335,12 +335,12 @@
 		return this.gone || this.closed || this.superseded;
 	}
 
-	/** Ends the session: this life of the worker is over. */
-	end(proof: string): void {
+	/** Ends the session: this life of the worker is over. `moved`: runs that are not lost, as another life has them. */
+	end(proof: string, moved: readonly types.Placement[] = []): void {
 		if (this.gone) return;
 		this.gone = true;
 		this.close();
-		this.loseAll(proof);
+		this.loseAll(proof, moved);
 	}
 
 	/**
@@ -352,9 +352,7 @@
 		const listed = new Set([...report.running, ...report.ended].map(({ task, run }) => runKey(task, run)));
 		const moved = [...this.placements.values()].filter((one) => listed.has(runKey(one.task.name, one.run)));
 		for (const place of moved) this.free(place);
-		this.gone = true;
-		this.close();
-		this.loseAll('a later life of the worker answers', moved);
+		this.end('a later life of the worker answers', moved);
 	}
 
 	/** Whether a report comes of this life. */
@@ -388,7 +386,6 @@
 		return false;
 	}
 
-	/** `moved`: runs that are not lost, as another life has them. */
 	private loseAll(proof: string, moved: readonly types.Placement[] = []): void {
 		const lost = [...this.placements.values()];
 		this.inDoubt.add(lost);
