Tests and models of crashing tasks take the users' bounds, and a task's history, from one place

The bounds stood in two tests, in the model and in the soak, and both tests worked out a task's crashes and late starts by themselves.

--- a/spec/crashes.ts
+++ b/spec/crashes.ts
@@ -3,6 +3,7 @@
  * program's own (`CrashHistory`); what the model adds is when that history is stored, and what a successor makes of it.
  * The promise: once three workers have crashed under the task, it is started twice more at most.
  */
+import * as crashing from '../dev/soak/crashing.js';
 import * as jobs from '../src/core/jobs/index.js';
 import type * as explore from './explore.js';
 
@@ -26,10 +27,6 @@
 	forgetLast: true,
 };
 
-/** Stated by the users. */
-const crashesBeforeBound = 3;
-const startsAfterBound = 2;
-
 /** More starts than any run within the bounds comes to. */
 const mostStarts = 9;
 
@@ -104,7 +101,7 @@
 
 	const start = (next: CrashState): void => {
 		next.phase = 'running';
-		if (next.crashes >= crashesBeforeBound) next.late += 1;
+		if (next.crashes >= crashing.crashesBeforeBound) next.late += 1;
 	};
 
 	const notice = (next: CrashState): void => {
@@ -170,6 +167,8 @@
 		initial,
 		steps: (state) => (state.run >= mostStarts ? [] : steps(state)),
 		wrong: (state) =>
-			state.late > startsAfterBound ? `${String(state.late)} starts after the third crash` : undefined,
+			state.late > crashing.startsAfterBound
+				? `${String(state.late)} starts after the third crash`
+				: undefined,
 	};
 }
--- a/test/crashing-tasks.test.ts
+++ b/test/crashing-tasks.test.ts
@@ -6,16 +6,14 @@
  * 5 ms after that. Sixty-seven tasks were lost within 3.6 s: sixteen for the second time, seven for the third.
  */
 import test from 'ava';
+import * as crashes from './fixtures/crashes.js';
+import * as crashing from '../dev/soak/crashing.js';
 import * as ledger from '../src/core/ledger/index.js';
 import * as random from '../dev/random.js';
 import * as world from './fixtures/dispatching.js';
 import type * as jobs from '../src/core/jobs/index.js';
 import type * as workers from '../stand-ins/fleet/workers.js';
 
-/** Once so many workers have crashed under a task, it may be started so often still. */
-const crashesBeforeBound = 3;
-const startsAfterBound = 2;
-
 /** Jobs that crash nothing are to be done so long after they were handed in, in milliseconds. */
 const soundWithinMs = 60_000;
 
@@ -79,14 +77,6 @@
 	return ids;
 }
 
-/** Crashes of workers while a task ran there, and its starts after the third of them. */
-function historyOf({ fleet }: world.TestWorld, task: string): { crashes: number; late: number } {
-	const crashes = fleet.crashes.filter((one) => one.tasks.includes(task));
-	const boundAt = crashes[crashesBeforeBound - 1]?.at ?? Infinity;
-	const late = fleet.starts.filter((one) => one.task === task && one.at > boundAt).length;
-	return { crashes: crashes.length, late };
-}
-
 /** The jobs of these that are not in this state. */
 function others(reign: Reign, ids: string[], state: jobs.JobState): string[] {
 	return ids.filter((id) => reign.owner.dispatcher.stateOf(id) !== state);
@@ -102,7 +92,7 @@
 		await made.submit(reign.owner, world.job('bad', [world.step()]));
 		const sound = await submitSound(made, reign);
 		await made.clock.pass(soundWithinMs);
-		t.true(historyOf(made, 'bad.0.0.0').late <= startsAfterBound);
+		t.true(crashes.historyOf(made, 'bad.0.0.0').late <= crashing.startsAfterBound);
 		t.is(reign.owner.dispatcher.stateOf('bad'), 'failed');
 		t.deepEqual(others(reign, sound, 'completed'), []);
 		reign.close();
@@ -114,7 +104,7 @@
 	await made.submit(reign.owner, world.job('bad', [world.step()]));
 	await submitSound(made, reign);
 	await made.clock.pass(soundWithinMs);
-	t.is(historyOf(made, 'bad.0.0.0').crashes, 2);
+	t.is(crashes.historyOf(made, 'bad.0.0.0').crashes, 2);
 	reign.close();
 });
 
@@ -128,7 +118,10 @@
 				await made.clock.pass(reignMs);
 				await reign.change();
 			}
-			t.true(historyOf(made, 'bad.0.0.0').late <= startsAfterBound, `${String(crashMs)}, ${String(reignMs)}`);
+			t.true(
+				crashes.historyOf(made, 'bad.0.0.0').late <= crashing.startsAfterBound,
+				`${String(crashMs)}, ${String(reignMs)}`,
+			);
 			reign.close();
 		}
 });
@@ -140,7 +133,7 @@
 	for (const id of bad) await made.submit(reign.owner, world.job(id, [world.step()]));
 	const sound = await submitSound(made, reign);
 	await made.clock.pass(soundWithinMs);
-	for (const id of bad) t.true(historyOf(made, `${id}.0.0.0`).late <= startsAfterBound);
+	for (const id of bad) t.true(crashes.historyOf(made, `${id}.0.0.0`).late <= crashing.startsAfterBound);
 	t.deepEqual(others(reign, bad, 'failed'), []);
 	t.deepEqual(others(reign, sound, 'completed'), []);
 	reign.close();
@@ -152,7 +145,7 @@
 	await made.submit(reign.owner, world.job('bad', [world.step({ lasting: true })]));
 	const sound = await submitSound(made, reign);
 	await made.clock.pass(soundWithinMs);
-	t.true(historyOf(made, 'bad.0.0.0').late <= startsAfterBound);
+	t.true(crashes.historyOf(made, 'bad.0.0.0').late <= crashing.startsAfterBound);
 	t.is(reign.owner.dispatcher.stateOf('bad'), 'failed');
 	t.deepEqual(others(reign, sound, 'completed'), []);
 	reign.close();
@@ -163,7 +156,7 @@
 	const reign = await Reign.begin(made);
 	await made.submit(reign.owner, world.job('half', [world.step({ count: 3, gang: true })]));
 	await made.clock.pass(soundWithinMs);
-	t.true(historyOf(made, 'half.0.0.0').late <= startsAfterBound);
+	t.true(crashes.historyOf(made, 'half.0.0.0').late <= crashing.startsAfterBound);
 	t.is(reign.owner.dispatcher.stateOf('half'), 'failed');
 	reign.close();
 });
--- a/test/restarted-workers.test.ts
+++ b/test/restarted-workers.test.ts
@@ -1,5 +1,7 @@
 /** Workers that start again under the name that they had. */
 import test from 'ava';
+import * as crashes from './fixtures/crashes.js';
+import * as crashing from '../dev/soak/crashing.js';
 import * as real from './fixtures/real-boxes.js';
 import * as world from './fixtures/dispatching.js';
 import type * as fleetTypes from '../src/core/fleet/types.js';
@@ -15,13 +17,6 @@
 const workerCount = 10;
 const jobCount = 60;
 
-/** A task under which so many workers have crashed may be given up (stated by the users). */
-const crashesBeforeGivingUp = 2;
-
-/** Once so many workers have crashed under a task, it may be started so often still (stated by the users). */
-const crashesBeforeBound = 3;
-const startsAfterBound = 2;
-
 /** What the workers' own accounts say against the owner. */
 class Witness {
 	/** Starts of tasks of which an end as done had been forgotten, as the owner asked, or which ran already. */
@@ -136,7 +131,7 @@
 	const state = owner().dispatcher.stateOf(id);
 	if (state !== 'failed') return state === 'completed';
 	const tasks = made.fleet.crashes.flatMap((one) => one.tasks.filter((task) => task.startsWith(`${id}.`)));
-	return tasks.some((task) => tasks.filter((one) => one === task).length >= crashesBeforeGivingUp);
+	return tasks.some((task) => crashes.historyOf(made, task).crashes >= crashing.crashesBeforeGivingUp);
 }
 
 /** Resolves as the test's clock passes. */
@@ -180,10 +175,8 @@
 			await made.clock.pass(240);
 		}
 		await made.clock.pass(60_000);
-		const crashes = made.fleet.crashes.filter((one) => one.tasks.includes('bad.0.0.0'));
-		const boundAt = crashes[crashesBeforeBound - 1]?.at ?? Infinity;
-		const late = made.fleet.starts.filter((one) => one.task === 'bad.0.0.0' && one.at > boundAt);
-		t.true(late.length <= startsAfterBound, `${String(crashes.length)} crashes`);
+		const history = crashes.historyOf(made, 'bad.0.0.0');
+		t.true(history.late <= crashing.startsAfterBound, `${String(history.crashes)} crashes`);
 		t.is(trial.owner().dispatcher.stateOf('bad'), 'failed');
 		const undone = sound.filter((id) => trial.owner().dispatcher.stateOf(id) !== 'completed');
 		t.deepEqual(undone, []);
