--- a/stand-ins/fleet/memory-store.ts
+++ b/stand-ins/fleet/memory-store.ts
@@ -6,8 +6,7 @@
 /** What happens to calls. `lost`: writes are done, and not answered. `late`: done a while after the caller gave up. */
 export type StoreFault = 'none' | 'down' | 'lost' | 'late';
 
-/** Milliseconds of an answer, and until a caller gives up on one. */
-const answerMs = 4;
+/** Until a caller gives up on an answer, in milliseconds. */
 const giveUpMs = 1_000;
 
 /** How much later than its caller gave up a late write is done, in milliseconds. */
@@ -36,6 +35,9 @@
 	private revision = 0;
 	/** Writing calls that were carried out. */
 	writes = 0;
+	/** How long a read takes to be answered, and a write, in milliseconds. */
+	readMs = 4;
+	writeMs = 4;
 	private readonly entries = new Map<string, Entry>();
 	private history: platform.StoreChange[] = [];
 	/** Changes up to this revision are not known any more. */
@@ -88,12 +90,12 @@
 	}
 
 	private async read<T>(fault: () => StoreFault, fn: () => T): StoreResult<T> {
-		await this.sleep(answerMs);
+		await this.sleep(this.readMs);
 		return fault() === 'down' ? refused : results.ok(fn());
 	}
 
 	private async write<T>(fault: () => StoreFault, fn: () => T): StoreResult<T> {
-		await this.sleep(answerMs);
+		await this.sleep(this.writeMs);
 		const now = fault();
 		if (now === 'down') return refused;
 		if (now === 'none') return results.ok(fn());
@@ -145,7 +147,7 @@
 		fault: () => StoreFault,
 	): StoreResult<platform.FollowOutcome> {
 		return new Promise((resolve) => {
-			this.clock.after(answerMs, () => {
+			this.clock.after(this.readMs, () => {
 				if (fault() === 'down') {
 					resolve(refused);
 					return;
--- a/stand-ins/fleet/workers.ts
+++ b/stand-ins/fleet/workers.ts
@@ -14,8 +14,8 @@
  */
 export type WorkerFault = 'none' | 'silent' | 'lost' | 'late' | 'refused';
 
-/** A call's way there and back, and until a caller gives up, in milliseconds. */
-const answerMs = 2;
+/** A call's way there, and until a caller gives up, in milliseconds. */
+const arrivalMs = 2;
 const giveUpMs = 1_000;
 
 /** When late orders are carried out, after the caller gave up, in milliseconds. */
@@ -267,6 +267,8 @@
 /** All workers of a test, and the calls to them. */
 export class FakeFleet {
 	readonly workers = new Map<string, FakeWorker>();
+	/** How long a report waits on its way back, in milliseconds: the owner's link or processor is full. */
+	reportDelayMs = 0;
 	/** Every start that was carried out, in order. */
 	readonly starts: types.StartRecord[] = [];
 	private readonly byAddress = new Map<string, FakeWorker>();
@@ -395,14 +397,18 @@
 			start: (at, order) => call(at, (worker) => worker.start(order)),
 			stop: (at, task, run, epoch) => call(at, (worker) => worker.stop(task, run, epoch)),
 			pace: (at) => call(at, (worker) => results.ok({ clockMs: worker.clockMs() })),
-			hold: (at, order) => this.hold(at, isCut, order),
+			hold: async (at, order) => {
+				const res = await this.hold(at, isCut, order);
+				if (this.reportDelayMs > 0) await this.sleep(this.reportDelayMs);
+				return res;
+			},
 			forget: () => undefined,
 		};
 	}
 
 	/** Carries an order out at the worker that listens at the address, as that worker's fault lets it. */
 	private async carryOut<T>(at: fleet.WorkerTarget, isCut: IsCut, order: Order<T>): fleet.WorkerResult<T> {
-		await this.sleep(answerMs);
+		await this.sleep(arrivalMs);
 		const worker = this.atAddress(at.address);
 		if (this.down.get(at.address) === 'closed') return results.fail({ kind: 'unreachable' });
 		const fault = worker === undefined || isCut(worker.name) ? 'silent' : worker.fault;
