--- a/src/core/dispatch/evacuation.ts
+++ b/src/core/dispatch/draining.ts
@@ -7,7 +7,7 @@
 export function leaving(session: sessions.WorkerSession, now: number): types.Placement[] {
 	const { endsAt } = session;
 	if (endsAt === undefined) return [];
-	const isLastMoment = now >= endsAt - settings.evacuateBeforeMs;
+	const isLastMoment = now >= endsAt - settings.stopBeforeEndMs;
 	return [...session.placements.values()].filter(
 		(place) => place.phase === 'running' && (isLastMoment || place.task.step.spec.lasting),
 	);
--- a/src/core/dispatch/run-watch.ts
+++ b/src/core/dispatch/run-watch.ts
@@ -1,18 +1,18 @@
 /** Looks at the runs of a worker now and then: those that hang, and those that have to leave it, are stopped. */
-import * as evacuation from './evacuation.js';
+import * as draining from './draining.js';
 import * as hanging from './hanging.js';
 import type * as sessions from './worker-session.js';
 import type * as starter from './starter.js';
 
 /** Looks at one worker. */
 export function watchRuns(session: sessions.WorkerSession, orders: starter.Starter, now: number): void {
-	evacuate(session, orders, now);
+	leaveDraining(session, orders, now);
 	stopHanging(session, orders, now);
 }
 
 /** Moves work off a worker that is about to end. */
-function evacuate(session: sessions.WorkerSession, orders: starter.Starter, now: number): void {
-	for (const place of evacuation.leaving(session, now)) void orders.stop(session, place);
+function leaveDraining(session: sessions.WorkerSession, orders: starter.Starter, now: number): void {
+	for (const place of draining.leaving(session, now)) void orders.stop(session, place);
 }
 
 /** A run that hangs is tried elsewhere, and counts against its worker. */
--- a/src/core/dispatch/settings.ts
+++ b/src/core/dispatch/settings.ts
@@ -65,7 +65,7 @@
 export const listGapMs = 350;
 
 /** On a draining worker, what runs is stopped this long before the worker may end. */
-export const evacuateBeforeMs = 1_400;
+export const stopBeforeEndMs = 1_400;
 
 /** Failures in a row, of several jobs, after which a worker counts as broken. */
 export const quarantineFailures = 3;
