An evacuated zone gets no work until that is taken back

A start is sent only while the list was known to hold no longer ago than the bound less an order's way, so that a new owner, a frozen one and one that lost the store give none before they know. Where the settings have no such bound, nothing is read.

Ruled out: following the operators' prefix, which every box does already.

--- a/src/core/box/owner-role.ts
+++ b/src/core/box/owner-role.ts
@@ -2,6 +2,7 @@
 import * as admission from '../admission/index.js';
 import * as clocks from '../clock.js';
 import * as dispatch from '../dispatch/index.js';
+import * as evacuationList from './evacuation-list.js';
 import * as followers from '../platform/record-follower.js';
 import * as limits from '../platform/limits.js';
 import * as ledger from '../ledger/index.js';
@@ -24,6 +25,12 @@
 /** The owner logs its load this often, in milliseconds. */
 const loadGapMs = 1_000;
 
+/**
+ * A start may be on its way to its worker for so long after the last look at what is evacuated, in milliseconds: an order
+ * without an answer is given up by then.
+ */
+const startOnItsWayMs = 1_500;
+
 /** What the role uses of its box. */
 export interface OwnerRoleDeps {
 	settings: boxSettings.BoxSettings;
@@ -43,6 +50,8 @@
 	private readonly upkeep: upkeep.Upkeep | undefined;
 	private readonly workerList: followers.RecordFollower;
 	private readonly requests: followers.RecordFollower;
+	/** Undefined where zones are not evacuated. */
+	private readonly evacuations: evacuationList.EvacuationList | undefined;
 	private readonly learntTimer: clocks.Timer;
 	private readonly loadTimer: clocks.Timer;
 	private readonly finishRate = admission.FinishRate.create();
@@ -73,6 +82,7 @@
 			},
 		});
 		this.requests = this.followRequests(contents.revision);
+		this.evacuations = this.createEvacuations();
 	}
 
 	/** `leaseEnds`: clock time by which all leases at a worker are over, where the owner before said so. */
@@ -104,6 +114,7 @@
 		this.learntTimer.cancel();
 		this.loadTimer.cancel();
 		this.upkeep?.close();
+		this.evacuations?.close();
 		this.dispatcher.close();
 	}
 
@@ -166,6 +177,7 @@
 				askAdviser: adapter.askAdviser,
 				keepStateMs: settings.bounds.keepStateMs,
 				harmMs: settings.bounds.harmMs,
+				evacuationAgeMs: evacuationAge(settings.bounds.evacuateMs),
 				leaseEnds,
 			},
 			contents,
@@ -178,6 +190,19 @@
 		return clocks.isFresh(this.deps.clock, this.owned.confirmedAt, dispatch.settings.renewalHorizonMs);
 	}
 
+	private createEvacuations(): evacuationList.EvacuationList | undefined {
+		const { settings } = this.deps;
+		const { dispatcher } = this;
+		if (settings.bounds.evacuateMs === undefined) return undefined;
+		return evacuationList.EvacuationList.create({
+			...this.deps,
+			zones: settings.zones,
+			onRead: (zones, heldAt) => {
+				dispatcher.noteEvacuations(zones, heldAt);
+			},
+		});
+	}
+
 	private createUpkeep(): upkeep.Upkeep | undefined {
 		const { clock, events: log, settings, adapter, onFenced } = this.deps;
 		if (adapter.machines === undefined) return undefined;
@@ -238,3 +263,8 @@
 		});
 	}
 }
+
+/** How old the list of evacuated zones may be at a start, in milliseconds; undefined: zones are not evacuated. */
+function evacuationAge(evacuateMs: number | undefined): number | undefined {
+	return evacuateMs === undefined ? undefined : Math.max(evacuateMs / 2, evacuateMs - startOnItsWayMs);
+}
--- a/src/core/box/platform-adapter.ts
+++ b/src/core/box/platform-adapter.ts
@@ -5,6 +5,13 @@
 import type * as stores from '../platform/types.js';
 import type * as upkeep from '../upkeep/index.js';
 
+/** An entry of an evacuation. */
+export interface DecodedEvacuation {
+	zone: string;
+	/** Whether the entry's value is an evacuation. */
+	isReadable: boolean;
+}
+
 /** Calls to the platform, and decoders of what stands in its store. */
 export interface PlatformAdapter {
 	store: stores.RecordStore;
@@ -20,6 +27,9 @@
 	/** Waves of upkeep stand under the same prefix. */
 	decodeWave: (key: string, value: Uint8Array) => upkeep.Wave | undefined;
 	encodeWaveState: (wave: number, state: upkeep.WaveState) => { key: string; value: Uint8Array };
+	/** Prefix of the entries that evacuate a zone each. */
+	evacuationPrefix: string;
+	decodeEvacuation: (key: string, value: Uint8Array) => DecodedEvacuation;
 	/** Prefix of the workers' entries in the store. */
 	workerPrefix: string;
 	decodeWorker: (key: string, value: Uint8Array) => fleet.WorkerEntry | undefined;
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -2,6 +2,7 @@
 import * as clocks from '../clock.js';
 import * as blame from './crash-blame.js';
 import * as ends from './ends.js';
+import * as evacuations from './zone-evacuations.js';
 import * as fencing from './fencing-tokens.js';
 import * as interference from './interference.js';
 import * as jobBook from './job-book.js';
@@ -47,6 +48,7 @@
 	private readonly reportLog: reportLog.ReportLog;
 	private readonly meter = meters.LoadMeter.create();
 	private readonly list: freshness.ListFreshness;
+	private readonly evacuations: evacuations.ZoneEvacuations;
 
 	private constructor(
 		private readonly opts: options.DispatcherOptions,
@@ -58,6 +60,7 @@
 		this.pressure = pressure.PressureControl.create(opts, this.estimates, opts.harmMs);
 		this.progress = this.createSaver();
 		this.list = freshness.ListFreshness.create(clock, opts.readList);
+		this.evacuations = evacuations.ZoneEvacuations.create(clock, opts.evacuationAgeMs);
 		this.blame = blame.CrashBlame.create(clock);
 		this.probations = this.createProbations();
 		this.starter = this.createStarter();
@@ -139,6 +142,15 @@
 		this.list.note(heldAt);
 	}
 
+	/** These zones were evacuated, and no others, at that clock time. */
+	noteEvacuations(zones: ReadonlySet<string>, heldAt: number): void {
+		const { added, removed } = this.evacuations.note(zones, heldAt);
+		for (const zone of added) this.opts.events.emit('zone.evacuated', { zone, ...this.workers.inZone(zone) });
+		for (const zone of removed)
+			this.opts.events.emit('zone.reopened', { zone, ...this.workers.inZone(zone) });
+		this.placer.wake();
+	}
+
 	/** Closes a worker of that name to new work and moves what runs there; an unknown worker is empty. */
 	vacate(name: string): vacating.VacateState {
 		const known = this.workers.named(name);
@@ -197,6 +209,7 @@
 		return starter.Starter.create(this.opts, this.meter, {
 			beforeStart: (session, place) => this.beforeStart(session, place),
 			isListFresh: () => this.list.isFresh,
+			areEvacuationsKnown: () => this.evacuations.isKnown,
 			onRoom: () => {
 				this.placer.wake();
 			},
@@ -221,7 +234,7 @@
 			policyOf: (job) => this.policyOf(job),
 			estimates: this.estimates,
 			probations: this.probations,
-			mayAct: () => this.opts.mayAct() && this.list.isFresh,
+			mayAct: () => this.opts.mayAct() && this.list.isFresh && this.evacuations.isKnown,
 			mayStartAgain: (task) => this.outcomes.mayStartAgain(task),
 			meter: this.meter,
 			startRoom: () => this.starter.room,
@@ -321,7 +334,8 @@
 		};
 		const { epoch, onFenced } = this.opts;
 		const tokens = fencing.FencingTokens.create(epoch, onFenced);
-		return workerPool.WorkerPool.create({ ...this.opts, tokens, handlers, onOpened }, roster);
+		const isEvacuated = (zone: string): boolean => this.evacuations.has(zone);
+		return workerPool.WorkerPool.create({ ...this.opts, tokens, isEvacuated, handlers, onOpened }, roster);
 	}
 
 	private createReportContext(): ends.ReportContext {
@@ -420,6 +434,8 @@
 			watch.watchRuns(session, this.starter, this.opts.clock.now());
 			this.placer.moveSlowed(session);
 		}
+		for (const zone of this.evacuations.takeEmptied((one) => this.workers.isEmpty(one)))
+			this.opts.events.emit('zone.emptied', { zone });
 		this.book.tick();
 		this.placer.logStalled();
 		this.placer.wake();
--- a/src/core/dispatch/starter.ts
+++ b/src/core/dispatch/starter.ts
@@ -16,6 +16,8 @@
 	beforeStart: (session: sessions.WorkerSession, placement: types.Placement) => Promise<void> | undefined;
 	/** Whether the list of workers is read, so that what it says of their room holds. */
 	isListFresh: () => boolean;
+	/** Whether it is known which zones are evacuated. */
+	areEvacuationsKnown: () => boolean;
 	/** Another start may be sent. */
 	onRoom: () => void;
 	/** The run is known to be there. */
@@ -148,6 +150,8 @@
 		if (!session.isHeard) return 'unheard';
 		if (room.isOverfull(session)) return 'room-shrunk';
 		if (probation !== undefined && probation !== placement) return 'probation';
+		if (session.isInEvacuatedZone) return 'zone-evacuated';
+		if (!this.handlers.areEvacuationsKnown()) return 'evacuations-unread';
 		return this.handlers.isListFresh() ? undefined : 'list-unread';
 	}
 
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -62,6 +62,7 @@
 /** What a session uses. */
 export interface SessionDeps extends DispatchDeps {
 	tokens: fencing.FencingTokens;
+	isEvacuated: (zone: string) => boolean;
 }
 
 /** A report, and what was known when it was asked for. */
--- a/src/core/dispatch/worker-pool.ts
+++ b/src/core/dispatch/worker-pool.ts
@@ -86,6 +86,21 @@
 		return [...this.workers.values()];
 	}
 
+	/** How many workers are listed in a zone, and how many runs are placed there. */
+	inZone(zone: string): { workers: number; runs: number } {
+		const there = this.listedIn(zone);
+		return { workers: there.length, runs: there.reduce((sum, one) => sum + one.placements.size, 0) };
+	}
+
+	/** Whether nothing runs in a zone; what an earlier owner started at a worker that has not answered yet may. */
+	isEmpty(zone: string): boolean {
+		return this.listedIn(zone).every((one) => one.settled && one.placements.size === 0 && one.strays === 0);
+	}
+
+	private listedIn(zone: string): sessions.WorkerSession[] {
+		return this.all().filter((one) => one.entry?.zone === zone && !one.isOver);
+	}
+
 	/** Whether every worker of earlier owners was heard of, or is proved to run nothing. */
 	get settled(): boolean {
 		return this.unsettled.size === 0;
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -26,6 +26,7 @@
 	| 'unlisted'
 	| 'draining'
 	| 'vacated'
+	| 'zone-evacuated'
 	| 'silent'
 	| 'unheard'
 	| 'unrostered'
@@ -212,6 +213,11 @@
 		return !this.settled && (this.rosteredTasks?.has(task) ?? true);
 	}
 
+	/** Whether its zone is evacuated: it gets no new work until that is taken back, and what runs there runs on. */
+	get isInEvacuatedZone(): boolean {
+		return this.entry !== undefined && this.deps.isEvacuated(this.entry.zone);
+	}
+
 	/** Whether it may get new work now. */
 	get open(): boolean {
 		return this.closedBecause === undefined;
@@ -224,6 +230,7 @@
 		if (this.entry === undefined || this.unlisted) return 'unlisted';
 		if (this.entry.draining) return 'draining';
 		if (this.vacated) return 'vacated';
+		if (this.isInEvacuatedZone) return 'zone-evacuated';
 		if (!this.answering) return 'silent';
 		if (!this.settled || !this.isHeard) return 'unheard';
 		if (!this.rostered) return 'unrostered';
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -258,6 +258,22 @@
 		level: 'warn',
 		text: 'The adviser gave no usable answer; it is asked again.',
 	},
+	'zone.evacuated': {
+		id: 3304,
+		level: 'info',
+		text: 'An operator evacuates a zone: its workers get nothing more until that is taken back, and what runs there runs on. How many workers are listed there and how many runs are placed there are given.',
+	},
+	'zone.emptied': { id: 3305, level: 'info', text: 'Nothing runs any more in a zone that is evacuated.' },
+	'zone.reopened': {
+		id: 3306,
+		level: 'info',
+		text: 'An evacuation was taken back: the zone gets work again.',
+	},
+	'evacuation.rejected': {
+		id: 3307,
+		level: 'warn',
+		text: 'An entry that evacuates a zone can not be read, which leaves the zone as it was, or names a zone that this deployment does not have; told once a change of it.',
+	},
 	'wave.taken': { id: 3301, level: 'info', text: 'An operator asks for a wave of upkeep.' },
 	'machine.upkeep': {
 		id: 3302,
--- a/stand-ins/users-platform/server.ts
+++ b/stand-ins/users-platform/server.ts
@@ -135,6 +135,16 @@
 		this.store.put('op/config', Buffer.from(JSON.stringify(configuration)));
 	}
 
+	/** An operator evacuates a zone. */
+	evacuate(zone: string): void {
+		this.store.put(`op/evacuate/${zone}`, Buffer.from('{}'));
+	}
+
+	/** An operator takes an evacuation back. */
+	takeBack(zone: string): void {
+		this.store.drop(`op/evacuate/${zone}`);
+	}
+
 	/** Ends every server. */
 	close(): void {
 		this.listing.close();
--- a/test/filling.test.ts
+++ b/test/filling.test.ts
@@ -47,6 +47,7 @@
 		confirm: () => Promise.resolve(),
 		onFenced: () => undefined,
 		tokens: fencing.FencingTokens.create(1, () => undefined),
+		isEvacuated: () => false,
 	};
 	const handlers: dispatchTypes.SessionHandlers = {
 		onReport: () => ({ type: 'put-off' }),
--- a/test/roster.test.ts
+++ b/test/roster.test.ts
@@ -31,6 +31,7 @@
 			confirm: () => Promise.resolve(),
 			onFenced: () => undefined,
 			tokens: fencing.FencingTokens.create(1, () => undefined),
+			isEvacuated: () => false,
 			onOpened: () => undefined,
 			leaseEnds: new Map(),
 			saveRoster: (roster) => {
