--- a/stand-ins/fleet/workers.ts
+++ b/stand-ins/fleet/workers.ts
@@ -47,6 +47,8 @@
 	stopping: boolean;
 	reading: number;
 	percent: number;
+	/** Share of its speed at which it works, in per cent. */
+	pace: number;
 }
 
 /** Settings of a fleet. */
@@ -169,6 +171,19 @@
 		return results.ok({ clockMs: this.clockMs() });
 	}
 
+	/** Lets a run work at a share of its speed. */
+	pace(
+		task: string,
+		run: number,
+		percent: number,
+		token: number,
+	): results.Result<fleet.ClockReading, fleet.WorkerFailure> {
+		if (!this.accepts(token)) return results.fail({ kind: 'fenced' });
+		const one = this.running.get(task);
+		if (one?.run === run) one.pace = percent;
+		return results.ok({ clockMs: this.clockMs() });
+	}
+
 	/** This life is over: what runs dies without an end, and calls that wait get no answer. */
 	die(): void {
 		this.dead = true;
@@ -213,6 +228,7 @@
 			stopping: false,
 			reading: plan.reading ?? 0,
 			percent: plan.percent ?? 100,
+			pace: 100,
 		});
 		const start: types.StartRecord = {
 			at: this.opts.clock.now(),
@@ -396,7 +412,7 @@
 		return {
 			start: (at, order) => call(at, (worker) => worker.start(order)),
 			stop: (at, task, run, epoch) => call(at, (worker) => worker.stop(task, run, epoch)),
-			pace: (at) => call(at, (worker) => results.ok({ clockMs: worker.clockMs() })),
+			pace: (at, task, run, percent, epoch) => call(at, (worker) => worker.pace(task, run, percent, epoch)),
 			hold: async (at, order) => {
 				const res = await this.hold(at, isCut, order);
 				if (this.reportDelayMs > 0) await this.sleep(this.reportDelayMs);
--- /dev/null
+++ b/test/harm.test.ts
@@ -0,0 +1,97 @@
+/**
+ * A task that serves users stayed over its target for 4.5 s by what filled beside it, which worked on. Bounds are the
+ * users' `harm_ms`; what is judged is whether what fills still works by then.
+ */
+import test from 'ava';
+import * as world from './fixtures/dispatching.js';
+
+/** Users' latency target, and the longest that a task may stay over it by what fills beside it, in milliseconds. */
+const targetMs = 150;
+const harmMs = 4_000;
+
+/** Tails of a task that is idle, at work and over its target. */
+const idleTailMs = 25;
+const calmTailMs = 60;
+const highTailMs = 400;
+
+const workerCount = 4;
+
+/** Workers with a serving task each and two that fill beside it and have not disturbed it so far. */
+async function besideServing() {
+	const made = world.createWorld((task) =>
+		task.startsWith('serving')
+			? { ms: 'endless', how: 'done', reading: idleTailMs }
+			: { ms: 120_000, how: 'done', reading: 1_000 },
+	);
+	const { clock, fleet } = made;
+	for (let number = 0; number < workerCount; number += 1) fleet.add(`w${String(number)}`);
+	const owner = await made.takeOver();
+	const each = { milliCores: 4_000, image: 'serving', lasting: true, targetMs, maxPerWorker: 1 };
+	await made.submit(owner, world.job('serving', [world.step({ ...each, count: workerCount })]));
+	await clock.pass(3_000);
+	const runs = [...fleet.workers.values()].flatMap((worker) => [...worker.running]);
+	const served = runs.map(([, run]) => run);
+	for (const one of served) one.reading = calmTailMs;
+	// Their load has to be known before what stands beside them can be told from it.
+	await clock.pass(60_000);
+	const beside = { milliCores: 1_600, image: 'filling', fills: true, checkpoints: true, maxPerWorker: 2 };
+	await made.submit(owner, world.job('filling', [world.step({ ...beside, count: 2 * workerCount })]));
+	await clock.pass(20_000);
+	const [harmed] = fleet.workers.values();
+	const [serving] = served;
+	if (harmed === undefined || serving === undefined) throw new Error('no serving task runs');
+	const setTail = (ms: number): void => {
+		serving.reading = ms;
+	};
+	/** Tasks that fill beside the one whose tail is set, and work. */
+	const working = (): string[] =>
+		[...harmed.running]
+			.filter(([task, one]) => task.startsWith('filling') && one.pace > 0)
+			.map(([task]) => task);
+	if (working().length !== 2) throw new Error('the filling tasks do not run');
+	return { ...made, owner, setTail, working };
+}
+
+test('what fills stands still before a task beside it is harmed', async (t) => {
+	const { clock, owner, setTail, working } = await besideServing();
+	setTail(highTailMs);
+	await clock.pass(harmMs);
+	t.deepEqual(working(), []);
+	setTail(calmTailMs);
+	await clock.pass(3_000);
+	t.is(working().length, 2);
+	owner.dispatcher.close();
+});
+
+test('what an earlier owner let fill at full pace stands still before a task beside it is harmed', async (t) => {
+	const { clock, owner, takeOver, setTail, working } = await besideServing();
+	owner.dispatcher.close();
+	setTail(highTailMs);
+	const next = await takeOver();
+	await clock.pass(harmMs);
+	t.deepEqual(working(), []);
+	next.dispatcher.close();
+});
+
+test('what fills stands still though one reading of a task over its target lies just under it', async (t) => {
+	const { clock, owner, setTail, working } = await besideServing();
+	const startedAt = clock.now();
+	while (clock.now() - startedAt < harmMs) {
+		const overMs = clock.now() - startedAt;
+		const isDip = overMs >= 1_900 && overMs < 2_300;
+		setTail(isDip ? targetMs - 5 : highTailMs);
+		await clock.pass(100);
+	}
+	t.deepEqual(working(), []);
+	owner.dispatcher.close();
+});
+
+test('what fills stands still in time though the owner takes in reports late', async (t) => {
+	const { clock, fleet, owner, setTail, working } = await besideServing();
+	fleet.reportDelayMs = 1_200;
+	await clock.pass(5_000);
+	setTail(highTailMs);
+	await clock.pass(harmMs);
+	t.deepEqual(working(), []);
+	owner.dispatcher.close();
+});
