A run taken over from an earlier owner is told its pace once, whatever it was

What callers saw: HARM, a serving task over its target by what fills beside it. Cause: a new owner counted inherited filling runs as standing still. Where the task beside them was over its target from the beginning, the wanted pace was that already, so no order was sent, and they worked on for as long as that lasted.

Change: whether a worker was told a pace is kept beside the pace; an inherited one, or one whose order had no answer, is told it with the next decision. Until then it counts as working, which is what most do, and is not moved as slowed.

--- a/src/core/dispatch/placements.ts
+++ b/src/core/dispatch/placements.ts
@@ -22,6 +22,7 @@
 		progressAt: now,
 		reading: 0,
 		pace: 100,
+		isPaceKnown: !isFound,
 		pacedAt: 0,
 		exempt: false,
 		onProbation: false,
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -131,13 +131,7 @@
 		task.run = run;
 		task.worker = session.id;
 		this.places.set(task, session);
-		const place = session.place(task, run, 'running');
-		// The earlier owner may have slowed it: until told otherwise it counts as standing still.
-		if (task.step.spec.fills) {
-			place.pace = 0;
-			place.pacedAt = this.opts.clock.now();
-		}
-		return place;
+		return session.place(task, run, 'running');
 	}
 
 	private await(task: jobs.Task): void {
--- a/src/core/dispatch/pressure.ts
+++ b/src/core/dispatch/pressure.ts
@@ -74,9 +74,10 @@
 
 	/** Notes a new pace, and orders it. */
 	private pace(session: sessions.WorkerSession, place: types.Placement, percent: number): void {
-		if (place.pace === percent) return;
+		if (place.pace === percent && place.isPaceKnown) return;
 		const before = place.pace;
 		place.pace = percent;
+		place.isPaceKnown = true;
 		place.pacedAt = this.deps.clock.now();
 		session.neighboursChangedAt = place.pacedAt;
 		session.revision += 1;
@@ -96,7 +97,8 @@
 		const res = await this.deps.calls.pace(target, place.task.name, place.run, percent, stamp.token);
 		if (res.ok) return;
 		session.ended(res.err, target, stamp);
-		// Unknown: the next report decides again from where it was.
+		// The worker may be at either pace: the next report decides again.
+		place.isPaceKnown = false;
 		if (place.pace === percent) place.pace = before;
 	}
 }
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -28,6 +28,8 @@
 	reading: number;
 	/** Share of its speed that it was told to work at, in per cent. */
 	pace: number;
+	/** Whether the worker is known to have been told so; an earlier owner's order or one without an answer is not. */
+	isPaceKnown: boolean;
 	/** Clock time of the last change of its pace. */
 	pacedAt: number;
 	/** It was placed whatever harm it does, because it had waited too long. */
