One reading just under its target does not end a task's time over it

Cause: readings are a rough figure of half a second, and one just under the target began the count of the time over it anew; with half of what the users allow before all that fills has to stand still, a dip late in the first half lets that work on for the whole of it.

Change: a reading ends the time over the target if it is clearly under it, or the second one in a row that is under it. Ruled out: counting all time over the target in a window, which would slow what fills beside tasks that swing around it.

--- a/src/core/dispatch/interference.ts
+++ b/src/core/dispatch/interference.ts
@@ -47,6 +47,9 @@
  */
 const overloadMs = 1_800;
 
+/** A reading under this part of its target shows that a task is not over it any more. */
+const clearlyUnderPart = 0.8;
+
 /** Under this load a tail is too close to that of an idle task to tell anything. */
 const leastLoad = 0.35;
 
@@ -260,7 +263,7 @@
 		model.noteTail(place.reading);
 		const isOver = place.reading > targetMs;
 		const relievedLately = now - relievedAt < overloadMs;
-		noteOver(place, isOver, now);
+		noteOver(place, targetMs, now);
 		// Relieved of a neighbour, it still has to work off what has queued up.
 		if (relievedLately && now - place.overAt < overloadMs) return;
 		const busy = model.busyPart(place.reading, targetMs);
@@ -389,8 +392,15 @@
 	return Math.max(0, use - crowdedUse);
 }
 
-/** Notes whether a task's newest reading is over its target, and since when. */
-function noteOver(place: types.Placement, isOver: boolean, now: number): void {
-	if (isOver) place.overAt = now;
-	place.overSince = isOver ? (place.overSince ?? now) : undefined;
+/** Notes whether a task is over its target, and since when. Readings are rough: one just under it ends nothing. */
+function noteOver(place: types.Placement, targetMs: number, now: number): void {
+	const { reading, overSince, hasDipped } = place;
+	if (reading > targetMs) {
+		place.overAt = now;
+		place.overSince = overSince ?? now;
+		place.hasDipped = false;
+		return;
+	}
+	place.hasDipped = overSince !== undefined && !hasDipped && reading > targetMs * clearlyUnderPart;
+	if (!place.hasDipped) place.overSince = undefined;
 }
--- a/src/core/dispatch/placements.ts
+++ b/src/core/dispatch/placements.ts
@@ -27,6 +27,7 @@
 		exempt: false,
 		onProbation: false,
 		overSince: undefined,
+		hasDipped: false,
 		overAt: -Infinity,
 	};
 }
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -36,8 +36,10 @@
 	exempt: boolean;
 	/** It is tried for whether it brings its worker down, and has not passed yet. */
 	onProbation: boolean;
-	/** Of a task that serves users: clock time from which its readings have been over the target; undefined: the newest is not. */
+	/** Of a task that serves users: clock time from which it has been over its target; undefined: it is not. */
 	overSince: number | undefined;
+	/** Its newest reading lies just under the target, and the one before it over it. */
+	hasDipped: boolean;
 	/** Clock time of the newest reading over the target. */
 	overAt: number;
 }
