Where reports come late, what fills stands still that much sooner

Cause: the owner counts a task's time over its target from the report that told it, and orders what fills beside it to stand still after half of what the users allow. On a full owner a report is taken in a second late, and so is the next one that decides: the other half is gone before the order is sent.

Change: a session tells by how much its newest report took longer than it was to wait, and the time over the target counts twice that on top: for what it came late, and for what the next one will. An owner that lags fills less.

Evidence: harm.test, 'what fills stands still in time though the owner takes in reports late' failed before (at work for 4.3 s with reports 1.2 s late).

--- a/src/core/dispatch/pressure.ts
+++ b/src/core/dispatch/pressure.ts
@@ -47,18 +47,25 @@
 		const serving = neighbours.servingOf(session);
 		for (const place of session.placements.values()) {
 			if (!place.task.step.spec.fills || place.phase !== 'running') continue;
-			const percent = this.wantedPace(place, serving);
+			const percent = this.wantedPace(place, serving, session.reportDelayMs);
 			if (percent !== undefined) this.pace(session, place, percent);
 		}
 	}
 
-	/** The pace that a task should have beside these; undefined: as it is. */
-	private wantedPace(place: types.Placement, serving: types.Placement[]): number | undefined {
+	/**
+	 * The pace that a task should have beside these; undefined: as it is. `delayMs`: how late reports come. A task may have
+	 * been over its target for that much longer, and the next decision comes that much later.
+	 */
+	private wantedPace(
+		place: types.Placement,
+		serving: types.Placement[],
+		delayMs: number,
+	): number | undefined {
 		const now = this.deps.clock.now();
 		let calm = true;
 		for (const served of serving) {
 			if (now - served.overAt < calmMs) calm = false;
-			const overMs = served.overSince === undefined ? 0 : now - served.overSince;
+			const overMs = served.overSince === undefined ? 0 : now - served.overSince + 2 * delayMs;
 			if (overMs >= this.harmMs * certainPart) return still;
 			if (overMs >= this.harmMs * relievePart && this.isCause(place, served)) return still;
 		}
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -95,6 +95,8 @@
 	private reported: fleet.WorkerReport | undefined;
 	/** Clock time at which it came. */
 	private reportedAt = -Infinity;
+	/** How much longer than it was to wait the newest report took, in milliseconds. */
+	reportDelayMs = 0;
 	/** Runs taken for lost whose start may still be under way. */
 	readonly inDoubt: doubts.RunsInDoubt;
 	/** The other boxes were told when the leases here end: none is given until a roster write voids that. */
@@ -420,11 +422,12 @@
 			const { target } = this;
 			const stamp = this.stamp();
 			const others = this.handlers.otherLives(this);
+			const waitMs = this.waitMs();
 			const res = await this.deps.calls.hold(target, {
 				token: stamp.token,
 				forgetUpTo: this.forgettable(),
 				leaseUntil: this.unanswered ? undefined : this.grantLease(),
-				waitMs: this.waitMs(),
+				waitMs,
 			});
 			if (this.isOverNow()) return;
 			this.unanswered = !res.ok;
@@ -433,6 +436,7 @@
 				return;
 			}
 			if (res.ok) {
+				this.reportDelayMs = Math.max(0, this.deps.clock.now() - sentAt - waitMs);
 				await this.takeReport(res.value, sentAt, others);
 				continue;
 			}
