Soak: a sixth set of faults, with evacuations of the workers' zone

A start at a worker later than the bound after its zone's evacuation was stored and before that is taken back is a broken promise, unless it is an order that the worker carries out late.

--- a/dev/soak/faults.ts
+++ b/dev/soak/faults.ts
@@ -90,6 +90,7 @@
 	3: thirdFaults,
 	4: fourthFaults,
 	5: { ...fourthFaults, ...workerFaults.restarts },
+	6: { ...fourthFaults, ...workerFaults.restarts, 'zone-evacuated': workerFaults.evacuate },
 };
 
 /** Injects faults until `until` (clock time), and resolves once the last has ended. */
--- a/dev/soak/judge.ts
+++ b/dev/soak/judge.ts
@@ -13,6 +13,7 @@
 		| 'not-after-done'
 		| 'order'
 		| 'room'
+		| 'evacuated'
 		| 'unasked'
 		| 'refused-ran'
 		| 'completed-early'
@@ -70,6 +71,8 @@
 	onStart: (job: SoakJob, milliCores: number) => void = () => undefined;
 	/** What a worker holds now, in thousandths of a core. */
 	roomOf: (worker: string) => number = () => Infinity;
+	/** Whether something may start at a worker now: its zone may be evacuated. */
+	mayStartAt: (worker: string) => boolean = () => true;
 	/** Workers that went down under a task, and its starts after the last that is put up with. */
 	private readonly crashes = new Map<string, { count: number; startsAfter: number }>();
 	starts = 0;
@@ -211,6 +214,8 @@
 		if (this.doneForgotten.has(start.task))
 			this.report('not-after-done', `${start.task} run ${start.run} on ${start.worker}`);
 		for (const before of job.steps[step]?.after ?? []) this.judgeOrder(start, job, before);
+		if (!this.mayStartAt(start.worker))
+			this.report('evacuated', `${start.task} run ${start.run} starts on ${start.worker}`);
 		const here = running.filter((one) => one.worker === start.worker);
 		const milliCores = here.reduce((sum, one) => sum + this.milliCoresOf(one.task), 0);
 		if (milliCores > this.roomOf(start.worker))
--- a/dev/soak/main.ts
+++ b/dev/soak/main.ts
@@ -79,9 +79,9 @@
 } as const;
 
 const faultsArg = {
-	type: cmd.oneOf(['1', '2', '3', '4', '5']),
+	type: cmd.oneOf(['1', '2', '3', '4', '5', '6']),
 	long: 'faults',
-	description: 'set of faults; 1 to 4: former ones, as the seeds in seeds.json play them',
+	description: 'set of faults; 1 to 5: former ones, as the seeds in seeds.json play them',
 } as const;
 
 const command = cmd.command({
@@ -91,7 +91,7 @@
 		seed: cmd.option({ ...seedArg, defaultValue: () => 1 }),
 		seeds: cmd.option({ ...seedsArg, defaultValue: () => 1 }),
 		seconds: cmd.option({ ...secondsArg, defaultValue: () => 15 }),
-		faults: cmd.option({ ...faultsArg, defaultValue: () => '5' as const }),
+		faults: cmd.option({ ...faultsArg, defaultValue: () => '6' as const }),
 		atOnce: cmd.option({
 			type: cmd.number,
 			long: 'at-once',
--- a/dev/soak/soak.ts
+++ b/dev/soak/soak.ts
@@ -19,6 +19,7 @@
 	3: { shortest: 50, longest: 500 },
 	4: { shortest: 50, longest: 500 },
 	5: { shortest: 50, longest: 500 },
+	6: { shortest: 50, longest: 500 },
 };
 
 /** With the later sets this part of the tasks outlasts a change of the owner: they take from so long to so long. */
--- a/dev/soak/worker-faults.ts
+++ b/dev/soak/worker-faults.ts
@@ -59,6 +59,16 @@
 	return `${worker.id} to ${String(milliCores)}`;
 }
 
+/** An evacuation outlasts the time after which it has to be heeded by so long at least, in milliseconds. */
+const heededAfterMs = 5_500;
+
+/** The workers' zone is evacuated and taken back; once at a time. */
+export async function evacuate(world: worlds.World, _next: () => number, forMs: number): Promise<string> {
+	if (world.evacuatedAt !== undefined) return boxFaults.nowhere;
+	await world.evacuate(heededAfterMs + forMs);
+	return 'all workers';
+}
+
 /** A worker that restarts is down for so long at most, in milliseconds: from at once to as long as after a crash. */
 const mostDownMs = 3_000;
 
--- a/dev/soak/world.ts
+++ b/dev/soak/world.ts
@@ -19,6 +19,10 @@
 /** After trouble at a box ended, nothing with a time bound is asked of it for so long, in milliseconds. */
 const calmAfterMs = 3_000;
 
+/** The zone of all workers; from so long after its evacuation was stored on, nothing starts there, in milliseconds. */
+const workersZone = 'rennes';
+const evacuateMs = 5_000;
+
 /** Workers of the second set write their entries so often, in milliseconds: as the users' workers do. */
 const heartbeatMs = 1_500;
 
@@ -37,8 +41,9 @@
  * that goes when they crash. 2: workers have heartbeats, and entries of dead lives lapse. 3: open connections go silent
  * besides, and queues are added and dropped one after another. 4: some tasks crash their workers besides, and rooms shrink.
  * 5: workers start again under the names that they had.
+ * 6: the workers' zone is evacuated now and then besides.
  */
-export type FaultSet = 1 | 2 | 3 | 4 | 5;
+export type FaultSet = 1 | 2 | 3 | 4 | 5 | 6;
 
 /** A change of a queue. */
 export interface QueueChange {
@@ -106,6 +111,8 @@
 	version = 1;
 	/** The newest change of each queue, by its prefix; the newest of all last. */
 	readonly changes = new Map<string, QueueChange>();
+	/** Clock time from which the workers' zone is evacuated; undefined: it is not. */
+	evacuatedAt: number | undefined;
 	/** Clock time until which the store is in trouble for all. */
 	storeTroubledUntil = 0;
 	private closing = false;
@@ -123,6 +130,7 @@
 		const world = new World(users.UsersPlatform.create({ plan, journal: judge, ...beats }), opts);
 		judge.running = () => world.running();
 		judge.roomOf = (id) => world.roomOf(id);
+		judge.mayStartAt = (id) => world.mayStartAt(id);
 		world.platform.fleet.onCrash = (life) => {
 			world.takeDown(life);
 		};
@@ -235,6 +243,22 @@
 		this.platform.resize(worker.id, worker.address, users.workerMilliCores);
 	}
 
+	/** The workers' zone is evacuated for so long. */
+	async evacuate(forMs: number): Promise<void> {
+		this.evacuatedAt = this.now();
+		this.platform.evacuate(workersZone);
+		await this.sleep(forMs);
+		this.platform.takeBack(workersZone);
+		this.evacuatedAt = undefined;
+	}
+
+	/** Whether a start may begin at a worker now, as far as evacuations go; orders that are carried out late always may. */
+	private mayStartAt(id: string): boolean {
+		const now = this.now();
+		const lateUntil = this.workers.find((one) => one.id === id)?.lateUntil ?? 0;
+		return this.evacuatedAt === undefined || now - this.evacuatedAt <= evacuateMs || now <= lateUntil;
+	}
+
 	/** Orders that are under way to a worker may be carried out late. */
 	ordersLate(id: string, forMs: number): void {
 		const worker = this.workers.find((one) => one.id === id);
@@ -285,7 +309,7 @@
 	}
 
 	private async addWorker(id: string): Promise<void> {
-		const born = this.opts.faults === 5 ? fleets.firstBornMs : undefined;
+		const born = this.opts.faults >= 5 ? fleets.firstBornMs : undefined;
 		const listedAs = async (listening: string): Promise<string> => {
 			await this.links.reach(listening);
 			return listening;
