Several writes of different jobs' progress are under way where one would not hold what waits

Cause: an end waits for its job's write, and a write holds 15 jobs. With a hundred jobs under way a job's turn came after 300 to 500 ms, not because the store was slow (4 ms), so most ends were named by a question of their own.

Change: up to three writes at once, of different jobs, as long as a whole batch waits; a whole batch is written without a pause. A job's own writes follow one another, as before, so no condition of the ledger changes; under little load there is one write at a time, as before.

--- a/src/core/dispatch/progress-saver.ts
+++ b/src/core/dispatch/progress-saver.ts
@@ -1,5 +1,6 @@
 /**
- * Stores the progress of jobs: one write at a time, with what changed while the one before was under way.
+ * Stores the progress of jobs: what changed while a write was under way goes into the next one, and several writes of
+ * different jobs are under way where one would not hold what waits.
  *
  * Load pattern: a hundred jobs have tasks ending all the time, several writes' worth, and one of them is done or a lasting
  * task of it waits to be started. In turn it would be stored some writes later, with its caller or its users waiting; so
@@ -11,6 +12,9 @@
 import * as settings from './settings.js';
 import type * as jobs from '../jobs/index.js';
 
+/** Writes under way at once, at most: each takes its part of what the store and the owner's processor bear. */
+const mostWrites = 3;
+
 /** A write that failed is tried again after this many milliseconds. */
 const retryMs = 150;
 
@@ -35,25 +39,35 @@
 }
 
 interface Waiter {
-	/** Jobs whose change has to be stored first, each with the number of the first write that holds it. */
+	/** Jobs that have to be stored first, each with the number of the change that the stored state has to hold. */
 	missing: Map<jobs.ActiveJob, number>;
 	done: () => void;
 }
 
+/** One write: the jobs that it stores, each with the number of its newest change by then. */
+type Batch = ReadonlyMap<jobs.ActiveJob, number>;
+
 /** Group commit of jobs' progress. */
 export class ProgressSaver {
-	/** Changed since the newest write began, the longest ago first. */
+	/** Changed, and in no write under way, the longest ago first. */
 	private readonly dirty = new Set<jobs.ActiveJob>();
 	/** Those of them for whose storing somebody waits. */
 	private readonly awaited = new Set<jobs.ActiveJob>();
-	/** In the write under way. */
-	private inFlight = new Set<jobs.ActiveJob>();
+	/** In a write under way. */
+	private readonly inFlight = new Set<jobs.ActiveJob>();
+	/** Changed since their write began: a job's writes follow one another. */
+	private readonly changedInFlight = new Set<jobs.ActiveJob>();
+	/** Number of each job's newest change. */
+	private readonly changes = new WeakMap<jobs.ActiveJob, number>();
 	private waiters: Waiter[] = [];
 	/** Jobs in one write, at most: fewer after one that the store refused, until the job that it refuses stands alone. */
 	private most: number = ledger.maxProgressPerWrite;
-	/** Number of the newest write. */
+	/** Number of the newest change of all. */
+	private change = 0;
+	/** Writes under way. */
 	private writes = 0;
-	private running = false;
+	/** The next write begins after a while. */
+	private isDue = false;
 	private closed = false;
 
 	private constructor(private readonly opts: SaverOptions) {}
@@ -64,18 +78,19 @@
 
 	/** Marks a job as changed; `awaited`: somebody waits until that is stored, as always for a job's end. */
 	mark(job: jobs.ActiveJob, awaited = job.ended): void {
-		this.dirty.add(job);
+		this.change += 1;
+		this.changes.set(job, this.change);
+		if (this.inFlight.has(job)) this.changedInFlight.add(job);
+		else this.dirty.add(job);
 		if (awaited) this.awaited.add(job);
-		if (!this.running) void this.run();
+		this.plan();
 	}
 
 	/** Resolves once the changes of these jobs marked so far are stored. */
 	stored(changed: Iterable<jobs.ActiveJob>): Promise<void> {
 		const missing = new Map<jobs.ActiveJob, number>();
-		for (const job of changed) {
-			if (this.dirty.has(job)) missing.set(job, this.writes + 1);
-			else if (this.inFlight.has(job)) missing.set(job, this.writes);
-		}
+		for (const job of changed)
+			if (this.dirty.has(job) || this.inFlight.has(job)) missing.set(job, this.changes.get(job) ?? 0);
 		if (missing.size === 0) return Promise.resolve();
 		return new Promise((resolve) => {
 			this.waiters.push({ missing, done: resolve });
@@ -87,40 +102,63 @@
 		this.closed = true;
 	}
 
-	private async run(): Promise<void> {
-		this.running = true;
-		while (this.dirty.size > 0 && !this.closed) {
-			await clocks.sleep(this.opts.clock, settings.saveGapMs);
-			await this.saveBatch();
-		}
-		this.running = false;
+	/** Begins another write, unless those under way will do: at once for a whole batch, else after a while. */
+	private plan(): void {
+		if (this.isDue || this.closed || !this.needsWrite()) return;
+		this.isDue = true;
+		const isWhole = this.dirty.size >= this.most;
+		this.opts.clock.after(isWhole ? 0 : settings.saveGapMs, () => {
+			this.isDue = false;
+			if (this.closed) return;
+			if (this.needsWrite()) void this.saveBatch();
+			this.plan();
+		});
+	}
+
+	/** Whether a write should begin: the first one for any change, another for a whole batch. */
+	private needsWrite(): boolean {
+		const { size } = this.dirty;
+		return this.writes === 0 ? size > 0 : this.writes < mostWrites && size >= this.most;
 	}
 
-	/** Stores the next batch; what could not be stored is marked again. */
+	/** Stores the next batch. */
 	private async saveBatch(): Promise<void> {
-		const batch = chooseBatch(this.dirty, this.awaited, this.most);
-		const awaited = new Set(batch.filter((job) => this.awaited.has(job)));
-		const records = new Map(batch.map((job) => [job.id, job.toProgress()]));
-		for (const job of batch) {
+		const urgent = new Set([...this.awaited].filter((job) => this.dirty.has(job)));
+		const chosen = chooseBatch(this.dirty, urgent, this.most);
+		const batch = new Map(chosen.map((job) => [job, this.changes.get(job) ?? 0]));
+		const records = new Map(chosen.map((job) => [job.id, job.toProgress()]));
+		for (const job of chosen) {
 			this.dirty.delete(job);
 			this.awaited.delete(job);
+			this.inFlight.add(job);
 		}
-		this.inFlight = new Set(batch);
 		this.writes += 1;
 		const outcome = await this.opts.save(records);
-		this.inFlight = new Set();
+		for (const job of chosen) {
+			this.inFlight.delete(job);
+			if (this.changedInFlight.delete(job)) this.dirty.add(job);
+		}
 		if (outcome === 'committed') {
 			this.most = Math.min(ledger.maxProgressPerWrite, this.most * 2);
-			for (const job of batch) this.opts.onSaved(job, records.get(job.id)?.state ?? 'pending');
+			for (const job of chosen) this.opts.onSaved(job, records.get(job.id)?.state ?? 'pending');
 			this.settle(batch);
-			return;
-		}
+		} else await this.noteFailure(outcome, chosen, urgent);
+		this.writes -= 1;
+		this.plan();
+	}
+
+	/** What could not be stored is marked again. */
+	private async noteFailure(
+		outcome: ledger.WriteOutcome,
+		batch: readonly jobs.ActiveJob[],
+		urgent: ReadonlySet<jobs.ActiveJob>,
+	): Promise<void> {
 		const [only] = batch;
 		if (outcome === 'refused' && batch.length === 1 && only !== undefined) {
 			this.setAside(only);
 			return;
 		}
-		for (const job of batch) this.mark(job, awaited.has(job));
+		for (const job of batch) this.mark(job, urgent.has(job));
 		if (outcome === 'refused') this.most = Math.ceil(batch.length / 2);
 		if (outcome === 'superseded') {
 			this.closed = true;
@@ -142,12 +180,12 @@
 	}
 
 	/** Answers those who waited for these jobs only. */
-	private settle(saved: jobs.ActiveJob[]): void {
+	private settle(saved: Batch): void {
 		const open: Waiter[] = [];
 		for (const waiter of this.waiters) {
-			for (const job of saved) {
+			for (const [job, change] of saved) {
 				// A change made while this write was under way waits for the next one.
-				if ((waiter.missing.get(job) ?? Infinity) <= this.writes) waiter.missing.delete(job);
+				if ((waiter.missing.get(job) ?? Infinity) <= change) waiter.missing.delete(job);
 			}
 			if (waiter.missing.size === 0) waiter.done();
 			else open.push(waiter);
--- a/test/progress-saver.test.ts
+++ b/test/progress-saver.test.ts
@@ -2,6 +2,7 @@
 import test from 'ava';
 import * as jobs from '../src/core/jobs/index.js';
 import * as saver from '../src/core/dispatch/progress-saver.js';
+import * as settings from '../src/core/dispatch/settings.js';
 import * as time from '../stand-ins/fleet/virtual-clock.js';
 import * as world from './fixtures/dispatching.js';
 
@@ -75,3 +76,68 @@
 	t.deepEqual(refused, ['job7', 'job7']);
 	progress.close();
 });
+
+test('a hundred changed jobs are stored while the report that told of them is recent', async (t) => {
+	const clock = time.VirtualClock.create();
+	let writing = 0;
+	const underWay = new Set<string>();
+	const progress = saver.ProgressSaver.create({
+		clock,
+		save: async (batch) => {
+			writing += 1;
+			t.true(writing <= 3);
+			for (const id of batch.keys()) {
+				t.false(underWay.has(id));
+				underWay.add(id);
+			}
+			await new Promise<void>((resolve) => clock.after(40, resolve));
+			for (const id of batch.keys()) underWay.delete(id);
+			writing -= 1;
+			return 'committed';
+		},
+		onSaved: () => undefined,
+		onSuperseded: () => undefined,
+		onRefused: () => undefined,
+		onFailure: () => undefined,
+	});
+	const changed = Array.from({ length: 100 }, (_, number) => createJob(`job${String(number)}`, clock.now()));
+	for (const job of changed) progress.mark(job);
+	const beganAt = clock.now();
+	let storedAt = Infinity;
+	void progress.stored(changed).then(() => (storedAt = clock.now()));
+	for (let round = 0; round < 100; round += 1) {
+		progress.mark(changed[round] ?? createJob('none', 0));
+		await clock.pass(10);
+	}
+	t.true(storedAt - beganAt <= settings.forgetWithinMs, `${String(storedAt - beganAt)} ms`);
+	progress.close();
+});
+
+test('a change made while its job is written is stored by a later write', async (t) => {
+	const clock = time.VirtualClock.create();
+	const saved: string[] = [];
+	const progress = saver.ProgressSaver.create({
+		clock,
+		save: async (batch) => {
+			await new Promise<void>((resolve) => clock.after(100, resolve));
+			saved.push(...[...batch].map(([id, { state }]) => `${id} ${state}`));
+			return 'committed';
+		},
+		onSaved: () => undefined,
+		onSuperseded: () => undefined,
+		onRefused: () => undefined,
+		onFailure: () => undefined,
+	});
+	const job = createJob('job1', clock.now());
+	progress.mark(job);
+	await clock.pass(60);
+	job.state = 'completed';
+	progress.mark(job);
+	let isStored = false;
+	void progress.stored([job]).then(() => (isStored = true));
+	await clock.pass(100);
+	t.deepEqual([saved, isStored], [['job1 pending'], false]);
+	await clock.pass(150);
+	t.deepEqual([saved, isStored], [['job1 pending', 'job1 completed'], true]);
+	progress.close();
+});
