--- a/src/core/dispatch/interference.ts
+++ b/src/core/dispatch/interference.ts
@@ -26,8 +26,8 @@
 const aheadMs = 900;
 
 /**
- * Measured, over three days: of the tasks expected this much busier than their target allows, none, and all, are over
- * it during the next seconds; in between the part rises about evenly.
+ * Of the tasks that are expected this much busier than their target allows, none, and all, go over it during the next
+ * seconds; in between the part rises about evenly.
  */
 const surelyUnder = -0.16;
 const surelyOver = 0.24;
--- a/src/core/dispatch/placement.ts
+++ b/src/core/dispatch/placement.ts
@@ -5,7 +5,7 @@
 import type * as jobs from '../jobs/index.js';
 import type * as sessions from './worker-session.js';
 
-/** Weights of a choice, in worker loads (1: a whole worker). Chosen by measurement; docs/decisions/ has the figures. */
+/** Weights of a choice, in worker loads (1: a whole worker). */
 const weights = {
 	/** A task that failed there before. */
 	failedThere: 10,
--- a/src/core/dispatch/preemption.ts
+++ b/src/core/dispatch/preemption.ts
@@ -53,8 +53,7 @@
 	const open = [...workers].filter((one) => one.open && one.entry?.pool === pool);
 	let missing = -comingFree(open);
 	for (const task of urgent) if (ctx.poolOf(task.step.job) === pool) missing += task.step.spec.milliCores;
-	// Looking at all that runs took 320 ms of processor a second at 380 workers (host time, sampled), and 33 since it is
-	// done only while room is missing.
+	// Looking at all that runs is dear, so it is done only while room is missing.
 	return missing > 0 ? takeCheapest(open, missing, priority, ctx) : [];
 }
 
--- a/src/core/dispatch/progress-saver.ts
+++ b/src/core/dispatch/progress-saver.ts
@@ -4,8 +4,7 @@
  *
  * Load pattern: a hundred jobs have tasks ending all the time, several writes' worth, and one of them is done or a lasting
  * task of it waits to be started. In turn it would be stored some writes later, with its caller or its users waiting; so
- * what somebody waits for comes first, and other progress fills the write up. Of 120 changed jobs and writes of 360 ms, the
- * end of one is stored within two writes in place of 3,365 ms.
+ * what somebody waits for comes first, and other progress fills the write up.
  */
 import * as clocks from '../clock.js';
 import * as ledger from '../ledger/index.js';
--- a/src/core/dispatch/settings.ts
+++ b/src/core/dispatch/settings.ts
@@ -1,9 +1,8 @@
-/** Time limits of the dispatcher, in milliseconds, and where they come from. */
+/** Limits of the dispatcher, times in milliseconds. docs/DECIDING.md has what they rest on. */
 
 /**
  * An owner renews leases and starts tasks only this long after sending its last confirmed call to the store.
  * A successor adds it to the longest lease before it takes a silent worker's tasks for ended.
- * Longer than the store's usual hiccups (a second), well under the shortest lease (six).
  */
 export const renewalHorizonMs = 3_000;
 
@@ -13,7 +12,7 @@
 /** Added to every wait for a lease to run out: covers timers that fire late. */
 export const leaseMarginMs = 150;
 
-/** A report waits at most this long for an end: leases are renewed about once a second. */
+/** A report waits at most this long for an end; each question renews the worker's lease. */
 export const holdWaitMs = 1_000;
 
 /** The same where tasks that fill may disturb others: a reading covers half a second. */
@@ -28,7 +27,7 @@
 /** A worker is let forget its ends only so long after a report of it: a restart takes longer, and a run after it. */
 export const forgetWithinMs = 200;
 
-/** A worker without an answer for this long gets no new work: a waiting report and a lost packet. */
+/** A worker without an answer for this long gets no new work: longer than a waiting report and a lost packet take. */
 export const silentAfterMs = 2_200;
 
 /**
@@ -46,7 +45,7 @@
 /** A start without an answer is tried this often before the run is given up and stopped. */
 export const startTries = 3;
 
-/** Ends that arrive within this of each other are stored in one write: a third of what an end may wait unstored. */
+/** Ends that arrive within this of each other are stored in one write. */
 export const saveGapMs = 25;
 
 /** How often due times, silent workers and drains are looked at. */
@@ -82,18 +81,15 @@
 /** Rounds of placing follow each other no closer than this while tasks wait for room. */
 export const roundGapMs = 15;
 
-/** A step of lasting or filling tasks that found no place is looked at again after this: its tasks run for seconds. */
+/** A step of lasting or filling tasks that found no place is looked at again after this. */
 export const patientRetryMs = 100;
 
-/**
- * Nor closer than this many times what the last one took: placing leaves two thirds of the processor to reports. With
- * four times, filling tasks waited for the rounds on both sites measured.
- */
+/** Nor closer than this many times what the last one took, so that placing leaves processor to reports. */
 export const roundGapFactor = 2;
 
 /**
  * A lasting task that has waited so long goes before short ones, and workers are kept free for it: it serves nobody
- * meanwhile, and short tasks would take every core that comes free. Half of what its users put up with.
+ * meanwhile, and short tasks would take every core that comes free.
  */
 export const overdueMs = 3_000;
 
@@ -106,21 +102,14 @@
  */
 export const starvedMs = 10_000;
 
-/**
- * Workers that hold such a task at the same time, at most: this part of a pool after that wait, more in proportion to a
- * longer one. Measured over ten loaded days each: with a quarter from 8 s on, lasting tasks earned 0.054 less; with a
- * tenth from 10 s on, 0.010 less, within the spread.
- */
+/** Workers that hold such a task at once, at most: this part of a pool after that wait, in proportion to a longer one. */
 export const exemptPart = 0.1;
 export const mostExemptPart = 0.3;
 
-/** A report that names jobs which have to be read first is asked for again after this: a read takes about four. */
+/** A report that names jobs which have to be read first is asked for again after this. */
 export const putOffMs = 15;
 
-/**
- * A run that works at full pace and whose progress stands still for so long is taken for hanging. The slowest seen
- * gains a per cent in half a second, and reports come once a second.
- */
+/** A run that works at full pace and whose progress stands still for so long, over several reports, is taken for hanging. */
 export const hangingMs = 2_500;
 
 /** A step of which a task has waited so long is told of in the log, again after each further gap, in milliseconds. */
--- a/src/core/dispatch/start-window.ts
+++ b/src/core/dispatch/start-window.ts
@@ -5,20 +5,16 @@
  * Sent all at once they fill the owner's link or processor for seconds. Whatever is sent after them waits as long: the
  * renewal of the owner's lease, so that it is replaced while it works, and urgent tasks, whose place in the order is
  * lost once others have been sent. So only as many starts are sent as are answered within a short time; the rest waits
- * where it can still be put in order. 500 starts over a link of 2 Mbit/s, in memory: a call to the store waits for less than
- * 600 ms in place of 2,734, an urgent task in place of 3,155.
+ * where it can still be put in order.
  */
 
-/**
- * Starts are to be answered within this time, in milliseconds: a tenth of the owner's lease, so that a renewal behind
- * them is never late. An idle link and worker take 1 to 10.
- */
+/** Starts are to be answered within this time, in milliseconds, so that a renewal of the owner's lease behind them is never late. */
 export const targetMs = 200;
 
-/** Starts on their way at least: with an answer after 20 ms this is 800 a second. */
+/** Starts on their way at least. */
 export const leastLimit = 16;
 
-/** Starts on their way at most: half of the sockets of the smallest box, which has 4,100. */
+/** Starts on their way at most; each takes a socket. */
 export const mostLimit = 2_000;
 
 /** Starts on their way before any answer has told how long they take. */
--- a/src/core/dispatch/step-candidates.ts
+++ b/src/core/dispatch/step-candidates.ts
@@ -3,8 +3,7 @@
  *
  * Load pattern: a wide step of a hundred tasks on hundreds of workers. Rating every worker for each task grows with the
  * product of the two; its tasks are alike, and a worker's rating changes only when something is placed there. So all are
- * rated once, roughly, and only those that come to the front exactly. At 540 workers and 1,380 starts a second the owner's
- * own code takes 234 ms of processor a second in place of 502 (host time, sampled; `npm run measure -- load`).
+ * rated once, roughly, and only those that come to the front exactly.
  */
 import * as placement from './placement.js';
 import type * as jobs from '../jobs/index.js';
