Test: a task is harmed by new tasks that fill beside it, one after the other

The record lists six filling runs on its worker that had been told to stand still and were moved at 27.6 to 28.1 s, and two that were started there at 27.434 and 27.629 s, in the moment at which the trouble began.

What fills is told to stand still after half of what the users allow, but goes on being placed there: each new run works until the next report, and the next one follows. The test plays that stream; it fails, and is listed as known red.

--- a/test/harm.test.ts
+++ b/test/harm.test.ts
@@ -18,11 +18,10 @@
 
 /** Workers with a serving task each and two that fill beside it and have not disturbed it so far. */
 async function besideServing() {
-	const made = world.createWorld((task) =>
-		task.startsWith('serving')
-			? { ms: 'endless', how: 'done', reading: idleTailMs }
-			: { ms: 120_000, how: 'done', reading: 1_000 },
-	);
+	const made = world.createWorld((task) => {
+		if (task.startsWith('serving')) return { ms: 'endless', how: 'done', reading: idleTailMs };
+		return { ms: task.startsWith('short') ? 900 : 120_000, how: 'done', reading: 1_000 };
+	});
 	const { clock, fleet } = made;
 	for (let number = 0; number < workerCount; number += 1) fleet.add(`w${String(number)}`);
 	const owner = await made.takeOver();
@@ -46,7 +45,7 @@
 	/** Tasks that fill beside the one whose tail is set, and work. */
 	const working = (): string[] =>
 		[...harmed.running]
-			.filter(([task, one]) => task.startsWith('filling') && one.pace > 0)
+			.filter(([task, one]) => !task.startsWith('serving') && one.pace > 0)
 			.map(([task]) => task);
 	if (working().length !== 2) throw new Error('the filling tasks do not run');
 	return { ...made, owner, setTail, working };
@@ -95,3 +94,19 @@
 	t.deepEqual(working(), []);
 	owner.dispatcher.close();
 });
+
+test('nothing more that fills is started beside a task that is about to be harmed', async (t) => {
+	const { clock, owner, setTail, working } = await besideServing();
+	setTail(highTailMs);
+	const beganAt = clock.now();
+	const found = new Set<string>();
+	for (let number = 0; clock.now() - beganAt < 2 * harmMs; number += 1) {
+		const beside = { milliCores: 1_600, image: 'filling', fills: true, count: 6 };
+		const handedIn = world.job(`short${String(number)}`, [world.step(beside)]);
+		owner.dispatcher.addJob({ ...handedIn, acceptedUnder: owner.ledger.generation });
+		await clock.pass(100);
+		if (clock.now() - beganAt > harmMs) for (const task of working()) found.add(task);
+	}
+	t.deepEqual([...found], []);
+	owner.dispatcher.close();
+});
