What would have to stand still beside a task about to be harmed is not started there

Cause: placement avoids neighbours with a steep slope for two seconds after a task was over its target, and only those. Tasks that seem harmless, and those that are exempt as they waited too long, went on being placed beside a task that stayed over its target; each worked until the next report, and the next one followed.

Change: a report that tells all that fills to stand still also closes the worker to more of it, exempt or not, until a report no longer does. Shown as 'standing-still' among the reasons for waiting.

Ruled out: pacing new runs from their start on: an order each, where the run would not work anyway.

Evidence: harm.test, 'nothing more that fills is started ...' failed before.

--- a/src/core/dispatch/placement.ts
+++ b/src/core/dispatch/placement.ts
@@ -56,9 +56,17 @@
 
 /**
  * Why one worker does not take a task, the furthest from taking it first. `reserved`: it would fit, but for the room
- * left for short tasks. `cores-in-use`, `harm`, `overloaded`: it fits, but would disturb what serves users there.
+ * left for short tasks. `standing-still`, `cores-in-use`, `harm`, `overloaded`: it fits, but would disturb what serves
+ * users there.
  */
-export const obstacles = ['no-room', 'reserved', 'cores-in-use', 'harm', 'overloaded'] as const;
+export const obstacles = [
+	'no-room',
+	'reserved',
+	'standing-still',
+	'cores-in-use',
+	'harm',
+	'overloaded',
+] as const;
 
 /** One of `obstacles`. */
 export type Obstacle = (typeof obstacles)[number];
@@ -125,6 +133,7 @@
 	if (!room.fits(task.step, worker, terms.reserve)) return Infinity;
 	const base = rateForAny(task, worker);
 	if (spec.fills) {
+		if (worker.mustStandStill) return Infinity;
 		const use = choice.estimates.expectedUse(worker) + shareOf(spec, worker);
 		return use > mostUse && choice.anyHarm !== true ? Infinity : base + use;
 	}
@@ -146,6 +155,7 @@
 	if (!room.fits(task.step, worker, 0)) return 'no-room';
 	if (!room.fits(task.step, worker, reserveFor(task, now))) return 'reserved';
 	if (!spec.fills) return undefined;
+	if (worker.mustStandStill) return 'standing-still';
 	const share = shareOf(spec, worker);
 	if (estimates.expectedUse(worker) + share > mostUse) return 'cores-in-use';
 	if (estimates.harmOf(worker, spec.image, share) > harmLimit(task, now)) return 'harm';
--- a/src/core/dispatch/pressure.ts
+++ b/src/core/dispatch/pressure.ts
@@ -45,17 +45,29 @@
 	look(session: sessions.WorkerSession): void {
 		this.estimates.observe(session);
 		const serving = neighbours.servingOf(session);
+		const delayMs = session.reportDelayMs;
+		session.mustStandStill = serving.some((served) => this.isNearHarm(served, delayMs));
 		for (const place of session.placements.values()) {
 			if (!place.task.step.spec.fills || place.phase !== 'running') continue;
-			const percent = this.wantedPace(place, serving, session.reportDelayMs);
+			const percent = session.mustStandStill ? still : this.wantedPace(place, serving, delayMs);
 			if (percent !== undefined) this.pace(session, place, percent);
 		}
 	}
 
+	/** Whether all that fills beside a task has to stand still, and nothing more is started there. */
+	private isNearHarm(served: types.Placement, delayMs: number): boolean {
+		return this.overMs(served, delayMs) >= this.harmMs * certainPart;
+	}
+
 	/**
-	 * The pace that a task should have beside these; undefined: as it is. `delayMs`: how late reports come. A task may have
-	 * been over its target for that much longer, and the next decision comes that much later.
+	 * How long a task counts as over its target, in milliseconds; `delayMs`: how late reports come. It may have been over it
+	 * for that much longer, and the next decision comes that much later.
 	 */
+	private overMs(served: types.Placement, delayMs: number): number {
+		return served.overSince === undefined ? 0 : this.deps.clock.now() - served.overSince + 2 * delayMs;
+	}
+
+	/** The pace that a task should have beside these; undefined: as it is. */
 	private wantedPace(
 		place: types.Placement,
 		serving: types.Placement[],
@@ -65,9 +77,8 @@
 		let calm = true;
 		for (const served of serving) {
 			if (now - served.overAt < calmMs) calm = false;
-			const overMs = served.overSince === undefined ? 0 : now - served.overSince + 2 * delayMs;
-			if (overMs >= this.harmMs * certainPart) return still;
-			if (overMs >= this.harmMs * relievePart && this.isCause(place, served)) return still;
+			const isRelieved = this.overMs(served, delayMs) >= this.harmMs * relievePart;
+			if (isRelieved && this.isCause(place, served)) return still;
 		}
 		return calm ? full : undefined;
 	}
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -78,6 +78,8 @@
 	probation: types.Placement | undefined;
 	/** Counts changes of what is placed there, and at which pace. */
 	revision = 0;
+	/** All that fills has to stand still for a task that serves there, as of the newest report. */
+	mustStandStill = false;
 	/** Clock time at which a task that fills last ended here or was slowed. */
 	relievedAt = -Infinity;
 	/** Clock time at which a neighbour of what serves there last came, went or changed its pace. */
