--- a/test/harm.test.ts
+++ b/test/harm.test.ts
@@ -110,3 +110,39 @@
 	t.deepEqual([...found], []);
 	owner.dispatcher.close();
 });
+
+/** How long a load's peak keeps a task over its target, in milliseconds: about half a period. */
+const peakMs = 3_000;
+
+/** Another worker comes, on which nothing serves. */
+async function addFreeWorker(made: Awaited<ReturnType<typeof besideServing>>): Promise<void> {
+	made.fleet.add('free');
+	made.owner.dispatcher.setWorkers(made.fleet.entries(), [], true);
+	await made.clock.pass(2_000);
+}
+
+test('what stands still beside a load that peaks stays where it is, and goes on', async (t) => {
+	const made = await besideServing();
+	const { clock, fleet, owner, setTail, working } = made;
+	await addFreeWorker(made);
+	const before = fleet.starts.length;
+	setTail(highTailMs);
+	await clock.pass(peakMs);
+	setTail(calmTailMs);
+	await clock.pass(3_000);
+	t.is(fleet.starts.length, before);
+	t.is(working().length, 2);
+	owner.dispatcher.close();
+});
+
+test('what would stand still for long is moved', async (t) => {
+	const made = await besideServing();
+	const { clock, fleet, owner, setTail } = made;
+	await addFreeWorker(made);
+	const before = fleet.starts.length;
+	setTail(highTailMs);
+	await clock.pass(4 * peakMs);
+	const moved = fleet.starts.slice(before).map((one) => one.worker);
+	t.deepEqual(moved, ['free', 'free']);
+	owner.dispatcher.close();
+});
