Tasks that fill put up with less harm: 0.15 and 0.2 in place of 0.2 and 0.5

Load pattern: more that fills than there is room, for half a minute.

Test: filling.test, 'a filling task waits rather than keep a third of a serving task over its target' failed before.

--- a/src/core/dispatch/placement.ts
+++ b/src/core/dispatch/placement.ts
@@ -29,8 +29,8 @@
  * A task that fills waits rather than keep more than this many serving tasks over their targets; after a while it puts
  * up with more. What waits longer fills for longer: strict limits spare nobody.
  */
-const mostHarm = 0.2;
-const mostHarmLate = 0.5;
+const mostHarm = 0.15;
+const mostHarmLate = 0.2;
 
 /** When it puts up with more, in milliseconds. */
 const patienceMs = 3_000;
--- a/test/filling.test.ts
+++ b/test/filling.test.ts
@@ -107,3 +107,27 @@
 	t.true(owner.isFree(one.step, waitedMs, workers));
 	on.close();
 });
+
+test('a filling task waits rather than keep a third of a serving task over its target', async (t) => {
+	const loadedTailMs = 100;
+	const made = world.createWorld((task) =>
+		task.startsWith('serving')
+			? { ms: 'endless', how: 'done', reading: loadedTailMs }
+			: { ms: 1_000, how: 'done', reading: 1_000 },
+	);
+	const { clock, fleet } = made;
+	for (let number = 0; number < 4; number += 1) fleet.add(`w${String(number)}`);
+	const owner = await made.takeOver();
+	const serving = { count: 4, milliCores: 4_000, lasting: true, image: 'serving', targetMs, maxPerWorker: 1 };
+	await made.submit(owner, world.job('serving', [world.step(serving)]));
+	await clock.pass(30_000);
+	const before = fleet.starts.length;
+	// By the first guess of its slope it raises what is busy there by a sixth.
+	const filling = { milliCores: 8_000, fills: true, image: 'filling' };
+	await made.submit(owner, world.job('filling', [world.step(filling)]));
+	await clock.pass(6_000);
+	t.is(fleet.starts.length, before);
+	await clock.pass(10_000);
+	t.is(owner.dispatcher.stateOf('filling'), 'completed');
+	owner.dispatcher.close();
+});
