--- a/spec/checks.ts
+++ b/spec/checks.ts
@@ -3,6 +3,7 @@
 import * as config from './config.js';
 import * as crashes from './crashes.js';
 import * as dispatch from './dispatch.js';
+import * as evacuations from './evacuations.js';
 import * as lease from './lease.js';
 import * as lives from './lives/index.js';
 import * as restarts from './restarts.js';
@@ -244,6 +245,14 @@
 	return [check('holds', restarts.restartModel('restarts', restarts.noRestartFaults)), ...mutants];
 }
 
+function evacuationChecks(): Check[] {
+	const all = evacuations.allEvacuationGuards;
+	const mutants = Object.keys(all).map((guard) =>
+		check('wrong', evacuations.evacuationModel(`evacuations without ${guard}`, { ...all, [guard]: false })),
+	);
+	return [check('holds', evacuations.evacuationModel('evacuations', all)), ...mutants];
+}
+
 /** All checks, the longest first. */
 export const checks: Check[] = [
 	...dispatchChecks(),
@@ -253,4 +262,5 @@
 	...configChecks(),
 	...crashChecks(),
 	...restartChecks(),
+	...evacuationChecks(),
 ];
