--- a/dev/measure/dispatch-load.ts
+++ b/dev/measure/dispatch-load.ts
@@ -41,7 +41,8 @@
 async function play(name: string, workers: number): Promise<report.Row> {
 	const pattern = patterns.createPattern(name, workers, lengthMs, seed);
 	const { clock, fleet, takeOver, submit } = world.createWorld(pattern.plan);
-	for (let number = 1; number <= workers; number += 1) fleet.add(`w${String(number)}`);
+	const capacity = { milliCores: pattern.workerMilliCores, memoryMb: 128_000, accelerators: 0 };
+	for (let number = 1; number <= workers; number += 1) fleet.add(`w${String(number)}`, { capacity });
 	const owner = await takeOver();
 	await clock.pass(500);
 	const [resident, arriving] = split(pattern.arrivals);
--- a/stand-ins/fleet/load-patterns.ts
+++ b/stand-ins/fleet/load-patterns.ts
@@ -4,7 +4,10 @@
 import type * as types from './types.js';
 
 /** Kinds of work: short urgent steps, wide steps that fill, and steps that last. */
-export type WorkKind = 'urgent' | 'wide' | 'lasting';
+const kinds = ['urgent', 'wide', 'lasting'] as const;
+
+/** One of these kinds. */
+export type WorkKind = (typeof kinds)[number];
 
 /** A job that arrives. */
 export interface Arrival {
@@ -18,6 +21,8 @@
 export interface LoadPattern {
 	name: string;
 	workers: number;
+	/** What each of them holds, in thousandths of a core. */
+	workerMilliCores: number;
 	/** How long jobs arrive, in milliseconds. */
 	lengthMs: number;
 	/** The earliest first. */
@@ -26,10 +31,49 @@
 	plan: (task: string) => types.RunPlan;
 }
 
-/** What a second of traffic brings a worker, in jobs: a busy printing fleet's. */
-const urgentPerWorkerS = 0.0303;
-const widePerWorkerS = 0.0295;
-const lastingPerWorkerS = 0.00107;
+/** What is handed in, and what it is like. */
+interface Mix {
+	/** Jobs that a second of traffic brings a worker. */
+	perWorkerS: Record<WorkKind, number>;
+	/** Tasks of a wide step, and of an urgent one, at least and at most. */
+	wideCount: [number, number];
+	urgentCount: [number, number];
+	/** Thousandths of a core of a task, at least and at most. */
+	wideMilliCores: [number, number];
+	urgentMilliCores: [number, number];
+	lastingMilliCores: [number, number];
+	/** How long tasks run on average, in milliseconds. */
+	wideMs: number;
+	urgentMs: number;
+	/** What a worker holds, in thousandths of a core. */
+	workerMilliCores: number;
+}
+
+/** A busy printing fleet's. */
+const printing: Mix = {
+	perWorkerS: { urgent: 0.0303, wide: 0.0295, lasting: 0.00107 },
+	wideCount: [8, 70],
+	urgentCount: [3, 16],
+	wideMilliCores: [2_500, 4_500],
+	urgentMilliCores: [4_000, 9_000],
+	lastingMilliCores: [5_000, 8_000],
+	wideMs: 1_700,
+	urgentMs: 640,
+	workerMilliCores: 32_000,
+};
+
+/** Twice as much batch work, of smaller tasks on smaller workers. */
+const smallTasks: Mix = {
+	perWorkerS: { urgent: 0.0344, wide: 0.0612, lasting: 0.0015 },
+	wideCount: [8, 32],
+	urgentCount: [3, 17],
+	wideMilliCores: [1_000, 2_600],
+	urgentMilliCores: [1_000, 2_600],
+	lastingMilliCores: [2_500, 4_000],
+	wideMs: 2_200,
+	urgentMs: 800,
+	workerMilliCores: 16_000,
+};
 
 /** Lasting jobs a worker that are there at the beginning: they reserve nearly all cores. */
 const residentPerWorker = 0.17;
@@ -52,6 +96,8 @@
 	heldBackMs?: number;
 	/** Tasks run so many times longer than usual. */
 	slowdown?: number;
+	/** Absent: a busy printing fleet's. */
+	mix?: Mix;
 }
 
 /** The shapes that have names. */
@@ -60,28 +106,27 @@
 	burst: { burst: { factor: 2.6, fromMs: 2_000, forMs: 4_000 } },
 	comeback: { heldBackMs: 4_000 },
 	slow: { slowdown: 3 },
+	'small-tasks': { mix: smallTasks },
+	'small-tasks-burst': { mix: smallTasks, burst: { factor: 2.6, fromMs: 2_000, forMs: 4_000 } },
 };
 
 /** Traffic in proportion to the workers. */
 export function createPattern(name: string, workers: number, lengthMs: number, seed: number): LoadPattern {
 	const shape = shapes[name];
 	if (shape === undefined) throw new Error(`no load is called '${name}'`);
+	const { mix = printing } = shape;
 	const next = random.seeded(seed);
 	const resident = Math.round(workers * residentPerWorker);
 	const arrivals: Arrival[] = [];
-	for (let number = 0; number < resident; number += 1) arrivals.push(arrive('lasting', number, 0, next));
-	const rates: [WorkKind, number][] = [
-		['urgent', urgentPerWorkerS],
-		['wide', widePerWorkerS],
-		['lasting', lastingPerWorkerS],
-	];
-	for (const [kind, perWorkerS] of rates) {
-		const gapMs = 1_000 / (perWorkerS * workers);
+	for (let number = 0; number < resident; number += 1) arrivals.push(arrive('lasting', number, 0, mix, next));
+	for (const kind of kinds) {
+		const gapMs = 1_000 / (mix.perWorkerS[kind] * workers);
 		for (let atMs = gapMs * next(); atMs < lengthMs; atMs += gapOf(kind, gapMs, atMs, shape, next))
-			arrivals.push(arrive(kind, arrivals.length, Math.max(atMs, shape.heldBackMs ?? 0), next));
+			arrivals.push(arrive(kind, arrivals.length, Math.max(atMs, shape.heldBackMs ?? 0), mix, next));
 	}
 	arrivals.sort((a, b) => a.atMs - b.atMs);
-	return { name, workers, lengthMs, arrivals, plan: (task) => planOf(task, shape.slowdown ?? 1) };
+	const plan = (task: string): types.RunPlan => planOf(task, mix, shape.slowdown ?? 1);
+	return { name, workers, workerMilliCores: mix.workerMilliCores, lengthMs, arrivals, plan };
 }
 
 function gapOf(kind: WorkKind, gapMs: number, atMs: number, shape: LoadShape, next: () => number): number {
@@ -95,22 +140,22 @@
 	return { name, pool: 'press', priority, attempts: 3, stretch, objectiveMs, advised: false };
 }
 
-function arrive(kind: WorkKind, number: number, atMs: number, next: () => number): Arrival {
+function arrive(kind: WorkKind, number: number, atMs: number, mix: Mix, next: () => number): Arrival {
 	const id = `${kind}-${String(number)}`;
-	return { atMs, kind, record: { id, queue: queues[kind], steps: stepsOf(kind, next) } };
+	return { atMs, kind, record: { id, queue: queues[kind], steps: stepsOf(kind, mix, next) } };
 }
 
-function stepsOf(kind: WorkKind, next: () => number): jobs.StepSpec[] {
+function stepsOf(kind: WorkKind, mix: Mix, next: () => number): jobs.StepSpec[] {
 	if (kind === 'lasting') {
 		const image = `serving-${String(random.between(next, 1, 16))}`;
-		const milliCores = random.between(next, 5_000, 8_000);
+		const milliCores = random.between(next, ...mix.lastingMilliCores);
 		return [
 			{ ...plainStep, count: random.between(next, 12, 36), milliCores, lasting: true, image, targetMs },
 		];
 	}
 	const isWide = kind === 'wide';
-	const count = isWide ? random.between(next, 8, 70) : random.between(next, 3, 16);
-	const milliCores = isWide ? random.between(next, 2_500, 4_500) : random.between(next, 4_000, 9_000);
+	const count = random.between(next, ...(isWide ? mix.wideCount : mix.urgentCount));
+	const milliCores = random.between(next, ...(isWide ? mix.wideMilliCores : mix.urgentMilliCores));
 	const image = isWide ? `filling-${String(random.between(next, 1, 30))}` : '';
 	const spec = { ...plainStep, count, milliCores, image, fills: isWide, checkpoints: isWide };
 	const steps = isWide ? 2 : random.between(next, 1, 2);
@@ -118,10 +163,10 @@
 }
 
 /** The same for a task whenever it is asked. */
-function planOf(task: string, slowdown: number): types.RunPlan {
+function planOf(task: string, mix: Mix, slowdown: number): types.RunPlan {
 	const part = (random.hash(task) % 1_000) / 1_000;
 	if (task.startsWith('lasting')) return { ms: 'endless', how: 'done', reading: tailMs * (1 + 4 * part) };
-	const meanMs = task.startsWith('wide') ? 1_700 : 640;
+	const meanMs = task.startsWith('wide') ? mix.wideMs : mix.urgentMs;
 	return { ms: meanMs * (0.5 + part) * slowdown, how: 'done', reading: 3_000 };
 }
 
