Harm that is put up with, and moves of slowed tasks, follow from whether more waits than finds places

Where few wait, a place elsewhere stays empty if a slowed task does not take it, and harm for a task that has waited is the price of its being in time.

Change: the placer works out four times a second whether there is a backlog: tasks that fill and have waited for a second come to more than a tenth of those placed and a quarter of the workers. When it is wrong either way it is so for a second or two, and costs what the other setting costs.

--- a/src/core/dispatch/placement.ts
+++ b/src/core/dispatch/placement.ts
@@ -29,8 +29,12 @@
  * A task that fills waits rather than keep more than this many serving tasks over their targets; after a while it puts
  * up with more. What waits longer fills for longer: strict limits spare nobody.
  */
-const mostHarm = 0.15;
-const mostHarmLate = 0.2;
+const mostHarm = 0.2;
+const mostHarmLate = 0.5;
+
+/** The same while more waits than finds places: what one task leaves undone there, another does elsewhere. */
+const mostHarmInBacklog = 0.15;
+const mostHarmLateInBacklog = 0.2;
 
 /** When it puts up with more, in milliseconds. */
 const patienceMs = 3_000;
@@ -77,6 +81,8 @@
 	workers: sessions.WorkerSession[];
 	estimates: interference.Interference;
 	now: number;
+	/** More tasks that fill wait than find places. */
+	isBacklogged: boolean;
 	/** The limits of harm do not hold: among what has room, the least harm is chosen. */
 	anyHarm?: boolean;
 }
@@ -90,13 +96,13 @@
 }
 
 /** The terms of a task now. */
-export function termsOf(task: jobs.Task, now: number): Terms {
-	return { harmLimit: harmLimit(task, now), reserve: reserveFor(task, now) };
+export function termsOf(task: jobs.Task, choice: Pick<Choice, 'now' | 'isBacklogged'>): Terms {
+	return { harmLimit: harmLimit(task, choice), reserve: reserveFor(task, choice.now) };
 }
 
 /** The best worker for a task. */
 export function choose(task: jobs.Task, choice: Choice): sessions.WorkerSession | NoPlace {
-	const terms = termsOf(task, choice.now);
+	const terms = termsOf(task, choice);
 	let best: sessions.WorkerSession | undefined;
 	let bestScore = Infinity;
 	for (const worker of choice.workers) {
@@ -158,7 +164,7 @@
 	if (worker.mustStandStill) return 'standing-still';
 	const share = shareOf(spec, worker);
 	if (estimates.expectedUse(worker) + share > mostUse) return 'cores-in-use';
-	if (estimates.harmOf(worker, spec.image, share) > harmLimit(task, now)) return 'harm';
+	if (estimates.harmOf(worker, spec.image, share) > harmLimit(task, choice)) return 'harm';
 	return disturbsOverloaded(spec.image, worker, estimates, now) ? 'overloaded' : undefined;
 }
 
@@ -193,8 +199,10 @@
 }
 
 /** How much harm a filling task puts up with. */
-function harmLimit(task: jobs.Task, now: number): number {
-	return order.waitedMs(task, now) < patienceMs ? mostHarm : mostHarmLate;
+function harmLimit(task: jobs.Task, choice: Pick<Choice, 'now' | 'isBacklogged'>): number {
+	const isLate = order.waitedMs(task, choice.now) >= patienceMs;
+	if (choice.isBacklogged) return isLate ? mostHarmLateInBacklog : mostHarmInBacklog;
+	return isLate ? mostHarmLate : mostHarm;
 }
 
 /** Whether it would disturb a task that was over its target lately: what has queued up is still being worked off. */
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -1,5 +1,6 @@
 /** Places tasks that may start: which comes first, where it goes, and who makes room for it. */
 import * as advice from './advice.js';
+import * as backlogs from './fill-backlog.js';
 import * as exemptions from './harm-exemptions.js';
 import * as gangs from './gangs.js';
 import * as order from './waiting-order.js';
@@ -55,6 +56,7 @@
 	/** Clock time from which a step that found no place is looked at again. */
 	private readonly retryAt = new WeakMap<jobs.StepRun, number>();
 	private readonly rounds: timers.RoundTimer;
+	private readonly backlog: backlogs.FillBacklog;
 
 	private constructor(private readonly opts: PlacerOptions) {
 		this.rounds = timers.RoundTimer.create({
@@ -66,6 +68,11 @@
 				this.placeReady((step) => !step.spec.fills);
 			},
 		});
+		this.backlog = backlogs.FillBacklog.create({
+			now: () => opts.clock.now(),
+			waiting: () => this.ready.steps().flatMap((step) => this.ready.tasksOf(step)),
+			workers: opts.workers,
+		});
 		this.waitingLog = waiting.WaitingLog.create(opts.clock, opts.events);
 		this.stalledLog = stalled.StalledLog.create({
 			...opts,
@@ -150,7 +157,7 @@
 		const now = this.opts.clock.now();
 		let round: rounds.PlacingRound | undefined;
 		for (const place of session.placements.values()) {
-			if (!slowed.isMovable(place, now)) continue;
+			if (!slowed.isMovable(place, now, this.backlog.exists)) continue;
 			round ??= rounds.PlacingRound.create(this.opts.workers(), now);
 			if (!this.hasPlaceElsewhere(place.task, session, round)) continue;
 			this.opts.stopFor('slowed', session, place);
@@ -382,7 +389,8 @@
 		const hasTicket = (one: sessions.WorkerSession): boolean =>
 			this.advisory.ticket(step, one.id) !== undefined;
 		const workers = advised ? inPool.filter(hasTicket) : inPool;
-		return { workers, estimates: this.opts.estimates, now: round.now };
+		const { estimates } = this.opts;
+		return { workers, estimates, now: round.now, isBacklogged: this.backlog.exists };
 	}
 
 	/** The same to place by: if no worker that the adviser has allowed has room, it is asked about others. */
--- a/src/core/dispatch/settings.ts
+++ b/src/core/dispatch/settings.ts
@@ -75,8 +75,9 @@
 /** A task that fills and was slowed to this pace or less is moved if another worker takes it, in per cent. */
 export const movedPace = 30;
 
-/** So long after it was slowed: a move costs a stop, a restored checkpoint and a wait, and a load's peak passes sooner. */
-export const movedAfterMs = 4_000;
+/** So long after it was slowed, and while others wait for the place to which it would go: a load's peak passes sooner. */
+export const movedAfterMs = 800;
+export const movedInBacklogMs = 4_000;
 
 /** Rounds of placing follow each other no closer than this while tasks wait for room. */
 export const roundGapMs = 15;
