A slowed task is moved late in a backlog only where going on from a checkpoint is dear

Change: the bound restore_ms of the settings, which operators know, against the task's estimate.

Tests: harm.test has all four: dear or cheap, with and without a backlog; 'cheap' failed before.

--- a/src/core/box/owner-role.ts
+++ b/src/core/box/owner-role.ts
@@ -177,6 +177,7 @@
 				askAdviser: adapter.askAdviser,
 				keepStateMs: settings.bounds.keepStateMs,
 				harmMs: settings.bounds.harmMs,
+				restoreMs: settings.bounds.restoreMs,
 				evacuationAgeMs: evacuationAge(settings.bounds.evacuateMs),
 				leaseEnds,
 			},
--- a/src/core/box/settings.ts
+++ b/src/core/box/settings.ts
@@ -37,6 +37,8 @@
 	keepStateMs: number;
 	/** A lasting task over its target for this long because of what fills beside it breaks its promise. */
 	harmMs: number;
+	/** Going on from a checkpoint takes a task so long; absent: it is not stated. */
+	restoreMs?: number;
 	/** A zone's workers are sent nothing more so long after its evacuation was stored; absent: zones are not evacuated. */
 	evacuateMs?: number;
 }
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -229,6 +229,7 @@
 		return placer.Placer.create({
 			...this.opts,
 			askAdviser: this.opts.askAdviser,
+			restoreMs: this.opts.restoreMs ?? 0,
 			workers: () => this.workers.all(),
 			mayBeHidden: (task) => this.locations.mayBeHidden(task),
 			policyOf: (job) => this.policyOf(job),
--- a/src/core/dispatch/options.ts
+++ b/src/core/dispatch/options.ts
@@ -25,6 +25,8 @@
 	leaseEnds: ReadonlyMap<string, number>;
 	/** Longest time over its target that a serving task may be kept by what fills beside it. */
 	harmMs: number;
+	/** Going on from a checkpoint takes so long, in milliseconds; absent: it is not known, and counts as nothing. */
+	restoreMs?: number;
 	/** Starts may go by a list of evacuated zones that was known to hold so lately; absent: zones are not evacuated. */
 	evacuationAgeMs?: number;
 }
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -37,6 +37,8 @@
 	/** Whether a task may be started once more; if not, it is given up. */
 	mayStartAgain: (task: jobs.Task) => boolean;
 	meter: meters.LoadMeter;
+	/** Going on from a checkpoint takes so long, in milliseconds. */
+	restoreMs: number;
 	askAdviser: fleet.AskAdviser | undefined;
 	/** How many more starts may be on their way now. */
 	startRoom: () => number;
@@ -155,9 +157,10 @@
 	/** Moves tasks that were slowed to almost nothing to workers where they would disturb nobody. */
 	moveSlowed(session: sessions.WorkerSession): void {
 		const now = this.opts.clock.now();
+		const terms = { now, isBacklogged: this.backlog.exists, restoreMs: this.opts.restoreMs };
 		let round: rounds.PlacingRound | undefined;
 		for (const place of session.placements.values()) {
-			if (!slowed.isMovable(place, now, this.backlog.exists)) continue;
+			if (!slowed.isMovable(place, terms)) continue;
 			round ??= rounds.PlacingRound.create(this.opts.workers(), now);
 			if (!this.hasPlaceElsewhere(place.task, session, round)) continue;
 			this.opts.stopFor('slowed', session, place);
--- a/src/core/dispatch/settings.ts
+++ b/src/core/dispatch/settings.ts
@@ -75,9 +75,14 @@
 /** A task that fills and was slowed to this pace or less is moved if another worker takes it, in per cent. */
 export const movedPace = 30;
 
-/** So long after it was slowed, and while others wait for the place to which it would go: a load's peak passes sooner. */
+/** So long after it was slowed: a load's peak may pass first. */
 export const movedAfterMs = 800;
-export const movedInBacklogMs = 4_000;
+
+/** The same where a move is dear and others wait for the place to which it would go. */
+export const dearMovedAfterMs = 4_000;
+
+/** A move is dear if going on from a checkpoint takes more than this part of the task's estimate. */
+export const dearMovePart = 0.15;
 
 /** Rounds of placing follow each other no closer than this while tasks wait for room. */
 export const roundGapMs = 15;
--- a/src/core/dispatch/slowed.ts
+++ b/src/core/dispatch/slowed.ts
@@ -2,10 +2,20 @@
 import * as settings from './settings.js';
 import type * as types from './types.js';
 
+/** What a move depends on beside its run. */
+export interface MoveTerms {
+	now: number;
+	/** More tasks that fill wait than find places. */
+	isBacklogged: boolean;
+	/** Going on from a checkpoint takes so long, in milliseconds. */
+	restoreMs: number;
+}
+
 /** Whether a run was slowed to almost nothing for a while, and can go on elsewhere from a checkpoint. */
-export function isMovable(place: types.Placement, now: number, isBacklogged: boolean): boolean {
+export function isMovable(place: types.Placement, terms: MoveTerms): boolean {
 	const { spec } = place.task.step;
 	if (place.phase !== 'running' || !spec.fills || !spec.checkpoints) return false;
-	const afterMs = isBacklogged ? settings.movedInBacklogMs : settings.movedAfterMs;
-	return place.pace <= settings.movedPace && now - place.pacedAt >= afterMs;
+	const isDear = terms.restoreMs > spec.estimateMs * settings.dearMovePart;
+	const afterMs = terms.isBacklogged && isDear ? settings.dearMovedAfterMs : settings.movedAfterMs;
+	return place.pace <= settings.movedPace && terms.now - place.pacedAt >= afterMs;
 }
--- a/test/harm.test.ts
+++ b/test/harm.test.ts
@@ -17,13 +17,14 @@
 const workerCount = 4;
 
 /** Workers with a serving task each and two that fill beside it and have not disturbed it so far. */
-async function besideServing() {
+async function besideServing(restoreMs?: number) {
 	const made = world.createWorld((task) => {
 		if (task.startsWith('serving')) return { ms: 'endless', how: 'done', reading: idleTailMs };
 		return { ms: task.startsWith('short') ? 900 : 120_000, how: 'done', reading: 1_000 };
 	});
 	const { clock, fleet } = made;
 	for (let number = 0; number < workerCount; number += 1) fleet.add(`w${String(number)}`);
+	made.restoreMs = restoreMs;
 	const owner = await made.takeOver();
 	const each = { milliCores: 4_000, image: 'serving', lasting: true, targetMs, maxPerWorker: 1 };
 	await made.submit(owner, world.job('serving', [world.step({ ...each, count: workerCount })]));
@@ -128,8 +129,12 @@
 	await made.clock.pass(2_000);
 }
 
-test('while many wait, what stands still beside a load that peaks stays where it is, and goes on', async (t) => {
-	const made = await besideServing();
+/** What going on from a checkpoint takes, in milliseconds, of tasks that are estimated at 500. */
+const dearRestoreMs = 150;
+const cheapRestoreMs = 30;
+
+test('while many wait and a move is dear, what stands still beside a load that peaks stays where it is', async (t) => {
+	const made = await besideServing(dearRestoreMs);
 	const { clock, fleet, owner, setTail, working } = made;
 	await addFreeWorker(made);
 	await addBacklog(made);
@@ -143,8 +148,8 @@
 	owner.dispatcher.close();
 });
 
-test('while many wait, what would stand still for long is moved', async (t) => {
-	const made = await besideServing();
+test('while many wait and a move is dear, what would stand still for long is moved', async (t) => {
+	const made = await besideServing(dearRestoreMs);
 	const { clock, fleet, owner, setTail } = made;
 	await addFreeWorker(made);
 	await addBacklog(made);
@@ -157,9 +162,22 @@
 });
 
 test('while none waits, what stands still is moved within a load that peaks', async (t) => {
-	const made = await besideServing();
+	const made = await besideServing(dearRestoreMs);
+	const { clock, fleet, owner, setTail } = made;
+	await addFreeWorker(made);
+	const before = fleet.starts.length;
+	setTail(highTailMs);
+	await clock.pass(peakMs + 1_000);
+	const moved = fleet.starts.slice(before).map((one) => one.worker);
+	t.deepEqual(moved, ['free', 'free']);
+	owner.dispatcher.close();
+});
+
+test('while many wait and a move is cheap, what stands still is moved within a load that peaks', async (t) => {
+	const made = await besideServing(cheapRestoreMs);
 	const { clock, fleet, owner, setTail } = made;
 	await addFreeWorker(made);
+	await addBacklog(made);
 	const before = fleet.starts.length;
 	setTail(highTailMs);
 	await clock.pass(peakMs + 1_000);
--- a/test/placer.test.ts
+++ b/test/placer.test.ts
@@ -48,6 +48,7 @@
 			workers: () => [],
 			onChanged: () => undefined,
 		}),
+		restoreMs: 0,
 		mayStartAgain: () => true,
 		meter: meters.LoadMeter.create(),
 		startRoom: () => Infinity,
