--- a/src/core/dispatch/fill-backlog.ts
+++ b/src/core/dispatch/fill-backlog.ts
@@ -1,9 +1,9 @@
 /**
  * Whether more tasks that fill wait than find places.
  *
- * Load pattern: for seconds more work that fills is ready than there is room beside what serves. A place that one task
- * leaves or spurns is taken by another then: moving a slowed task gains nothing, and harm that a task does is not made
- * good by its being done sooner. While few wait, both are.
+ * Load pattern: for seconds more work that fills is ready than there is room beside what serves. A place that comes free
+ * is taken at once then, so moving a slowed task to it gains nothing and costs the move. While few wait, it would stay
+ * empty.
  */
 import * as order from './waiting-order.js';
 import type * as jobs from '../jobs/index.js';
--- a/src/core/dispatch/placement.ts
+++ b/src/core/dispatch/placement.ts
@@ -32,10 +32,6 @@
 const mostHarm = 0.2;
 const mostHarmLate = 0.5;
 
-/** The same while more waits than finds places: what one task leaves undone there, another does elsewhere. */
-const mostHarmInBacklog = 0.15;
-const mostHarmLateInBacklog = 0.2;
-
 /** When it puts up with more, in milliseconds. */
 const patienceMs = 3_000;
 
@@ -81,8 +77,6 @@
 	workers: sessions.WorkerSession[];
 	estimates: interference.Interference;
 	now: number;
-	/** More tasks that fill wait than find places. */
-	isBacklogged: boolean;
 	/** The limits of harm do not hold: among what has room, the least harm is chosen. */
 	anyHarm?: boolean;
 }
@@ -96,13 +90,13 @@
 }
 
 /** The terms of a task now. */
-export function termsOf(task: jobs.Task, choice: Pick<Choice, 'now' | 'isBacklogged'>): Terms {
-	return { harmLimit: harmLimit(task, choice), reserve: reserveFor(task, choice.now) };
+export function termsOf(task: jobs.Task, now: number): Terms {
+	return { harmLimit: harmLimit(task, now), reserve: reserveFor(task, now) };
 }
 
 /** The best worker for a task. */
 export function choose(task: jobs.Task, choice: Choice): sessions.WorkerSession | NoPlace {
-	const terms = termsOf(task, choice);
+	const terms = termsOf(task, choice.now);
 	let best: sessions.WorkerSession | undefined;
 	let bestScore = Infinity;
 	for (const worker of choice.workers) {
@@ -164,7 +158,7 @@
 	if (worker.mustStandStill) return 'standing-still';
 	const share = shareOf(spec, worker);
 	if (estimates.expectedUse(worker) + share > mostUse) return 'cores-in-use';
-	if (estimates.harmOf(worker, spec.image, share) > harmLimit(task, choice)) return 'harm';
+	if (estimates.harmOf(worker, spec.image, share) > harmLimit(task, now)) return 'harm';
 	return disturbsOverloaded(spec.image, worker, estimates, now) ? 'overloaded' : undefined;
 }
 
@@ -199,10 +193,8 @@
 }
 
 /** How much harm a filling task puts up with. */
-function harmLimit(task: jobs.Task, choice: Pick<Choice, 'now' | 'isBacklogged'>): number {
-	const isLate = order.waitedMs(task, choice.now) >= patienceMs;
-	if (choice.isBacklogged) return isLate ? mostHarmLateInBacklog : mostHarmInBacklog;
-	return isLate ? mostHarmLate : mostHarm;
+function harmLimit(task: jobs.Task, now: number): number {
+	return order.waitedMs(task, now) < patienceMs ? mostHarm : mostHarmLate;
 }
 
 /** Whether it would disturb a task that was over its target lately: what has queued up is still being worked off. */
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -392,8 +392,7 @@
 		const hasTicket = (one: sessions.WorkerSession): boolean =>
 			this.advisory.ticket(step, one.id) !== undefined;
 		const workers = advised ? inPool.filter(hasTicket) : inPool;
-		const { estimates } = this.opts;
-		return { workers, estimates, now: round.now, isBacklogged: this.backlog.exists };
+		return { workers, estimates: this.opts.estimates, now: round.now };
 	}
 
 	/** The same to place by: if no worker that the adviser has allowed has room, it is asked about others. */
--- a/src/core/dispatch/step-candidates.ts
+++ b/src/core/dispatch/step-candidates.ts
@@ -37,12 +37,12 @@
 	}
 
 	static create(task: jobs.Task, choice: placement.Choice): StepCandidates {
-		return new StepCandidates(task, choice, placement.termsOf(task, choice));
+		return new StepCandidates(task, choice, placement.termsOf(task, choice.now));
 	}
 
 	/** Whether these are the candidates of a task too. */
 	serve(task: jobs.Task): boolean {
-		const { harmLimit, reserve } = placement.termsOf(task, this.choice);
+		const { harmLimit, reserve } = placement.termsOf(task, this.choice.now);
 		const isSame = harmLimit === this.terms.harmLimit && reserve === this.terms.reserve;
 		return isSame && task.step === this.task.step && task.failedOn.size + this.task.failedOn.size === 0;
 	}
--- a/test/harm.test.ts
+++ b/test/harm.test.ts
@@ -185,3 +185,27 @@
 	t.deepEqual(moved, ['free', 'free']);
 	owner.dispatcher.close();
 });
+
+test('a fleet whose work shifts is found out within two seconds, both ways: a dear move waits in a backlog only', async (t) => {
+	const made = await besideServing(dearRestoreMs);
+	const { clock, fleet, owner, setTail } = made;
+	await addFreeWorker(made);
+	await addBacklog(made);
+	const before = fleet.starts.length;
+	const peak = async (): Promise<void> => {
+		setTail(highTailMs);
+		await clock.pass(peakMs);
+		setTail(calmTailMs);
+		await clock.pass(1_000);
+	};
+	await peak();
+	t.is(fleet.starts.length, before);
+	owner.dispatcher.cancelJob('crowd');
+	await clock.pass(2_000);
+	await peak();
+	t.deepEqual(
+		fleet.starts.slice(before).map((one) => one.worker),
+		['free', 'free'],
+	);
+	owner.dispatcher.close();
+});
