--- a/test/harm.test.ts
+++ b/test/harm.test.ts
@@ -148,43 +148,38 @@
 	owner.dispatcher.close();
 });
 
-test('while many wait and a move is dear, what would stand still for long is moved', async (t) => {
-	const made = await besideServing(dearRestoreMs);
-	const { clock, fleet, owner, setTail } = made;
-	await addFreeWorker(made);
-	await addBacklog(made);
-	const before = fleet.starts.length;
-	setTail(highTailMs);
-	await clock.pass(4 * peakMs);
-	const moved = fleet.starts.slice(before).map((one) => one.worker);
-	t.deepEqual(moved, ['free', 'free']);
-	owner.dispatcher.close();
-});
-
-test('while none waits, what stands still is moved within a load that peaks', async (t) => {
-	const made = await besideServing(dearRestoreMs);
-	const { clock, fleet, owner, setTail } = made;
-	await addFreeWorker(made);
-	const before = fleet.starts.length;
-	setTail(highTailMs);
-	await clock.pass(peakMs + 1_000);
-	const moved = fleet.starts.slice(before).map((one) => one.worker);
-	t.deepEqual(moved, ['free', 'free']);
-	owner.dispatcher.close();
-});
-
-test('while many wait and a move is cheap, what stands still is moved within a load that peaks', async (t) => {
-	const made = await besideServing(cheapRestoreMs);
-	const { clock, fleet, owner, setTail } = made;
-	await addFreeWorker(made);
-	await addBacklog(made);
-	const before = fleet.starts.length;
-	setTail(highTailMs);
-	await clock.pass(peakMs + 1_000);
-	const moved = fleet.starts.slice(before).map((one) => one.worker);
-	t.deepEqual(moved, ['free', 'free']);
-	owner.dispatcher.close();
-});
+/** What is moved, though others wait or a move is dear, once a task beside it has been over its target for so long. */
+const moves: Record<string, { restoreMs: number; isBacklogged: boolean; afterMs: number }> = {
+	'while many wait and a move is dear, what would stand still for long is moved': {
+		restoreMs: dearRestoreMs,
+		isBacklogged: true,
+		afterMs: 4 * peakMs,
+	},
+	'while none waits, what stands still is moved within a load that peaks': {
+		restoreMs: dearRestoreMs,
+		isBacklogged: false,
+		afterMs: peakMs + 1_000,
+	},
+	'while many wait and a move is cheap, what stands still is moved within a load that peaks': {
+		restoreMs: cheapRestoreMs,
+		isBacklogged: true,
+		afterMs: peakMs + 1_000,
+	},
+};
+
+for (const [title, { restoreMs, isBacklogged, afterMs }] of Object.entries(moves))
+	test(title, async (t) => {
+		const made = await besideServing(restoreMs);
+		const { clock, fleet, owner, setTail } = made;
+		await addFreeWorker(made);
+		if (isBacklogged) await addBacklog(made);
+		const before = fleet.starts.length;
+		setTail(highTailMs);
+		await clock.pass(afterMs);
+		const moved = fleet.starts.slice(before).map((one) => one.worker);
+		t.deepEqual(moved, ['free', 'free']);
+		owner.dispatcher.close();
+	});
 
 test('a fleet whose work shifts is found out within two seconds, both ways: a dear move waits in a backlog only', async (t) => {
 	const made = await besideServing(dearRestoreMs);
