Two comments say again what their code does

The backlog of what fills is asked for at each look at a worker, not in rounds, since the limits of harm in a backlog were taken out; and jobs that somebody waits for may be in a write already.

--- a/src/core/dispatch/fill-backlog.ts
+++ b/src/core/dispatch/fill-backlog.ts
@@ -16,7 +16,7 @@
 const placedPart = 0.1;
 const workerPart = 0.25;
 
-/** It is worked out anew after so long, in milliseconds: each round asks. */
+/** It is worked out anew after so long, in milliseconds: every look at a worker asks. */
 const keptMs = 250;
 
 /** What is looked at. */
--- a/src/core/dispatch/progress-saver.ts
+++ b/src/core/dispatch/progress-saver.ts
@@ -50,7 +50,7 @@
 export class ProgressSaver {
 	/** Changed, and in no write under way, the longest ago first. */
 	private readonly dirty = new Set<jobs.ActiveJob>();
-	/** Those of them for whose storing somebody waits. */
+	/** Of those and of what changed since its write began: jobs for whose storing somebody waits. */
 	private readonly awaited = new Set<jobs.ActiveJob>();
 	/** In a write under way. */
 	private readonly inFlight = new Set<jobs.ActiveJob>();
