Idle connections of a stopping box are ended a second and a half after its address is closed

Cause: the connections that were idle when the address was closed were ended at once. A question that was on its way then is cut off, and no server can tell its caller of that in time. Each answer of a leaving box ends its connection, so connections in use go by themselves; half a second is too short for those that are used now and then.

Change: the address is closed first, what still comes over open connections is refused at once (503, not run, Retry-After 1, connection: close), and only what was idle all that time is ended.

Test: listening, 'a question over an idle connection is not cut off when its box closes its address', red with idle connections ended at once.

--- a/src/cli/box/listening.ts
+++ b/src/cli/box/listening.ts
@@ -14,19 +14,22 @@
 }
 
 /**
- * Takes no new connections, ends the idle ones, and resolves once every request under way has been answered, after
- * `mostMs` milliseconds at the latest.
+ * Takes no new connections, ends the idle ones after `quietMs` milliseconds, and resolves once every request under way has
+ * been answered, after `mostMs` milliseconds at the latest. Until the idle ones are ended each answer may be the last on
+ * its connection: callers that use theirs are not cut off by the end, which nothing could tell them of in time.
  */
-export function finish(server: http.Server, mostMs: number): Promise<void> {
+export function finish(server: http.Server, quietMs: number, mostMs: number): Promise<void> {
 	return new Promise((resolve) => {
 		// Not the close of `http.Server`, which would end the idle connections at once: on some of them a request may have
 		// arrived that is not read yet, the more the busier this process is.
 		net.Server.prototype.close.call(server, () => {
 			resolve();
 		});
-		reading.afterReading(() => {
-			server.closeIdleConnections();
-		});
+		setTimeout(() => {
+			reading.afterReading(() => {
+				server.closeIdleConnections();
+			});
+		}, quietMs).unref();
 		setTimeout(resolve, mostMs).unref();
 	});
 }
--- a/src/cli/box/main.ts
+++ b/src/cli/box/main.ts
@@ -20,6 +20,12 @@
 /** Requests that are under way when a stopping box closes its address have this long to be answered, in milliseconds. */
 const finishMs = service.longestAnswerMs + marginMs;
 
+/**
+ * Connections that are idle when it closes the address are ended after so long, in milliseconds. What comes over them until
+ * then is refused at once, so it needs none of the time that answers may take.
+ */
+const quietMs = 1_500;
+
 /** It closes the address this long before it would be killed, in milliseconds. */
 const finishBeforeKillMs = finishMs + marginMs;
 
@@ -58,7 +64,7 @@
 });
 
 async function finishAndExit(): Promise<void> {
-	await listening.finish(callersServer, finishMs);
+	await listening.finish(callersServer, quietMs, finishMs);
 	log.emit('process.stopped');
 	process.exit(0);
 }
--- a/test/listening.test.ts
+++ b/test/listening.test.ts
@@ -4,11 +4,15 @@
 import test from 'ava';
 import * as ingress from '../platform/ingress.js';
 import * as listening from '../src/cli/box/listening.js';
+import * as reading from '../src/core/after-reading.js';
 import type * as service from '../src/core/box/job-service.js';
 
 /** A whole request. */
 const question = 'GET / HTTP/1.1\r\nhost: a\r\n\r\n';
 
+/** Nothing reaches it where no configuration is known. */
+const unusedService = undefined as unknown as service.JobService;
+
 /** Longer than any test: only answers end the wait. */
 const longMs = 100_000;
 
@@ -24,7 +28,7 @@
 	const seen = new Promise((resolve) => server.once('request', resolve));
 	caller.write('POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nha');
 	await seen;
-	const finished = listening.finish(server, longMs);
+	const finished = listening.finish(server, 0, longMs);
 	t.false(await accepts(address));
 	caller.write('lf');
 	t.regex(await answered, /^HTTP\/1.1 200 [^]*done/);
@@ -40,7 +44,7 @@
 	const closed = received(caller);
 	caller.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n');
 	await new Promise((resolve) => caller.once('data', resolve));
-	await listening.finish(server, longMs);
+	await listening.finish(server, 0, longMs);
 	t.regex(await closed, /done/);
 });
 
@@ -55,10 +59,32 @@
 	await new Promise((resolve) => caller.once('data', resolve));
 	// Written and closed in one turn of the event loop: the request is at the server's socket by then.
 	caller.write(question);
-	await listening.finish(server, longMs);
+	await listening.finish(server, 0, longMs);
 	t.is((await all).match(/done/g)?.length, 2);
 });
 
+test('a question over an idle connection is not cut off when its box closes its address', async (t) => {
+	const target = { leaving: false, queues: undefined, isConfigurationInDoubt: false, service: unusedService };
+	const server = ingress.serveCallers(target);
+	const address = await listening.listen(server, '127.0.0.1:0');
+	const caller = net.connect(listening.toListenOptions(address));
+	const all = received(caller);
+	caller.write(question);
+	await new Promise((resolve) => caller.once('data', resolve));
+	target.leaving = true;
+	const finished = listening.finish(server, longMs, longMs);
+	// Whatever a close ends at once is ended by then.
+	await new Promise<void>((resolve) => {
+		reading.afterReading(resolve);
+	});
+	caller.write(question);
+	t.regex(
+		await all,
+		/^HTTP\/1.1 503 [^]*HTTP\/1.1 503 [^]*retry-after: 1[^]*connection: close[^]*about to stop/i,
+	);
+	await finished;
+});
+
 for (const closes of [false, true]) {
 	const when = closes ? 'after its address was closed' : 'while its address is open';
 	test(`a request that was under way when its box was told to stop, answered ${when}, is the last on its connection`, async (t) => {
@@ -66,7 +92,7 @@
 			leaving: false,
 			queues: undefined,
 			isConfigurationInDoubt: true,
-			service: undefined as unknown as service.JobService,
+			service: unusedService,
 		};
 		const server = ingress.serveCallers(target);
 		const address = await listening.listen(server, '127.0.0.1:0');
@@ -77,7 +103,7 @@
 		await seen;
 		target.leaving = true;
 		const begun = new Promise((resolve) => caller.once('data', resolve));
-		if (closes) void listening.finish(server, longMs);
+		if (closes) void listening.finish(server, 0, longMs);
 		caller.write('lf');
 		await begun;
 		caller.destroy();
