A start without an answer is not repeated at a worker that is leaving

Cause, by reading: a start without an answer is sent up to three times, 1.2 s apart and more on a full owner. Room, list and evacuations were asked before each try, the drain only before the first. So a worker that begins to drain meanwhile is told to start work by the second or third try, up to 2.4 s later where drain_ms is 2,000.

Change: what is asked before each try includes whether the worker is leaving; a repeated start ends in a stop, as for the other obstacles. Ruled out: fewer tries, which cost a wait of a lease where an answer is lost.

Test: draining-workers, red before.

--- a/dev/soak/main.ts
+++ b/dev/soak/main.ts
@@ -15,6 +15,9 @@
 	faults?: worlds.FaultSet;
 }
 
+/** Exit status of a soak that is ended by a signal. */
+const endedFromOutside = 2;
+
 /** The list of tests that are known to fail; its lines on seeds begin so. */
 const redFile = 'KNOWN-RED.txt';
 const redSeedLine = /^soak seeds? ([\d, ]+)/gm;
@@ -120,4 +123,10 @@
 	},
 });
 
+// Without this the boxes would outlive a soak that is ended from outside.
+for (const signal of ['SIGTERM', 'SIGINT'] as const)
+	process.once(signal, () => {
+		process.exit(endedFromOutside);
+	});
+
 await cmd.run(command, process.argv.slice(2));
--- a/src/core/dispatch/starter.ts
+++ b/src/core/dispatch/starter.ts
@@ -84,9 +84,10 @@
 		ticket: string,
 	): Promise<void> {
 		if (!isToStart(session, placement)) return;
-		// It may have begun to drain meanwhile.
-		if (session.leaving) {
-			this.notStarted(session, placement, { kind: 'too-late' });
+		const reason = this.obstacle(session, placement);
+		if (reason !== undefined) {
+			session.free(placement);
+			this.handlers.onWithdrawn(session, placement, reason);
 			return;
 		}
 		// One lease for all tries: each grant puts off the time by which a silent worker's tasks have ended.
@@ -95,12 +96,6 @@
 			this.notStarted(session, placement, { kind: 'too-late' });
 			return;
 		}
-		const reason = this.obstacle(session, placement);
-		if (reason !== undefined) {
-			session.free(placement);
-			this.handlers.onWithdrawn(session, placement, reason);
-			return;
-		}
 		this.meter.count('starts');
 		placement.sentAt = this.deps.clock.now();
 		session.newestStartAt = placement.sentAt;
@@ -143,11 +138,12 @@
 
 	/**
 	 * Why a start may not be sent any more, though its place was taken: it may have waited for the store, or been sent once
-	 * without an answer, and the worker's room may have shrunk since.
+	 * without an answer, and the worker may have begun to drain or lost room since.
 	 */
 	private obstacle(session: sessions.WorkerSession, placement: types.Placement): string | undefined {
 		const { probation } = session;
 		if (!session.isHeard) return 'unheard';
+		if (session.leaving) return 'leaving';
 		if (room.isOverfull(session)) return 'room-shrunk';
 		if (probation !== undefined && probation !== placement) return 'probation';
 		if (session.isInEvacuatedZone) return 'zone-evacuated';
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -234,7 +234,7 @@
 	'start.withdrawn': {
 		id: 3119,
 		level: 'info',
-		text: "A start was not sent, as its place is not what it was when it was taken: the worker's room has shrunk, the list of workers is not read any more, or a run on probation stands there.",
+		text: 'A start was not sent, as its place is not what it was when it was taken: the worker is leaving, its room has shrunk, the list of workers is not read any more, or a run on probation stands there.',
 	},
 	'task.stop': { id: 3112, level: 'info', text: 'A run is told to stop; the reason is given.' },
 	'step.waiting': {
