A crash that no owner saw is stored as soon as it is counted

Cause: a worker that went down before it had answered a new owner counts once for each task that may have been there. That was counted when the task was looked at for a start, and stored with that start. An owner that had no room for the task and was replaced took the count along, and the worker was off the roster.

Change: the tasks that may have been on such a worker are counted when it is lost, and their jobs are stored before the worker leaves the roster. Ruled out: leaving the worker on the roster until all of them have been started, as each successor would wait for its lease once more.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -412,7 +412,8 @@
 		// The stored worker of a lasting task is another one now.
 		for (const { task } of moved) if (task.step.spec.lasting) this.progress.mark(task.step.job, true);
 		// Until then the roster names the worker, or a successor would not know that it went down under anything.
-		const changed = new Set([...lost, ...moved].map((place) => place.task.step.job));
+		const unseen = session.lostUnheard ? this.outcomes.lostUnheard() : [];
+		const changed = new Set([...unseen, ...[...lost, ...moved].map((place) => place.task.step.job)]);
 		void this.progress.stored(changed).then(() => {
 			this.workers.forget(session);
 		});
--- a/src/core/dispatch/job-book.ts
+++ b/src/core/dispatch/job-book.ts
@@ -90,6 +90,11 @@
 		return state && { state, ...(state === 'failed' && failure !== '' && { failure }) };
 	}
 
+	/** Jobs that an earlier owner may have started and that have not ended. */
+	inherited(): jobs.ActiveJob[] {
+		return [...this.jobs.values()].filter((job) => job.inherited && !job.ended);
+	}
+
 	/** Tasks that have not finished, by the priority of their jobs; lasting ones never do, and are left out. */
 	owed(priorityOf: (job: jobs.ActiveJob) => number): Map<number, number> {
 		const owed = new Map<number, number>();
--- a/src/core/dispatch/outcomes.ts
+++ b/src/core/dispatch/outcomes.ts
@@ -91,18 +91,37 @@
 		if (task.crashes?.empty === true) task.crashes = undefined;
 	}
 
+	/**
+	 * A worker went down before it had told what earlier owners had started there; returns the jobs of which something may
+	 * have been. They are to be stored: a later owner won't know of that worker.
+	 */
+	lostUnheard(): Set<jobs.ActiveJob> {
+		const found = new Set<jobs.ActiveJob>();
+		for (const job of this.opts.book.inherited())
+			for (const step of job.steps)
+				for (const task of step.tasks) if (this.noteUnseenCrash(task)) found.add(job);
+		for (const job of found) this.opts.progress.mark(job);
+		return found;
+	}
+
 	/** Whether a task may be started once more after what became of its workers; if not, it is given up. */
 	mayStartAgain(task: jobs.Task): boolean {
-		if (task.crashes === undefined && this.opts.mayHaveCrashed(task)) {
-			task.crashes = jobs.CrashHistory.create();
-			task.crashes.noteCrash(unseenRun, false);
-		}
+		this.noteUnseenCrash(task);
 		const { crashes } = task;
 		if (crashes === undefined) return true;
 		crashes.settleTries();
 		return !this.giveUpSpent(task, crashes);
 	}
 
+	/** Counts a crash under a run that this owner never heard of, if there may have been one; false: there was none to count. */
+	private noteUnseenCrash(task: jobs.Task): boolean {
+		if (task.state === 'finished' || task.crashes !== undefined) return false;
+		if (!this.opts.mayHaveCrashed(task)) return false;
+		task.crashes = jobs.CrashHistory.create();
+		task.crashes.noteCrash(unseenRun, false);
+		return true;
+	}
+
 	/** A worker went down under a run. */
 	private noteCrash(session: sessions.WorkerSession, place: types.Placement, isBlamed: boolean): void {
 		const { task, run, sentAt = -Infinity } = place;
--- a/test/crashing-tasks.test.ts
+++ b/test/crashing-tasks.test.ts
@@ -11,6 +11,7 @@
 import * as ledger from '../src/core/ledger/index.js';
 import * as random from '../dev/random.js';
 import * as world from './fixtures/dispatching.js';
+import type * as fleetTypes from '../src/core/fleet/types.js';
 import type * as jobs from '../src/core/jobs/index.js';
 import type * as workers from '../stand-ins/fleet/workers.js';
 
@@ -28,6 +29,11 @@
 	return made;
 }
 
+/** A worker's entry that leaves no task a place. */
+function withoutRoom(entry: fleetTypes.WorkerEntry): fleetTypes.WorkerEntry {
+	return { ...entry, capacity: { ...entry.capacity, milliCores: 0 } };
+}
+
 function planOf(task: string, crashMs: number, soundMs: number): workers.RunPlan {
 	if (task.startsWith('bad')) return { ms: 'endless', how: 'done', crashMs };
 	if (task.startsWith('half') && task.endsWith('.0')) return { ms: 'endless', how: 'done', crashMs };
@@ -126,6 +132,31 @@
 		}
 });
 
+test('a crash that no owner saw counts, though the next owner dies before it starts the task again', async (t) => {
+	const made = createWorld(300);
+	const reign = await Reign.begin(made);
+	await made.submit(reign.owner, world.job('bad', [world.step()]));
+	await made.clock.pass(290);
+	await reign.change();
+	// It learns that the worker went down, and has no room for the task.
+	const { onListed, workers: all } = made.fleet;
+	made.fleet.onListed = (added, removed) => {
+		reign.owner.dispatcher.setWorkers(added.map(withoutRoom), removed, false);
+	};
+	made.fleet.onListed(
+		[...all.values()].map(({ entry }) => entry),
+		[],
+	);
+	await made.clock.pass(20_000);
+	t.is(made.fleet.starts.length, 1);
+	made.fleet.onListed = onListed;
+	await reign.change();
+	await made.clock.pass(soundWithinMs);
+	t.is(reign.owner.dispatcher.stateOf('bad'), 'failed');
+	t.is(crashes.historyOf(made, 'bad.0.0.0').late, crashing.startsAfterBound);
+	reign.close();
+});
+
 test('several tasks that crash their workers, handed in with everything else, are each given up', async (t) => {
 	const made = createWorld(10);
 	const reign = await Reign.begin(made);
