--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -196,6 +196,12 @@
 		this.workers.close();
 	}
 
+	/** What has not been read lately, so that nothing may be started by it; undefined: all has been. */
+	private get unread(): types.UnreadList | undefined {
+		if (!this.evacuations.isKnown) return 'evacuations-unread';
+		return this.list.isFresh ? undefined : 'list-unread';
+	}
+
 	private adoptKnowledge(knowledge: learnt.Knowledge): void {
 		const adopted = this.estimates.adopt(knowledge);
 		this.opts.events.emit('learnt.adopted', {
@@ -208,8 +214,7 @@
 	private createStarter(): starter.Starter {
 		return starter.Starter.create(this.opts, this.meter, {
 			beforeStart: (session, place) => this.beforeStart(session, place),
-			isListFresh: () => this.list.isFresh,
-			areEvacuationsKnown: () => this.evacuations.isKnown,
+			unread: () => this.unread,
 			onRoom: () => {
 				this.placer.wake();
 			},
@@ -235,7 +240,7 @@
 			policyOf: (job) => this.policyOf(job),
 			estimates: this.estimates,
 			probations: this.probations,
-			mayAct: () => this.opts.mayAct() && this.list.isFresh && this.evacuations.isKnown,
+			mayAct: () => this.opts.mayAct() && this.unread === undefined,
 			mayStartAgain: (task) => this.outcomes.mayStartAgain(task),
 			meter: this.meter,
 			startRoom: () => this.starter.room,
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -1,13 +1,12 @@
 /** Places tasks that may start: which comes first, where it goes, and who makes room for it. */
-import * as advice from './advice.js';
 import * as backlogs from './fill-backlog.js';
+import * as choices from './choices.js';
 import * as exemptions from './harm-exemptions.js';
 import * as gangs from './gangs.js';
 import * as order from './waiting-order.js';
 import * as placement from './placement.js';
 import * as preemption from './preemption.js';
 import * as probation from './probation.js';
-import * as room from './room.js';
 import * as rounds from './placing-round.js';
 import * as timers from './round-timer.js';
 import * as settings from './settings.js';
@@ -51,7 +50,7 @@
 export class Placer {
 	private readonly ready = waitingSteps.WaitingSteps.create();
 	private readonly places = new Map<jobs.Task, sessions.WorkerSession>();
-	private readonly advisory: advice.Advisory;
+	private readonly choices: choices.Choices;
 	private readonly waitingLog: waiting.WaitingLog;
 	private readonly stalledLog: stalled.StalledLog;
 	private readonly exemptions = exemptions.HarmExemptions.create();
@@ -82,9 +81,8 @@
 			workersFor: (step) => this.workersOf(opts.policyOf(step.job).pool),
 			explain: (task) => this.explain(task),
 		});
-		this.advisory = advice.Advisory.create({
-			clock: opts.clock,
-			events: opts.events,
+		this.choices = choices.Choices.create({
+			...opts,
 			ask: opts.askAdviser,
 			onNews: () => {
 				this.wake();
@@ -157,7 +155,7 @@
 	/** Moves tasks that were slowed to almost nothing to workers where they would disturb nobody. */
 	moveSlowed(session: sessions.WorkerSession): void {
 		const now = this.opts.clock.now();
-		const terms = { now, isBacklogged: this.backlog.exists, restoreMs: this.opts.restoreMs };
+		const terms = { now, isBacklogged: () => this.backlog.exists, restoreMs: this.opts.restoreMs };
 		let round: rounds.PlacingRound | undefined;
 		for (const place of session.placements.values()) {
 			if (!slowed.isMovable(place, terms)) continue;
@@ -192,13 +190,11 @@
 		const withheld = this.withheldBecause(task);
 		if (withheld !== undefined) return { reason: withheld };
 		const round = rounds.PlacingRound.create(this.opts.workers(), now);
-		const choice = this.choiceAmong(step, round);
+		const choice = this.choices.among(step, round);
 		const isTried = this.opts.probations.isSuspect(task);
 		if (isTried && !this.opts.probations.isFree(step, choice.workers.length))
 			return { reason: 'other-suspects' };
-		const { advised, pool } = this.opts.policyOf(step.job);
-		const isOpen = round.openFor(step, pool).length > 0;
-		if (advised && choice.workers.length === 0 && isOpen) return { reason: 'no-ticket' };
+		if (this.choices.lacksTicket(step, round)) return { reason: 'no-ticket' };
 		return reasons.whyNoPlace(task, choice);
 	}
 
@@ -208,7 +204,7 @@
 		from: sessions.WorkerSession,
 		round: rounds.PlacingRound,
 	): boolean {
-		const choice = this.choiceFor(task.step, round);
+		const choice = this.choices.toPlace(task.step, round);
 		const elsewhere = { ...choice, workers: choice.workers.filter((one) => one !== from) };
 		return typeof placement.choose(task, elsewhere) !== 'string';
 	}
@@ -256,7 +252,7 @@
 		round: rounds.PlacingRound,
 	): jobs.Task | undefined {
 		if (step.spec.gang) return this.placeGang(step, round) ? undefined : tasks[0];
-		const choice = this.choiceFor(step, round);
+		const choice = this.choices.toPlace(step, round);
 		// Suspects wait for each other, and the rest of the step does not.
 		let mayTryOut = true;
 		for (const task of probation.inTurn(tasks)) {
@@ -290,8 +286,8 @@
 	private noteNoPlace(task: jobs.Task, round: rounds.PlacingRound): void {
 		const { now } = round;
 		// Room for one task on a good worker may be too little, or ruled out: a gang needs places for all its members.
-		this.askFurther(task.step, round);
-		this.waitingLog.note(task, () => reasons.whyNoPlace(task, this.choiceFor(task.step, round)));
+		this.choices.askFurther(task.step, round);
+		this.waitingLog.note(task, () => reasons.whyNoPlace(task, this.choices.toPlace(task.step, round)));
 		// Workers are kept free in every round, or short tasks would take them in between.
 		if (order.isOverdue(task, now)) round.keepFor(task.step, this.opts.policyOf(task.step.job).pool);
 		else this.retryAt.set(task.step, now + retryMs(task.step));
@@ -327,7 +323,7 @@
 	/** Filling tasks that have waited too long, the longest first, go where they do least harm, whatever that is. */
 	private placeStarved(waiting: jobs.Task[], round: rounds.PlacingRound): void {
 		for (const task of order.starved(waiting, round.now)) {
-			const choice = this.choiceFor(task.step, round);
+			const choice = this.choices.toPlace(task.step, round);
 			const waitedMs = order.waitedMs(task, round.now);
 			if (!this.exemptions.isFree(task.step, waitedMs, choice.workers.length)) continue;
 			const workers = choice.workers.filter((one) => !this.exemptions.isOn(one));
@@ -341,7 +337,7 @@
 	}
 
 	private placeGang(step: jobs.StepRun, round: rounds.PlacingRound): boolean {
-		return this.beginAll(this.gangPlaces(step, this.choiceFor(step, round)));
+		return this.beginAll(this.gangPlaces(step, this.choices.toPlace(step, round)));
 	}
 
 	/** Places for all members of a gang; none: it has to wait. */
@@ -362,7 +358,7 @@
 	}
 
 	private begin(task: jobs.Task, session: sessions.WorkerSession, place: types.Placement): void {
-		const { clock, events, policyOf } = this.opts;
+		const { clock, events } = this.opts;
 		this.ready.delete(task);
 		task.state = 'placed';
 		task.waitedMs = clock.now() - task.waitingSince;
@@ -377,46 +373,13 @@
 			epoch: this.opts.epoch,
 			waitedMs: Math.round(clock.now() - task.readyAt),
 		});
-		const { advised } = policyOf(task.step.job);
-		this.opts.start(session, place, advised ? (this.advisory.ticket(task.step, session.id) ?? '') : '');
+		this.opts.start(session, place, this.choices.ticketFor(task.step, session.id));
 	}
 
 	private nextRun(task: jobs.Task): number {
 		return Math.max(task.run, (this.opts.epoch - 1) * runsPerEpoch) + 1;
 	}
 
-	/** Workers that may run a step by pool and advice, and how to rate them. */
-	private choiceAmong(step: jobs.StepRun, round: rounds.PlacingRound): placement.Choice {
-		const { pool, advised } = this.opts.policyOf(step.job);
-		const inPool = round.openFor(step, pool);
-		const hasTicket = (one: sessions.WorkerSession): boolean =>
-			this.advisory.ticket(step, one.id) !== undefined;
-		const workers = advised ? inPool.filter(hasTicket) : inPool;
-		return { workers, estimates: this.opts.estimates, now: round.now };
-	}
-
-	/** The same to place by: if no worker that the adviser has allowed has room, it is asked about others. */
-	private choiceFor(step: jobs.StepRun, round: rounds.PlacingRound): placement.Choice {
-		const choice = this.choiceAmong(step, round);
-		const { advised } = this.opts.policyOf(step.job);
-		const lacksRoom = advised && !choice.workers.some((one) => room.hasPlace(step, one));
-		if (lacksRoom) this.askFurther(step, round);
-		return choice;
-	}
-
-	/** Asks the adviser, if the step's policy wants advice, about workers with room that it has not judged. */
-	private askFurther(step: jobs.StepRun, round: rounds.PlacingRound): void {
-		const { pool, advised } = this.opts.policyOf(step.job);
-		if (advised) this.advisory.want(step, this.likely(step, round.openFor(step, pool)));
-	}
-
-	/** Workers with room for a step, the emptiest first. */
-	private likely(step: jobs.StepRun, workers: sessions.WorkerSession[]): string[] {
-		const fitting = workers.filter((one) => room.hasPlace(step, one));
-		fitting.sort((a, b) => a.used.milliCores - b.used.milliCores);
-		return fitting.map((one) => one.id);
-	}
-
 	/** Stops others for short tasks that found no room. */
 	private preempt(waiting: jobs.Task[]): void {
 		const { clock, policyOf, estimates } = this.opts;
--- a/src/core/dispatch/slowed.ts
+++ b/src/core/dispatch/slowed.ts
@@ -6,7 +6,7 @@
 export interface MoveTerms {
 	now: number;
 	/** More tasks that fill wait than find places. */
-	isBacklogged: boolean;
+	isBacklogged: () => boolean;
 	/** Going on from a checkpoint takes so long, in milliseconds. */
 	restoreMs: number;
 }
@@ -15,7 +15,8 @@
 export function isMovable(place: types.Placement, terms: MoveTerms): boolean {
 	const { spec } = place.task.step;
 	if (place.phase !== 'running' || !spec.fills || !spec.checkpoints) return false;
+	const slowedMs = terms.now - place.pacedAt;
+	if (place.pace > settings.movedPace || slowedMs < settings.movedAfterMs) return false;
 	const isDear = terms.restoreMs > spec.estimateMs * settings.dearMovePart;
-	const afterMs = terms.isBacklogged && isDear ? settings.dearMovedAfterMs : settings.movedAfterMs;
-	return place.pace <= settings.movedPace && terms.now - place.pacedAt >= afterMs;
+	return slowedMs >= settings.dearMovedAfterMs || !isDear || !terms.isBacklogged();
 }
--- a/src/core/dispatch/starter.ts
+++ b/src/core/dispatch/starter.ts
@@ -14,10 +14,8 @@
 export interface StarterHandlers {
 	/** Resolves once the start may be sent, as a successor could know of it; undefined: there is nothing to wait for. */
 	beforeStart: (session: sessions.WorkerSession, placement: types.Placement) => Promise<void> | undefined;
-	/** Whether the list of workers is read, so that what it says of their room holds. */
-	isListFresh: () => boolean;
-	/** Whether it is known which zones are evacuated. */
-	areEvacuationsKnown: () => boolean;
+	/** What of the platform has not been read lately, so that nothing may be started by it; undefined: all has been. */
+	unread: () => types.UnreadList | undefined;
 	/** Another start may be sent. */
 	onRoom: () => void;
 	/** The run is known to be there. */
@@ -147,8 +145,7 @@
 		if (room.isOverfull(session)) return 'room-shrunk';
 		if (probation !== undefined && probation !== placement) return 'probation';
 		if (session.isInEvacuatedZone) return 'zone-evacuated';
-		if (!this.handlers.areEvacuationsKnown()) return 'evacuations-unread';
-		return this.handlers.isListFresh() ? undefined : 'list-unread';
+		return this.handlers.unread();
 	}
 
 	/** Stops a run, and logs why; `more`: what else the log line tells. */
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -44,6 +44,9 @@
 	overAt: number;
 }
 
+/** A list of the platform's that has not been read lately: which workers there are, or which zones are evacuated. */
+export type UnreadList = 'list-unread' | 'evacuations-unread';
+
 /** What the dispatcher is told about the world, and how it acts on it. */
 export interface DispatchDeps {
 	clock: clocks.Clock;
--- /dev/null
+++ b/src/core/dispatch/worker-availability.ts
@@ -0,0 +1,39 @@
+/** Why a worker gets no new work. */
+import type * as sessions from './worker-session.js';
+
+/**
+ * `superseded`: another life has answered in its place. `unheard`: it has not reported to this owner under its newest
+ * token. `unrostered`: a successor would not ask it. `in-doubt`: starts of lost runs may still be under way. `strays`: what
+ * it runs unasked is being stopped.
+ */
+export type ClosedReason =
+	| 'gone'
+	| 'superseded'
+	| 'unlisted'
+	| 'draining'
+	| 'vacated'
+	| 'zone-evacuated'
+	| 'silent'
+	| 'unheard'
+	| 'unrostered'
+	| 'probation'
+	| 'in-doubt'
+	| 'strays'
+	| 'paused';
+
+/** Why a worker gets no new work now; undefined: it does. */
+export function closedBecause(session: sessions.WorkerSession): ClosedReason | undefined {
+	const { entry } = session;
+	if (session.isOver) return session.isSuperseded ? 'superseded' : 'gone';
+	if (entry === undefined || session.unlisted) return 'unlisted';
+	if (entry.draining) return 'draining';
+	if (session.vacated) return 'vacated';
+	if (session.isInEvacuatedZone) return 'zone-evacuated';
+	if (!session.answering) return 'silent';
+	if (!session.settled || !session.isHeard) return 'unheard';
+	if (!session.rostered) return 'unrostered';
+	if (session.probation !== undefined) return 'probation';
+	if (session.inDoubt.any) return 'in-doubt';
+	if (session.strays > 0) return 'strays';
+	return session.health.paused ? 'paused' : undefined;
+}
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -3,6 +3,7 @@
  * there. A place is freed only on a proof that its run has ended: the worker lists the end, another life answers
  * in its place, or the lease of everything there has run out.
  */
+import * as availability from './worker-availability.js';
 import * as clocks from '../clock.js';
 import * as doubts from './runs-in-doubt.js';
 import * as fencing from './fencing-tokens.js';
@@ -15,26 +16,6 @@
 import type * as jobs from '../jobs/index.js';
 import type * as types from './types.js';
 
-/**
- * Why a worker gets no new work. `superseded`: another life has answered in its place. `unheard`: it has not reported to
- * this owner under its newest token. `unrostered`: a successor would not ask it. `in-doubt`: starts of lost runs may still
- * be under way. `strays`: what it runs unasked is being stopped.
- */
-export type ClosedReason =
-	| 'gone'
-	| 'superseded'
-	| 'unlisted'
-	| 'draining'
-	| 'vacated'
-	| 'zone-evacuated'
-	| 'silent'
-	| 'unheard'
-	| 'unrostered'
-	| 'probation'
-	| 'in-doubt'
-	| 'strays'
-	| 'paused';
-
 /** A worker under this owner's epoch. */
 export class WorkerSession {
 	readonly placements = new Map<string, types.Placement>();
@@ -228,20 +209,13 @@
 	}
 
 	/** Why it gets no new work now; undefined: it does. */
-	get closedBecause(): ClosedReason | undefined {
-		if (this.gone || this.closed) return 'gone';
-		if (this.superseded) return 'superseded';
-		if (this.entry === undefined || this.unlisted) return 'unlisted';
-		if (this.entry.draining) return 'draining';
-		if (this.vacated) return 'vacated';
-		if (this.isInEvacuatedZone) return 'zone-evacuated';
-		if (!this.answering) return 'silent';
-		if (!this.settled || !this.isHeard) return 'unheard';
-		if (!this.rostered) return 'unrostered';
-		if (this.probation !== undefined) return 'probation';
-		if (this.inDoubt.any) return 'in-doubt';
-		if (this.strays > 0) return 'strays';
-		return this.health.paused ? 'paused' : undefined;
+	get closedBecause(): availability.ClosedReason | undefined {
+		return availability.closedBecause(this);
+	}
+
+	/** Whether another life answered in its place, and nothing else has ended it. */
+	get isSuperseded(): boolean {
+		return this.superseded && !this.gone && !this.closed;
 	}
 
 	/** Takes a place for a task. */
