Plays that a soak started side by side end with it

A soak ended from outside left the plays behind that it had started with --at-once, and their boxes.

--- a/dev/soak/main.ts
+++ b/dev/soak/main.ts
@@ -67,7 +67,12 @@
 	const args = [process.argv[1] ?? '', ...flags, ...(keep ? ['--keep'] : [])];
 	return new Promise((resolve) => {
 		const child = childProcess.spawn(process.execPath, args, { stdio: ['ignore', 'inherit', 'inherit'] });
+		const end = (): void => {
+			child.kill();
+		};
+		process.once('exit', end);
 		child.once('exit', (code) => {
+			process.off('exit', end);
 			resolve(code === 0);
 		});
 	});
@@ -123,7 +128,7 @@
 	},
 });
 
-// Without this the boxes would outlive a soak that is ended from outside.
+// Without this the plays and their boxes would outlive a soak that is ended from outside.
 for (const signal of ['SIGTERM', 'SIGINT'] as const)
 	process.once(signal, () => {
 		process.exit(endedFromOutside);
