What may have gone down with one worker is looked up for that worker alone

Each worker that is lost before a new owner heard it asked of every inherited task whether it may have been on any such worker: with hundreds of them, tens of millions of look-ups in one second of an owner that is just taking over (worked out, not measured). Now of the one that was lost. Same answers; crashing-tasks, restarted-workers, takeover and inherited-runs passed.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -417,7 +417,7 @@
 		// The stored worker of a lasting task is another one now.
 		for (const { task } of moved) if (task.step.spec.lasting) this.progress.mark(task.step.job, true);
 		// Until then the roster names the worker, or a successor would not know that it went down under anything.
-		const unseen = session.lostUnheard ? this.outcomes.lostUnheard() : [];
+		const unseen = session.lostUnheard ? this.outcomes.lostUnheard(session) : [];
 		const changed = new Set([...unseen, ...[...lost, ...moved].map((place) => place.task.step.job)]);
 		void this.progress.stored(changed).then(() => {
 			this.workers.forget(session);
--- a/src/core/dispatch/outcomes.ts
+++ b/src/core/dispatch/outcomes.ts
@@ -1,5 +1,6 @@
 /** What becomes of jobs as their runs begin, end, fail or are lost. */
 import * as jobs from '../jobs/index.js';
+import * as locations from './task-locations.js';
 import * as settings from './settings.js';
 import type * as blame from './crash-blame.js';
 import type * as clocks from '../clock.js';
@@ -95,18 +96,19 @@
 	 * A worker went down before it had told what earlier owners had started there; returns the jobs of which something may
 	 * have been. They are to be stored: a later owner won't know of that worker.
 	 */
-	lostUnheard(): Set<jobs.ActiveJob> {
+	lostUnheard(session: sessions.WorkerSession): Set<jobs.ActiveJob> {
 		const found = new Set<jobs.ActiveJob>();
+		const mayHaveCrashed = (task: jobs.Task): boolean => locations.mayHaveCrashedOn(session, task);
 		for (const job of this.opts.book.inherited())
 			for (const step of job.steps)
-				for (const task of step.tasks) if (this.noteUnseenCrash(task)) found.add(job);
+				for (const task of step.tasks) if (this.noteUnseenCrash(task, mayHaveCrashed)) found.add(job);
 		for (const job of found) this.opts.progress.mark(job);
 		return found;
 	}
 
 	/** Whether a task may be started once more after what became of its workers; if not, it is given up. */
 	mayStartAgain(task: jobs.Task): boolean {
-		this.noteUnseenCrash(task);
+		this.noteUnseenCrash(task, this.opts.mayHaveCrashed);
 		const { crashes } = task;
 		if (crashes === undefined) return true;
 		crashes.settleTries();
@@ -114,9 +116,9 @@
 	}
 
 	/** Counts a crash under a run that this owner never heard of, if there may have been one; false: there was none to count. */
-	private noteUnseenCrash(task: jobs.Task): boolean {
+	private noteUnseenCrash(task: jobs.Task, mayHaveCrashed: (task: jobs.Task) => boolean): boolean {
 		if (task.state === 'finished' || task.crashes !== undefined) return false;
-		if (!this.opts.mayHaveCrashed(task)) return false;
+		if (!mayHaveCrashed(task)) return false;
 		task.crashes = jobs.CrashHistory.create();
 		task.crashes.noteCrash(unseenRun, false);
 		return true;
--- a/src/core/dispatch/task-locations.ts
+++ b/src/core/dispatch/task-locations.ts
@@ -50,11 +50,9 @@
 		if (session.lostUnheard) this.lostUnheard.push(session);
 	}
 
-	/** Whether a worker may have gone down under a run that an earlier owner started and this one never heard of. */
+	/** Whether any worker may have gone down under a run that an earlier owner started and this one never heard of. */
 	mayHaveCrashed(task: jobs.Task): boolean {
-		if (!task.step.job.inherited || task.run > 0) return false;
-		if (isStored(task)) return this.lostUnheard.some((one) => one.id === task.worker);
-		return this.lostUnheard.some((one) => one.rosteredTasks?.has(task.name) ?? true);
+		return this.lostUnheard.some((one) => mayHaveCrashedOn(one, task));
 	}
 
 	/** To be awaited before the start of a placed task is sent; undefined: it may be sent at once. */
@@ -67,6 +65,13 @@
 	}
 }
 
+/** Whether a worker that was lost unheard may have gone down under a run of the task. */
+export function mayHaveCrashedOn(session: sessions.WorkerSession, task: jobs.Task): boolean {
+	if (!task.step.job.inherited || task.run > 0) return false;
+	if (isStored(task)) return session.id === task.worker;
+	return session.rosteredTasks?.has(task.name) ?? true;
+}
+
 /** Whether a task's worker is stored before each start. */
 function isStored(task: jobs.Task): boolean {
 	return task.step.spec.lasting && task.step.job.workersStored;
