--- a/src/cli/box/listening.ts
+++ b/src/cli/box/listening.ts
@@ -15,8 +15,8 @@
 
 /**
  * Takes no new connections, ends the idle ones after `quietMs` milliseconds, and resolves once every request under way has
- * been answered, after `mostMs` milliseconds at the latest. Until the idle ones are ended each answer may be the last on
- * its connection: callers that use theirs are not cut off by the end, which nothing could tell them of in time.
+ * been answered, after `mostMs` milliseconds at the latest. Meanwhile connections in use are to be closed by their answers:
+ * nothing tells a caller in time that an idle one ends.
  */
 export function finish(server: http.Server, quietMs: number, mostMs: number): Promise<void> {
 	return new Promise((resolve) => {
--- a/src/core/jobs/crash-history.ts
+++ b/src/core/jobs/crash-history.ts
@@ -4,7 +4,10 @@
  * that has such a run is stored before each further start. Runs are kept by number, so that one told of twice counts once.
  */
 
-/** After so many crashes, whoever is to blame, only a few starts are left, also of runs that then end in another way. */
+/** Workers that may have crashed under a task before it is given up, whoever is to blame. */
+const mostCrashes = 4;
+
+/** After so many crashes only a few starts are left, also of runs that then end in another way. */
 const crashesBeforeBound = 3;
 const startsAfterBound = 2;
 
@@ -66,8 +69,8 @@
 	/** Why the task is not to be started again; undefined: it may be. */
 	get verdict(): string | undefined {
 		if (this.blamed >= mostBlamed) return 'it brought them down';
-		const startsAfter = this.crashed - crashesBeforeBound + this.tries.size;
-		const isSpent = this.crashed >= crashesBeforeBound && startsAfter >= startsAfterBound;
+		if (this.crashed >= mostCrashes) return 'too many to go on, whatever the cause';
+		const isSpent = this.crashed >= crashesBeforeBound && this.tries.size >= startsAfterBound;
 		return isSpent ? 'no more starts are left' : undefined;
 	}
 
