The owner tells how long ends wait to be stored and forgotten, what it orders, and whose delay a lapsed lease is

What could not be told before: whether an end that is not taken note of waits for its write or for the report after it, how much of the owner's work is asked for by being late (questions, stops, orders on pace, abandoned runs), and why a lease ran out.

Two histograms on the metrics address (end_stored, end_forgotten), the owner's last second as figures beside its log line, with ends listed and not yet forgotten and the age of the oldest; 3209 lease.lapsed. No decision changes. Tests: listed-ends.

--- a/src/cli/box/figures.ts
+++ b/src/cli/box/figures.ts
@@ -18,6 +18,9 @@
 export async function serveFigures(box: boxes.Box, log: events.EventLog, address: string): Promise<void> {
 	const metrics = await import('../../core/metrics/index.js');
 	const figures = metrics.Metrics.create();
+	box.recordTime = (name, ms) => {
+		figures.time(name, ms);
+	};
 	log.observe((event) => {
 		figures.count(`event_${event.name.replace(/[.-]/g, '_')}`);
 		const name = times[event.name];
@@ -45,5 +48,16 @@
 		store_lost_ms: Math.round(box.storeLostForMs),
 		memory_bytes: rss,
 		cpu_us: user + system,
+		...ownerFigures(box.ownerLoad),
 	};
 }
+
+/** The owner's last second, one figure a field. */
+function ownerFigures(load: boxes.Box['ownerLoad']): Record<string, number> {
+	const fields: [string, number][] = Object.entries({ ...load });
+	return Object.fromEntries(fields.map(([field, value]) => [`owner_${toSnakeCase(field)}`, value]));
+}
+
+function toSnakeCase(name: string): string {
+	return name.replace(/[A-Z]/g, (capital) => `_${capital.toLowerCase()}`);
+}
--- a/src/core/box/box.ts
+++ b/src/core/box/box.ts
@@ -14,6 +14,7 @@
 import type * as adapters from './platform-adapter.js';
 import type * as boxSettings from './settings.js';
 import type * as clocks from '../clock.js';
+import type * as dispatch from '../dispatch/index.js';
 import type * as events from '../events/index.js';
 import type * as queues from '../queues/index.js';
 import type * as stores from '../platform/types.js';
@@ -31,6 +32,8 @@
 	private configuration!: configurations.ConfigurationFollower;
 	private ownership!: ownership.Ownership;
 	private server!: wire.PeerServer<protocol.BoxReq>;
+	/** Takes times of ends while this box owns the dispatching; nobody asks until it is set. */
+	recordTime: dispatch.RecordTime = () => undefined;
 	/** What this box does as long as it owns the dispatching. */
 	private role: ownerRole.OwnerRole | undefined;
 	private readonly heldPings: held.HeldPings;
@@ -130,6 +133,11 @@
 		return this.stopping;
 	}
 
+	/** The owner's last second; undefined: another box owns the dispatching, or this one has just begun. */
+	get ownerLoad(): ownerRole.OwnerLoad | undefined {
+		return this.role?.load;
+	}
+
 	/** Planned stop: callers go elsewhere, and another box dispatches. */
 	async leave(): Promise<void> {
 		this.stopping = true;
@@ -220,6 +228,9 @@
 				clock: this.clock,
 				events: this.events,
 				table: () => this.queues,
+				recordTime: (name, ms) => {
+					this.recordTime(name, ms);
+				},
 				onFenced: (reason) => {
 					this.ownership.lose(reason);
 				},
--- a/src/core/box/owner-role.ts
+++ b/src/core/box/owner-role.ts
@@ -42,6 +42,16 @@
 	table: () => queues.QueueTable | undefined;
 	/** A newer owner was seen. */
 	onFenced: (reason: string) => void;
+	/** Records how long ends waited. */
+	recordTime: dispatch.RecordTime;
+}
+
+/** What an owner did in a second, times in whole milliseconds. */
+export interface OwnerLoad extends dispatch.DispatchLoad {
+	/** Processor that the whole box used. */
+	cpuMs: number;
+	/** How long what is owed takes; 0: it is not known, or nothing is. */
+	backlogMs: number;
 }
 
 /** The owner's part of a box, under one generation. */
@@ -58,6 +68,8 @@
 	/** The work that is owed, as of the last second. */
 	backlog: admission.Backlog = [];
 	private cpuBefore = process.cpuUsage();
+	/** The last second; undefined: the first has not passed. */
+	load: OwnerLoad | undefined;
 
 	private constructor(
 		private readonly deps: OwnerRoleDeps,
@@ -120,20 +132,21 @@
 
 	/** Works out what is owed, and logs a line a second while anything is done or waits. */
 	private noteLoad(): void {
-		const { roundMs, longestRoundMs, ...load } = this.dispatcher.load();
+		const { roundMs, longestRoundMs, reportMs, ...load } = this.dispatcher.load();
 		this.finishRate.note(load.finished, load.waitingShort);
 		this.backlog = admission.backlogOf(this.dispatcher.owed(), this.finishRate.perS);
-		if (load.reports === 0 && load.waiting === 0) return;
 		const { user, system } = process.cpuUsage(this.cpuBefore);
 		this.cpuBefore = process.cpuUsage();
-		this.deps.events.emit('owner.load', {
-			epoch: this.owned.generation,
+		this.load = {
 			...load,
 			roundMs: Math.round(roundMs),
 			longestRoundMs: Math.round(longestRoundMs),
+			reportMs: Math.round(reportMs),
 			cpuMs: Math.round((user + system) / 1_000),
 			backlogMs: this.backlog.at(-1)?.waitMs ?? 0,
-		});
+		};
+		if (load.reports === 0 && load.waiting === 0) return;
+		this.deps.events.emit('owner.load', { epoch: this.owned.generation, ...this.load });
 	}
 
 	/** Stores what was learnt, for the next owner; a write that fails is made good by the next one. */
@@ -179,6 +192,7 @@
 				harmMs: settings.bounds.harmMs,
 				restoreMs: settings.bounds.restoreMs,
 				evacuationAgeMs: evacuationAge(settings.bounds.evacuateMs),
+				recordTime: this.deps.recordTime,
 				leaseEnds,
 			},
 			contents,
--- /dev/null
+++ b/src/core/dispatch/counted-calls.ts
@@ -0,0 +1,22 @@
+/** Calls to workers, counted by kind. */
+import type * as fleet from '../fleet/types.js';
+import type * as meters from './load-meter.js';
+
+/** The same calls; `meter` counts each that is sent. */
+export function countCalls(calls: fleet.WorkerCalls, meter: meters.LoadMeter): fleet.WorkerCalls {
+	return {
+		...calls,
+		hold: (at, order) => {
+			meter.count('holds');
+			return calls.hold(at, order);
+		},
+		stop: (at, task, run, token) => {
+			meter.count('stops');
+			return calls.stop(at, task, run, token);
+		},
+		pace: (at, task, run, percent, token) => {
+			meter.count('paces');
+			return calls.pace(at, task, run, percent, token);
+		},
+	};
+}
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -1,6 +1,7 @@
 /** The owner's work: takes in jobs, workers and reports, and sees to it that every task runs as often as it should. */
 import * as clocks from '../clock.js';
 import * as blame from './crash-blame.js';
+import * as countedCalls from './counted-calls.js';
 import * as ends from './ends.js';
 import * as evacuations from './zone-evacuations.js';
 import * as fencing from './fencing-tokens.js';
@@ -31,6 +32,7 @@
 
 /** Dispatches all jobs under one epoch. */
 export class Dispatcher {
+	private readonly opts: options.DispatcherOptions;
 	private readonly book: jobBook.JobBook;
 	private readonly strangers: strangers.Strangers;
 	private readonly workers: workerPool.WorkerPool;
@@ -51,9 +53,11 @@
 	private readonly evacuations: evacuations.ZoneEvacuations;
 
 	private constructor(
-		private readonly opts: options.DispatcherOptions,
+		given: options.DispatcherOptions,
 		contents: Pick<ledger.LedgerContents, 'roster' | 'workersStoredSince'>,
 	) {
+		const opts = { ...given, calls: countedCalls.countCalls(given.calls, this.meter) };
+		this.opts = opts;
 		const { clock } = opts;
 		this.reportLog = reportLog.ReportLog.create(opts.events, opts.epoch);
 		this.estimates = interference.Interference.create(clock);
@@ -175,7 +179,8 @@
 	load(): options.DispatchLoad {
 		const { limit, count } = this.starter.onTheirWay;
 		const { waiting, waitingShort } = this.placer;
-		return { ...this.meter.read(), waiting, waitingShort, onTheirWay: count, startLimit: limit };
+		const ends = this.workers.listedEnds();
+		return { ...this.meter.read(), ...ends, waiting, waitingShort, onTheirWay: count, startLimit: limit };
 	}
 
 	/** Tasks that are owed, by the priority of their queues. */
@@ -382,11 +387,18 @@
 	}
 
 	private onReport(session: sessions.WorkerSession, asked: types.AskedReport): types.ReportOutcome {
+		const startedAt = this.opts.clock.now();
+		const outcome = this.takeReport(session, asked);
+		this.meter.report(this.opts.clock.now() - startedAt);
+		return outcome;
+	}
+
+	private takeReport(session: sessions.WorkerSession, asked: types.AskedReport): types.ReportOutcome {
 		const { report, sentAt, others } = asked;
 		if (!this.strangers.clear(report)) return { type: 'put-off' };
-		this.meter.count('reports');
 		for (const other of others) other.yieldTo(report);
 		const upTo = Math.max(session.seenUpTo, ...report.ended.map((end) => end.seq));
+		this.countAbandoned(session, report);
 		const changed = ends.takeReport(this.reportContext, session, report, sentAt);
 		if (!session.settled) this.reportLog.inherited(session, report);
 		for (const job of changed) this.progress.mark(job);
@@ -398,6 +410,11 @@
 		return { type: 'taken', stored: this.noteStored(session, changed, upTo) };
 	}
 
+	private countAbandoned(session: sessions.WorkerSession, report: fleet.WorkerReport): void {
+		for (const { seq, how } of report.ended)
+			if (seq > session.seenUpTo && how !== 'done' && how !== 'failed') this.meter.count('abandoned');
+	}
+
 	/** Lets the worker forget its ends up to `upTo` once they are stored. */
 	private async noteStored(
 		session: sessions.WorkerSession,
@@ -405,7 +422,7 @@
 		upTo: number,
 	): Promise<void> {
 		await this.progress.stored(changed);
-		session.storedUpTo = Math.max(session.storedUpTo, upTo);
+		session.noteStored(upTo);
 	}
 
 	private onLost(session: sessions.WorkerSession, loss: types.Loss): void {
--- /dev/null
+++ b/src/core/dispatch/listed-ends.ts
@@ -0,0 +1,62 @@
+/** Ends that a worker lists until it is let forget them: how long each waits to be stored, and to be forgotten. */
+import type * as fleet from '../fleet/types.js';
+
+/** Times of an end since its worker was first seen to list it. */
+export type EndTime = 'end_stored' | 'end_forgotten';
+
+/** Takes a time, in milliseconds. */
+export type RecordTime = (name: EndTime, ms: number) => void;
+
+interface ListedEnd {
+	seq: number;
+	/** Clock time of the first report that lists it. */
+	listedAt: number;
+}
+
+/** The ends of one life of a worker. */
+export class ListedEnds {
+	/** The oldest first. */
+	private open: ListedEnd[] = [];
+	private newest = 0;
+	private storedUpTo = 0;
+
+	private constructor(private readonly record: RecordTime) {}
+
+	static create(record: RecordTime): ListedEnds {
+		return new ListedEnds(record);
+	}
+
+	/** How many are listed and not forgotten. */
+	get count(): number {
+		return this.open.length;
+	}
+
+	/** Clock time at which the oldest of them was first listed; undefined: there is none. */
+	get oldestAt(): number | undefined {
+		return this.open[0]?.listedAt;
+	}
+
+	/** A report lists these. */
+	list(ends: readonly fleet.RunEnd[], now: number): void {
+		for (const { seq } of ends) {
+			if (seq <= this.newest) continue;
+			this.newest = seq;
+			this.open.push({ seq, listedAt: now });
+		}
+	}
+
+	/** Those up to `upTo` are stored. */
+	noteStored(upTo: number, now: number): void {
+		for (const { seq, listedAt } of this.open)
+			if (seq > this.storedUpTo && seq <= upTo) this.record('end_stored', now - listedAt);
+		this.storedUpTo = Math.max(this.storedUpTo, upTo);
+	}
+
+	/** The worker answered a question that let it forget those up to `upTo`. */
+	noteForgotten(upTo: number, now: number): void {
+		if (upTo === 0) return;
+		const kept = this.open.findIndex(({ seq }) => seq > upTo);
+		const forgotten = this.open.splice(0, kept === -1 ? this.open.length : kept);
+		for (const { listedAt } of forgotten) this.record('end_forgotten', now - listedAt);
+	}
+}
--- a/src/core/dispatch/load-meter.ts
+++ b/src/core/dispatch/load-meter.ts
@@ -6,10 +6,17 @@
 	starts: number;
 	/** Starts that were answered. */
 	answers: number;
-	/** Reports of workers that were taken in. */
+	/** Questions for reports, stops, and orders on pace that were sent. */
+	holds: number;
+	stops: number;
+	paces: number;
+	/** Reports of workers that were taken in, and the time that this took together, in milliseconds. */
 	reports: number;
+	reportMs: number;
 	/** Tasks that finished. */
 	finished: number;
+	/** Runs that ended and neither finished nor failed: stopped, lapsed, or broken off with others. */
+	abandoned: number;
 	/** Rounds of placing. */
 	rounds: number;
 	/** Time that the rounds took together, and the longest, in milliseconds. */
@@ -20,13 +27,21 @@
 const nothing: LoadReading = {
 	starts: 0,
 	answers: 0,
+	holds: 0,
+	stops: 0,
+	paces: 0,
 	reports: 0,
+	reportMs: 0,
 	finished: 0,
+	abandoned: 0,
 	rounds: 0,
 	roundMs: 0,
 	longestRoundMs: 0,
 };
 
+/** What is counted one by one. */
+export type Counted = 'starts' | 'answers' | 'holds' | 'stops' | 'paces' | 'finished' | 'abandoned';
+
 /** Counts between two readings. */
 export class LoadMeter {
 	private counts: LoadReading = { ...nothing };
@@ -40,10 +55,16 @@
 	}
 
 	/** Something was done once more. */
-	count(what: 'starts' | 'answers' | 'reports' | 'finished'): void {
+	count(what: Counted): void {
 		this.counts[what] += 1;
 	}
 
+	/** Taking in a report took so long. */
+	report(tookMs: number): void {
+		this.counts.reports += 1;
+		this.counts.reportMs += tookMs;
+	}
+
 	/** A round of placing took so long. */
 	round(tookMs: number): void {
 		this.counts.rounds += 1;
--- a/src/core/dispatch/options.ts
+++ b/src/core/dispatch/options.ts
@@ -40,4 +40,7 @@
 	/** Starts on their way, and how many may be. */
 	onTheirWay: number;
 	startLimit: number;
+	/** Ends that workers list and have not been let forget, and how long ago the oldest was first listed, in milliseconds. */
+	listedEnds: number;
+	oldestEndMs: number;
 }
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -4,6 +4,7 @@
 import type * as fencing from './fencing-tokens.js';
 import type * as fleet from '../fleet/types.js';
 import type * as jobs from '../jobs/index.js';
+import type * as listedEnds from './listed-ends.js';
 import type * as sessions from './worker-session.js';
 
 /** A run of a task on a worker. */
@@ -64,6 +65,8 @@
 	confirm: () => Promise<unknown>;
 	/** A worker has seen a newer epoch: this owner is replaced. */
 	onFenced: () => void;
+	/** Records how long ends waited; absent: nobody asks. */
+	recordTime?: listedEnds.RecordTime;
 }
 
 /** What a session uses. */
--- a/src/core/dispatch/worker-lease.ts
+++ b/src/core/dispatch/worker-lease.ts
@@ -14,6 +14,8 @@
 export class WorkerLease {
 	/** Its clock as last read, and when that was on ours. */
 	private reading: { clockMs: number; at: number } | undefined;
+	/** Clock time at which the newest lease was given. */
+	grantedAt = -Infinity;
 
 	private constructor(
 		private readonly deps: LeaseDeps,
@@ -49,6 +51,7 @@
 	grant(): number | undefined {
 		if (this.reading === undefined || !this.deps.mayAct()) return undefined;
 		const now = this.deps.clock.now();
+		this.grantedAt = now;
 		// The slowest rate its clock may have: the lease never reaches further than its limit.
 		const clockMs = this.reading.clockMs + (now - this.reading.at) * (1 - settings.clockSlowness);
 		this.assumeLongest();
--- a/src/core/dispatch/worker-pool.ts
+++ b/src/core/dispatch/worker-pool.ts
@@ -92,6 +92,18 @@
 		return { workers: there.length, runs: there.reduce((sum, one) => sum + one.placements.size, 0) };
 	}
 
+	/** Ends that workers list and have not been let forget, and how long ago the oldest was first listed, in milliseconds. */
+	listedEnds(): { listedEnds: number; oldestEndMs: number } {
+		const now = this.opts.clock.now();
+		let listedEnds = 0;
+		let oldestEndMs = 0;
+		for (const { listed } of this.workers.values()) {
+			listedEnds += listed.count;
+			oldestEndMs = Math.max(oldestEndMs, now - (listed.oldestAt ?? now));
+		}
+		return { listedEnds, oldestEndMs: Math.round(oldestEndMs) };
+	}
+
 	/** Whether nothing runs in a zone; what an earlier owner started at a worker that has not answered yet may. */
 	isEmpty(zone: string): boolean {
 		return this.listedIn(zone).every((one) => one.settled && one.placements.size === 0 && one.strays === 0);
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -9,6 +9,7 @@
 import * as fencing from './fencing-tokens.js';
 import * as health from './worker-health.js';
 import * as leases from './worker-lease.js';
+import * as listedEnds from './listed-ends.js';
 import * as lives from '../fleet/lives.js';
 import * as placements from './placements.js';
 import * as settings from './settings.js';
@@ -45,6 +46,8 @@
 	/** Clock time of the first call since then that failed; undefined: none has. */
 	failedAt: number | undefined;
 	readonly health: health.WorkerHealth;
+	/** Ends that it lists and has not been let forget. */
+	readonly listed: listedEnds.ListedEnds;
 	/** Ends up to here are stored. */
 	storedUpTo = 0;
 	/** Ends up to here have been taken in. */
@@ -101,6 +104,7 @@
 		this.health = health.WorkerHealth.create({ ...deps, worker: target.id });
 		this.lease = leases.WorkerLease.create(deps, inheritedUntil);
 		this.inDoubt = doubts.RunsInDoubt.create(inDoubt);
+		this.listed = listedEnds.ListedEnds.create(deps.recordTime ?? (() => undefined));
 		this.settled = inheritedUntil === -Infinity;
 	}
 
@@ -271,6 +275,26 @@
 		return this.isHeldBack ? undefined : this.lease.grant();
 	}
 
+	/** How long ago the newest lease was given, in whole milliseconds; undefined: none was. */
+	get leaseAgeMs(): number | undefined {
+		const { grantedAt } = this.lease;
+		return grantedAt === -Infinity ? undefined : Math.round(this.deps.clock.now() - grantedAt);
+	}
+
+	/** Why it gets no lease now; undefined: it does. */
+	get unleasedBecause(): 'withheld' | 'in-doubt' | 'no-clock' | 'may-not-act' | undefined {
+		if (this.withheld) return 'withheld';
+		if (this.inDoubt.any) return 'in-doubt';
+		if (!this.lease.hasClock) return 'no-clock';
+		return this.deps.mayAct() ? undefined : 'may-not-act';
+	}
+
+	/** Ends up to `upTo` are stored, so the worker may forget them. */
+	noteStored(upTo: number): void {
+		this.storedUpTo = Math.max(this.storedUpTo, upTo);
+		this.listed.noteStored(upTo, this.deps.clock.now());
+	}
+
 	/** Takes in the worker's clock from an answer. */
 	heard(reading: fleet.ClockReading): void {
 		this.answeredAt = this.deps.clock.now();
@@ -399,9 +423,10 @@
 			const stamp = this.stamp();
 			const others = this.handlers.otherLives(this);
 			const waitMs = this.waitMs();
+			const forgetUpTo = this.forgettable();
 			const res = await this.deps.calls.hold(target, {
 				token: stamp.token,
-				forgetUpTo: this.forgettable(),
+				forgetUpTo,
 				leaseUntil: this.unanswered ? undefined : this.grantLease(),
 				waitMs,
 			});
@@ -413,6 +438,7 @@
 			}
 			if (res.ok) {
 				this.reportDelayMs = Math.max(0, this.deps.clock.now() - sentAt - waitMs);
+				this.listed.noteForgotten(forgetUpTo, this.deps.clock.now());
 				await this.takeReport(res.value, sentAt, others);
 				continue;
 			}
@@ -449,9 +475,11 @@
 	): Promise<void> {
 		if (!this.answering)
 			this.deps.events.emit('worker.reached', { worker: this.id, clockMs: report.clockMs });
+		this.noteLapsed(report);
 		this.heard(report);
 		this.reported = report;
 		this.reportedAt = this.deps.clock.now();
+		this.listed.list(report.ended, this.reportedAt);
 		const outcome = this.handlers.onReport(this, { report, sentAt, others });
 		if (outcome.type === 'put-off') {
 			await clocks.sleep(this.deps.clock, settings.putOffMs);
@@ -466,6 +494,20 @@
 		await Promise.race([outcome.stored, clocks.sleep(this.deps.clock, settings.holdAfterEndsMs)]);
 	}
 
+	/** Tells of runs whose lease ran out at the worker, and whose delay that was. */
+	private noteLapsed({ ended }: fleet.WorkerReport): void {
+		const lapsed = ended.filter((end) => end.how === 'lapsed' && end.seq > this.seenUpTo);
+		if (lapsed.length === 0) return;
+		this.deps.events.emit('lease.lapsed', {
+			worker: this.id,
+			epoch: this.deps.epoch,
+			runs: lapsed.length,
+			leaseAgeMs: this.leaseAgeMs,
+			silentMs: this.silentMs,
+			reason: this.unleasedBecause,
+		});
+	}
+
 	/** Stops a run whose start may still be under way; whether it was answered. */
 	private async stopInDoubt({ task, run }: doubts.RunInDoubt): Promise<boolean> {
 		const { target } = this;
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -114,7 +114,7 @@
 	'owner.load': {
 		id: 2114,
 		level: 'info',
-		text: "The owner's last second: starts sent and answered, reports, tasks finished, rounds of placing and what they took, processor, tasks that wait, starts on their way and their limit.",
+		text: "The owner's last second: starts sent and answered, other orders, reports and what they took, tasks finished, runs abandoned, rounds of placing and what they took, processor, tasks that wait, starts on their way and their limit, ends that workers still list.",
 	},
 	'takeover.settled': {
 		id: 2107,
@@ -305,6 +305,11 @@
 		level: 'info',
 		text: 'A worker answered for the first time, or again, or with a new incarnation.',
 	},
+	'lease.lapsed': {
+		id: 3209,
+		level: 'warn',
+		text: 'Runs ended on a worker as their lease ran out: how long ago this owner gave the newest lease and heard the worker before, and why it gives none now.',
+	},
 	'worker.restarted': {
 		id: 3208,
 		level: 'warn',
--- a/src/core/metrics/index.ts
+++ b/src/core/metrics/index.ts
@@ -2,7 +2,7 @@
 import * as hdr from 'hdr-histogram-js';
 
 /** Quantiles shown of each histogram, in per cent. */
-const quantiles = [50, 90, 99, 99.9];
+const quantiles = [50, 90, 99, 99.9, 100];
 
 /** Largest latency recorded, in microseconds. */
 const largestUs = 600_000_000;
--- /dev/null
+++ b/test/listed-ends.test.ts
@@ -0,0 +1,49 @@
+/** What is recorded of ends that workers list: when they are stored, when they are forgotten, and which still wait. */
+import test from 'ava';
+import * as listedEnds from '../src/core/dispatch/listed-ends.js';
+import * as world from './fixtures/dispatching.js';
+import type * as fleet from '../src/core/fleet/types.js';
+
+function endsUpTo(count: number): fleet.RunEnd[] {
+	return Array.from({ length: count }, (_, i) => ({
+		seq: i + 1,
+		task: `job1.0.0.${String(i)}`,
+		run: 1,
+		how: 'done',
+		checkpoint: '',
+	}));
+}
+
+test('each end is timed once, from the first report that lists it', (t) => {
+	const times: string[] = [];
+	const ends = listedEnds.ListedEnds.create((name, ms) => times.push(`${name} ${String(ms)}`));
+	ends.list(endsUpTo(1), 100);
+	ends.list(endsUpTo(2), 150);
+	ends.noteStored(2, 170);
+	ends.noteStored(2, 180);
+	ends.noteForgotten(0, 190);
+	t.is(ends.count, 2);
+	t.is(ends.oldestAt, 100);
+	ends.noteForgotten(1, 200);
+	t.is(ends.count, 1);
+	ends.noteForgotten(2, 250);
+	t.is(ends.oldestAt, undefined);
+	t.deepEqual(times, ['end_stored 70', 'end_stored 20', 'end_forgotten 100', 'end_forgotten 100']);
+});
+
+test('a lease that ran out is told of, with whose delay it was', async (t) => {
+	const { clock, fleet, takeOver, submit } = world.createWorld(() => ({ ms: 'endless', how: 'done' }));
+	const w1 = fleet.add('w1');
+	const owner = await takeOver();
+	await submit(owner, world.job('job1', [world.step({ count: 2 })]));
+	await clock.pass(500);
+	t.is(w1.running.size, 2);
+	w1.fault = 'silent';
+	await clock.pass(world.maxLeaseMs + 500);
+	w1.fault = 'none';
+	await clock.pass(1_500);
+	const [lapsed] = owner.events.select(({ name }) => name === 'lease.lapsed');
+	t.is(lapsed?.fields.runs, 2);
+	t.true(Number(lapsed?.fields.silentMs) >= world.maxLeaseMs);
+	owner.dispatcher.close();
+});
