Progress that nobody waits for is stored within a second of what is waited for

In memory (trial): while 130 jobs a second end and a write takes 360 ms, or 1,000 and 50 ms, a job with ended tasks was not stored until the load was over. No worker that lists one of its ends is let forget any later one.

Cause: a write took ended and awaited jobs first, whatever the others had waited; with more of them than writes hold, always.

Ruled out: how much writes take; at 125 and 900 jobs a second the store kept up with all but a few in a hundred.

Change: the order goes by when a change was made, what nobody waits for a second later. So neither kind can hold up the other for longer than that, however full writes are; with room to spare nothing changes for what is waited for.

--- a/src/core/dispatch/progress-saver.ts
+++ b/src/core/dispatch/progress-saver.ts
@@ -4,7 +4,8 @@
  *
  * Load pattern: a hundred jobs have tasks ending all the time, several writes' worth, and one of them is done or a lasting
  * task of it waits to be started. In turn it would be stored some writes later, with its caller or its users waiting; so
- * what somebody waits for comes first, and other progress fills the write up.
+ * what somebody waits for goes before other progress that has waited for little longer. Where jobs end faster than writes
+ * take them, the others still have their turn: no worker may forget an end before it is stored, nor any end after it.
  */
 import * as clocks from '../clock.js';
 import * as ledger from '../ledger/index.js';
@@ -20,6 +21,9 @@
 /** A job whose progress the store refuses is set aside for so long, in milliseconds. */
 const asideMs = 5_000;
 
+/** Progress that nobody waits for is passed over by what is waited for and changed up to this much later, in milliseconds. */
+const patienceMs = 1_000;
+
 /** Where progress goes. */
 export type SaveProgress = (batch: Map<string, jobs.ProgressRecord>) => Promise<ledger.WriteOutcome>;
 
@@ -235,8 +239,12 @@
 	}
 }
 
-/** What the next write holds: what is waited for first, then what has been changed for longest; `dirty`: since when. */
+/**
+ * What the next write holds: what has been changed for longest, where what is waited for counts as changed by `patienceMs`
+ * earlier; `dirty`: clock times of the changes.
+ */
 export function chooseBatch<T>(dirty: ReadonlyMap<T, number>, awaited: ReadonlySet<T>): T[] {
-	const others = [...dirty].filter(([one]) => !awaited.has(one)).sort(([, a], [, b]) => a - b);
-	return [...awaited, ...others.map(([one]) => one)].slice(0, ledger.maxProgressPerWrite);
+	const others = [...dirty.keys()].filter((one) => !awaited.has(one));
+	const turnOf = (one: T): number => (dirty.get(one) ?? 0) + (awaited.has(one) ? 0 : patienceMs);
+	return [...awaited, ...others].sort((a, b) => turnOf(a) - turnOf(b)).slice(0, ledger.maxProgressPerWrite);
 }
