--- a/src/core/dispatch/listed-ends.ts
+++ b/src/core/dispatch/listed-ends.ts
@@ -19,6 +19,8 @@
 	private open: ListedEnd[] = [];
 	private newest = 0;
 	private storedUpTo = 0;
+	/** The question under way lets the worker forget those up to here. */
+	private askedUpTo = 0;
 
 	private constructor(private readonly record: RecordTime) {}
 
@@ -26,14 +28,18 @@
 		return new ListedEnds(record);
 	}
 
-	/** How many are listed and not forgotten. */
+	/** How many are listed and wait for a question that lets the worker forget them. */
 	get count(): number {
-		return this.open.length;
+		return this.waiting.length;
 	}
 
 	/** Clock time at which the oldest of them was first listed; undefined: there is none. */
 	get oldestAt(): number | undefined {
-		return this.open[0]?.listedAt;
+		return this.waiting[0]?.listedAt;
+	}
+
+	private get waiting(): readonly ListedEnd[] {
+		return this.open.filter(({ seq }) => seq > this.askedUpTo);
 	}
 
 	/** A report lists these. */
@@ -52,11 +58,15 @@
 		this.storedUpTo = Math.max(this.storedUpTo, upTo);
 	}
 
-	/** The worker answered a question that let it forget those up to `upTo`. */
-	noteForgotten(upTo: number, now: number): void {
-		if (upTo === 0) return;
+	/** A question that lets the worker forget those up to `upTo` is sent. */
+	noteAsked(upTo: number): void {
+		this.askedUpTo = upTo;
+	}
+
+	/** That question, sent at `sentAt`, was answered. */
+	noteForgotten(upTo: number, sentAt: number): void {
 		const kept = this.open.findIndex(({ seq }) => seq > upTo);
 		const forgotten = this.open.splice(0, kept === -1 ? this.open.length : kept);
-		for (const { listedAt } of forgotten) this.record('end_forgotten', now - listedAt);
+		for (const { listedAt } of forgotten) this.record('end_forgotten', sentAt - listedAt);
 	}
 }
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -424,6 +424,7 @@
 			const others = this.handlers.otherLives(this);
 			const waitMs = this.waitMs();
 			const forgetUpTo = this.forgettable();
+			this.listed.noteAsked(forgetUpTo);
 			const res = await this.deps.calls.hold(target, {
 				token: stamp.token,
 				forgetUpTo,
@@ -438,7 +439,7 @@
 			}
 			if (res.ok) {
 				this.reportDelayMs = Math.max(0, this.deps.clock.now() - sentAt - waitMs);
-				this.listed.noteForgotten(forgetUpTo, this.deps.clock.now());
+				this.listed.noteForgotten(forgetUpTo, sentAt);
 				await this.takeReport(res.value, sentAt, others);
 				continue;
 			}
