Ends are named to a worker that answers questions and no stops

In memory a worker with a start in doubt that answers no stops was never let forget an end.

Cause: a report's ends may be named only within 200 ms of it, and the session first waited for the stops of runs in doubt there, each of which takes its time limit of a second where it is not answered.

Ruled out: naming before the stops are sent; with new ends in each report the stops might never have their turn.

Change: the stops go on beside the questions, one series at a time. No lease is given before they are settled, as before.

Test: unnoted-ends, 'on a worker that answers no stops', failed before (3 ends listed and not named after two reports' time). The stand-in workers let pace and neighbours count for what runs there, for the tests of load.

--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -85,6 +85,8 @@
 	reportDelayMs = 0;
 	/** Runs taken for lost whose start may still be under way. */
 	readonly inDoubt: doubts.RunsInDoubt;
+	/** They are being stopped. */
+	private isSettling = false;
 	/** The other boxes were told when the leases here end: none is given until a roster write voids that. */
 	private withheld = false;
 	/** The last question was not answered; a lease sent with the next would never be known to run out. */
@@ -489,7 +491,8 @@
 		if (!this.isHeard) this.lease.assumeLongest();
 		this.isHeard = true;
 		if (!report.hasMoreEnds) this.settled = true;
-		await this.inDoubt.settle((run) => this.stopInDoubt(run));
+		// Beside the questions: a stop without an answer takes its whole time limit, and no end could be named after it.
+		void this.settleDoubts();
 		// Listed ends that are stored already can be named only right after an answer, so the others don't delay that.
 		if (this.forgettable() > 0) return;
 		await Promise.race([outcome.stored, clocks.sleep(this.deps.clock, settings.holdAfterEndsMs)]);
@@ -509,6 +512,14 @@
 		});
 	}
 
+	/** Stops runs whose start may still be under way, unless that is being done. */
+	private async settleDoubts(): Promise<void> {
+		if (this.isSettling) return;
+		this.isSettling = true;
+		await this.inDoubt.settle((run) => this.stopInDoubt(run));
+		this.isSettling = false;
+	}
+
 	/** Stops a run whose start may still be under way; whether it was answered. */
 	private async stopInDoubt({ task, run }: doubts.RunInDoubt): Promise<boolean> {
 		const { target } = this;
--- a/stand-ins/fleet/types.ts
+++ b/stand-ins/fleet/types.ts
@@ -9,6 +9,8 @@
 	reading?: number;
 	/** Progress to report, in per cent; absent: all. */
 	percent?: number;
+	/** How much it adds to the readings of others on its worker at full pace, as a part of them; absent: nothing. */
+	disturbs?: number;
 	/** It brings its worker down so many milliseconds after its start; absent: it does not. */
 	crashMs?: number;
 }
--- a/stand-ins/fleet/workers.ts
+++ b/stand-ins/fleet/workers.ts
@@ -44,6 +44,12 @@
 interface Running {
 	run: number;
 	timer: clocks.Timer | undefined;
+	/** Work left, in milliseconds at full pace, as of `pacedAt`. */
+	leftMs: number;
+	pacedAt: number;
+	how: fleet.EndKind;
+	/** How much it adds to readings beside it at full pace, as a part of them. */
+	disturbs: number;
 	stopping: boolean;
 	reading: number;
 	percent: number;
@@ -68,6 +74,8 @@
 /** One worker. */
 export class FakeWorker {
 	fault: WorkerFault = 'none';
+	/** It answers all calls but stops, which it does not carry out. */
+	ignoresStops = false;
 	/** Its clock's rate against ours. */
 	rate = 1;
 	readonly running = new Map<string, Running>();
@@ -137,7 +145,7 @@
 			run: one.run,
 			checkpoint: '',
 			percent: one.percent,
-			reading: one.reading,
+			reading: this.readingOf(one),
 		}));
 		const ended = this.ended.slice(0, mostEnds);
 		const { born } = this;
@@ -180,7 +188,7 @@
 	): results.Result<fleet.ClockReading, fleet.WorkerFailure> {
 		if (!this.accepts(token)) return results.fail({ kind: 'fenced' });
 		const one = this.running.get(task);
-		if (one?.run === run) one.pace = percent;
+		if (one?.run === run && !one.stopping) this.setPace(task, one, percent);
 		return results.ok({ clockMs: this.clockMs() });
 	}
 
@@ -216,20 +224,20 @@
 
 	private begin(req: fleet.StartOrder): void {
 		const plan = this.opts.plan(req.task, req.run);
-		const timer =
-			plan.ms === 'endless'
-				? undefined
-				: this.opts.clock.after(plan.ms, () => {
-						this.end(req.task, req.run, plan.how);
-					});
-		this.running.set(req.task, {
+		const one: Running = {
 			run: req.run,
-			timer,
+			timer: undefined,
+			leftMs: plan.ms === 'endless' ? Infinity : plan.ms,
+			pacedAt: this.opts.clock.now(),
+			how: plan.how,
+			disturbs: plan.disturbs ?? 0,
 			stopping: false,
 			reading: plan.reading ?? 0,
 			percent: plan.percent ?? 100,
 			pace: 100,
-		});
+		};
+		this.running.set(req.task, one);
+		this.setPace(req.task, one, one.pace);
 		const start: types.StartRecord = {
 			at: this.opts.clock.now(),
 			task: req.task,
@@ -246,6 +254,27 @@
 			});
 	}
 
+	/** Lets a run go on at this share of its speed, in per cent, to its end. */
+	private setPace(task: string, one: Running, percent: number): void {
+		const now = this.opts.clock.now();
+		one.leftMs -= ((now - one.pacedAt) * one.pace) / 100;
+		one.pacedAt = now;
+		one.pace = percent;
+		one.timer?.cancel();
+		one.timer = undefined;
+		if (percent === 0 || one.leftMs === Infinity) return;
+		one.timer = this.opts.clock.after((one.leftMs * 100) / percent, () => {
+			this.end(task, one.run, one.how);
+		});
+	}
+
+	/** What a run's reading is beside what disturbs it. */
+	private readingOf(one: Running): number {
+		let more = 0;
+		for (const other of this.running.values()) if (other !== one) more += (other.disturbs * other.pace) / 100;
+		return one.disturbs > 0 ? one.reading : one.reading * (1 + more);
+	}
+
 	/** A run brings its worker down, if it still runs there. */
 	private crashUnder({ task, run }: fleet.StartOrder): void {
 		if (this.running.get(task)?.run === run) this.crash(this);
@@ -411,7 +440,10 @@
 			this.carryOut(at, isCut, order);
 		return {
 			start: (at, order) => call(at, (worker) => worker.start(order)),
-			stop: (at, task, run, epoch) => call(at, (worker) => worker.stop(task, run, epoch)),
+			stop: (at, task, run, token) =>
+				this.atAddress(at.address)?.ignoresStops === true
+					? this.giveUp()
+					: call(at, (worker) => worker.stop(task, run, token)),
 			pace: (at, task, run, percent, epoch) => call(at, (worker) => worker.pace(task, run, percent, epoch)),
 			hold: async (at, order) => {
 				const res = await this.hold(at, isCut, order);
@@ -439,6 +471,12 @@
 		return results.fail(noAnswer);
 	}
 
+	/** A call that is left without an answer. */
+	private async giveUp(): fleet.WorkerResult<never> {
+		await this.sleep(giveUpMs);
+		return results.fail(noAnswer);
+	}
+
 	/** Carries an order out much later, by whoever has the worker's name then. */
 	private carryOutLate<T>(worker: FakeWorker, order: Order<T>): void {
 		this.opts.clock.after(giveUpMs + lateMs, () => {
--- a/test/unnoted-ends.test.ts
+++ b/test/unnoted-ends.test.ts
@@ -89,6 +89,29 @@
 	owner.dispatcher.close();
 });
 
+test('ends are taken note of on a worker that answers no stops while the start of a lost run is in doubt there', async (t) => {
+	let now = (): number => 0;
+	const ends = EndTimes.create(() => now());
+	const made = world.createWorld(() => ({ ms: 'endless', how: 'done' }), ends.journal);
+	now = () => made.clock.now();
+	const { clock, fleet, submit } = made;
+	const w1 = fleet.add('w1', {}, 1);
+	const owner = await made.takeOver();
+	await submit(owner, world.job('running', [world.step({ count: 3 })]));
+	await clock.pass(1_200);
+	w1.fault = 'silent';
+	await submit(owner, world.job('unanswered', [world.step()]));
+	// Its leases run out, so what ran there has lapsed, and the start that was not answered is in doubt.
+	await clock.pass(world.maxLeaseMs + 2_000);
+	t.is(ends.count, 3);
+	w1.ignoresStops = true;
+	w1.fault = 'none';
+	await clock.pass(2 * reportMs);
+	t.is(owner.dispatcher.load().listedEnds, 0);
+	t.deepEqual(w1.ended, []);
+	owner.dispatcher.close();
+});
+
 test('a box takes note of ends while each report brings new ones and its store is slow', async (t) => {
 	const ends = EndTimes.create(() => performance.now());
 	const { platform, start } = await real.setUp(t, {
