A full owner's processor in memory: back within ten seconds of a burst, also where it took over in it

A stand-in gives the owner a processor that sends orders and takes in answers one after the other, at a tenth less than full under the usual traffic of large workers; the burst asks for 1.4 times that.

--- a/stand-ins/fleet/load-patterns.ts
+++ b/stand-ins/fleet/load-patterns.ts
@@ -75,6 +75,19 @@
 	workerMilliCores: 16_000,
 };
 
+/** Much batch work of large tasks on large workers: an owner's processor is nearly full with it. */
+const largeWorkers: Mix = {
+	perWorkerS: { urgent: 0.028, wide: 0.0534, lasting: 0.0005 },
+	wideCount: [8, 32],
+	urgentCount: [3, 16],
+	wideMilliCores: [4_000, 10_000],
+	urgentMilliCores: [5_000, 17_000],
+	lastingMilliCores: [4_000, 8_000],
+	wideMs: 1_700,
+	urgentMs: 800,
+	workerMilliCores: 64_000,
+};
+
 /** Lasting jobs a worker that are there at the beginning: they reserve nearly all cores. */
 const residentPerWorker = 0.17;
 
@@ -106,6 +119,7 @@
 	burst: { burst: { factor: 2.6, fromMs: 2_000, forMs: 4_000 } },
 	comeback: { heldBackMs: 4_000 },
 	slow: { slowdown: 3 },
+	'large-workers-burst': { mix: largeWorkers, burst: { factor: 1.4, fromMs: 4_000, forMs: 6_000 } },
 	'small-tasks': { mix: smallTasks },
 	'small-tasks-burst': { mix: smallTasks, burst: { factor: 2.6, fromMs: 2_000, forMs: 4_000 } },
 };
--- /dev/null
+++ b/test/overload.test.ts
@@ -0,0 +1,76 @@
+/** A burst that asks for more than the owner's processor has: once it is gone the owner keeps up again, also a new one. */
+import test from 'ava';
+import * as patterns from '../stand-ins/fleet/load-patterns.js';
+import * as world from './fixtures/dispatching.js';
+import type * as dispatch from '../src/core/dispatch/index.js';
+
+const workers = 60;
+const lengthMs = 22_000;
+const seed = 7;
+
+/** The burst of the pattern ends then, in seconds of its traffic. */
+const burstEndS = 10;
+
+/** By so many seconds after it, operators expect an owner to keep up again. */
+const recoveryS = 10;
+
+/** Each call's parts: nine tenths of the processor under the pattern's usual traffic. */
+const costs = { send: 1.4, answer: 1.4 };
+
+/** Lasting jobs find their places before the traffic begins, in milliseconds. */
+const settleMs = 3_000;
+
+function jobOf({ record }: patterns.Arrival): ReturnType<typeof world.job> {
+	return world.job(record.id, record.steps, { queue: record.queue });
+}
+
+/** Plays the pattern, with a takeover at the beginning of that second if one is given; the load of each second. */
+async function play(takeOverAtS?: number): Promise<dispatch.DispatchLoad[]> {
+	const pattern = patterns.createPattern('large-workers-burst', workers, lengthMs, seed);
+	const { clock, fleet, takeOverBusy, submit } = world.createWorld((task) => ({
+		...pattern.plan(task),
+		...(task.startsWith('wide') && { disturbs: 0.1 }),
+	}));
+	const capacity = { milliCores: pattern.workerMilliCores, memoryMb: 256_000, accelerators: 0 };
+	for (let number = 1; number <= workers; number += 1) fleet.add(`w${String(number)}`, { capacity });
+	let { owner } = await takeOverBusy(costs);
+	await clock.pass(500);
+	for (const one of pattern.arrivals) if (one.atMs === 0) void submit(owner, jobOf(one));
+	await clock.pass(settleMs);
+	const from = clock.now();
+	const loads: dispatch.DispatchLoad[] = [];
+	const endS = burstEndS + recoveryS;
+	const arriving = pattern.arrivals.filter((one) => one.atMs > 0 && one.atMs < endS * 1_000);
+	for (let second = 0; second < endS; second += 1) {
+		if (second === takeOverAtS) {
+			owner.dispatcher.close();
+			({ owner } = await takeOverBusy(costs));
+		}
+		const untilMs = (second + 1) * 1_000;
+		while ((arriving[0]?.atMs ?? Infinity) < untilMs) {
+			const [one] = arriving.splice(0, 1);
+			if (one === undefined) break;
+			await clock.pass(Math.max(0, from + one.atMs - clock.now()));
+			void submit(owner, jobOf(one));
+		}
+		await clock.pass(Math.max(0, from + untilMs - clock.now()));
+		loads.push(owner.dispatcher.load());
+	}
+	owner.dispatcher.close();
+	return loads;
+}
+
+for (const takeOverAtS of [undefined, 7])
+	test(`an owner keeps up again within ten seconds of a burst${takeOverAtS === undefined ? '' : ' in which it took over'}`, async (t) => {
+		const loads = await play(takeOverAtS);
+		const last = loads.at(-1);
+		// What waits is less than what a second finishes, and ends are taken note of within a second.
+		t.true((last?.waitingShort ?? Infinity) <= (last?.finished ?? 0), JSON.stringify(last));
+		t.true((last?.oldestEndMs ?? Infinity) <= 1_000, JSON.stringify(last));
+		const before = loads.slice(0, 4).reduce((sum, load) => sum + load.finished, 0);
+		const after = loads.slice(-4).reduce((sum, load) => sum + load.finished, 0);
+		t.true(
+			after >= before,
+			`${String(after)} tasks finished in the last seconds, ${String(before)} in the first`,
+		);
+	});
