An end that is listed again while it is being stored marks its job no more

Cause: each report marked the jobs of all ends that it listed, also of those that the owner had seen and was storing. The job was written once more with nothing new in it, for each report that came meanwhile; the slower writes are, the more of them.

Ruled out: that ends are taken for stored too early; a session still waits for the jobs of all listed ends.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -399,7 +399,7 @@
 		for (const other of others) other.yieldTo(report);
 		const upTo = Math.max(session.seenUpTo, ...report.ended.map((end) => end.seq));
 		this.countAbandoned(session, report);
-		const changed = ends.takeReport(this.reportContext, session, report, sentAt);
+		const { changed, unstored } = ends.takeReport(this.reportContext, session, report, sentAt);
 		if (!session.settled) this.reportLog.inherited(session, report);
 		for (const job of changed) this.progress.mark(job);
 		this.pressure.look(session);
@@ -407,7 +407,7 @@
 		// Until the last of its ends is listed, what ran there may have ended unheard.
 		if (!report.hasMoreEnds) this.workers.heard(session);
 		this.placer.wake();
-		return { type: 'taken', stored: this.noteStored(session, changed, upTo) };
+		return { type: 'taken', stored: this.noteStored(session, unstored, upTo) };
 	}
 
 	private countAbandoned(session: sessions.WorkerSession, report: fleet.WorkerReport): void {
@@ -418,10 +418,10 @@
 	/** Lets the worker forget its ends up to `upTo` once they are stored. */
 	private async noteStored(
 		session: sessions.WorkerSession,
-		changed: Set<jobs.ActiveJob>,
+		unstored: Set<jobs.ActiveJob>,
 		upTo: number,
 	): Promise<void> {
-		await this.progress.stored(changed);
+		await this.progress.stored(unstored);
 		session.noteStored(upTo);
 	}
 
--- a/src/core/dispatch/ends.ts
+++ b/src/core/dispatch/ends.ts
@@ -27,30 +27,41 @@
 	log: reportLog.ReportLog;
 }
 
-/** Takes in a report; returns the jobs whose progress changed. */
+/** Jobs that a report is about. */
+export interface ReportedJobs {
+	/** Their progress has changed by it. */
+	changed: Set<jobs.ActiveJob>;
+	/** It lists ends of them that may not be stored yet; those that have changed are among them. */
+	unstored: Set<jobs.ActiveJob>;
+}
+
+/** Takes in a report. */
 export function takeReport(
 	ctx: ReportContext,
 	session: sessions.WorkerSession,
 	report: fleet.WorkerReport,
 	sentAt: number,
-): Set<jobs.ActiveJob> {
+): ReportedJobs {
 	const changed = new Set<jobs.ActiveJob>();
+	const unstored = new Set<jobs.ActiveJob>();
 	noteUnread(ctx, session, report);
 	for (const end of report.ended) {
 		const task = ctx.findTask(end.task);
 		// An end that was seen before may still wait to be stored.
-		if (task !== undefined && !task.step.job.endStored) changed.add(task.step.job);
+		const job = task?.step.job;
+		if (job !== undefined && !job.endStored) unstored.add(job);
 		if (end.seq <= session.seenUpTo) continue;
+		if (job !== undefined && !job.endStored) changed.add(job);
 		session.seenUpTo = end.seq;
 		ctx.log.ended(session, end);
 		if (task !== undefined) takeEnd(ctx, session, task, end);
 	}
 	session.strays = report.running.filter((running) => !takeRunning(ctx, session, running)).length;
-	if (report.hasMoreEnds) return changed;
+	if (report.hasMoreEnds) return { changed, unstored };
 	const listed = new Set(report.running.map((one) => one.task));
 	for (const placement of [...session.placements.values()])
 		if (!listed.has(placement.task.name)) takeAbsence(ctx, session, placement, sentAt);
-	return changed;
+	return { changed, unstored };
 }
 
 /** Ends are numbered without gaps, so one that is missing between two reports was forgotten before anybody read it. */
--- a/test/unstored-progress.test.ts
+++ b/test/unstored-progress.test.ts
@@ -116,3 +116,19 @@
 		t.true(tookMs <= boundMs, `${String(tookMs)} ms`);
 		progress.close();
 	});
+
+test('an end that reports list again and again while it is being stored is stored once', async (t) => {
+	const { clock, store, fleet, takeOver, submit } = world.createWorld(() => ({ ms: 300, how: 'done' }));
+	fleet.add('w1', {}, 1);
+	const owner = await takeOver();
+	await submit(owner, world.job('job1', [world.step()]));
+	await clock.pass(200);
+	store.writeMs = 2_000;
+	const before = store.writes;
+	// Its task ends, and is reported about five times before that is stored.
+	await clock.pass(250);
+	store.writeMs = 4;
+	await clock.pass(4_000);
+	t.is(store.writes - before, 1);
+	owner.dispatcher.close();
+});
