Rounds of placing follow each other as before: a tenth of a full processor was too little for starts

Tried: where a round begins 30 ms late, the next of its kind waits nine times as long as it took, in place of twice. Reason: on a copy of the site with strong boxes of 0.6 of a core, rounds took 230 to 460 ms of each second while 1,300 to 1,800 tasks waited.

The time of a round holds what sending its starts takes, so a round that starts hundreds is followed by up to a second without any.

A bound would have to leave out what is spent on starts.

--- a/src/core/dispatch/round-timer.ts
+++ b/src/core/dispatch/round-timer.ts
@@ -1,9 +1,4 @@
-/**
- * When rounds of placing are played: soon after something changed, and leaving most of the processor to reports.
- *
- * Load pattern: more tasks wait than the owner's processor can start. Each round looks at all of them, so the more of them
- * wait, the less of the processor is left to start them, and the backlog stays when the load that brought it has gone.
- */
+/** When rounds of placing are played: soon after something changed, and leaving most of the processor to reports. */
 import * as settings from './settings.js';
 import type * as clocks from '../clock.js';
 import type * as meters from './load-meter.js';
@@ -26,8 +21,6 @@
 	private quickGapMs: number = settings.roundGapMs;
 	/** Clock time before which no round of everything begins. */
 	private nextRoundAt = -Infinity;
-	/** Clock time until which the processor counts as full. */
-	private fullUntil = -Infinity;
 	private closed = false;
 
 	private constructor(private readonly opts: RoundTimerOptions) {}
@@ -43,10 +36,9 @@
 		if (this.roundDue) return;
 		this.roundDue = true;
 		const { clock } = this.opts;
-		const dueAt = Math.max(this.nextRoundAt, clock.now());
 		const run = (): void => {
 			this.roundDue = false;
-			if (!this.closed) this.nextRoundAt = this.playTimed(this.opts.playAll, dueAt) + clock.now();
+			if (!this.closed) this.nextRoundAt = this.playTimed(this.opts.playAll) + clock.now();
 		};
 		const wait = this.nextRoundAt - clock.now();
 		if (wait > 0) clock.after(wait, run);
@@ -61,25 +53,19 @@
 	private wakeQuick(): void {
 		if (this.quickRoundDue) return;
 		this.quickRoundDue = true;
-		const dueAt = this.opts.clock.now() + this.quickGapMs;
 		this.opts.clock.after(this.quickGapMs, () => {
 			this.quickRoundDue = false;
-			if (!this.closed) this.quickGapMs = this.playTimed(this.opts.playQuick, dueAt);
+			if (!this.closed) this.quickGapMs = this.playTimed(this.opts.playQuick);
 		});
 	}
 
-	/**
-	 * Plays a round; returns how long to wait until the next of its kind: each looks at all that waits again. A round that
-	 * begins late had reports and answers before it, which fill the processor.
-	 */
-	private playTimed(play: () => void, dueAt: number): number {
+	/** Plays a round; returns how long to wait until the next of its kind: each looks at all that waits again. */
+	private playTimed(play: () => void): number {
 		const { clock, meter } = this.opts;
 		const startedAt = clock.now();
-		if (startedAt - dueAt >= settings.fullLateMs) this.fullUntil = startedAt + settings.fullForMs;
 		play();
 		const tookMs = clock.now() - startedAt;
 		meter.round(tookMs);
-		const factor = startedAt < this.fullUntil ? settings.fullRoundGapFactor : settings.roundGapFactor;
-		return Math.max(settings.roundGapMs, tookMs * factor);
+		return Math.max(settings.roundGapMs, tookMs * settings.roundGapFactor);
 	}
 }
--- a/src/core/dispatch/settings.ts
+++ b/src/core/dispatch/settings.ts
@@ -93,13 +93,6 @@
 /** Nor closer than this many times what the last one took, so that placing leaves processor to reports. */
 export const roundGapFactor = 2;
 
-/** The same on a processor that is full: rounds of either kind take a tenth of it at most. */
-export const fullRoundGapFactor = 9;
-
-/** The processor counts as full for a while after a round that began so long after it was due, in milliseconds. */
-export const fullLateMs = 30;
-export const fullForMs = 500;
-
 /**
  * A lasting task that has waited so long goes before short ones, and workers are kept free for it: it serves nobody
  * meanwhile, and short tasks would take every core that comes free.
