A new owner asks 32 workers at a time for their first report

Cause: all workers are asked at once, and answer in one moment with the ends that nobody has stored. Taking that in holds up whatever comes after it, renewals among it.

Ruled out: the reading of the jobs, which is done before the owner is named as ready.

Change: 32 first questions are under way at a time; one without an answer after 100 ms makes way, so silent workers hold up nobody.

Test: overload, 'does not hold up its renewals', failed with all at once (1,014 ms of work ahead of a renewal, 600 allowed, the gap between two of them).

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -5,6 +5,7 @@
 import * as ends from './ends.js';
 import * as evacuations from './zone-evacuations.js';
 import * as fencing from './fencing-tokens.js';
+import * as firstQuestions from './first-questions.js';
 import * as interference from './interference.js';
 import * as jobBook from './job-book.js';
 import * as meters from './load-meter.js';
@@ -346,7 +347,11 @@
 		const { epoch, onFenced } = this.opts;
 		const tokens = fencing.FencingTokens.create(epoch, onFenced);
 		const isEvacuated = (zone: string): boolean => this.evacuations.has(zone);
-		return workerPool.WorkerPool.create({ ...this.opts, tokens, isEvacuated, handlers, onOpened }, roster);
+		const first = firstQuestions.FirstQuestions.create(this.opts.clock);
+		return workerPool.WorkerPool.create(
+			{ ...this.opts, tokens, isEvacuated, firstQuestions: first, handlers, onOpened },
+			roster,
+		);
 	}
 
 	private createReportContext(): ends.ReportContext {
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -2,6 +2,7 @@
 import type * as clocks from '../clock.js';
 import type * as events from '../events/index.js';
 import type * as fencing from './fencing-tokens.js';
+import type * as firstQuestions from './first-questions.js';
 import type * as fleet from '../fleet/types.js';
 import type * as jobs from '../jobs/index.js';
 import type * as listedEnds from './listed-ends.js';
@@ -73,6 +74,7 @@
 export interface SessionDeps extends DispatchDeps {
 	tokens: fencing.FencingTokens;
 	isEvacuated: (zone: string) => boolean;
+	firstQuestions: firstQuestions.FirstQuestions;
 }
 
 /** A report, and what was known when it was asked for. */
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -419,6 +419,7 @@
 	}
 
 	private async run(): Promise<void> {
+		let answered: (() => void) | undefined = await this.deps.firstQuestions.turn();
 		while (!this.isOver) {
 			const sentAt = this.deps.clock.now();
 			const { target } = this;
@@ -433,6 +434,8 @@
 				leaseUntil: this.unanswered ? undefined : this.grantLease(),
 				waitMs,
 			});
+			answered?.();
+			answered = undefined;
 			if (this.isOverNow()) return;
 			this.unanswered = !res.ok;
 			if (res.ok && !this.isFrom(res.value)) {
--- a/test/filling.test.ts
+++ b/test/filling.test.ts
@@ -2,6 +2,7 @@
 import test from 'ava';
 import * as events from '../src/core/events/index.js';
 import * as fencing from '../src/core/dispatch/fencing-tokens.js';
+import * as firstQuestions from '../src/core/dispatch/first-questions.js';
 import * as exemptions from '../src/core/dispatch/harm-exemptions.js';
 import * as jobs from '../src/core/jobs/index.js';
 import * as sessions from '../src/core/dispatch/worker-session.js';
@@ -48,6 +49,7 @@
 		onFenced: () => undefined,
 		tokens: fencing.FencingTokens.create(1, () => undefined),
 		isEvacuated: () => false,
+		firstQuestions: firstQuestions.FirstQuestions.create(clock),
 	};
 	const handlers: dispatchTypes.SessionHandlers = {
 		onReport: () => ({ type: 'put-off' }),
--- a/test/overload.test.ts
+++ b/test/overload.test.ts
@@ -1,5 +1,6 @@
 /** A burst that asks for more than the owner's processor has: once it is gone the owner keeps up again, also a new one. */
 import test from 'ava';
+import * as ownership from '../src/core/owner/index.js';
 import * as patterns from '../stand-ins/fleet/load-patterns.js';
 import * as world from './fixtures/dispatching.js';
 import type * as dispatch from '../src/core/dispatch/index.js';
@@ -74,3 +75,28 @@
 			`${String(after)} tasks finished in the last seconds, ${String(before)} in the first`,
 		);
 	});
+
+test('a new owner that hundreds of workers answer does not hold up its renewals', async (t) => {
+	const { clock, fleet, takeOver, takeOverBusy, submit } = world.createWorld(() => ({
+		ms: 300,
+		how: 'done',
+	}));
+	for (let number = 1; number <= 340; number += 1) fleet.add(`w${String(number)}`);
+	const first = await takeOver();
+	await clock.pass(500);
+	const steps = [world.step({ count: 1_000, milliCores: 8_000 })];
+	await submit(first, world.job('job1', steps));
+	await clock.pass(100);
+	first.dispatcher.close();
+	await clock.pass(500);
+	const { owner, processor } = await takeOverBusy({ send: 1, answer: 3 });
+	let longestMs = 0;
+	for (let passed = 0; passed < 4_000; passed += 10) {
+		longestMs = Math.max(longestMs, processor.queueMs);
+		await clock.pass(10);
+	}
+	// A renewal waits behind what is asked of the processor; after a gap between two of them it comes still in time.
+	t.true(longestMs <= ownership.settings.keepGapMs, `${String(longestMs)} ms`);
+	t.is(owner.dispatcher.stateOf('job1'), 'completed');
+	owner.dispatcher.close();
+});
--- a/test/roster.test.ts
+++ b/test/roster.test.ts
@@ -2,6 +2,7 @@
 import test from 'ava';
 import * as events from '../src/core/events/index.js';
 import * as fencing from '../src/core/dispatch/fencing-tokens.js';
+import * as firstQuestions from '../src/core/dispatch/first-questions.js';
 import * as fixtures from './fixtures/dispatching.js';
 import * as jobs from '../src/core/jobs/index.js';
 import * as ledgers from '../src/core/ledger/index.js';
@@ -32,6 +33,7 @@
 			onFenced: () => undefined,
 			tokens: fencing.FencingTokens.create(1, () => undefined),
 			isEvacuated: () => false,
+			firstQuestions: firstQuestions.FirstQuestions.create(clock),
 			onOpened: () => undefined,
 			leaseEnds: new Map(),
 			saveRoster: (roster) => {
