--- a/src/core/dispatch/start-window.ts
+++ b/src/core/dispatch/start-window.ts
@@ -6,20 +6,11 @@
  * renewal of the owner's lease, so that it is replaced while it works, and urgent tasks, whose place in the order is
  * lost once others have been sent. So only as many starts are sent as are answered within a short time; the rest waits
  * where it can still be put in order.
- *
- * A processor that is full of reports answers starts late however few there are. Fewer of them would not help, and with
- * tasks left waiting nothing would bring the owner back; so what the least number takes is no sign of too many.
  */
 
 /** Starts are to be answered within this time, in milliseconds, so that a renewal of the owner's lease behind them is never late. */
 export const targetMs = 200;
 
-/** No more than this where they take as long however few they are: a renewal then waits for one beat of the lease. */
-const mostTargetMs = 600;
-
-/** Starts may take so many times what those take that have the fewest before them. */
-const unavoidableFactor = 1.5;
-
 /** Starts on their way at least. */
 export const leastLimit = 16;
 
@@ -49,15 +40,12 @@
 	medianMs: number;
 	/** The limit held starts back meanwhile. */
 	wasFull: boolean;
-	/** What starts take that have the fewest before them, as of late, in milliseconds; 0: not known. */
-	unavoidableMs: number;
 }
 
 /** The limit after some answers. */
 export function nextLimit(limit: number, times: AnswerTimes): number {
-	const { medianMs, wasFull, unavoidableMs } = times;
-	const allowedMs = Math.min(mostTargetMs, Math.max(targetMs, unavoidableMs * unavoidableFactor));
-	if (medianMs > allowedMs) return Math.max(leastLimit, limit * Math.max(leastPart, allowedMs / medianMs));
+	const { medianMs, wasFull } = times;
+	if (medianMs > targetMs) return Math.max(leastLimit, limit * Math.max(leastPart, targetMs / medianMs));
 	// A limit that nothing has reached is not known to be right.
 	return wasFull ? Math.min(mostLimit, limit * growth) : limit;
 }
@@ -79,11 +67,7 @@
 	private readonly slots = new Set<StartSlot>();
 	private answers = 0;
 	private samples: number[] = [];
-	/** Those of starts that had the fewest before them, the newest. */
-	private fewAhead: number[] = [];
 	private wasFull = false;
-	/** What starts take that have the fewest before them; 0: not known. */
-	private unavoidableMs = 0;
 
 	private constructor(private readonly now: () => number) {}
 
@@ -115,10 +99,7 @@
 	answered(slot: StartSlot): void {
 		this.answers += 1;
 		// The silence of its worker says nothing about the others.
-		if (!this.slots.delete(slot)) return;
-		const tookMs = this.now() - slot.sentAt;
-		if (slot.ahead < leastLimit) this.noteFewAhead(tookMs);
-		this.judge(tookMs);
+		if (this.slots.delete(slot)) this.judge(this.now() - slot.sentAt);
 	}
 
 	/** A start has no answer, or was not sent after all. */
@@ -126,19 +107,11 @@
 		this.slots.delete(slot);
 	}
 
-	private noteFewAhead(tookMs: number): void {
-		this.fewAhead.push(tookMs);
-		if (this.fewAhead.length < leastSamples) return;
-		this.unavoidableMs = median(this.fewAhead);
-		this.fewAhead = [];
-	}
-
 	private judge(tookMs: number): void {
 		this.samples.push(tookMs);
 		const wanted = Math.min(mostSamples, Math.max(leastSamples, this.limit / 2));
 		if (this.samples.length < wanted) return;
-		const { wasFull, unavoidableMs } = this;
-		this.limit = nextLimit(this.limit, { medianMs: median(this.samples), wasFull, unavoidableMs });
+		this.limit = nextLimit(this.limit, { medianMs: median(this.samples), wasFull: this.wasFull });
 		this.samples = [];
 		this.wasFull = false;
 	}
--- a/test/start-window.test.ts
+++ b/test/start-window.test.ts
@@ -83,32 +83,12 @@
 
 test('the limit follows what the answers take, within its bounds', (t) => {
 	const { nextLimit, targetMs, leastLimit, mostLimit } = windows;
-	t.is(nextLimit(100, { medianMs: targetMs / 4, wasFull: true, unavoidableMs: 0 }), 150);
-	t.is(nextLimit(100, { medianMs: targetMs / 4, wasFull: false, unavoidableMs: 0 }), 100);
-	t.is(nextLimit(100, { medianMs: targetMs * 1.25, wasFull: true, unavoidableMs: 0 }), 80);
-	t.is(nextLimit(100, { medianMs: targetMs * 10, wasFull: true, unavoidableMs: 0 }), 50);
-	t.is(nextLimit(leastLimit, { medianMs: targetMs * 10, wasFull: true, unavoidableMs: 0 }), leastLimit);
-	t.is(nextLimit(mostLimit, { medianMs: 1, wasFull: true, unavoidableMs: 0 }), mostLimit);
-	// Starts that take long however few there are may take half as long again, up to a beat of the owner's lease.
-	t.is(nextLimit(leastLimit, { medianMs: 300, wasFull: true, unavoidableMs: 300 }), leastLimit * 1.5);
-	t.is(nextLimit(100, { medianMs: 450, wasFull: true, unavoidableMs: 300 }), 150);
-	t.is(nextLimit(100, { medianMs: 500, wasFull: true, unavoidableMs: 300 }), 90);
-	t.is(nextLimit(100, { medianMs: 750, wasFull: true, unavoidableMs: 2_000 }), 80);
-});
-
-test('starts are not held back for answers that come late however few of them are on their way', async (t) => {
-	const { clock, fleet, takeOverBusy, submit } = world.createWorld(brief);
-	for (let number = 1; number <= 60; number += 1) fleet.add(`w${String(number)}`);
-	const { owner, processor } = await takeOverBusy({ send: 0.1, answer: 0.1 });
-	await clock.pass(1_000);
-	// Whatever is asked of the processor waits for this long, as it does where it is full of reports.
-	processor.delayMs = 150;
-	const before = fleet.starts.length;
-	const steps = [world.step({ count: 2_000, milliCores: 100, memoryMb: 10 })];
-	await submit(owner, world.job('burst', steps));
-	await clock.pass(6_000);
-	t.is(fleet.starts.length - before, 2_000);
-	owner.dispatcher.close();
+	t.is(nextLimit(100, { medianMs: targetMs / 4, wasFull: true }), 150);
+	t.is(nextLimit(100, { medianMs: targetMs / 4, wasFull: false }), 100);
+	t.is(nextLimit(100, { medianMs: targetMs * 1.25, wasFull: true }), 80);
+	t.is(nextLimit(100, { medianMs: targetMs * 10, wasFull: true }), 50);
+	t.is(nextLimit(leastLimit, { medianMs: targetMs * 10, wasFull: true }), leastLimit);
+	t.is(nextLimit(mostLimit, { medianMs: 1, wasFull: true }), mostLimit);
 });
 
 test('starts to silent workers take up no room once others have overtaken them', (t) => {
