--- a/src/core/node/index.ts
+++ b/src/core/node/index.ts
@@ -40,8 +40,8 @@
 	/** Gossip partners; by default every process of the zone. */
 	partners?: (members: membership.Membership) => membership.Member[];
 	/**
-	 * Takes the requests under a path prefix from the Node server itself, before h3. Going through h3 ends each
-	 * response a second time, which cost 6% of the busy time of the entry (docs/decisions/0006-libraries.md).
+	 * Takes the requests under a path prefix from the Node server itself, before h3, which ends each response a second
+	 * time (docs/decisions/0006-libraries.md).
 	 */
 	direct?: { prefix: string; serve: (req: http.IncomingMessage, res: http.ServerResponse) => Promise<void> };
 	gauges?: () => Record<string, number>;
--- a/src/core/owner/settings.ts
+++ b/src/core/owner/settings.ts
@@ -16,9 +16,8 @@
 export const raceSpreadMs = 60;
 
 /**
- * A box with clearly less processor than the strongest known leaves that one this much time to be first. A strong box
- * that hears of the loss over its open question needs about 100 ms; one that starts anew at the same time, about 300. Where
- * the owner fell silent, that question first has to run out of time.
+ * A box with clearly less processor than the strongest known leaves that one this much time to be first: it may
+ * start at the same time. Where the owner fell silent, its question to the owner first has to run out of time.
  */
 export const weakerWaitMs = 350;
 
