Ends, leases and writes of progress keep each fact once

No behaviour changes. Abandoned runs are counted as their ends are taken in, not by another pass over each report's ends. The meter is made before the dispatcher, so that its options are what it was made with.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -33,7 +33,6 @@
 
 /** Dispatches all jobs under one epoch. */
 export class Dispatcher {
-	private readonly opts: options.DispatcherOptions;
 	private readonly book: jobBook.JobBook;
 	private readonly strangers: strangers.Strangers;
 	private readonly workers: workerPool.WorkerPool;
@@ -49,16 +48,14 @@
 	private readonly ticks: clocks.Timer;
 	private readonly reportContext: ends.ReportContext;
 	private readonly reportLog: reportLog.ReportLog;
-	private readonly meter = meters.LoadMeter.create();
 	private readonly list: freshness.ListFreshness;
 	private readonly evacuations: evacuations.ZoneEvacuations;
 
 	private constructor(
-		given: options.DispatcherOptions,
+		private readonly opts: options.DispatcherOptions,
+		private readonly meter: meters.LoadMeter,
 		contents: Pick<ledger.LedgerContents, 'roster' | 'workersStoredSince'>,
 	) {
-		const opts = { ...given, calls: countedCalls.countCalls(given.calls, this.meter) };
-		this.opts = opts;
 		const { clock } = opts;
 		this.reportLog = reportLog.ReportLog.create(opts.events, opts.epoch);
 		this.estimates = interference.Interference.create(clock);
@@ -91,7 +88,9 @@
 		contents: ledger.LedgerContents,
 		knowledge?: learnt.Knowledge,
 	): Dispatcher {
-		const dispatcher = new Dispatcher(opts, contents);
+		const meter = meters.LoadMeter.create();
+		const calls = countedCalls.countCalls(opts.calls, meter);
+		const dispatcher = new Dispatcher({ ...opts, calls }, meter, contents);
 		if (knowledge !== undefined) dispatcher.adoptKnowledge(knowledge);
 		for (const unreadable of contents.unreadable) dispatcher.leaveOut(unreadable);
 		for (const stored of contents.jobs.values()) dispatcher.addStored(stored);
@@ -378,6 +377,9 @@
 			survived: (task, run) => {
 				this.outcomes.survived(task, run);
 			},
+			abandoned: () => {
+				this.meter.count('abandoned');
+			},
 			again: (task) => {
 				this.placer.add(task);
 			},
@@ -403,7 +405,6 @@
 		if (!this.strangers.clear(report)) return { type: 'put-off' };
 		for (const other of others) other.yieldTo(report);
 		const upTo = Math.max(session.seenUpTo, ...report.ended.map((end) => end.seq));
-		this.countAbandoned(session, report);
 		const { changed, unstored } = ends.takeReport(this.reportContext, session, report, sentAt);
 		if (!session.settled) this.reportLog.inherited(session, report);
 		for (const job of changed) this.progress.mark(job);
@@ -415,11 +416,6 @@
 		return { type: 'taken', stored: this.noteStored(session, unstored, upTo) };
 	}
 
-	private countAbandoned(session: sessions.WorkerSession, report: fleet.WorkerReport): void {
-		for (const { seq, how } of report.ended)
-			if (seq > session.seenUpTo && how !== 'done' && how !== 'failed') this.meter.count('abandoned');
-	}
-
 	/** Lets the worker forget its ends up to `upTo` once they are stored. */
 	private async noteStored(
 		session: sessions.WorkerSession,
--- a/src/core/dispatch/ends.ts
+++ b/src/core/dispatch/ends.ts
@@ -22,6 +22,8 @@
 	failed: (session: sessions.WorkerSession, task: jobs.Task, run: number) => void;
 	/** A run is over, and its worker lives. */
 	survived: (task: jobs.Task, run: number) => void;
+	/** A run ended and neither finished nor failed. */
+	abandoned: () => void;
 	/** The task runs nowhere and may be started again. */
 	again: (task: jobs.Task) => void;
 	log: reportLog.ReportLog;
@@ -47,13 +49,17 @@
 	noteUnread(ctx, session, report);
 	for (const end of report.ended) {
 		const task = ctx.findTask(end.task);
-		// An end that was seen before may still wait to be stored.
 		const job = task?.step.job;
-		if (job !== undefined && !job.endStored) unstored.add(job);
-		if (end.seq <= session.seenUpTo) continue;
-		if (job !== undefined && !job.endStored) changed.add(job);
+		const isNew = end.seq > session.seenUpTo;
+		if (job !== undefined && !job.endStored) {
+			// An end that was seen before may still wait to be stored.
+			unstored.add(job);
+			if (isNew) changed.add(job);
+		}
+		if (!isNew) continue;
 		session.seenUpTo = end.seq;
 		ctx.log.ended(session, end);
+		if (end.how !== 'done' && end.how !== 'failed') ctx.abandoned();
 		if (task !== undefined) takeEnd(ctx, session, task, end);
 	}
 	session.strays = report.running.filter((running) => !takeRunning(ctx, session, running)).length;
--- a/src/core/dispatch/listed-ends.ts
+++ b/src/core/dispatch/listed-ends.ts
@@ -18,7 +18,8 @@
 	/** The oldest first. */
 	private open: ListedEnd[] = [];
 	private newest = 0;
-	private storedUpTo = 0;
+	/** Those up to here are stored. */
+	storedUpTo = 0;
 	/** The question under way lets the worker forget those up to here. */
 	private askedUpTo = 0;
 
--- a/src/core/dispatch/progress-saver.ts
+++ b/src/core/dispatch/progress-saver.ts
@@ -52,7 +52,7 @@
 
 /** Group commit of jobs' progress. */
 export class ProgressSaver {
-	/** Changed, and in no write under way, the longest ago first; each with the clock time since when. */
+	/** Changed, and in no write under way; each with the clock time since when. */
 	private readonly dirty = new Map<jobs.ActiveJob, number>();
 	/** Changed, and refused by the store a short while ago: in no write until that is over. */
 	private readonly aside = new Set<jobs.ActiveJob>();
@@ -60,8 +60,8 @@
 	private readonly suspects = new WeakSet<jobs.ActiveJob>();
 	/** Of those and of what changed since its write began: jobs for whose storing somebody waits. */
 	private readonly awaited = new Set<jobs.ActiveJob>();
-	/** In a write under way; each with the clock time from which it had waited for that. */
-	private readonly inFlight = new Map<jobs.ActiveJob, number>();
+	/** In a write under way. */
+	private readonly inFlight = new Set<jobs.ActiveJob>();
 	/** Changed since their write began: a job's writes follow one another. */
 	private readonly changedInFlight = new Set<jobs.ActiveJob>();
 	/** Number of each job's newest change. */
@@ -144,14 +144,14 @@
 		if (chosen.length === 0) return;
 		const batch = new Map(chosen.map((job) => [job, this.changes.get(job) ?? 0]));
 		const records = new Map(chosen.map((job) => [job.id, job.toProgress()]));
+		const waitingSince = new Map(chosen.map((job) => [job, this.dirty.get(job) ?? this.opts.clock.now()]));
 		for (const job of chosen) {
-			this.inFlight.set(job, this.dirty.get(job) ?? this.opts.clock.now());
 			this.dirty.delete(job);
 			this.awaited.delete(job);
+			this.inFlight.add(job);
 		}
 		this.writes += 1;
 		const outcome = await this.opts.save(records);
-		const waitingSince = new Map(chosen.map((job) => [job, this.inFlight.get(job) ?? 0]));
 		for (const job of chosen) {
 			this.inFlight.delete(job);
 			if (this.changedInFlight.delete(job)) this.addDirty(job);
--- a/src/core/dispatch/worker-lease.ts
+++ b/src/core/dispatch/worker-lease.ts
@@ -10,6 +10,9 @@
 /** What leases are given by. */
 export type LeaseDeps = Pick<types.DispatchDeps, 'clock' | 'maxLeaseMs' | 'mayAct'>;
 
+/** Why no lease can be given: the worker's clock is not known, or the owner's epoch was not shown in force lately. */
+export type Denial = 'no-clock' | 'may-not-act';
+
 /** The lease of one life of a worker. */
 export class WorkerLease {
 	/** Its clock as last read, and when that was on ours. */
@@ -47,9 +50,15 @@
 		this.reading = { clockMs: reading.clockMs, at: this.deps.clock.now() };
 	}
 
+	/** Why none can be given now; undefined: one can. */
+	get denial(): Denial | undefined {
+		if (!this.hasClock) return 'no-clock';
+		return this.deps.mayAct() ? undefined : 'may-not-act';
+	}
+
 	/** Lease end to send with an order, on the worker's clock; undefined: none can or may be given. */
 	grant(): number | undefined {
-		if (this.reading === undefined || !this.deps.mayAct()) return undefined;
+		if (this.reading === undefined || this.denial !== undefined) return undefined;
 		const now = this.deps.clock.now();
 		this.grantedAt = now;
 		// The slowest rate its clock may have: the lease never reaches further than its limit.
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -48,8 +48,6 @@
 	readonly health: health.WorkerHealth;
 	/** Ends that it lists and has not been let forget. */
 	readonly listed: listedEnds.ListedEnds;
-	/** Ends up to here are stored. */
-	storedUpTo = 0;
 	/** Ends up to here have been taken in. */
 	seenUpTo = 0;
 	/** Runs in the newest report that are being stopped and have no place: what they take is not counted. */
@@ -284,16 +282,18 @@
 	}
 
 	/** Why it gets no lease now; undefined: it does. */
-	get unleasedBecause(): 'withheld' | 'in-doubt' | 'no-clock' | 'may-not-act' | undefined {
+	get unleasedBecause(): 'withheld' | 'in-doubt' | leases.Denial | undefined {
 		if (this.withheld) return 'withheld';
-		if (this.inDoubt.any) return 'in-doubt';
-		if (!this.lease.hasClock) return 'no-clock';
-		return this.deps.mayAct() ? undefined : 'may-not-act';
+		return this.inDoubt.any ? 'in-doubt' : this.lease.denial;
+	}
+
+	/** Ends up to here are stored. */
+	get storedUpTo(): number {
+		return this.listed.storedUpTo;
 	}
 
 	/** Ends up to `upTo` are stored, so the worker may forget them. */
 	noteStored(upTo: number): void {
-		this.storedUpTo = Math.max(this.storedUpTo, upTo);
 		this.listed.noteStored(upTo, this.deps.clock.now());
 	}
 
--- a/test/roster.test.ts
+++ b/test/roster.test.ts
@@ -65,7 +65,7 @@
 		onReport: (session) => {
 			const stored = new Promise<void>((resolve) => {
 				storeEnds = () => {
-					session.storedUpTo = 1;
+					session.noteStored(1);
 					resolve();
 				};
 			});
