Tests of progress, unanswered starts and queues share their fixtures

The same job and saver stood in two test files, the same unanswered start in two, the same queue in two stand-ins.

--- a/stand-ins/fleet/busy-processor.ts
+++ b/stand-ins/fleet/busy-processor.ts
@@ -1,4 +1,5 @@
 /** A box's own processor in memory: sending an order and taking in an answer take their time, one after the other. */
+import * as queues from './serial-queue.js';
 import type * as clocks from '../../src/core/clock.js';
 import type * as fleet from '../../src/core/fleet/types.js';
 import type * as platform from '../../src/core/platform/types.js';
@@ -15,12 +16,14 @@
 	usedMs = 0;
 	/** How much longer everything waits, in milliseconds: other work comes before it. */
 	delayMs = 0;
-	private freeAt = 0;
+	private readonly queue: queues.SerialQueue;
 
 	private constructor(
 		private readonly clock: clocks.Clock,
 		private readonly costs: CallCosts,
-	) {}
+	) {
+		this.queue = queues.SerialQueue.create(clock);
+	}
 
 	static create(clock: clocks.Clock, costs: CallCosts): BusyProcessor {
 		return new BusyProcessor(clock, costs);
@@ -28,7 +31,7 @@
 
 	/** How long what is asked for now has to wait, in milliseconds. */
 	get queueMs(): number {
-		return Math.max(0, this.freeAt - this.clock.now());
+		return this.queue.waitMs;
 	}
 
 	/** Calls to workers that this processor makes. */
@@ -81,11 +84,10 @@
 
 	/** Resolves once so much has been done behind all that was asked for before. */
 	private use(ms: number): Promise<void> {
-		const now = this.clock.now();
-		this.freeAt = Math.max(this.freeAt, now) + ms;
 		this.usedMs += ms;
+		const waitMs = this.queue.take(ms) + this.delayMs;
 		return new Promise((resolve) => {
-			this.clock.after(this.freeAt - now + this.delayMs, resolve);
+			this.clock.after(waitMs, resolve);
 		});
 	}
 }
--- a/stand-ins/fleet/slow-link.ts
+++ b/stand-ins/fleet/slow-link.ts
@@ -1,4 +1,5 @@
 /** A box's own link in memory: one byte after another, whatever they are for. */
+import * as queues from './serial-queue.js';
 import type * as clocks from '../../src/core/clock.js';
 import type * as fleet from '../../src/core/fleet/types.js';
 import type * as platform from '../../src/core/platform/types.js';
@@ -13,12 +14,14 @@
 export class SlowLink {
 	/** The longest that a call to the store waited for the link so far, in milliseconds. */
 	longestStoreWaitMs = 0;
-	private freeAt = 0;
+	private readonly queue: queues.SerialQueue;
 
 	private constructor(
 		private readonly clock: clocks.Clock,
 		private readonly bytesPerS: number,
-	) {}
+	) {
+		this.queue = queues.SerialQueue.create(clock);
+	}
 
 	static create(clock: clocks.Clock, bytesPerS: number): SlowLink {
 		return new SlowLink(clock, bytesPerS);
@@ -53,10 +56,9 @@
 
 	/** Does `call` once so many bytes have passed behind all that was sent before. */
 	private after<T>(bytes: number, call: () => Promise<T>): Promise<T> {
-		const now = this.clock.now();
-		this.freeAt = Math.max(this.freeAt, now) + (bytes * 1_000) / this.bytesPerS;
+		const waitMs = this.queue.take((bytes * 1_000) / this.bytesPerS);
 		return new Promise((resolve) => {
-			this.clock.after(this.freeAt - now, () => {
+			this.clock.after(waitMs, () => {
 				resolve(call());
 			});
 		});
--- a/test/progress-saver.test.ts
+++ b/test/progress-saver.test.ts
@@ -1,40 +1,25 @@
 /** What of many jobs' progress is stored first, where each write takes long. */
 import test from 'ava';
-import * as jobs from '../src/core/jobs/index.js';
+import * as fixtures from './fixtures/progress.js';
 import * as saver from '../src/core/dispatch/progress-saver.js';
 import * as settings from '../src/core/dispatch/settings.js';
 import * as time from '../stand-ins/fleet/virtual-clock.js';
-import * as world from './fixtures/dispatching.js';
 
 /** A write takes so long, in milliseconds: a store in a slow hour. */
 const writeMs = 360;
 
-function createJob(id: string, now: number): jobs.ActiveJob {
-	const start = { cancelled: false, inherited: false, workersStored: true, now, age: 0 };
-	const job = jobs.ActiveJob.create(world.job(id, [world.step({ count: 50 })]), undefined, start);
-	job.openNextTime(now);
-	return job;
-}
-
 test('the end of a job is stored with the next write, however many others have changed before', async (t) => {
 	const clock = time.VirtualClock.create();
 	const storedAt = new Map<string, number>();
-	const progress = saver.ProgressSaver.create({
-		clock,
-		save: async (batch) => {
-			await new Promise<void>((resolve) => clock.after(writeMs, resolve));
-			for (const id of batch.keys()) storedAt.set(id, clock.now());
-			return 'committed';
-		},
-		onSaved: () => undefined,
-		onSuperseded: () => undefined,
-		onRefused: () => undefined,
-		onFailure: () => undefined,
+	const progress = fixtures.createSaver(clock, async (batch) => {
+		await new Promise<void>((resolve) => clock.after(writeMs, resolve));
+		for (const id of batch.keys()) storedAt.set(id, clock.now());
+		return 'committed';
 	});
-	const running = Array.from({ length: 120 }, (_, number) => createJob(`job${String(number)}`, clock.now()));
+	const running = fixtures.createJobs(120, clock.now());
 	for (const job of running) progress.mark(job);
 	await clock.pass(100);
-	const ending = createJob('ending', clock.now());
+	const ending = fixtures.createJob('ending', clock.now());
 	ending.state = 'completed';
 	const endedAt = clock.now();
 	progress.mark(ending);
@@ -65,21 +50,18 @@
 	const clock = time.VirtualClock.create();
 	const stored = new Set<string>();
 	const refused: string[] = [];
-	const progress = saver.ProgressSaver.create({
+	const progress = fixtures.createSaver(
 		clock,
-		save: async (batch) => {
+		async (batch) => {
 			await new Promise<void>((resolve) => clock.after(4, resolve));
 			if (batch.has('job7')) return 'refused';
 			for (const id of batch.keys()) stored.add(id);
 			return 'committed';
 		},
-		onSaved: () => undefined,
-		onSuperseded: () => undefined,
-		onRefused: (job) => refused.push(job.id),
-		onFailure: () => undefined,
-	});
+		(job) => refused.push(job.id),
+	);
 	for (let number = 0; number < 40; number += 1)
-		progress.mark(createJob(`job${String(number)}`, clock.now()), number % 3 === 1);
+		progress.mark(fixtures.createJob(`job${String(number)}`, clock.now()), number % 3 === 1);
 	await clock.pass(1_000);
 	t.is(stored.size, 39);
 	t.deepEqual(refused, ['job7']);
@@ -92,32 +74,25 @@
 	const clock = time.VirtualClock.create();
 	let writing = 0;
 	const underWay = new Set<string>();
-	const progress = saver.ProgressSaver.create({
-		clock,
-		save: async (batch) => {
-			writing += 1;
-			t.true(writing <= 3);
-			for (const id of batch.keys()) {
-				t.false(underWay.has(id));
-				underWay.add(id);
-			}
-			await new Promise<void>((resolve) => clock.after(40, resolve));
-			for (const id of batch.keys()) underWay.delete(id);
-			writing -= 1;
-			return 'committed';
-		},
-		onSaved: () => undefined,
-		onSuperseded: () => undefined,
-		onRefused: () => undefined,
-		onFailure: () => undefined,
+	const progress = fixtures.createSaver(clock, async (batch) => {
+		writing += 1;
+		t.true(writing <= 3);
+		for (const id of batch.keys()) {
+			t.false(underWay.has(id));
+			underWay.add(id);
+		}
+		await new Promise<void>((resolve) => clock.after(40, resolve));
+		for (const id of batch.keys()) underWay.delete(id);
+		writing -= 1;
+		return 'committed';
 	});
-	const changed = Array.from({ length: 100 }, (_, number) => createJob(`job${String(number)}`, clock.now()));
+	const changed = fixtures.createJobs(100, clock.now());
 	for (const job of changed) progress.mark(job);
 	const beganAt = clock.now();
 	let storedAt = Infinity;
 	void progress.stored(changed).then(() => (storedAt = clock.now()));
 	for (let round = 0; round < 100; round += 1) {
-		progress.mark(changed[round] ?? createJob('none', 0));
+		progress.mark(changed[round] ?? fixtures.createJob('none', 0));
 		await clock.pass(10);
 	}
 	t.true(storedAt - beganAt <= settings.forgetWithinMs, `${String(storedAt - beganAt)} ms`);
@@ -127,19 +102,12 @@
 test('a change made while its job is written is stored by a later write', async (t) => {
 	const clock = time.VirtualClock.create();
 	const saved: string[] = [];
-	const progress = saver.ProgressSaver.create({
-		clock,
-		save: async (batch) => {
-			await new Promise<void>((resolve) => clock.after(100, resolve));
-			saved.push(...[...batch].map(([id, { state }]) => `${id} ${state}`));
-			return 'committed';
-		},
-		onSaved: () => undefined,
-		onSuperseded: () => undefined,
-		onRefused: () => undefined,
-		onFailure: () => undefined,
+	const progress = fixtures.createSaver(clock, async (batch) => {
+		await new Promise<void>((resolve) => clock.after(100, resolve));
+		saved.push(...[...batch].map(([id, { state }]) => `${id} ${state}`));
+		return 'committed';
 	});
-	const job = createJob('job1', clock.now());
+	const job = fixtures.createJob('job1', clock.now());
 	progress.mark(job);
 	await clock.pass(60);
 	job.state = 'completed';
--- a/test/shrinking-rooms.test.ts
+++ b/test/shrinking-rooms.test.ts
@@ -44,14 +44,8 @@
 });
 
 test('a start without an answer is not repeated at a worker whose room has shrunk meanwhile', async (t) => {
-	const made = world.createWorld(() => long);
+	const { made, owner, w1 } = await world.leaveUnanswered(world.step({ milliCores }));
 	const { clock, fleet: all } = made;
-	const w1 = all.add('w1');
-	const owner = await made.takeOver();
-	await clock.pass(1_200);
-	w1.fault = 'silent';
-	await made.submit(owner, world.job('job1', [world.step({ milliCores })]));
-	await clock.pass(500);
 	shrink(owner, w1.entry);
 	w1.fault = 'none';
 	await clock.pass(5_000);
--- a/test/unstored-progress.test.ts
+++ b/test/unstored-progress.test.ts
@@ -1,9 +1,10 @@
 /** Ends that workers list are held up by progress that is not stored: a refused job, and a flood of ended jobs. */
 import test from 'ava';
-import * as jobs from '../src/core/jobs/index.js';
-import * as saver from '../src/core/dispatch/progress-saver.js';
+import * as fixtures from './fixtures/progress.js';
 import * as time from '../stand-ins/fleet/virtual-clock.js';
 import * as world from './fixtures/dispatching.js';
+import type * as jobs from '../src/core/jobs/index.js';
+import type * as saver from '../src/core/dispatch/progress-saver.js';
 import type * as ledger from '../src/core/ledger/index.js';
 
 /** A calm store takes ends within this time, in milliseconds: half of the shortest time that operators allow. */
@@ -14,33 +15,15 @@
 
 const reportGapMs = 50;
 
-function createJob(id: string, now: number): jobs.ActiveJob {
-	const start = { cancelled: false, inherited: false, workersStored: true, now, age: 0 };
-	const job = jobs.ActiveJob.create(world.job(id, [world.step({ count: 50 })]), undefined, start);
-	job.openNextTime(now);
-	return job;
-}
-
-function createJobs(count: number, now: number): jobs.ActiveJob[] {
-	return Array.from({ length: count }, (_, number) => createJob(`job${String(number)}`, now));
-}
-
 /** A saver whose writes take `writeMs`; `outcomeOf`: what becomes of a batch. */
 function createSaver(
 	clock: time.VirtualClock,
 	writeMs: number,
 	outcomeOf: (ids: string[]) => ledger.WriteOutcome = () => 'committed',
 ): saver.ProgressSaver {
-	return saver.ProgressSaver.create({
-		clock,
-		save: async (batch) => {
-			await new Promise<void>((resolve) => clock.after(writeMs, resolve));
-			return outcomeOf([...batch.keys()]);
-		},
-		onSaved: () => undefined,
-		onSuperseded: () => undefined,
-		onRefused: () => undefined,
-		onFailure: () => undefined,
+	return fixtures.createSaver(clock, async (batch) => {
+		await new Promise<void>((resolve) => clock.after(writeMs, resolve));
+		return outcomeOf([...batch.keys()]);
 	});
 }
 
@@ -57,8 +40,8 @@
 		sizes.push(ids.length);
 		return 'committed';
 	});
-	const refused = createJob('refused', clock.now());
-	const sound = createJobs(60, clock.now());
+	const refused = fixtures.createJob('refused', clock.now());
+	const sound = fixtures.createJobs(60, clock.now());
 	for (let at = 0; at < lengthMs; at += reportGapMs) {
 		for (const job of [refused, ...sound]) progress.mark(job);
 		await clock.pass(reportGapMs);
@@ -75,7 +58,7 @@
 	const clock = time.VirtualClock.create();
 	let isRefused = true;
 	const progress = createSaver(clock, 20, () => (isRefused ? 'refused' : 'committed'));
-	const job = createJob('job1', clock.now());
+	const job = fixtures.createJob('job1', clock.now());
 	progress.mark(job);
 	await clock.pass(200);
 	let isStored = false;
@@ -99,14 +82,14 @@
 		let ended = 0;
 		const endJobs = async (forMs: number): Promise<void> => {
 			for (let at = 0; at < forMs; at += gapMs) {
-				const job = createJob(`ended${String((ended += 1))}`, clock.now());
+				const job = fixtures.createJob(`ended${String((ended += 1))}`, clock.now());
 				job.state = 'completed';
 				progress.mark(job);
 				await clock.pass(gapMs);
 			}
 		};
 		await endJobs(1_000);
-		const running = createJob('running', clock.now());
+		const running = fixtures.createJob('running', clock.now());
 		const markedAt = clock.now();
 		progress.mark(running);
 		let storedAt = Infinity;
@@ -120,7 +103,7 @@
 test('ends of hundreds of jobs that go on changing are stored in time where a write takes 300 ms', async (t) => {
 	const clock = time.VirtualClock.create();
 	const progress = createSaver(clock, 300);
-	const running = createJobs(500, clock.now());
+	const running = fixtures.createJobs(500, clock.now());
 	let longestMs = 0;
 	const mark = async (job: jobs.ActiveJob): Promise<void> => {
 		const markedAt = clock.now();
