A run that may have ended before its worker went down counts as half a crash

Cause: a worker that hangs, answering nothing, and crashes later loses the ends of runs that finished in between. The owner dated the crash to the first call that failed and held it against every run that had been there. Four such losses gave the task up; its workers' own account shows none or one real crash.

Change: the first failed call is followed by a question at once. A worker that accepts a connection for it and leaves it without an answer for 200 ms was up after it had ceased to answer, so its crash came later: two such runs count as one crash. A crash breaks and refuses connections, a machine without power accepts none; both count whole as before.

Left: a task that makes its worker hang before it crashes it costs up to eight workers.

--- a/src/core/dispatch/outcomes.ts
+++ b/src/core/dispatch/outcomes.ts
@@ -130,20 +130,21 @@
 		const { job } = task.step;
 		if (job.ended || task.state === 'finished') return;
 		const crashes = (task.crashes ??= jobs.CrashHistory.create());
-		crashes.noteCrash(run, isBlamed, (session.failedAt ?? Infinity) - sentAt);
+		if (session.isHanging) crashes.noteDoubtfulCrash(run);
+		else crashes.noteCrash(run, isBlamed, (session.failedAt ?? Infinity) - sentAt);
 		this.opts.probations.noteCrash(task, place.onProbation);
 		this.opts.progress.mark(job);
-		const { crashed, blamed } = crashes;
-		this.opts.events.emit('task.crashed', { task: task.name, run, crashed, blamed });
+		const { crashed, blamed, lost } = crashes;
+		this.opts.events.emit('task.crashed', { task: task.name, run, crashed, blamed, lost });
 		this.giveUpSpent(task, crashes);
 	}
 
 	/** Gives a task up, and its job with it, if too many workers went down under it; true: it was. */
 	private giveUpSpent(task: jobs.Task, crashes: jobs.CrashHistory): boolean {
-		const { verdict, crashed, blamed } = crashes;
+		const { verdict, crashed, blamed, lost } = crashes;
 		if (verdict === undefined) return false;
 		const { job } = task.step;
-		job.failure = `${String(crashed)} workers went down, or may have, under task ${task.name}: ${verdict}`;
+		job.failure = `${String(lost)} workers went down, or may have, under task ${task.name}: ${verdict}`;
 		this.opts.events.emit('task.given-up', { task: task.name, crashed, blamed, reason: verdict });
 		this.endJob(job, 'failed');
 		return true;
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -13,6 +13,7 @@
 import * as lives from '../fleet/lives.js';
 import * as placements from './placements.js';
 import * as settings from './settings.js';
+import * as silences from './worker-silence.js';
 import type * as fleet from '../fleet/types.js';
 import type * as jobs from '../jobs/index.js';
 import type * as types from './types.js';
@@ -43,8 +44,6 @@
 	unlisted = false;
 	/** Clock time of the last answer. */
 	answeredAt = -Infinity;
-	/** Clock time of the first call since then that failed; undefined: none has. */
-	failedAt: number | undefined;
 	readonly health: health.WorkerHealth;
 	/** Ends that it lists and has not been let forget. */
 	readonly listed: listedEnds.ListedEnds;
@@ -67,6 +66,7 @@
 	/** Clock time at which a neighbour of what serves there last came, went or changed its pace. */
 	neighboursChangedAt = -Infinity;
 	private readonly lease: leases.WorkerLease;
+	private readonly silence: silences.WorkerSilence;
 	private closed = false;
 	/** Another life has answered in its place; what is there of its runs is known once that one's report is taken. */
 	private superseded = false;
@@ -103,6 +103,7 @@
 		this.token = deps.tokens.next();
 		this.health = health.WorkerHealth.create({ ...deps, worker: target.id });
 		this.lease = leases.WorkerLease.create(deps, inheritedUntil);
+		this.silence = silences.WorkerSilence.create(deps.clock);
 		this.inDoubt = doubts.RunsInDoubt.create(inDoubt);
 		this.listed = listedEnds.ListedEnds.create(deps.recordTime ?? (() => undefined));
 		this.settled = inheritedUntil === -Infinity;
@@ -158,6 +159,16 @@
 		return this.lease.leftMs;
 	}
 
+	/** Clock time of the first call since the last answer that failed; undefined: none has. */
+	get failedAt(): number | undefined {
+		return this.silence.failedAt;
+	}
+
+	/** Whether it went on accepting connections after it had ceased to answer, so it did not go down at that moment. */
+	get isHanging(): boolean {
+		return this.silence.isHanging;
+	}
+
 	/** Whether it answers, as far as is known. */
 	get answering(): boolean {
 		return this.deps.clock.now() - this.answeredAt < settings.silentAfterMs;
@@ -300,15 +311,13 @@
 	/** Takes in the worker's clock from an answer. */
 	heard(reading: fleet.ClockReading): void {
 		this.answeredAt = this.deps.clock.now();
-		this.failedAt = undefined;
+		this.silence.end();
 		this.lease.heard(reading);
 	}
 
 	/** A call was not answered. A crash breaks connections, so the first failure is the closest to its moment. */
 	private noteFailedCall(err: fleet.WorkerFailure): void {
-		if (this.failedAt !== undefined) return;
-		this.failedAt = this.deps.clock.now();
-		this.handlers.onUnanswered(this, err);
+		if (this.silence.noteFailure()) this.handlers.onUnanswered(this, err);
 	}
 
 	/** The platform lists it so from now on. */
@@ -433,6 +442,9 @@
 				forgetUpTo,
 				leaseUntil: this.unanswered ? undefined : this.grantLease(),
 				waitMs,
+				onConnected: () => {
+					this.silence.noteConnected();
+				},
 			});
 			answered?.();
 			answered = undefined;
@@ -448,8 +460,10 @@
 				await this.takeReport(res.value, sentAt, others);
 				continue;
 			}
+			const isFirst = this.failedAt === undefined;
 			if (this.ended(res.err, target, stamp)) return;
-			if (res.err.kind !== 'fenced') await clocks.sleep(this.deps.clock, settings.holdRetryMs);
+			// Whether it still accepts connections is to be known at once.
+			if (res.err.kind !== 'fenced' && !isFirst) await clocks.sleep(this.deps.clock, settings.holdRetryMs);
 		}
 	}
 
--- /dev/null
+++ b/src/core/dispatch/worker-silence.ts
@@ -0,0 +1,51 @@
+/**
+ * When a worker ceased to answer, and whether its machine was up after that. A crash breaks connections and refuses new
+ * ones, and a machine without power accepts none. A worker that accepts a connection and leaves the question there without
+ * an answer has not gone down yet, so what it runs may end unheard before it does.
+ */
+import type * as clocks from '../clock.js';
+
+/** A worker that can answer does so within this, once a connection to it is open, in milliseconds. */
+const mostAnswerMs = 200;
+
+/** What is known of one worker's silence. */
+export class WorkerSilence {
+	/** Clock time of the first call since the last answer that failed; undefined: none has. */
+	private failure: number | undefined;
+	/** Clock time at which the worker first accepted a connection after that; undefined: it has not. */
+	private connectedAt: number | undefined;
+
+	private constructor(private readonly clock: clocks.Clock) {}
+
+	static create(clock: clocks.Clock): WorkerSilence {
+		return new WorkerSilence(clock);
+	}
+
+	/** Clock time of the first call since the last answer that failed; undefined: none has. */
+	get failedAt(): number | undefined {
+		return this.failure;
+	}
+
+	/** Whether it goes on accepting connections and answers nothing. */
+	get isHanging(): boolean {
+		return this.connectedAt !== undefined && this.clock.now() - this.connectedAt > mostAnswerMs;
+	}
+
+	/** A call failed; true: the first since the last answer. */
+	noteFailure(): boolean {
+		if (this.failure !== undefined) return false;
+		this.failure = this.clock.now();
+		return true;
+	}
+
+	/** A connection was opened. */
+	noteConnected(): void {
+		if (this.failure !== undefined) this.connectedAt ??= this.clock.now();
+	}
+
+	/** The worker answered. */
+	end(): void {
+		this.failure = undefined;
+		this.connectedAt = undefined;
+	}
+}
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -202,7 +202,7 @@
 	'task.crashed': {
 		id: 3116,
 		level: 'warn',
-		text: 'A worker went down under a run: how many did under this task so far, and how many it seems to have brought down.',
+		text: 'A worker went down under a run, or may have: how many did under this task so far, how many it seems to have brought down, and `lost`, how many in all may have.',
 	},
 	'task.cleared': {
 		id: 3117,
--- a/src/core/fleet/types.ts
+++ b/src/core/fleet/types.ts
@@ -117,6 +117,8 @@
 	leaseUntil?: number;
 	/** How long the answer may wait for an end, in milliseconds. */
 	waitMs: number;
+	/** Called when the worker accepts a connection that is opened for this question. */
+	onConnected?: () => void;
 }
 
 /** A call's outcome. */
--- a/stand-ins/fleet/workers.ts
+++ b/stand-ins/fleet/workers.ts
@@ -455,12 +455,18 @@
 	}
 
 	/** Carries an order out at the worker that listens at the address, as that worker's fault lets it. */
-	private async carryOut<T>(at: fleet.WorkerTarget, isCut: IsCut, order: Order<T>): fleet.WorkerResult<T> {
+	private async carryOut<T>(
+		at: fleet.WorkerTarget,
+		isCut: IsCut,
+		order: Order<T>,
+		onConnected?: () => void,
+	): fleet.WorkerResult<T> {
 		await this.sleep(arrivalMs);
 		const worker = this.atAddress(at.address);
 		if (this.down.get(at.address) === 'closed') return results.fail({ kind: 'unreachable' });
 		const fault = worker === undefined || isCut(worker.name) ? 'silent' : worker.fault;
 		if (worker !== undefined && fault !== 'silent') {
+			if (fault !== 'refused') onConnected?.();
 			if (worker.name !== lives.nameOf(at.id)) return results.fail({ kind: 'other-life' });
 			if (fault === 'none') return order(worker);
 			if (fault === 'refused') return results.fail({ kind: 'unreachable' });
@@ -491,7 +497,7 @@
 		isCut: IsCut,
 		order: fleet.HoldOrder,
 	): fleet.WorkerResult<fleet.WorkerReport> {
-		const first = await this.carryOut(at, isCut, (worker) => worker.hold(order));
+		const first = await this.carryOut(at, isCut, (worker) => worker.hold(order), order.onConnected);
 		const worker = this.atAddress(at.address);
 		if (!first.ok || worker === undefined || order.waitMs === 0) return first;
 		if (first.value.ended.length > 0) return first;
--- a/test/crash-history.test.ts
+++ b/test/crash-history.test.ts
@@ -42,6 +42,20 @@
 	t.is(history.verdict, 'too many to go on, whatever the cause');
 });
 
+test('two runs that may have ended before their workers went down count as one crash', (t) => {
+	const history = jobs.CrashHistory.create();
+	for (const run of [1, 2, 3, 4, 5, 6, 7]) {
+		history.noteTry(run);
+		history.noteDoubtfulCrash(run);
+		t.is(history.crashed, Math.floor(run / 2));
+	}
+	const { crashed, lost } = jobs.CrashHistory.create(history.toStored());
+	t.deepEqual({ crashed, lost }, { crashed: 3, lost: 7 });
+	history.noteEnd(7);
+	history.noteEnd(6);
+	t.is(history.crashed, 2);
+});
+
 test('whatever becomes of them, no more than two starts follow the third crash', (t) => {
 	const run = fc.property(fc.array(outcome, { maxLength: 20 }), (outcomes) => {
 		return startsAfterThirdCrash(outcomes) <= startsAfterBound;
--- /dev/null
+++ b/test/worker-silence.test.ts
@@ -0,0 +1,59 @@
+/** What is held against a run whose worker ceased to answer and went down later: it may have ended unheard in between. */
+import * as http from 'node:http';
+import events from 'node:events';
+import * as timers from 'node:timers/promises';
+import type * as net from 'node:net';
+import test from 'ava';
+import * as client from '../platform/http-client.js';
+import * as silences from '../src/core/dispatch/worker-silence.js';
+import * as time from '../stand-ins/fleet/virtual-clock.js';
+import * as workerCalls from '../platform/worker-calls.js';
+
+test('a worker hangs once it has left a connection that it accepted without an answer', async (t) => {
+	const clock = time.VirtualClock.create();
+	const silence = silences.WorkerSilence.create(clock);
+	silence.noteConnected();
+	await clock.pass(1_000);
+	t.false(silence.isHanging, 'connections opened before a call failed tell nothing');
+	t.true(silence.noteFailure());
+	t.false(silence.noteFailure());
+	await clock.pass(1_000);
+	t.false(silence.isHanging, 'it may have gone down at that moment');
+	silence.noteConnected();
+	t.false(silence.isHanging, 'the answer may be on its way');
+	await clock.pass(300);
+	t.true(silence.isHanging);
+	silence.end();
+	t.false(silence.isHanging);
+	t.is(silence.failedAt, undefined);
+});
+
+test('questions tell of connections that a worker accepts for them, not of those that are kept', async (t) => {
+	let answers = true;
+	const server = http.createServer((_req, res) => {
+		if (answers) res.end(JSON.stringify({ clock_ms: 1, running: [], ended: [] }));
+	});
+	server.listen(0, '127.0.0.1');
+	await events.once(server, 'listening');
+	const { port } = server.address() as net.AddressInfo;
+	const calls = workerCalls.workerCalls(client.JsonClient.create());
+	const target = { id: 'w1', address: `127.0.0.1:${String(port)}` };
+	const ask = async (): Promise<[isOk: boolean, connections: number]> => {
+		let connections = 0;
+		const onConnected = (): void => void (connections += 1);
+		const res = await calls.hold(target, { token: 1, forgetUpTo: 0, waitMs: 0, onConnected });
+		// The connection is free for the next call only after the answer has been handed on.
+		await timers.setImmediate();
+		return [res.ok, connections];
+	};
+	t.deepEqual(await ask(), [true, 1]);
+	t.deepEqual(await ask(), [true, 0], 'the connection is kept');
+	answers = false;
+	t.deepEqual(await ask(), [false, 0]);
+	t.deepEqual(await ask(), [false, 1], 'it is up, and hangs');
+	server.closeAllConnections();
+	server.close();
+	await events.once(server, 'close');
+	t.deepEqual(await ask(), [false, 0], 'nobody listens');
+	calls.forget(target);
+});
