A stored start names its worker, and counts as a crash only if that worker went down

Cause: a task with a history is stored with each further start, and an owner that finds such a start nowhere took it for a crash, whatever had become of the worker. A start that was stored and never sent, as its owner died, counted too.

Change: the worker's life is stored with the start. If that life has answered the new owner, the start was never carried out: later orders of the owner before are refused there. If it was lost before it answered, the start counts as a crash, or as one in doubt where the worker hung; this is settled and stored as soon as the worker is known to be gone, since a later owner does not hear of it. A start whose worker is unknown, as an older version stored it, counts as before.

Left: a worker that is gone before the next owner asks it can't tell whether it hung, so such a start counts whole.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -281,6 +281,7 @@
 			policyOf: (job) => this.policyOf(job),
 			estimates: this.estimates,
 			mayHaveCrashed: (task) => this.locations.mayHaveCrashed(task),
+			fateOn: (worker) => this.locations.fateOn(worker),
 		});
 	}
 
--- a/src/core/dispatch/outcomes.ts
+++ b/src/core/dispatch/outcomes.ts
@@ -29,6 +29,8 @@
 	estimates: interference.Interference;
 	/** Whether a worker may have gone down under a run of the task that this owner never heard of. */
 	mayHaveCrashed: (task: jobs.Task) => boolean;
+	/** What became of a run that an earlier owner may have started on a worker, and that is nowhere. */
+	fateOn: (worker: string) => jobs.TryFate;
 }
 
 /** A worker that carries out a start answers within so long, in milliseconds, unless the start brings it down before. */
@@ -101,7 +103,9 @@
 		const mayHaveCrashed = (task: jobs.Task): boolean => locations.mayHaveCrashedOn(session, task);
 		for (const job of this.opts.book.inherited())
 			for (const step of job.steps)
-				for (const task of step.tasks) if (this.noteUnseenCrash(task, mayHaveCrashed)) found.add(job);
+				for (const task of step.tasks)
+					if (this.settleTryOn(session.id, task) || this.noteUnseenCrash(task, mayHaveCrashed))
+						found.add(job);
 		for (const job of found) this.opts.progress.mark(job);
 		return found;
 	}
@@ -111,10 +115,17 @@
 		this.noteUnseenCrash(task, this.opts.mayHaveCrashed);
 		const { crashes } = task;
 		if (crashes === undefined) return true;
-		crashes.settleTries();
+		crashes.settleTries(this.opts.fateOn);
 		return !this.giveUpSpent(task, crashes);
 	}
 
+	/** Settles a task's stored start on a worker that went down before it had told what it runs; false: there was none. */
+	private settleTryOn(worker: string, { crashes }: jobs.Task): boolean {
+		if (crashes?.wasTriedOn(worker) !== true) return false;
+		crashes.settleTries((one) => (one === worker ? this.opts.fateOn(worker) : undefined));
+		return true;
+	}
+
 	/** Counts a crash under a run that this owner never heard of, if there may have been one; false: there was none to count. */
 	private noteUnseenCrash(task: jobs.Task, mayHaveCrashed: (task: jobs.Task) => boolean): boolean {
 		if (task.state === 'finished' || task.crashes !== undefined) return false;
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -364,7 +364,7 @@
 		task.waitedMs = clock.now() - task.waitingSince;
 		task.run = place.run;
 		task.worker = session.id;
-		task.crashes?.noteTry(place.run);
+		task.crashes?.noteTry(place.run, session.id);
 		this.places.set(task, session);
 		events.emit('task.placed', {
 			task: task.name,
--- a/src/core/dispatch/task-locations.ts
+++ b/src/core/dispatch/task-locations.ts
@@ -22,8 +22,8 @@
 
 /** Where the tasks of one owner's jobs may be. */
 export class TaskLocations {
-	/** Workers that were lost before they could tell what earlier owners had started there. */
-	private readonly lostUnheard: sessions.WorkerSession[] = [];
+	/** Workers that were lost before they could tell what earlier owners had started there, and whether each hung before. */
+	private readonly lostUnheard = new Map<sessions.WorkerSession, boolean>();
 
 	private constructor(private readonly opts: TaskLocationsOptions) {}
 
@@ -47,12 +47,19 @@
 
 	/** A worker and all that ran there is lost. */
 	noteLost(session: sessions.WorkerSession): void {
-		if (session.lostUnheard) this.lostUnheard.push(session);
+		if (session.lostUnheard) this.lostUnheard.set(session, session.isHanging);
+	}
+
+	/** What became of a run that an earlier owner may have started on a worker, and that is nowhere. */
+	fateOn(worker: string): jobs.TryFate {
+		for (const [session, wasHanging] of this.lostUnheard)
+			if (session.id === worker) return wasHanging ? 'in-doubt' : 'crashed';
+		return this.opts.workers.hasAnswered(worker) ? 'not-started' : 'crashed';
 	}
 
 	/** Whether any worker may have gone down under a run that an earlier owner started and this one never heard of. */
 	mayHaveCrashed(task: jobs.Task): boolean {
-		return this.lostUnheard.some((one) => mayHaveCrashedOn(one, task));
+		return [...this.lostUnheard.keys()].some((one) => mayHaveCrashedOn(one, task));
 	}
 
 	/** To be awaited before the start of a placed task is sent; undefined: it may be sent at once. */
--- a/src/core/dispatch/worker-pool.ts
+++ b/src/core/dispatch/worker-pool.ts
@@ -35,6 +35,8 @@
 	private readonly handlers: types.SessionHandlers;
 	/** Workers that may still run what an earlier owner started. */
 	private readonly unsettled = new Set<sessions.WorkerSession>();
+	/** Workers of earlier owners that have told what they run. */
+	private readonly answered = new Set<string>();
 	/** Runs in doubt on lives that left the list and may come back, by worker. */
 	private readonly doubtful = new Map<string, readonly doubts.RunInDoubt[]>();
 	private rosterDirty = false;
@@ -151,8 +153,14 @@
 	/** A worker reported, or is proved to run nothing. */
 	heard(session: sessions.WorkerSession): void {
 		if (session.gone) this.bury(session);
-		if (this.unsettled.delete(session) && this.unsettled.size === 0)
-			this.opts.events.emit('takeover.settled', { epoch: this.opts.epoch });
+		if (!this.unsettled.delete(session)) return;
+		if (!session.lostUnheard) this.answered.add(session.id);
+		if (this.unsettled.size === 0) this.opts.events.emit('takeover.settled', { epoch: this.opts.epoch });
+	}
+
+	/** Whether a worker of earlier owners has told what it runs. */
+	hasAnswered(worker: string): boolean {
+		return this.answered.has(worker);
 	}
 
 	/** By worker that is silent, or has not answered yet: how long until every lease there is over, in milliseconds. None is given meanwhile. */
--- a/test/crashing-tasks.test.ts
+++ b/test/crashing-tasks.test.ts
@@ -240,3 +240,36 @@
 	t.deepEqual(stored.ok && stored.value && ledger.storedView(stored.value), { state: 'failed', failure });
 	reign.close();
 });
+
+test('starts that were never sent, as their owners died, are not held against a task', async (t) => {
+	const made = createWorld(10, 500);
+	const { clock, fleet } = made;
+	let owner = await made.takeOver();
+	fleet.onListed = (added, removed) => {
+		owner.dispatcher.setWorkers(added, removed, false);
+	};
+	const placed = (): number => owner.events.select((event) => event.name === 'task.placed').length;
+	await clock.pass(1_200);
+	await made.submit(owner, world.job('sound', [world.step()]));
+	await clock.pass(100);
+	const only = [...fleet.workers.values()].find((one) => one.running.size > 0);
+	if (only !== undefined) fleet.crash(only, { downMs: 1_000, dark: false });
+	for (let deaths = 0; deaths < 4; deaths += 1) {
+		owner.dispatcher.close();
+		let hasBegun = false;
+		// The store takes what is written from its placing on, and its answers are lost: the start is not sent.
+		owner = await made.takeOver(undefined, () => (hasBegun && placed() > 0 ? 'lost' : 'none'));
+		hasBegun = true;
+		while (placed() === 0) await clock.pass(1);
+		await clock.pass(100);
+	}
+	owner.dispatcher.close();
+	owner = await made.takeOver();
+	await clock.pass(10_000);
+	t.deepEqual(
+		fleet.starts.map((one) => one.task),
+		['sound.0.0.0', 'sound.0.0.0'],
+	);
+	t.is(owner.dispatcher.stateOf('sound'), 'completed');
+	owner.dispatcher.close();
+});
