As many writes of progress are under way as take what waits in time

Until an end is stored its worker may forget neither it nor any later one.

Cause: three writes of fifteen jobs at a time take 150 jobs a second, whatever waits. A job that changes while it is written waits for all others in turn.

Change: where three would not take all that waits within a second of its change, as long as writes take now, up to eight are under way. A quick store sees no more writes than before.

--- a/src/core/dispatch/progress-saver.ts
+++ b/src/core/dispatch/progress-saver.ts
@@ -15,6 +15,12 @@
 /** Writes under way at once, at most: each takes its part of what the store and the owner's processor bear. */
 const mostWrites = 3;
 
+/** The same where the store is so slow that these would not take all that waits in time. */
+const mostWritesBehind = 8;
+
+/** What has waited for longest is to be in a write within this time, in milliseconds. */
+const longestWaitMs = 1_000;
+
 /** A write that failed is tried again after this many milliseconds. */
 const retryMs = 150;
 
@@ -73,6 +79,8 @@
 	private change = 0;
 	/** Writes under way. */
 	private writes = 0;
+	/** How long the newest write that was stored took, in milliseconds. */
+	private writeMs = 0;
 	/** The next write begins after a while. */
 	private isDue = false;
 	private closed = false;
@@ -130,7 +138,17 @@
 
 	/** Whether a write should begin: the first one for any change, another for a whole batch. */
 	private needsWrite(): boolean {
-		return this.writes === 0 ? this.dirty.size > 0 : this.writes < mostWrites && this.hasWholeBatch;
+		return this.writes === 0 ? this.dirty.size > 0 : this.writes < this.writesAllowed && this.hasWholeBatch;
+	}
+
+	/** Writes that may be under way: as many as take all that waits in the time that is left, as long as they take now. */
+	private get writesAllowed(): number {
+		const now = this.opts.clock.now();
+		const [oldestAt = now] = this.dirty.values();
+		const leftMs = Math.max(1, oldestAt + longestWaitMs - now);
+		const batches = this.dirty.size / ledger.maxProgressPerWrite;
+		const needed = Math.ceil((batches * this.writeMs) / leftMs);
+		return Math.min(mostWritesBehind, Math.max(mostWrites, needed));
 	}
 
 	private get hasWholeBatch(): boolean {
@@ -151,12 +169,14 @@
 			this.inFlight.add(job);
 		}
 		this.writes += 1;
+		const startedAt = this.opts.clock.now();
 		const outcome = await this.opts.save(records);
 		for (const job of chosen) {
 			this.inFlight.delete(job);
 			if (this.changedInFlight.delete(job)) this.addDirty(job);
 		}
 		if (outcome === 'committed') {
+			this.writeMs = this.opts.clock.now() - startedAt;
 			for (const job of chosen) this.noteSaved(job, records.get(job.id)?.state ?? 'pending');
 			this.settle(batch);
 		} else await this.noteFailure(outcome, waitingSince, urgent);
