A connection that breaks at once is no sign of a hanging worker

Cause, from the boxes' logs: each crash of such a task counted as one in doubt. Where a crashed worker's address goes on accepting connections and breaks them off, as behind a proxy, the first accepted one stood for a question that hangs until the next life was heard of, seconds later.

Evidence: worker-silence has the case and fails before.

--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -460,6 +460,7 @@
 				await this.takeReport(res.value, sentAt, others);
 				continue;
 			}
+			this.silence.noteQuestionFailed();
 			const isFirst = this.failedAt === undefined;
 			if (this.ended(res.err, target, stamp)) return;
 			// Whether it still accepts connections is to be known at once.
--- a/src/core/dispatch/worker-silence.ts
+++ b/src/core/dispatch/worker-silence.ts
@@ -12,8 +12,10 @@
 export class WorkerSilence {
 	/** Clock time of the first call since the last answer that failed; undefined: none has. */
 	private failure: number | undefined;
-	/** Clock time at which the worker first accepted a connection after that; undefined: it has not. */
+	/** Clock time at which the worker accepted a connection for the question under way; undefined: it has not. */
 	private connectedAt: number | undefined;
+	/** A question since then was left without an answer on a connection that the worker had accepted. */
+	private hung = false;
 
 	private constructor(private readonly clock: clocks.Clock) {}
 
@@ -26,8 +28,12 @@
 		return this.failure;
 	}
 
-	/** Whether it goes on accepting connections and answers nothing. */
+	/** Whether it has accepted a connection and left the question there without an answer. */
 	get isHanging(): boolean {
+		return this.hung || this.isQuestionHanging;
+	}
+
+	private get isQuestionHanging(): boolean {
 		return this.connectedAt !== undefined && this.clock.now() - this.connectedAt > mostAnswerMs;
 	}
 
@@ -38,14 +44,21 @@
 		return true;
 	}
 
-	/** A connection was opened. */
+	/** A connection was opened for the question under way. */
 	noteConnected(): void {
-		if (this.failure !== undefined) this.connectedAt ??= this.clock.now();
+		if (this.failure !== undefined) this.connectedAt = this.clock.now();
+	}
+
+	/** The question under way failed: its connection broke at once, or it was given up. */
+	noteQuestionFailed(): void {
+		this.hung ||= this.isQuestionHanging;
+		this.connectedAt = undefined;
 	}
 
 	/** The worker answered. */
 	end(): void {
 		this.failure = undefined;
 		this.connectedAt = undefined;
+		this.hung = false;
 	}
 }
--- a/test/worker-silence.test.ts
+++ b/test/worker-silence.test.ts
@@ -24,6 +24,16 @@
 	await clock.pass(300);
 	t.true(silence.isHanging);
 	silence.end();
+	silence.noteFailure();
+	silence.noteConnected();
+	silence.noteQuestionFailed();
+	await clock.pass(1_000);
+	t.false(silence.isHanging, 'a connection that breaks at once is what a crash leaves');
+	silence.noteConnected();
+	await clock.pass(1_000);
+	silence.noteQuestionFailed();
+	t.true(silence.isHanging);
+	silence.end();
 	t.false(silence.isHanging);
 	t.is(silence.failedAt, undefined);
 });
