The soak prints what led to a broken promise, and plays a kept seed as it once failed

Now the faults, and the boxes' lines about whatever the first broken promises name, are printed, sixty lines each at most.

A seed that seeds.json keeps is now played with its own length and set, unless they are given.

--- a/dev/soak/main.ts
+++ b/dev/soak/main.ts
@@ -15,6 +15,15 @@
 	faults?: worlds.FaultSet;
 }
 
+/** How a seed is played; absent: as it once failed, else as usual. */
+interface SeedWay {
+	seconds?: number;
+	faults?: worlds.FaultSet;
+}
+
+/** How a seed is played that never failed. */
+const newWay: Required<SeedWay> = { seconds: 15, faults: 6 };
+
 /** Exit status of a soak that is ended by a signal. */
 const endedFromOutside = 2;
 
@@ -22,11 +31,23 @@
 const redFile = 'KNOWN-RED.txt';
 const redSeedLine = /^soak seeds? ([\d, ]+)/gm;
 
-/** Seeds that once failed, without those that are known to fail still. */
+/** Seeds that once failed. */
 function knownSeeds(): KnownSeed[] {
-	const all = JSON.parse(fs.readFileSync('dev/soak/seeds.json', 'utf8')) as KnownSeed[];
+	return JSON.parse(fs.readFileSync('dev/soak/seeds.json', 'utf8')) as KnownSeed[];
+}
+
+/** Seeds that once failed, without those that are known to fail still. */
+function mendedSeeds(): KnownSeed[] {
 	const red = redSeeds();
-	return all.filter(({ seed }) => !red.has(seed));
+	return knownSeeds().filter(({ seed }) => !red.has(seed));
+}
+
+/** How a seed is played: as it is asked for, else as it once failed, else as usual. */
+function wayOf(seed: number, asked: SeedWay): Required<SeedWay> {
+	const known = knownSeeds().find((one) => one.seed === seed);
+	const usual: Required<SeedWay> =
+		known === undefined ? newWay : { seconds: known.seconds, faults: known.faults ?? 1 };
+	return { seconds: asked.seconds ?? usual.seconds, faults: asked.faults ?? usual.faults };
 }
 
 /** Seeds that are known to fail, which are passed over. */
@@ -83,13 +104,13 @@
 const secondsArg = {
 	type: cmd.number,
 	long: 'seconds',
-	description: 'how long faults are injected, a seed',
+	description: 'how long faults are injected, a seed; absent: as the seed is kept, else 15',
 } as const;
 
 const faultsArg = {
 	type: cmd.oneOf(['1', '2', '3', '4', '5', '6']),
 	long: 'faults',
-	description: 'set of faults; 1 to 5: former ones, as the seeds in seeds.json play them',
+	description: 'set of faults, 1 to 5 former ones; absent: as the seed is kept, else 6',
 } as const;
 
 const command = cmd.command({
@@ -98,8 +119,8 @@
 	args: {
 		seed: cmd.option({ ...seedArg, defaultValue: () => 1 }),
 		seeds: cmd.option({ ...seedsArg, defaultValue: () => 1 }),
-		seconds: cmd.option({ ...secondsArg, defaultValue: () => 15 }),
-		faults: cmd.option({ ...faultsArg, defaultValue: () => '6' as const }),
+		seconds: cmd.option({ ...secondsArg, type: cmd.optional(secondsArg.type) }),
+		faults: cmd.option({ ...faultsArg, type: cmd.optional(faultsArg.type) }),
 		atOnce: cmd.option({
 			type: cmd.number,
 			long: 'at-once',
@@ -114,14 +135,13 @@
 		logs: cmd.option({ type: cmd.string, long: 'logs', defaultValue: () => 'target/soak' }),
 	},
 	handler: async (given) => {
-		const chosen = Number(given.faults) as worlds.FaultSet;
-		const { atOnce, seeds, known: playKnown, ...sizes } = given;
-		const args = { ...sizes, faults: chosen };
-		const known = playKnown ? knownSeeds() : [];
-		const fresh = Array.from({ length: seeds }, (_, number) => ({ ...args, seed: args.seed + number }));
+		const { atOnce, seeds, known: playKnown, seconds, faults, ...sizes } = given;
+		const asked: SeedWay = { seconds, faults: faults && (Number(faults) as worlds.FaultSet) };
+		const known = playKnown ? mendedSeeds() : [];
+		const fresh = Array.from({ length: seeds }, (_, number) => sizes.seed + number);
 		const all = [
-			...known.map(({ seed, seconds, faults = 1 }) => ({ ...args, seed, seconds, faults })),
-			...fresh,
+			...known.map((one) => ({ ...sizes, seed: one.seed, seconds: one.seconds, faults: one.faults ?? 1 })),
+			...fresh.map((seed) => ({ ...sizes, seed, ...wayOf(seed, asked) })),
 		];
 		const broken = atOnce > 1 ? await soakAtOnce(all, atOnce) : await soakAll(all);
 		process.exitCode = broken === 0 ? 0 : 1;
--- /dev/null
+++ b/dev/soak/report.ts
@@ -0,0 +1,53 @@
+/** What a soak prints: a summary of each seed, and where a promise broke what led to it, as CI keeps no files. */
+import type * as boxes from '../../stand-ins/box-process.js';
+import type * as judges from './judge.js';
+import type * as worlds from './world.js';
+
+/** Lines of the boxes about one broken promise, at most: the newest. */
+const mostLogged = 60;
+
+/** Broken promises of which the boxes' lines are printed, at most. */
+const mostExplained = 5;
+
+/** Prints a summary, and each broken promise. */
+export function summarize(
+	seed: number,
+	faults: readonly string[],
+	judge: judges.Judge,
+	seconds: number,
+): void {
+	const all = judge.all();
+	const completed = all.filter((job) => job.completed).length;
+	process.stdout.write(
+		`seed ${seed}: ${faults.length} faults, ${all.length} jobs, ${completed} completed, ` +
+			`${judge.starts} starts, ${judge.violations.length} broken promises in ${seconds} s\n`,
+	);
+	for (const one of judge.violations) process.stdout.write(`  ${one.at} s ${one.promise}: ${one.detail}\n`);
+}
+
+/** Prints the faults, and what the boxes logged about whatever the first broken promises name. */
+export function explain(world: worlds.World, faults: readonly string[], broken: judges.Violation[]): void {
+	for (const fault of faults) process.stdout.write(`    fault at ${fault}\n`);
+	const subjects = new Set(broken.map(({ detail }) => subjectOf(detail)));
+	for (const subject of [...subjects].slice(0, mostExplained)) {
+		const logged = linesAbout(world, subject);
+		process.stdout.write(`    ${logged.length} lines about ${subject}, the newest:\n`);
+		for (const line of logged.slice(-mostLogged)) process.stdout.write(`    ${line}\n`);
+	}
+}
+
+/** What a broken promise is about: the job, or whatever its text begins with. */
+function subjectOf(detail: string): string {
+	return /^[\w-]+/.exec(detail)?.[0] ?? detail;
+}
+
+/** Lines of all boxes that name it, in order of time. */
+function linesAbout(world: worlds.World, subject: string): string[] {
+	const stamped = world.boxes.flatMap((box) => box.lines.flat());
+	const found = stamped.filter((line) => JSON.stringify(line).includes(subject));
+	return found.sort((a, b) => timeOf(a) - timeOf(b)).map((line) => JSON.stringify(line));
+}
+
+function timeOf(line: boxes.LogLine): number {
+	return line.stamp.ms;
+}
--- a/dev/soak/soak.ts
+++ b/dev/soak/soak.ts
@@ -7,6 +7,7 @@
 import * as judges from './judge.js';
 import * as patiences from './patience.js';
 import * as random from '../random.js';
+import * as reports from './report.js';
 import * as users from '../../stand-ins/users-platform/server.js';
 import * as worlds from './world.js';
 import type * as workers from '../../stand-ins/fleet/workers.js';
@@ -85,7 +86,8 @@
 	judge.atEnd();
 	if (opts.keep || judge.violations.length > 0) keepLogs(opts, world, lines, judge.violations);
 	await world.close();
-	print(opts.seed, lines.length, judge, seconds());
+	reports.summarize(opts.seed, lines, judge, seconds());
+	if (judge.violations.length > 0) reports.explain(world, lines, judge.violations);
 	return judge.violations;
 }
 
@@ -110,17 +112,6 @@
 	};
 }
 
-/** Prints a summary, and each broken promise. */
-function print(seed: number, faultCount: number, judge: judges.Judge, seconds: number): void {
-	const all = judge.all();
-	const completed = all.filter((job) => job.completed).length;
-	process.stdout.write(
-		`seed ${seed}: ${faultCount} faults, ${all.length} jobs, ${completed} completed, ` +
-			`${judge.starts} starts, ${judge.violations.length} broken promises in ${seconds} s\n`,
-	);
-	for (const one of judge.violations) process.stdout.write(`  ${one.at} s ${one.promise}: ${one.detail}\n`);
-}
-
 /** Writes what the boxes logged, the faults and the broken promises to a folder. */
 function keepLogs(opts: SoakOptions, world: worlds.World, lines: string[], broken: judges.Violation[]): void {
 	const folder = `${opts.logs}/seed-${opts.seed}`;
