Runs at backend servers are counted once their journals have been read to a mark

Cause: it compared the number of lines before and after the request. These come over the servers' standard output, another way than the answers: lines of the requests with which the test waits for its boxes came after the first count. Delayed by 100 ms in the test's reader it fails exactly so; delayed by 200 ms it passed without having seen any run. The box did not send it twice: an unsafe request is tried again only where it is proved not to have run.

The check is replaced by a stricter one: each backend server writes a mark behind all that it has written, the runs of this request's own id are counted up to there, and have to be exactly none, one and one for the three points. The other tests that count runs right after an answer do the same.

--- a/stand-ins/backend-server/main.ts
+++ b/stand-ins/backend-server/main.ts
@@ -20,6 +20,9 @@
 	leaving: z.boolean().default(false),
 });
 
+/** A line for the journal, behind all that was written before. */
+const marker = z.strictObject({ mark: z.string() });
+
 const slots = Number(process.env.SLOTS ?? '8');
 let faults = fault.parse({});
 let running = 0;
@@ -87,6 +90,11 @@
 		return faults;
 	})
 	.get('/running', () => ({ running }))
+	.post('/mark', async (event) => {
+		const { mark } = marker.parse(await event.req.json());
+		process.stdout.write(`${JSON.stringify({ mark })}\n`);
+		return { mark };
+	})
 	.all(
 		'/**',
 		h3.fromNodeHandler((req, res) => answer(req as http.IncomingMessage, res as http.ServerResponse)),
--- a/test/requests.test.ts
+++ b/test/requests.test.ts
@@ -58,15 +58,16 @@
 		const whole = (await Promise.all(asked)).filter(Boolean).length;
 		t.is(whole, callerCount);
 		// "Not run" was true: whatever was refused and repeated, each caller's request ran once.
-		t.is(callers.backendRuns(cluster).filter((run) => run.id.startsWith('caller-')).length, callerCount);
-		t.true(callers.backendRuns(cluster).every((run) => run.running <= clusters.backendSlots));
+		const runs = await callers.allBackendRuns(cluster);
+		t.is(runs.filter((run) => run.id.startsWith('caller-')).length, callerCount);
+		t.true(runs.every((run) => run.running <= clusters.backendSlots));
 	},
 );
 
-for (const [point, expected] of [
-	['before', 'may-have-run'],
-	['after', 'may-have-run'],
-	['halfway', 'may-have-run'],
+for (const [point, expected, runs] of [
+	['before', 'may-have-run', 0],
+	['after', 'may-have-run', 1],
+	['halfway', 'may-have-run', 1],
 ] as const) {
 	test.serial(
 		`a backend server breaks off ${point} its answer: never a short answer, never a false "not run"`,
@@ -75,11 +76,12 @@
 			const [entry] = only(cluster.of('entry'));
 			const breakAll = { breakNext: point, breakCount: 1 };
 			await Promise.all(cluster.backends.map((box) => clusters.post(box.address, '/fault', breakAll)));
-			const before = callers.backendRuns(cluster).length;
-			const unsafe = await callers.ask(entry, { body: Buffer.from('one booking') });
+			const headers = { 'x-request-id': 'one-booking' };
+			const unsafe = await callers.ask(entry, { body: Buffer.from('one booking'), headers });
 			t.is(unsafe.status, 502);
 			t.is(unsafe.problem?.mayHaveRun === true ? 'may-have-run' : 'not-run', expected);
-			t.true(callers.backendRuns(cluster).length - before <= 1, 'an unsafe request is sent once');
+			const ran = (await callers.allBackendRuns(cluster)).filter((run) => run.id === 'one-booking');
+			t.is(ran.length, runs, 'an unsafe request is sent once');
 			const safe = await callers.ask(entry, {
 				body: Buffer.from('proof'),
 				headers: { 'x-woodcross-repeat': 'safe' },
@@ -168,7 +170,7 @@
 		const repeated = await callers.ask(second, { body, headers: headersOf('k3') });
 		t.true(repeated.problem?.mayHaveRun);
 
-		const runs = callers.backendRuns(cluster);
+		const runs = await callers.allBackendRuns(cluster);
 		const counts = ['k1', 'k2', 'k3'].map((key) => runs.filter((run) => run.key === key).length);
 		t.deepEqual(counts, [1, 1, 1]);
 	},
@@ -197,7 +199,8 @@
 			async () => (await callers.ask(entry, { body: Buffer.from('book'), headers })).status === 200,
 		);
 		client.close();
-		t.is(callers.backendRuns(cluster).filter((run) => run.key === 'k9').length, 1);
+		const runs = await callers.allBackendRuns(cluster);
+		t.is(runs.filter((run) => run.key === 'k9').length, 1);
 	},
 );
 
@@ -226,9 +229,8 @@
 		await operate.until('4 s under load', () => Date.now() - markedAt > 4000);
 		stop = true;
 		await Promise.all(load);
-		const late = callers
-			.backendRuns(cluster)
-			.filter((run) => run.backend === leaving.id && run.at > markedAt + 3000);
+		const runs = await callers.allBackendRuns(cluster);
+		const late = runs.filter((run) => run.backend === leaving.id && run.at > markedAt + 3000);
 		t.deepEqual({ late: late.length, failures }, { late: 0, failures: [] });
 	},
 );
