A narrow link of the stand-ins resumes whoever it had paused once it has room

Cause, from a time line of the link in two failing plays: two lists were asked for at 0.70 and 1.18 s, and nothing of either ever came back, while other calls on the same link were answered within 20 ms and the test's own process stood still for 46 ms at most. A connection is paused when the link is full and was resumed only if the link had room when that connection's own piece was delivered; where other connections' pieces filled it just then it stayed silent for good. So the box had to give a call up and connect anew, which takes the second that the test does not have. The box was not at fault.

Change: whatever makes room resumes all that were paused. The test and its bound are unchanged.

--- a/stand-ins/proxy/index.ts
+++ b/stand-ins/proxy/index.ts
@@ -123,9 +123,10 @@
 			const link = mode.links[direction];
 			link.send(chunk.length, () => {
 				to.write(chunk);
-				if (!link.isFull) from.resume();
 			});
-			if (link.isFull) from.pause();
+			if (!link.isFull) return;
+			from.pause();
+			link.whenFree(() => from.resume());
 			return;
 		}
 		if (mode.kind === 'delay') {
--- a/stand-ins/proxy/narrow-link.ts
+++ b/stand-ins/proxy/narrow-link.ts
@@ -6,6 +6,8 @@
 	private freeAt = 0;
 	private waitingBytes = 0;
 	private readonly queue: (() => void)[] = [];
+	/** Senders that wait until the link has room. */
+	private paused: (() => void)[] = [];
 
 	private constructor(
 		private readonly bytesPerS: number,
@@ -22,6 +24,11 @@
 		return this.waitingBytes > this.windowBytes;
 	}
 
+	/** Calls `resume` once no more waits than may, whoever's pieces made room. */
+	whenFree(resume: () => void): void {
+		this.paused.push(resume);
+	}
+
 	/** Calls `deliver` once so many bytes have been sent behind those given before. */
 	send(bytes: number, deliver: () => void): void {
 		const now = performance.now();
@@ -30,8 +37,16 @@
 		this.queue.push(() => {
 			this.waitingBytes -= bytes;
 			deliver();
+			this.resumeAll();
 		});
 		// Timers may fire out of order within a millisecond; the pieces must not.
 		setTimeout(() => this.queue.shift()?.(), this.freeAt - now);
 	}
+
+	private resumeAll(): void {
+		if (this.isFull) return;
+		const { paused } = this;
+		this.paused = [];
+		for (const resume of paused) resume();
+	}
 }
