Three crashes and one in doubt are the end of a task

Change: a task is given up at the fourth loss if three of them are whole crashes, which is more than the two from which on it may be.

--- a/src/core/jobs/crash-history.ts
+++ b/src/core/jobs/crash-history.ts
@@ -93,7 +93,9 @@
 	/** Why the task is not to be started again; undefined: it may be. */
 	get verdict(): string | undefined {
 		if (this.blamed >= mostBlamed) return 'it brought them down';
-		if (this.crashed >= mostCrashes) return 'too many to go on, whatever the cause';
+		const isKnown = this.crashedRuns.size >= crashesBeforeBound;
+		if (this.crashed >= mostCrashes || (isKnown && this.lost >= mostCrashes))
+			return 'too many to go on, whatever the cause';
 		const isSpent = this.hasFewStarts && this.tries.size >= startsAfterBound;
 		return isSpent ? 'no more starts are left' : undefined;
 	}
