--- a/src/core/dispatch/start-window.ts
+++ b/src/core/dispatch/start-window.ts
@@ -6,10 +6,6 @@
  * renewal of the owner's lease, so that it is replaced while it works, and urgent tasks, whose place in the order is
  * lost once others have been sent. So only as many starts are sent as are answered within a short time; the rest waits
  * where it can still be put in order.
- *
- * Load pattern: the owner's processor is full of reports, so that answers come late however few starts are on their way.
- * With ever fewer of them its workers run empty, and the backlog stays when the load that brought it is gone. So while
- * answers are late the limit follows what its last change did to them.
  */
 
 /** Starts are to be answered within this time, in milliseconds, so that a renewal of the owner's lease behind them is never late. */
@@ -21,15 +17,6 @@
 /** Starts on their way at most; each takes a socket. */
 export const mostLimit = 2_000;
 
-/** What a start takes of a weak owner's processor, in milliseconds. */
-const startCostMs = 1;
-
-/** Starts on their way at most while answers are late: an urgent one behind them is held up no longer than the target. */
-export const mostLateLimit = targetMs / startCostMs;
-
-/** Starts cause a delay that changes by more than this power of the change of their number. */
-const causePower = 0.5;
-
 /** Starts on their way before any answer has told how long they take. */
 const firstLimit = 32;
 
@@ -55,32 +42,14 @@
 	wasFull: boolean;
 }
 
-/** A limit, and how long the answers to starts sent under it took. */
-export interface Judgement {
-	limit: number;
-	medianMs: number;
-}
-
-/** The limit after some answers; `before`: what an earlier limit came to, if answers were late under it; undefined: none was. */
-export function nextLimit(limit: number, times: AnswerTimes, before?: Judgement): number {
+/** The limit after some answers. */
+export function nextLimit(limit: number, times: AnswerTimes): number {
 	const { medianMs, wasFull } = times;
-	if (medianMs > targetMs) {
-		if (before !== undefined && !isCausedByStarts(before, { limit, medianMs }))
-			return Math.max(limit, Math.min(mostLateLimit, limit / leastPart));
-		return Math.max(leastLimit, limit * Math.max(leastPart, targetMs / medianMs));
-	}
+	if (medianMs > targetMs) return Math.max(leastLimit, limit * Math.max(leastPart, targetMs / medianMs));
 	// A limit that nothing has reached is not known to be right.
 	return wasFull ? Math.min(mostLimit, limit * growth) : limit;
 }
 
-/** Whether answers take longer the more starts are on their way. */
-function isCausedByStarts(before: Judgement, now: Judgement): boolean {
-	// At the least limit one more step up tells.
-	if (before.limit === now.limit) return now.limit > leastLimit;
-	const changed = Math.log(now.limit / before.limit);
-	return Math.log(now.medianMs / before.medianMs) / changed > causePower;
-}
-
 /** One start on its way. */
 export interface StartSlot {
 	/** Clock time at which it was sent. */
@@ -99,10 +68,6 @@
 	private answers = 0;
 	private samples: number[] = [];
 	private wasFull = false;
-	/** The newest limit under which answers were late, if they have been late ever since. */
-	private late: Judgement | undefined;
-	/** Clock time at which the limit last changed. */
-	private changedAt = -Infinity;
 
 	private constructor(private readonly now: () => number) {}
 
@@ -134,9 +99,7 @@
 	answered(slot: StartSlot): void {
 		this.answers += 1;
 		// The silence of its worker says nothing about the others.
-		if (!this.slots.delete(slot)) return;
-		// What was sent under another limit tells nothing about this one.
-		if (slot.sentAt >= this.changedAt) this.judge(this.now() - slot.sentAt);
+		if (this.slots.delete(slot)) this.judge(this.now() - slot.sentAt);
 	}
 
 	/** A start has no answer, or was not sent after all. */
@@ -148,11 +111,7 @@
 		this.samples.push(tookMs);
 		const wanted = Math.min(mostSamples, Math.max(leastSamples, this.limit / 2));
 		if (this.samples.length < wanted) return;
-		const { limit, late } = this;
-		const medianMs = median(this.samples);
-		this.limit = nextLimit(limit, { medianMs, wasFull: this.wasFull }, late);
-		this.late = medianMs > targetMs ? { limit, medianMs } : undefined;
-		if (this.limit !== limit) this.changedAt = this.now();
+		this.limit = nextLimit(this.limit, { medianMs: median(this.samples), wasFull: this.wasFull });
 		this.samples = [];
 		this.wasFull = false;
 	}
