A worker that refuses questions is asked again after a pause

Change: only the first call without an answer is followed at once.

Evidence: worker-silence, "a worker that refuses questions", fails before and passes.

--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -461,10 +461,11 @@
 				continue;
 			}
 			this.silence.noteQuestionFailed();
-			const isFirst = this.failedAt === undefined;
+			// Whether a worker that ceases to answer still accepts connections is to be known at once.
+			const ceasesToAnswer = isUnanswered(res.err) && this.failedAt === undefined;
 			if (this.ended(res.err, target, stamp)) return;
-			// Whether it still accepts connections is to be known at once.
-			if (res.err.kind !== 'fenced' && !isFirst) await clocks.sleep(this.deps.clock, settings.holdRetryMs);
+			if (res.err.kind !== 'fenced' && !ceasesToAnswer)
+				await clocks.sleep(this.deps.clock, settings.holdRetryMs);
 		}
 	}
 
--- a/test/worker-silence.test.ts
+++ b/test/worker-silence.test.ts
@@ -5,9 +5,12 @@
 import type * as net from 'node:net';
 import test from 'ava';
 import * as client from '../platform/http-client.js';
+import * as results from '../src/core/result.js';
+import * as settings from '../src/core/dispatch/settings.js';
 import * as silences from '../src/core/dispatch/worker-silence.js';
 import * as time from '../stand-ins/fleet/virtual-clock.js';
 import * as workerCalls from '../platform/worker-calls.js';
+import * as world from './fixtures/dispatching.js';
 
 test('a worker hangs once it has left a connection that it accepted without an answer', async (t) => {
 	const clock = time.VirtualClock.create();
@@ -38,6 +41,20 @@
 	t.is(silence.failedAt, undefined);
 });
 
+test('a worker that refuses questions is not asked again and again without a pause', async (t) => {
+	const { clock, fleet, takeOver } = world.createWorld(() => ({ ms: 100, how: 'done' }));
+	const w1 = fleet.add('w1');
+	const owner = await takeOver();
+	let asked = 0;
+	w1.hold = () => {
+		asked += 1;
+		return results.fail({ kind: 'refused', status: 503 });
+	};
+	await clock.pass(5_000);
+	t.true(asked <= 5_000 / settings.holdRetryMs, `${String(asked)} times in five seconds`);
+	owner.dispatcher.close();
+});
+
 test('questions tell of connections that a worker accepts for them, not of those that are kept', async (t) => {
 	let answers = true;
 	const server = http.createServer((_req, res) => {
