Lost workers are looked up by id, and kept seeds are read once

No behaviour changes. Each placing copied the list of workers that were lost unheard; what became of a stored start went through all of them. The soak read seeds.json once a seed, and spelled the way of a kept seed twice.

--- a/dev/soak/main.ts
+++ b/dev/soak/main.ts
@@ -36,18 +36,15 @@
 	return JSON.parse(fs.readFileSync('dev/soak/seeds.json', 'utf8')) as KnownSeed[];
 }
 
-/** Seeds that once failed, without those that are known to fail still. */
-function mendedSeeds(): KnownSeed[] {
+/** Of these seeds those that are not known to fail still. */
+function mendedOf(known: readonly KnownSeed[]): KnownSeed[] {
 	const red = redSeeds();
-	return knownSeeds().filter(({ seed }) => !red.has(seed));
+	return known.filter(({ seed }) => !red.has(seed));
 }
 
-/** How a seed is played: as it is asked for, else as it once failed, else as usual. */
-function wayOf(seed: number, asked: SeedWay): Required<SeedWay> {
-	const known = knownSeeds().find((one) => one.seed === seed);
-	const usual: Required<SeedWay> =
-		known === undefined ? newWay : { seconds: known.seconds, faults: known.faults ?? 1 };
-	return { seconds: asked.seconds ?? usual.seconds, faults: asked.faults ?? usual.faults };
+/** How a seed that once failed is played. */
+function wayOf({ seconds, faults = 1 }: KnownSeed): Required<SeedWay> {
+	return { seconds, faults };
 }
 
 /** Seeds that are known to fail, which are passed over. */
@@ -137,12 +134,16 @@
 	handler: async (given) => {
 		const { atOnce, seeds, known: playKnown, seconds, faults, ...sizes } = given;
 		const asked: SeedWay = { seconds, faults: faults && (Number(faults) as worlds.FaultSet) };
-		const known = playKnown ? mendedSeeds() : [];
-		const fresh = Array.from({ length: seeds }, (_, number) => sizes.seed + number);
-		const all = [
-			...known.map((one) => ({ ...sizes, seed: one.seed, seconds: one.seconds, faults: one.faults ?? 1 })),
-			...fresh.map((seed) => ({ ...sizes, seed, ...wayOf(seed, asked) })),
-		];
+		const known = knownSeeds();
+		const fresh = Array.from({ length: seeds }, (_, number): soak.SoakOptions => {
+			const seed = sizes.seed + number;
+			const kept = known.find((one) => one.seed === seed);
+			const usual = kept === undefined ? newWay : wayOf(kept);
+			const way = { seconds: asked.seconds ?? usual.seconds, faults: asked.faults ?? usual.faults };
+			return { ...sizes, seed, ...way };
+		});
+		const again = playKnown ? mendedOf(known) : [];
+		const all = [...again.map((one) => ({ ...sizes, seed: one.seed, ...wayOf(one) })), ...fresh];
 		const broken = atOnce > 1 ? await soakAtOnce(all, atOnce) : await soakAll(all);
 		process.exitCode = broken === 0 ? 0 : 1;
 	},
--- a/src/core/dispatch/task-locations.ts
+++ b/src/core/dispatch/task-locations.ts
@@ -20,10 +20,16 @@
 	workersStoredSince: number;
 }
 
+/** A worker that was lost, and whether it had hung before. */
+interface LostWorker {
+	session: sessions.WorkerSession;
+	wasHanging: boolean;
+}
+
 /** Where the tasks of one owner's jobs may be. */
 export class TaskLocations {
-	/** Workers that were lost before they could tell what earlier owners had started there, and whether each hung before. */
-	private readonly lostUnheard = new Map<sessions.WorkerSession, boolean>();
+	/** Workers that were lost before they could tell what earlier owners had started there, by their ids. */
+	private readonly lostUnheard = new Map<string, LostWorker>();
 
 	private constructor(private readonly opts: TaskLocationsOptions) {}
 
@@ -47,19 +53,21 @@
 
 	/** A worker and all that ran there is lost. */
 	noteLost(session: sessions.WorkerSession): void {
-		if (session.lostUnheard) this.lostUnheard.set(session, session.isHanging);
+		if (!session.lostUnheard) return;
+		this.lostUnheard.set(session.id, { session, wasHanging: session.isHanging });
 	}
 
 	/** What became of a run that an earlier owner may have started on a worker, and that is nowhere. */
 	fateOn(worker: string): jobs.TryFate {
-		for (const [session, wasHanging] of this.lostUnheard)
-			if (session.id === worker) return wasHanging ? 'in-doubt' : 'crashed';
+		const lost = this.lostUnheard.get(worker);
+		if (lost !== undefined) return lost.wasHanging ? 'in-doubt' : 'crashed';
 		return this.opts.workers.hasAnswered(worker) ? 'not-started' : 'crashed';
 	}
 
 	/** Whether any worker may have gone down under a run that an earlier owner started and this one never heard of. */
 	mayHaveCrashed(task: jobs.Task): boolean {
-		return [...this.lostUnheard.keys()].some((one) => mayHaveCrashedOn(one, task));
+		for (const { session } of this.lostUnheard.values()) if (mayHaveCrashedOn(session, task)) return true;
+		return false;
 	}
 
 	/** To be awaited before the start of a placed task is sent; undefined: it may be sent at once. */
--- a/src/core/dispatch/worker-silence.ts
+++ b/src/core/dispatch/worker-silence.ts
@@ -5,8 +5,8 @@
  */
 import type * as clocks from '../clock.js';
 
-/** A worker that can answer does so within this, once a connection to it is open, in milliseconds. */
-const mostAnswerMs = 200;
+/** A worker hangs that has left a question without an answer for so long on a connection that it accepted, in milliseconds. */
+const hangsAfterMs = 200;
 
 /** What is known of one worker's silence. */
 export class WorkerSilence {
@@ -34,7 +34,7 @@
 	}
 
 	private get isQuestionHanging(): boolean {
-		return this.connectedAt !== undefined && this.clock.now() - this.connectedAt > mostAnswerMs;
+		return this.connectedAt !== undefined && this.clock.now() - this.connectedAt > hangsAfterMs;
 	}
 
 	/** A call failed; true: the first since the last answer. */
