The log tells when an overload was noticed, what relieved it, and which orders on pace did not hold

One line a case when all that fills beside a task has to stand still (how long it was over its target, how long nothing had been heard of its worker before, how many neighbours work by their own readings), one when it was relieved, with a histogram of the time between. Orders on pace that were left without an answer were lost without a line; they have one now, and so has a run whose reading says that it works though its worker was told to let it stand still.

--- a/src/cli/box/figures.ts
+++ b/src/cli/box/figures.ts
@@ -12,6 +12,7 @@
 	'task.placed': 'task_wait',
 	'job.taken': 'job_age_at_owner',
 	'job.accepted': 'job_accept',
+	'task.relieved': 'users_relieved',
 };
 
 /** Serves the figures at `address` (`host:port`) under every path. */
--- a/src/core/dispatch/neighbours.ts
+++ b/src/core/dispatch/neighbours.ts
@@ -8,11 +8,26 @@
 /** Name under which the cores in use beyond what goes without disturbance are counted; images have other names. */
 export const crowding = ' crowding';
 
+/** Up to this part of its cores in use, a run that fills stands still: readings are rough. */
+const idlePart = 0.05;
+
 /** Placements that serve users on a worker. */
 export function servingOf(session: sessions.WorkerSession): types.Placement[] {
 	return [...session.placements.values()].filter(isServing);
 }
 
+/** Placements that fill on a worker and were started there. */
+export function fillingOf(session: sessions.WorkerSession): types.Placement[] {
+	return [...session.placements.values()].filter(
+		(place) => place.task.step.spec.fills && place.phase === 'running',
+	);
+}
+
+/** Whether a run that fills works, by its own reading. */
+export function isAtWork({ task, reading }: types.Placement): boolean {
+	return reading > task.step.spec.milliCores * idlePart;
+}
+
 /** What the neighbours of the serving tasks use, by image; `partOf` weighs each. */
 export function sharesOf(
 	session: sessions.WorkerSession,
--- a/src/core/dispatch/pressure.ts
+++ b/src/core/dispatch/pressure.ts
@@ -4,6 +4,8 @@
  * the ones expected to disturb it, in the end all.
  */
 import * as neighbours from './neighbours.js';
+import * as paceOrders from './pace-orders.js';
+import * as reliefLog from './relief-log.js';
 import type * as interference from './interference.js';
 import type * as sessions from './worker-session.js';
 import type * as types from './types.js';
@@ -20,17 +22,19 @@
 /** A slowed task goes on at full speed once nothing beside it has been over its target for so long, in milliseconds. */
 const calmMs = 700;
 
-/** The pace of a task that has to stand still, and of one that need not, in per cent. */
-const still = 0;
-const full = 100;
-
 /** Paces what fills, one worker at a time. */
 export class PressureControl {
+	private readonly log: reliefLog.ReliefLog;
+	private readonly orders: paceOrders.PaceOrders;
+
 	private constructor(
 		private readonly deps: types.DispatchDeps,
 		private readonly estimates: interference.Interference,
 		private readonly harmMs: number,
-	) {}
+	) {
+		this.log = reliefLog.ReliefLog.create(deps.events, deps.epoch);
+		this.orders = paceOrders.PaceOrders.create(deps, this.log);
+	}
 
 	/** `harmMs`: so long over its target, a task counts as harmed. */
 	static create(
@@ -47,10 +51,14 @@
 		const serving = neighbours.servingOf(session);
 		const delayMs = session.reportDelayMs;
 		session.mustStandStill = serving.some((served) => this.isNearHarm(served, delayMs));
-		for (const place of session.placements.values()) {
-			if (!place.task.step.spec.fills || place.phase !== 'running') continue;
-			const percent = session.mustStandStill ? still : this.wantedPace(place, serving, delayMs);
-			if (percent !== undefined) this.pace(session, place, percent);
+		for (const place of neighbours.fillingOf(session)) {
+			const percent = session.mustStandStill ? paceOrders.still : this.wantedPace(place, serving, delayMs);
+			if (percent !== undefined) this.orders.set(session, place, percent);
+			this.orders.check(session, place);
+		}
+		for (const served of serving) {
+			const isNearHarm = this.isNearHarm(served, delayMs);
+			this.log.note(session, served, { overMs: this.overMs(served, delayMs), isNearHarm });
 		}
 	}
 
@@ -78,9 +86,9 @@
 		for (const served of serving) {
 			if (now - served.overAt < calmMs) calm = false;
 			const isRelieved = this.overMs(served, delayMs) >= this.harmMs * relievePart;
-			if (isRelieved && this.isCause(place, served)) return still;
+			if (isRelieved && this.isCause(place, served)) return paceOrders.still;
 		}
-		return calm ? full : undefined;
+		return calm ? paceOrders.full : undefined;
 	}
 
 	/** Whether a filling task is taken for the cause of a serving one's overload. */
@@ -89,34 +97,4 @@
 		const { image } = served.task.step.spec;
 		return this.estimates.slope(image, place.task.step.spec.image) >= causingSlope;
 	}
-
-	/** Notes a new pace, and orders it. */
-	private pace(session: sessions.WorkerSession, place: types.Placement, percent: number): void {
-		if (place.pace === percent && place.isPaceKnown) return;
-		const before = place.pace;
-		place.pace = percent;
-		place.isPaceKnown = true;
-		place.pacedAt = this.deps.clock.now();
-		session.neighboursChangedAt = place.pacedAt;
-		session.revision += 1;
-		if (percent < before) session.relievedAt = place.pacedAt;
-		this.deps.events.emit('task.paced', { task: place.task.name, worker: session.id, percent, before });
-		void this.send(session, place, percent, before);
-	}
-
-	private async send(
-		session: sessions.WorkerSession,
-		place: types.Placement,
-		percent: number,
-		before: number,
-	): Promise<void> {
-		const { target } = session;
-		const stamp = session.stamp();
-		const res = await this.deps.calls.pace(target, place.task.name, place.run, percent, stamp.token);
-		if (res.ok) return;
-		session.ended(res.err, target, stamp);
-		// The worker may be at either pace: the next report decides again.
-		place.isPaceKnown = false;
-		if (place.pace === percent) place.pace = before;
-	}
 }
--- /dev/null
+++ b/src/core/dispatch/relief-log.ts
@@ -0,0 +1,85 @@
+/** Log lines about tasks that serve users and are about to be harmed: when that was noticed, and when they were relieved. */
+import * as neighbours from './neighbours.js';
+import type * as events from '../events/index.js';
+import type * as sessions from './worker-session.js';
+import type * as types from './types.js';
+
+/** What was noticed of a serving task. */
+export interface Overload {
+	/** How long it has been over its target, in milliseconds. */
+	overMs: number;
+	/** All that fills beside it has to stand still. */
+	isNearHarm: boolean;
+}
+
+/** Writes the lines of one owner. */
+export class ReliefLog {
+	/** Tasks whose overload was told of, and not yet how it ended. */
+	private readonly open = new WeakSet<types.Placement>();
+
+	private constructor(
+		private readonly log: events.EventLog,
+		private readonly epoch: number,
+	) {}
+
+	static create(log: events.EventLog, epoch: number): ReliefLog {
+		return new ReliefLog(log, epoch);
+	}
+
+	/** How a serving task stands after a report of its worker. */
+	note(session: sessions.WorkerSession, served: types.Placement, overload: Overload): void {
+		const isOpen = this.open.has(served);
+		if (!isOpen && !overload.isNearHarm) return;
+		const working = neighbours.fillingOf(session).filter(neighbours.isAtWork).length;
+		if (!isOpen) {
+			this.open.add(served);
+			this.log.emit('task.overloaded', this.fieldsOf(session, served, { ...overload, working }));
+		}
+		const isUnder = served.overSince === undefined;
+		if (!isUnder && working > 0) return;
+		this.open.delete(served);
+		const reason = isUnder ? 'under-target' : 'neighbours-stand-still';
+		this.log.emit('task.relieved', { ...this.fieldsOf(session, served, overload), reason });
+	}
+
+	/** An order on pace was left without an answer, or refused. */
+	unanswered(session: sessions.WorkerSession, place: types.Placement, percent: number, reason: string): void {
+		const { task } = place;
+		this.log.emit('pace.unanswered', {
+			task: task.name,
+			worker: session.id,
+			epoch: this.epoch,
+			percent,
+			reason,
+		});
+	}
+
+	/** A run's own reading says that it does not work at the pace that its worker was told. */
+	contradicted(session: sessions.WorkerSession, place: types.Placement, orderedMs: number): void {
+		const { task, pace, reading } = place;
+		this.log.emit('pace.contradicted', {
+			task: task.name,
+			worker: session.id,
+			epoch: this.epoch,
+			percent: pace,
+			milliCores: reading,
+			orderedMs: Math.round(orderedMs),
+		});
+	}
+
+	private fieldsOf(
+		session: sessions.WorkerSession,
+		{ task, reading }: types.Placement,
+		{ overMs, working }: { overMs: number; working?: number },
+	): events.EventFields {
+		return {
+			task: task.name,
+			worker: session.id,
+			epoch: this.epoch,
+			readingMs: reading,
+			tookMs: Math.round(overMs),
+			unheardMs: Number.isFinite(session.unheardMs) ? Math.round(session.unheardMs) : undefined,
+			...(working !== undefined && { working }),
+		};
+	}
+}
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -81,6 +81,10 @@
 	private reportedAt = -Infinity;
 	/** How much longer than it was to wait the newest report took, in milliseconds. */
 	reportDelayMs = 0;
+	/** Clock time at which a report was last taken in. */
+	private takenAt = -Infinity;
+	/** How long before the newest report was asked for none had been taken in, in milliseconds. */
+	unheardMs = 0;
 	/** Runs taken for lost whose start may still be under way. */
 	readonly inDoubt: doubts.RunsInDoubt;
 	/** They are being stopped. */
@@ -499,6 +503,7 @@
 			this.deps.events.emit('worker.reached', { worker: this.id, clockMs: report.clockMs });
 		this.noteLapsed(report);
 		this.heard(report);
+		this.unheardMs = Math.max(0, sentAt - this.takenAt);
 		this.reported = report;
 		this.reportedAt = this.deps.clock.now();
 		this.listed.list(report.ended, this.reportedAt);
@@ -507,6 +512,7 @@
 			await clocks.sleep(this.deps.clock, settings.putOffMs);
 			return;
 		}
+		this.takenAt = this.reportedAt;
 		if (!this.isHeard) this.lease.assumeLongest();
 		this.isHeard = true;
 		if (!report.hasMoreEnds) this.settled = true;
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -231,6 +231,26 @@
 		level: 'info',
 		text: 'A task that fills was told to work at a share of its speed, for the users of its neighbours.',
 	},
+	'task.overloaded': {
+		id: 3122,
+		level: 'info',
+		text: 'A task that serves users has been over its target for so long that all which fills beside it has to stand still: how long, for how long nothing had been heard of its worker before the newest report was asked for, and how many of its neighbours work by their own readings.',
+	},
+	'task.relieved': {
+		id: 3123,
+		level: 'info',
+		text: 'Such a task is under its target again, or all that fills beside it stands still by its own readings; how long after it went over its target.',
+	},
+	'pace.unanswered': {
+		id: 3124,
+		level: 'warn',
+		text: 'An order on the pace of a run was left without an answer or refused, so the worker may be at either pace.',
+	},
+	'pace.contradicted': {
+		id: 3125,
+		level: 'warn',
+		text: "A run's own reading says that it does not work at the pace that its worker was last told: an older order was carried out late. How long ago that was told is given.",
+	},
 	'start.withdrawn': {
 		id: 3119,
 		level: 'info',
