--- a/src/core/dispatch/relief-log.ts
+++ b/src/core/dispatch/relief-log.ts
@@ -14,8 +14,8 @@
 
 /** Writes the lines of one owner. */
 export class ReliefLog {
-	/** Tasks whose overload was told of, and not yet how it ended. */
-	private readonly open = new WeakSet<types.Placement>();
+	/** Tasks that have come near harm since they went over their targets; `relieved`: all beside them stood still since. */
+	private readonly open = new WeakMap<types.Placement, 'overloaded' | 'relieved'>();
 
 	private constructor(
 		private readonly log: events.EventLog,
@@ -28,18 +28,19 @@
 
 	/** How a serving task stands after a report of its worker. */
 	note(session: sessions.WorkerSession, served: types.Placement, overload: Overload): void {
-		const isOpen = this.open.has(served);
-		if (!isOpen && !overload.isNearHarm) return;
+		const state = this.open.get(served);
+		if (state === undefined && !overload.isNearHarm) return;
 		const working = neighbours.fillingOf(session).filter(neighbours.isAtWork).length;
-		if (!isOpen) {
-			this.open.add(served);
+		if (state === undefined)
 			this.log.emit('task.overloaded', this.fieldsOf(session, served, { ...overload, working }));
-		}
 		const isUnder = served.overSince === undefined;
-		if (!isUnder && working > 0) return;
-		this.open.delete(served);
-		const reason = isUnder ? 'under-target' : 'neighbours-stand-still';
-		this.log.emit('task.relieved', { ...this.fieldsOf(session, served, overload), reason });
+		const isRelieved = isUnder || working === 0;
+		if (isRelieved && state !== 'relieved') {
+			const reason = isUnder ? 'under-target' : 'neighbours-stand-still';
+			this.log.emit('task.relieved', { ...this.fieldsOf(session, served, overload), reason });
+		}
+		if (isUnder) this.open.delete(served);
+		else this.open.set(served, isRelieved ? 'relieved' : (state ?? 'overloaded'));
 	}
 
 	/** An order on pace was left without an answer, or refused. */
--- a/stand-ins/fleet/workers.ts
+++ b/stand-ins/fleet/workers.ts
@@ -24,6 +24,9 @@
 /** A stop takes so long, in milliseconds. */
 const stopMs = 200;
 
+/** A reading covers so long, in milliseconds. */
+const readingMs = 500;
+
 /** Ends in one report, at most: the others come once these are forgotten. */
 const mostEnds = 500;
 
@@ -55,6 +58,9 @@
 	percent: number;
 	/** Share of its speed at which it works, in per cent. */
 	pace: number;
+	/** What it was before its last change, and when that was. */
+	paceBefore: number;
+	changedAt: number;
 }
 
 /** Settings of a fleet. */
@@ -76,6 +82,8 @@
 	fault: WorkerFault = 'none';
 	/** It answers all calls but stops, which it does not carry out. */
 	ignoresStops = false;
+	/** It answers all calls but orders on pace, which it carries out much later. */
+	delaysPaces = false;
 	/** Its clock's rate against ours. */
 	rate = 1;
 	readonly running = new Map<string, Running>();
@@ -235,6 +243,8 @@
 			reading: plan.reading ?? 0,
 			percent: plan.percent ?? 100,
 			pace: 100,
+			paceBefore: 100,
+			changedAt: -Infinity,
 		};
 		this.running.set(req.task, one);
 		this.setPace(req.task, one, one.pace);
@@ -258,6 +268,10 @@
 	private setPace(task: string, one: Running, percent: number): void {
 		const now = this.opts.clock.now();
 		one.leftMs -= ((now - one.pacedAt) * one.pace) / 100;
+		if (one.pace !== percent) {
+			one.paceBefore = one.pace;
+			one.changedAt = now;
+		}
 		one.pacedAt = now;
 		one.pace = percent;
 		one.timer?.cancel();
@@ -272,7 +286,14 @@
 	private readingOf(one: Running): number {
 		let more = 0;
 		for (const other of this.running.values()) if (other !== one) more += (other.disturbs * other.pace) / 100;
-		return one.disturbs > 0 ? one.reading : one.reading * (1 + more);
+		const own = (one.reading * this.recentPaceOf(one)) / 100;
+		return one.disturbs > 0 ? own : own * (1 + more);
+	}
+
+	/** The mean pace of a run while its newest reading was taken, in per cent. */
+	private recentPaceOf({ pace, paceBefore, changedAt }: Running): number {
+		const sinceMs = Math.min(readingMs, this.opts.clock.now() - changedAt);
+		return pace + ((paceBefore - pace) * (readingMs - sinceMs)) / readingMs;
 	}
 
 	/** A run brings its worker down, if it still runs there. */
@@ -444,7 +465,13 @@
 				this.atAddress(at.address)?.ignoresStops === true
 					? this.giveUp()
 					: call(at, (worker) => worker.stop(task, run, token)),
-			pace: (at, task, run, percent, epoch) => call(at, (worker) => worker.pace(task, run, percent, epoch)),
+			pace: (at, task, run, percent, token) => {
+				const order: Order<fleet.ClockReading> = (worker) => worker.pace(task, run, percent, token);
+				const worker = this.atAddress(at.address);
+				if (worker?.delaysPaces !== true) return call(at, order);
+				this.carryOutLate(worker, order);
+				return this.giveUp();
+			},
 			hold: async (at, order) => {
 				const res = await this.hold(at, isCut, order);
 				if (this.reportDelayMs > 0) await this.sleep(this.reportDelayMs);
--- a/test/harm.test.ts
+++ b/test/harm.test.ts
@@ -14,6 +14,9 @@
 const calmTailMs = 60;
 const highTailMs = 400;
 
+/** So long a task is to be under its target before what fills beside it goes on, in milliseconds. */
+const calmMs = 700;
+
 const workerCount = 4;
 
 /** Workers with a serving task each and two that fill beside it and have not disturbed it so far. */
@@ -49,7 +52,7 @@
 			.filter(([task, one]) => !task.startsWith('serving') && one.pace > 0)
 			.map(([task]) => task);
 	if (working().length !== 2) throw new Error('the filling tasks do not run');
-	return { ...made, owner, setTail, working };
+	return { ...made, owner, harmed, setTail, working };
 }
 
 test('what fills stands still before a task beside it is harmed', async (t) => {
@@ -96,6 +99,105 @@
 	owner.dispatcher.close();
 });
 
+/** When, after a task went over its target, its worker falls silent, and for how long, in milliseconds. */
+const silences = [
+	[0, 1_500],
+	[0, 2_000],
+	[0, 2_500],
+	[500, 2_500],
+	[1_000, 2_500],
+] as const;
+
+for (const [fromMs, forMs] of silences)
+	test(`what fills stands still in time though its worker is silent for ${String(forMs)} ms, ${String(fromMs)} ms after the overload began`, async (t) => {
+		const { clock, owner, harmed, setTail, working } = await besideServing();
+		setTail(highTailMs);
+		await clock.pass(fromMs);
+		harmed.fault = 'silent';
+		await clock.pass(forMs);
+		harmed.fault = 'none';
+		await clock.pass(harmMs - fromMs - forMs);
+		t.deepEqual(working(), []);
+		owner.dispatcher.close();
+	});
+
+test('what stands still goes on only after the task beside it was heard to be under its target for a while', async (t) => {
+	const { clock, owner, harmed, setTail, working } = await besideServing();
+	setTail(highTailMs);
+	await clock.pass(harmMs);
+	harmed.fault = 'silent';
+	await clock.pass(1_500);
+	setTail(calmTailMs);
+	harmed.fault = 'none';
+	const report = harmed.report.bind(harmed);
+	let heardAt = Infinity;
+	harmed.report = () => {
+		heardAt = Math.min(heardAt, clock.now());
+		return report();
+	};
+	while (clock.now() - heardAt < calmMs - 50) await clock.pass(50);
+	t.deepEqual(working(), []);
+	await clock.pass(1_000);
+	t.is(working().length, 2);
+	owner.dispatcher.close();
+});
+
+/** Lets time pass; returns the longest stretch of it, in milliseconds, in which anything that fills worked. */
+async function longestWork(made: Awaited<ReturnType<typeof besideServing>>, forMs: number): Promise<number> {
+	const { clock, working } = made;
+	const endsAt = clock.now() + forMs;
+	let longest = 0;
+	let since: number | undefined;
+	while (clock.now() < endsAt) {
+		since = working().length === 0 ? undefined : (since ?? clock.now());
+		longest = Math.max(longest, clock.now() - (since ?? clock.now()));
+		await clock.pass(50);
+	}
+	return longest;
+}
+
+/** How long after the work was told to go on, without an answer, the next overload begins, in milliseconds. */
+const pauses = [1_500, 3_000, 4_500] as const;
+
+for (const pauseMs of pauses)
+	test(`what fills stands still though an order to go on of ${String(pauseMs)} ms before is carried out late`, async (t) => {
+		const made = await besideServing();
+		const { clock, owner, harmed, setTail, working } = made;
+		setTail(highTailMs);
+		await clock.pass(harmMs);
+		setTail(calmTailMs);
+		harmed.delaysPaces = true;
+		await clock.pass(calmMs + 400);
+		harmed.delaysPaces = false;
+		await clock.pass(pauseMs);
+		setTail(highTailMs);
+		t.true((await longestWork(made, 12_000)) < harmMs);
+		t.deepEqual(working(), []);
+		owner.dispatcher.close();
+	});
+
+test('what fills goes on though an order to stand still of before is carried out late', async (t) => {
+	const { clock, owner, harmed, setTail, working } = await besideServing();
+	harmed.delaysPaces = true;
+	setTail(highTailMs);
+	await clock.pass(harmMs / 2 + 500);
+	harmed.delaysPaces = false;
+	setTail(calmTailMs);
+	await clock.pass(10_000);
+	t.is(working().length, 2);
+	owner.dispatcher.close();
+});
+
+test('what fills stands still beside a task that is about to be harmed while its stop is not answered', async (t) => {
+	const { clock, owner, harmed, setTail, working } = await besideServing();
+	harmed.ignoresStops = true;
+	owner.dispatcher.cancelJob('filling');
+	setTail(highTailMs);
+	await clock.pass(harmMs);
+	t.deepEqual(working(), []);
+	owner.dispatcher.close();
+});
+
 test('nothing more that fills is started beside a task that is about to be harmed', async (t) => {
 	const { clock, owner, setTail, working } = await besideServing();
 	setTail(highTailMs);
