Time in which nothing was heard of a worker counts as time over the target

What callers saw: a task that serves users stayed over its target for longer than harm_ms by batch work beside it. Cause: the time over the target began with the first report that showed it, however long nothing had been heard of the worker before; class: the first sign after a silence is taken for the beginning.

Nothing was known between the last report that was taken in and the question whose answer shows the task over its target, so it counts as over it since the former; a run that an earlier owner started may have been over it for ever. Questions follow each other at once, so where all are answered nothing changes. The same cause elsewhere: calm, after which work goes on, was told from one report after a silence, and by a new owner from its first; time without reports is no calm now.

A new owner judged a task from its own first report.

--- a/src/core/dispatch/interference.ts
+++ b/src/core/dispatch/interference.ts
@@ -10,6 +10,7 @@
 import * as stored from './knowledge.js';
 import * as loadWave from './load-wave.js';
 import * as neighbours from './neighbours.js';
+import * as placements from './placements.js';
 import type * as clocks from '../clock.js';
 import type * as jobs from '../jobs/index.js';
 import type * as sessions from './worker-session.js';
@@ -91,6 +92,8 @@
 	/** When a neighbour was last slowed or taken away. */
 	relievedAt: number;
 	now: number;
+	/** How long before their report was asked for nothing had been heard of the worker, in milliseconds. */
+	unheardMs: number;
 }
 
 /** Estimates of disturbance, over all workers of one owner. */
@@ -168,6 +171,7 @@
 			steady: now - session.neighboursChangedAt > readingMs,
 			relievedAt: session.relievedAt,
 			now,
+			unheardMs: session.unheardMs,
 		};
 		for (const place of atWork) this.observeTask(place, around);
 	}
@@ -257,13 +261,13 @@
 	}
 
 	private observeTask(place: types.Placement, around: Surroundings): void {
-		const { shares, steady, relievedAt, now } = around;
+		const { shares, steady, relievedAt, now, unheardMs } = around;
 		const { image, targetMs } = place.task.step.spec;
 		const model = this.model(image);
 		model.noteTail(place.reading);
 		const isOver = place.reading > targetMs;
 		const relievedLately = now - relievedAt < overloadMs;
-		noteOver(place, targetMs, now);
+		noteOver(place, now, unheardMs);
 		// Relieved of a neighbour, it still has to work off what has queued up.
 		if (relievedLately && now - place.overAt < overloadMs) return;
 		const busy = model.busyPart(place.reading, targetMs);
@@ -392,15 +396,26 @@
 	return Math.max(0, use - crowdedUse);
 }
 
-/** Notes whether a task is over its target, and since when. Readings are rough: one just under it ends nothing. */
-function noteOver(place: types.Placement, targetMs: number, now: number): void {
+/**
+ * Notes whether a task is over its target, and since when. It may have been over it for as long as nothing was heard of
+ * its worker. Readings are rough: one just under the target ends nothing.
+ */
+function noteOver(place: types.Placement, now: number, unheardMs: number): void {
 	const { reading, overSince, hasDipped } = place;
+	const { targetMs } = place.task.step.spec;
 	if (reading > targetMs) {
 		place.overAt = now;
-		place.overSince = overSince ?? now;
+		place.overSince = overSince ?? Math.max(now - unheardMs, knownSince(place));
 		place.hasDipped = false;
 		return;
 	}
+	// Time without reports is no calm.
+	place.overAt = Math.min(now, place.overAt + (Number.isFinite(unheardMs) ? unheardMs : 0));
 	place.hasDipped = overSince !== undefined && !hasDipped && reading > targetMs * clearlyUnderPart;
 	if (!place.hasDipped) place.overSince = undefined;
 }
+
+/** Clock time before which a run cannot have been over its target. */
+function knownSince(place: types.Placement): number {
+	return placements.isFound(place) ? -Infinity : place.confirmedAt;
+}
--- a/src/core/dispatch/placements.ts
+++ b/src/core/dispatch/placements.ts
@@ -9,20 +9,20 @@
 	phase: types.Placement['phase'],
 	now: number,
 ): types.Placement {
-	const isFound = phase === 'running';
+	const wasThere = phase === 'running';
 	return {
 		task,
 		run,
 		phase,
 		placedAt: now,
-		sentAt: isFound ? -Infinity : undefined,
-		confirmedAt: isFound ? now : 0,
+		sentAt: wasThere ? -Infinity : undefined,
+		confirmedAt: wasThere ? now : 0,
 		stoppedAt: 0,
 		percent: 0,
 		progressAt: now,
 		reading: 0,
 		pace: 100,
-		isPaceKnown: !isFound,
+		isPaceKnown: !wasThere,
 		pacedAt: 0,
 		exempt: false,
 		onProbation: false,
@@ -31,3 +31,8 @@
 		overAt: -Infinity,
 	};
 }
+
+/** Whether a run was found at its worker, started by an earlier owner: nothing is known of it before that. */
+export function isFound({ sentAt }: types.Placement): boolean {
+	return sentAt === -Infinity;
+}
--- a/src/core/dispatch/pressure.ts
+++ b/src/core/dispatch/pressure.ts
@@ -5,6 +5,7 @@
  */
 import * as neighbours from './neighbours.js';
 import * as paceOrders from './pace-orders.js';
+import * as placements from './placements.js';
 import * as reliefLog from './relief-log.js';
 import type * as interference from './interference.js';
 import type * as sessions from './worker-session.js';
@@ -84,7 +85,7 @@
 		const now = this.deps.clock.now();
 		let calm = true;
 		for (const served of serving) {
-			if (now - served.overAt < calmMs) calm = false;
+			if (now - lastOver(served) < calmMs) calm = false;
 			const isRelieved = this.overMs(served, delayMs) >= this.harmMs * relievePart;
 			if (isRelieved && this.isCause(place, served)) return paceOrders.still;
 		}
@@ -98,3 +99,8 @@
 		return this.estimates.slope(image, place.task.step.spec.image) >= causingSlope;
 	}
 }
+
+/** Clock time at which a task was over its target, or may have been, for the last time. */
+function lastOver(served: types.Placement): number {
+	return placements.isFound(served) ? Math.max(served.overAt, served.confirmedAt) : served.overAt;
+}
--- a/src/core/dispatch/relief-log.ts
+++ b/src/core/dispatch/relief-log.ts
@@ -78,9 +78,14 @@
 			worker: session.id,
 			epoch: this.epoch,
 			readingMs: reading,
-			tookMs: Math.round(overMs),
-			unheardMs: Number.isFinite(session.unheardMs) ? Math.round(session.unheardMs) : undefined,
+			tookMs: wholeMs(overMs),
+			unheardMs: wholeMs(session.unheardMs),
 			...(working !== undefined && { working }),
 		};
 	}
 }
+
+/** Whole milliseconds; undefined: for how long is not known. */
+function wholeMs(ms: number): number | undefined {
+	return Number.isFinite(ms) ? Math.round(ms) : undefined;
+}
--- a/test/harm.test.ts
+++ b/test/harm.test.ts
@@ -76,6 +76,31 @@
 	next.dispatcher.close();
 });
 
+test('what fills stands still in time beside a task that a new owner finds over its target', async (t) => {
+	const { clock, owner, takeOver, setTail, working } = await besideServing();
+	owner.dispatcher.close();
+	setTail(highTailMs);
+	await clock.pass(harmMs - 600);
+	const next = await takeOver();
+	await clock.pass(550);
+	t.deepEqual(working(), []);
+	next.dispatcher.close();
+});
+
+test('what an earlier owner let stand still goes on only after the new one has seen calm for a while', async (t) => {
+	const { clock, owner, takeOver, setTail, working } = await besideServing();
+	setTail(highTailMs);
+	await clock.pass(harmMs);
+	owner.dispatcher.close();
+	setTail(calmTailMs);
+	const next = await takeOver();
+	await clock.pass(calmMs - 100);
+	t.deepEqual(working(), []);
+	await clock.pass(1_000);
+	t.is(working().length, 2);
+	next.dispatcher.close();
+});
+
 test('what fills stands still though one reading of a task over its target lies just under it', async (t) => {
 	const { clock, owner, setTail, working } = await besideServing();
 	const startedAt = clock.now();
