An order on pace that a run's reading contradicts is given again

Cause: an order to go on that had no answer was carried out seconds later, after a newer order to stand still that had been answered; the owner believed the newer one and returned early with each report. Class: an order is believed to hold because it was answered once, while the evidence says otherwise. Evidence: the log of a trial of late orders has a task that worked again 2.8 s after its order to stand still was answered; in memory such work went on until the trial ended.

A run that fills reports the cores that it uses, so its own reading tells whether it keeps to its pace: 0.8 s after an order, which is when a reading covers nothing of before, the order is repeated if the reading says otherwise, both ways. The time of the last order and the time of the last change are two things now, so a repeated order puts off no move. A run whose stop is not answered works on as well; it is told to stand still too.

--- a/src/core/dispatch/neighbours.ts
+++ b/src/core/dispatch/neighbours.ts
@@ -16,10 +16,10 @@
 	return [...session.placements.values()].filter(isServing);
 }
 
-/** Placements that fill on a worker and were started there. */
+/** Placements that fill on a worker, were started there and are not known to be stopping. */
 export function fillingOf(session: sessions.WorkerSession): types.Placement[] {
 	return [...session.placements.values()].filter(
-		(place) => place.task.step.spec.fills && place.phase === 'running',
+		({ task, phase, stoppedAt }) => task.step.spec.fills && phase !== 'starting' && stoppedAt === 0,
 	);
 }
 
--- a/src/core/dispatch/pace-orders.ts
+++ b/src/core/dispatch/pace-orders.ts
@@ -22,10 +22,11 @@
 		return new PaceOrders(deps, log);
 	}
 
-	/** Lets a run work at a pace, unless it is known to do so. */
+	/** Lets a run work at a pace, unless it is known to do so. One that is being stopped is only slowed. */
 	set(session: sessions.WorkerSession, place: types.Placement, percent: number): void {
 		if (place.pace === percent && place.isPaceKnown) return;
 		const before = place.pace;
+		if (place.phase === 'stopping' && percent !== still) return;
 		place.pace = percent;
 		place.isPaceKnown = true;
 		place.pacedAt = this.deps.clock.now();
@@ -36,12 +37,17 @@
 		void this.send(session, place, percent, before);
 	}
 
-	/** Compares a run's newest reading with the pace that its worker was told. */
-	check(session: sessions.WorkerSession, place: types.Placement): void {
-		const orderedMs = this.deps.clock.now() - session.reportDelayMs - place.pacedAt;
-		const isSettled = place.isPaceKnown && orderedMs > settlesAfterMs;
-		if (isSettled && place.pace === still && neighbours.isAtWork(place))
-			this.log.contradicted(session, place, orderedMs);
+	/**
+	 * Repeats the newest order on a run's pace if its reading says otherwise: an order without an answer may be carried out
+	 * after newer ones, and undo them.
+	 */
+	enforce(session: sessions.WorkerSession, place: types.Placement): void {
+		const { pace, paceOrderedAt, isPaceKnown } = place;
+		if (!isPaceKnown || paceOrderedAt === 0 || neighbours.isAtWork(place) === pace > still) return;
+		const orderedMs = this.deps.clock.now() - session.reportDelayMs - paceOrderedAt;
+		if (orderedMs <= settlesAfterMs) return;
+		this.log.contradicted(session, place, orderedMs);
+		void this.send(session, place, pace, pace);
 	}
 
 	private async send(
@@ -52,6 +58,7 @@
 	): Promise<void> {
 		const { target } = session;
 		const stamp = session.stamp();
+		place.paceOrderedAt = this.deps.clock.now();
 		const res = await this.deps.calls.pace(target, place.task.name, place.run, percent, stamp.token);
 		if (res.ok) return;
 		this.log.unanswered(session, place, percent, res.err.kind);
--- a/src/core/dispatch/placements.ts
+++ b/src/core/dispatch/placements.ts
@@ -24,6 +24,7 @@
 		pace: 100,
 		isPaceKnown: !wasThere,
 		pacedAt: 0,
+		paceOrderedAt: 0,
 		exempt: false,
 		onProbation: false,
 		overSince: undefined,
--- a/src/core/dispatch/pressure.ts
+++ b/src/core/dispatch/pressure.ts
@@ -55,7 +55,7 @@
 		for (const place of neighbours.fillingOf(session)) {
 			const percent = session.mustStandStill ? paceOrders.still : this.wantedPace(place, serving, delayMs);
 			if (percent !== undefined) this.orders.set(session, place, percent);
-			this.orders.check(session, place);
+			this.orders.enforce(session, place);
 		}
 		for (const served of serving) {
 			const isNearHarm = this.isNearHarm(served, delayMs);
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -34,6 +34,8 @@
 	isPaceKnown: boolean;
 	/** Clock time of the last change of its pace. */
 	pacedAt: number;
+	/** Clock time of the newest order on its pace, also of one that repeats another; 0: there was none. */
+	paceOrderedAt: number;
 	/** It was placed whatever harm it does, because it had waited too long. */
 	exempt: boolean;
 	/** It is tried for whether it brings its worker down, and has not passed yet. */
