The failure of an order on pace says nothing of newer ones

An order without an answer is repeated before it is given up, and as it was given up the owner took the pace for unknown and as it was before the order, though the repeat had been answered: it gave the order once more and counted the pace as newly changed, which puts off a move. The answer of an order counts while it is the newest.

--- a/src/core/dispatch/pace-orders.ts
+++ b/src/core/dispatch/pace-orders.ts
@@ -58,11 +58,14 @@
 	): Promise<void> {
 		const { target } = session;
 		const stamp = session.stamp();
-		place.paceOrderedAt = this.deps.clock.now();
+		const orderedAt = this.deps.clock.now();
+		place.paceOrderedAt = orderedAt;
 		const res = await this.deps.calls.pace(target, place.task.name, place.run, percent, stamp.token);
 		if (res.ok) return;
 		this.log.unanswered(session, place, percent, res.err.kind);
 		session.ended(res.err, target, stamp);
+		// A newer order has an answer of its own.
+		if (place.paceOrderedAt !== orderedAt) return;
 		// The worker may be at either pace: the next report decides again.
 		place.isPaceKnown = false;
 		if (place.pace === percent) place.pace = before;
--- a/test/harm.test.ts
+++ b/test/harm.test.ts
@@ -213,6 +213,19 @@
 	owner.dispatcher.close();
 });
 
+test('an order on pace that fails after a newer one was answered changes nothing', async (t) => {
+	const { clock, owner, harmed, setTail, working } = await besideServing();
+	const paced = (): number => owner.events.select(({ name }) => name === 'task.paced').length;
+	harmed.delaysPaces = true;
+	setTail(highTailMs);
+	while (paced() === 0) await clock.pass(10);
+	harmed.delaysPaces = false;
+	await clock.pass(harmMs);
+	t.deepEqual(working(), []);
+	t.is(paced(), 2);
+	owner.dispatcher.close();
+});
+
 test('what fills stands still beside a task that is about to be harmed while its stop is not answered', async (t) => {
 	const { clock, owner, harmed, setTail, working } = await besideServing();
 	harmed.ignoresStops = true;
