A call to a worker that later ones overtake is sent once more, long before it is given up

What callers saw: tasks that serve users stayed over their targets because their owner was blind: a question without an answer was waited for 1.4 s, and an order to stand still for a second and until the next report. With orders that are carried out late everything else was late too. Class: one time limit for 'no answer' that is three hundred times a usual answer.

A call that has no answer although three of its kind that were due after it have one is not held up by this box's link or processor, which take calls in turn. It is sent again over a new connection, no sooner than 150 ms after its answer was due and than answers usually take; where nothing is answered at all, four are repeated as probes. Repeats are half of the answers at most. A first way that repeated a question as it was let another life of the worker forget its ends, and probed a full owner's workers on and on; the tests of restarts and of takeovers told, so a repeat forgets nothing, and probes are for silence only. Orders and questions may be repeated: each names its run, and carries the same lease. Starts are repeated only while they are wanted and nothing stands against them.

Failing before: three of call-repeater and, as the stand-in's workers now leave a waiting question without an answer until it is given up, one of harm.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -1,5 +1,6 @@
 /** The owner's work: takes in jobs, workers and reports, and sees to it that every task runs as often as it should. */
 import * as clocks from '../clock.js';
+import * as callRepeater from './call-repeater.js';
 import * as blame from './crash-blame.js';
 import * as countedCalls from './counted-calls.js';
 import * as ends from './ends.js';
@@ -89,7 +90,16 @@
 		knowledge?: learnt.Knowledge,
 	): Dispatcher {
 		const meter = meters.LoadMeter.create();
-		const calls = countedCalls.countCalls(opts.calls, meter);
+		const repeater = callRepeater.CallRepeater.create({
+			clock: opts.clock,
+			renew: (at) => {
+				opts.calls.renew(at);
+			},
+			onRepeat: () => {
+				meter.count('repeats');
+			},
+		});
+		const calls = countedCalls.countCalls(callRepeater.repeatCalls(opts.calls, repeater), meter);
 		const dispatcher = new Dispatcher({ ...opts, calls }, meter, contents);
 		if (knowledge !== undefined) dispatcher.adoptKnowledge(knowledge);
 		for (const unreadable of contents.unreadable) dispatcher.leaveOut(unreadable);
--- a/src/core/dispatch/load-meter.ts
+++ b/src/core/dispatch/load-meter.ts
@@ -10,6 +10,8 @@
 	holds: number;
 	stops: number;
 	paces: number;
+	/** Calls without an answer that were sent once more. */
+	repeats: number;
 	/** Reports of workers that were taken in, and the time that this took together, in milliseconds. */
 	reports: number;
 	reportMs: number;
@@ -30,6 +32,7 @@
 	holds: 0,
 	stops: 0,
 	paces: 0,
+	repeats: 0,
 	reports: 0,
 	reportMs: 0,
 	finished: 0,
@@ -40,7 +43,8 @@
 };
 
 /** What is counted one by one. */
-export type Counted = 'starts' | 'answers' | 'holds' | 'stops' | 'paces' | 'finished' | 'abandoned';
+export type Counted =
+	'starts' | 'answers' | 'holds' | 'stops' | 'paces' | 'repeats' | 'finished' | 'abandoned';
 
 /** Counts between two readings. */
 export class LoadMeter {
--- a/src/core/dispatch/starter.ts
+++ b/src/core/dispatch/starter.ts
@@ -108,6 +108,7 @@
 				leaseUntil,
 				checkpoint: placement.task.checkpoint,
 				ticket,
+				isWanted: () => isToStart(session, placement) && this.obstacle(session, placement) === undefined,
 			});
 			if (tries === 0) this.noteFirstTry(slot, res);
 			if (!isPlaced(session, placement)) return;
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -439,6 +439,7 @@
 			const stamp = this.stamp();
 			const others = this.handlers.otherLives(this);
 			const waitMs = this.waitMs();
+			const asked = { at: sentAt, waitMs };
 			const forgetUpTo = this.forgettable();
 			this.listed.noteAsked(forgetUpTo);
 			const res = await this.deps.calls.hold(target, {
@@ -449,6 +450,10 @@
 				onConnected: () => {
 					this.silence.noteConnected();
 				},
+				onRepeat: () => {
+					asked.at = this.deps.clock.now();
+					asked.waitMs = 0;
+				},
 			});
 			answered?.();
 			answered = undefined;
@@ -459,7 +464,8 @@
 				return;
 			}
 			if (res.ok) {
-				this.reportDelayMs = Math.max(0, this.deps.clock.now() - sentAt - waitMs);
+				this.reportDelayMs = Math.max(0, this.deps.clock.now() - asked.at - asked.waitMs);
+				this.unheardMs = Math.max(0, asked.at - this.takenAt);
 				this.listed.noteForgotten(forgetUpTo, sentAt);
 				await this.takeReport(res.value, sentAt, others);
 				continue;
@@ -503,7 +509,6 @@
 			this.deps.events.emit('worker.reached', { worker: this.id, clockMs: report.clockMs });
 		this.noteLapsed(report);
 		this.heard(report);
-		this.unheardMs = Math.max(0, sentAt - this.takenAt);
 		this.reported = report;
 		this.reportedAt = this.deps.clock.now();
 		this.listed.list(report.ended, this.reportedAt);
--- a/src/core/fleet/types.ts
+++ b/src/core/fleet/types.ts
@@ -72,6 +72,8 @@
 	checkpoint: string;
 	/** Permission of the adviser; empty: none needed. */
 	ticket: string;
+	/** Whether the start may be sent once more where it has no answer; absent: it may. */
+	isWanted?: () => boolean;
 }
 
 /**
@@ -119,6 +121,8 @@
 	waitMs: number;
 	/** Called when the worker accepts a connection that is opened for this question. */
 	onConnected?: () => void;
+	/** Called when the question is asked once more, to be answered at once. */
+	onRepeat?: () => void;
 }
 
 /** A call's outcome. */
@@ -139,6 +143,8 @@
 	) => WorkerResult<ClockReading>;
 	/** Drops the connections to a worker that is gone. */
 	forget: (at: WorkerTarget) => void;
+	/** Takes the kept connections to a worker out of use; calls on their way are answered as before. */
+	renew: (at: WorkerTarget) => void;
 }
 
 /** What the adviser says of a step. */
--- a/stand-ins/fleet/workers.ts
+++ b/stand-ins/fleet/workers.ts
@@ -478,6 +478,7 @@
 				return res;
 			},
 			forget: () => undefined,
+			renew: () => undefined,
 		};
 	}
 
@@ -531,7 +532,8 @@
 		await this.endOrTimeout(worker, order.waitMs);
 		// A worker without power does not even break its connections.
 		if (this.down.get(at.address) === 'dark') await this.sleep(giveUpMs);
-		if (worker.dead || isCut(worker.name) || worker.fault !== 'none') return results.fail(noAnswer);
+		if (worker.dead) return results.fail(noAnswer);
+		if (isCut(worker.name) || worker.fault !== 'none') return this.giveUp();
 		return results.ok(worker.report());
 	}
 
--- /dev/null
+++ b/test/call-repeater.test.ts
@@ -0,0 +1,97 @@
+/** Calls to workers that were left without an answer blinded their owner until they were given up. */
+import test from 'ava';
+import * as delays from '../src/core/dispatch/answer-delays.js';
+import * as settings from '../src/core/dispatch/settings.js';
+import * as world from './fixtures/dispatching.js';
+
+const workerCount = 12;
+
+/** Calls are given up after so long, in milliseconds. */
+const givenUpAfterMs = 1_000;
+
+/** An owner of workers that each run a task which lasts. */
+async function besideLasting() {
+	const made = world.createWorld(() => ({ ms: 'endless', how: 'done' }));
+	const { clock, fleet } = made;
+	for (let number = 0; number < workerCount; number += 1) fleet.add(`w${String(number)}`);
+	const owner = await made.takeOver();
+	const lasting = { lasting: true, maxPerWorker: 1, count: workerCount };
+	await made.submit(owner, world.job('lasting', [world.step(lasting)]));
+	await clock.pass(5_000);
+	const [one] = fleet.workers.values();
+	if (one === undefined) throw new Error('there is no worker');
+	owner.dispatcher.load();
+	return { ...made, owner, one };
+}
+
+test('a question that is carried out late is asked once more, long before it is given up', async (t) => {
+	const { clock, owner, one } = await besideLasting();
+	const hold = one.hold.bind(one);
+	let askedAt = clock.now();
+	let longestMs = 0;
+	one.hold = (req) => {
+		longestMs = Math.max(longestMs, clock.now() - askedAt);
+		askedAt = clock.now();
+		return hold(req);
+	};
+	await clock.pass(2_000);
+	one.fault = 'late';
+	await clock.pass(20);
+	while (clock.now() - askedAt < settings.holdWaitMs + 20) await clock.pass(10);
+	one.fault = 'none';
+	await clock.pass(3_000);
+	t.true(longestMs < settings.holdWaitMs + givenUpAfterMs / 2, `${String(longestMs)} ms`);
+	t.is(owner.events.select(({ name }) => name === 'worker.unanswered').length, 0);
+	owner.dispatcher.close();
+});
+
+test('starts that are carried out late are sent again long before they are given up', async (t) => {
+	const { clock, fleet, owner, submit } = await besideLasting();
+	const count = 2 * workerCount;
+	const before = fleet.starts.length;
+	await submit(owner, world.job('short', [world.step({ count, maxPerWorker: 2 })]));
+	for (const worker of fleet.workers.values()) worker.fault = 'late';
+	await clock.pass(30);
+	for (const worker of fleet.workers.values()) worker.fault = 'none';
+	await clock.pass(givenUpAfterMs - 100);
+	t.is(fleet.starts.length - before, count);
+	owner.dispatcher.close();
+});
+
+test('nothing is repeated while all answers come late', async (t) => {
+	const { clock, fleet, owner } = await besideLasting();
+	for (fleet.reportDelayMs = 0; fleet.reportDelayMs < givenUpAfterMs; fleet.reportDelayMs += 50)
+		await clock.pass(500);
+	owner.dispatcher.load();
+	await clock.pass(10_000);
+	t.is(owner.dispatcher.load().repeats, 0);
+	owner.dispatcher.close();
+});
+
+test('where no worker answers any more, a few are asked once more', async (t) => {
+	const { clock, fleet, owner } = await besideLasting();
+	for (const worker of fleet.workers.values()) worker.fault = 'silent';
+	await clock.pass(settings.holdWaitMs + givenUpAfterMs + 200);
+	const { repeats } = owner.dispatcher.load();
+	t.true(repeats > 0 && repeats < workerCount, `${String(repeats)} repeats`);
+	owner.dispatcher.close();
+});
+
+test('a worker that stays silent is asked no more than a few times for each question', async (t) => {
+	const { clock, owner, one } = await besideLasting();
+	one.fault = 'silent';
+	await clock.pass(settings.holdWaitMs + givenUpAfterMs + 200);
+	owner.dispatcher.load();
+	await clock.pass(10_000);
+	const { repeats } = owner.dispatcher.load();
+	t.true(repeats <= 3 * (10_000 / givenUpAfterMs), `${String(repeats)} repeats`);
+	owner.dispatcher.close();
+});
+
+test('answers are unusually late above four times what they vary by', (t) => {
+	const known = delays.AnswerDelays.create();
+	for (let number = 0; number < 100; number += 1) known.add(100);
+	t.true(known.usualMs > 99 && known.usualMs < 110);
+	known.add(500);
+	t.true(known.usualMs > 500);
+});
--- a/test/kept-connections.test.ts
+++ b/test/kept-connections.test.ts
@@ -63,6 +63,24 @@
 	t.deepEqual(after, Array(callsAtOnce - 1).fill(true));
 });
 
+test('once connections are renewed, a call is answered while one over a dead connection still waits', async (t) => {
+	const proxy = await setUp(t);
+	const calls = client.JsonClient.create();
+	const send = async (ms = timeoutMs): Promise<boolean> =>
+		(await calls.send(proxy.address, { method: 'GET', path: '/', timeoutMs: ms })).ok;
+	await Promise.all(Array.from({ length: callsAtOnce }, () => send()));
+	proxy.silence();
+	let isWaiting = true;
+	const dead = send(20 * timeoutMs).finally(() => {
+		isWaiting = false;
+	});
+	calls.renew(proxy.address);
+	t.true(await send());
+	t.true(isWaiting);
+	proxy.close();
+	t.false(await dead);
+});
+
 test('calls that are under way when another runs out of time are answered', async (t) => {
 	const held: http.ServerResponse[] = [];
 	const address = await serve(t, (req, res) => {
