A job that the store does not tell of puts off no protection of users

After a takeover with the store away, a worker whose report named a job that the new owner did not know was not dealt with at all: what fills worked beside a task over its target for 7 s and more. Class: what protects users waits for an answer that it doesn't need. The runs of tasks that are known are taken in, and paced, from such a report too; ends, absences and unknown runs wait for the store as before. Whether a task is over its target no longer waits for the list of workers either. Such a report counts as heard.

Failing before: the test of harm with a job that the store does not tell of.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -413,7 +413,11 @@
 
 	private takeReport(session: sessions.WorkerSession, asked: types.AskedReport): types.ReportOutcome {
 		const { report, sentAt, others } = asked;
-		if (!this.strangers.clear(report)) return { type: 'put-off' };
+		if (!this.strangers.clear(report)) {
+			ends.takeKnownRuns(this.reportContext, session, report);
+			this.pressure.look(session);
+			return { type: 'put-off' };
+		}
 		for (const other of others) other.yieldTo(report);
 		const upTo = Math.max(session.seenUpTo, ...report.ended.map((end) => end.seq));
 		const { changed, unstored } = ends.takeReport(this.reportContext, session, report, sentAt);
--- a/src/core/dispatch/ends.ts
+++ b/src/core/dispatch/ends.ts
@@ -70,6 +70,23 @@
 	return { changed, unstored };
 }
 
+/**
+ * Takes in the runs of tasks that are known, of a report that names unknown jobs as well: what serves users is protected
+ * though the store does not say what those are.
+ */
+export function takeKnownRuns(
+	ctx: ReportContext,
+	session: sessions.WorkerSession,
+	report: fleet.WorkerReport,
+): void {
+	for (const running of report.running) {
+		const task = ctx.findRunning(running.task);
+		if (task === undefined) continue;
+		const at = ctx.sessionOf(task) ?? session;
+		if (at === session) takeRunning(ctx, session, running);
+	}
+}
+
 /** Ends are numbered without gaps, so one that is missing between two reports was forgotten before anybody read it. */
 function noteUnread(ctx: ReportContext, session: sessions.WorkerSession, report: fleet.WorkerReport): void {
 	const first = report.ended[0];
--- a/src/core/dispatch/interference.ts
+++ b/src/core/dispatch/interference.ts
@@ -92,8 +92,6 @@
 	/** When a neighbour was last slowed or taken away. */
 	relievedAt: number;
 	now: number;
-	/** How long before their report was asked for nothing had been heard of the worker, in milliseconds. */
-	unheardMs: number;
 }
 
 /** Estimates of disturbance, over all workers of one owner. */
@@ -161,9 +159,10 @@
 		const atWork = neighbours
 			.servingOf(session)
 			.filter((place) => place.reading > 0 && place.percent === 100);
+		const now = this.clock.now();
+		for (const place of atWork) noteOver(place, now, session.unheardMs);
 		// Before the platform has named the worker, its size is not known.
 		if (atWork.length === 0 || session.entry === undefined) return;
-		const now = this.clock.now();
 		const shares = neighbours.sharesOf(session, (place) => partOfReading(place, now));
 		const crowding = crowdingAt(this.useOf(session, this.time() - loadWave.readingAgeMs));
 		const around: Surroundings = {
@@ -171,7 +170,6 @@
 			steady: now - session.neighboursChangedAt > readingMs,
 			relievedAt: session.relievedAt,
 			now,
-			unheardMs: session.unheardMs,
 		};
 		for (const place of atWork) this.observeTask(place, around);
 	}
@@ -261,13 +259,12 @@
 	}
 
 	private observeTask(place: types.Placement, around: Surroundings): void {
-		const { shares, steady, relievedAt, now, unheardMs } = around;
+		const { shares, steady, relievedAt, now } = around;
 		const { image, targetMs } = place.task.step.spec;
 		const model = this.model(image);
 		model.noteTail(place.reading);
 		const isOver = place.reading > targetMs;
 		const relievedLately = now - relievedAt < overloadMs;
-		noteOver(place, now, unheardMs);
 		// Relieved of a neighbour, it still has to work off what has queued up.
 		if (relievedLately && now - place.overAt < overloadMs) return;
 		const busy = model.busyPart(place.reading, targetMs);
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -81,9 +81,7 @@
 	private reportedAt = -Infinity;
 	/** How much longer than it was to wait the newest report took, in milliseconds. */
 	reportDelayMs = 0;
-	/** Clock time at which a report was last taken in. */
-	private takenAt = -Infinity;
-	/** How long before the newest report was asked for none had been taken in, in milliseconds. */
+	/** How long before the newest report was asked for none had come, in milliseconds. */
 	unheardMs = 0;
 	/** Runs taken for lost whose start may still be under way. */
 	readonly inDoubt: doubts.RunsInDoubt;
@@ -465,7 +463,7 @@
 			}
 			if (res.ok) {
 				this.reportDelayMs = Math.max(0, this.deps.clock.now() - asked.at - asked.waitMs);
-				this.unheardMs = Math.max(0, asked.at - this.takenAt);
+				this.unheardMs = Math.max(0, asked.at - this.reportedAt);
 				this.listed.noteForgotten(forgetUpTo, sentAt);
 				await this.takeReport(res.value, sentAt, others);
 				continue;
@@ -517,7 +515,6 @@
 			await clocks.sleep(this.deps.clock, settings.putOffMs);
 			return;
 		}
-		this.takenAt = this.reportedAt;
 		if (!this.isHeard) this.lease.assumeLongest();
 		this.isHeard = true;
 		if (!report.hasMoreEnds) this.settled = true;
--- a/test/harm.test.ts
+++ b/test/harm.test.ts
@@ -87,6 +87,29 @@
 	next.dispatcher.close();
 });
 
+test('what fills stands still beside a task over its target though its worker also runs a job that the store does not tell of', async (t) => {
+	const { clock, owner, harmed, takeOver, setTail, working } = await besideServing();
+	const handedIn = world.job('stranger', [world.step({ count: 2 * workerCount, lasting: true })]);
+	owner.dispatcher.addJob({ ...handedIn, acceptedUnder: owner.ledger.generation });
+	await clock.pass(1_000);
+	t.true([...harmed.running.keys()].some((task) => task.startsWith('stranger')));
+	owner.dispatcher.close();
+	setTail(highTailMs);
+	let isStoreDown = false;
+	const report = harmed.report.bind(harmed);
+	harmed.report = () => {
+		isStoreDown = true;
+		return report();
+	};
+	const next = await takeOver(undefined, () => (isStoreDown ? 'down' : 'none'));
+	await clock.pass(harmMs - 100);
+	t.deepEqual(
+		working().filter((task) => task.startsWith('filling')),
+		[],
+	);
+	next.dispatcher.close();
+});
+
 test('what an earlier owner let stand still goes on only after the new one has seen calm for a while', async (t) => {
 	const { clock, owner, takeOver, setTail, working } = await besideServing();
 	setTail(highTailMs);
