Seeded plays of users beside batch work under faults of workers and changes of the owner

Neither the soak nor a test could see harm under faults. Six workers with a serving task each, batch work that disturbs it or doesn't, workers that are silent, lose answers or carry orders out late, owners that change; the judge goes by the users' bound, once a worker has been without a fault for 4 s.

--- /dev/null
+++ b/test/harm-under-faults.test.ts
@@ -0,0 +1,138 @@
+/**
+ * Seeded plays of users beside batch work, while workers are silent, lose answers and carry orders out late and owners
+ * change: what fills never keeps a task over its target for longer than users allow once its worker is in touch.
+ */
+import test from 'ava';
+import * as random from '../dev/random.js';
+import * as world from './fixtures/dispatching.js';
+import type * as workers from '../stand-ins/fleet/workers.js';
+
+/** Users' latency target, and the longest that a task may stay over it by what fills beside it, in milliseconds. */
+const targetMs = 150;
+const harmMs = 4_000;
+
+/** A stretch counts if the worker had no fault for so long, in milliseconds. */
+const contactMs = 4_000;
+
+/** Tail of a serving task that nothing disturbs, and how much each loud neighbour adds to it at full pace. */
+const calmTailMs = 60;
+const loudness = 2;
+
+const workerCount = 6;
+const playMs = 60_000;
+const settleMs = 4_000;
+const lookMs = 50;
+
+/** What happens to workers, each for up to so long, in milliseconds. */
+const faults = ['silent', 'lost', 'late', 'delays-paces', 'ignores-stops'] as const;
+const mostFaultMs = 3_000;
+
+/** Between two faults, two jobs that fill and two changes of the owner, in milliseconds at most. */
+const mostFaultGapMs = 2_500;
+const mostJobGapMs = 500;
+const mostOwnerGapMs = 30_000;
+
+/** How a worker stands, as the judge sees it. */
+interface Watched {
+	/** Since when its users have been over their target beside work that fills; undefined: they are not. */
+	overSince: number | undefined;
+	/** What disturbed them at the last look. */
+	disturbing: readonly string[];
+	/** Until when a fault lasts. */
+	faultUntil: number;
+}
+
+function beginFault(worker: workers.FakeWorker, fault: (typeof faults)[number]): () => void {
+	if (fault === 'delays-paces') worker.delaysPaces = true;
+	else if (fault === 'ignores-stops') worker.ignoresStops = true;
+	else worker.fault = fault;
+	return () => {
+		if (fault === 'delays-paces') worker.delaysPaces = false;
+		else if (fault === 'ignores-stops') worker.ignoresStops = false;
+		else worker.fault = 'none';
+	};
+}
+
+/** Runs that fill and work beside users of a worker that are over their target; none: they are not. */
+function disturbingOn(worker: workers.FakeWorker): string[] {
+	const isOver = worker
+		.report()
+		.running.some(({ task, reading }) => task.startsWith('serving') && reading > targetMs);
+	if (!isOver) return [];
+	const working = [...worker.running].filter(([task, { pace }]) => task.startsWith('loud') && pace > 0);
+	return working.map(([task, { run }]) => `${task}#${String(run)}`);
+}
+
+/** Plays one seed; returns what the judge saw. */
+async function play(seed: number): Promise<string[]> {
+	const next = random.seeded(seed);
+	const made = world.createWorld((task) => {
+		if (task.startsWith('serving')) return { ms: 'endless', how: 'done', reading: calmTailMs };
+		const ms = random.between(random.seeded(random.hash(`${task} ${String(seed)}`)), 500, 8_000);
+		const disturbs = task.startsWith('loud') ? loudness : undefined;
+		return { ms, how: 'done', reading: 1_600, disturbs };
+	});
+	const { clock, fleet, takeOver } = made;
+	for (let number = 0; number < workerCount; number += 1) fleet.add(`w${String(number)}`);
+	let owner = await takeOver();
+	const users = { milliCores: 4_000, image: 'serving', lasting: true, targetMs, maxPerWorker: 1 };
+	await made.submit(owner, world.job('serving', [world.step({ ...users, count: workerCount })]));
+	await clock.pass(settleMs);
+	const watched = new Map([...fleet.workers.values()].map((one) => [one, newlyWatched()]));
+	const due = { fault: 0, job: 0, owner: random.between(next, 5_000, mostOwnerGapMs) };
+	const seen: string[] = [];
+	const startedAt = clock.now();
+	for (let jobs = 0; clock.now() - startedAt < playMs;) {
+		const now = clock.now() - startedAt;
+		if (now >= due.fault) {
+			const worker = random.pick(next, [...fleet.workers.values()]);
+			const forMs = random.between(next, 100, mostFaultMs);
+			const end = beginFault(worker, random.pick(next, faults));
+			clock.after(forMs, end);
+			const state = watched.get(worker);
+			if (state !== undefined) state.faultUntil = Math.max(state.faultUntil, clock.now() + forMs);
+			due.fault = now + random.between(next, 100, mostFaultGapMs);
+		}
+		if (now >= due.job) {
+			const image = next() < 0.5 ? 'loud' : 'quiet';
+			const beside = { milliCores: 1_600, image, fills: true, checkpoints: true };
+			const count = random.between(next, 1, 6);
+			jobs += 1;
+			await made.submit(owner, world.job(`${image}${String(jobs)}`, [world.step({ ...beside, count })]));
+			due.job = now + random.between(next, 50, mostJobGapMs);
+		}
+		if (now >= due.owner) {
+			owner.dispatcher.close();
+			await clock.pass(random.between(next, 0, 1_500));
+			owner = await takeOver();
+			due.owner = now + random.between(next, 5_000, mostOwnerGapMs);
+		}
+		await clock.pass(lookMs);
+		for (const [worker, state] of watched) judge(worker, state, clock.now(), seen);
+	}
+	owner.dispatcher.close();
+	return seen;
+}
+
+function newlyWatched(): Watched {
+	return { overSince: undefined, disturbing: [], faultUntil: -Infinity };
+}
+
+function judge(worker: workers.FakeWorker, state: Watched, now: number, seen: string[]): void {
+	const disturbing = disturbingOn(worker);
+	// Where all of them have gone, the users were under their target before others came: these tails follow at once.
+	const goesOn = disturbing.some((run) => state.disturbing.includes(run));
+	state.overSince = disturbing.length === 0 ? undefined : goesOn ? state.overSince : now;
+	state.disturbing = disturbing;
+	const overMs = now - (state.overSince ?? now);
+	const isInTouch = now - state.faultUntil >= contactMs;
+	if (overMs >= harmMs && isInTouch) seen.push(`${worker.name} at ${String(now)}: for ${String(overMs)} ms`);
+}
+
+/** The first seeds; as many as the variable says, by hand. */
+const seeds = Array.from({ length: Number(process.env.WOODCROSS_HARM_SEEDS ?? 24) }, (_, index) => index + 1);
+
+for (const seed of seeds)
+	test(`users are not harmed beside batch work under faults, seed ${String(seed)}`, async (t) => {
+		t.deepEqual(await play(seed), []);
+	});
