A run is taken for hanging by reports alone

What callers saw: with orders that workers carry out late, everything else was late too. Cause: a run counted as hanging once 2.5 s had passed since its progress last changed, though nothing may have been heard of it meanwhile: a question without an answer tells of no progress, and orders that are answered keep the worker's silence from showing. Sound runs were stopped, and their workers set aside for failures.

A run hangs by its newest report now, and time before it in which nothing was heard does not count.

--- a/src/core/dispatch/ends.ts
+++ b/src/core/dispatch/ends.ts
@@ -138,7 +138,7 @@
 		ctx.stopStray(session, running.task, running.run);
 		return false;
 	}
-	if (placement.run === running.run) noteRunning(ctx, task, placement, running);
+	if (placement.run === running.run) noteRunning(ctx, session, placement, running);
 	return true;
 }
 
@@ -156,12 +156,14 @@
 
 function noteRunning(
 	ctx: ReportContext,
-	task: jobs.Task,
+	session: sessions.WorkerSession,
 	placement: types.Placement,
 	running: fleet.RunningTask,
 ): void {
-	if (placement.percent !== running.percent || placement.phase === 'starting')
-		placement.progressAt = ctx.now();
+	const { task } = placement;
+	const now = ctx.now();
+	const hasProgressed = placement.percent !== running.percent || placement.phase === 'starting';
+	placement.progressAt = hasProgressed ? now : Math.min(now, placement.progressAt + session.unheardMs);
 	placement.percent = running.percent;
 	placement.reading = running.reading;
 	if (placement.phase === 'starting') placement.phase = 'running';
--- a/src/core/dispatch/hanging.ts
+++ b/src/core/dispatch/hanging.ts
@@ -6,14 +6,15 @@
 /** Full pace, and full progress: a lasting task at work stays there. */
 const full = 100;
 
-/** Runs on a worker that hang, as far as its reports tell. */
+/** Runs on a worker that hang, as its reports tell: time without one says nothing. */
 export function hangingOn(session: sessions.WorkerSession, now: number): types.Placement[] {
 	if (!session.answering) return [];
-	return [...session.placements.values()].filter((place) => isHanging(place, now));
+	const { reportedAt } = session;
+	return [...session.placements.values()].filter((place) => isHanging(place, reportedAt, now));
 }
 
-function isHanging(place: types.Placement, now: number): boolean {
+function isHanging(place: types.Placement, reportedAt: number, now: number): boolean {
 	if (place.phase !== 'running' || place.percent === full) return false;
 	if (place.pace < full || now - place.pacedAt < settings.hangingMs) return false;
-	return now - Math.max(place.progressAt, place.confirmedAt) > settings.hangingMs;
+	return reportedAt - Math.max(place.progressAt, place.confirmedAt) > settings.hangingMs;
 }
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -78,7 +78,7 @@
 	/** The newest report, also one that was put off; undefined: none, or all that it tells of is over. */
 	private reported: fleet.WorkerReport | undefined;
 	/** Clock time at which it came. */
-	private reportedAt = -Infinity;
+	reportedAt = -Infinity;
 	/** How much longer than it was to wait the newest report took, in milliseconds. */
 	reportDelayMs = 0;
 	/** How long before the newest report was asked for none had come, in milliseconds. */
