Calls are not repeated while the owner's processor is full

Cause: in the seconds in which the owner's processor was full, 100 to 460 calls a second were repeated, though their answers had come and waited to be read: what is ready at once is not read in the order in which it was due. Repeats took the processor that reading needed. Class: a control that feeds what it reacts to.

A timer that fires 50 ms late shows a full processor; nothing is repeated for 300 ms then. Failing before: the test of an owner whose processor is full, a hundred repeats.

--- a/src/core/dispatch/call-repeater.ts
+++ b/src/core/dispatch/call-repeater.ts
@@ -4,7 +4,7 @@
  * A call that has no answer although several that were due after it have one was not held up by this box's link or
  * processor, which take calls in turn: its connection has gone silent, or its worker carries it out late. It is sent once
  * more over a new connection, as in the fast retransmission of RFC 5681, though no sooner than answers usually take (RFC
- * 6298). Orders and questions may be repeated: each names its run, and carries the same lease. Where nothing is answered
+ * 6298), and not while the processor is full. Orders and questions may be repeated: each names its run, and carries the same lease. Where nothing is answered
  * at all, a few calls are repeated as probes.
  */
 import * as delays from './answer-delays.js';
@@ -20,6 +20,15 @@
 /** How often an overdue call is looked at, in milliseconds. */
 const lookMs = 50;
 
+/**
+ * A timer that fires so late shows that this box's processor is full, in milliseconds. Answers may have come then that
+ * nobody has read, and repeats would take what reading them needs.
+ */
+const fullAfterMs = 50;
+
+/** Nothing is repeated for so long after that, in milliseconds. */
+const fullForMs = 300;
+
 /** So many answers to calls that were due later show that a call was overtaken. */
 const overtakenBy = 3;
 
@@ -65,6 +74,8 @@
 	private readonly delays = delays.AnswerDelays.create();
 	/** Clock time of the newest answer. */
 	private answeredAt = -Infinity;
+	/** Clock time at which the processor was last found full. */
+	private fullAt = -Infinity;
 	private probes = 0;
 	private saved = mostSaved;
 
@@ -88,7 +99,9 @@
 				resolve(res);
 			};
 			const lookAfter = (ms: number): void => {
+				const lookAt = clock.now() + ms;
 				timer = clock.after(ms, () => {
+					this.noteTimer(lookAt);
 					const reason = this.reasonToRepeat(call, dueAt);
 					if (reason === undefined) {
 						lookAfter(lookMs);
@@ -109,11 +122,17 @@
 		});
 	}
 
+	/** A timer that was to fire at `at` fires. */
+	private noteTimer(at: number): void {
+		const now = this.deps.clock.now();
+		if (now - at > fullAfterMs) this.fullAt = now;
+	}
+
 	/** Why a call that was due at `dueAt` is to be repeated now; undefined: it is not. */
 	private reasonToRepeat<T>(call: Repeatable<T>, dueAt: number): RepeatReason | undefined {
 		if (this.saved < 1 || call.isWanted?.() === false) return undefined;
 		const now = this.deps.clock.now();
-		if (now - dueAt < this.delays.usualMs) return undefined;
+		if (now - this.fullAt < fullForMs || now - dueAt < this.delays.usualMs) return undefined;
 		const later = this.answered[call.kind].filter((at) => at > dueAt);
 		if (later.length >= overtakenBy) return 'overtaken';
 		const isSilent = now - Math.max(dueAt, this.answeredAt) >= probeAfterMs;
--- a/test/call-repeater.test.ts
+++ b/test/call-repeater.test.ts
@@ -68,6 +68,23 @@
 	owner.dispatcher.close();
 });
 
+test('an owner whose processor is full repeats nothing', async (t) => {
+	const { clock, fleet, takeOverBusy, submit } = world.createWorld(() => ({ ms: 300, how: 'done' }));
+	for (let number = 0; number < 200; number += 1) fleet.add(`w${String(number)}`);
+	const { owner, processor } = await takeOverBusy({ send: 1, answer: 2 });
+	await submit(owner, world.job('burst', [world.step({ count: 4_000, milliCores: 4_000 })]));
+	let repeats = 0;
+	let longestMs = 0;
+	for (let passed = 0; passed < 8_000; passed += 50) {
+		await clock.pass(50);
+		longestMs = Math.max(longestMs, processor.queueMs);
+		repeats += owner.dispatcher.load().repeats;
+	}
+	t.true(longestMs > 200, 'the processor was full');
+	t.is(repeats, 0);
+	owner.dispatcher.close();
+});
+
 test('where no worker answers any more, a few are asked once more', async (t) => {
 	const { clock, fleet, owner } = await besideLasting();
 	for (const worker of fleet.workers.values()) worker.fault = 'silent';
