--- a/src/core/dispatch/call-repeater.ts
+++ b/src/core/dispatch/call-repeater.ts
@@ -4,8 +4,8 @@
  * A call that has no answer although several that were due after it have one was not held up by this box's link or
  * processor, which take calls in turn: its connection has gone silent, or its worker carries it out late. It is sent once
  * more over a new connection, as in the fast retransmission of RFC 5681, though no sooner than answers usually take (RFC
- * 6298), and not while the processor is full. Orders and questions may be repeated: each names its run, and carries the same lease. Where nothing is answered
- * at all, a few calls are repeated as probes.
+ * 6298), and not while the processor is full. Orders and questions may be repeated: each names its run, and carries the
+ * same lease. Where nothing is answered at all, a few calls are repeated as probes.
  */
 import * as delays from './answer-delays.js';
 import type * as clocks from '../clock.js';
@@ -85,7 +85,7 @@
 		return new CallRepeater(deps);
 	}
 
-	/** Sends a call; the first attempt that succeeds is its answer, and any answer to the first attempt. */
+	/** Sends a call. Its outcome is that of the first attempt, unless a repeat succeeds before. */
 	run<T>(call: Repeatable<T>): fleet.WorkerResult<T> {
 		const { clock } = this.deps;
 		const dueAt = clock.now() + call.waitMs;
