A pause of the owner's own between two questions is no silence

Cause: after a report with ends the owner waits up to 0.4 s for the store before it asks again, and that pause counted as time in which the worker could not be heard, with each report: tasks went over their target earlier, and calm came late or, with a store that is away, never. Only questions without an answer count now.

Failing before: the test of ends that wait for the store, 5,000 ms where 2,300 are allowed.

--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -81,8 +81,10 @@
 	reportedAt = -Infinity;
 	/** How much longer than it was to wait the newest report took, in milliseconds. */
 	reportDelayMs = 0;
-	/** How long before the newest report was asked for none had come, in milliseconds. */
+	/** How long questions had no answer before the newest report was asked for, in milliseconds. */
 	unheardMs = 0;
+	/** Clock time at which the last report had been dealt with, and the next question was due. */
+	private heardUntil = -Infinity;
 	/** Runs taken for lost whose start may still be under way. */
 	readonly inDoubt: doubts.RunsInDoubt;
 	/** They are being stopped. */
@@ -463,9 +465,10 @@
 			}
 			if (res.ok) {
 				this.reportDelayMs = Math.max(0, this.deps.clock.now() - asked.at - asked.waitMs);
-				this.unheardMs = Math.max(0, asked.at - this.reportedAt);
+				this.unheardMs = Math.max(0, asked.at - this.heardUntil);
 				this.listed.noteForgotten(forgetUpTo, sentAt);
 				await this.takeReport(res.value, sentAt, others);
+				this.heardUntil = this.deps.clock.now();
 				continue;
 			}
 			this.silence.noteQuestionFailed();
--- a/test/harm.test.ts
+++ b/test/harm.test.ts
@@ -4,6 +4,7 @@
  */
 import test from 'ava';
 import * as world from './fixtures/dispatching.js';
+import type * as memory from '../stand-ins/fleet/memory-store.js';
 
 /** Users' latency target, and the longest that a task may stay over it by what fills beside it, in milliseconds. */
 const targetMs = 150;
@@ -20,7 +21,7 @@
 const workerCount = 4;
 
 /** Workers with a serving task each and two that fill beside it and have not disturbed it so far. */
-async function besideServing(restoreMs?: number) {
+async function besideServing(restoreMs?: number, fault?: () => memory.StoreFault) {
 	const made = world.createWorld((task) => {
 		if (task.startsWith('serving')) return { ms: 'endless', how: 'done', reading: idleTailMs };
 		return { ms: task.startsWith('short') ? 900 : 120_000, how: 'done', reading: 1_000 };
@@ -28,7 +29,7 @@
 	const { clock, fleet } = made;
 	for (let number = 0; number < workerCount; number += 1) fleet.add(`w${String(number)}`);
 	made.restoreMs = restoreMs;
-	const owner = await made.takeOver();
+	const owner = await made.takeOver(undefined, fault);
 	const each = { milliCores: 4_000, image: 'serving', lasting: true, targetMs, maxPerWorker: 1 };
 	await made.submit(owner, world.job('serving', [world.step({ ...each, count: workerCount })]));
 	await clock.pass(3_000);
@@ -259,6 +260,26 @@
 	owner.dispatcher.close();
 });
 
+test('what stands still goes on in time though ends wait for the store after each report', async (t) => {
+	let fault: memory.StoreFault = 'none';
+	const { clock, owner, harmed, setTail, working, submit } = await besideServing(undefined, () => fault);
+	setTail(highTailMs);
+	await clock.pass(harmMs / 2);
+	const brief = { milliCores: 500, count: 40, maxPerWorker: 10 };
+	await submit(owner, world.job('short', [world.step(brief)]));
+	await clock.pass(200);
+	fault = 'down';
+	await clock.pass(1_000);
+	setTail(calmTailMs);
+	const calmAt = clock.now();
+	const isStill = (): boolean => working().every((task) => task.startsWith('short'));
+	while (isStill() && clock.now() - calmAt < 5_000) await clock.pass(50);
+	// A report comes each 0.8 s at the latest: half of it is waited for by the owner, half by the worker.
+	t.true(clock.now() - calmAt <= calmMs + 2 * 800, `${String(clock.now() - calmAt)} ms`);
+	t.true(harmed.ended.length > 0);
+	owner.dispatcher.close();
+});
+
 test('nothing more that fills is started beside a task that is about to be harmed', async (t) => {
 	const { clock, owner, setTail, working } = await besideServing();
 	setTail(highTailMs);
