--- a/src/core/dispatch/call-repeater.ts
+++ b/src/core/dispatch/call-repeater.ts
@@ -8,6 +8,7 @@
  * same lease. Where nothing is answered at all, a few calls are repeated as probes.
  */
 import * as delays from './answer-delays.js';
+import * as failures from '../fleet/failures.js';
 import type * as clocks from '../clock.js';
 import type * as fleet from '../fleet/types.js';
 
@@ -156,7 +157,7 @@
 
 	/** A call that was due at `dueAt` was answered, or given up. */
 	private note<T>(call: Repeatable<T>, res: Awaited<fleet.WorkerResult<T>>, dueAt: number): void {
-		if (!res.ok && (res.err.kind === 'no-answer' || res.err.kind === 'unreachable')) return;
+		if (!res.ok && failures.isUnanswered(res.err)) return;
 		const now = this.deps.clock.now();
 		this.answeredAt = now;
 		// An answer that did not wait for its time says nothing of the delay.
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -6,6 +6,7 @@
 import * as availability from './worker-availability.js';
 import * as clocks from '../clock.js';
 import * as doubts from './runs-in-doubt.js';
+import * as failures from '../fleet/failures.js';
 import * as fencing from './fencing-tokens.js';
 import * as health from './worker-health.js';
 import * as leases from './worker-lease.js';
@@ -333,7 +334,7 @@
 
 	/** Sorts out a failed call to `at`, sent under `stamp`; true: the session is over. */
 	ended(err: fleet.WorkerFailure, at: fleet.WorkerTarget, stamp: fencing.Stamp): boolean {
-		if (isUnanswered(err)) this.noteFailedCall(err);
+		if (failures.isUnanswered(err)) this.noteFailedCall(err);
 		// Under an older token the refusal may come of an order of our own.
 		const isReplaced = err.kind === 'fenced' && stamp.isNewest;
 		if (isReplaced) this.deps.onFenced();
@@ -473,7 +474,7 @@
 			}
 			this.silence.noteQuestionFailed();
 			// Whether a worker that ceases to answer still accepts connections is to be known at once.
-			const ceasesToAnswer = isUnanswered(res.err) && this.failedAt === undefined;
+			const ceasesToAnswer = failures.isUnanswered(res.err) && this.failedAt === undefined;
 			if (this.ended(res.err, target, stamp)) return;
 			if (res.err.kind !== 'fenced' && !ceasesToAnswer)
 				await clocks.sleep(this.deps.clock, settings.holdRetryMs);
@@ -568,8 +569,3 @@
 function runKey(task: string, run: number): string {
 	return `${task}#${String(run)}`;
 }
-
-/** Whether a failure says that nobody answered; a refusal is an answer. */
-function isUnanswered(err: fleet.WorkerFailure): boolean {
-	return err.kind === 'no-answer' || err.kind === 'unreachable';
-}
