How long each task has been over its target is worked out once a report

The look at a worker asked it up to three times for each serving task, once of these for the log alone, and gathered what fills anew for each line. It is worked out once and handed on. Behaviour is as before.

--- a/src/core/dispatch/pressure.ts
+++ b/src/core/dispatch/pressure.ts
@@ -49,44 +49,35 @@
 	/** Looks at a worker after its report. */
 	look(session: sessions.WorkerSession): void {
 		this.estimates.observe(session);
-		const serving = neighbours.servingOf(session);
 		const delayMs = session.reportDelayMs;
-		session.mustStandStill = serving.some((served) => this.isNearHarm(served, delayMs));
-		for (const place of neighbours.fillingOf(session)) {
-			const percent = session.mustStandStill ? paceOrders.still : this.wantedPace(place, serving, delayMs);
+		const overloads = neighbours.servingOf(session).map((served) => this.overloadOf(served, delayMs));
+		const filling = neighbours.fillingOf(session);
+		session.mustStandStill = overloads.some(({ isNearHarm }) => isNearHarm);
+		for (const place of filling) {
+			const percent = session.mustStandStill ? paceOrders.still : this.wantedPace(place, overloads);
 			if (percent !== undefined) this.orders.set(session, place, percent);
 			this.orders.enforce(session, place);
 		}
-		for (const served of serving) {
-			const isNearHarm = this.isNearHarm(served, delayMs);
-			this.log.note(session, served, { overMs: this.overMs(served, delayMs), isNearHarm });
-		}
-	}
-
-	/** Whether all that fills beside a task has to stand still, and nothing more is started there. */
-	private isNearHarm(served: types.Placement, delayMs: number): boolean {
-		return this.overMs(served, delayMs) >= this.harmMs * certainPart;
+		for (const overload of overloads) this.log.note(session, overload, filling);
 	}
 
 	/**
-	 * How long a task counts as over its target, in milliseconds; `delayMs`: how late reports come. It may have been over it
-	 * for that much longer, and the next decision comes that much later.
+	 * How long a task counts as over its target; `delayMs`: how late reports come. It may have been over it for that much
+	 * longer, and the next decision comes that much later.
 	 */
-	private overMs(served: types.Placement, delayMs: number): number {
-		return served.overSince === undefined ? 0 : this.deps.clock.now() - served.overSince + 2 * delayMs;
+	private overloadOf(served: types.Placement, delayMs: number): reliefLog.Overload {
+		const { overSince } = served;
+		const overMs = overSince === undefined ? 0 : this.deps.clock.now() - overSince + 2 * delayMs;
+		return { served, overMs, isNearHarm: overMs >= this.harmMs * certainPart };
 	}
 
 	/** The pace that a task should have beside these; undefined: as it is. */
-	private wantedPace(
-		place: types.Placement,
-		serving: types.Placement[],
-		delayMs: number,
-	): number | undefined {
+	private wantedPace(place: types.Placement, overloads: readonly reliefLog.Overload[]): number | undefined {
 		const now = this.deps.clock.now();
 		let calm = true;
-		for (const served of serving) {
+		for (const { served, overMs } of overloads) {
 			if (now - lastOver(served) < calmMs) calm = false;
-			const isRelieved = this.overMs(served, delayMs) >= this.harmMs * relievePart;
+			const isRelieved = overMs >= this.harmMs * relievePart;
 			if (isRelieved && this.isCause(place, served)) return paceOrders.still;
 		}
 		return calm ? paceOrders.full : undefined;
--- a/src/core/dispatch/relief-log.ts
+++ b/src/core/dispatch/relief-log.ts
@@ -6,6 +6,7 @@
 
 /** What was noticed of a serving task. */
 export interface Overload {
+	served: types.Placement;
 	/** How long it has been over its target, in milliseconds. */
 	overMs: number;
 	/** All that fills beside it has to stand still. */
@@ -26,18 +27,19 @@
 		return new ReliefLog(log, epoch);
 	}
 
-	/** How a serving task stands after a report of its worker. */
-	note(session: sessions.WorkerSession, served: types.Placement, overload: Overload): void {
+	/** How a serving task stands beside what fills there, after a report of its worker. */
+	note(session: sessions.WorkerSession, overload: Overload, filling: readonly types.Placement[]): void {
+		const { served } = overload;
 		const state = this.open.get(served);
 		if (state === undefined && !overload.isNearHarm) return;
-		const working = neighbours.fillingOf(session).filter(neighbours.isAtWork).length;
+		const working = filling.filter(neighbours.isAtWork).length;
 		if (state === undefined)
-			this.log.emit('task.overloaded', this.fieldsOf(session, served, { ...overload, working }));
+			this.log.emit('task.overloaded', { ...this.fieldsOf(session, overload), working });
 		const isUnder = served.overSince === undefined;
 		const isRelieved = isUnder || working === 0;
 		if (isRelieved && state !== 'relieved') {
 			const reason = isUnder ? 'under-target' : 'neighbours-stand-still';
-			this.log.emit('task.relieved', { ...this.fieldsOf(session, served, overload), reason });
+			this.log.emit('task.relieved', { ...this.fieldsOf(session, overload), reason });
 		}
 		if (isUnder) this.open.delete(served);
 		else this.open.set(served, isRelieved ? 'relieved' : (state ?? 'overloaded'));
@@ -68,11 +70,8 @@
 		});
 	}
 
-	private fieldsOf(
-		session: sessions.WorkerSession,
-		{ task, reading }: types.Placement,
-		{ overMs, working }: { overMs: number; working?: number },
-	): events.EventFields {
+	private fieldsOf(session: sessions.WorkerSession, { served, overMs }: Overload): events.EventFields {
+		const { task, reading } = served;
 		return {
 			task: task.name,
 			worker: session.id,
@@ -80,7 +79,6 @@
 			readingMs: reading,
 			tookMs: wholeMs(overMs),
 			unheardMs: wholeMs(session.unheardMs),
-			...(working !== undefined && { working }),
 		};
 	}
 }
