The repeater of calls is made with the calls that it repeats

The dispatcher built it of parts of the same calls and handed both on. Faults of the seeded plays are set and lifted by one function. Behaviour is as before.

--- a/src/core/dispatch/call-repeater.ts
+++ b/src/core/dispatch/call-repeater.ts
@@ -168,8 +168,13 @@
 	}
 }
 
-/** The same calls, repeated where they are overtaken. */
-export function repeatCalls(calls: fleet.WorkerCalls, repeater: CallRepeater): fleet.WorkerCalls {
+/** The same calls, repeated where they are overtaken; `onRepeat`: told of each that is. */
+export function repeatCalls(
+	calls: fleet.WorkerCalls,
+	clock: clocks.Clock,
+	onRepeat: () => void,
+): fleet.WorkerCalls {
+	const repeater = CallRepeater.create({ clock, renew: calls.renew, onRepeat });
 	const order = <T>(
 		at: fleet.WorkerTarget,
 		send: () => fleet.WorkerResult<T>,
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -90,16 +90,10 @@
 		knowledge?: learnt.Knowledge,
 	): Dispatcher {
 		const meter = meters.LoadMeter.create();
-		const repeater = callRepeater.CallRepeater.create({
-			clock: opts.clock,
-			renew: (at) => {
-				opts.calls.renew(at);
-			},
-			onRepeat: () => {
-				meter.count('repeats');
-			},
+		const repeated = callRepeater.repeatCalls(opts.calls, opts.clock, () => {
+			meter.count('repeats');
 		});
-		const calls = countedCalls.countCalls(callRepeater.repeatCalls(opts.calls, repeater), meter);
+		const calls = countedCalls.countCalls(repeated, meter);
 		const dispatcher = new Dispatcher({ ...opts, calls }, meter, contents);
 		if (knowledge !== undefined) dispatcher.adoptKnowledge(knowledge);
 		for (const unreadable of contents.unreadable) dispatcher.leaveOut(unreadable);
--- a/test/harm-under-faults.test.ts
+++ b/test/harm-under-faults.test.ts
@@ -42,15 +42,11 @@
 	faultUntil: number;
 }
 
-function beginFault(worker: workers.FakeWorker, fault: (typeof faults)[number]): () => void {
-	if (fault === 'delays-paces') worker.delaysPaces = true;
-	else if (fault === 'ignores-stops') worker.ignoresStops = true;
-	else worker.fault = fault;
-	return () => {
-		if (fault === 'delays-paces') worker.delaysPaces = false;
-		else if (fault === 'ignores-stops') worker.ignoresStops = false;
-		else worker.fault = 'none';
-	};
+/** Begins or ends a fault of a worker. */
+function setFault(worker: workers.FakeWorker, fault: (typeof faults)[number], isOn: boolean): void {
+	if (fault === 'delays-paces') worker.delaysPaces = isOn;
+	else if (fault === 'ignores-stops') worker.ignoresStops = isOn;
+	else worker.fault = isOn ? fault : 'none';
 }
 
 /** Runs that fill and work beside users of a worker that are over their target; none: they are not. */
@@ -87,8 +83,11 @@
 		if (now >= due.fault) {
 			const worker = random.pick(next, [...fleet.workers.values()]);
 			const forMs = random.between(next, 100, mostFaultMs);
-			const end = beginFault(worker, random.pick(next, faults));
-			clock.after(forMs, end);
+			const fault = random.pick(next, faults);
+			setFault(worker, fault, true);
+			clock.after(forMs, () => {
+				setFault(worker, fault, false);
+			});
 			const state = watched.get(worker);
 			if (state !== undefined) state.faultUntil = Math.max(state.faultUntil, clock.now() + forMs);
 			due.fault = now + random.between(next, 100, mostFaultGapMs);
