Time in which nothing was heard is left out in one place

Calm and progress each moved a clock time by it in their own way. Behaviour is as before: a worker's first report, before which nothing is known, finds no time over a target that could be moved.

--- a/src/core/dispatch/ends.ts
+++ b/src/core/dispatch/ends.ts
@@ -163,11 +163,11 @@
 	const { task } = placement;
 	const now = ctx.now();
 	const hasProgressed = placement.percent !== running.percent || placement.phase === 'starting';
-	placement.progressAt = hasProgressed ? now : Math.min(now, placement.progressAt + session.unheardMs);
+	placement.progressAt = hasProgressed ? now : session.withoutUnheard(placement.progressAt);
 	placement.percent = running.percent;
 	placement.reading = running.reading;
 	if (placement.phase === 'starting') placement.phase = 'running';
-	if (placement.confirmedAt === 0) placement.confirmedAt = ctx.now();
+	if (placement.confirmedAt === 0) placement.confirmedAt = now;
 	if (running.checkpoint !== '') task.checkpoint = running.checkpoint;
 }
 
--- a/src/core/dispatch/interference.ts
+++ b/src/core/dispatch/interference.ts
@@ -160,7 +160,7 @@
 			.servingOf(session)
 			.filter((place) => place.reading > 0 && place.percent === 100);
 		const now = this.clock.now();
-		for (const place of atWork) noteOver(place, now, session.unheardMs);
+		for (const place of atWork) noteOver(session, place, now);
 		// Before the platform has named the worker, its size is not known.
 		if (atWork.length === 0 || session.entry === undefined) return;
 		const shares = neighbours.sharesOf(session, (place) => partOfReading(place, now));
@@ -397,17 +397,17 @@
  * Notes whether a task is over its target, and since when. It may have been over it for as long as nothing was heard of
  * its worker. Readings are rough: one just under the target ends nothing.
  */
-function noteOver(place: types.Placement, now: number, unheardMs: number): void {
+function noteOver(session: sessions.WorkerSession, place: types.Placement, now: number): void {
 	const { reading, overSince, hasDipped } = place;
 	const { targetMs } = place.task.step.spec;
 	if (reading > targetMs) {
 		place.overAt = now;
-		place.overSince = overSince ?? Math.max(now - unheardMs, knownSince(place));
+		place.overSince = overSince ?? Math.max(now - session.unheardMs, knownSince(place));
 		place.hasDipped = false;
 		return;
 	}
 	// Time without reports is no calm.
-	place.overAt = Math.min(now, place.overAt + (Number.isFinite(unheardMs) ? unheardMs : 0));
+	place.overAt = session.withoutUnheard(place.overAt);
 	place.hasDipped = overSince !== undefined && !hasDipped && reading > targetMs * clearlyUnderPart;
 	if (!place.hasDipped) place.overSince = undefined;
 }
--- a/src/core/dispatch/pace-orders.ts
+++ b/src/core/dispatch/pace-orders.ts
@@ -43,7 +43,8 @@
 	 */
 	enforce(session: sessions.WorkerSession, place: types.Placement): void {
 		const { pace, paceOrderedAt, isPaceKnown } = place;
-		if (!isPaceKnown || paceOrderedAt === 0 || neighbours.isAtWork(place) === pace > still) return;
+		const isKept = neighbours.isAtWork(place) === pace > still;
+		if (isKept || !isPaceKnown || paceOrderedAt === 0) return;
 		const orderedMs = this.deps.clock.now() - session.reportDelayMs - paceOrderedAt;
 		if (orderedMs <= settlesAfterMs) return;
 		this.log.contradicted(session, place, orderedMs);
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -185,6 +185,11 @@
 		return Math.round(this.deps.clock.now() - this.answeredAt);
 	}
 
+	/** When something was last seen there, later by the time since in which questions had no answer. */
+	withoutUnheard(seenAt: number): number {
+		return seenAt === -Infinity ? seenAt : Math.min(this.deps.clock.now(), seenAt + this.unheardMs);
+	}
+
 	/** Whether it has been given the time to answer and does not. */
 	get silent(): boolean {
 		return !this.answering && this.deps.clock.now() - this.createdAt >= settings.silentAfterMs;
