--- a/src/core/dispatch/call-repeater.ts
+++ b/src/core/dispatch/call-repeater.ts
@@ -59,6 +59,18 @@
 	isWanted?: () => boolean;
 }
 
+/** A call that has no outcome yet. */
+interface OpenCall<T> {
+	call: Repeatable<T>;
+	/** Clock time by which it is to be answered. */
+	dueAt: number;
+	repeats: number;
+	/** Until it is looked at again. */
+	timer?: clocks.Timer;
+	/** Ends it; only the first outcome counts. */
+	settle: (res: Awaited<fleet.WorkerResult<T>>) => void;
+}
+
 /** What the repeater uses. */
 export interface RepeaterDeps {
 	clock: clocks.Clock;
@@ -88,49 +100,56 @@
 
 	/** Sends a call. Its outcome is that of the first attempt, unless a repeat succeeds before. */
 	run<T>(call: Repeatable<T>): fleet.WorkerResult<T> {
-		const { clock } = this.deps;
-		const dueAt = clock.now() + call.waitMs;
+		const dueAt = this.deps.clock.now() + call.waitMs;
 		return new Promise((resolve) => {
-			let timer: clocks.Timer | undefined;
-			let repeats = 0;
-			let isOpen = true;
-			const settle = (res: Awaited<fleet.WorkerResult<T>>): void => {
-				isOpen = false;
-				timer?.cancel();
-				resolve(res);
-			};
-			const lookAfter = (ms: number): void => {
-				const lookAt = clock.now() + ms;
-				timer = clock.after(ms, () => {
-					this.noteTimer(lookAt);
-					const reason = this.reasonToRepeat(call, dueAt);
-					if (reason === undefined) {
-						lookAfter(lookMs);
-						return;
-					}
-					repeats += 1;
-					lookAfter(overdueMs * 2 ** repeats);
-					void this.repeat(call, reason).then((res) => {
-						if (isOpen && res.ok) settle(res);
-					});
-				});
+			const open: OpenCall<T> = {
+				call,
+				dueAt,
+				repeats: 0,
+				settle: (res) => {
+					open.timer?.cancel();
+					resolve(res);
+				},
 			};
-			lookAfter(call.waitMs + overdueMs);
+			this.lookAfter(open, call.waitMs + overdueMs);
 			void call.send().then((res) => {
 				this.note(call, res, dueAt);
-				if (isOpen) settle(res);
+				open.settle(res);
 			});
 		});
 	}
 
+	private lookAfter<T>(open: OpenCall<T>, ms: number): void {
+		const { clock } = this.deps;
+		const lookAt = clock.now() + ms;
+		open.timer = clock.after(ms, () => {
+			this.noteTimer(lookAt);
+			this.look(open);
+		});
+	}
+
+	/** Repeats a call if there is reason to, and looks at it again later. */
+	private look<T>(open: OpenCall<T>): void {
+		const reason = this.reasonToRepeat(open);
+		if (reason === undefined) {
+			this.lookAfter(open, lookMs);
+			return;
+		}
+		open.repeats += 1;
+		this.lookAfter(open, overdueMs * 2 ** open.repeats);
+		void this.repeat(open.call, reason).then((res) => {
+			if (res.ok) open.settle(res);
+		});
+	}
+
 	/** A timer that was to fire at `at` fires. */
 	private noteTimer(at: number): void {
 		const now = this.deps.clock.now();
 		if (now - at > fullAfterMs) this.fullAt = now;
 	}
 
-	/** Why a call that was due at `dueAt` is to be repeated now; undefined: it is not. */
-	private reasonToRepeat<T>(call: Repeatable<T>, dueAt: number): RepeatReason | undefined {
+	/** Why a call is to be repeated now; undefined: it is not. */
+	private reasonToRepeat<T>({ call, dueAt }: OpenCall<T>): RepeatReason | undefined {
 		if (this.saved < 1 || call.isWanted?.() === false) return undefined;
 		const now = this.deps.clock.now();
 		if (now - this.fullAt < fullForMs || now - dueAt < this.delays.usualMs) return undefined;
