--- a/test/harm-under-faults.test.ts
+++ b/test/harm-under-faults.test.ts
@@ -81,23 +81,12 @@
 	for (let jobs = 0; clock.now() - startedAt < playMs;) {
 		const now = clock.now() - startedAt;
 		if (now >= due.fault) {
-			const worker = random.pick(next, [...fleet.workers.values()]);
-			const forMs = random.between(next, 100, mostFaultMs);
-			const fault = random.pick(next, faults);
-			setFault(worker, fault, true);
-			clock.after(forMs, () => {
-				setFault(worker, fault, false);
-			});
-			const state = watched.get(worker);
-			if (state !== undefined) state.faultUntil = Math.max(state.faultUntil, clock.now() + forMs);
+			disturb(clock, watched, next);
 			due.fault = now + random.between(next, 100, mostFaultGapMs);
 		}
 		if (now >= due.job) {
-			const image = next() < 0.5 ? 'loud' : 'quiet';
-			const beside = { milliCores: 1_600, image, fills: true, checkpoints: true };
-			const count = random.between(next, 1, 6);
 			jobs += 1;
-			await made.submit(owner, world.job(`${image}${String(jobs)}`, [world.step({ ...beside, count })]));
+			await made.submit(owner, fillingJob(jobs, next));
 			due.job = now + random.between(next, 50, mostJobGapMs);
 		}
 		if (now >= due.owner) {
@@ -113,6 +102,30 @@
 	return seen;
 }
 
+/** Something happens to a worker for a while. */
+function disturb(
+	clock: world.TestWorld['clock'],
+	watched: ReadonlyMap<workers.FakeWorker, Watched>,
+	next: () => number,
+): void {
+	const [worker, state] = random.pick(next, [...watched]);
+	const forMs = random.between(next, 100, mostFaultMs);
+	const fault = random.pick(next, faults);
+	setFault(worker, fault, true);
+	clock.after(forMs, () => {
+		setFault(worker, fault, false);
+	});
+	state.faultUntil = Math.max(state.faultUntil, clock.now() + forMs);
+}
+
+/** A job whose tasks fill, and disturb users or do not. */
+function fillingJob(number: number, next: () => number): ReturnType<typeof world.job> {
+	const image = next() < 0.5 ? 'loud' : 'quiet';
+	const count = random.between(next, 1, 6);
+	const beside = { milliCores: 1_600, image, fills: true, checkpoints: true, count };
+	return world.job(`${image}${String(number)}`, [world.step(beside)]);
+}
+
 function newlyWatched(): Watched {
 	return { overSince: undefined, disturbing: [], faultUntil: -Infinity };
 }
