The soak counts requests whose connection is reset by a planned stop

The judge counted connections that were closed (UND_ERR_SOCKET) and passed over those that the kernel resets (ECONNRESET, EPIPE), without a trace that such cuts are allowed. What a caller sees is the same: no answer, and no word whether the request has run. Resets are counted now on the same terms, only of the very process that was told to stop.

A cut also tells when the request was written to its connection: the time from the call includes the wait in the client's pool.

Test: soak-cuts, 'a request whose connection a planned stop resets', failed before.

--- a/dev/soak/box-client.ts
+++ b/dev/soak/box-client.ts
@@ -10,6 +10,9 @@
 /** Connections to one process. */
 const connections = 4;
 
+/** How a connection ends under a request: closed by the other side, or reset by the kernel of it. */
+const cutCodes = new Set(['UND_ERR_SOCKET', 'ECONNRESET', 'EPIPE']);
+
 /** What came of one request: a status, or none. */
 export interface Reply {
 	status: number | undefined;
@@ -43,22 +46,31 @@
 		if (process === undefined) return { status: undefined, body: {} };
 		const sentAt = world.now();
 		const headers = { host: worlds.host, 'content-type': 'application/json' };
+		let writtenAt: number | undefined;
+		const noting = noteWrite(() => {
+			writtenAt = world.now();
+		});
 		try {
-			const res = await this.pool(process.callers).request({
-				method,
-				path,
-				headers,
-				body: body === undefined ? null : JSON.stringify(body),
-				headersTimeout: patienceMs,
-				bodyTimeout: patienceMs,
-			});
+			const res = await this.pool(process.callers)
+				.compose(noting)
+				.request({
+					method,
+					path,
+					headers,
+					body: body === undefined ? null : JSON.stringify(body),
+					headersTimeout: patienceMs,
+					bodyTimeout: patienceMs,
+				});
 			return { status: res.statusCode, body: parse(await res.body.text()) };
 		} catch (err) {
-			const { code } = err as NodeJS.ErrnoException;
-			const afterMs = Math.round(world.now() - sentAt);
+			const { code = '' } = err as NodeJS.ErrnoException;
 			// A planned stop of the very process that was asked closed its connection.
-			if (box.stopping === process && code === 'UND_ERR_SOCKET')
-				judge.report('cut', `${box.name} ${method} ${path}, ${afterMs} ms after it was sent: ${String(err)}`);
+			if (box.stopping === process && cutCodes.has(code)) {
+				const writtenMs = writtenAt === undefined ? 'never' : `${Math.round(world.now() - writtenAt)} ms ago`;
+				const sentMs = Math.round(world.now() - sentAt);
+				const detail = `${sentMs} ms after it was sent, written ${writtenMs}: ${String(err)}`;
+				judge.report('cut', `${box.name} ${method} ${path}, ${detail}`);
+			}
 			return { status: undefined, body: {} };
 		}
 	}
@@ -81,6 +93,19 @@
 	}
 }
 
+/** Tells when a request is written to its connection: until then it waits in the pool, and no box knows of it. */
+function noteWrite(onWrite: () => void): undici.Dispatcher.DispatcherComposeInterceptor {
+	return (dispatch) => (opts, handler) => {
+		const noting: undici.Dispatcher.DispatchHandler = new undici.DecoratorHandler(handler);
+		const pass = noting.onRequestStart?.bind(noting);
+		noting.onRequestStart = (controller, context) => {
+			onWrite();
+			pass?.(controller, context);
+		};
+		return dispatch(opts, noting);
+	};
+}
+
 function parse(text: string): Record<string, unknown> {
 	return text === '' ? {} : (JSON.parse(text) as Record<string, unknown>);
 }
--- a/test/soak-cuts.test.ts
+++ b/test/soak-cuts.test.ts
@@ -13,6 +13,8 @@
 	asked: Promise<unknown>;
 	/** Ends the connection of the request. */
 	cut: () => void;
+	/** Resets it, as the kernel does with connections that nobody has accepted. */
+	reset: () => void;
 	close: () => void;
 }
 
@@ -37,6 +39,7 @@
 		process: processAt(callers),
 		asked,
 		cut: () => open?.end(),
+		reset: () => open?.resetAndDestroy(),
 		close: () => server.close(),
 	};
 }
@@ -52,6 +55,7 @@
 async function cutOff(
 	prepare: (box: worlds.SoakBox) => void,
 	meanwhile: (box: worlds.SoakBox) => void,
+	how: 'cut' | 'reset' = 'cut',
 ): Promise<string[]> {
 	const cutter = await startCutter();
 	const box = boxOf(cutter.process);
@@ -65,7 +69,7 @@
 	const reply = client.send(box, 'GET', '/jobs/a');
 	await cutter.asked;
 	meanwhile(box);
-	cutter.cut();
+	cutter[how]();
 	await reply;
 	await client.close();
 	cutter.close();
@@ -88,6 +92,15 @@
 	t.deepEqual(await cutOff(nothing, stop), ['cut']);
 });
 
+// Guards against plays that pass over cuts: a connection that the kernel resets ends with another error than one that ends.
+test('a request whose connection a planned stop resets is held against it', async (t) => {
+	t.deepEqual(await cutOff(stop, nothing, 'reset'), ['cut']);
+});
+
+test('a request whose connection a kill resets is not held against a planned stop', async (t) => {
+	t.deepEqual(await cutOff(nothing, nothing, 'reset'), []);
+});
+
 test('a request that is cut off after the stopped process has ended and another has begun is held against it', async (t) => {
 	const replaced = await cutOff(stop, (box) => {
 		box.process = processAt('127.0.0.1:1');
