Soak: a set of planned stops in series, with callers that are far or leave connections unused

Set 7 plays stops, one box after another, beside kills, pauses and a store that loses answers. Besides the usual callers there are 24 that are 0, 20 or 40 ms away, connect up to 3 s ahead of their first request and pause for up to 4 s between two.

--- a/dev/soak/box-faults.ts
+++ b/dev/soak/box-faults.ts
@@ -14,6 +14,9 @@
 /** A box that has just started anew is given so long, in milliseconds. */
 const settleStartMs = 1_500;
 
+/** A series of planned stops has so many at most. */
+const mostStops = 4;
+
 /** An owner is killed so often in a row at most. */
 const mostKills = 3;
 
@@ -76,6 +79,14 @@
 	return box.name;
 }
 
+/** Stops boxes as planned, one after another: each as the one before it serves again. */
+export async function stopInSeries(world: worlds.World, next: () => number): Promise<string> {
+	const times = random.between(next, 2, mostStops);
+	const stopped: string[] = [];
+	for (let time = 0; time < times; time += 1) stopped.push(await stop(world, next));
+	return stopped.join(', ');
+}
+
 /** Lets a box's process stand still. */
 export async function pause(world: worlds.World, next: () => number, forMs: number): Promise<string> {
 	const box = pickSound(world, next);
--- /dev/null
+++ b/dev/soak/far-callers.ts
@@ -0,0 +1,145 @@
+/**
+ * Callers with some delay to the boxes that leave their connections unused for a while: before the first request, or
+ * between two. What is on its way when a box ends such a connection is where planned stops can cut requests off.
+ */
+import * as net from 'node:net';
+import * as random from '../random.js';
+import type * as boxes from '../../stand-ins/box-process.js';
+import type * as judges from './judge.js';
+import * as worlds from './world.js';
+
+/** From a caller to a box, one way, in milliseconds: of one that is near, and of one that is far. */
+const delaysMs = [0, 20, 40];
+
+/** A connection is left unused for so long at most before its first request, and from so long to so long between two, in milliseconds. */
+const mostAheadMs = 3_000;
+const leastPauseMs = 300;
+const mostPauseMs = 4_000;
+
+/** A caller waits so long for an answer, in milliseconds. */
+const patienceMs = 3_000;
+
+/** What the callers share. */
+export interface FarCallersOptions {
+	world: worlds.World;
+	judge: judges.Judge;
+	next: () => number;
+	/** Clock time until which requests are sent. */
+	until: number;
+}
+
+/** How a request ended. `cut`: its connection ended without a whole answer. */
+type Outcome = 'answered' | 'cut' | 'no-answer';
+
+/** One caller, one connection after another, until the time is over. */
+export async function call(opts: FarCallersOptions): Promise<void> {
+	const { world, next, until } = opts;
+	const delayMs = random.pick(next, delaysMs);
+	while (world.now() < until) {
+		const box = random.pick(next, world.boxes);
+		const connection = box.process && (await FarConnection.create(box.process.callers, delayMs));
+		if (box.process === undefined || connection === undefined)
+			await world.sleep(random.between(next, 0, leastPauseMs));
+		else await useConnection(opts, box, box.process, connection);
+	}
+}
+
+/** Sends requests over one connection, with pauses, until the other side ends it. */
+async function useConnection(
+	opts: FarCallersOptions,
+	box: worlds.SoakBox,
+	process: boxes.BoxProcess,
+	connection: FarConnection,
+): Promise<void> {
+	const { world, judge, next, until } = opts;
+	await world.sleep(random.between(next, 0, mostAheadMs));
+	while (world.now() < until && !connection.hasEnded) {
+		const outcome = await connection.ask(worlds.firstQueue);
+		if (outcome === 'cut' && box.stopping === process)
+			judge.report('cut', `${box.name} GET ${worlds.firstQueue}, from ${connection.delayMs} ms away`);
+		if (outcome !== 'answered') break;
+		await world.sleep(random.between(next, leastPauseMs, mostPauseMs));
+	}
+	connection.close();
+}
+
+/** A connection on which everything takes a while, either way. */
+class FarConnection {
+	/** Whether its end has reached the caller. */
+	hasEnded = false;
+	private received = '';
+	private notify: () => void = () => undefined;
+
+	private constructor(
+		private readonly socket: net.Socket,
+		readonly delayMs: number,
+	) {}
+
+	/** Undefined: the address takes no connection. */
+	static create(address: string, delayMs: number): Promise<FarConnection | undefined> {
+		const cut = address.lastIndexOf(':');
+		const port = Number(address.slice(cut + 1));
+		// What a far caller sends may still arrive after the other side has ended the connection.
+		const socket = net.connect({ host: address.slice(0, cut), port, allowHalfOpen: true });
+		const connection = new FarConnection(socket, delayMs);
+		return new Promise((resolve) => {
+			socket.once('connect', () => {
+				resolve(connection);
+			});
+			socket.on('data', (chunk: Buffer) => {
+				connection.later(() => (connection.received += chunk.toString('utf8')));
+			});
+			socket.on('error', () => {
+				resolve(undefined);
+			});
+			for (const event of ['end', 'close'])
+				socket.on(event, () => {
+					connection.later(() => (connection.hasEnded = true));
+				});
+		});
+	}
+
+	/** Sends one request and waits for its answer. */
+	async ask(path: string): Promise<Outcome> {
+		this.received = '';
+		const sentAt = performance.now();
+		setTimeout(() => this.socket.write(`GET ${path} HTTP/1.1\r\nhost: ${worlds.host}\r\n\r\n`), this.delayMs);
+		while (!isWhole(this.received)) {
+			const leftMs = patienceMs - (performance.now() - sentAt);
+			if (this.hasEnded) return 'cut';
+			if (leftMs <= 0) return 'no-answer';
+			await this.change(leftMs);
+		}
+		return 'answered';
+	}
+
+	close(): void {
+		this.socket.destroy();
+	}
+
+	/** Does something once it has come the whole way to the caller. */
+	private later(fn: () => void): void {
+		setTimeout(() => {
+			fn();
+			this.notify();
+		}, this.delayMs);
+	}
+
+	/** Resolves once something has reached the caller, after `mostMs` at the latest. */
+	private change(mostMs: number): Promise<void> {
+		return new Promise((resolve) => {
+			const timer = setTimeout(resolve, mostMs);
+			this.notify = () => {
+				clearTimeout(timer);
+				resolve();
+			};
+		});
+	}
+}
+
+/** Whether a text holds an answer with all of its body. */
+function isWhole(text: string): boolean {
+	const [head = '', body] = text.split('\r\n\r\n', 2);
+	const length = /^content-length: (\d+)/im.exec(head)?.[1];
+	return body !== undefined && length !== undefined && Buffer.byteLength(body) >= Number(length);
+}
--- a/dev/soak/faults.ts
+++ b/dev/soak/faults.ts
@@ -83,6 +83,15 @@
 /** The fourth set. */
 const fourthFaults: Record<string, worlds.Fault> = { ...thirdFaults, 'worker-shrunk': workerFaults.shrink };
 
+/** The set of planned stops. */
+const stopFaults: Record<string, worlds.Fault> = {
+	'box-stopped': boxFaults.stop,
+	'boxes-stopped': boxFaults.stopInSeries,
+	'box-killed': boxFaults.kill,
+	'box-paused': boxFaults.pause,
+	'store-loses-answers': (world, _next, forMs) => storeFault(world, forMs, 'lost'),
+};
+
 /** What may be injected, by set. */
 const faultSets: Record<worlds.FaultSet, Record<string, worlds.Fault>> = {
 	1: formerFaults,
@@ -91,6 +100,7 @@
 	4: fourthFaults,
 	5: { ...fourthFaults, ...workerFaults.restarts },
 	6: { ...fourthFaults, ...workerFaults.restarts, 'zone-evacuated': workerFaults.evacuate },
+	7: stopFaults,
 };
 
 /** Injects faults until `until` (clock time), and resolves once the last has ended. */
--- a/dev/soak/soak.ts
+++ b/dev/soak/soak.ts
@@ -3,6 +3,7 @@
 import * as callers from './callers.js';
 import * as clocks from '../../src/core/clock.js';
 import * as crashing from './crashing.js';
+import * as farCallers from './far-callers.js';
 import * as faults from './faults.js';
 import * as judges from './judge.js';
 import * as patiences from './patience.js';
@@ -21,6 +22,7 @@
 	4: { shortest: 50, longest: 500 },
 	5: { shortest: 50, longest: 500 },
 	6: { shortest: 50, longest: 500 },
+	7: { shortest: 50, longest: 500 },
 };
 
 /** With the later sets this part of the tasks outlasts a change of the owner: they take from so long to so long. */
@@ -30,6 +32,9 @@
 /** How often it is looked whether jobs are lost, in milliseconds. */
 const lookGapMs = 200;
 
+/** Far callers, in the set of planned stops. */
+const farCallersCount = 24;
+
 /** Parts of runs that fail by themselves; a task fails three times in a row once in 30,000 tasks. */
 const failingPart = 0.03;
 
@@ -81,7 +86,10 @@
 	const looks = clocks.every(clocks.systemClock, lookGapMs, () => {
 		patience.look();
 	});
-	await Promise.all([injected, callers.watchConfiguration(shared), ...calls]);
+	const farCalls = Array.from({ length: opts.faults === 7 ? farCallersCount : 0 }, (_, number) =>
+		farCallers.call({ world, judge, next: random.seeded(opts.seed + 3 + number), until }),
+	);
+	await Promise.all([injected, callers.watchConfiguration(shared), ...calls, ...farCalls]);
 	looks.cancel();
 	judge.atEnd();
 	if (opts.keep || judge.violations.length > 0) keepLogs(opts, world, lines, judge.violations);
--- a/dev/soak/world.ts
+++ b/dev/soak/world.ts
@@ -42,8 +42,9 @@
  * besides, and queues are added and dropped one after another. 4: some tasks crash their workers besides, and rooms shrink.
  * 5: workers start again under the names that they had.
  * 6: the workers' zone is evacuated now and then besides.
+ * 7: planned stops, one box after another, beside little else; some callers are far and leave connections unused.
  */
-export type FaultSet = 1 | 2 | 3 | 4 | 5 | 6;
+export type FaultSet = 1 | 2 | 3 | 4 | 5 | 6 | 7;
 
 /** A change of a queue. */
 export interface QueueChange {
