--- a/dev/soak/faults.ts
+++ b/dev/soak/faults.ts
@@ -101,6 +101,7 @@
 	5: { ...fourthFaults, ...workerFaults.restarts },
 	6: { ...fourthFaults, ...workerFaults.restarts, 'zone-evacuated': workerFaults.evacuate },
 	7: stopFaults,
+	8: stopFaults,
 };
 
 /** Injects faults until `until` (clock time), and resolves once the last has ended. */
--- a/dev/soak/main.ts
+++ b/dev/soak/main.ts
@@ -105,9 +105,10 @@
 } as const;
 
 const faultsArg = {
-	type: cmd.oneOf(['1', '2', '3', '4', '5', '6', '7']),
+	type: cmd.oneOf(['1', '2', '3', '4', '5', '6', '7', '8']),
 	long: 'faults',
-	description: 'set of faults, 1 to 5 former ones, 7 planned stops; absent: as the seed is kept, else 6',
+	description:
+		'set of faults, 1 to 5 former ones, 7 and 8 planned stops; absent: as the seed is kept, else 6',
 } as const;
 
 const command = cmd.command({
--- a/dev/soak/soak.ts
+++ b/dev/soak/soak.ts
@@ -23,6 +23,7 @@
 	5: { shortest: 50, longest: 500 },
 	6: { shortest: 50, longest: 500 },
 	7: { shortest: 50, longest: 500 },
+	8: { shortest: 50, longest: 500 },
 };
 
 /** With the later sets this part of the tasks outlasts a change of the owner: they take from so long to so long. */
@@ -59,7 +60,7 @@
 	const startedAt = clocks.systemClock.now();
 	const seconds = (): number => Math.round((clocks.systemClock.now() - startedAt) / 10) / 100;
 	const next = random.seeded(opts.seed);
-	const judge = judges.Judge.create(seconds, opts.faults >= 4);
+	const judge = judges.Judge.create(seconds, worlds.hasCrashing(opts.faults));
 	const plan = planFor(opts.faults);
 	const world = await worlds.World.create({
 		...opts,
@@ -86,8 +87,9 @@
 	const looks = clocks.every(clocks.systemClock, lookGapMs, () => {
 		patience.look();
 	});
-	const farCalls = Array.from({ length: opts.faults === 7 ? farCallersCount : 0 }, (_, number) =>
-		farCallers.call({ world, judge, next: random.seeded(opts.seed + 3 + number), until }),
+	const farCalls = Array.from(
+		{ length: worlds.hasFarCallers(opts.faults) ? farCallersCount : 0 },
+		(_, number) => farCallers.call({ world, judge, next: random.seeded(opts.seed + 3 + number), until }),
 	);
 	await Promise.all([injected, callers.watchConfiguration(shared), ...calls, ...farCalls]);
 	looks.cancel();
@@ -114,7 +116,7 @@
 			ms: random.between(next, shortest, longest),
 			how: fails ? 'failed' : 'done',
 		};
-		const crashMs = faultSet >= 4 ? crashing.crashMsOf(task) : undefined;
+		const crashMs = worlds.hasCrashing(faultSet) ? crashing.crashMsOf(task) : undefined;
 		// It works on until it brings its worker down.
 		return crashMs === undefined ? plan : { ...plan, ms: 2 * crashMs, crashMs };
 	};
--- a/dev/soak/world.ts
+++ b/dev/soak/world.ts
@@ -43,8 +43,19 @@
  * 5: workers start again under the names that they had.
  * 6: the workers' zone is evacuated now and then besides.
  * 7: planned stops, one box after another, beside little else; some callers are far and leave connections unused.
+ * 8: the same without tasks that crash their workers.
  */
-export type FaultSet = 1 | 2 | 3 | 4 | 5 | 6 | 7;
+export type FaultSet = 1 | 2 | 3 | 4 | 5 | 6 | 7 | 8;
+
+/** Whether a set has tasks that crash their workers. */
+export function hasCrashing(faults: FaultSet): boolean {
+	return faults >= 4 && faults !== 8;
+}
+
+/** Whether a set plays far callers. */
+export function hasFarCallers(faults: FaultSet): boolean {
+	return faults >= 7;
+}
 
 /** A change of a queue. */
 export interface QueueChange {
