A stopping box accepts the connections that wait in its listener's queue before it closes

Cause: `finish` closed the listening socket at once. The kernel resets connections that it has established and the process has not accepted, with the requests that callers have written to them.

Ruled out: waiting a fixed number of turns, as one turn accepts one connection.

Why this works: the queue is emptied first, one connection a turn, until a brief turn brought none, and the listener is closed in that very turn. The bound (300 ms) holds where connections never cease. What is left is a window of a fraction of a millisecond at the end, which no order of calls closes: a caller whose connection falls into it finds it reset.

The box logs what it accepted and how long that took (callers.closed).

Tests: listening, 'closing an address answers the requests of ...', each fails before (1, 10 and 100 callers).

--- a/src/cli/box/main.ts
+++ b/src/cli/box/main.ts
@@ -1,5 +1,6 @@
 #!/usr/bin/env node
 /** The `woodcross-box` binary: a whole box on the users' platform, as one process. */
+import * as acceptQueues from '../../core/accept-queue.js';
 import * as adapters from '../../../platform/adapter.js';
 import * as boxes from '../../core/box/box.js';
 import * as clock from '../../core/clock.js';
@@ -17,6 +18,9 @@
 /** For timers that fire late, and the last bytes of an answer, in milliseconds. */
 const marginMs = 100;
 
+/** Connections that are established when a stopping box is about to close its address are accepted for so long, in milliseconds. */
+const acceptMs = 300;
+
 /** Requests that are under way when a stopping box closes its address have this long to be answered, in milliseconds. */
 const finishMs = service.longestAnswerMs + marginMs;
 
@@ -26,8 +30,8 @@
  */
 const quietMs = 1_500;
 
-/** It closes the address this long before it would be killed, in milliseconds. */
-const finishBeforeKillMs = finishMs + marginMs;
+/** It begins to close the address this long before it would be killed, in milliseconds. */
+const finishBeforeKillMs = acceptMs + finishMs + marginMs;
 
 const path = process.env[platformSettings.settingsVariable] ?? '';
 const given = platformSettings.readSettings(path);
@@ -64,7 +68,11 @@
 });
 
 async function finishAndExit(): Promise<void> {
-	await listening.finish(callersServer, quietMs, finishMs);
+	const queued = await acceptQueues.acceptQueued(callersServer, acceptMs);
+	// Nothing may come between the turn that found the queue empty and the close.
+	const finished = listening.finish(callersServer, quietMs, finishMs);
+	log.emit('callers.closed', { ...queued, emptied: String(queued.emptied) });
+	await finished;
 	log.emit('process.stopped');
 	process.exit(0);
 }
--- /dev/null
+++ b/src/core/accept-queue.ts
@@ -0,0 +1,47 @@
+/** Empties a listener's queue of connections that the kernel has established, before the listener is closed. */
+import type * as net from 'node:net';
+
+/**
+ * Connections arrive unseen from the moment at which the event loop asks the kernel for events to the end of that turn: a
+ * turn counts as brief up to this many milliseconds, and up to this part of the time that a brief one has been waited for.
+ */
+const briefTurnMs = 0.2;
+const briefTurnPart = 0.02;
+
+/** What was found in the queue. */
+export interface AcceptedConnections {
+	accepted: number;
+	/** Whether the queue was found empty in time. */
+	emptied: boolean;
+	tookMs: number;
+}
+
+/**
+ * Accepts what is queued, and resolves in the turn of the event loop that finds the queue empty, after `mostMs` milliseconds
+ * at the latest. A listener that is closed then, in the same turn, cuts nobody off: the kernel resets connections that are
+ * in its queue at the close, with the requests that callers have written to them. A turn accepts one connection.
+ */
+export function acceptQueued(server: net.Server, mostMs: number): Promise<AcceptedConnections> {
+	return new Promise((resolve) => {
+		const startedAt = performance.now();
+		let accepted = 0;
+		const count = (): void => {
+			accepted += 1;
+		};
+		server.on('connection', count);
+		const look = (turnStartedAt: number, acceptedBefore: number): void => {
+			const now = performance.now();
+			const waitedMs = now - startedAt;
+			const isBrief = now - turnStartedAt <= Math.max(briefTurnMs, waitedMs * briefTurnPart);
+			const emptied = isBrief && accepted === acceptedBefore;
+			if (!emptied && waitedMs < mostMs) {
+				setImmediate(look, now, accepted);
+				return;
+			}
+			server.off('connection', count);
+			resolve({ accepted, emptied, tookMs: Math.round(waitedMs) });
+		};
+		// The first look begins a turn; what is queued now is accepted from then on.
+		setImmediate(look, -Infinity, accepted);
+	});
+}
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -64,6 +64,11 @@
 		level: 'error',
 		text: 'A settings file could not be taken over; the former settings stay in force.',
 	},
+	'callers.closed': {
+		id: 1113,
+		level: 'info',
+		text: 'A planned stop closes the address for callers; connections that were still queued there, how long it took to accept them and whether the queue was empty then are given.',
+	},
 	'settings.read': { id: 1108, level: 'info', text: 'The settings file was read again.' },
 	'members.changed': { id: 1201, level: 'info', text: 'The set of known processes changed.' },
 	'shard.taken': { id: 2001, level: 'info', text: 'This scheduler owns a shard, under the epoch given.' },
--- a/test/listening.test.ts
+++ b/test/listening.test.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
 import test from 'ava';
+import * as acceptQueues from '../src/core/accept-queue.js';
 import * as ingress from '../platform/ingress.js';
 import * as listening from '../src/cli/box/listening.js';
 import * as reading from '../src/core/after-reading.js';
@@ -35,6 +36,40 @@
 	await finished;
 });
 
+for (const count of [1, 10, 100]) {
+	// Guards against requests that are reset without an answer: the kernel had established their connections, and nobody accepted them.
+	test(`closing an address answers the requests of ${count} callers whose connections are not accepted yet`, async (t) => {
+		const server = http.createServer((_req, res) => {
+			res.writeHead(200, { connection: 'close' }).end('done');
+		});
+		const address = await listening.listen(server, '127.0.0.1:0');
+		const answers = Array.from({ length: count }, () => {
+			const caller = net.connect(listening.toListenOptions(address));
+			caller.write(question);
+			return received(caller);
+		});
+		const { emptied } = await acceptQueues.acceptQueued(server, longMs);
+		const finished = listening.finish(server, 0, longMs);
+		t.true(emptied);
+		for (const answer of await Promise.all(answers)) t.regex(answer, /^HTTP\/1.1 200 [^]*done/);
+		await finished;
+	});
+}
+
+test('an address is closed in time where connections never cease', async (t) => {
+	const server = net.createServer((socket) => {
+		// Each connection is followed by the next.
+		const next = net.connect(listening.toListenOptions(address));
+		next.on('error', () => next.destroy());
+		socket.destroy();
+	});
+	const address = await listening.listen(server, '127.0.0.1:0');
+	net.connect(listening.toListenOptions(address)).on('error', () => undefined);
+	const { emptied } = await acceptQueues.acceptQueued(server, 50);
+	t.false(emptied);
+	server.close();
+});
+
 test('closing an address ends idle connections', async (t) => {
 	const server = http.createServer((_req, res) => {
 		res.end('done');
