A planned stop ends connections that never carried a request

Cause: `closeIdleConnections` ends connections that are idle between two requests; one that has had none does not count.

Evidence: a connection without a request, `finish` with an idle time of 0 and a bound of 100 s: the stop does not end.

Test: listening, 'closing an address ends connections that never carried a request', does not end before.

--- a/test/listening.test.ts
+++ b/test/listening.test.ts
@@ -83,6 +83,17 @@
 	t.regex(await closed, /done/);
 });
 
+// Guards against stops that last as long as they may: a connection that never carried a request isn't idle to `http.Server`.
+test('closing an address ends connections that never carried a request', async (t) => {
+	const server = http.createServer();
+	const address = await listening.listen(server, '127.0.0.1:0');
+	const caller = net.connect(listening.toListenOptions(address));
+	const closed = received(caller);
+	await new Promise((resolve) => server.once('connection', resolve));
+	await listening.finish(server, 0, longMs);
+	t.is(await closed, '');
+});
+
 test('closing an address answers the request that has arrived on an idle connection and is not read yet', async (t) => {
 	const server = http.createServer((_req, res) => {
 		res.writeHead(200, { connection: server.listening ? 'keep-alive' : 'close' }).end('done');
