A stopping box ends an unused connection with a last answer that refuses

Callers saw: a request over a kept connection, sent some milliseconds before its box ended that connection as part of a planned stop, was left without an answer, so that nobody knew whether it ran. The farther the caller, the likelier; connections opened ahead were met too.

Cause: an end of the connection alone crosses with the request. Ruled out: ending connections later, which moves the moment; `Keep-Alive: timeout` in every answer, which only helps clients that honour it and costs callers that pause a new connection each time.

Why this works: the box ends the connection with a whole answer, 503 "this box is about to stop", Retry-After 0, not run, and reads on for 500 ms so that what still comes does not reset the connection. A request that crosses it finds its answer, and the answer is true: nothing that arrives after the address was closed is run. A caller without a request takes it for the end of the connection, as RFC 9112 9.2 asks; RFC 9110 15.5.9 describes the same use of 408.

Tests: listening, 'a request that is sent after a pause / first on its connection, as that is ended, is answered as not run', fail before.

--- a/src/cli/box/listening.ts
+++ b/src/cli/box/listening.ts
@@ -4,6 +4,9 @@
 import * as connections from './connections.js';
 import * as reading from '../../core/after-reading.js';
 
+/** A connection that was ended is read for so long until its caller has ended it too, in milliseconds. */
+const lingerMs = 500;
+
 /** The connections of what listens. */
 const trackers = new WeakMap<net.Server, connections.ConnectionTracker>();
 
@@ -21,9 +24,13 @@
 /**
  * Takes no new connections, ends those that carry no request after `quietMs` milliseconds, and resolves once every request
  * under way has been answered, after `mostMs` milliseconds at the latest. Meanwhile connections in use are to be closed by
- * their answers: nothing tells a caller in time that one without a request ends.
+ * their answers.
+ *
+ * A connection that carries no request ends with `lastAnswer`, a whole answer in HTTP/1.1 that refuses: a request that is on
+ * its way then would be left without any. It is not run: what arrives after the close has to be refused anyway. Callers
+ * without a request take the text for the end that it is (RFC 9112, 9.2; RFC 9110, 15.5.9 has the same for 408).
  */
-export function finish(server: http.Server, quietMs: number, mostMs: number): Promise<void> {
+export function finish(server: http.Server, quietMs: number, mostMs: number, lastAnswer = ''): Promise<void> {
 	return new Promise((resolve) => {
 		// Not the close of `http.Server`, which would end the idle connections at once: on some of them a request may have
 		// arrived that is not read yet, the more the busier this process is.
@@ -32,13 +39,23 @@
 		});
 		setTimeout(() => {
 			reading.afterReading(() => {
-				for (const socket of trackers.get(server)?.unused() ?? []) socket.destroy();
+				for (const socket of trackers.get(server)?.unused() ?? []) endUnused(socket, lastAnswer);
 			});
 		}, quietMs).unref();
 		setTimeout(resolve, mostMs).unref();
 	});
 }
 
+/** Ends a connection that carries no request. */
+function endUnused(socket: net.Socket, lastAnswer: string): void {
+	socket.end(lastAnswer);
+	// A close while requests arrive would reset the connection, and the last answer might be lost with it.
+	const timer = setTimeout(() => socket.destroy(), lingerMs).unref();
+	socket.once('close', () => {
+		clearTimeout(timer);
+	});
+}
+
 /** Host and port of an address. */
 export function toListenOptions(address: string): { host: string; port: number } {
 	const cut = address.lastIndexOf(':');
--- a/src/cli/box/main.ts
+++ b/src/cli/box/main.ts
@@ -68,9 +68,10 @@
 });
 
 async function finishAndExit(): Promise<void> {
+	const lastAnswer = ingress.lastAnswer();
 	const queued = await acceptQueues.acceptQueued(callersServer, acceptMs);
 	// Nothing may come between the turn that found the queue empty and the close.
-	const finished = listening.finish(callersServer, quietMs, finishMs);
+	const finished = listening.finish(callersServer, quietMs, finishMs, lastAnswer);
 	log.emit('callers.closed', { ...queued, emptied: String(queued.emptied) });
 	await finished;
 	log.emit('process.stopped');
--- a/test/listening.test.ts
+++ b/test/listening.test.ts
@@ -94,6 +94,39 @@
 	t.is(await closed, '');
 });
 
+for (const when of ['after a pause', 'first on its connection'] as const) {
+	// Guards against requests of far callers that are cut off: they are on their way when their connection is ended.
+	test(`a request that is sent ${when}, as that is ended, is answered as not run`, async (t) => {
+		const target = {
+			leaving: true,
+			queues: undefined,
+			isConfigurationInDoubt: false,
+			service: unusedService,
+		};
+		const server = ingress.serveCallers(target);
+		const address = await listening.listen(server, '127.0.0.1:0');
+		// The end reaches a far caller after it has sent the request.
+		const caller = net.connect({ ...listening.toListenOptions(address), allowHalfOpen: true });
+		const ended = new Promise((resolve) => caller.once('end', resolve));
+		const all = received(caller);
+		await new Promise((resolve) => server.once('connection', resolve));
+		if (when === 'after a pause') {
+			target.leaving = false;
+			caller.write(question);
+			await new Promise((resolve) => caller.once('data', resolve));
+			target.leaving = true;
+		}
+		const finished = listening.finish(server, 0, longMs, ingress.lastAnswer());
+		await ended;
+		caller.end(question);
+		t.regex(
+			await all,
+			/HTTP\/1.1 503 [^]*retry-after: 0[^]*connection: close[^]*about to stop[^]*"notRun":true}$/,
+		);
+		await finished;
+	});
+}
+
 test('closing an address answers the request that has arrived on an idle connection and is not read yet', async (t) => {
 	const server = http.createServer((_req, res) => {
 		res.writeHead(200, { connection: server.listening ? 'keep-alive' : 'close' }).end('done');
