Signals that come while a box starts, or a second time, no longer end it at once

Callers saw: requests reset at a box that had just opened its address and was told to stop, and no line in its log that it stopped.

Cause: the handlers of SIGTERM and SIGHUP were set after the address was opened, and SIGTERM's only for the first one. A signal without a handler ends the process, with whatever its callers are waiting for.

Why this works: the handlers are set by the first module that is loaded, before any address is opened. A stop that is asked for earlier is carried out once the box is complete, within the same grace, counted from the signal.

--- a/src/cli/box/main.ts
+++ b/src/cli/box/main.ts
@@ -1,5 +1,7 @@
 #!/usr/bin/env node
 /** The `woodcross-box` binary: a whole box on the users' platform, as one process. */
+// First: until it is loaded, signals end the process.
+import * as signals from './signals.js';
 import * as acceptQueues from '../../core/accept-queue.js';
 import * as adapters from '../../../platform/adapter.js';
 import * as boxes from '../../core/box/box.js';
@@ -54,26 +56,23 @@
 	void figures.serveFigures(box, log, `${settings.ip}:${platformSettings.metricsPort}`);
 }, figures.startAfterMs);
 
-process.on('SIGHUP', () => {
+signals.onReload(() => {
 	const again = platformSettings.readSettings(path);
 	if (again.ok) log.emit('settings.read', { reason: 'valid; takes effect at the next start' });
 	else log.emit('settings.refused', { reason: again.err });
 });
-process.once('SIGTERM', () => {
-	void box.leave();
-	// Open connections are served to the end; the balancer needs two seconds to send callers elsewhere.
-	setTimeout(() => {
-		void finishAndExit();
-	}, settings.bounds.graceMs - finishBeforeKillMs);
-});
 
-async function finishAndExit(): Promise<void> {
-	const lastAnswer = ingress.lastAnswer();
-	const queued = await acceptQueues.acceptQueued(callersServer, acceptMs);
-	// Nothing may come between the turn that found the queue empty and the close.
-	const finished = listening.finish(callersServer, quietMs, finishMs, lastAnswer);
-	log.emit('callers.closed', { ...queued, emptied: String(queued.emptied) });
-	await finished;
-	log.emit('process.stopped');
-	process.exit(0);
-}
+const stopAskedAt = await signals.stopAsked;
+void box.leave();
+// Open connections are served to the end; the balancer needs two seconds to send callers elsewhere.
+const closeAt = stopAskedAt + settings.bounds.graceMs - finishBeforeKillMs;
+await clock.sleep(clock.systemClock, Math.max(0, closeAt - performance.now()));
+
+const lastAnswer = ingress.lastAnswer();
+const queued = await acceptQueues.acceptQueued(callersServer, acceptMs);
+// Nothing may come between the turn that found the queue empty and the close.
+const finished = listening.finish(callersServer, quietMs, finishMs, lastAnswer);
+log.emit('callers.closed', { ...queued, emptied: String(queued.emptied) });
+await finished;
+log.emit('process.stopped');
+process.exit(0);
