The soak tells a reset before anything was written from a request that is cut off

The trace of the client shows that nothing was written: the caller knows that its request was never sent, as it does where a connection is refused (ECONNREFUSED), which was never counted.

Narrowed by this case only: resets after a request was written count as before, and so does every UND_ERR_SOCKET. Test: soak-cuts.

--- a/dev/soak/box-client.ts
+++ b/dev/soak/box-client.ts
@@ -10,8 +10,8 @@
 /** Connections to one process. */
 const connections = 4;
 
-/** How a connection ends under a request: closed by the other side, or reset by the kernel of it. */
-const cutCodes = new Set(['UND_ERR_SOCKET', 'ECONNRESET', 'EPIPE']);
+/** Errors of connections that the kernel of the other side resets. */
+const resetCodes = new Set(['ECONNRESET', 'EPIPE']);
 
 /** What came of one request: a status, or none. */
 export interface Reply {
@@ -65,7 +65,7 @@
 		} catch (err) {
 			const { code = '' } = err as NodeJS.ErrnoException;
 			// A planned stop of the very process that was asked closed its connection.
-			if (box.stopping === process && cutCodes.has(code)) {
+			if (box.stopping === process && isCutOff(code, writtenAt !== undefined)) {
 				const writtenMs = writtenAt === undefined ? 'never' : `${Math.round(world.now() - writtenAt)} ms ago`;
 				const sentMs = Math.round(world.now() - sentAt);
 				const detail = `${sentMs} ms after it was sent, written ${writtenMs}: ${String(err)}`;
@@ -93,6 +93,14 @@
 	}
 }
 
+/**
+ * Whether a request that failed so was cut off. A connection that is reset before anything was written to it is refused, as
+ * one that finds no listener: the caller knows that the request was never sent.
+ */
+export function isCutOff(code: string, isWritten: boolean): boolean {
+	return code === 'UND_ERR_SOCKET' || (isWritten && resetCodes.has(code));
+}
+
 /** Tells when a request is written to its connection: until then it waits in the pool, and no box knows of it. */
 function noteWrite(onWrite: () => void): undici.Dispatcher.DispatcherComposeInterceptor {
 	return (dispatch) => (opts, handler) => {
--- a/test/soak-cuts.test.ts
+++ b/test/soak-cuts.test.ts
@@ -116,3 +116,12 @@
 	}, nothing);
 	t.deepEqual(killed, []);
 });
+
+test('a request was cut off unless its connection was refused, or reset before anything was written to it', (t) => {
+	t.true(clients.isCutOff('UND_ERR_SOCKET', true));
+	t.true(clients.isCutOff('UND_ERR_SOCKET', false));
+	t.true(clients.isCutOff('ECONNRESET', true));
+	t.true(clients.isCutOff('EPIPE', true));
+	t.false(clients.isCutOff('ECONNRESET', false));
+	t.false(clients.isCutOff('ECONNREFUSED', false));
+});
