--- a/src/cli/box/main.ts
+++ b/src/cli/box/main.ts
@@ -27,8 +27,8 @@
 const finishMs = service.longestAnswerMs + marginMs;
 
 /**
- * Connections that are idle when it closes the address are ended after so long, in milliseconds. What comes over them until
- * then is refused at once, so it needs none of the time that answers may take.
+ * Connections that carry no request are ended so long after it closed the address, in milliseconds. What comes over them
+ * until then is refused at once, so it needs none of the time that answers may take.
  */
 const quietMs = 1_500;
 
--- a/src/core/accept-queue.ts
+++ b/src/core/accept-queue.ts
@@ -17,9 +17,9 @@
 }
 
 /**
- * Accepts what is queued, and resolves in the turn of the event loop that finds the queue empty, after `mostMs` milliseconds
- * at the latest. A listener that is closed then, in the same turn, cuts nobody off: the kernel resets connections that are
- * in its queue at the close, with the requests that callers have written to them. A turn accepts one connection.
+ * Accepts what is queued, one connection a turn of the event loop, and resolves in the turn that finds the queue empty,
+ * after `mostMs` milliseconds at the latest. To be closed in that same turn: the kernel resets connections that are in the
+ * queue of a listener when it is closed, with the requests that callers have written to them.
  */
 export function acceptQueued(server: net.Server, mostMs: number): Promise<AcceptedConnections> {
 	return new Promise((resolve) => {
--- a/test/listening.test.ts
+++ b/test/listening.test.ts
@@ -58,7 +58,7 @@
 
 test('an address is closed in time where connections never cease', async (t) => {
 	const server = net.createServer((socket) => {
-		// Each connection is followed by the next.
+		// Each connection brings the next.
 		const next = net.connect(listening.toListenOptions(address));
 		next.on('error', () => next.destroy());
 		socket.destroy();
