--- a/dev/soak/far-callers.ts
+++ b/dev/soak/far-callers.ts
@@ -56,7 +56,10 @@
 	while (world.now() < until && !connection.hasEnded) {
 		const outcome = await connection.ask(worlds.firstQueue);
 		if (outcome === 'cut' && box.stopping === process)
-			judge.report('cut', `${box.name} GET ${worlds.firstQueue}, from ${connection.delayMs} ms away`);
+			judge.report(
+				'cut',
+				`${box.name} GET ${worlds.firstQueue}, from ${connection.delayMs} ms away${connection.unasked}`,
+			);
 		if (outcome !== 'answered') break;
 		await world.sleep(random.between(next, leastPauseMs, mostPauseMs));
 	}
@@ -67,7 +70,10 @@
 class FarConnection {
 	/** Whether its end has reached the caller. */
 	hasEnded = false;
+	/** What came before the newest request was sent, for the report of a cut. */
+	unasked = '';
 	private received = '';
+	private isAsking = false;
 	private notify: () => void = () => undefined;
 
 	private constructor(
@@ -87,7 +93,9 @@
 				resolve(connection);
 			});
 			socket.on('data', (chunk: Buffer) => {
-				connection.later(() => (connection.received += chunk.toString('utf8')));
+				connection.later(() => {
+					connection.take(chunk.toString('utf8'));
+				});
 			});
 			socket.on('error', () => {
 				resolve(undefined);
@@ -102,6 +110,7 @@
 	/** Sends one request and waits for its answer. */
 	async ask(path: string): Promise<Outcome> {
 		this.received = '';
+		this.isAsking = true;
 		const sentAt = performance.now();
 		setTimeout(() => this.socket.write(`GET ${path} HTTP/1.1\r\nhost: ${worlds.host}\r\n\r\n`), this.delayMs);
 		while (!isWhole(this.received)) {
@@ -110,6 +119,7 @@
 			if (leftMs <= 0) return 'no-answer';
 			await this.change(leftMs);
 		}
+		this.isAsking = false;
 		return 'answered';
 	}
 
@@ -117,6 +127,11 @@
 		this.socket.destroy();
 	}
 
+	private take(text: string): void {
+		this.received += text;
+		if (!this.isAsking) this.unasked += `; before it was sent there came: ${text.split('\r\n', 1)[0] ?? ''}`;
+	}
+
 	/** Does something once it has come the whole way to the caller. */
 	private later(fn: () => void): void {
 		setTimeout(() => {
