Soak: far callers give a connection up on which something comes without a request

The last answer had arrived, and the end of the connection had not been taken in yet. A client must not take what comes without a request for an answer, and should close (RFC 9112, 9.2); so nothing was left to be cut. A request that was sent before the last answer arrives counts as before.

--- a/dev/soak/far-callers.ts
+++ b/dev/soak/far-callers.ts
@@ -56,10 +56,7 @@
 	while (world.now() < until && !connection.hasEnded) {
 		const outcome = await connection.ask(worlds.firstQueue);
 		if (outcome === 'cut' && box.stopping === process)
-			judge.report(
-				'cut',
-				`${box.name} GET ${worlds.firstQueue}, from ${connection.delayMs} ms away${connection.unasked}`,
-			);
+			judge.report('cut', `${box.name} GET ${worlds.firstQueue}, from ${connection.delayMs} ms away`);
 		if (outcome !== 'answered') break;
 		await world.sleep(random.between(next, leastPauseMs, mostPauseMs));
 	}
@@ -70,8 +67,6 @@
 class FarConnection {
 	/** Whether its end has reached the caller. */
 	hasEnded = false;
-	/** What came before the newest request was sent, for the report of a cut. */
-	unasked = '';
 	private received = '';
 	private isAsking = false;
 	private notify: () => void = () => undefined;
@@ -129,7 +124,8 @@
 
 	private take(text: string): void {
 		this.received += text;
-		if (!this.isAsking) this.unasked += `; before it was sent there came: ${text.split('\r\n', 1)[0] ?? ''}`;
+		// What comes without a request is no answer to the next one, and the connection is not to be used any more (RFC 9112, 9.2).
+		if (!this.isAsking) this.hasEnded = true;
 	}
 
 	/** Does something once it has come the whole way to the caller. */
