--- a/dev/soak/far-callers.ts
+++ b/dev/soak/far-callers.ts
@@ -3,6 +3,7 @@
  * between two. What is on its way when a box ends such a connection is where planned stops can cut requests off.
  */
 import * as net from 'node:net';
+import * as listening from '../../src/cli/box/listening.js';
 import * as random from '../random.js';
 import type * as boxes from '../../stand-ins/box-process.js';
 import type * as judges from './judge.js';
@@ -78,10 +79,8 @@
 
 	/** Undefined: the address takes no connection. */
 	static create(address: string, delayMs: number): Promise<FarConnection | undefined> {
-		const cut = address.lastIndexOf(':');
-		const port = Number(address.slice(cut + 1));
 		// What a far caller sends may still arrive after the other side has ended the connection.
-		const socket = net.connect({ host: address.slice(0, cut), port, allowHalfOpen: true });
+		const socket = net.connect({ ...listening.toListenOptions(address), allowHalfOpen: true });
 		const connection = new FarConnection(socket, delayMs);
 		return new Promise((resolve) => {
 			socket.once('connect', () => {
