--- a/src/core/box/owner-role.ts
+++ b/src/core/box/owner-role.ts
@@ -202,6 +202,7 @@
 				maxSloViolationMs: settings.bounds.maxSloViolationMs,
 				restoreMs: settings.bounds.restoreMs,
 				maxEvacuationAgeMs: maxEvacuationListAgeMs(settings.bounds.evacuateMs),
+				features: settings.features,
 				recordTime: this.deps.recordTime,
 				leaseEnds: leaseExpiries,
 			},
--- a/src/core/box/settings.ts
+++ b/src/core/box/settings.ts
@@ -1,4 +1,5 @@
 /** Settings of a box and of its platform. */
+import type * as features from '../features/index.js';
 
 /** Settings of a box; `platform/settings.ts` reads them from the platform's file. */
 export interface BoxSettings {
@@ -23,6 +24,8 @@
 	/** Processor that the box may use, in cores. */
 	processor: number;
 	bounds: BoxBounds;
+	/** The optional features that are in force; absent: none. */
+	features?: features.Features;
 }
 
 /** Time limits of the deployment, in milliseconds. */
@@ -39,6 +42,10 @@
 	maxSloViolationMs: number;
 	/** Time that a task takes to resume from a checkpoint; absent: it is not stated. */
 	restoreMs?: number;
+	/** Longest time that a run takes to stop; absent: it is not stated. */
+	stopMs?: number;
+	/** Factor by which a run takes longer away from its data; absent: it is not stated. */
+	farFactor?: number;
 	/** A zone's workers are sent nothing more this long after its evacuation was stored; absent: zones are not evacuated. */
 	evacuateMs?: number;
 }
--- a/src/core/dispatch/options.ts
+++ b/src/core/dispatch/options.ts
@@ -1,4 +1,5 @@
 /** The options of a dispatcher, and the load that it reports. */
+import type * as features from '../features/index.js';
 import type * as fleet from '../fleet/types.js';
 import type * as ledger from '../ledger/index.js';
 import type * as meters from './load-meter.js';
@@ -32,6 +33,8 @@
 	 * zones are never evacuated.
 	 */
 	maxEvacuationAgeMs?: number;
+	/** The optional features that are in force; absent: none. */
+	features?: features.Features;
 }
 
 /** An owner's load. */
