Limit on preemptible work as an interface; adaptive limits that look ahead

The fixed limit judges a task by the SLO violations that it adds at one moment, although it runs for seconds, and prediction errors are not fed back. The fixed rule is now one implementation of an interface, unchanged; the feature preemptibleLimit selects the adaptive one: a limit per worker that follows the worker's reports, checked over the expected run by the learned load waves. Adds a load model for measurements.

--- a/dev/measure/main.ts
+++ b/dev/measure/main.ts
@@ -3,6 +3,7 @@
 import * as dispatchLoad from './dispatch-load.js';
 import * as entry from './entry.js';
 import * as placement from './placement.js';
+import * as preemptible from './preemptible.js';
 import * as recovery from './recovery.js';
 import * as slots from './slots.js';
 import * as slopes from './slopes.js';
@@ -12,6 +13,7 @@
 	entry: entry.measureEntry,
 	load: dispatchLoad.measureDispatchLoad,
 	placement: placement.measurePlacement,
+	preemptible: preemptible.measurePreemptible,
 	recovery: recovery.measureRecovery,
 	slots: slots.measureSlots,
 	slopes: slopes.measureSlopes,
--- a/src/cli/box/metrics.ts
+++ b/src/cli/box/metrics.ts
@@ -18,6 +18,9 @@
 	'task.relieved': 'users_relieved',
 };
 
+/** Maximum number of serving images whose cuts of the limit on preemptible work are counted apart. */
+const maxCutImages = 16;
+
 /** Serves the metrics at `address` (`host:port`) under every path. */
 export async function serveMetrics(box: boxes.Box, log: events.EventLog, address: string): Promise<void> {
 	const metrics = await import('../../core/metrics/index.js');
@@ -25,7 +28,10 @@
 	box.recordTime = (name, ms) => {
 		registry.recordLatency(name, ms);
 	};
+	const cutImages = new Set<string>();
 	log.observe((event) => {
+		if (event.name === 'limit.changed')
+			registry.count(`limit_cuts_${cutImageOf(String(event.fields.image), cutImages)}`);
 		registry.count(`event_${event.name.replace(/[.-]/g, '_')}`);
 		const name = histogramsByEvent[event.name];
 		const ms = event.fields.waitedMs ?? event.fields.ageMs ?? event.fields.tookMs;
@@ -40,6 +46,13 @@
 	server.listen(listening.toListenOptions(address));
 }
 
+/** The image as part of a counter's name; `other` once `known` is full. */
+function cutImageOf(image: string, known: Set<string>): string {
+	const name = image.toLowerCase().replace(/[^a-z0-9]/g, '_');
+	if (known.size < maxCutImages) known.add(name);
+	return known.has(name) ? name : 'other';
+}
+
 /** Gauges, read at the moment of a request. */
 function boxGauges(box: boxes.Box): Record<string, number> {
 	const { rss } = process.memoryUsage();
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -1,12 +1,12 @@
 /** The owner's dispatcher: takes in jobs, workers and reports, and starts the runs that each task needs. */
 import * as clocks from '../clock.js';
-import * as callRepeater from './call-repeater.js';
 import * as crashAttribution from './crash-attribution.js';
 import * as countedCalls from './counted-calls.js';
 import * as reportHandling from './report-handling.js';
 import * as evacuations from './zone-evacuations.js';
 import * as fencing from './fencing-tokens.js';
 import * as firstReportRequests from './first-report-turns.js';
+import * as createLimit from './create-limit.js';
 import * as interference from './interference.js';
 import * as jobRegistry from './job-registry.js';
 import * as meters from './load-meter.js';
@@ -29,6 +29,7 @@
 import type * as options from './options.js';
 import type * as learnedModels from './learned-models.js';
 import type * as ledger from '../ledger/index.js';
+import type * as limitTypes from './limit-types.js';
 import type * as sessions from './worker-session.js';
 import type * as types from './types.js';
 
@@ -42,6 +43,8 @@
 	private readonly progress: saver.ProgressSaver;
 	private readonly starter: starter.Starter;
 	private readonly interferenceModel: interference.InterferenceModel;
+	/** The limit on preemptible work. The next owner continues from what it exports. */
+	readonly limit: limitTypes.PreemptibleLimit;
 	private readonly pressure: pressure.InterferenceControl;
 	private readonly outcomes: outcomes.Outcomes;
 	private readonly crashAttribution: crashAttribution.CrashAttribution;
@@ -60,7 +63,8 @@
 		const { clock } = opts;
 		this.reportLog = reportLog.ReportLog.create(opts.events, opts.epoch);
 		this.interferenceModel = interference.InterferenceModel.create(clock);
-		this.pressure = pressure.InterferenceControl.create(opts, this.interferenceModel, opts.maxSloViolationMs);
+		this.limit = createLimit.createLimit(opts, this.interferenceModel);
+		this.pressure = pressure.InterferenceControl.create(opts, this.interferenceModel, this.limit);
 		this.progress = this.createSaver();
 		this.listFreshness = freshness.ListFreshness.create(clock, opts.readList);
 		this.evacuations = evacuations.ZoneEvacuations.create(clock, opts.maxEvacuationAgeMs);
@@ -90,10 +94,7 @@
 		models?: learnedModels.LearnedModels,
 	): Dispatcher {
 		const meter = meters.LoadMeter.create();
-		const repeated = callRepeater.repeatCalls(opts.calls, opts.clock, () => {
-			meter.count('repeats');
-		});
-		const calls = countedCalls.countCalls(repeated, meter);
+		const calls = countedCalls.repeatAndCount(opts.calls, opts.clock, meter);
 		const dispatcher = new Dispatcher({ ...opts, calls }, meter, contents);
 		if (models !== undefined) dispatcher.restoreLearnedModels(models);
 		for (const unreadable of contents.unreadable) dispatcher.skipUnreadable(unreadable);
@@ -189,13 +190,11 @@
 	/** Work done since the previous call, and tasks and starts that are waiting. */
 	load(): options.DispatchLoad {
 		const { limit, count } = this.starter.startsInFlight;
-		const { waiting, waitingShortTasks } = this.placer;
-		const ends = this.workers.exitLoad();
 		return {
 			...this.meter.read(),
-			...ends,
-			waiting,
-			waitingShort: waitingShortTasks,
+			...this.workers.exitLoad(),
+			...this.placer.waiting,
+			...this.limit.read(this.workers.all()),
 			onTheirWay: count,
 			startLimit: limit,
 		};
@@ -264,6 +263,7 @@
 			mayHaveUnreportedRun: (task) => this.locations.mayHaveUnreportedRun(task),
 			policyOf: (job) => this.policyOf(job),
 			estimates: this.interferenceModel,
+			limit: this.limit,
 			probations: this.probations,
 			mayAct: () => this.opts.mayAct() && this.unread === undefined,
 			mayStartAgain: (task) => this.outcomes.mayStartAgain(task),
@@ -367,15 +367,15 @@
 				this.onLost(from, loss);
 			},
 		};
+		const { epoch, onFenced } = this.opts;
 		const onWorkersAvailable = (): void => {
 			this.placer.requestRound();
 		};
-		const { epoch, onFenced } = this.opts;
 		const tokens = fencing.FencingTokens.create(epoch, onFenced);
 		const isEvacuated = (zone: string): boolean => this.evacuations.has(zone);
-		const firstRequests = firstReportRequests.FirstReportTurns.create(this.opts.clock);
+		const firstReportTurns = firstReportRequests.FirstReportTurns.create(this.opts.clock);
 		return workerPool.WorkerPool.create(
-			{ ...this.opts, tokens, isEvacuated, firstReportTurns: firstRequests, handlers, onWorkersAvailable },
+			{ ...this.opts, tokens, isEvacuated, firstReportTurns, handlers, onWorkersAvailable },
 			roster,
 		);
 	}
--- a/src/core/dispatch/eligible-workers.ts
+++ b/src/core/dispatch/eligible-workers.ts
@@ -3,6 +3,7 @@
 import * as freeCapacity from './free-capacity.js';
 import type * as interference from './interference.js';
 import type * as jobs from '../jobs/index.js';
+import type * as limitTypes from './limit-types.js';
 import type * as placement from './placement.js';
 import type * as rounds from './placing-round.js';
 import type * as sessions from './worker-session.js';
@@ -10,6 +11,7 @@
 export interface EligibleWorkersOptions extends advice.AdviserTicketsOptions {
 	policyOf: (job: jobs.ActiveJob) => jobs.QueuePolicy;
 	estimates: interference.InterferenceModel;
+	limit: limitTypes.PreemptibleLimit;
 }
 
 /** Selects eligible workers for one owner. */
@@ -37,7 +39,8 @@
 		const hasTicket = (one: sessions.WorkerSession): boolean =>
 			this.tickets.ticket(step, one.id) !== undefined;
 		const workers = advised ? inPool.filter(hasTicket) : inPool;
-		return { workers, estimates: this.opts.estimates, now: round.now };
+		const { estimates, limit } = this.opts;
+		return { workers, estimates, limit, now: round.now };
 	}
 
 	/**
--- a/src/core/dispatch/image-model.ts
+++ b/src/core/dispatch/image-model.ts
@@ -26,6 +26,15 @@
 /** Upper bound for an observed increase of the busy part: in an overload it can only be measured roughly. */
 const maxIncrease = 1.5;
 
+/**
+ * Standard deviation of one report's increase of the busy part, as a multiple of the load: the fit of a load leaves 0.03 to
+ * 0.1 of a busy part unexplained, at loads of about a half.
+ */
+const reportDeviation = 0.12;
+
+/** Upper estimate of the slope of a pair that was never observed. */
+const initialUpperSlope = initialSlope + reportDeviation / Math.sqrt(initialWeight);
+
 /** Share of the worker by neighbour image. */
 export type Shares = ReadonlyMap<string, number>;
 
@@ -54,6 +63,8 @@
 export class ImageModel {
 	/** Slope by neighbour image; undefined: the equations have to be solved again. */
 	private slopes: ReadonlyMap<string, number> | undefined;
+	/** Upper estimate by neighbour image, as of the last solution. */
+	private upperSlopes: ReadonlyMap<string, number> = new Map();
 	private readonly known: Set<string>;
 	/** Number of reports that count, and of reports since the equations were last solved. */
 	private reports = 0;
@@ -116,6 +127,15 @@
 		return (this.slopes ?? this.solve()).get(neighbour) ?? initialSlope;
 	}
 
+	/**
+	 * The slope plus one standard deviation of its estimate: little above it for a pair that was observed often, far above it
+	 * for an unknown one.
+	 */
+	upperSlope(neighbour: string): number {
+		if (this.slopes === undefined) this.solve();
+		return this.upperSlopes.get(neighbour) ?? initialUpperSlope;
+	}
+
 	/** How much these neighbours together raise the busy part. */
 	interferenceOf(shares: Shares): number {
 		let sum = 0;
@@ -147,6 +167,9 @@
 		for (let pivot = 0; pivot < size; pivot += 1) eliminate(rows, pivot);
 		const solved = rows.map((row, i) => Math.max(0, (row[size] ?? 0) / (row[i] ?? 1)));
 		this.slopes = new Map(images.map((image, i) => [image, solved[i] ?? initialSlope]));
+		const weights = products.map((row, i) => Math.max(row[i] ?? 0, Number.EPSILON));
+		const upper = solved.map((slope, i) => slope + reportDeviation / Math.sqrt(weights[i] ?? initialWeight));
+		this.upperSlopes = new Map(images.map((image, i) => [image, upper[i] ?? initialUpperSlope]));
 		this.newReports = 0;
 		return this.slopes;
 	}
--- a/src/core/dispatch/interference-control.ts
+++ b/src/core/dispatch/interference-control.ts
@@ -8,6 +8,7 @@
 import * as placements from './placements.js';
 import * as reliefLog from './relief-log.js';
 import type * as interference from './interference.js';
+import type * as limitTypes from './limit-types.js';
 import type * as sessions from './worker-session.js';
 import type * as types from './types.js';
 
@@ -26,32 +27,37 @@
 /** A paused task resumes at full speed once no task beside it has been over its target for this long, in milliseconds. */
 const recoveryMs = 700;
 
+export interface ControlDeps extends types.DispatchDeps {
+	/** Time over its target after which a task counts as an SLO violation, in milliseconds. */
+	maxSloViolationMs: number;
+}
+
 /** Sets the pace of preemptible tasks, one worker at a time. */
 export class InterferenceControl {
 	private readonly log: reliefLog.ReliefLog;
 	private readonly paceCommands: commands.PaceCommands;
 
 	private constructor(
-		private readonly deps: types.DispatchDeps,
+		private readonly deps: ControlDeps,
 		private readonly estimates: interference.InterferenceModel,
-		private readonly maxSloViolationMs: number,
+		private readonly limit: limitTypes.PreemptibleLimit,
 	) {
 		this.log = reliefLog.ReliefLog.create(deps.events, deps.epoch);
 		this.paceCommands = commands.PaceCommands.create(deps, this.log);
 	}
 
-	/** `maxSloViolationMs`: time over its target after which a task counts as an SLO violation, in milliseconds. */
 	static create(
-		deps: types.DispatchDeps,
+		deps: ControlDeps,
 		estimates: interference.InterferenceModel,
-		maxSloViolationMs: number,
+		limit: limitTypes.PreemptibleLimit,
 	): InterferenceControl {
-		return new InterferenceControl(deps, estimates, maxSloViolationMs);
+		return new InterferenceControl(deps, estimates, limit);
 	}
 
 	/** Sets the paces on a worker after its report. */
 	controlWorker(session: sessions.WorkerSession): void {
 		this.estimates.observe(session);
+		this.limit.noteReport(session);
 		const delayMs = session.reportDelayMs;
 		const overloads = neighbours.servingPlacements(session).map((served) => this.overloadOf(served, delayMs));
 		const preemptible = neighbours.preemptiblePlacements(session);
@@ -71,7 +77,7 @@
 	private overloadOf(served: types.Placement, delayMs: number): reliefLog.Overload {
 		const { overTargetSince } = served;
 		const overMs = overTargetSince === undefined ? 0 : this.deps.clock.now() - overTargetSince + 2 * delayMs;
-		return { served, overMs, isNearViolation: overMs >= this.maxSloViolationMs * throttleAllFraction };
+		return { served, overMs, isNearViolation: overMs >= this.deps.maxSloViolationMs * throttleAllFraction };
 	}
 
 	/** The pace that a task should have beside these serving tasks, in per cent; undefined: unchanged. */
@@ -80,7 +86,7 @@
 		let isRecovered = true;
 		for (const { served, overMs } of overloads) {
 			if (now - lastOverTargetAt(served) < recoveryMs) isRecovered = false;
-			const mayThrottleCauses = overMs >= this.maxSloViolationMs * throttleCausesFraction;
+			const mayThrottleCauses = overMs >= this.deps.maxSloViolationMs * throttleCausesFraction;
 			if (mayThrottleCauses && this.isCause(place, served)) return commands.pausedPace;
 		}
 		return isRecovered ? commands.fullPace : undefined;
--- a/src/core/dispatch/interference.ts
+++ b/src/core/dispatch/interference.ts
@@ -37,7 +37,7 @@
 const inheritedMaxAgeMs = 20_000;
 
 /** Above this share of a worker's cores in use, every serving task there suffers interference, whatever uses the cores. */
-const contentionThreshold = 0.9;
+export const contentionThreshold = 0.9;
 
 /** The share of its reservation that a long-running task of unknown load uses. */
 const defaultLoad = 0.5;
@@ -202,6 +202,21 @@
 		return this.model(serving).slope(neighbour);
 	}
 
+	/** The slope plus one standard deviation of its estimate. */
+	upperSlope(serving: string, neighbour: string): number {
+		return this.model(serving).upperSlope(neighbour);
+	}
+
+	/** Busy part above which a serving task of the image exceeds its target; `targetMs` in milliseconds. */
+	busyLimit(image: string, targetMs: number): number {
+		return this.model(image).busyPart(targetMs, targetMs);
+	}
+
+	/** Share of its reservation that a long-running step is expected to use `aheadMs` milliseconds from now. */
+	loadAhead(step: jobs.StepInstance, aheadMs: number): number {
+		return this.loadOf(step, this.wallTime() + aheadMs);
+	}
+
 	/**
 	 * How differently two serving images react to their neighbours, 0 to 1. It is 1 if a neighbour that one tolerates
 	 * overloads the other, or if nothing is known.
@@ -390,12 +405,16 @@
 
 /** Share of the next seconds during which a task exceeds its target, given the interference with it. */
 function violationShare(task: ServingProfile, interference: number): number {
-	const beyond = task.load * (1 + interference) - task.limit;
+	return violationShareAt(task.load * (1 + interference) - task.limit);
+}
+
+/** The same for a task whose predicted busy part is `beyond` above the one that its target allows. */
+export function violationShareAt(beyond: number): number {
 	return Math.min(1, Math.max(0, (beyond - neverOverMargin) / (alwaysOverMargin - neverOverMargin)));
 }
 
 /** Share of a worker's cores in use beyond the contention threshold. */
-function contentionAt(use: number): number {
+export function contentionAt(use: number): number {
 	return Math.max(0, use - contentionThreshold);
 }
 
--- a/src/core/dispatch/options.ts
+++ b/src/core/dispatch/options.ts
@@ -1,12 +1,15 @@
 /** The options of a dispatcher, and the load that it reports. */
 import type * as features from '../features/index.js';
 import type * as fleet from '../fleet/types.js';
+import type * as forecast from '../forecast/index.js';
 import type * as ledger from '../ledger/index.js';
+import type * as limitTypes from './limit-types.js';
 import type * as meters from './load-meter.js';
 import type * as queues from '../queues/index.js';
 import type * as saver from './progress-saver.js';
 import type * as unknownJobs from './unknown-jobs.js';
 import type * as types from './types.js';
+import type * as waiting from './waiting-steps.js';
 
 /** What a dispatcher needs besides the calls to workers. */
 export interface DispatcherOptions extends types.DispatchDeps {
@@ -35,14 +38,12 @@
 	maxEvacuationAgeMs?: number;
 	/** The optional features that are in force; absent: none. */
 	features?: features.Features;
+	/** Run times corrected by observations; absent: the callers' estimates count. */
+	runTimes?: Pick<forecast.RunTimes, 'expectedMs'>;
 }
 
 /** An owner's load. */
-export interface DispatchLoad extends meters.LoadReading {
-	/** Number of tasks that wait for a worker. */
-	waiting: number;
-	/** Number of those that are not long-running. Long-running tasks may wait as long as there is no free capacity. */
-	waitingShort: number;
+export interface DispatchLoad extends meters.LoadReading, limitTypes.LimitReading, waiting.WaitingLoad {
 	/** Number of starts in flight, and the limit for it. */
 	onTheirWay: number;
 	startLimit: number;
--- a/src/core/dispatch/placement.ts
+++ b/src/core/dispatch/placement.ts
@@ -1,8 +1,8 @@
 /** Chooses workers for tasks: scores those with free capacity by what already runs there. */
-import * as waitingOrder from './waiting-order.js';
 import * as freeCapacity from './free-capacity.js';
 import type * as interference from './interference.js';
 import type * as jobs from '../jobs/index.js';
+import type * as limitTypes from './limit-types.js';
 import type * as sessions from './worker-session.js';
 
 /** Weights of a worker's score, in worker loads (1: a whole worker). */
@@ -22,32 +22,8 @@
 	besidePreemptible: 0.5,
 	/** Each consecutive failure on the worker. */
 	recentFailure: 0.5,
-	/** For a preemptible task, each serving task that is expected to exceed its target. */
-	sloViolation: 5,
 } as const;
 
-/**
- * A preemptible task waits rather than keep more than this many serving tasks over their targets. After `relaxLimitAfterMs`
- * it accepts more: a task that waits longer also interferes for longer, so strict limits spare nobody.
- */
-const maxSloViolations = 0.2;
-const maxSloViolationsAfterWait = 0.5;
-
-/** Wait after which the higher limit applies, in milliseconds. */
-const relaxLimitAfterMs = 3_000;
-
-/** A serving task that was over its target recently gets no new neighbour with a steeper interference slope than this. */
-const maxSlopeAfterOverload = 0.4;
-
-/** Time for which a serving task that was over its target gets no neighbour that interferes with it, in milliseconds. */
-const overloadCooldownMs = 2_000;
-
-/**
- * A worker gets no preemptible task if its expected core use would exceed this part of its cores: interference beyond it is
- * unknown.
- */
-const maxExpectedUse = 1.3;
-
 /**
  * Capacity that a long-running task leaves free on a worker for one or two short tasks, in thousandths of a core. It does so
  * only for the first `reserveDurationMs` milliseconds of its wait.
@@ -79,6 +55,8 @@
 	/** Open workers of the task's pool. */
 	workers: sessions.WorkerSession[];
 	estimates: interference.InterferenceModel;
+	/** Limits preemptible work beside serving tasks. */
+	limit: limitTypes.PreemptibleLimit;
 	now: number;
 	/**
 	 * The interference limits do not apply: among workers with free capacity, the one with the least interference is chosen.
@@ -88,22 +66,20 @@
 
 /** Limits that depend on how long a task has waited. */
 export interface PlacementLimits {
-	/** Number of serving tasks that the task may keep over their targets. */
-	sloViolationLimit: number;
+	/** How much interference the task may cause, in the unit of the limit on preemptible work. */
+	tolerance: number;
 	/** Thousandths of a core that the task has to leave free. */
 	reserveMilliCores: number;
 }
 
-export function limitsOf(task: jobs.Task, now: number): PlacementLimits {
-	return {
-		sloViolationLimit: sloViolationLimitFor(task, now),
-		reserveMilliCores: reserveMilliCoresFor(task, now),
-	};
+export function limitsOf(task: jobs.Task, ctx: Omit<PlacementContext, 'workers'>): PlacementLimits {
+	const { limit, now } = ctx;
+	return { tolerance: limit.toleranceFor(task, now), reserveMilliCores: reserveMilliCoresFor(task, now) };
 }
 
 /** The worker with the best score for a task. */
 export function choose(task: jobs.Task, ctx: PlacementContext): sessions.WorkerSession | PlacementFailure {
-	const limits = limitsOf(task, ctx.now);
+	const limits = limitsOf(task, ctx);
 	let best: sessions.WorkerSession | undefined;
 	let bestScore = Infinity;
 	for (const worker of ctx.workers) {
@@ -127,15 +103,13 @@
 	limits: PlacementLimits,
 ): number {
 	const { spec } = task.step;
-	const { estimates, now, ignoreInterference: isUnlimited = false } = ctx;
+	const { estimates, limit, now, ignoreInterference = false } = ctx;
 	const lowerBound = scoreLowerBound(task, worker, ctx, limits);
 	if (lowerBound === Infinity) return Infinity;
 	if (!spec.fills)
 		return spec.targetMs > 0 ? lowerBound + dissimilarityPenalty(spec.image, worker, estimates) : lowerBound;
-	const expectedViolations = estimates.expectedViolations(worker, spec.image, coreShareOf(spec, worker));
-	if (!isUnlimited && expectedViolations > limits.sloViolationLimit) return Infinity;
-	if (!isUnlimited && interferesWithOverloaded(spec.image, worker, estimates, now)) return Infinity;
-	return lowerBound + expectedViolations * weights.sloViolation;
+	const { tolerance } = limits;
+	return lowerBound + limit.interferencePenalty(task, worker, { now, tolerance, ignoreInterference });
 }
 
 /** A lower bound of `score` from cheap checks; infinite: the worker does not take the task. */
@@ -150,8 +124,7 @@
 	const base = commonPenalty(task, worker);
 	if (spec.fills) {
 		if (worker.mustPausePreemptible) return Infinity;
-		const use = ctx.estimates.expectedUtilization(worker) + coreShareOf(spec, worker);
-		return use > maxExpectedUse && ctx.ignoreInterference !== true ? Infinity : base + use;
+		return base + ctx.limit.usePenalty(task, worker, ctx.ignoreInterference === true);
 	}
 	const capacity = worker.entry?.capacity.milliCores ?? 1;
 	// Prefers the fullest worker that fits: whole workers stay free for other images, and for tasks that need much.
@@ -167,17 +140,13 @@
 	worker: sessions.WorkerSession,
 	ctx: PlacementContext,
 ): Obstacle | undefined {
-	const { estimates, now } = ctx;
+	const { limit, now } = ctx;
 	const { spec } = task.step;
 	if (!freeCapacity.fits(task.step, worker, 0)) return 'no-room';
 	if (!freeCapacity.fits(task.step, worker, reserveMilliCoresFor(task, now))) return 'reserved';
 	if (!spec.fills) return undefined;
 	if (worker.mustPausePreemptible) return 'standing-still';
-	const share = coreShareOf(spec, worker);
-	if (estimates.expectedUtilization(worker) + share > maxExpectedUse) return 'cores-in-use';
-	if (estimates.expectedViolations(worker, spec.image, share) > sloViolationLimitFor(task, now))
-		return 'harm';
-	return interferesWithOverloaded(spec.image, worker, estimates, now) ? 'overloaded' : undefined;
+	return limit.obstacleAt(task, worker, now);
 }
 
 /** Thousandths of a core that a task has to leave free. */
@@ -204,30 +173,3 @@
 	const dissimilarShare = estimates.dissimilarShare(image, worker);
 	return dissimilarShare === undefined ? weights.noServingTasks : dissimilarShare * weights.dissimilarImages;
 }
-
-/** Share of a worker's cores that a task asks for. */
-function coreShareOf(spec: jobs.StepSpec, worker: sessions.WorkerSession): number {
-	return spec.milliCores / (worker.entry?.capacity.milliCores ?? 1);
-}
-
-/** Number of serving tasks that a preemptible task may keep over their targets, after the time it has waited. */
-function sloViolationLimitFor(task: jobs.Task, now: number): number {
-	return waitingOrder.waitedMs(task, now) < relaxLimitAfterMs ? maxSloViolations : maxSloViolationsAfterWait;
-}
-
-/**
- * Whether a task of the image would interfere with one that was over its target recently, and is still working off the
- * requests queued meanwhile.
- */
-function interferesWithOverloaded(
-	image: string,
-	worker: sessions.WorkerSession,
-	estimates: interference.InterferenceModel,
-	now: number,
-): boolean {
-	for (const place of worker.placements.values()) {
-		if (now - place.lastOverTargetAt >= overloadCooldownMs) continue;
-		if (estimates.slope(place.task.step.spec.image, image) > maxSlopeAfterOverload) return true;
-	}
-	return false;
-}
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -20,6 +20,7 @@
 import type * as fleet from '../fleet/types.js';
 import type * as interference from './interference.js';
 import type * as jobs from '../jobs/index.js';
+import type * as limitTypes from './limit-types.js';
 import type * as meters from './load-meter.js';
 import type * as sessions from './worker-session.js';
 import type * as types from './types.js';
@@ -33,6 +34,7 @@
 	mayHaveUnreportedRun: (task: jobs.Task) => boolean;
 	policyOf: (job: jobs.ActiveJob) => jobs.QueuePolicy;
 	estimates: interference.InterferenceModel;
+	limit: limitTypes.PreemptibleLimit;
 	probations: probation.Probations;
 	/** Whether a task may be started again; if not, the task is abandoned. */
 	mayStartAgain: (task: jobs.Task) => boolean;
@@ -116,14 +118,13 @@
 		if (session === undefined) this.sessionByTask.delete(task);
 	}
 
-	/** Number of waiting tasks. */
-	get waiting(): number {
-		return this.ready.size;
-	}
-
-	/** Number of waiting tasks that are not long-running. */
-	get waitingShortTasks(): number {
-		return this.ready.count((step) => !step.spec.lasting);
+	/** The waiting tasks. */
+	get waiting(): waitingSteps.WaitingLoad {
+		return {
+			waiting: this.ready.size,
+			waitingShort: this.ready.count((step) => !step.spec.lasting),
+			limitedTasks: this.ready.count((step) => step.spec.fills && this.retryAt.has(step)),
+		};
 	}
 
 	/** Worker on which a task is placed; undefined: it is not placed. */
@@ -162,6 +163,7 @@
 			if (!migration.shouldMigrate(place, conditions)) continue;
 			round ??= rounds.PlacingRound.create(this.opts.workers(), now);
 			if (!this.fitsElsewhere(place.task, session, round)) continue;
+			this.opts.limit.noteSlowed(session, place);
 			this.opts.stopFor('slowed', session, place);
 			// One per call: the next choice has to see this one's new placement.
 			return;
@@ -391,6 +393,7 @@
 		task.worker = session.id;
 		task.crashes?.noteTry(place.run, session.id);
 		this.sessionByTask.set(task, session);
+		if (task.step.spec.fills) this.opts.limit.notePlaced(session, place);
 		events.emit('task.placed', {
 			task: task.name,
 			run: place.run,
--- a/src/core/dispatch/probation.ts
+++ b/src/core/dispatch/probation.ts
@@ -104,7 +104,7 @@
 		task: jobs.Task,
 		choice: placement.PlacementContext,
 	): sessions.WorkerSession | placement.PlacementFailure {
-		const terms = placement.limitsOf(task, choice.now);
+		const terms = placement.limitsOf(task, choice);
 		const eligible = choice.workers.filter(
 			(one) => one.open && placement.score(task, one, choice, terms) < Infinity,
 		);
--- a/src/core/dispatch/step-candidates.ts
+++ b/src/core/dispatch/step-candidates.ts
@@ -37,14 +37,13 @@
 	}
 
 	static create(task: jobs.Task, ctx: placement.PlacementContext): StepCandidates {
-		return new StepCandidates(task, ctx, placement.limitsOf(task, ctx.now));
+		return new StepCandidates(task, ctx, placement.limitsOf(task, ctx));
 	}
 
 	/** Whether these candidates hold for a task too. */
 	appliesTo(task: jobs.Task): boolean {
-		const { sloViolationLimit: limit, reserveMilliCores } = placement.limitsOf(task, this.ctx.now);
-		const isSame =
-			limit === this.limits.sloViolationLimit && reserveMilliCores === this.limits.reserveMilliCores;
+		const { tolerance, reserveMilliCores } = placement.limitsOf(task, this.ctx);
+		const isSame = tolerance === this.limits.tolerance && reserveMilliCores === this.limits.reserveMilliCores;
 		return isSame && task.step === this.task.step && task.failedOn.size + this.task.failedOn.size === 0;
 	}
 
--- a/src/core/dispatch/waiting-steps.ts
+++ b/src/core/dispatch/waiting-steps.ts
@@ -1,6 +1,16 @@
 /** Tasks that wait for a worker, by step: the tasks of a step are alike, so a round works on steps. */
 import type * as jobs from '../jobs/index.js';
 
+/** The waiting tasks of an owner. */
+export interface WaitingLoad {
+	/** Number of tasks that wait for a worker. */
+	waiting: number;
+	/** Number of those that are not long-running. Long-running tasks may wait as long as there is no free capacity. */
+	waitingShort: number;
+	/** Number of preemptible ones whose step found no worker that takes them. */
+	limitedTasks: number;
+}
+
 export class WaitingSteps {
 	private readonly byStep = new Map<jobs.StepInstance, Set<jobs.Task>>();
 	private total = 0;
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -245,6 +245,16 @@
 		level: 'info',
 		text: 'A serving task has been over its latency target for so long that all preemptible tasks beside it have to be paused. Given are how long, how long its worker had not reported before the newest report was requested, and how many of its neighbours work by their own readings.',
 	},
+	'limit.changed': {
+		id: 3126,
+		level: 'info',
+		text: "A worker's limit on preemptible work was cut because the serving task named went over its target: the share of cores expected to be in use, the share that may be, and how far below its limit each predicted busy part has to stay. At most one every two seconds and worker.",
+	},
+	'limit.missed': {
+		id: 3127,
+		level: 'info',
+		text: 'A preemptible run is migrated because it was throttled, so its placement was wrong: the limit and the predictions by which it was placed are given.',
+	},
 	'task.relieved': {
 		id: 3123,
 		level: 'info',
--- a/stand-ins/fleet/types.ts
+++ b/stand-ins/fleet/types.ts
@@ -6,9 +6,10 @@
 	ms: number | 'endless';
 	how: 'done' | 'failed';
 	/**
-	 * Reading to report. Of a serving task: its tail latency in milliseconds. Of any other: thousandths of a core in use.
+	 * Reading to report. Of a serving task: its tail latency in milliseconds. Of any other: thousandths of a core in use. A
+	 * function gives the reading of the moment, with all interference.
 	 */
-	reading?: number;
+	reading?: number | (() => number);
 	/** Percent of full speed to report; absent: 100. */
 	percent?: number;
 	/** Interference at full pace: the fraction by which it raises the readings of other runs on its worker; absent: none. */
--- a/stand-ins/fleet/workers.ts
+++ b/stand-ins/fleet/workers.ts
@@ -60,7 +60,7 @@
 	/** Interference at full pace: the fraction by which it raises the readings of other runs on the worker. */
 	interference: number;
 	stopping: boolean;
-	reading: number;
+	reading: number | (() => number);
 	percent: number;
 	/** Pace in percent of full speed. */
 	pace: number;
@@ -299,6 +299,7 @@
 	 * affected themselves.
 	 */
 	private readingOf(active: ActiveRun): number {
+		if (typeof active.reading === 'function') return active.reading();
 		let addedFraction = 0;
 		for (const other of this.running.values())
 			if (other !== active) addedFraction += (other.interference * other.pace) / 100;
--- a/test/placer.test.ts
+++ b/test/placer.test.ts
@@ -2,6 +2,7 @@
 import test from 'ava';
 import * as events from '../src/core/events/index.js';
 import * as fixtures from './fixtures/dispatching.js';
+import * as fixedLimit from '../src/core/dispatch/fixed-limit.js';
 import * as interference from '../src/core/dispatch/interference.js';
 import * as jobs from '../src/core/jobs/index.js';
 import * as meters from '../src/core/dispatch/load-meter.js';
@@ -18,6 +19,7 @@
 	scanMs: number,
 ): { placer: placer.Placer; spentMs: () => number } {
 	let spentMs = 0;
+	const estimates = interference.InterferenceModel.create(clock);
 	const created = placer.Placer.create({
 		clock,
 		events: events.EventLog.create('test', clock),
@@ -39,7 +41,8 @@
 		},
 		mayHaveUnreportedRun: () => false,
 		policyOf: () => fixtures.queue,
-		estimates: interference.InterferenceModel.create(clock),
+		estimates,
+		limit: fixedLimit.FixedLimit.create(estimates),
 		askAdviser: undefined,
 		start: () => undefined,
 		probations: probation.Probations.create({
