Owner: forecast of waits from accepted work, fed by finished runs

Cause: the published backlog is zero in the first seconds of a burst and of a new owner, and too long later, as it counts all tasks against one rate.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -6,6 +6,7 @@
 import * as reportHandling from './report-handling.js';
 import * as evacuations from './zone-evacuations.js';
 import * as fencing from './fencing-tokens.js';
+import * as forecasting from './forecaster.js';
 import * as firstReportRequests from './first-report-turns.js';
 import * as interference from './interference.js';
 import * as jobRegistry from './job-registry.js';
@@ -34,6 +35,8 @@
 
 /** Dispatches all jobs under one epoch. */
 export class Dispatcher {
+	/** The forecast of accepted work; computed when `update` is called. */
+	readonly forecaster: forecasting.Forecaster;
 	private readonly registry: jobRegistry.JobRegistry;
 	private readonly unknownJobs: unknownJobs.UnknownJobs;
 	private readonly workers: workerPool.WorkerPool;
@@ -61,7 +64,8 @@
 		this.reportLog = reportLog.ReportLog.create(opts.events, opts.epoch);
 		this.interferenceModel = interference.InterferenceModel.create(clock);
 		this.pressure = pressure.InterferenceControl.create(opts, this.interferenceModel, opts.maxSloViolationMs);
-		this.progress = this.createSaver();
+		this.forecaster = this.createForecaster();
+		this.progress = saver.createForOwner(opts);
 		this.listFreshness = freshness.ListFreshness.create(clock, opts.readList);
 		this.evacuations = evacuations.ZoneEvacuations.create(clock, opts.maxEvacuationAgeMs);
 		this.crashAttribution = crashAttribution.CrashAttribution.create(clock);
@@ -108,7 +112,8 @@
 		// epoch.
 		const inherited = record.acceptedUnder !== this.opts.epoch;
 		const workersStored = this.locations.areWorkersStored(record);
-		this.registry.add(record, undefined, { cancelled: false, inherited, workersStored });
+		const job = this.registry.add(record, undefined, { cancelled: false, inherited, workersStored });
+		if (!inherited) this.forecaster.noteAccepted(job);
 	}
 
 	/**
@@ -236,6 +241,18 @@
 		});
 	}
 
+	private createForecaster(): forecasting.Forecaster {
+		return forecasting.Forecaster.create({
+			...this.opts,
+			jobs: () => this.registry.unfinished(),
+			workers: () => this.workers.all(),
+			policyOf: (job) => this.policyOf(job),
+			waitingOf: (step) => this.placer.waitingOf(step),
+			estimates: this.interferenceModel,
+			hasShares: this.opts.features?.waitingOrder === 'overload',
+		});
+	}
+
 	private createStarter(): starter.Starter {
 		return starter.Starter.create(this.opts, this.meter, {
 			beforeStart: (session, placement) => this.beforeStart(session, placement),
@@ -264,6 +281,7 @@
 			mayHaveUnreportedRun: (task) => this.locations.mayHaveUnreportedRun(task),
 			policyOf: (job) => this.policyOf(job),
 			estimates: this.interferenceModel,
+			runTimes: this.forecaster.runTimes,
 			probations: this.probations,
 			mayAct: () => this.opts.mayAct() && this.unread === undefined,
 			mayStartAgain: (task) => this.outcomes.mayStartAgain(task),
@@ -277,12 +295,8 @@
 	}
 
 	private createRegistry(): jobRegistry.JobRegistry {
-		const { clock, events, keepStateMs, clearJobs } = this.opts;
 		return jobRegistry.JobRegistry.create({
-			clock,
-			events,
-			keepStateMs,
-			clearJobs,
+			...this.opts,
 			onReady: (task) => {
 				this.placer.add(task);
 			},
@@ -338,24 +352,6 @@
 		});
 	}
 
-	private createSaver(): saver.ProgressSaver {
-		const { clock, events, epoch } = this.opts;
-		return saver.ProgressSaver.create({
-			clock,
-			save: this.opts.saveProgress,
-			onSaved: (job, state) => {
-				job.storedState = state;
-			},
-			onSuperseded: this.opts.onFenced,
-			onRefused: (job) => {
-				events.emit('progress.refused', { job: job.id, epoch });
-			},
-			onFailure: (outcome) => {
-				events.emit('progress.unsaved', { epoch, reason: outcome });
-			},
-		});
-	}
-
 	private createPool(roster: ledger.RosterEntry[]): workerPool.WorkerPool {
 		const handlers: types.ReportHandlers = {
 			onReport: (from, asked) => this.onReport(from, asked),
@@ -401,6 +397,9 @@
 			failed: (session, task, run) => {
 				this.outcomes.failed(session, task, run);
 			},
+			ran: (session, placement) => {
+				this.forecaster.noteFinished(session, placement);
+			},
 			exitedWithoutCrash: (task, run) => {
 				this.outcomes.exitedWithoutCrash(task, run);
 			},
--- a/src/core/dispatch/job-registry.ts
+++ b/src/core/dispatch/job-registry.ts
@@ -101,6 +101,11 @@
 		return [...this.jobs.values()].filter((job) => job.inherited && !job.ended);
 	}
 
+	/** Jobs that have not ended. */
+	*unfinished(): Iterable<jobs.ActiveJob> {
+		for (const job of this.jobs.values()) if (!job.ended) yield job;
+	}
+
 	/** Number of unfinished tasks by the priority of their jobs. Long-running tasks never finish and are not counted. */
 	outstandingTasks(priorityOf: (job: jobs.ActiveJob) => number): Map<number, number> {
 		const owed = new Map<number, number>();
--- a/src/core/dispatch/placements.ts
+++ b/src/core/dispatch/placements.ts
@@ -15,6 +15,7 @@
 		run,
 		phase,
 		placedAt: now,
+		isWhole: !wasRunning && task.checkpoint === '',
 		startSentAt: wasRunning ? -Infinity : undefined,
 		confirmedAt: wasRunning ? now : 0,
 		stopConfirmedAt: 0,
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -17,6 +17,7 @@
 import * as stalled from './stalled-log.js';
 import * as waiting from './waiting-log.js';
 import * as waitingSteps from './waiting-steps.js';
+import type * as forecasts from '../forecast/index.js';
 import type * as fleet from '../fleet/types.js';
 import type * as interference from './interference.js';
 import type * as jobs from '../jobs/index.js';
@@ -33,6 +34,8 @@
 	mayHaveUnreportedRun: (task: jobs.Task) => boolean;
 	policyOf: (job: jobs.ActiveJob) => jobs.QueuePolicy;
 	estimates: interference.InterferenceModel;
+	/** Run times corrected by finished runs. */
+	runTimes: forecasts.RunTimes;
 	probations: probation.Probations;
 	/** Whether a task may be started again; if not, the task is abandoned. */
 	mayStartAgain: (task: jobs.Task) => boolean;
@@ -126,6 +129,11 @@
 		return this.ready.count((step) => !step.spec.lasting);
 	}
 
+	/** Number of a step's waiting tasks. */
+	waitingOf(step: jobs.StepInstance): number {
+		return this.ready.countOf(step);
+	}
+
 	/** Worker on which a task is placed; undefined: it is not placed. */
 	sessionOf(task: jobs.Task): sessions.WorkerSession | undefined {
 		const session = this.sessionByTask.get(task);
--- a/src/core/dispatch/progress-saver.ts
+++ b/src/core/dispatch/progress-saver.ts
@@ -12,6 +12,7 @@
 import * as ledger from '../ledger/index.js';
 import * as settings from './settings.js';
 import type * as jobs from '../jobs/index.js';
+import type * as types from './types.js';
 
 /** Maximum number of concurrent writes: each takes store capacity and processor time of the owner. */
 const maxConcurrentWrites = 3;
@@ -280,3 +281,24 @@
 		.sort((a, b) => sortKeyOf(a) - sortKeyOf(b))
 		.slice(0, ledger.maxProgressPerWrite);
 }
+
+/** The saver of an owner, which logs what can't be saved. */
+export function createForOwner(
+	opts: Pick<types.DispatchDeps, 'clock' | 'events' | 'epoch' | 'onFenced'> & { saveProgress: SaveProgress },
+): ProgressSaver {
+	const { clock, events, epoch } = opts;
+	return ProgressSaver.create({
+		clock,
+		save: opts.saveProgress,
+		onSaved: (job, state) => {
+			job.storedState = state;
+		},
+		onSuperseded: opts.onFenced,
+		onRefused: (job) => {
+			events.emit('progress.refused', { job: job.id, epoch });
+		},
+		onFailure: (outcome) => {
+			events.emit('progress.unsaved', { epoch, reason: outcome });
+		},
+	});
+}
--- a/src/core/dispatch/report-handling.ts
+++ b/src/core/dispatch/report-handling.ts
@@ -20,6 +20,8 @@
 	stop: (session: sessions.WorkerSession, placement: types.Placement) => void;
 	finished: (task: jobs.Task) => void;
 	failed: (session: sessions.WorkerSession, task: jobs.Task, run: number) => void;
+	/** A placed run finished, as a report has just shown. */
+	ran: (session: sessions.WorkerSession, placement: types.Placement) => void;
 	/** A run exited without crashing its worker. */
 	exitedWithoutCrash: (task: jobs.Task, run: number) => void;
 	/** A run exited and neither finished nor failed. */
@@ -116,6 +118,7 @@
 	if (exit.how === 'failed') ctx.failed(session, task, exit.run);
 	if (exit.how === 'done') {
 		session.health.noteSuccess();
+		if (placement !== undefined && isCurrent) ctx.ran(session, placement);
 		if (!task.step.spec.lasting) {
 			finishTask(ctx, task);
 			return;
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -2,6 +2,7 @@
 import type * as clocks from '../clock.js';
 import type * as events from '../events/index.js';
 import type * as fencing from './fencing-tokens.js';
+import type * as forecastErrors from './forecast-errors.js';
 import type * as firstReportTurns from './first-report-turns.js';
 import type * as fleet from '../fleet/types.js';
 import type * as jobs from '../jobs/index.js';
@@ -16,6 +17,8 @@
 	phase: 'starting' | 'running' | 'stopping';
 	/** Clock time at which the placement was made. */
 	placedAt: number;
+	/** Whether the run does all of its task's work: it neither resumes from a checkpoint nor was found running. */
+	isWhole: boolean;
 	/** Clock time at which its start was first sent; `-Infinity`: by an earlier owner; undefined: not sent yet. */
 	startSentAt: number | undefined;
 	/** Clock time of the answer that showed the run to be there; 0: there was none. */
@@ -70,6 +73,8 @@
 	confirmEpoch: () => Promise<unknown>;
 	/** Called when a worker has seen a newer epoch, so this owner is replaced. */
 	onFenced: () => void;
+	/** Records by queue how far forecasts were off; absent: nothing is recorded. */
+	recordForecastError?: forecastErrors.RecordForecastError;
 	/** Records how long exits waited; absent: nothing is recorded. */
 	recordTime?: exits.RecordTime;
 }
--- a/src/core/dispatch/waiting-steps.ts
+++ b/src/core/dispatch/waiting-steps.ts
@@ -25,6 +25,11 @@
 		return count;
 	}
 
+	/** Number of waiting tasks of a step. */
+	countOf(step: jobs.StepInstance): number {
+		return this.byStep.get(step)?.size ?? 0;
+	}
+
 	/** Steps with waiting tasks. */
 	steps(): jobs.StepInstance[] {
 		return [...this.byStep.keys()];
--- /dev/null
+++ b/src/core/dispatch/work-summary.ts
@@ -0,0 +1,247 @@
+/** Summarises what an owner has accepted and what its workers can run, by step, for the forecast. */
+import * as interference from './interference.js';
+import type * as forecasts from '../forecast/index.js';
+import type * as jobs from '../jobs/index.js';
+import type * as sessions from './worker-session.js';
+import type * as types from './types.js';
+
+/** Preemptible tasks that have waited this long show that all cores open to them are in use, in milliseconds. */
+const saturatedAfterMs = 500;
+
+/** A run that takes longer than expected is taken to need this part of its run time again. */
+const overtimePart = 0.2;
+
+/** How long a run takes to stop, in milliseconds; it holds its cores until then. */
+const stoppingMs = 200;
+
+/** A new owner counts workers that have not answered it yet for this long, in milliseconds. */
+const unheardCountsForMs = 3_000;
+
+/** What the summary reads. */
+export interface SummaryContext {
+	now: number;
+	/** How long this owner has dispatched, in milliseconds. */
+	ownerAgeMs: number;
+	jobs: Iterable<jobs.ActiveJob>;
+	workers: readonly sessions.WorkerSession[];
+	policyOf: (job: jobs.ActiveJob) => jobs.QueuePolicy;
+	waitingOf: (step: jobs.StepInstance) => number;
+	runTimes: forecasts.RunTimes;
+	estimates: Pick<interference.InterferenceModel, 'expectedUtilization'>;
+}
+
+/** What the summary needs of a step more than once. */
+interface StepFacts {
+	kind: forecasts.WorkKind;
+	pool: string;
+	priority: number;
+	runMs: number;
+	/** Expected time until the last of its running tasks ends, in milliseconds. */
+	runningLeftMs: number;
+}
+
+/** Short work and long-running work of one pool. */
+interface PoolSums {
+	/** Cores that preemptible tasks use. */
+	preemptibleCores: number;
+	/** Some preemptible tasks have waited for long. */
+	isSaturated: boolean;
+	workers: sessions.WorkerSession[];
+	/** Tasks and their cores of short work that reserves cores. */
+	reservedTasks: number;
+	reservedTaskCores: number;
+	/** Cores of long-running tasks that an earlier owner may have placed. */
+	inheritedLongRunningCores: number;
+}
+
+/** Summary of one moment. */
+class Summary {
+	readonly work: forecasts.StepWork[] = [];
+	readonly running: forecasts.RunningWork[] = [];
+	private readonly facts = new Map<jobs.StepInstance, StepFacts>();
+	private readonly pools = new Map<string, PoolSums>();
+
+	private constructor(private readonly ctx: SummaryContext) {}
+
+	static create(ctx: SummaryContext): Summary {
+		const summary = new Summary(ctx);
+		for (const session of ctx.workers) summary.addWorker(session);
+		for (const job of ctx.jobs) summary.addJob(job);
+		return summary;
+	}
+
+	get capacity(): forecasts.ClassCapacity[] {
+		return [...this.pools].flatMap(([pool, sums]) => [
+			{ kind: 'reserved' as const, pool, cores: this.reservedCores(sums) },
+			{ kind: 'preemptible' as const, pool, cores: this.preemptibleCores(sums) },
+		]);
+	}
+
+	private addWorker(session: sessions.WorkerSession): void {
+		if (session.hasEnded) return;
+		if (session.entry !== undefined && this.takesWork(session))
+			this.sumsOf(session.entry.pool).workers.push(session);
+		for (const placement of session.placements.values())
+			if (!placement.task.step.spec.lasting) this.addRunning(placement);
+	}
+
+	/** Whether a worker gets work, now or once it has reported to a new owner. */
+	private takesWork(session: sessions.WorkerSession): boolean {
+		const { closedReason } = session;
+		if (closedReason === 'unheard' || closedReason === 'unrostered' || closedReason === 'paused') return true;
+		const isUnheard = session.silentMs === undefined && closedReason === 'silent';
+		return closedReason === undefined || (isUnheard && this.ctx.ownerAgeMs < unheardCountsForMs);
+	}
+
+	private addRunning(placement: types.Placement): void {
+		const { step } = placement.task;
+		const facts = this.factsOf(step);
+		const pace = step.spec.fills ? placement.pace / 100 : 1;
+		const cores = (step.spec.milliCores / 1_000) * pace;
+		const leftMs = this.leftMs(placement, facts.runMs);
+		facts.runningLeftMs = Math.max(facts.runningLeftMs, leftMs);
+		const { kind, pool, priority } = facts;
+		this.running.push({ kind, pool, priority, cores, leftMs });
+		const sums = this.sumsOf(pool);
+		if (step.spec.fills) sums.preemptibleCores += cores;
+		else this.addReservedTasks(sums, step, 1);
+	}
+
+	private leftMs({ phase, confirmedAt, placedAt }: types.Placement, runMs: number): number {
+		if (phase === 'stopping') return stoppingMs;
+		const ranMs = this.ctx.now - (confirmedAt > 0 ? confirmedAt : placedAt);
+		return Math.max(runMs * overtimePart, runMs - ranMs);
+	}
+
+	private addReservedTasks(sums: PoolSums, step: jobs.StepInstance, tasks: number): void {
+		sums.reservedTasks += tasks;
+		sums.reservedTaskCores += (tasks * step.spec.milliCores) / 1_000;
+	}
+
+	private addJob(job: jobs.ActiveJob): void {
+		const { name } = this.ctx.policyOf(job);
+		const dueInMs = job.dueAt - this.ctx.now;
+		const added = new Map<jobs.StepInstance, forecasts.StepWork>();
+		for (const step of job.steps) {
+			if (step.unfinished === 0) continue;
+			if (step.spec.lasting) this.addLongRunning(step);
+			else this.addStep(step, name, dueInMs, added);
+		}
+	}
+
+	private addLongRunning({ job, spec, unfinished }: jobs.StepInstance): void {
+		if (!job.inherited || spec.fills) return;
+		const { pool } = this.ctx.policyOf(job);
+		this.sumsOf(pool).inheritedLongRunningCores += (unfinished * spec.milliCores) / 1_000;
+	}
+
+	private addStep(
+		step: jobs.StepInstance,
+		queue: string,
+		dueInMs: number,
+		added: Map<jobs.StepInstance, forecasts.StepWork>,
+	): void {
+		const newest = step.tasks.at(-1);
+		const isBlocked = newest?.state === 'blocked';
+		const tasks = isBlocked ? step.unfinished : this.ctx.waitingOf(step);
+		if (tasks === 0) return;
+		const { kind, pool, priority, runMs } = this.factsOf(step);
+		const earlier = isBlocked ? earlierSteps(step) : [];
+		const work = {
+			kind,
+			pool,
+			priority,
+			queue,
+			dueInMs,
+			tasks,
+			cores: step.spec.milliCores / 1_000,
+			runMs,
+			readyInMs: earlier.reduce((most, one) => Math.max(most, this.facts.get(one)?.runningLeftMs ?? 0), 0),
+			after: earlier.flatMap((one) => added.get(one) ?? []),
+		};
+		added.set(step, work);
+		this.work.push(work);
+		const sums = this.sumsOf(pool);
+		if (!step.spec.fills) this.addReservedTasks(sums, step, tasks);
+		else if (newest?.state === 'ready' && this.ctx.now - newest.readyAt >= saturatedAfterMs)
+			sums.isSaturated = true;
+	}
+
+	private factsOf(step: jobs.StepInstance): StepFacts {
+		const known = this.facts.get(step);
+		if (known !== undefined) return known;
+		const { pool, priority, name } = this.ctx.policyOf(step.job);
+		const facts: StepFacts = {
+			kind: step.spec.fills ? 'preemptible' : 'reserved',
+			pool,
+			priority,
+			runMs: this.ctx.runTimes.expectedMs(name, step.spec),
+			runningLeftMs: 0,
+		};
+		this.facts.set(step, facts);
+		return facts;
+	}
+
+	private sumsOf(pool: string): PoolSums {
+		const known = this.pools.get(pool);
+		if (known !== undefined) return known;
+		const created: PoolSums = {
+			preemptibleCores: 0,
+			isSaturated: false,
+			workers: [],
+			reservedTasks: 0,
+			reservedTaskCores: 0,
+			inheritedLongRunningCores: 0,
+		};
+		this.pools.set(pool, created);
+		return created;
+	}
+
+	/**
+	 * Cores for short work that reserves them. What a worker has left beside long-running tasks holds a whole number of
+	 * tasks.
+	 */
+	private reservedCores({ workers, reservedTasks, reservedTaskCores, ...sums }: PoolSums): number {
+		const taskCores = reservedTasks === 0 ? 0 : reservedTaskCores / reservedTasks;
+		let usable = 0;
+		let total = 0;
+		for (const { entry, longRunningMilliCores, isReconciled } of workers) {
+			const cores = (entry?.capacity.milliCores ?? 0) / 1_000;
+			const left = Math.max(0, cores - longRunningMilliCores / 1_000);
+			usable += taskCores === 0 ? left : Math.floor(left / taskCores) * taskCores;
+			total += isReconciled ? left : cores;
+		}
+		// Until the workers have reported, long-running tasks of earlier owners are somewhere on them.
+		const isReconciled = workers.every((one) => one.isReconciled);
+		return isReconciled ? usable : Math.max(0, Math.min(usable, total - sums.inheritedLongRunningCores));
+	}
+
+	/** Cores for preemptible work: what it uses if more of it waits, else what serving tasks are expected to leave it. */
+	private preemptibleCores({ isSaturated, preemptibleCores, workers }: PoolSums): number {
+		if (isSaturated && preemptibleCores > 0) return preemptibleCores;
+		let spare = 0;
+		for (const session of workers) {
+			const cores = (session.entry?.capacity.milliCores ?? 0) / 1_000;
+			const use = this.ctx.estimates.expectedUtilization(session) * cores;
+			spare += Math.max(
+				0,
+				interference.contentionThreshold * cores - (use - session.preemptibleMilliCores / 1_000),
+			);
+		}
+		return Math.max(spare, preemptibleCores);
+	}
+}
+
+/** The steps of the same occurrence that a step depends on. */
+function earlierSteps(step: jobs.StepInstance): jobs.StepInstance[] {
+	const { job, occurrence, spec } = step;
+	const base = occurrence * job.record.steps.length;
+	return spec.after.flatMap((number) => job.steps[base + number] ?? []);
+}
+
+/** Summarises the accepted work and the capacity. */
+export function summarise(ctx: SummaryContext): forecasts.WorkSnapshot {
+	const summary = Summary.create(ctx);
+	const { work, running, capacity } = summary;
+	return { known: ctx.workers.some((one) => one.entry !== undefined), work, running, capacity };
+}
--- a/src/core/forecast/index.ts
+++ b/src/core/forecast/index.ts
@@ -1,4 +1,7 @@
 /** Forecasts: how long work runs, and when it will have finished. */
 export { RunTimes } from './run-times.js';
 export type { RunTimeFactors, TimedStep } from './run-times.js';
+export { maxMessageBytes, parseForecast, toMessage } from './message.js';
+export type { RejectedField } from './message.js';
+export { forecastWaits } from './waits.js';
 export type * from './types.js';
--- a/src/core/forecast/types.ts
+++ b/src/core/forecast/types.ts
@@ -15,8 +15,13 @@
 	priority: number;
 	/** Cores that this kind of work has in all; a step wider than that runs in waves. */
 	cores: number;
-	/** Both numbers rise, at most 8; work due later than the last point waits as long as the last one says. */
+	/**
+	 * Waits of work that is on time when it is placed. Both numbers rise, at most 8 points; work due later than the last point
+	 * waits as long as the last one says.
+	 */
 	points: readonly WaitPoint[];
+	/** Wait of work that is late by the time that it could be placed: work that is on time goes first. */
+	lateWaitMs: number;
 	/**
 	 * Upper bounds of the wait by queue, at most 4, where queues of one priority have equal shares; a queue that is not named
 	 * has no work that waits. Absent: queues have no shares, or too many of them have work.
--- /dev/null
+++ b/src/core/forecast/waits.ts
@@ -0,0 +1,116 @@
+/**
+ * Forecasts when accepted work is placed.
+ *
+ * Load pattern: for some seconds more work arrives than its kind has cores. It is handled by laying all accepted work out in
+ * the order in which it is placed: by priority, then what is on time by due time, then what is late. A job that arrives next
+ * waits until the work that comes before it has been placed. Jobs that arrive after it are not foreseen.
+ */
+import * as layouts from './pool-layout.js';
+import type * as sequences from './placing-sequence.js';
+import type * as types from './types.js';
+
+/** How far ahead the free capacity is given, in seconds. */
+const freeSeconds = 16;
+
+/** Maximum number of queues of a class whose own bounds are given. */
+const maxQueues = 4;
+
+/** A class whose waits are all below this is left out, in milliseconds: they are within the age of the forecast. */
+const minWaitMs = 200;
+
+/** The work that competes for the same cores. */
+interface CorePool extends types.ClassCapacity {
+	work: types.StepWork[];
+	running: types.RunningWork[];
+}
+
+/**
+ * Forecasts the waits of each class and the capacity left. `hasShares`: queues of one priority take turns, so that none
+ * waits for more than its own work.
+ */
+export function forecastWaits(
+	snapshot: types.WorkSnapshot,
+	at: number,
+	hasShares: boolean,
+): types.OwnerForecast {
+	const classes: types.ClassForecast[] = [];
+	const free: types.FreeCapacity[] = [];
+	for (const pool of groupByPool(snapshot)) {
+		// Without cores there is no estimate: the workers may only be out of reach for a moment.
+		if (pool.cores <= 0) continue;
+		const layout = layOut(pool);
+		const waits = layout.run();
+		let aheadMs = 0;
+		for (const one of waits) {
+			const queues = hasShares ? boundsByQueue(pool, one.priority, aheadMs) : undefined;
+			aheadMs = maxWaitMs(one);
+			if (aheadMs < minWaitMs) continue;
+			const { kind, pool: name, cores } = pool;
+			classes.push({ kind, pool: name, cores, ...one, ...(queues !== undefined && { queues }) });
+		}
+		free.push({ kind: pool.kind, pool: pool.pool, coreMs: layout.freeBySecond(freeSeconds) });
+	}
+	return { at, known: snapshot.known, classes, free };
+}
+
+function groupByPool(snapshot: types.WorkSnapshot): CorePool[] {
+	const pools = new Map<string, CorePool>();
+	for (const capacity of snapshot.capacity)
+		pools.set(poolKey(capacity), { ...capacity, work: [], running: [] });
+	for (const one of snapshot.work) pools.get(poolKey(one))?.work.push(one);
+	for (const one of snapshot.running) pools.get(poolKey(one))?.running.push(one);
+	return [...pools.values()];
+}
+
+function poolKey({ kind, pool }: Pick<types.ClassCapacity, 'kind' | 'pool'>): string {
+	return `${kind} ${pool}`;
+}
+
+function layOut(pool: CorePool): layouts.PoolLayout {
+	const layout = layouts.PoolLayout.create(pool.cores);
+	for (const one of pool.running) layout.addRunning(one);
+	const sorted = pool.work.sort((a, b) => a.dueInMs - b.dueInMs);
+	const pending = new Map(sorted.map((work) => [work, toPending(work)]));
+	for (const step of pending.values()) linkToEarlier(step, pending);
+	for (const step of pending.values()) layout.addWaiting(step);
+	return layout;
+}
+
+function toPending(work: types.StepWork): sequences.PendingStep {
+	const { tasks, cores, readyInMs } = work;
+	return { work, coresLeft: tasks * cores, blockedBy: 0, dependents: [], readyAtMs: readyInMs };
+}
+
+/** A step of another kind than the ones before it is taken as ready when they are: their end is laid out elsewhere. */
+function linkToEarlier(
+	step: sequences.PendingStep,
+	pending: ReadonlyMap<types.StepWork, sequences.PendingStep>,
+): void {
+	for (const one of step.work.after) {
+		const earlier = pending.get(one);
+		if (earlier === undefined) continue;
+		earlier.dependents.push(step);
+		step.blockedBy += 1;
+	}
+}
+
+function maxWaitMs({ points, lateWaitMs }: layouts.ClassWaits): number {
+	return Math.max(lateWaitMs, points.at(-1)?.[1] ?? 0);
+}
+
+/** What each queue waits at most if queues have equal shares; undefined: too many queues have work. */
+function boundsByQueue(
+	{ work, cores }: CorePool,
+	priority: number,
+	aheadMs: number,
+): types.ClassForecast['queues'] {
+	const coreMs = new Map<string, number>();
+	for (const one of work) {
+		if (one.priority !== priority) continue;
+		coreMs.set(one.queue, (coreMs.get(one.queue) ?? 0) + one.tasks * one.cores * one.runMs);
+	}
+	if (coreMs.size > maxQueues) return undefined;
+	// One more queue may have work by the time that a job of it is decided on.
+	const share = cores / Math.max(2, coreMs.size);
+	return [...coreMs].map(([queue, own]) => [queue, Math.round(aheadMs + own / share)] as const);
+}
--- a/test/placer.test.ts
+++ b/test/placer.test.ts
@@ -2,6 +2,7 @@
 import test from 'ava';
 import * as events from '../src/core/events/index.js';
 import * as fixtures from './fixtures/dispatching.js';
+import * as forecasts from '../src/core/forecast/index.js';
 import * as interference from '../src/core/dispatch/interference.js';
 import * as jobs from '../src/core/jobs/index.js';
 import * as meters from '../src/core/dispatch/load-meter.js';
@@ -39,6 +40,7 @@
 		},
 		mayHaveUnreportedRun: () => false,
 		policyOf: () => fixtures.queue,
+		runTimes: forecasts.RunTimes.create(),
 		estimates: interference.InterferenceModel.create(clock),
 		askAdviser: undefined,
 		start: () => undefined,
