Boxes: admission by the owner's forecast where the setting says so

Change: the forecast goes to the boxes with the answers to pings, is validated there and decides for 5 s; events forecast.published and forecast.rejected; forecast errors by queue and refusals by cause in the metrics. Without the setting the backlog decides as before.

--- a/src/cli/box/metrics.ts
+++ b/src/cli/box/metrics.ts
@@ -25,7 +25,11 @@
 	box.recordTime = (name, ms) => {
 		registry.recordLatency(name, ms);
 	};
+	box.recordForecastError = (queue, ratio) => {
+		registry.recordRatio('forecast_error_ratio', 'queue', queue, ratio);
+	};
 	log.observe((event) => {
+		if (event.name === 'job.turned-away') registry.count(`refused_${metricPart(event.fields.cause)}`);
 		registry.count(`event_${event.name.replace(/[.-]/g, '_')}`);
 		const name = histogramsByEvent[event.name];
 		const ms = event.fields.waitedMs ?? event.fields.ageMs ?? event.fields.tookMs;
@@ -62,6 +66,11 @@
 	return Object.fromEntries(fields.map(([field, value]) => [`owner_${toSnakeCase(field)}`, value]));
 }
 
+/** A value as part of a metric's name. */
+function metricPart(value: string | number | undefined): string {
+	return String(value ?? 'other').replace(/-/g, '_');
+}
+
 function toSnakeCase(name: string): string {
 	return name.replace(/[A-Z]/g, (capital) => `_${capital.toLowerCase()}`);
 }
--- a/src/core/box/box.ts
+++ b/src/core/box/box.ts
@@ -1,4 +1,5 @@
 /** A box: answers callers, follows the configuration, and dispatches while it is the owner. */
+import * as admission from '../admission/index.js';
 import * as errors from '../errors/index.js';
 import * as held from './held-pings.js';
 import * as ledger from '../ledger/index.js';
@@ -34,6 +35,8 @@
 	private server!: wire.PeerServer<protocol.BoxReq>;
 	/** Records how long exits wait while this box is the owner; does nothing until it is set. */
 	recordTime: dispatch.RecordTime = () => undefined;
+	/** Records how far forecasts were off while this box is the owner; does nothing until it is set. */
+	recordForecastError: dispatch.RecordForecastError = () => undefined;
 	/** The owner's part of this box; undefined while it is not the owner. */
 	private role: ownerRole.OwnerRole | undefined;
 	private readonly heldPings: held.HeldPings;
@@ -58,6 +61,7 @@
 		this.pings = pings.OwnerPings.create({
 			peers,
 			contact,
+			events,
 			box,
 			processor,
 			now: () => clock.now(),
@@ -76,6 +80,7 @@
 			callOwner: (req, timeoutMs) => this.callOwner(req, timeoutMs),
 			ownerGeneration: () => this.ownership.owner?.generation ?? 0,
 			backlog: () => this.role?.backlog ?? this.pings.backlog,
+			admission: this.admissionRule(),
 			random: () => Math.random(),
 			ownerReachesStore: () => this.ownership.reachable && this.pings.storeReachable,
 		});
@@ -148,6 +153,15 @@
 		await this.ownership.release();
 	}
 
+	/** What decides on jobs where it is not the outstanding work. */
+	private admissionRule(): admission.AdmissionRule | undefined {
+		if (this.settings.features?.admission !== 'forecast') return undefined;
+		return (record) => {
+			const forecast = this.role === undefined ? this.pings.forecast.current : this.role.forecast?.current;
+			return admission.decideByForecast(record, forecast);
+		};
+	}
+
 	private async start(): Promise<void> {
 		this.server = await this.listen();
 		this.configuration = configurations.ConfigurationFollower.create({
@@ -234,6 +248,9 @@
 				recordTime: (name, ms) => {
 					this.recordTime(name, ms);
 				},
+				recordForecastError: (queue, ratio) => {
+					this.recordForecastError(queue, ratio);
+				},
 				onFenced: (reason) => {
 					this.ownership.lose(reason);
 				},
@@ -288,6 +305,7 @@
 			strongest: this.candidates.strongest(this.settings.processor),
 			storeReachable: this.contact.reachable,
 			backlog: role.backlog,
+			forecast: role.forecast?.message,
 			silent: role.unresponsiveWorkers(),
 			configuration: this.configuration.advertisedConfiguration,
 		};
--- a/src/core/box/job-service.ts
+++ b/src/core/box/job-service.ts
@@ -46,6 +46,8 @@
 	ownerGeneration: () => number;
 	/** The outstanding work, as far as this box knows. */
 	backlog: () => admission.Backlog;
+	/** Decides whether a job is accepted; absent: the outstanding work decides. */
+	admission?: admission.AdmissionRule;
 	/** A number from 0 to 1; seeded in tests. */
 	random: () => number;
 	/** Whether the owner lately reported that the store answers it. */
@@ -59,9 +61,15 @@
 	reason: string;
 }
 
+type Refusal = Extract<admission.Verdict, { type: 'refuse' }>;
+
 /** Serves requests of callers about jobs. */
 export class JobService {
-	private constructor(private readonly opts: JobServiceOptions) {}
+	private readonly decide: admission.AdmissionRule;
+
+	private constructor(private readonly opts: JobServiceOptions) {
+		this.decide = opts.admission ?? ((record) => admission.decide(record, opts.backlog()));
+	}
 
 	static create(opts: JobServiceOptions): JobService {
 		return new JobService(opts);
@@ -78,7 +86,8 @@
 		const record: jobs.JobRecord = { id, queue, acceptedAt, acceptedUnder, ...request };
 		const { events: log, clock } = this.opts;
 		const startedAt = clock.now();
-		const refusal = await this.refuseIfOverloaded(record);
+		const verdict = this.decide(record);
+		const refusal = verdict.type === 'refuse' ? await this.refuse(record, verdict) : undefined;
 		if (refusal !== undefined) return refusal;
 		const outcome = await this.storeJob(record);
 		const tookMs = Math.round(clock.now() - startedAt);
@@ -87,7 +96,8 @@
 			log.emit('job.refused', { job: id, queue: queue.name, outcome: type, reason, tookMs });
 			return this.answerWriteFailure(outcome, queue.priority);
 		}
-		log.emit('job.accepted', { job: id, queue: queue.name, outcome: outcome.type, tookMs });
+		const forecast = forecastFields(verdict);
+		log.emit('job.accepted', { job: id, queue: queue.name, outcome: outcome.type, tookMs, ...forecast });
 		// The stored record of a known job may differ from this one: it may name an earlier owner, which may have started
 		// the job.
 		if (outcome.type === 'accepted')
@@ -138,20 +148,19 @@
 		return res.ok ? { type: 'ok', value: res.value } : this.unavailable(res.err.reason);
 	}
 
-	/** Why a job is not accepted; undefined: it may be, or was already. */
-	private async refuseIfOverloaded(record: jobs.JobRecord): Promise<Answer<never> | undefined> {
-		const verdict = admission.decide(record, this.opts.backlog());
-		if (verdict.type === 'admit') return undefined;
+	/** The answer for a job that is not to be accepted; undefined: it was accepted before, or may have been. */
+	private async refuse(record: jobs.JobRecord, verdict: Refusal): Promise<Answer<never> | undefined> {
 		// A job that was accepted before, and whose answer was lost, must not be reported as refused. If the store gives no
 		// answer, the job is submitted like any other.
 		const known = await ledger.isJobStored(this.opts.store, record.id);
 		if (!known.ok || known.value) return undefined;
-		const { waitMs, limitMs } = verdict;
+		const { waitMs, limitMs, cause = 'backlog', forecast } = verdict;
 		const { name, priority } = record.queue;
-		const seconds = this.retryAfterS({ type: 'backlog', excessMs: waitMs - limitMs }, priority);
-		const fields = { job: record.id, queue: name, waitMs, limitMs, retryAfterS: seconds };
-		this.opts.events.emit('job.turned-away', fields);
-		const reason = `outstanding work takes ${String(waitMs)} ms, and the job may wait for ${String(limitMs)} ms`;
+		const excessMs = (cause === 'too-late' && forecast !== undefined ? forecast.finishMs : waitMs) - limitMs;
+		const seconds = this.retryAfterS({ type: 'backlog', excessMs }, priority);
+		const fields = { job: record.id, queue: name, cause, waitMs, limitMs, retryAfterS: seconds };
+		this.opts.events.emit('job.turned-away', { ...fields, ...forecastFields(verdict) });
+		const reason = refusalReason(verdict);
 		return { type: 'overloaded', reason, retryAfterS: seconds };
 	}
 
@@ -224,3 +233,22 @@
 		else void this.opts.callOwner(req, ownerTimeoutMs);
 	}
 }
+
+/** The forecast of a decision for its log line. */
+function forecastFields({ forecast }: admission.Verdict): Record<string, number> {
+	if (forecast === undefined) return {};
+	return {
+		forecastWaitMs: forecast.waitMs,
+		forecastFinishMs: forecast.finishMs,
+		forecastAgeMs: forecast.ageMs,
+	};
+}
+
+/** Why a job is refused, for people. */
+function refusalReason({ waitMs, limitMs, cause, forecast }: Refusal): string {
+	if (cause === 'too-late' && forecast !== undefined)
+		return `the job would finish after ${String(forecast.finishMs)} ms, and is of no value after ${String(limitMs)} ms`;
+	if (cause === 'long-wait')
+		return `the job would wait for ${String(waitMs)} ms, and may wait for ${String(limitMs)} ms`;
+	return `outstanding work takes ${String(waitMs)} ms, and the job may wait for ${String(limitMs)} ms`;
+}
--- a/src/core/box/owner-pings.ts
+++ b/src/core/box/owner-pings.ts
@@ -1,7 +1,9 @@
 /** Pings that check whether the owner still is the owner, and what it reported in its answers. */
 import * as ownership from '../owner/index.js';
 import * as leaseExpiries from './lease-expiries.js';
+import * as receivedForecast from './received-forecast.js';
 import type * as admission from '../admission/index.js';
+import type * as events from '../events/index.js';
 import type * as contacts from '../platform/contact.js';
 import type * as protocol from './peer-protocol.js';
 import type * as sharing from './configuration-sharing.js';
@@ -17,6 +19,7 @@
 export interface OwnerPingsOptions {
 	peers: wire.PeerClient<protocol.BoxReq>;
 	contact: contacts.StoreContact;
+	events: events.EventLog;
 	box: string;
 	/** Processor that this box may use, in cores. */
 	processor: number;
@@ -36,10 +39,13 @@
 	strongest: number | undefined;
 	/** Lease expiries at unresponsive workers, as the owner last reported. */
 	readonly leaseExpiries: leaseExpiries.LeaseExpiries;
+	/** The forecast that the owner last reported. */
+	readonly forecast: receivedForecast.ReceivedForecast;
 	private reportedBacklog: { backlog: admission.Backlog; at: number } | undefined;
 
 	private constructor(private readonly opts: OwnerPingsOptions) {
 		this.leaseExpiries = leaseExpiries.LeaseExpiries.create(opts.now);
+		this.forecast = receivedForecast.ReceivedForecast.create(opts.now, opts.events);
 	}
 
 	static create(opts: OwnerPingsOptions): OwnerPings {
@@ -74,6 +80,7 @@
 		this.storeReachable = reply.storeReachable;
 		this.strongest = reply.strongest;
 		this.reportedBacklog = { backlog: reply.backlog ?? [], at: this.opts.now() };
+		this.forecast.note(reply.forecast);
 		this.leaseExpiries.update(reply);
 	}
 
--- a/src/core/box/owner-role.ts
+++ b/src/core/box/owner-role.ts
@@ -3,7 +3,9 @@
 import * as clocks from '../clock.js';
 import * as dispatch from '../dispatch/index.js';
 import * as evacuationList from './evacuation-list.js';
+import * as forecastPublisher from './forecast-publisher.js';
 import * as followers from '../platform/record-follower.js';
+import * as features from '../features/index.js';
 import * as limits from '../platform/limits.js';
 import * as ledger from '../ledger/index.js';
 import * as upkeep from '../upkeep/index.js';
@@ -50,6 +52,8 @@
 	onFenced: (reason: string) => void;
 	/** Records how long exits waited. */
 	recordTime: dispatch.RecordTime;
+	/** Records how far forecasts were off. */
+	recordForecastError: dispatch.RecordForecastError;
 }
 
 /** An owner's load in one second, times in whole milliseconds. */
@@ -68,6 +72,8 @@
 	private readonly requests: followers.RecordFollower;
 	/** Undefined where zones are not evacuated. */
 	private readonly evacuations: evacuationList.EvacuationList | undefined;
+	/** Undefined where nothing is decided by forecasts. */
+	readonly forecast: forecastPublisher.ForecastPublisher | undefined;
 	private readonly learnedModelsTimer: clocks.Timer;
 	private readonly loadTimer: clocks.Timer;
 	private readonly finishRate = admission.FinishRate.create();
@@ -93,6 +99,7 @@
 			this.updateLoad();
 		});
 		this.upkeep = this.createUpkeep();
+		this.forecast = this.createForecast();
 		const { dispatcher } = this;
 		this.workerList = workerList.followWorkers({
 			...deps,
@@ -135,6 +142,7 @@
 		this.requests.close();
 		this.learnedModelsTimer.cancel();
 		this.loadTimer.cancel();
+		this.forecast?.close();
 		this.upkeep?.close();
 		this.evacuations?.close();
 		this.dispatcher.close();
@@ -204,6 +212,7 @@
 				maxEvacuationAgeMs: maxEvacuationListAgeMs(settings.bounds.evacuateMs),
 				features: settings.features,
 				recordTime: this.deps.recordTime,
+				recordForecastError: this.deps.recordForecastError,
 				leaseEnds: leaseExpiries,
 			},
 			contents,
@@ -211,6 +220,15 @@
 		);
 	}
 
+	private createForecast(): forecastPublisher.ForecastPublisher | undefined {
+		const { clock, events: log, settings } = this.deps;
+		const { admission: rule, waitingOrder } = settings.features ?? features.defaultFeatures;
+		if (rule !== 'forecast' && waitingOrder !== 'overload') return undefined;
+		const { forecaster } = this.dispatcher;
+		const epoch = this.ownerLedger.generation;
+		return forecastPublisher.ForecastPublisher.create({ clock, events: log, epoch, forecaster });
+	}
+
 	/** Whether the epoch was confirmed lately, and after the machine was last suspended. */
 	private mayAct(): boolean {
 		return clocks.isFresh(
--- a/src/core/box/peer-protocol.ts
+++ b/src/core/box/peer-protocol.ts
@@ -2,6 +2,7 @@
 import * as zod from 'zod/mini';
 import * as results from '../result.js';
 import type * as admission from '../admission/index.js';
+import type * as forecasts from '../forecast/index.js';
 import type * as sharing from './configuration-sharing.js';
 import type * as jobs from '../jobs/index.js';
 
@@ -46,6 +47,8 @@
 	strongest: number;
 	/** The outstanding work; absent: the owner runs an older release. */
 	backlog?: admission.Backlog;
+	/** The owner's forecast, validated by the receiver; absent: nothing is decided by it, or an older release. */
+	forecast?: forecasts.Forecast;
 	/** Leases at unresponsive workers; absent: no worker is unresponsive. */
 	silent?: UnresponsiveWorkers;
 	/** The configuration in force at the owner; absent: it has none, or runs an older release. */
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -121,6 +121,16 @@
 		level: 'info',
 		text: "The owner's load in the last second: starts sent and answered, other commands, reports and their duration, tasks finished, runs abandoned, rounds of placement and their duration, processor time, waiting tasks, starts in flight and their limit, exits that workers still list.",
 	},
+	'forecast.published': {
+		id: 2115,
+		level: 'info',
+		text: 'The forecast that the owner reports to the boxes, once a second while work waits: by kind and priority the longest wait of what is on time, the wait of what is late, and the cores; the size of the message and the time that the computation took.',
+	},
+	'forecast.rejected': {
+		id: 2116,
+		level: 'warn',
+		text: 'A forecast of the owner was not understood; the field and its value are given. The previous one is used until it is too old.',
+	},
 	'takeover.settled': {
 		id: 2107,
 		level: 'info',
@@ -160,7 +170,7 @@
 	'job.turned-away': {
 		id: 3016,
 		level: 'info',
-		text: 'A job was not accepted because the outstanding work already takes too long. The wait, the limit and the retry delay sent to the caller are given.',
+		text: 'A job was not accepted because the outstanding work already takes too long. The cause, the wait, the limit and the retry delay sent to the caller are given; decided by a forecast, also its wait, finish and age.',
 	},
 	'job.unreadable': {
 		id: 3017,
