Order of waiting steps under overload

In a burst nearly all capacity went to steps that had just arrived, and the largest jobs were served last. The feature waitingOrder chooses an order that prefers jobs that can still be on time, with shares for queues and large jobs and a limit of 8 s for being passed over. Both orders implement one interface; the default is unchanged.

--- /dev/null
+++ b/src/core/dispatch/overload-order.ts
@@ -0,0 +1,200 @@
+/**
+ * Order of the waiting steps under overload. Without overload, it is that of due times.
+ *
+ * Load pattern: for several seconds batch work arrives at two to three times the rate at which it can be done. By due time
+ * nearly every job would be served when it is just too late. So the capacity goes to jobs that can still be on time, first to
+ * those that have begun, then to the most callers: small jobs before large ones, with a share for large jobs and for each queue.
+ * Only the order within a priority differs, and only in priorities whose preemptible tasks are in overload.
+ */
+import * as detection from './overload-detection.js';
+import * as remaining from './remaining-work.js';
+import * as turns from './queue-turns.js';
+import * as waitingOrder from './waiting-order.js';
+import type * as jobs from '../jobs/index.js';
+
+/**
+ * A step that has waited this long goes first in its priority, in milliseconds. All accepted work is to be under way 14 s after
+ * the last submission, and a job has two or three steps.
+ */
+export const maxPassedOverMs = 8_000;
+
+/**
+ * A step takes as long as its longest task. In replayed bursts with run times that vary by a quarter, 1.2 instead of 1 kept one
+ * to two jobs more in a hundred on time.
+ */
+const chainMargin = 1.2;
+
+/** How long the rank of a step is used, in milliseconds. Due times are seconds away. */
+const rankKeptMs = 100;
+
+export interface OverloadOrderOptions {
+	priorityOf: (job: jobs.ActiveJob) => number;
+	/** Expected time of one run of a step's tasks, in milliseconds. */
+	expectedRunMs: remaining.ExpectedRunMs;
+	/** The steps with waiting tasks, and how many wait. */
+	waiting: () => Iterable<readonly [jobs.StepInstance, number]>;
+	/** The order without overload. */
+	usual: waitingOrder.WaitingOrder;
+}
+
+/** Where a step comes in its priority. */
+interface Rank {
+	rankedAt: number;
+	/** Comes after short ones; lateness: sort key of the steps that take turns. */
+	band: readonly [afterShort: number, lateness: number];
+	/** Whether it has waited so long that it goes first. */
+	isPassedOver: boolean;
+	hasBegun: boolean;
+	/** What is left of the job, in core-milliseconds; the less, the longer the step has waited. */
+	cost: number;
+	/** Work of the whole job, in core-milliseconds. */
+	jobCoreMs: number;
+	/** Work of the step's waiting tasks, in core-milliseconds. */
+	waitingCoreMs: number;
+}
+
+interface RankedStep extends Rank {
+	waiting: waitingOrder.WaitingStep;
+}
+
+/** The order under overload. */
+export class OverloadOrder implements waitingOrder.WaitingOrder {
+	private readonly overload: detection.OverloadDetection;
+	private readonly turns = turns.Turns.create();
+	private readonly ranks = new WeakMap<jobs.StepInstance, Rank>();
+	/** Work of each job that was seen, in core-milliseconds. */
+	private readonly jobSizes = new WeakMap<jobs.ActiveJob, number>();
+	/** Jobs of which this owner has placed a task. */
+	private readonly begun = new WeakSet<jobs.ActiveJob>();
+
+	private constructor(private readonly opts: OverloadOrderOptions) {
+		this.overload = detection.OverloadDetection.create(opts);
+	}
+
+	static create(opts: OverloadOrderOptions): OverloadOrder {
+		return new OverloadOrder(opts);
+	}
+
+	sort(steps: waitingOrder.WaitingStep[], now: number): waitingOrder.WaitingStep[] {
+		this.opts.usual.sort(steps, now);
+		const byPriority = groupBy(steps, ({ step }) => this.opts.priorityOf(step.job));
+		const sorted = [...byPriority].flatMap(([priority, group]) =>
+			this.overload.isOverloaded(priority, now) ? this.sortOverloaded(group, now) : group,
+		);
+		steps.splice(0, steps.length, ...sorted);
+		return steps;
+	}
+
+	isTriedWithOthers({ job, spec }: jobs.StepInstance, now: number): boolean {
+		return spec.fills && this.overload.isOverloaded(this.opts.priorityOf(job), now);
+	}
+
+	notePlaced(task: jobs.Task, now: number): void {
+		const { step } = task;
+		if (!step.spec.fills) return;
+		const { job } = step;
+		const queue = job.record.queue.name;
+		this.overload.notePlaced(task, now);
+		const coreMs = remaining.coreMsOf(step, 1, this.opts.expectedRunMs);
+		this.turns.noteServed(queue, coreMs, now);
+		if (!this.hasBegun(job)) this.turns.noteBegun(queue, this.sizeOf(step));
+		this.begun.add(job);
+	}
+
+	/** Orders the steps of one priority. */
+	private sortOverloaded(steps: waitingOrder.WaitingStep[], now: number): waitingOrder.WaitingStep[] {
+		const ranked = steps.map((waiting) => ({ ...this.rankOf(waiting, now), waiting }));
+		const passedOver = ranked.filter((one) => one.isPassedOver).sort((a, b) => a.cost - b.cost);
+		const others = this.sortBands(
+			ranked.filter((one) => !one.isPassedOver),
+			now,
+		);
+		return [...passedOver, ...others].map(({ waiting }) => waiting);
+	}
+
+	private sortBands(steps: RankedStep[], now: number): RankedStep[] {
+		const byBand = groupBy(steps, ({ band }) => band.join(' '));
+		const bands = [...byBand.values()].sort((a, b) => compareBands(a[0], b[0]));
+		return bands.flatMap((band) => this.sortBand(band, now));
+	}
+
+	/** Orders the steps of one band: within each queue, then the queues by share. */
+	private sortBand(band: RankedStep[], now: number): RankedStep[] {
+		const byQueue = groupBy(band, ({ waiting }) => waiting.step.job.record.queue.name);
+		const lines = [...byQueue].map(([queue, steps]) => ({
+			name: queue,
+			items: this.sortQueue(queue, steps),
+		}));
+		return this.turns.alternate(lines, workOf, now);
+	}
+
+	private sortQueue(queue: string, steps: RankedStep[]): RankedStep[] {
+		const sorted = steps.sort((a, b) => a.cost - b.cost);
+		const begun = sorted.filter(({ hasBegun }) => hasBegun);
+		const others = sorted.filter(({ hasBegun }) => !hasBegun);
+		return [...begun, ...this.turns.giveLargeTurns(queue, others, ({ jobCoreMs }) => jobCoreMs)];
+	}
+
+	private rankOf(waiting: waitingOrder.WaitingStep, now: number): Rank {
+		const known = this.ranks.get(waiting.step);
+		if (known !== undefined && now - known.rankedAt < rankKeptMs) return known;
+		const rank = this.computeRank(waiting, now);
+		this.ranks.set(waiting.step, rank);
+		return rank;
+	}
+
+	private computeRank(waiting: waitingOrder.WaitingStep, now: number): Rank {
+		const { step, tasks } = waiting;
+		const { chainMs, coreMs } = remaining.remainingWork(step, this.opts.expectedRunMs);
+		const waitedMs = Math.max(...tasks.map((task) => waitingOrder.waitedMs(task, now)));
+		const leftMs = Math.max(0, maxPassedOverMs - waitedMs);
+		const isPassedOver = leftMs === 0 && !step.spec.lasting;
+		return {
+			rankedAt: now,
+			band: [
+				Number(waitingOrder.comesAfterShort(waiting, now)),
+				waitingOrder.latenessClass(step, now + chainMs * chainMargin),
+			],
+			isPassedOver,
+			// An overdue long-running step goes before short ones; several keep their order.
+			hasBegun: step.spec.lasting || this.hasBegun(step.job),
+			cost: step.spec.lasting ? -Infinity : isPassedOver ? -waitedMs : (coreMs * leftMs) / maxPassedOverMs,
+			jobCoreMs: this.sizeOf(step),
+			waitingCoreMs: remaining.coreMsOf(step, tasks.length, this.opts.expectedRunMs),
+		};
+	}
+
+	private hasBegun(job: jobs.ActiveJob): boolean {
+		return job.state === 'running' || this.begun.has(job);
+	}
+
+	/** Work of a job when it was first seen, in core-milliseconds. */
+	private sizeOf(step: jobs.StepInstance): number {
+		const known = this.jobSizes.get(step.job);
+		if (known !== undefined) return known;
+		const { coreMs } = remaining.remainingWork(step, this.opts.expectedRunMs);
+		this.jobSizes.set(step.job, coreMs);
+		this.turns.addJob(step.job.record.queue.name, coreMs);
+		return coreMs;
+	}
+}
+
+/** Groups items by key, in the order of their first items. */
+function groupBy<K, T>(items: readonly T[], keyOf: (item: T) => K): Map<K, T[]> {
+	const groups = new Map<K, T[]>();
+	for (const item of items) {
+		const key = keyOf(item);
+		const group = groups.get(key);
+		if (group === undefined) groups.set(key, [item]);
+		else group.push(item);
+	}
+	return groups;
+}
+
+function workOf({ waitingCoreMs }: RankedStep): number {
+	return waitingCoreMs;
+}
+
+function compareBands(a: RankedStep | undefined, b: RankedStep | undefined): number {
+	return waitingOrder.compareKeys(a?.band ?? [], b?.band ?? []);
+}
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -5,18 +5,21 @@
 import * as eligible from './eligible-workers.js';
 import * as exemptions from './interference-exemptions.js';
 import * as gangs from './gangs.js';
+import * as forecast from '../forecast/index.js';
 import * as waitingOrder from './waiting-order.js';
+import * as waitingOrders from './waiting-orders.js';
 import * as placement from './placement.js';
 import * as preemption from './preemption.js';
 import * as probation from './probation.js';
 import * as rounds from './placing-round.js';
+import * as retries from './retry-times.js';
 import * as timers from './round-timer.js';
-import * as settings from './settings.js';
 import * as reasons from './waiting-reason.js';
 import * as migration from './migration.js';
 import * as stalled from './stalled-log.js';
 import * as waiting from './waiting-log.js';
 import * as waitingSteps from './waiting-steps.js';
+import type * as features from '../features/index.js';
 import type * as fleet from '../fleet/types.js';
 import type * as interference from './interference.js';
 import type * as jobs from '../jobs/index.js';
@@ -40,6 +43,10 @@
 	/** Time that resuming from a checkpoint takes, in milliseconds. */
 	restoreMs: number;
 	askAdviser: fleet.AskAdviser | undefined;
+	/** The optional features that are in force; absent: none. */
+	features?: features.Features;
+	/** Corrected run times; absent: the callers' estimates count. */
+	runTimes?: forecast.RunTimes;
 	/** Number of further starts that may be sent. */
 	freeStartSlots: () => number;
 	start: (session: sessions.WorkerSession, place: types.Placement, ticket: string) => void;
@@ -55,8 +62,8 @@
 	private readonly waitingLog: waiting.WaitingLog;
 	private readonly stalledLog: stalled.StalledLog;
 	private readonly exemptions = exemptions.InterferenceExemptions.create();
-	/** Clock time before which a step that found no placement is not tried again. */
-	private readonly retryAt = new WeakMap<jobs.StepInstance, number>();
+	private readonly order: waitingOrder.WaitingOrder;
+	private readonly retries: retries.RetryTimes;
 	private readonly rounds: timers.RoundTimer;
 	private readonly backlog: backlogs.PreemptibleBacklog;
 
@@ -70,6 +77,8 @@
 				this.placeReady((step) => !step.spec.fills);
 			},
 		});
+		this.order = this.createOrder();
+		this.retries = retries.RetryTimes.create(this.order);
 		this.backlog = backlogs.PreemptibleBacklog.create({
 			now: () => opts.clock.now(),
 			waiting: () => this.ready.steps().flatMap((step) => this.ready.tasksOf(step)),
@@ -142,6 +151,15 @@
 		return session.place(task, run, 'running');
 	}
 
+	private createOrder(): waitingOrder.WaitingOrder {
+		const { features: enabled, runTimes = forecast.RunTimes.create(), policyOf } = this.opts;
+		return waitingOrders.createWaitingOrder(enabled?.waitingOrder ?? 'due-time', {
+			priorityOf: (job) => policyOf(job).priority,
+			expectedRunMs: ({ job, spec }) => runTimes.expectedMs(job.record.queue.name, spec),
+			waiting: () => this.ready.counts(),
+		});
+	}
+
 	private enqueue(task: jobs.Task): void {
 		task.state = 'ready';
 		this.ready.add(task);
@@ -207,7 +225,7 @@
 	}
 
 	/**
-	 * Places ready tasks of the included steps in the order of `waiting-order.ts`. For those that find no worker, it exceeds
+	 * Places ready tasks of the included steps in the order of `WaitingOrder`. For those that find no worker, it exceeds
 	 * the interference limits or preempts other tasks.
 	 */
 	private placeReady(isIncluded: (step: jobs.StepInstance) => boolean): void {
@@ -216,15 +234,15 @@
 		const steps = this.startableSteps(isIncluded, now);
 		if (steps.length === 0) return;
 		const round = rounds.PlacingRound.create(this.opts.workers(), now);
-		for (const { step, tasks } of waitingOrder.sortByUrgency(
-			steps,
-			(job) => this.opts.policyOf(job).priority,
-			now,
-		)) {
+		this.retries.beginRound(now);
+		for (const { step, tasks } of this.order.sort(steps, now)) {
 			// Leaves the rest to a later round, which orders the steps anew once starts may be sent.
-			if (this.opts.freeStartSlots() === 0) return;
+			if (this.opts.freeStartSlots() === 0) {
+				this.retries.noteInterrupted();
+				return;
+			}
 			// The job ended when one of its tasks was abandoned during the checks above.
-			if (step.job.ended) continue;
+			if (step.job.ended || this.retries.isSkipped(step, now)) continue;
 			const firstUnplaced = this.placeStep(step, tasks, round);
 			if (firstUnplaced !== undefined) this.noteUnplaced(firstUnplaced, round);
 		}
@@ -247,7 +265,7 @@
 		isIncluded: (step: jobs.StepInstance) => boolean,
 		now: number,
 	): waitingOrder.WaitingStep[] {
-		const due = this.ready.steps().filter((step) => isIncluded(step) && this.isDue(step, now));
+		const due = this.ready.steps().filter((step) => isIncluded(step) && this.retries.isDue(step, now));
 		const all = due.map((step) => {
 			const tasks = this.ready.tasksOf(step).filter((task) => this.mayStart(task, now));
 			return { step, tasks };
@@ -307,11 +325,7 @@
 		// An overdue step is tried in every round: short tasks would take the workers kept free for it in between.
 		if (waitingOrder.isOverdue(task, now))
 			round.keepFreeFor(task.step, this.opts.policyOf(task.step.job).pool);
-		else this.retryAt.set(task.step, now + retryDelayMs(task.step));
-	}
-
-	private isDue(step: jobs.StepInstance, now: number): boolean {
-		return (this.retryAt.get(step) ?? 0) <= now;
+		else this.retries.noteUnplaced(task.step, now);
 	}
 
 	/**
@@ -385,6 +399,7 @@
 	private startPlaced(task: jobs.Task, session: sessions.WorkerSession, place: types.Placement): void {
 		const { clock, events } = this.opts;
 		this.ready.delete(task);
+		this.order.notePlaced(task, clock.now());
 		task.state = 'placed';
 		task.waitedMs = clock.now() - task.waitingSince;
 		task.run = place.run;
@@ -417,8 +432,3 @@
 		for (const { session, place } of victims) this.opts.stopFor('room for short tasks', session, place);
 	}
 }
-
-/** Minimum time until a step that found no placement is tried again, in milliseconds. */
-function retryDelayMs(step: jobs.StepInstance): number {
-	return step.spec.lasting || step.spec.fills ? settings.lowUrgencyRetryMs : 0;
-}
--- a/src/core/dispatch/waiting-order.ts
+++ b/src/core/dispatch/waiting-order.ts
@@ -1,7 +1,4 @@
-/**
- * Order of the waiting steps: by priority, then short before long-running steps, then steps that can still be on time before
- * late ones, then by due time.
- */
+/** What all orders of the waiting steps share. */
 import * as settings from './settings.js';
 import type * as jobs from '../jobs/index.js';
 
@@ -11,30 +8,21 @@
 	tasks: jobs.Task[];
 }
 
-/** Sorts steps in place, the one to place first at the front. */
-export function sortByUrgency(
-	steps: WaitingStep[],
-	priorityOf: (job: jobs.ActiveJob) => number,
-	now: number,
-): WaitingStep[] {
-	const sortKeys = new Map(steps.map((one) => [one, sortKeyOf(one, priorityOf, now)]));
-	return steps.sort((a, b) => compare(sortKeys.get(a) ?? [], sortKeys.get(b) ?? []));
-}
-
-/** Sort key of a step, the most significant part first. */
-function sortKeyOf(waiting: WaitingStep, priorityOf: (job: jobs.ActiveJob) => number, now: number): number[] {
-	const { step, tasks } = waiting;
-	const comesAfterShort = step.spec.lasting && !tasks.some((task) => isOverdue(task, now));
-	return [
-		priorityOf(step.job),
-		Number(comesAfterShort),
-		latenessClass(step, now),
-		step.job.dueAt,
-		step.number,
-	];
+/** An order in which waiting steps are placed. */
+export interface WaitingOrder {
+	/** Sorts steps in place, the one to place first at the front. `now`: clock time. */
+	sort: (steps: WaitingStep[], now: number) => WaitingStep[];
+	/**
+	 * Whether a step that found no placement is tried again only together with the others of its priority: whatever capacity
+	 * is freed in between is then given in this order too, and not to the step that happens to be tried next.
+	 */
+	isTriedWithOthers: (step: jobs.StepInstance, now: number) => boolean;
+	/** Notes that a task was given a placement. */
+	notePlaced: (task: jobs.Task, now: number) => void;
 }
 
-function compare(a: number[], b: number[]): number {
+/** Sort keys are compared number by number, the most significant first. */
+export function compareKeys(a: readonly number[], b: readonly number[]): number {
 	for (const [index, value] of a.entries()) {
 		const difference = value - (b[index] ?? 0);
 		if (difference !== 0) return difference;
@@ -42,6 +30,11 @@
 	return 0;
 }
 
+/** Whether a step of long-running tasks comes after short ones: unless one of its tasks is overdue. */
+export function comesAfterShort({ step, tasks }: WaitingStep, now: number): boolean {
+	return step.spec.lasting && !tasks.some((task) => isOverdue(task, now));
+}
+
 /** Whether a long-running task has waited long enough to go before short ones. */
 export function isOverdue(task: jobs.Task, now: number): boolean {
 	return task.step.spec.lasting && now - task.readyAt >= settings.longRunningOverdueMs;
@@ -63,11 +56,11 @@
 }
 
 /**
- * 0 before a job's due time, 1 while it is late, 2 once its result is worth nothing. Sorted by due time alone, a queue that
- * has fallen behind would make every job late in turn. A long-running task is never late: it serves whenever it runs.
+ * 0: the job can still be completed by its due time, 1: it is still of value to its caller, 2: it is worth nothing any more.
+ * `finishAt`: the earliest clock time at which it may be completed. A long-running task is never late: it serves whenever it
+ * runs.
  */
-function latenessClass(step: jobs.StepInstance, now: number): number {
-	const { job, spec } = step;
-	if (spec.lasting || now <= job.dueAt) return 0;
-	return now <= job.worthlessAt ? 1 : 2;
+export function latenessClass({ job, spec }: jobs.StepInstance, finishAt: number): number {
+	if (spec.lasting || finishAt <= job.dueAt) return 0;
+	return finishAt <= job.worthlessAt ? 1 : 2;
 }
--- a/src/core/dispatch/waiting-steps.ts
+++ b/src/core/dispatch/waiting-steps.ts
@@ -25,6 +25,11 @@
 		return count;
 	}
 
+	/** Steps with waiting tasks, and how many wait. */
+	*counts(): Iterable<readonly [jobs.StepInstance, number]> {
+		for (const [step, tasks] of this.byStep) yield [step, tasks.size];
+	}
+
 	/** Steps with waiting tasks. */
 	steps(): jobs.StepInstance[] {
 		return [...this.byStep.keys()];
