--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -5,7 +5,6 @@
 import * as eligible from './eligible-workers.js';
 import * as exemptions from './interference-exemptions.js';
 import * as gangs from './gangs.js';
-import * as forecast from '../forecast/index.js';
 import * as waitingOrder from './waiting-order.js';
 import * as waitingOrders from './waiting-orders.js';
 import * as placement from './placement.js';
@@ -20,6 +19,7 @@
 import * as waiting from './waiting-log.js';
 import * as waitingSteps from './waiting-steps.js';
 import type * as features from '../features/index.js';
+import type * as forecasts from '../forecast/index.js';
 import type * as fleet from '../fleet/types.js';
 import type * as interference from './interference.js';
 import type * as jobs from '../jobs/index.js';
@@ -36,6 +36,8 @@
 	mayHaveUnreportedRun: (task: jobs.Task) => boolean;
 	policyOf: (job: jobs.ActiveJob) => jobs.QueuePolicy;
 	estimates: interference.InterferenceModel;
+	/** Run times corrected by finished runs. */
+	runTimes: forecasts.RunTimes;
 	probations: probation.Probations;
 	/** Whether a task may be started again; if not, the task is abandoned. */
 	mayStartAgain: (task: jobs.Task) => boolean;
@@ -45,8 +47,6 @@
 	askAdviser: fleet.AskAdviser | undefined;
 	/** The optional features that are in force; absent: none. */
 	features?: features.Features;
-	/** Corrected run times; absent: the callers' estimates count. */
-	runTimes?: forecast.RunTimes;
 	/** Number of further starts that may be sent. */
 	freeStartSlots: () => number;
 	start: (session: sessions.WorkerSession, place: types.Placement, ticket: string) => void;
@@ -135,6 +135,11 @@
 		return this.ready.count((step) => !step.spec.lasting);
 	}
 
+	/** Number of a step's waiting tasks. */
+	waitingOf(step: jobs.StepInstance): number {
+		return this.ready.countOf(step);
+	}
+
 	/** Worker on which a task is placed; undefined: it is not placed. */
 	sessionOf(task: jobs.Task): sessions.WorkerSession | undefined {
 		const session = this.sessionByTask.get(task);
@@ -152,7 +157,7 @@
 	}
 
 	private createOrder(): waitingOrder.WaitingOrder {
-		const { features: enabled, runTimes = forecast.RunTimes.create(), policyOf } = this.opts;
+		const { features: enabled, runTimes, policyOf } = this.opts;
 		return waitingOrders.createWaitingOrder(enabled?.waitingOrder ?? 'due-time', {
 			priorityOf: (job) => policyOf(job).priority,
 			expectedRunMs: ({ job, spec }) => runTimes.expectedMs(job.record.queue.name, spec),
--- a/src/core/dispatch/waiting-steps.ts
+++ b/src/core/dispatch/waiting-steps.ts
@@ -30,6 +30,11 @@
 		for (const [step, tasks] of this.byStep) yield [step, tasks.size];
 	}
 
+	/** Number of waiting tasks of a step. */
+	countOf(step: jobs.StepInstance): number {
+		return this.byStep.get(step)?.size ?? 0;
+	}
+
 	/** Steps with waiting tasks. */
 	steps(): jobs.StepInstance[] {
 		return [...this.byStep.keys()];
