--- a/src/core/dispatch/waiting-steps.ts
+++ b/src/core/dispatch/waiting-steps.ts
@@ -35,6 +35,11 @@
 		return count;
 	}
 
+	/** Steps with waiting tasks, and how many wait. */
+	*counts(): Iterable<readonly [jobs.StepInstance, number]> {
+		for (const [step, tasks] of this.byStep) yield [step, tasks.size];
+	}
+
 	/** Number of waiting tasks of a step. */
 	countOf(step: jobs.StepInstance): number {
 		return this.byStep.get(step)?.size ?? 0;
