Prioritized takeover: no starts without a lease, first reports in order of need

After a takeover, every worker that has not reported by the first ping has its lease withheld until a roster write is committed. With the feature takeover set to prioritized they are closed (lease-withheld), a start that waited for the store is withdrawn instead, and the first answer without a lease has the roster written at once.

First reports are requested of workers that answered the previous owner before unresponsive ones.

--- a/src/core/box/box.ts
+++ b/src/core/box/box.ts
@@ -241,6 +241,7 @@
 			owned,
 			contents,
 			this.pings.leaseExpiries.validFor(owned.generation, owned.rosterVersion),
+			this.pings.leaseExpiries.unresponsiveBefore(owned.generation),
 		);
 		for (const wave of this.waves.values()) this.role.addWave(wave);
 	}
--- a/src/core/box/lease-expiries.ts
+++ b/src/core/box/lease-expiries.ts
@@ -44,6 +44,15 @@
 		this.newest = { generation, rosterVersion: silent.rosterVersion, expiresAt };
 	}
 
+	/**
+	 * Workers that the owner before this generation last reported as unresponsive. Unlike the expiries this is no proof of
+	 * anything, so it counts for any version of the roster.
+	 */
+	unresponsiveBefore(generation: number): ReadonlySet<string> {
+		const { newest } = this;
+		return new Set(newest?.generation === generation - 1 ? newest.expiresAt.keys() : []);
+	}
+
 	/** What an owner of this generation, which read the roster in this version, may rely on; empty: nothing. */
 	validFor(generation: number, rosterVersion: number): ReadonlyMap<string, number> {
 		const { newest } = this;
--- a/src/core/box/owner-role.ts
+++ b/src/core/box/owner-role.ts
@@ -82,8 +82,9 @@
 		private readonly ownerLedger: ledger.OwnerLedger,
 		contents: ledger.LedgerContents,
 		leaseExpiries: ReadonlyMap<string, number>,
+		unresponsiveWorkers: ReadonlySet<string>,
 	) {
-		this.dispatcher = this.createDispatcher(contents, leaseExpiries);
+		this.dispatcher = this.createDispatcher(contents, leaseExpiries, unresponsiveWorkers);
 		this.learnedModelsTimer = clocks.every(
 			deps.clock,
 			learnedStoreIntervalMs,
@@ -107,14 +108,18 @@
 		this.evacuations = this.createEvacuations();
 	}
 
-	/** `leaseExpiries`: clock time by which all leases at a worker have expired, where the previous owner reported it. */
+	/**
+	 * `leaseExpiries`: clock time by which all leases at a worker have expired, where the previous owner reported it;
+	 * `unresponsiveWorkers`: those that it reported as unresponsive.
+	 */
 	static create(
 		deps: OwnerRoleDeps,
 		owned: ledger.OwnerLedger,
 		contents: ledger.LedgerContents,
 		leaseExpiries: ReadonlyMap<string, number>,
+		unresponsiveWorkers: ReadonlySet<string>,
 	): OwnerRole {
-		return new OwnerRole(deps, owned, contents, leaseExpiries);
+		return new OwnerRole(deps, owned, contents, leaseExpiries, unresponsiveWorkers);
 	}
 
 	/** What the next owner may rely on about workers that do not answer this one; undefined: nothing to report. */
@@ -173,6 +178,7 @@
 	private createDispatcher(
 		contents: ledger.LedgerContents,
 		leaseExpiries: ReadonlyMap<string, number>,
+		unresponsiveWorkers: ReadonlySet<string>,
 	): dispatch.Dispatcher {
 		const { clock, events: log, settings, adapter, table, onFenced } = this.deps;
 		const { ownerLedger } = this;
@@ -205,6 +211,7 @@
 				features: settings.features,
 				recordTime: this.deps.recordTime,
 				leaseEnds: leaseExpiries,
+				unresponsiveWorkers,
 			},
 			contents,
 			contents.learnedModels as dispatch.LearnedModels | undefined,
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -6,7 +6,6 @@
 import * as reportHandling from './report-handling.js';
 import * as evacuations from './zone-evacuations.js';
 import * as fencing from './fencing-tokens.js';
-import * as firstReportRequests from './first-report-turns.js';
 import * as interference from './interference.js';
 import * as jobRegistry from './job-registry.js';
 import * as meters from './load-meter.js';
@@ -20,6 +19,7 @@
 import * as saver from './progress-saver.js';
 import * as settings from './settings.js';
 import * as starter from './starter.js';
+import * as takeovers from './takeover-policy.js';
 import * as unknownJobs from './unknown-jobs.js';
 import * as vacating from './vacating.js';
 import * as watch from './run-watch.js';
@@ -53,7 +53,7 @@
 	private readonly evacuations: evacuations.ZoneEvacuations;
 
 	private constructor(
-		private readonly opts: options.DispatcherOptions,
+		private readonly opts: options.DispatcherOptions & { takeover: takeovers.TakeoverPolicy },
 		private readonly meter: meters.LoadMeter,
 		contents: Pick<ledger.LedgerContents, 'roster' | 'workersStoredSince'>,
 	) {
@@ -94,7 +94,8 @@
 			meter.count('repeats');
 		});
 		const calls = countedCalls.countCalls(repeated, meter);
-		const dispatcher = new Dispatcher({ ...opts, calls }, meter, contents);
+		const takeover = takeovers.choose(opts, contents);
+		const dispatcher = new Dispatcher({ ...opts, calls, takeover }, meter, contents);
 		if (models !== undefined) dispatcher.restoreLearnedModels(models);
 		for (const unreadable of contents.unreadable) dispatcher.skipUnreadable(unreadable);
 		for (const stored of contents.jobs.values()) dispatcher.addStored(stored);
@@ -370,12 +371,11 @@
 		const onWorkersAvailable = (): void => {
 			this.placer.requestRound();
 		};
-		const { epoch, onFenced } = this.opts;
+		const { epoch, onFenced, takeover } = this.opts;
 		const tokens = fencing.FencingTokens.create(epoch, onFenced);
 		const isEvacuated = (zone: string): boolean => this.evacuations.has(zone);
-		const firstRequests = firstReportRequests.FirstReportTurns.create(this.opts.clock);
 		return workerPool.WorkerPool.create(
-			{ ...this.opts, tokens, isEvacuated, firstReportTurns: firstRequests, handlers, onWorkersAvailable },
+			{ ...this.opts, tokens, isEvacuated, firstReportTurns: takeover.turns, handlers, onWorkersAvailable },
 			roster,
 		);
 	}
--- a/src/core/dispatch/first-report-turns.ts
+++ b/src/core/dispatch/first-report-turns.ts
@@ -7,6 +7,7 @@
  * the next one when one has answered.
  */
 import type * as clocks from '../clock.js';
+import type * as types from './types.js';
 
 /** Maximum number of workers polled at a time. */
 const maxConcurrentTurns = 32;
@@ -14,8 +15,8 @@
 /** A worker that has not answered after this time passes its turn on, in milliseconds, as it may be unresponsive. */
 const turnTimeoutMs = 100;
 
-/** The turns of one owner. */
-export class FirstReportTurns {
+/** The turns of one owner, in the order in which they are requested. */
+export class FirstReportTurns implements types.ReportTurns {
 	private asked = 0;
 	private readonly waiting: (() => void)[] = [];
 
--- a/src/core/dispatch/options.ts
+++ b/src/core/dispatch/options.ts
@@ -24,6 +24,11 @@
 	keepStateMs: number;
 	/** Clock time by which all leases at a worker have expired, by worker, where the previous owner published it. */
 	leaseEnds: ReadonlyMap<string, number>;
+	/**
+	 * Workers that the previous owner reported as unresponsive, by id. Only the order of polls depends on it; absent: it is
+	 * not known of any.
+	 */
+	unresponsiveWorkers?: ReadonlySet<string>;
 	/** Longest time that interference of preemptible tasks may keep a serving task over its target, in milliseconds. */
 	maxSloViolationMs: number;
 	/** How long a restore from a checkpoint takes, in milliseconds; absent: it is not known, and counts as 0. */
--- a/src/core/dispatch/starter.ts
+++ b/src/core/dispatch/starter.ts
@@ -32,19 +32,22 @@
 	) => void;
 }
 
+/** What a starter depends on. */
+export type StarterDeps = types.DispatchDeps & Pick<types.SessionDeps, 'takeover'>;
+
 /** Sends start and stop commands to workers. */
 export class Starter {
 	private readonly window: windows.StartWindow;
 
 	private constructor(
-		private readonly deps: types.DispatchDeps,
+		private readonly deps: StarterDeps,
 		private readonly meter: meters.LoadMeter,
 		private readonly handlers: StarterHandlers,
 	) {
 		this.window = windows.StartWindow.create(() => deps.clock.now());
 	}
 
-	static create(deps: types.DispatchDeps, meter: meters.LoadMeter, handlers: StarterHandlers): Starter {
+	static create(deps: StarterDeps, meter: meters.LoadMeter, handlers: StarterHandlers): Starter {
 		return new Starter(deps, meter, handlers);
 	}
 
@@ -84,7 +87,7 @@
 		ticket: string,
 	): Promise<void> {
 		if (!isStartPending(session, placement)) return;
-		const reason = this.startObstacle(session, placement);
+		const reason = this.startObstacle(session, placement) ?? this.deps.takeover?.leaseObstacle(session);
 		if (reason !== undefined) {
 			session.free(placement);
 			this.handlers.onWithdrawn(session, placement, reason);
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -2,11 +2,11 @@
 import type * as clocks from '../clock.js';
 import type * as events from '../events/index.js';
 import type * as fencing from './fencing-tokens.js';
-import type * as firstReportTurns from './first-report-turns.js';
 import type * as fleet from '../fleet/types.js';
 import type * as jobs from '../jobs/index.js';
 import type * as exits from './unacknowledged-exits.js';
 import type * as sessions from './worker-session.js';
+import type * as takeovers from './takeover-policy.js';
 
 /** A run of a task on a worker, and the resources reserved for it. */
 export interface Placement {
@@ -74,11 +74,22 @@
 	recordTime?: exits.RecordTime;
 }
 
+/** Ends a worker's turn. `isAnswered`: whether the worker answered; false: the call failed. */
+export type EndTurn = (isAnswered: boolean) => void;
+
+/** Decides when each worker is polled for its first report. */
+export interface ReportTurns {
+	/** Waits for the turn of a worker, given by its id. Resolves to a function to call once its poll has returned. */
+	acquire: (worker: string) => Promise<EndTurn>;
+}
+
 /** What a session depends on. */
 export interface SessionDeps extends DispatchDeps {
 	tokens: fencing.FencingTokens;
 	isEvacuated: (zone: string) => boolean;
-	firstReportTurns: firstReportTurns.FirstReportTurns;
+	firstReportTurns: ReportTurns;
+	/** How workers of earlier owners are taken over; absent: in the order of the roster. */
+	takeover?: takeovers.TakeoverPolicy;
 }
 
 /** A report, and what was known when it was requested. */
--- a/src/core/dispatch/worker-availability.ts
+++ b/src/core/dispatch/worker-availability.ts
@@ -4,7 +4,8 @@
 /**
  * `superseded`: another incarnation has answered in its place. `unheard`: it has not reported to this owner under its newest
  * token. `unrostered`: its roster entry is not open, so a successor would not query it. `in-doubt`: starts of lost runs may
- * still be in flight. `strays`: its orphaned runs are being stopped.
+ * still be in flight. `strays`: its orphaned runs are being stopped. `lease-withheld`: it can be granted no lease, so every
+ * start there would fail.
  */
 export type ClosedReason =
 	| 'gone'
@@ -19,7 +20,8 @@
 	| 'probation'
 	| 'in-doubt'
 	| 'strays'
-	| 'paused';
+	| 'paused'
+	| 'lease-withheld';
 
 /** Why a worker gets no new work now; undefined: it does. */
 export function closedReasonOf(session: sessions.WorkerSession): ClosedReason | undefined {
--- a/src/core/dispatch/worker-pool.ts
+++ b/src/core/dispatch/worker-pool.ts
@@ -51,11 +51,18 @@
 	private closed = false;
 	/** Clock time from which the next log line about unreconciled workers may be written. */
 	private nextWaitingLogAt: number;
+	/** Clock time from which an answer of a worker without a lease has the roster written at once. */
+	private nextLeaseWriteAt = -Infinity;
 
 	private constructor(private readonly opts: WorkerPoolOptions) {
 		this.nextWaitingLogAt = opts.clock.now() + waitingLogIntervalMs;
 		this.handlers = {
 			...opts.handlers,
+			onReport: (session, received) => {
+				const outcome = opts.handlers.onReport(session, received);
+				if (opts.takeover?.writesRosterOnAnswer === true && session.answersWithoutLease) this.requestLeases();
+				return outcome;
+			},
 			otherIncarnations: (session) => this.incarnationsOf(session.id).filter((one) => one !== session),
 			onSuperseded: (session, later) => {
 				this.openLaterIncarnation(session, later);
@@ -69,7 +76,7 @@
 		const longestLeaseMs = opts.maxLeaseMs / (1 - settings.maxClockDrift);
 		const inheritedLeasesEndAt =
 			opts.clock.now() + settings.renewalHorizonMs + longestLeaseMs + settings.leaseMarginMs;
-		for (const entry of roster) {
+		for (const entry of opts.takeover?.sortRoster(roster) ?? roster) {
 			const isEmpty = entry.tasks?.length === 0;
 			const leasesEndAt = Math.min(inheritedLeasesEndAt, opts.leaseEnds.get(entry.id) ?? Infinity);
 			const session = pool.open(entry, undefined, isEmpty ? -Infinity : leasesEndAt);
@@ -334,6 +341,18 @@
 		return session;
 	}
 
+	/**
+	 * Has the roster written, which allows leases again. The first answer has it written at once. Those that follow within a
+	 * tick are covered by the write of the next tick, so there are no more writes a second than the ticks request.
+	 */
+	private requestLeases(): void {
+		const now = this.opts.clock.now();
+		if (now < this.nextLeaseWriteAt) return;
+		this.nextLeaseWriteAt = now + settings.tickMs;
+		this.rosterDirty = true;
+		void this.saveRoster();
+	}
+
 	private async saveRoster(): Promise<void> {
 		if (this.rosterSaving) return;
 		this.rosterSaving = true;
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -114,7 +114,7 @@
 	 * Whether no lease may be granted because its expiry was published to the other boxes. A roster write voids what was
 	 * published.
 	 */
-	private isLeaseWithheld = false;
+	isLeaseWithheld = false;
 	/** Whether the last poll was not answered. A lease sent with the next one could never be proved to have expired. */
 	private wasLastPollUnanswered = false;
 
@@ -269,7 +269,7 @@
 
 	/** Why it gets no new work; undefined: it may get some. */
 	get closedReason(): availability.ClosedReason | undefined {
-		return availability.closedReasonOf(this);
+		return availability.closedReasonOf(this) ?? this.deps.takeover?.closedReason(this);
 	}
 
 	/** Whether another incarnation has answered in its place, and nothing else has ended the session. */
@@ -487,7 +487,7 @@
 	}
 
 	private async run(): Promise<void> {
-		let endTurn: (() => void) | undefined = await this.deps.firstReportTurns.acquire();
+		let endTurn: types.EndTurn | undefined = await this.deps.firstReportTurns.acquire(this.id);
 		while (!this.isSessionOver) {
 			const sentAt = this.deps.clock.now();
 			const { target } = this;
@@ -510,7 +510,7 @@
 					poll.waitMs = 0;
 				},
 			});
-			endTurn?.();
+			endTurn?.(res.ok);
 			endTurn = undefined;
 			if (this.isSessionOverNow()) return;
 			this.wasLastPollUnanswered = !res.ok;
