Store run time factors and limits with the learned models

A new owner started without the run time factors and limits of the one before, and without knowing how old its record was.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -5,6 +5,7 @@
 import * as countedCalls from './counted-calls.js';
 import * as reportHandling from './report-handling.js';
 import * as evacuations from './zone-evacuations.js';
+import * as forecast from '../forecast/index.js';
 import * as fencing from './fencing-tokens.js';
 import * as interference from './interference.js';
 import * as jobRegistry from './job-registry.js';
@@ -17,6 +18,7 @@
 import * as probation from './probation.js';
 import * as reportLog from './report-log.js';
 import * as saver from './progress-saver.js';
+import * as schedulingState from './scheduling-state.js';
 import * as settings from './settings.js';
 import * as starter from './starter.js';
 import * as takeovers from './takeover-policy.js';
@@ -42,6 +44,9 @@
 	private readonly progress: saver.ProgressSaver;
 	private readonly starter: starter.Starter;
 	private readonly interferenceModel: interference.InterferenceModel;
+	/** Corrected run times. */
+	readonly runTimes = forecast.RunTimes.create();
+	private readonly state: schedulingState.SchedulingState;
 	private readonly pressure: pressure.InterferenceControl;
 	private readonly outcomes: outcomes.Outcomes;
 	private readonly crashAttribution: crashAttribution.CrashAttribution;
@@ -60,6 +65,8 @@
 		const { clock } = opts;
 		this.reportLog = reportLog.ReportLog.create(opts.events, opts.epoch);
 		this.interferenceModel = interference.InterferenceModel.create(clock);
+		const { interferenceModel, runTimes } = this;
+		this.state = schedulingState.choose({ ...opts, interferenceModel, runTimes });
 		this.pressure = pressure.InterferenceControl.create(opts, this.interferenceModel, opts.maxSloViolationMs);
 		this.progress = this.createSaver();
 		this.listFreshness = freshness.ListFreshness.create(clock, opts.readList);
@@ -96,7 +103,7 @@
 		const calls = countedCalls.countCalls(repeated, meter);
 		const takeover = takeovers.choose(opts, contents);
 		const dispatcher = new Dispatcher({ ...opts, calls, takeover }, meter, contents);
-		if (models !== undefined) dispatcher.restoreLearnedModels(models);
+		dispatcher.state.adopt(models);
 		for (const unreadable of contents.unreadable) dispatcher.skipUnreadable(unreadable);
 		for (const stored of contents.jobs.values()) dispatcher.addStored(stored);
 		return dispatcher;
@@ -207,9 +214,9 @@
 		return this.registry.outstandingTasks((job) => this.policyOf(job).priority);
 	}
 
-	/** The learned interference and load models, for the next owner. */
+	/** The learned interference and load models, run time factors and limits, for the next owner. */
 	exportLearnedModels(): learnedModels.LearnedModels {
-		return this.interferenceModel.exportLearned();
+		return this.state.export();
 	}
 
 	/** Sends no more commands. Runs continue under their leases until another owner takes over. */
@@ -228,15 +235,6 @@
 		return this.listFreshness.isFresh ? undefined : 'list-unread';
 	}
 
-	private restoreLearnedModels(models: learnedModels.LearnedModels): void {
-		const adopted = this.interferenceModel.restore(models);
-		this.opts.events.emit('learnt.adopted', {
-			epoch: this.opts.epoch,
-			images: adopted ? Object.keys(models.images).length : 0,
-			loads: adopted ? Object.keys(models.loads).length : 0,
-		});
-	}
-
 	private createStarter(): starter.Starter {
 		return starter.Starter.create(this.opts, this.meter, {
 			beforeStart: (session, placement) => this.beforeStart(session, placement),
--- a/src/core/dispatch/index.ts
+++ b/src/core/dispatch/index.ts
@@ -2,5 +2,6 @@
 export { Dispatcher } from './dispatcher.js';
 export type { DispatcherOptions, DispatchLoad } from './options.js';
 export type { LearnedModels } from './learned-models.js';
+export type { LimitKeeper } from './scheduling-state.js';
 export type { ExitTime, RecordTime } from './unacknowledged-exits.js';
 export * as settings from './settings.js';
--- a/src/core/dispatch/load-wave.ts
+++ b/src/core/dispatch/load-wave.ts
@@ -6,7 +6,7 @@
 import * as waveFit from './wave-fit.js';
 
 /** Periods with which a load may oscillate, in milliseconds, each a ninth longer than the one before. */
-const periodsMs = Array.from({ length: 19 }, (_, i) => 5_000 * (10 / 9) ** i);
+export const periodsMs = Array.from({ length: 19 }, (_, i) => 5_000 * (10 / 9) ** i);
 
 /** Initial guess of a load: a queue that is half busy. */
 const initialLoad = 0.5;
--- a/src/core/dispatch/options.ts
+++ b/src/core/dispatch/options.ts
@@ -4,6 +4,7 @@
 import type * as ledger from '../ledger/index.js';
 import type * as meters from './load-meter.js';
 import type * as queues from '../queues/index.js';
+import type * as schedulingState from './scheduling-state.js';
 import type * as saver from './progress-saver.js';
 import type * as unknownJobs from './unknown-jobs.js';
 import type * as types from './types.js';
@@ -38,6 +39,8 @@
 	 * zones are never evacuated.
 	 */
 	maxEvacuationAgeMs?: number;
+	/** Limits of preemptible work that are stored for the next owner; absent: there are none. */
+	limits?: schedulingState.LimitKeeper;
 	/** The optional features that are in force; absent: none. */
 	features?: features.Features;
 }
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -139,7 +139,7 @@
 	'learnt.adopted': {
 		id: 2110,
 		level: 'info',
-		text: 'A new owner continues with the interference and load models of earlier owners; how much they hold is given.',
+		text: 'A new owner continues with the interference and load models of earlier owners, and where a feature needs them, with their run time factors and limits. How much each holds, the age of the record, and why a part is not used are given.',
 	},
 	'learnt.unstored': {
 		id: 2111,
