--- a/test/lease-expiries.test.ts
+++ b/test/lease-expiries.test.ts
@@ -26,6 +26,14 @@
 	t.is(expiries.validFor(generation + 1, rosterVersion + 1).size, 0);
 });
 
+test('which workers were unresponsive is known to the next owner for any version of the roster', (t) => {
+	const expiries = leaseExpiries.LeaseExpiries.create(() => 0);
+	t.is(expiries.unresponsiveBefore(generation + 1).size, 0);
+	expiries.update(reply({ rosterVersion, leftMs: { w1: 4_000 } }));
+	t.deepEqual([...expiries.unresponsiveBefore(generation + 1)], ['w1']);
+	t.is(expiries.unresponsiveBefore(generation + 2).size, 0);
+});
+
 test('each answer replaces the one before, also one without unresponsive workers', (t) => {
 	const expiries = leaseExpiries.LeaseExpiries.create(() => 0);
 	expiries.update(reply({ rosterVersion, leftMs: { w1: 4_000 } }));
