--- a/src/core/box/owner-role.ts
+++ b/src/core/box/owner-role.ts
@@ -88,8 +88,9 @@
 		private readonly ownerLedger: ledger.OwnerLedger,
 		contents: ledger.LedgerContents,
 		leaseExpiries: ReadonlyMap<string, number>,
+		unresponsiveWorkers: ReadonlySet<string>,
 	) {
-		this.dispatcher = this.createDispatcher(contents, leaseExpiries);
+		this.dispatcher = this.createDispatcher(contents, leaseExpiries, unresponsiveWorkers);
 		this.learnedModelsTimer = clocks.every(
 			deps.clock,
 			learnedStoreIntervalMs,
@@ -114,14 +115,18 @@
 		this.evacuations = this.createEvacuations();
 	}
 
-	/** `leaseExpiries`: clock time by which all leases at a worker have expired, where the previous owner reported it. */
+	/**
+	 * `leaseExpiries`: clock time by which all leases at a worker have expired, where the previous owner reported it;
+	 * `unresponsiveWorkers`: those that it reported as unresponsive.
+	 */
 	static create(
 		deps: OwnerRoleDeps,
 		owned: ledger.OwnerLedger,
 		contents: ledger.LedgerContents,
 		leaseExpiries: ReadonlyMap<string, number>,
+		unresponsiveWorkers: ReadonlySet<string>,
 	): OwnerRole {
-		return new OwnerRole(deps, owned, contents, leaseExpiries);
+		return new OwnerRole(deps, owned, contents, leaseExpiries, unresponsiveWorkers);
 	}
 
 	/** What the next owner may rely on about workers that do not answer this one; undefined: nothing to report. */
@@ -181,6 +186,7 @@
 	private createDispatcher(
 		contents: ledger.LedgerContents,
 		leaseExpiries: ReadonlyMap<string, number>,
+		unresponsiveWorkers: ReadonlySet<string>,
 	): dispatch.Dispatcher {
 		const { clock, events: log, settings, adapter, table, onFenced } = this.deps;
 		const { ownerLedger } = this;
@@ -214,6 +220,7 @@
 				recordTime: this.deps.recordTime,
 				recordForecastError: this.deps.recordForecastError,
 				leaseEnds: leaseExpiries,
+				unresponsiveWorkers,
 			},
 			contents,
 			contents.learnedModels as dispatch.LearnedModels | undefined,
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -6,7 +6,6 @@
 import * as evacuations from './zone-evacuations.js';
 import * as fencing from './fencing-tokens.js';
 import * as forecasting from './forecaster.js';
-import * as firstReportRequests from './first-report-turns.js';
 import * as createLimit from './create-limit.js';
 import * as interference from './interference.js';
 import * as jobRegistry from './job-registry.js';
@@ -19,13 +18,16 @@
 import * as probation from './probation.js';
 import * as reportLog from './report-log.js';
 import * as saver from './progress-saver.js';
+import * as schedulingState from './scheduling-state.js';
 import * as settings from './settings.js';
 import * as starter from './starter.js';
+import * as takeovers from './takeover-policy.js';
 import * as unknownJobs from './unknown-jobs.js';
 import * as vacating from './vacating.js';
 import * as watch from './run-watch.js';
 import * as workerPool from './worker-pool.js';
 import type * as fleet from '../fleet/types.js';
+import type * as forecasts from '../forecast/index.js';
 import type * as jobs from '../jobs/index.js';
 import type * as options from './options.js';
 import type * as learnedModels from './learned-models.js';
@@ -46,8 +48,9 @@
 	private readonly progress: saver.ProgressSaver;
 	private readonly starter: starter.Starter;
 	private readonly interferenceModel: interference.InterferenceModel;
-	/** The limit on preemptible work. The next owner continues from what it exports. */
-	readonly limit: limitTypes.PreemptibleLimit;
+	/** The limit on preemptible work. */
+	private readonly limit: limitTypes.PreemptibleLimit;
+	private readonly state: schedulingState.SchedulingState;
 	private readonly pressure: pressure.InterferenceControl;
 	private readonly outcomes: outcomes.Outcomes;
 	private readonly crashAttribution: crashAttribution.CrashAttribution;
@@ -59,7 +62,7 @@
 	private readonly evacuations: evacuations.ZoneEvacuations;
 
 	private constructor(
-		private readonly opts: options.DispatcherOptions,
+		private readonly opts: options.DispatcherOptions & { takeover: takeovers.TakeoverPolicy },
 		private readonly meter: meters.LoadMeter,
 		contents: Pick<ledger.LedgerContents, 'roster' | 'workersStoredSince'>,
 	) {
@@ -67,10 +70,10 @@
 		this.reportLog = reportLog.ReportLog.create(opts.events, opts.epoch);
 		this.interferenceModel = interference.InterferenceModel.create(clock);
 		this.forecaster = this.createForecaster();
-		this.limit = createLimit.createLimit(
-			{ ...opts, runTimes: this.forecaster.runTimes },
-			this.interferenceModel,
-		);
+		const { runTimes } = this.forecaster;
+		this.limit = createLimit.createLimit({ ...opts, runTimes }, this.interferenceModel);
+		const { interferenceModel, limit } = this;
+		this.state = schedulingState.choose({ limits: limit, ...opts, interferenceModel, runTimes });
 		this.pressure = pressure.InterferenceControl.create(opts, this.interferenceModel, this.limit);
 		this.progress = saver.createForOwner(opts);
 		this.listFreshness = freshness.ListFreshness.create(clock, opts.readList);
@@ -102,8 +105,9 @@
 	): Dispatcher {
 		const meter = meters.LoadMeter.create();
 		const calls = countedCalls.repeatAndCount(opts.calls, opts.clock, meter);
-		const dispatcher = new Dispatcher({ ...opts, calls }, meter, contents);
-		if (models !== undefined) dispatcher.restoreLearnedModels(models);
+		const takeover = takeovers.choose(opts, contents);
+		const dispatcher = new Dispatcher({ ...opts, calls, takeover }, meter, contents);
+		dispatcher.state.adopt(models);
 		for (const unreadable of contents.unreadable) dispatcher.skipUnreadable(unreadable);
 		for (const stored of contents.jobs.values()) dispatcher.addStored(stored);
 		return dispatcher;
@@ -152,6 +156,11 @@
 		return this.registry.pendingOf(queue);
 	}
 
+	/** Run times corrected by finished runs. */
+	get runTimes(): forecasts.RunTimes {
+		return this.forecaster.runTimes;
+	}
+
 	/** Applies the platform's list of workers, in part or whole. */
 	setWorkers(entries: Iterable<fleet.WorkerEntry>, removed: Iterable<string>, whole: boolean): void {
 		this.workers.setWorkers(entries, removed, whole);
@@ -213,9 +222,9 @@
 		return this.registry.outstandingTasks((job) => this.policyOf(job).priority);
 	}
 
-	/** The learned interference and load models, for the next owner. */
+	/** The learned interference and load models, run time factors and limits, for the next owner. */
 	exportLearnedModels(): learnedModels.LearnedModels {
-		return this.interferenceModel.exportLearned();
+		return this.state.export();
 	}
 
 	/** Sends no more commands. Runs continue under their leases until another owner takes over. */
@@ -234,15 +243,6 @@
 		return this.listFreshness.isFresh ? undefined : 'list-unread';
 	}
 
-	private restoreLearnedModels(models: learnedModels.LearnedModels): void {
-		const adopted = this.interferenceModel.restore(models);
-		this.opts.events.emit('learnt.adopted', {
-			epoch: this.opts.epoch,
-			images: adopted ? Object.keys(models.images).length : 0,
-			loads: adopted ? Object.keys(models.loads).length : 0,
-		});
-	}
-
 	private createForecaster(): forecasting.Forecaster {
 		return forecasting.Forecaster.create({
 			...this.opts,
@@ -370,11 +370,11 @@
 		const onWorkersAvailable = (): void => {
 			this.placer.requestRound();
 		};
+		const { takeover } = this.opts;
 		const tokens = fencing.FencingTokens.create(epoch, onFenced);
 		const isEvacuated = (zone: string): boolean => this.evacuations.has(zone);
-		const firstReportTurns = firstReportRequests.FirstReportTurns.create(this.opts.clock);
 		return workerPool.WorkerPool.create(
-			{ ...this.opts, tokens, isEvacuated, firstReportTurns, handlers, onWorkersAvailable },
+			{ ...this.opts, tokens, isEvacuated, firstReportTurns: takeover.turns, handlers, onWorkersAvailable },
 			roster,
 		);
 	}
--- a/src/core/dispatch/index.ts
+++ b/src/core/dispatch/index.ts
@@ -4,5 +4,6 @@
 export type { Forecaster } from './forecaster.js';
 export type { RecordForecastError } from './forecast-errors.js';
 export type { LearnedModels } from './learned-models.js';
+export type { LimitKeeper } from './scheduling-state.js';
 export type { ExitTime, RecordTime } from './unacknowledged-exits.js';
 export * as settings from './settings.js';
--- a/src/core/dispatch/options.ts
+++ b/src/core/dispatch/options.ts
@@ -6,6 +6,7 @@
 import type * as limitTypes from './limit-types.js';
 import type * as meters from './load-meter.js';
 import type * as queues from '../queues/index.js';
+import type * as schedulingState from './scheduling-state.js';
 import type * as saver from './progress-saver.js';
 import type * as unknownJobs from './unknown-jobs.js';
 import type * as types from './types.js';
@@ -27,6 +28,11 @@
 	keepStateMs: number;
 	/** Clock time by which all leases at a worker have expired, by worker, where the previous owner published it. */
 	leaseEnds: ReadonlyMap<string, number>;
+	/**
+	 * Workers that the previous owner reported as unresponsive, by id. Only the order of polls depends on it; absent: it is
+	 * not known of any.
+	 */
+	unresponsiveWorkers?: ReadonlySet<string>;
 	/** Longest time that interference of preemptible tasks may keep a serving task over its target, in milliseconds. */
 	maxSloViolationMs: number;
 	/** How long a restore from a checkpoint takes, in milliseconds; absent: it is not known, and counts as 0. */
@@ -36,6 +42,8 @@
 	 * zones are never evacuated.
 	 */
 	maxEvacuationAgeMs?: number;
+	/** Limits of preemptible work that are stored for the next owner; absent: there are none. */
+	limits?: schedulingState.LimitKeeper;
 	/** The optional features that are in force; absent: none. */
 	features?: features.Features;
 	/** Run times corrected by observations; absent: the callers' estimates count. */
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -132,7 +132,7 @@
 		return {
 			waiting: this.ready.size,
 			waitingShort: this.ready.count((step) => !step.spec.lasting),
-			limitedTasks: this.ready.count((step) => step.spec.fills && this.retryAt.has(step)),
+			limitedTasks: this.ready.count((step) => step.spec.fills && this.retries.isUnplaced(step)),
 		};
 	}
 
--- a/src/core/dispatch/retry-times.ts
+++ b/src/core/dispatch/retry-times.ts
@@ -52,6 +52,11 @@
 		return !this.isForAll && this.unplaced >= maxUnplaced && this.order.isTriedWithOthers(step, now);
 	}
 
+	/** Whether a step found no placement when it was last tried. */
+	isUnplaced(step: jobs.StepInstance): boolean {
+		return this.retryAt.has(step);
+	}
+
 	/** Notes that a step found no placement. */
 	noteUnplaced(step: jobs.StepInstance, now: number): void {
 		const retryAt = now + retryDelayMs(step);
