Confirmed handover: a stopping owner dispatches until its successor has taken over

A planned stop released ownership, the boxes raced for it, and the winner read all stored jobs; with the store silent from 0.3 s after the election nobody owned for 9.7 s. Where the feature handover is confirmed, the owner names a successor, which reads what an owner needs, is allowed to replace this generation, and swaps the epoch against it. The owner learns of it from its successor, a worker or the store, and sends the other boxes on. The same is done for a stronger box and where the owner has lost the store. A box that has won an election retries the read of the jobs while it has its lease.

--- a/src/cli/box/main.ts
+++ b/src/cli/box/main.ts
@@ -66,7 +66,7 @@
 });
 
 const stopRequestedAt = await signals.stopRequested;
-void box.prepareToStop();
+const ownershipGivenUp = box.prepareToStop();
 // Open connections are served to the end; the balancer needs two seconds to send callers elsewhere.
 const closeAt = stopRequestedAt + settings.bounds.graceMs - closeBeforeKillMs;
 await clock.sleep(clock.systemClock, Math.max(0, closeAt - performance.now()));
@@ -77,5 +77,7 @@
 const finished = listening.finish(callersServer, unusedCloseDelayMs, maxFinishMs, lastAnswer);
 log.emit('callers.closed', { ...acceptResult, emptied: String(acceptResult.emptied) });
 await finished;
+// Until another box has taken over, this one dispatches; it gives up in time before the process would be killed.
+if (settings.features?.handover === 'confirmed') await ownershipGivenUp;
 log.emit('process.stopped');
 process.exit(0);
--- a/src/cli/box/metrics.ts
+++ b/src/cli/box/metrics.ts
@@ -16,6 +16,7 @@
 	'job.taken': 'job_age_at_owner',
 	'job.accepted': 'job_accept',
 	'task.relieved': 'users_relieved',
+	'handover.completed': 'handover_gap',
 };
 
 /** Serves the metrics at `address` (`host:port`) under every path. */
@@ -28,7 +29,7 @@
 	log.observe((event) => {
 		registry.count(`event_${event.name.replace(/[.-]/g, '_')}`);
 		const name = histogramsByEvent[event.name];
-		const ms = event.fields.waitedMs ?? event.fields.ageMs ?? event.fields.tookMs;
+		const ms = event.fields.gapMs ?? event.fields.waitedMs ?? event.fields.ageMs ?? event.fields.tookMs;
 		if (name !== undefined && typeof ms === 'number') registry.recordLatency(name, ms);
 	});
 	const server = http.createServer((_req, res) => {
--- a/src/core/box/box.ts
+++ b/src/core/box/box.ts
@@ -65,6 +65,10 @@
 			onConfiguration: (advertised, sentAt, owner) => {
 				void this.configuration.onAdvertised(advertised, sentAt, () => this.readConfiguration(owner));
 			},
+			handover: () => this.reportForHandover(),
+			onReply: (reply, address) => {
+				this.ownership.noteReply(reply, address);
+			},
 		});
 		this.heldPings = held.HeldPings.create(clock);
 		this.service = service.JobService.create({
@@ -141,7 +145,10 @@
 		return this.role?.load;
 	}
 
-	/** Begins a planned stop: callers go elsewhere, and another box takes over dispatching. */
+	/**
+	 * Begins a planned stop: callers go elsewhere, and another box takes over dispatching. Resolves when this box has given up
+	 * ownership.
+	 */
 	async prepareToStop(): Promise<void> {
 		this.stopping = true;
 		this.events.emit('process.stopping');
@@ -181,9 +188,35 @@
 				this.endOwnerRole();
 			},
 			random: (below) => Math.random() * below,
+			handover: this.confirmedHandover(),
 		});
 	}
 
+	/** What confirmed handovers need; undefined where ownership is released. */
+	private confirmedHandover(): ownership.ConfirmedHandover | undefined {
+		const { zone, bounds, features } = this.settings;
+		if (features?.handover !== 'confirmed') return undefined;
+		return {
+			zone,
+			candidates: this.candidates,
+			keepForMs: bounds.graceMs - ownership.settings.releaseBeforeKillMs,
+			storeReachable: () => this.contact.reachable,
+			answerPings: () => {
+				this.heldPings.release();
+			},
+			pingNow: (address) => this.pings.pingNow(address),
+			notifyTaken: async (address, owner) => {
+				const req = { type: 'owner.taken' as const, owner };
+				return (await this.peers.call(address, req, ownership.settings.permissionTimeoutMs)).ok;
+			},
+		};
+	}
+
+	private reportForHandover(): pings.ReportedForHandover {
+		const { prepared, reportedStopping: stopping } = this.ownership;
+		return stopping === undefined ? {} : { zone: this.settings.zone, stopping, prepared };
+	}
+
 	/** Listens for the other boxes on the first free port of `peerPorts`. */
 	private async listen(): Promise<wire.PeerServer<protocol.BoxReq>> {
 		const [first, last] = this.settings.peerPorts;
@@ -254,15 +287,14 @@
 	}
 
 	private async onPeerRequest(req: protocol.BoxReq): Promise<results.Result<unknown, errors.Failure>> {
-		const notOwner = results.fail(errors.failure('NotOwner', this.settings.box));
+		if (req.type === 'owner.taken') {
+			this.ownership.noteTaken(req.owner);
+			return results.ok(null);
+		}
+		if (req.type === 'owner.ping') return this.answerPing(req);
 		const dispatcher = this.role?.dispatcher;
-		if (dispatcher === undefined) return notOwner;
+		if (dispatcher === undefined) return this.notOwner();
 		switch (req.type) {
-			case 'owner.ping':
-				this.candidates.notePing(req.candidate);
-				this.configuration.listIfNewer(req.configuration ?? 0);
-				await this.heldPings.hold(req.waitMs);
-				return this.role === undefined ? notOwner : results.ok(this.pingReply(this.role));
 			case 'job.stored':
 				dispatcher.addJob(req.record);
 				return results.ok(null);
@@ -282,7 +314,36 @@
 		}
 	}
 
-	private pingReply(role: ownerRole.OwnerRole): protocol.PingReply {
+	private notOwner(): results.Result<never, errors.Failure> {
+		return results.fail(errors.failure('NotOwner', this.settings.box));
+	}
+
+	private async answerPing(
+		req: protocol.PingReq,
+	): Promise<results.Result<protocol.PingReply, errors.Failure>> {
+		if (this.role === undefined) return this.answerFormerOwner(req);
+		this.candidates.notePing(req.candidate);
+		this.configuration.listIfNewer(req.configuration ?? 0);
+		if (!this.ownership.isAwaitedBy(req.candidate.box)) await this.heldPings.hold(req.waitMs);
+		// The role may have ended, or begun anew, during the wait.
+		const role = this.role as ownerRole.OwnerRole | undefined;
+		return role === undefined ? this.answerFormerOwner(req) : results.ok(this.pingReply(role, req));
+	}
+
+	/** Tells a box that confirms handovers who the owner is, if that is known here. */
+	private answerFormerOwner({
+		candidate,
+	}: protocol.PingReq): results.Result<protocol.PingReply, errors.Failure> {
+		const movedTo = candidate.stopping === undefined ? undefined : this.ownership.knownOwner;
+		if (movedTo === undefined) return this.notOwner();
+		const { generation } = movedTo;
+		return results.ok({ generation, storeReachable: this.contact.reachable, strongest: 0, movedTo });
+	}
+
+	private pingReply(
+		role: ownerRole.OwnerRole,
+		{ candidate, prepared }: protocol.PingReq,
+	): protocol.PingReply {
 		return {
 			generation: this.ownership.currentLedger?.generation ?? 0,
 			strongest: this.candidates.strongest(this.settings.processor),
@@ -290,6 +351,7 @@
 			backlog: role.backlog,
 			silent: role.unresponsiveWorkers(),
 			configuration: this.configuration.advertisedConfiguration,
+			...this.ownership.handoverReply(candidate.box, prepared),
 		};
 	}
 }
--- a/src/core/box/owner-pings.ts
+++ b/src/core/box/owner-pings.ts
@@ -26,6 +26,19 @@
 	configuration: () => number;
 	/** The owner at an address advertised its configuration; `sentAt`: clock time of the ping. */
 	onConfiguration: (advertised: sharing.AdvertisedConfiguration, sentAt: number, address: string) => void;
+	/** What this box reports for handovers; without fields where they are not confirmed. */
+	handover: () => ReportedForHandover;
+	/** Called with each answer of the owner, or of a former owner, at an address. */
+	onReply: (reply: ownership.OwnerReply, address: string) => void;
+}
+
+/** What a box reports to the owner for handovers. */
+export interface ReportedForHandover {
+	zone?: string;
+	/** Whether its planned stop has begun. */
+	stopping?: boolean;
+	/** The generation that it is prepared to replace. */
+	prepared?: number;
 }
 
 /** This box's pings of the owner. */
@@ -65,11 +78,21 @@
 		}
 		if (!res.value.ok) return 'not-owner';
 		const reply = res.value.value;
+		this.opts.onReply(reply, address);
+		if (reply.movedTo !== undefined) return 'not-owner';
 		this.applyReply(reply);
 		if (reply.configuration !== undefined) this.opts.onConfiguration(reply.configuration, askedAt, address);
 		return 'alive';
 	}
 
+	/** Pings the owner at an address without being held, and passes its answer on. */
+	async pingNow(address: string): Promise<void> {
+		const { permissionTimeoutMs } = ownership.settings;
+		const req = this.request(0);
+		const res = await this.opts.peers.call<protocol.PingReply>(address, req, permissionTimeoutMs);
+		if (res.ok && res.value.ok) this.opts.onReply(res.value.value, address);
+	}
+
 	private applyReply(reply: protocol.PingReply): void {
 		this.storeReachable = reply.storeReachable;
 		this.strongest = reply.strongest;
@@ -81,13 +104,14 @@
 		const req = this.request(0);
 		const { pingTimeoutMs } = ownership.settings;
 		const res = await this.opts.peers.call<protocol.PingReply>(address, req, pingTimeoutMs);
-		if (res.ok) return res.value.ok ? 'alive' : 'not-owner';
+		if (res.ok) return res.value.ok && res.value.value.movedTo === undefined ? 'alive' : 'not-owner';
 		return res.err.cause === 'refused' ? 'refused' : 'silent';
 	}
 
 	private request(waitMs: number): protocol.BoxReq {
 		const { box, processor, contact } = this.opts;
-		const candidate = { box, processor, storeReachable: contact.reachable };
-		return { type: 'owner.ping', waitMs, candidate, configuration: this.opts.configuration() };
+		const { prepared, ...reported } = this.opts.handover();
+		const candidate = { box, processor, storeReachable: contact.reachable, ...reported };
+		return { type: 'owner.ping', waitMs, candidate, prepared, configuration: this.opts.configuration() };
 	}
 }
--- a/src/core/box/peer-protocol.ts
+++ b/src/core/box/peer-protocol.ts
@@ -4,6 +4,7 @@
 import type * as admission from '../admission/index.js';
 import type * as sharing from './configuration-sharing.js';
 import type * as jobs from '../jobs/index.js';
+import type * as ledger from '../ledger/index.js';
 
 const z = zod;
 
@@ -16,10 +17,25 @@
 		type: z.literal('owner.ping'),
 		waitMs: z.number(),
 		/** The box that pings, and its processor in cores. */
-		candidate: z.object({ box: z.string(), processor: z.number(), storeReachable: z.boolean() }),
+		candidate: z.object({
+			box: z.string(),
+			processor: z.number(),
+			storeReachable: z.boolean(),
+			/** Its failure domain; absent: handovers are not confirmed there, or it runs an older release. */
+			zone: z.optional(z.string()),
+			/** Whether its planned stop has begun; absent as for `zone`: then the box is not named as a successor. */
+			stopping: z.optional(z.boolean()),
+		}),
+		/** The box has read all that an owner needs and may replace this generation; absent: it is not prepared. */
+		prepared: z.optional(z.number()),
 		/** Version of the configuration in force there; absent: that box has none, or runs an older release. */
 		configuration: z.optional(z.number()),
 	}),
+	/** That box has taken over from the one that gets this. */
+	z.object({
+		type: z.literal('owner.taken'),
+		owner: z.object({ box: z.string(), peer: z.string(), generation: z.number() }),
+	}),
 	/** A job was stored. */
 	z.object({ type: z.literal('job.stored'), record }),
 	/** Store this job for a box whose writes the store does not take. */
@@ -37,6 +53,9 @@
 /** A request of a box. */
 export type BoxReq = zod.infer<typeof request>;
 
+/** A ping of the owner. */
+export type PingReq = Extract<BoxReq, { type: 'owner.ping' }>;
+
 /** The answer to `owner.ping`. */
 export interface PingReply {
 	generation: number;
@@ -50,6 +69,12 @@
 	silent?: UnresponsiveWorkers;
 	/** The configuration in force at the owner; absent: it has none, or runs an older release. */
 	configuration?: sharing.AdvertisedConfiguration;
+	/** The box that is to take over; absent: none is named. */
+	successor?: string;
+	/** The box that pings may replace the owner of this generation; absent: it may not. */
+	mayReplace?: number;
+	/** The box that answers is not the owner, and this one is; only to boxes that report whether they stop. */
+	movedTo?: ledger.OwnerRecord;
 }
 
 /**
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -116,6 +116,26 @@
 		text: 'This box handed dispatching over to a stronger box, which is named.',
 	},
 	'owner.released': { id: 2106, level: 'info', text: 'This box handed dispatching over because it stops.' },
+	'handover.started': {
+		id: 2115,
+		level: 'info',
+		text: 'The owner names a successor, which prepares to take over while the owner goes on dispatching; generation and cause are given.',
+	},
+	'handover.prepared': {
+		id: 2116,
+		level: 'info',
+		text: 'The successor has read what an owner needs and may take over; how long that took is given.',
+	},
+	'handover.completed': {
+		id: 2117,
+		level: 'info',
+		text: 'The successor has taken over; `gapMs` is the time for which neither box dispatched, as far as the former owner knows.',
+	},
+	'handover.failed': {
+		id: 2118,
+		level: 'warn',
+		text: 'The box named did not take over, or none could be named; the reason is given.',
+	},
 	'owner.load': {
 		id: 2114,
 		level: 'info',
--- a/src/core/ledger/keys.ts
+++ b/src/core/ledger/keys.ts
@@ -1,7 +1,7 @@
 /** Keys of the records that the boxes keep in the platform's store. */
 
 /** Prefix of all the keys below. */
-const rootPrefix = 'woodcross/';
+export const rootPrefix = 'woodcross/';
 
 /** Prefix of all records that concern jobs. */
 export const jobsPrefix = `${rootPrefix}jobs/`;
--- a/src/core/ledger/owner-ledger.ts
+++ b/src/core/ledger/owner-ledger.ts
@@ -9,6 +9,7 @@
 import * as wire from '../wire/frame.js';
 import type * as jobs from '../jobs/types.js';
 import type * as platform from '../platform/types.js';
+import type * as recordCopies from './record-copy.js';
 import type * as types from './types.js';
 
 /**
@@ -16,6 +17,12 @@
  */
 export const maxProgressPerWrite = 15;
 
+/**
+ * How long one read of the changes since a copy waits, in milliseconds. The takeover is a change itself, so it is answered
+ * at once unless the store's answer is out of date.
+ */
+const changesWaitMs = 500;
+
 /**
  * Outcome of a write of the owner. `conflict`: a key had another version than expected. `failed`: it is not known whether
  * the write took effect, or it did not. `refused`: the store rejects the content, also on a retry. `superseded`: another box
@@ -52,6 +59,21 @@
 	strongest: number;
 }
 
+/** Why a takeover failed; `isFinal`: another try would fail too. */
+export interface TakeoverFailure {
+	isFinal: boolean;
+	reason: string;
+}
+
+/** The stored records that a new owner needs. */
+interface ReadRecords {
+	jobItems: platform.Stored[];
+	roster: platform.Stored | undefined;
+	learned: platform.Stored | undefined;
+	/** Store revision from which to follow the requests. */
+	revision: number;
+}
+
 /** Outcome of an owner's write, and what the store holds after it. */
 interface CommitResult {
 	outcome: WriteOutcome;
@@ -96,29 +118,56 @@
 		const currentOwner = holder && records.decodeOwner(holder.value);
 		if (currentOwner !== undefined && currentOwner.generation !== replaces)
 			return results.fail(`generation ${currentOwner.generation} took over first`);
+		const expected = [
+			{ key: keys.epochKey, version: epoch?.version ?? 0 },
+			{ key: keys.ownerKey, version: holder?.version ?? 0 },
+		];
+		const taken = await OwnerLedger.increment(store, now, owner, epoch, { expected, isRepeated: false });
+		return taken.ok ? taken : results.fail(taken.err.reason);
+	}
+
+	/**
+	 * Takes over from the owner that wrote this epoch record and allowed it, whether or not its owner record is still there.
+	 * Fails if another box was first. A repeated call finds out whether an unanswered earlier one took effect.
+	 */
+	static async replace(
+		store: platform.RecordStore,
+		now: () => number,
+		owner: NewOwner,
+		epoch: platform.Stored,
+	): Promise<results.Result<OwnerLedger, TakeoverFailure>> {
+		const { version } = epoch;
+		const expected = [{ key: keys.epochKey, version }];
+		return OwnerLedger.increment(store, now, owner, epoch, { expected, isRepeated: true });
+	}
+
+	/** `isRepeated`: an earlier try of the same takeover may have taken effect. */
+	private static async increment(
+		store: platform.RecordStore,
+		now: () => number,
+		owner: NewOwner,
+		epoch: platform.Stored | undefined,
+		{ expected, isRepeated }: { expected: platform.Transaction['expected']; isRepeated: boolean },
+	): Promise<results.Result<OwnerLedger, TakeoverFailure>> {
 		const lastEpoch = epoch && records.decodeEpoch(epoch.value);
 		const generation = (lastEpoch?.generation ?? 0) + 1;
 		const workersStoredSince = lastEpoch?.workersStoredSince ?? generation;
 		const { box, lease, strongest } = owner;
 		const sentAt = now();
+		const epochValue = wire.encodeValue({ generation, box, strongest, workersStoredSince });
 		const res = await store.commit({
-			expected: [
-				{ key: keys.epochKey, version: epoch?.version ?? 0 },
-				{ key: keys.ownerKey, version: holder?.version ?? 0 },
-			],
+			expected,
 			writes: [
-				{
-					key: keys.epochKey,
-					value: wire.encodeValue({ generation, box, strongest, workersStoredSince }),
-				},
+				{ key: keys.epochKey, value: epochValue },
 				{ key: keys.ownerKey, value: encodeOwner(generation, owner), lease },
 			],
 			removes: [],
 		});
-		if (!res.ok) return results.fail(res.err.reason);
-		if (res.value.type !== 'committed')
-			return results.fail(`another box took over first (${res.value.type})`);
-		const { version } = res.value;
+		if (!res.ok) return results.fail({ isFinal: false, reason: res.err.reason });
+		const outcome = res.value;
+		const version = isRepeated ? versionOfTakeover(outcome, epochValue) : versionOfCommit(outcome);
+		if (version === undefined)
+			return results.fail({ isFinal: true, reason: `another box took over first (${outcome.type})` });
 		return results.ok(new OwnerLedger(store, now, version, generation, workersStoredSince, sentAt));
 	}
 
@@ -131,19 +180,52 @@
 		]);
 		if (!list.ok) return results.fail(list.err.reason);
 		if (!roster.ok) return results.fail(roster.err.reason);
-		this.rosterVersion = roster.value?.version ?? 0;
-		const entries = roster.value && records.decodeRoster(roster.value.value);
-		const { jobsById, unreadable } = collectJobs(list.value.items);
+		return results.ok(
+			this.adopt({
+				jobItems: list.value.items,
+				roster: roster.value,
+				// Without the models the owner learns anew, so a failed read does not fail the takeover.
+				learned: learnt.ok ? learnt.value : undefined,
+				revision: list.value.revision,
+			}),
+		);
+	}
+
+	/**
+	 * Takes the contents from a copy that was read before this takeover, after reading what has changed since. The error says
+	 * why the changes could not be read; the call may be repeated.
+	 */
+	async loadFrom(copy: recordCopies.RecordCopy): Promise<results.Result<LedgerContents, string>> {
+		// The copy is complete once it contains this takeover: no write of a predecessor succeeds after it.
+		while ((copy.get(keys.epochKey)?.version ?? 0) < this.epochVersion) {
+			const read = await copy.readChanges(this.store, changesWaitMs);
+			if (!read.ok) return read;
+			if (read.value === 'compacted') return this.load();
+		}
+		return results.ok(
+			this.adopt({
+				jobItems: copy.list(keys.jobsPrefix),
+				roster: copy.get(keys.rosterKey),
+				learned: copy.get(keys.learnedModelsKey),
+				revision: copy.revision,
+			}),
+		);
+	}
+
+	/** Decodes the contents and notes the versions on which this owner's writes depend. */
+	private adopt(read: ReadRecords): LedgerContents {
+		this.rosterVersion = read.roster?.version ?? 0;
+		const entries = read.roster && records.decodeRoster(read.roster.value);
+		const { jobsById, unreadable } = collectJobs(read.jobItems);
 		for (const [id, job] of jobsById) this.progressVersions.set(id, job.progressVersion);
-		return results.ok({
+		return {
 			jobs: jobsById,
 			unreadable,
 			roster: entries ?? [],
-			// Without the models the owner learns anew, so a failed read does not fail the takeover.
-			learnedModels: learnt.ok && learnt.value ? records.decodeLearnedModels(learnt.value.value) : undefined,
+			learnedModels: read.learned && records.decodeLearnedModels(read.learned.value),
 			workersStoredSince: this.workersStoredSince,
-			revision: list.value.revision,
-		});
+			revision: read.revision,
+		};
 	}
 
 	/** Stores the progress of up to `maxProgressPerWrite` jobs in one write. */
@@ -229,6 +311,20 @@
 	}
 }
 
+/**
+ * Version of the epoch record that a takeover wrote; undefined: another box was first. The record is found as written if an
+ * earlier try took effect without an answer.
+ */
+function versionOfTakeover(outcome: platform.CommitOutcome, epochValue: Uint8Array): number | undefined {
+	if (outcome.type !== 'conflict') return versionOfCommit(outcome);
+	const epoch = outcome.current.find((item) => item.key === keys.epochKey);
+	return epoch && Buffer.compare(epoch.value, epochValue) === 0 ? epoch.version : undefined;
+}
+
+function versionOfCommit(outcome: platform.CommitOutcome): number | undefined {
+	return outcome.type === 'committed' ? outcome.version : undefined;
+}
+
 /** Reads the epoch record and the owner's record. */
 async function readEpochAndOwner(
 	store: platform.RecordStore,
--- a/src/core/owner/candidates.ts
+++ b/src/core/owner/candidates.ts
@@ -9,9 +9,14 @@
 	processor: number;
 	/** Whether the store answers it. */
 	storeReachable: boolean;
+	/** Its failure domain; absent: not reported. */
+	zone?: string;
+	/** Whether its planned stop has begun; absent: it can't be named as a successor, or runs an older release. */
+	stopping?: boolean;
 }
 
-interface TrackedCandidate extends Candidate {
+/** A box that has pinged, and since when. */
+export interface TrackedCandidate extends Candidate {
 	/** Clock time since which it has pinged without interruption. */
 	pingingSince: number;
 	/** Clock time of its newest ping. */
@@ -50,13 +55,15 @@
 		const proven = this.recent().filter(
 			(one) =>
 				one.storeReachable &&
+				one.stopping !== true &&
 				at - one.pingingSince >= settings.minCandidateUptimeMs &&
 				strength.isWeaker(own, one.processor),
 		);
 		return proven.sort((a, b) => b.processor - a.processor)[0];
 	}
 
-	private recent(): TrackedCandidate[] {
+	/** The boxes that have pinged lately. */
+	recent(): TrackedCandidate[] {
 		const at = this.now();
 		return [...this.seen.values()].filter((one) => isRecent(one, at));
 	}
--- a/src/core/owner/ownership.ts
+++ b/src/core/owner/ownership.ts
@@ -6,16 +6,39 @@
 import * as clocks from '../clock.js';
 import * as leaseKeepers from './lease-keeper.js';
 import * as ledger from '../ledger/index.js';
+import * as outgoingHandovers from './outgoing-handover.js';
 import * as ownerRecords from './owner-record.js';
 import * as results from '../result.js';
 import * as settings from './settings.js';
 import * as strength from './strength.js';
+import * as successions from './succession.js';
+import type * as candidates from './candidates.js';
 import type * as events from '../events/index.js';
+import type * as handovers from './handover.js';
 import type * as platform from '../platform/types.js';
+import type * as preparations from './preparation.js';
 
 /** Outcome of a ping of the owner. */
 export type PingOutcome = 'alive' | 'not-owner' | 'refused' | 'silent';
 
+/** What confirmed handovers need: an owner that stops dispatches until its successor has taken over. */
+export interface ConfirmedHandover {
+	/** Failure domain of this box. */
+	zone: string;
+	/** The boxes that ping this one while it is the owner. */
+	candidates: candidates.Candidates;
+	/** How long after the begin of a planned stop ownership is released if nobody could take over, in milliseconds. */
+	keepForMs: number;
+	/** Whether the store answers this box. */
+	storeReachable: () => boolean;
+	/** Answers the held pings of the other boxes. */
+	answerPings: () => void;
+	/** Pings the owner at an address at once; the answer arrives by `noteReply`. */
+	pingNow: (address: string) => Promise<void>;
+	/** Tells the box at an address that this one has replaced it; false: it gave no answer. */
+	notifyTaken: (address: string, owner: ledger.OwnerRecord) => Promise<boolean>;
+}
+
 /** Options of `Ownership`. */
 export interface OwnershipOptions {
 	store: platform.RecordStore;
@@ -43,8 +66,19 @@
 	onLost: () => void;
 	/** Returns a delay in milliseconds between 0 and the argument; seeded in tests. */
 	random: (below: number) => number;
+	/** Present where handovers are confirmed; absent: ownership is released, and the boxes race for it. */
+	handover?: ConfirmedHandover;
+}
+
+/** What an owner says in its answers to pings about who owns. */
+export interface OwnerReply extends successions.SuccessionReply {
+	/** The box that answers is not the owner, and this one is; undefined: not known there. */
+	movedTo?: ledger.OwnerRecord;
 }
 
+/** How often a new owner repeats its message to the former one, at most. */
+const maxNotifications = 4;
+
 /** A takeover that succeeded. */
 interface Takeover {
 	owned: ledger.OwnerLedger;
@@ -69,8 +103,35 @@
 	private wasUnresponsive = false;
 	/** Clock time at which this box last became owner. */
 	private ownedSince = -Infinity;
+	/** Undefined where handovers are not confirmed. */
+	private readonly succession: successions.Succession | undefined;
+	/** The handover of the generation owned, or last owned. */
+	private outgoing: outgoingHandovers.OutgoingHandover | undefined;
+	/** Clock time at which this box found out that it was replaced, before its successor told it; undefined: it did not. */
+	private replacedAt: number | undefined;
+	/** Clock time at which a handover was last given up. */
+	private handoverGivenUpAt = -Infinity;
+	/** A planned stop has begun: this box takes over no more, and goes on owning until it is replaced. */
+	private leaving = false;
+	/** This box has permission and is taking over. */
+	private isReplacing = false;
+	/** The lease expired while this box was taking over. */
+	private isLeaseExpired = false;
+	/** Where a former owner said that the owner is. */
+	private movedTo: ledger.OwnerRecord | undefined;
+	/** Called when a stopping box no longer owns. */
+	private onGivenUp: () => void = () => undefined;
 
 	private constructor(private readonly opts: OwnershipOptions) {
+		const { handover, store, clock, box, leaseMs } = opts;
+		if (handover !== undefined)
+			this.succession = successions.Succession.create({
+				store,
+				clock,
+				box,
+				leaseMs,
+				pingNow: (address) => handover.pingNow(address),
+			});
 		void this.run();
 	}
 
@@ -83,20 +144,68 @@
 		return this.ownerLedger;
 	}
 
+	/** The generation that this box is prepared to replace; undefined: none. */
+	get prepared(): number | undefined {
+		return this.succession?.prepared;
+	}
+
+	/** Whether a planned stop of this box has begun; undefined where handovers are not confirmed. */
+	get reportedStopping(): boolean | undefined {
+		return this.opts.handover && (this.leaving || this.stopping);
+	}
+
+	/** The owner, for a box that pings this one, which is not the owner; undefined: not known. */
+	get knownOwner(): ledger.OwnerRecord | undefined {
+		return this.owner?.box === this.opts.box ? undefined : this.owner;
+	}
+
 	/** Steps down: a newer epoch was seen. */
 	lose(reason: string): void {
 		if (this.ownerLedger === undefined) return;
 		const { generation } = this.ownerLedger;
 		this.opts.events.emit('owner.lost', { generation, reason });
-		this.ownerLedger = undefined;
-		this.keeper?.close();
-		this.owner = undefined;
-		this.reachable = false;
-		this.opts.onLost();
+		this.replacedAt = this.opts.clock.now();
+		this.endOwnership(undefined);
+	}
+
+	/** Applies what the owner, or a former one, at an address answered to a ping. */
+	noteReply(reply: OwnerReply, address: string): void {
+		this.movedTo = reply.movedTo;
+		if (this.ownerLedger !== undefined || this.isReplacing || reply.movedTo !== undefined) return;
+		this.succession?.noteReply(reply, address);
 	}
 
-	/** Planned stop: releases ownership at once, so that another box takes over. */
+	/** Notes that a box has taken over from this one. Older news has no effect. */
+	noteTaken(owner: ledger.OwnerRecord): void {
+		const known = this.ownerLedger?.generation ?? this.owner?.generation ?? 0;
+		if (this.opts.handover === undefined) return;
+		this.logCompleted(owner);
+		if (owner.generation <= known) return;
+		if (this.ownerLedger !== undefined) this.endOwnership(owner);
+		this.owner = owner;
+		this.ownerRecordRevision = 0;
+	}
+
+	/** Whether a ping of this box is to be answered without holding it: it does not know yet that it is named. */
+	isAwaitedBy(box: string): boolean {
+		return this.ownerLedger !== undefined && this.outgoing?.isAwaitedBy(box) === true;
+	}
+
+	/** What this owner adds to its answer to a ping of a box that is prepared for the generation `prepared`. */
+	handoverReply(box: string, prepared: number | undefined): outgoingHandovers.HandoverReply {
+		if (this.ownerLedger === undefined) return {};
+		this.considerHandover(this.ownerLedger);
+		return this.outgoing?.replyTo(box, prepared) ?? {};
+	}
+
+	/** Planned stop: gives up ownership, at once or when a successor has taken over. */
 	async release(): Promise<void> {
+		if (this.opts.handover === undefined) await this.releaseNow();
+		else await this.leave(this.opts.handover);
+	}
+
+	/** Releases ownership at once, so that another box takes over. */
+	private async releaseNow(): Promise<void> {
 		this.stopping = true;
 		if (this.ownerLedger === undefined) return;
 		const { generation } = this.ownerLedger;
@@ -104,6 +213,35 @@
 		this.opts.events.emit('owner.released', { generation });
 	}
 
+	/**
+	 * Goes on owning until a successor has taken over. If none has until the grace period is nearly over, releases ownership.
+	 * From then on this box follows the owner without taking over.
+	 */
+	private async leave(handover: ConfirmedHandover): Promise<void> {
+		this.leaving = true;
+		this.succession?.close();
+		const owned = this.ownerLedger;
+		if (owned === undefined && !this.isReplacing) return;
+		if (owned !== undefined) this.handOverToStop(owned);
+		await this.untilGivenUp(handover.keepForMs);
+		const stillOwned = this.currentLedger;
+		if (stillOwned === undefined) return;
+		await this.releaseOwnership();
+		this.owner = undefined;
+		this.opts.events.emit('owner.released', { generation: stillOwned.generation });
+	}
+
+	/** Resolves when this box no longer owns, at the latest after `maxMs`. */
+	private untilGivenUp(maxMs: number): Promise<void> {
+		return new Promise((resolve) => {
+			const timer = this.opts.clock.after(maxMs, resolve);
+			this.onGivenUp = (): void => {
+				timer.cancel();
+				resolve();
+			};
+		});
+	}
+
 	private async run(): Promise<void> {
 		while (!this.stopping) {
 			const wait =
@@ -115,7 +253,11 @@
 	/** One turn of a box that is not the owner; returns how long to wait, in milliseconds. */
 	private async followOwner(): Promise<number> {
 		if (this.owner === undefined) return this.findOwner();
-		const outcome = await this.pingOwner(this.owner);
+		const pinged = this.owner;
+		const outcome = await this.pingOwner(pinged);
+		if (outcome === 'permitted') return this.replaceOwner();
+		if (this.hasMovedFrom(pinged)) return 0;
+		if (outcome === 'not-owner' && this.followMove(pinged)) return 0;
 		this.wasUnresponsive = outcome === 'silent' || outcome === 'name-gone';
 		if (outcome === 'name-gone') return this.findOwner();
 		if (outcome === 'alive') {
@@ -133,10 +275,26 @@
 	}
 
 	/** Pings the owner. After a ping without an answer it also watches the owner record, which goes away with the lease. */
-	private async pingOwner(owner: ledger.OwnerRecord): Promise<PingOutcome | 'name-gone'> {
+	private async pingOwner(owner: ledger.OwnerRecord): Promise<PingOutcome | 'name-gone' | 'permitted'> {
 		const pinged = this.opts.ping(owner.peer);
-		if (this.reachable || this.ownerRecordRevision === 0) return pinged;
-		return Promise.race([pinged, this.ownerRecordChanged(pinged)]);
+		const awaited: Promise<PingOutcome | 'name-gone' | 'permitted'>[] = [pinged];
+		if (this.succession !== undefined)
+			awaited.push(this.succession.whenPermitted().then(() => 'permitted' as const));
+		if (!this.reachable && this.ownerRecordRevision !== 0) awaited.push(this.ownerRecordChanged(pinged));
+		return Promise.race(awaited);
+	}
+
+	/** Goes to the owner that the former one named; false: it named none that is newer. */
+	private followMove(former: ledger.OwnerRecord): boolean {
+		const { movedTo } = this;
+		this.movedTo = undefined;
+		if (movedTo === undefined || movedTo.generation <= former.generation) return false;
+		this.owner = movedTo;
+		this.ownerRecordRevision = 0;
+		this.lastFoundGeneration = movedTo.generation;
+		const { box, generation } = movedTo;
+		this.opts.events.emit('owner.found', { box, generation });
+		return true;
 	}
 
 	/** Resolves to `name-gone` when the owner record changes in the store; else as `pinged` does. */
@@ -144,6 +302,11 @@
 		return (await ownerRecords.changes(this.opts.store, this.ownerRecordRevision)) ? 'name-gone' : pinged;
 	}
 
+	/** Whether a successor's message named another owner, after an `await`. */
+	private hasMovedFrom(owner: ledger.OwnerRecord): boolean {
+		return this.owner !== undefined && this.owner !== owner;
+	}
+
 	/** Whether this box is stopping, or no longer has that owner, after an `await`. */
 	private isPingObsolete(): boolean {
 		return this.owner === undefined || this.stopping;
@@ -158,7 +321,9 @@
 		if (!ownerRead.ok) return settings.findRetryMs;
 		const { owner, revision } = ownerRead.value;
 		const isVacant = owner === undefined || owner.generation === deadOwner?.generation;
+		if (isVacant && this.leaving) return settings.findRetryMs;
 		if (isVacant) return this.takeOver(deadOwner?.generation);
+		this.logCompleted(owner);
 		if (owner.generation !== this.lastFoundGeneration) {
 			this.lastFoundGeneration = owner.generation;
 			this.opts.events.emit('owner.found', { box: owner.box, generation: owner.generation });
@@ -206,16 +371,70 @@
 			this.becomeOwner(lease.value, taken.value);
 			return 0;
 		}
-		const reason = taken.ok ? 'this box stops' : taken.err;
-		this.keeper.close();
+		return this.giveUpTakeover(lease.value, taken.ok ? 'this box stops' : taken.err);
+	}
+
+	/** Ends the lease of a takeover that failed; returns how long to wait, in milliseconds. */
+	private giveUpTakeover(lease: string, reason: string): number {
+		this.keeper?.close();
 		this.opts.events.emit('owner.not-taken', { reason });
-		void this.opts.store.endLease(lease.value);
+		void this.opts.store.endLease(lease);
 		return settings.findRetryMs;
 	}
 
+	/**
+	 * Replaces the owner that permits it, by compare-and-swap of the epoch against the record of its generation; returns how
+	 * long to wait, in milliseconds.
+	 */
+	private async replaceOwner(): Promise<number> {
+		const prepared = this.succession?.take();
+		if (prepared === undefined) return 0;
+		this.isReplacing = true;
+		this.keeper = this.createKeeper(prepared.lease);
+		const taken = await this.replaceAndLoad(prepared);
+		this.isReplacing = false;
+		if (!taken.ok) {
+			this.onGivenUp();
+			return this.giveUpTakeover(prepared.lease, taken.err);
+		}
+		this.becomeOwner(prepared.lease, taken.value);
+		// Only from here on: until then the former owner is the one that dispatches.
+		void this.notifyFormerOwner(prepared.address);
+		if (this.leaving) this.handOverToStop(taken.value.owned);
+		return 0;
+	}
+
+	private async replaceAndLoad(
+		prepared: preparations.PreparedTakeover,
+	): Promise<results.Result<Takeover, string>> {
+		const { store, clock } = this.opts;
+		const owner = this.newOwner(prepared.lease);
+		const startedAt = clock.now();
+		const swap = (): ReturnType<typeof ledger.OwnerLedger.replace> =>
+			ledger.OwnerLedger.replace(store, () => clock.now(), owner, prepared.epoch);
+		let owned = await swap();
+		while (!owned.ok && !owned.err.isFinal && clock.now() - startedAt < settings.handoverConfirmMs) {
+			await clocks.sleep(clock, settings.successorRetryMs);
+			owned = await swap();
+		}
+		if (!owned.ok) return results.fail(owned.err.reason);
+		const { value } = owned;
+		return this.load(value, () => value.loadFrom(prepared.copy));
+	}
+
+	/** Tells the former owner, until it answers, so that it stops dispatching and sends the other boxes here. */
+	private async notifyFormerOwner(address: string): Promise<void> {
+		const { handover, clock } = this.opts;
+		for (let sent = 0; sent < maxNotifications; sent += 1) {
+			if (this.ownerLedger === undefined || this.owner === undefined || handover === undefined) return;
+			if (await handover.notifyTaken(address, this.owner)) return;
+			await clocks.sleep(clock, settings.successorRetryMs);
+		}
+	}
+
 	/** A method, as the compiler assumes that the field can't change during an `await`. */
 	private isStopping(): boolean {
-		return this.stopping;
+		return this.stopping || this.leaving;
 	}
 
 	/** Writes this box into the owner record and reads the ledger; fails if another box was first. */
@@ -223,13 +442,39 @@
 		lease: string,
 		replacedGeneration: number | undefined,
 	): Promise<results.Result<Takeover, string>> {
-		const { store, clock, box, peer, processor } = this.opts;
-		const strongest = Math.max(processor, this.opts.highestKnownProcessor() ?? 0);
-		const owner = { box, peer, lease, strongest };
+		const { store, clock } = this.opts;
+		const owner = this.newOwner(lease);
 		const owned = await ledger.OwnerLedger.acquire(store, () => clock.now(), owner, replacedGeneration);
 		if (!owned.ok) return owned;
-		const contents = await owned.value.load();
-		return contents.ok ? results.ok({ owned: owned.value, contents: contents.value }) : contents;
+		return this.load(owned.value, () => owned.value.load());
+	}
+
+	private newOwner(lease: string): ledger.NewOwner {
+		const { box, peer, processor } = this.opts;
+		return { box, peer, lease, strongest: Math.max(processor, this.opts.highestKnownProcessor() ?? 0) };
+	}
+
+	/**
+	 * Reads the ledger. Where handovers are confirmed, retries while the store gives no answer and has not said that the
+	 * lease expired: another box would have to take over first and then read the same.
+	 */
+	private async load(
+		owned: ledger.OwnerLedger,
+		read: () => Promise<results.Result<ledger.LedgerContents, string>>,
+	): Promise<results.Result<Takeover, string>> {
+		let contents = await read();
+		while (!contents.ok && this.mayRetryRead()) {
+			await clocks.sleep(this.opts.clock, settings.findRetryMs);
+			const outcome = await owned.confirmEpoch();
+			if (outcome === 'superseded') return results.fail('the store names a newer generation');
+			if (outcome === 'committed') contents = await read();
+		}
+		return contents.ok ? results.ok({ owned, contents: contents.value }) : contents;
+	}
+
+	private mayRetryRead(): boolean {
+		if (this.opts.handover === undefined || this.isLeaseExpired) return false;
+		return this.isReplacing || !this.isStopping();
 	}
 
 	/** This box is the owner from here on. */
@@ -240,6 +485,9 @@
 		this.lease = lease;
 		this.ownerLedger = owned;
 		this.ownedSince = clock.now();
+		this.outgoing = undefined;
+		this.replacedAt = undefined;
+		this.succession?.abandon();
 		this.owner = { generation, box, peer };
 		this.reachable = true;
 		events.emit('owner.taken', {
@@ -252,8 +500,11 @@
 
 	private createKeeper(lease: string): leaseKeepers.LeaseKeeper {
 		const { store, clock } = this.opts;
-		const onExpired = async (): Promise<string | undefined> =>
-			this.ownerLedger && this.renew(this.ownerLedger);
+		this.isLeaseExpired = false;
+		const onExpired = async (): Promise<string | undefined> => {
+			this.isLeaseExpired = true;
+			return this.ownerLedger && this.renew(this.ownerLedger);
+		};
 		return leaseKeepers.LeaseKeeper.create({ store, clock, lease, onExpired });
 	}
 
@@ -262,7 +513,8 @@
 	 * long to wait, in milliseconds.
 	 */
 	private async keep(owned: ledger.OwnerLedger): Promise<number> {
-		const stronger = this.handoverTarget();
+		this.considerHandover(owned);
+		const stronger = this.opts.handover === undefined ? this.handoverTarget() : undefined;
 		if (stronger !== undefined) {
 			await this.handOver(owned, stronger);
 			return 0;
@@ -279,10 +531,78 @@
 
 	/** The stronger box to hand over to now; undefined: none. */
 	private handoverTarget(): string | undefined {
-		if (this.opts.clock.now() - this.ownedSince < settings.minHandoverIntervalMs) return undefined;
+		const lastChangeAt = Math.max(this.ownedSince, this.handoverGivenUpAt);
+		if (this.opts.clock.now() - lastChangeAt < settings.minHandoverIntervalMs) return undefined;
 		return this.opts.strongerBox();
 	}
 
+	/** Begins a confirmed handover if there is a cause for one. */
+	private considerHandover(owned: ledger.OwnerLedger): void {
+		const { handover } = this.opts;
+		if (handover === undefined || this.outgoing !== undefined) return;
+		if (!handover.storeReachable()) this.beginHandover(owned, handover, 'store-lost');
+		else if (this.handoverTarget() !== undefined) this.beginHandover(owned, handover, 'stronger-box');
+	}
+
+	private handOverToStop(owned: ledger.OwnerLedger): void {
+		const { handover } = this.opts;
+		if (handover === undefined) return;
+		const outgoing = this.outgoing ?? this.beginHandover(owned, handover, 'planned-stop');
+		outgoing.noteStop();
+	}
+
+	private beginHandover(
+		owned: ledger.OwnerLedger,
+		handover: ConfirmedHandover,
+		cause: handovers.HandoverCause,
+	): outgoingHandovers.OutgoingHandover {
+		const { clock, events: log, processor } = this.opts;
+		const { candidates: pinging, answerPings, storeReachable, zone } = handover;
+		const outgoing: outgoingHandovers.OutgoingHandover = outgoingHandovers.OutgoingHandover.create({
+			clock,
+			events: log,
+			generation: owned.generation,
+			own: { zone, processor },
+			cause,
+			candidates: pinging,
+			answerPings,
+			isNeeded: () => outgoing.cause !== 'store-lost' || !storeReachable(),
+			onGivenUp: () => {
+				this.outgoing = undefined;
+				this.handoverGivenUpAt = clock.now();
+			},
+		});
+		this.outgoing = outgoing;
+		outgoing.advance();
+		return outgoing;
+	}
+
+	private logCompleted({ box, generation }: ledger.OwnerRecord): void {
+		const { outgoing, replacedAt } = this;
+		if (outgoing === undefined || generation <= outgoing.generation) return;
+		const now = this.opts.clock.now();
+		this.opts.events.emit('handover.completed', {
+			box,
+			generation,
+			cause: outgoing.cause,
+			gapMs: Math.round(now - (replacedAt ?? now)),
+			tookMs: Math.round(now - outgoing.startedAt),
+		});
+		outgoing.close();
+		this.outgoing = undefined;
+	}
+
+	/** Stops dispatching. `next`: the owner that replaced this one; undefined: not known. */
+	private endOwnership(next: ledger.OwnerRecord | undefined): void {
+		this.ownerLedger = undefined;
+		this.keeper?.close();
+		this.outgoing?.close();
+		this.owner = next;
+		this.reachable = false;
+		this.opts.onLost();
+		this.onGivenUp();
+	}
+
 	/** Releases ownership while this box goes on serving callers: the stronger box is first in the race that follows. */
 	private async handOver(owned: ledger.OwnerLedger, to: string): Promise<void> {
 		this.opts.events.emit('owner.handed-over', { generation: owned.generation, box: to });
@@ -295,6 +615,8 @@
 	private async releaseOwnership(): Promise<void> {
 		this.ownerLedger = undefined;
 		this.keeper?.close();
+		this.outgoing?.close();
+		this.outgoing = undefined;
 		this.opts.onLost();
 		if (this.lease !== undefined) await this.opts.store.endLease(this.lease);
 	}
--- a/src/core/owner/settings.ts
+++ b/src/core/owner/settings.ts
@@ -38,3 +38,27 @@
 
 /** A ping without an answer after this means that the owner is unresponsive. */
 export const pingTimeoutMs = 1_300;
+
+/**
+ * A named successor has this long to prepare, and as long again to take over once it may, in milliseconds. Half of the time
+ * for which an owner acts without an answer of the store, so that two candidates can be tried within it.
+ */
+export const handoverConfirmMs = 1_500;
+
+/** How often an owner that hands over checks whether to name another box. */
+export const handoverTickMs = 100;
+
+/** A stopping owner that nobody could replace releases ownership this long before the end of its grace period. */
+export const releaseBeforeKillMs = 1_500;
+
+/** Interval of the pings by which a prepared successor asks for permission, and of its other repeated calls. */
+export const successorRetryMs = 150;
+
+/**
+ * How long a prepared successor waits for one answer of the owner: far longer than a link's delay, and short enough to
+ * repeat the ping twice before another box is named.
+ */
+export const permissionTimeoutMs = 500;
+
+/** Pause between two reads of the changes by a successor that prepares: bounds its calls to the store. */
+export const preparedReadPauseMs = 200;
