--- a/test/stored-state.test.ts
+++ b/test/stored-state.test.ts
@@ -1,5 +1,6 @@
 /** What an owner adopts of the scheduling state that an earlier owner stored, whatever was stored. */
 import test from 'ava';
+import * as fc from 'fast-check';
 import * as events from '../src/core/events/index.js';
 import * as features from '../src/core/features/index.js';
 import * as forecast from '../src/core/forecast/index.js';
@@ -127,3 +128,16 @@
 	const { state } = createState(clock, 'roster-order');
 	t.deepEqual(state.export(), interference.InterferenceModel.create(clock).exportLearned());
 });
+
+test('no content of a field makes a takeover fail', (t) => {
+	const clock = time.VirtualClock.create();
+	const record = storeRecord(clock);
+	const fields: storedState.StateField[] = ['images', 'periods', 'loads', 'runTimes', 'limits'];
+	const values = fc.oneof(fc.anything(), fc.dictionary(fc.string(), fc.anything()));
+	const property = fc.property(fc.constantFrom(...fields), values, (field, value) => {
+		const { state, adopted } = createState(clock);
+		state.adopt({ ...record, [field]: value });
+		t.is(adopted().epoch, 1);
+	});
+	fc.assert(property, { seed: 5, numRuns: 500 });
+});
