Scheduled retries for refused callers

Each box told refused callers a time by itself, and most returned in the same second to the same backlog. The owner now shares out the capacity that its forecast says becomes free, and boxes book refused callers into it. In force with admission by forecast; the fields of the pings are optional.

--- a/src/cli/box/metrics.ts
+++ b/src/cli/box/metrics.ts
@@ -30,6 +30,7 @@
 	};
 	log.observe((event) => {
 		if (event.name === 'job.turned-away') registry.count(`refused_${metricPart(event.fields.cause)}`);
+		countReturn(registry, event.name, event.fields);
 		registry.count(`event_${event.name.replace(/[.-]/g, '_')}`);
 		const name = histogramsByEvent[event.name];
 		const ms = event.fields.waitedMs ?? event.fields.ageMs ?? event.fields.tookMs;
@@ -44,6 +45,20 @@
 	server.listen(listening.toListenOptions(address));
 }
 
+/** Counts callers that were given a booked second, and those that returned in it, by queue. */
+function countReturn(
+	registry: { count: (name: string, by?: number) => void },
+	name: string,
+	{ queue, bookedS, bookedCoreMs, keptBooking }: events.EventFields,
+): void {
+	const label = `{queue=${JSON.stringify(queue)}}`;
+	if (name === 'job.turned-away' && bookedS !== undefined) {
+		registry.count(`retries_booked${label}`);
+		registry.count(`retries_booked_core_ms${label}`, Number(bookedCoreMs));
+	}
+	if (name === 'job.accepted' && keptBooking !== undefined) registry.count(`retries_kept${label}`);
+}
+
 /** Gauges, read at the moment of a request. */
 function boxGauges(box: boxes.Box): Record<string, number> {
 	const { rss } = process.memoryUsage();
--- a/src/core/box/box.ts
+++ b/src/core/box/box.ts
@@ -41,6 +41,8 @@
 	private role: ownerRole.OwnerRole | undefined;
 	private readonly heldPings: held.HeldPings;
 	private readonly pings: pings.OwnerPings;
+	/** Books refused callers; undefined where nothing is decided by forecasts. */
+	private readonly returns: admission.ReturnSchedule | undefined;
 	private readonly waves = new Map<number, upkeep.Wave>();
 	/** The boxes that ping this one while it is the owner. */
 	private readonly candidates = ownership.Candidates.create(() => this.clock.now());
@@ -58,7 +60,9 @@
 		this.peers = wire.PeerClient.create(clock, events);
 		const { contact, peers } = this;
 		const { box, processor } = settings;
+		this.returns = this.createReturns();
 		this.pings = pings.OwnerPings.create({
+			returns: this.returns,
 			peers,
 			contact,
 			events,
@@ -81,6 +85,7 @@
 			ownerGeneration: () => this.ownership.owner?.generation ?? 0,
 			backlog: () => this.role?.backlog ?? this.pings.backlog,
 			admission: this.admissionRule(),
+			returns: this.returns,
 			random: () => Math.random(),
 			ownerReachesStore: () => this.ownership.reachable && this.pings.storeReachable,
 		});
@@ -162,6 +167,14 @@
 		};
 	}
 
+	private createReturns(): admission.ReturnSchedule | undefined {
+		if (this.settings.features?.admission !== 'forecast') return undefined;
+		return admission.ReturnSchedule.create(
+			() => this.clock.now(),
+			() => Math.random(),
+		);
+	}
+
 	private async start(): Promise<void> {
 		this.server = await this.listen();
 		this.configuration = configurations.ConfigurationFollower.create({
@@ -245,6 +258,7 @@
 				clock: this.clock,
 				events: this.events,
 				table: () => this.queues,
+				returns: this.returns,
 				recordTime: (name, ms) => {
 					this.recordTime(name, ms);
 				},
@@ -278,8 +292,9 @@
 			case 'owner.ping':
 				this.candidates.notePing(req.candidate);
 				this.configuration.listIfNewer(req.configuration ?? 0);
+				this.role?.returns?.notePing(req.candidate.box, req.refused, req.booked);
 				await this.heldPings.hold(req.waitMs);
-				return this.role === undefined ? notOwner : results.ok(this.pingReply(this.role));
+				return this.role === undefined ? notOwner : results.ok(this.pingReply(this.role, req.candidate.box));
 			case 'job.stored':
 				dispatcher.addJob(req.record);
 				return results.ok(null);
@@ -299,13 +314,14 @@
 		}
 	}
 
-	private pingReply(role: ownerRole.OwnerRole): protocol.PingReply {
+	private pingReply(role: ownerRole.OwnerRole, box: string): protocol.PingReply {
 		return {
 			generation: this.ownership.currentLedger?.generation ?? 0,
 			strongest: this.candidates.strongest(this.settings.processor),
 			storeReachable: this.contact.reachable,
 			backlog: role.backlog,
 			forecast: role.forecast?.message,
+			returns: role.returns?.answerFor(box),
 			silent: role.unresponsiveWorkers(),
 			configuration: this.configuration.advertisedConfiguration,
 		};
--- a/src/core/box/job-service.ts
+++ b/src/core/box/job-service.ts
@@ -48,6 +48,8 @@
 	backlog: () => admission.Backlog;
 	/** Decides whether a job is accepted; absent: the outstanding work decides. */
 	admission?: admission.AdmissionRule;
+	/** Books refused callers; absent: each is told a time by itself. */
+	returns?: admission.ReturnSchedule;
 	/** A number from 0 to 1; seeded in tests. */
 	random: () => number;
 	/** Whether the owner lately reported that the store answers it. */
@@ -86,7 +88,8 @@
 		const record: jobs.JobRecord = { id, queue, acceptedAt, acceptedUnder, ...request };
 		const { events: log, clock } = this.opts;
 		const startedAt = clock.now();
-		const verdict = this.decide(record);
+		const isBooked = this.opts.returns?.takeBooking(id) === true;
+		const verdict = this.decideBooked(record, isBooked);
 		const refusal = verdict.type === 'refuse' ? await this.refuse(record, verdict) : undefined;
 		if (refusal !== undefined) return refusal;
 		const outcome = await this.storeJob(record);
@@ -96,7 +99,7 @@
 			log.emit('job.refused', { job: id, queue: queue.name, outcome: type, reason, tookMs });
 			return this.answerWriteFailure(outcome, queue.priority);
 		}
-		const forecast = forecastFields(verdict);
+		const forecast = { ...forecastFields(verdict), ...(isBooked && { keptBooking: 1 }) };
 		log.emit('job.accepted', { job: id, queue: queue.name, outcome: outcome.type, tookMs, ...forecast });
 		// The stored record of a known job may differ from this one: it may name an earlier owner, which may have started
 		// the job.
@@ -148,17 +151,42 @@
 		return res.ok ? { type: 'ok', value: res.value } : this.unavailable(res.err.reason);
 	}
 
+	/** Decides on a job. Its booking already counted the wait of one that returns in its booked second. */
+	private decideBooked(record: jobs.JobRecord, isBooked: boolean): admission.Verdict {
+		const verdict = this.decide(record);
+		if (verdict.type === 'admit' || !isBooked || verdict.cause !== 'long-wait') return verdict;
+		return { type: 'admit', ...(verdict.forecast !== undefined && { forecast: verdict.forecast }) };
+	}
+
+	/** When a refused caller should return. */
+	private returnTime(record: jobs.JobRecord, verdict: Refusal): admission.ReturnTime {
+		const { waitMs, limitMs, cause = 'backlog', forecast } = verdict;
+		const excessMs = (cause === 'too-late' && forecast !== undefined ? forecast.finishMs : waitMs) - limitMs;
+		const { returns } = this.opts;
+		if (returns === undefined || forecast === undefined)
+			return { retryAfterS: this.retryAfterS({ type: 'backlog', excessMs }, record.queue.priority) };
+		return returns.refuse(admission.toRefusedJob(record, excessMs));
+	}
+
 	/** The answer for a job that is not to be accepted; undefined: it was accepted before, or may have been. */
 	private async refuse(record: jobs.JobRecord, verdict: Refusal): Promise<Answer<never> | undefined> {
 		// A job that was accepted before, and whose answer was lost, must not be reported as refused. If the store gives no
 		// answer, the job is submitted like any other.
 		const known = await ledger.isJobStored(this.opts.store, record.id);
 		if (!known.ok || known.value) return undefined;
-		const { waitMs, limitMs, cause = 'backlog', forecast } = verdict;
-		const { name, priority } = record.queue;
-		const excessMs = (cause === 'too-late' && forecast !== undefined ? forecast.finishMs : waitMs) - limitMs;
-		const seconds = this.retryAfterS({ type: 'backlog', excessMs }, priority);
-		const fields = { job: record.id, queue: name, cause, waitMs, limitMs, retryAfterS: seconds };
+		const { waitMs, limitMs, cause = 'backlog' } = verdict;
+		const { name } = record.queue;
+		const { retryAfterS: seconds, bookedS, bookedCoreMs } = this.returnTime(record, verdict);
+		const fields = {
+			job: record.id,
+			queue: name,
+			cause,
+			waitMs,
+			limitMs,
+			retryAfterS: seconds,
+			bookedS,
+			bookedCoreMs,
+		};
 		this.opts.events.emit('job.turned-away', { ...fields, ...forecastFields(verdict) });
 		const reason = refusalReason(verdict);
 		return { type: 'overloaded', reason, retryAfterS: seconds };
--- a/src/core/box/owner-pings.ts
+++ b/src/core/box/owner-pings.ts
@@ -2,7 +2,7 @@
 import * as ownership from '../owner/index.js';
 import * as leaseExpiries from './lease-expiries.js';
 import * as receivedForecast from './received-forecast.js';
-import type * as admission from '../admission/index.js';
+import * as admission from '../admission/index.js';
 import type * as events from '../events/index.js';
 import type * as contacts from '../platform/contact.js';
 import type * as protocol from './peer-protocol.js';
@@ -25,6 +25,8 @@
 	processor: number;
 	/** Clock time. */
 	now: () => number;
+	/** Books refused callers; undefined: they are not booked. */
+	returns: admission.ReturnSchedule | undefined;
 	/** Version of the configuration in force here; 0: none is known. */
 	configuration: () => number;
 	/** The owner at an address advertised its configuration; `sentAt`: clock time of the ping. */
@@ -71,19 +73,28 @@
 		}
 		if (!res.value.ok) return 'not-owner';
 		const reply = res.value.value;
-		this.applyReply(reply);
+		this.applyReply(reply, askedAt);
 		if (reply.configuration !== undefined) this.opts.onConfiguration(reply.configuration, askedAt, address);
 		return 'alive';
 	}
 
-	private applyReply(reply: protocol.PingReply): void {
+	private applyReply(reply: protocol.PingReply, askedAt: number): void {
 		this.storeReachable = reply.storeReachable;
 		this.strongest = reply.strongest;
 		this.reportedBacklog = { backlog: reply.backlog ?? [], at: this.opts.now() };
 		this.forecast.note(reply.forecast);
+		this.noteReturns(reply.returns, askedAt);
 		this.leaseExpiries.update(reply);
 	}
 
+	/** Takes in the share of this box; absent: the owner shares nothing, and the previous share lapses. */
+	private noteReturns(value: unknown, askedAt: number): void {
+		if (value === undefined || this.opts.returns === undefined) return;
+		const parsed = admission.parseSeconds(value);
+		if (parsed.ok) this.opts.returns.noteShare(parsed.value, askedAt);
+		else this.opts.events.emit('returns.rejected', { box: this.opts.box, reason: parsed.err });
+	}
+
 	private async pingOnNewConnection(address: string): Promise<ownership.PingOutcome> {
 		const req = this.request(0);
 		const { pingTimeoutMs } = ownership.settings;
@@ -95,6 +106,15 @@
 	private request(waitMs: number): protocol.BoxReq {
 		const { box, processor, contact } = this.opts;
 		const candidate = { box, processor, storeReachable: contact.reachable };
-		return { type: 'owner.ping', waitMs, candidate, configuration: this.opts.configuration() };
+		const booked = this.opts.returns?.booked();
+		const refused = this.opts.returns?.takeRefused() ?? [];
+		return {
+			type: 'owner.ping',
+			waitMs,
+			candidate,
+			configuration: this.opts.configuration(),
+			...(refused.length > 0 && { refused }),
+			...(booked !== undefined && { booked }),
+		};
 	}
 }
--- a/src/core/box/owner-role.ts
+++ b/src/core/box/owner-role.ts
@@ -4,6 +4,7 @@
 import * as dispatch from '../dispatch/index.js';
 import * as evacuationList from './evacuation-list.js';
 import * as forecastPublisher from './forecast-publisher.js';
+import * as returnsPublisher from './returns-publisher.js';
 import * as followers from '../platform/record-follower.js';
 import * as features from '../features/index.js';
 import * as limits from '../platform/limits.js';
@@ -52,6 +53,8 @@
 	onFenced: (reason: string) => void;
 	/** Records how long exits waited. */
 	recordTime: dispatch.RecordTime;
+	/** Books refused callers of this box; undefined: they are not booked. */
+	returns: admission.ReturnSchedule | undefined;
 	/** Records how far forecasts were off. */
 	recordForecastError: dispatch.RecordForecastError;
 }
@@ -74,6 +77,8 @@
 	private readonly evacuations: evacuationList.EvacuationList | undefined;
 	/** Undefined where nothing is decided by forecasts. */
 	readonly forecast: forecastPublisher.ForecastPublisher | undefined;
+	/** Undefined where refused callers are not booked. */
+	readonly returns: returnsPublisher.ReturnsPublisher | undefined;
 	private readonly learnedModelsTimer: clocks.Timer;
 	private readonly loadTimer: clocks.Timer;
 	private readonly finishRate = admission.FinishRate.create();
@@ -100,6 +105,7 @@
 		});
 		this.upkeep = this.createUpkeep();
 		this.forecast = this.createForecast();
+		this.returns = this.createReturns();
 		const { dispatcher } = this;
 		this.workerList = workerList.followWorkers({
 			...deps,
@@ -143,6 +149,7 @@
 		this.learnedModelsTimer.cancel();
 		this.loadTimer.cancel();
 		this.forecast?.close();
+		this.returns?.close();
 		this.upkeep?.close();
 		this.evacuations?.close();
 		this.dispatcher.close();
@@ -229,6 +236,15 @@
 		return forecastPublisher.ForecastPublisher.create({ clock, events: log, epoch, forecaster });
 	}
 
+	private createReturns(): returnsPublisher.ReturnsPublisher | undefined {
+		const { clock, events: log, settings, returns: schedule } = this.deps;
+		if (schedule === undefined) return undefined;
+		const { forecaster } = this.dispatcher;
+		const epoch = this.ownerLedger.generation;
+		const { box } = settings;
+		return returnsPublisher.ReturnsPublisher.create({ clock, events: log, epoch, forecaster, box, schedule });
+	}
+
 	/** Whether the epoch was confirmed lately, and after the machine was last suspended. */
 	private mayAct(): boolean {
 		return clocks.isFresh(
--- a/src/core/box/peer-protocol.ts
+++ b/src/core/box/peer-protocol.ts
@@ -20,6 +20,9 @@
 		candidate: z.object({ box: z.string(), processor: z.number(), storeReachable: z.boolean() }),
 		/** Version of the configuration in force there; absent: that box has none, or runs an older release. */
 		configuration: z.optional(z.number()),
+		/** What it refused since its last ping, and what it has booked; validated by the owner, so that the ping counts anyway. */
+		refused: z.optional(z.unknown()),
+		booked: z.optional(z.unknown()),
 	}),
 	/** A job was stored. */
 	z.object({ type: z.literal('job.stored'), record }),
@@ -49,6 +52,8 @@
 	backlog?: admission.Backlog;
 	/** The owner's forecast, validated by the receiver; absent: nothing is decided by it, or an older release. */
 	forecast?: forecasts.Forecast;
+	/** Capacity into which the box may book refused callers, validated by the box; absent: nothing is shared. */
+	returns?: admission.SharedSeconds;
 	/** Leases at unresponsive workers; absent: no worker is unresponsive. */
 	silent?: UnresponsiveWorkers;
 	/** The configuration in force at the owner; absent: it has none, or runs an older release. */
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -131,6 +131,16 @@
 		level: 'warn',
 		text: 'A forecast of the owner was not understood; the field and its value are given. The previous one is used until it is too old.',
 	},
+	'returns.shared': {
+		id: 2117,
+		level: 'info',
+		text: 'The owner shared out capacity into which boxes book refused callers, once a second while any is booked: the work booked, in core-milliseconds, and the number of boxes.',
+	},
+	'returns.rejected': {
+		id: 2118,
+		level: 'warn',
+		text: 'What a box reported of refused or booked work, or its share of the capacity, was not understood; bookings stay. The reason is given.',
+	},
 	'takeover.settled': {
 		id: 2107,
 		level: 'info',
@@ -170,7 +180,7 @@
 	'job.turned-away': {
 		id: 3016,
 		level: 'info',
-		text: 'A job was not accepted because the outstanding work already takes too long. The cause, the wait, the limit and the retry delay sent to the caller are given; decided by a forecast, also its wait, finish and age.',
+		text: 'A job was not accepted because the outstanding work already takes too long. The cause, the wait, the limit and the retry delay sent to the caller are given; decided by a forecast, also its wait, finish and age, and the seconds until the second that was booked for it.',
 	},
 	'job.unreadable': {
 		id: 3017,
--- a/src/core/metrics/index.ts
+++ b/src/core/metrics/index.ts
@@ -63,7 +63,9 @@
 	/** Formats the metrics in the Prometheus text exposition format. `gauges` holds current values by name. */
 	text(gauges: Record<string, number> = {}): string {
 		const lines: string[] = [];
-		for (const [name, value] of this.counters) lines.push(`woodcross_${name}_total ${value}`);
+		// Labels follow the suffix.
+		for (const [name, value] of this.counters)
+			lines.push(`woodcross_${name.replace(/\{|$/, '_total$&')} ${value}`);
 		for (const [name, value] of Object.entries(gauges)) lines.push(`woodcross_${name} ${value}`);
 		for (const [name, histogram] of this.histograms) {
 			for (const quantile of quantiles) {
