Forecast: order of preemptible steps kept, replay of a burst, tests

Cause: steps that found no worker were paused one by one, so freed capacity went to whichever was due next and waits were as good as random; no forecast can meet that. Change: where forecasts decide or the order under overload is in force, preemptible steps are tried together in their order. In the replay 403 of 426 jobs wait as forecast within a factor of 1.5. Cores that preemptible work may get before any waits follow the placer's limit.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -13,6 +13,7 @@
 import * as meters from './load-meter.js';
 import * as freshness from './list-freshness.js';
 import * as locations from './task-locations.js';
+import * as options from './options.js';
 import * as outcomes from './outcomes.js';
 import * as placer from './placer.js';
 import * as pressure from './interference-control.js';
@@ -27,7 +28,6 @@
 import * as workerPool from './worker-pool.js';
 import type * as fleet from '../fleet/types.js';
 import type * as jobs from '../jobs/index.js';
-import type * as options from './options.js';
 import type * as learnedModels from './learned-models.js';
 import type * as ledger from '../ledger/index.js';
 import type * as sessions from './worker-session.js';
@@ -250,6 +250,7 @@
 			waitingOf: (step) => this.placer.waitingOf(step),
 			estimates: this.interferenceModel,
 			hasShares: this.opts.features?.waitingOrder === 'overload',
+			maxPreemptibleUse: options.maxPreemptibleUse(this.opts.features),
 		});
 	}
 
@@ -282,6 +283,7 @@
 			policyOf: (job) => this.policyOf(job),
 			estimates: this.interferenceModel,
 			runTimes: this.forecaster.runTimes,
+			retryPauses: options.createRetryPauses(this.opts.features),
 			probations: this.probations,
 			mayAct: () => this.opts.mayAct() && this.unread === undefined,
 			mayStartAgain: (task) => this.outcomes.mayStartAgain(task),
--- a/src/core/dispatch/forecaster.ts
+++ b/src/core/dispatch/forecaster.ts
@@ -12,7 +12,7 @@
 /** What the forecaster reads of the dispatcher. */
 export interface ForecasterOptions extends Pick<
 	summaries.SummaryContext,
-	'policyOf' | 'waitingOf' | 'estimates'
+	'policyOf' | 'waitingOf' | 'estimates' | 'maxPreemptibleUse'
 > {
 	clock: clocks.Clock;
 	epoch: number;
--- a/src/core/dispatch/interference.ts
+++ b/src/core/dispatch/interference.ts
@@ -37,7 +37,7 @@
 const inheritedMaxAgeMs = 20_000;
 
 /** Above this share of a worker's cores in use, every serving task there suffers interference, whatever uses the cores. */
-export const contentionThreshold = 0.9;
+const contentionThreshold = 0.9;
 
 /** The share of its reservation that a long-running task of unknown load uses. */
 const defaultLoad = 0.5;
--- a/src/core/dispatch/options.ts
+++ b/src/core/dispatch/options.ts
@@ -1,4 +1,6 @@
 /** The options of a dispatcher, and the load that it reports. */
+import * as placement from './placement.js';
+import * as retries from './retry-pauses.js';
 import type * as features from '../features/index.js';
 import type * as fleet from '../fleet/types.js';
 import type * as ledger from '../ledger/index.js';
@@ -37,6 +39,20 @@
 	features?: features.Features;
 }
 
+/** A forecast holds only if steps are placed in their order. */
+export function createRetryPauses(inForce: features.Features | undefined): retries.RetryPauses {
+	const isOrdered = inForce?.admission === 'forecast' || inForce?.waitingOrder === 'overload';
+	return isOrdered ? retries.CommonPauses.create() : retries.SeparatePauses.create();
+}
+
+/** Where the limit of preemptible work adapts, it starts at the contention threshold of `interference.ts`. */
+const initialAdaptiveUse = 0.9;
+
+/** Share of a worker's cores up to which preemptible tasks are expected to be placed there. */
+export function maxPreemptibleUse(inForce: features.Features | undefined): number {
+	return inForce?.preemptibleLimit === 'adaptive' ? initialAdaptiveUse : placement.maxExpectedUse;
+}
+
 /** An owner's load. */
 export interface DispatchLoad extends meters.LoadReading {
 	/** Number of tasks that wait for a worker. */
--- a/src/core/dispatch/placement.ts
+++ b/src/core/dispatch/placement.ts
@@ -46,7 +46,7 @@
  * A worker gets no preemptible task if its expected core use would exceed this part of its cores: interference beyond it is
  * unknown.
  */
-const maxExpectedUse = 1.3;
+export const maxExpectedUse = 1.3;
 
 /**
  * Capacity that a long-running task leaves free on a worker for one or two short tasks, in thousandths of a core. It does so
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -11,7 +11,6 @@
 import * as probation from './probation.js';
 import * as rounds from './placing-round.js';
 import * as timers from './round-timer.js';
-import * as settings from './settings.js';
 import * as reasons from './waiting-reason.js';
 import * as migration from './migration.js';
 import * as stalled from './stalled-log.js';
@@ -22,6 +21,7 @@
 import type * as interference from './interference.js';
 import type * as jobs from '../jobs/index.js';
 import type * as meters from './load-meter.js';
+import type * as retries from './retry-pauses.js';
 import type * as sessions from './worker-session.js';
 import type * as types from './types.js';
 
@@ -34,6 +34,7 @@
 	mayHaveUnreportedRun: (task: jobs.Task) => boolean;
 	policyOf: (job: jobs.ActiveJob) => jobs.QueuePolicy;
 	estimates: interference.InterferenceModel;
+	retryPauses: retries.RetryPauses;
 	/** Run times corrected by finished runs. */
 	runTimes: forecasts.RunTimes;
 	probations: probation.Probations;
@@ -58,8 +59,6 @@
 	private readonly waitingLog: waiting.WaitingLog;
 	private readonly stalledLog: stalled.StalledLog;
 	private readonly exemptions = exemptions.InterferenceExemptions.create();
-	/** Clock time before which a step that found no placement is not tried again. */
-	private readonly retryAt = new WeakMap<jobs.StepInstance, number>();
 	private readonly rounds: timers.RoundTimer;
 	private readonly backlog: backlogs.PreemptibleBacklog;
 
@@ -255,7 +254,9 @@
 		isIncluded: (step: jobs.StepInstance) => boolean,
 		now: number,
 	): waitingOrder.WaitingStep[] {
-		const due = this.ready.steps().filter((step) => isIncluded(step) && this.isDue(step, now));
+		const due = this.ready
+			.steps()
+			.filter((step) => isIncluded(step) && this.opts.retryPauses.isDue(step, now));
 		const all = due.map((step) => {
 			const tasks = this.ready.tasksOf(step).filter((task) => this.mayStart(task, now));
 			return { step, tasks };
@@ -315,11 +316,7 @@
 		// An overdue step is tried in every round: short tasks would take the workers kept free for it in between.
 		if (waitingOrder.isOverdue(task, now))
 			round.keepFreeFor(task.step, this.opts.policyOf(task.step.job).pool);
-		else this.retryAt.set(task.step, now + retryDelayMs(task.step));
-	}
-
-	private isDue(step: jobs.StepInstance, now: number): boolean {
-		return (this.retryAt.get(step) ?? 0) <= now;
+		else this.opts.retryPauses.pause(task.step, now);
 	}
 
 	/**
@@ -425,8 +422,3 @@
 		for (const { session, place } of victims) this.opts.stopFor('room for short tasks', session, place);
 	}
 }
-
-/** Minimum time until a step that found no placement is tried again, in milliseconds. */
-function retryDelayMs(step: jobs.StepInstance): number {
-	return step.spec.lasting || step.spec.fills ? settings.lowUrgencyRetryMs : 0;
-}
--- a/src/core/dispatch/work-summary.ts
+++ b/src/core/dispatch/work-summary.ts
@@ -1,6 +1,6 @@
 /** Summarises what an owner has accepted and what its workers can run, by step, for the forecast. */
-import * as interference from './interference.js';
-import type * as forecasts from '../forecast/index.js';
+import type * as interference from './interference.js';
+import * as forecasts from '../forecast/index.js';
 import type * as jobs from '../jobs/index.js';
 import type * as sessions from './worker-session.js';
 import type * as types from './types.js';
@@ -9,7 +9,7 @@
 const saturatedAfterMs = 500;
 
 /** A run that takes longer than expected is taken to need this part of its run time again. */
-const overtimePart = 0.2;
+const overtimePart = 0.1;
 
 /** How long a run takes to stop, in milliseconds; it holds its cores until then. */
 const stoppingMs = 200;
@@ -27,6 +27,11 @@
 	policyOf: (job: jobs.ActiveJob) => jobs.QueuePolicy;
 	waitingOf: (step: jobs.StepInstance) => number;
 	runTimes: forecasts.RunTimes;
+	/**
+	 * Share of a worker's cores up to which preemptible tasks are placed there: the limit of the placer, or where that adapts,
+	 * the contention threshold from which it starts.
+	 */
+	maxPreemptibleUse: number;
 	estimates: Pick<interference.InterferenceModel, 'expectedUtilization'>;
 }
 
@@ -99,7 +104,8 @@
 		const pace = step.spec.fills ? placement.pace / 100 : 1;
 		const cores = (step.spec.milliCores / 1_000) * pace;
 		const leftMs = this.leftMs(placement, facts.runMs);
-		facts.runningLeftMs = Math.max(facts.runningLeftMs, leftMs);
+		const slowestLeftMs = this.leftMs(placement, facts.runMs * forecasts.slowestFactor);
+		facts.runningLeftMs = Math.max(facts.runningLeftMs, slowestLeftMs);
 		const { kind, pool, priority } = facts;
 		this.running.push({ kind, pool, priority, cores, leftMs });
 		const sums = this.sumsOf(pool);
@@ -216,7 +222,7 @@
 		return isReconciled ? usable : Math.max(0, Math.min(usable, total - sums.inheritedLongRunningCores));
 	}
 
-	/** Cores for preemptible work: what it uses if more of it waits, else what serving tasks are expected to leave it. */
+	/** Cores for preemptible work: what it uses if more of it waits, else what the others are expected to leave it. */
 	private preemptibleCores({ isSaturated, preemptibleCores, workers }: PoolSums): number {
 		if (isSaturated && preemptibleCores > 0) return preemptibleCores;
 		let spare = 0;
@@ -225,7 +231,7 @@
 			const use = this.ctx.estimates.expectedUtilization(session) * cores;
 			spare += Math.max(
 				0,
-				interference.contentionThreshold * cores - (use - session.preemptibleMilliCores / 1_000),
+				this.ctx.maxPreemptibleUse * cores - (use - session.preemptibleMilliCores / 1_000),
 			);
 		}
 		return Math.max(spare, preemptibleCores);
--- a/src/core/forecast/placing-sequence.ts
+++ b/src/core/forecast/placing-sequence.ts
@@ -30,19 +30,11 @@
 		return new PlacingSequence();
 	}
 
+	/** Whether the first step is on time. */
 	get hasOnTime(): boolean {
 		return this.next < this.onTime.length;
 	}
 
-	get isEmpty(): boolean {
-		return !this.hasOnTime && this.nextLate >= this.late.length;
-	}
-
-	/** Due time of the first step that is on time, in milliseconds from now; infinite: there is none. */
-	get firstDueInMs(): number {
-		return this.onTime[this.next]?.work.dueInMs ?? Infinity;
-	}
-
 	/** Adds a step. Many are added in the order of their due times, so the place is searched from the end. */
 	add(step: PendingStep): void {
 		const { dueInMs } = step.work;
--- a/src/core/forecast/pool-layout.ts
+++ b/src/core/forecast/pool-layout.ts
@@ -13,6 +13,13 @@
 
 const binCount = horizonMs / binMs;
 
+/**
+ * When the step after one with several tasks is taken to start, over the mean run time: it waits for the slowest task. By the
+ * replay of a burst with run times spread by half (`forecast-burst.test.ts`): of 426 waits 379 were within a factor of 1.5 of
+ * the forecast with 1.0, 403 with 1.1, 390 with 1.2, 365 with 1.4.
+ */
+export const slowestFactor = 1.1;
+
 /** Below this many cores nothing more is placed at a time: rounding leaves remainders. */
 const minFreeCores = 0.01;
 
@@ -90,14 +97,17 @@
 		sequence.moveLate(bin * binMs);
 		// More urgent work takes everything: nothing of this class is placed, new work included.
 		if (this.free <= minFreeCores) return;
+		let lastDueInMs = -Infinity;
 		while (this.free > minFreeCores) {
 			const step = sequence.first();
 			if (step === undefined) break;
+			lastDueInMs = sequence.hasOnTime ? step.work.dueInMs : Infinity;
 			this.placePart(step, bin);
 			if (step.coresLeft > minFreeCores) break;
 			sequence.removeFirst();
 		}
-		noteWaits(one, bin * binMs, this.free > minFreeCores);
+		const hasFreeCores = this.free > minFreeCores;
+		noteWaits(one, bin * binMs, hasFreeCores ? Infinity : lastDueInMs, hasFreeCores);
 	}
 
 	/** Places as much of a step as there are free cores. */
@@ -107,7 +117,9 @@
 		step.coresLeft -= cores;
 		this.free -= cores;
 		this.release(cores, bin + bins);
-		if (step.coresLeft <= minFreeCores) this.unblockDependents(step, (bin + bins) * binMs);
+		if (step.coresLeft > minFreeCores) return;
+		const slowest = step.work.tasks > 1 ? slowestFactor : 1;
+		this.unblockDependents(step, (bin + bins * slowest) * binMs);
 	}
 
 	private unblockDependents(step: sequences.PendingStep, endMs: number): void {
@@ -144,12 +156,10 @@
 	}
 }
 
-/** Notes which work that comes next would be placed at this time: what is due before the first step that still waits. */
-function noteWaits(one: ActiveClass, nowMs: number, hasFreeCores: boolean): void {
+/** Notes that work which is due by `dueInMs` and on time would be placed now, before what took the last cores. */
+function noteWaits(one: ActiveClass, nowMs: number, dueInMs: number, hasFreeCores: boolean): void {
 	if (hasFreeCores) one.lateWaitMs ??= nowMs;
-	const dueInMs = one.sequence.firstDueInMs;
-	const isExhausted = one.sequence.isEmpty && !hasFreeCores;
-	if (isExhausted || dueInMs <= one.reachedDueInMs) return;
+	if (dueInMs <= one.reachedDueInMs) return;
 	const last = one.points.at(-1)?.[0] ?? nowMs;
 	one.points.push([dueInMs === Infinity ? last + 1 : dueInMs, nowMs]);
 	one.reachedDueInMs = dueInMs;
--- /dev/null
+++ b/test/forecast.test.ts
@@ -0,0 +1,193 @@
+/** The forecast of waits, its message, and the decision on a job by it. */
+import test from 'ava';
+import * as admission from '../src/core/admission/index.js';
+import * as events from '../src/core/events/index.js';
+import * as forecasts from '../src/core/forecast/index.js';
+import * as received from '../src/core/box/received-forecast.js';
+import * as time from '../stand-ins/fleet/virtual-clock.js';
+import * as wire from '../src/core/wire/frame.js';
+import * as fixtures from './fixtures/dispatching.js';
+import type * as jobs from '../src/core/jobs/index.js';
+
+const wideQueue: jobs.QueuePolicy = {
+	...fixtures.queue,
+	name: 'wide',
+	priority: 2,
+	stretch: 2,
+	objectiveMs: 1_000,
+};
+
+/** Ten tasks of ten cores, each for a second. */
+const work: forecasts.StepWork = {
+	kind: 'reserved',
+	pool: 'press',
+	priority: 0,
+	queue: 'proofs',
+	dueInMs: 20_000,
+	tasks: 10,
+	cores: 10,
+	runMs: 1_000,
+	readyInMs: 0,
+	after: [],
+};
+
+function snapshot(more: Partial<forecasts.WorkSnapshot>): forecasts.WorkSnapshot {
+	const capacity = (['reserved', 'preemptible'] as const).map((kind) => ({
+		kind,
+		pool: 'press',
+		cores: 100,
+	}));
+	return { known: true, work: [], running: [], capacity, ...more };
+}
+
+function waits(more: Partial<forecasts.WorkSnapshot>, hasShares = false): forecasts.OwnerForecast['classes'] {
+	return forecasts.forecastWaits(snapshot(more), 0, hasShares).classes;
+}
+
+const forecast: forecasts.Forecast = {
+	generation: 3,
+	known: true,
+	classes: [{ kind: 'preemptible', priority: 2, cores: 1_000, points: [[20_000, 6_000]], lateWaitMs: 9_000 }],
+	factors: [['print', 2]],
+};
+
+test('work waits for what comes before it: by priority, then by due time, in its own kind and pool only', (t) => {
+	t.deepEqual(waits({}), []);
+	const later = { ...work, dueInMs: 30_000 };
+	const [found, ...others] = waits({ work: [work, later, { ...later }] });
+	t.is(others.length, 0);
+	// Three rounds of a second: what is due before the first one is placed at once, what is due last after all.
+	t.deepEqual(found?.points, [
+		[20_000, 0],
+		[30_000, 1_000],
+		[30_001, 3_000],
+	]);
+	const low = { ...work, priority: 2 };
+	const byPriority = waits({ work: [work, low] });
+	t.deepEqual(
+		byPriority.map((one) => [one.priority, one.points.at(-1)?.[1]]),
+		[
+			[0, 1_000],
+			[2, 2_000],
+		],
+	);
+	const elsewhere = { ...work, pool: 'other' };
+	t.deepEqual(waits({ work: [elsewhere] }), [], 'a pool without known cores has no forecast');
+});
+
+test('running tasks hold their cores until they end, and later steps wait for the earlier ones', (t) => {
+	const running = { kind: 'reserved' as const, pool: 'press', priority: 0, cores: 100, leftMs: 700 };
+	t.is(waits({ work: [work], running: [running] })[0]?.points.at(-1)?.[1], 1_700);
+	const next = { ...work, after: [work] };
+	const other = { ...work, dueInMs: 40_000 };
+	// Without the chain the next step, due earlier, would be placed before the other one.
+	t.is(waits({ work: [work, next, other] })[0]?.points.find(([due]) => due === 40_000)?.[1], 1_000);
+});
+
+test('late work waits behind work that is on time, and a queue for no more than its own work by its share', (t) => {
+	const late = { ...work, dueInMs: -1 };
+	const [found] = waits({ work: [late, work, { ...work }] });
+	t.is(found?.lateWaitMs, 3_000);
+	t.is(found?.points.at(-1)?.[1], 2_000);
+	const small = { ...work, queue: 'small', tasks: 1 };
+	const [shared] = waits({ work: [...Array.from({ length: 9 }, () => ({ ...work })), small] }, true);
+	t.deepEqual(shared?.queues, [
+		['proofs', 18_000],
+		['small', 200],
+	]);
+});
+
+test('the message has at most 600 bytes, and is decoded as it was sent', (t) => {
+	const steps = Array.from({ length: 400 }, (_, index) => ({
+		...work,
+		kind: index % 2 === 0 ? ('reserved' as const) : ('preemptible' as const),
+		priority: index % 3,
+		dueInMs: 100 * index,
+	}));
+	const factors = Object.fromEntries(
+		Array.from({ length: 60 }, (_, index) => [`image name-${String(index)}`, 1.3 + index / 100]),
+	);
+	const made = forecasts.toMessage(forecasts.forecastWaits(snapshot({ work: steps }), 0, false), 7, factors);
+	const bytes = wire.encodeValue(made);
+	t.true(bytes.length <= forecasts.maxMessageBytes);
+	t.deepEqual(
+		made.classes.map((one) => one.points.length > 0),
+		Array.from({ length: 6 }, () => true),
+	);
+	const decoded = wire.decodeValue(bytes);
+	t.deepEqual(decoded.ok && forecasts.parseForecast(decoded.value), { ok: true, value: made });
+});
+
+test('a forecast with a wrong field is rejected as a whole, and the previous one is used until it is too old', async (t) => {
+	const clock = time.VirtualClock.create();
+	const log = events.EventLog.create('entry-1', clock);
+	const box = received.ReceivedForecast.create(() => clock.now(), log);
+	box.note(forecast);
+	await clock.advance(1_000);
+	const [known] = forecast.classes;
+	const wrong: [string, unknown][] = [
+		['classes.0.points.0.1', { ...forecast, classes: [{ ...known, points: [[1, -1]] }] }],
+		['classes.0.points.0.1', { ...forecast, classes: [{ ...known, points: [[1, Infinity]] }] }],
+		['classes.0.points.0.1', { ...forecast, classes: [{ ...known, points: [[1, 3_600_001]] }] }],
+		['classes.0.lateWaitMs', { ...forecast, classes: [{ ...known, lateWaitMs: NaN }] }],
+		['classes.0.kind', { ...forecast, classes: [{ ...known, kind: 'other' }] }],
+		['classes.0.priority', { ...forecast, classes: [{ ...known, priority: -1 }] }],
+		['factors.0.1', { ...forecast, factors: [['print', 0]] }],
+		['generation', { ...forecast, generation: '3' }],
+		['', 'no forecast'],
+	];
+	for (const [, value] of wrong) box.note(value);
+	t.deepEqual(
+		log.select((event) => event.name === 'forecast.rejected').map((event) => event.fields.field),
+		wrong.map(([field]) => field),
+	);
+	box.note({ ...forecast, generation: 2, classes: [] });
+	box.note(undefined);
+	t.deepEqual(box.current, { forecast, ageMs: 1_000 });
+	await clock.advance(4_000);
+	t.is(box.current, undefined);
+});
+
+test('a job is judged by its own chain: corrected run times, waits of its class, waves of a wide step', (t) => {
+	const step = fixtures.step({
+		count: 40,
+		milliCores: 7_000,
+		estimateMs: 1_000,
+		fills: true,
+		image: 'print',
+	});
+	const record = fixtures.job('a', [step, { ...step, after: [0] }], { queue: wideQueue });
+	const decide = (more: Partial<forecasts.Forecast>, job = record, ageMs = 100): admission.Verdict =>
+		admission.decideByForecast(job, { forecast: { ...forecast, ...more }, ageMs });
+	// 6,000 ms of waiting and two steps of twice their estimate: late, but of value until 15,000 ms.
+	t.deepEqual(decide({}), { type: 'admit', forecast: { waitMs: 9_000, finishMs: 13_000, ageMs: 100 } });
+	const [known] = forecast.classes;
+	if (known === undefined) throw new Error('no class');
+	// Twice the cores of its class: every step takes two waves.
+	t.like(decide({ classes: [{ ...known, cores: 140 }] }), { forecast: { finishMs: 17_000 } });
+	t.like(decide({ classes: [{ ...known, lateWaitMs: 10_001 }] }), { type: 'refuse', cause: 'long-wait' });
+	const slow = { factors: [['print', 9]] as const };
+	t.like(decide(slow), {
+		type: 'refuse',
+		cause: 'too-late',
+		limitMs: 22_500,
+		forecast: { finishMs: 27_000 },
+	});
+	for (const open of [
+		decide({ ...slow, known: false }),
+		decide(slow, record, 5_000),
+		admission.decideByForecast(record, undefined),
+	])
+		t.deepEqual(open, { type: 'admit' });
+	const urgent = { ...record, queue: { ...wideQueue, priority: 0 } };
+	t.like(decide({ classes: [{ ...known, lateWaitMs: 10_001 }] }, urgent), {
+		type: 'admit',
+		forecast: { waitMs: 0 },
+	});
+	const planned = { ...record, schedule: { times: 1, firstAt: 60_000, intervalMs: 0 } };
+	t.like(decide({ classes: [{ ...known, lateWaitMs: 10_001 }] }, planned), { forecast: { waitMs: 0 } });
+	const serving = { ...record, steps: [{ ...step, lasting: true }] };
+	t.deepEqual(decide(slow, serving), { type: 'admit' });
+	const limited = [{ ...known, lateWaitMs: 10_001, queues: [['proofs', 20_000]] as const }];
+	t.like(decide({ classes: limited }), { type: 'admit', forecast: { waitMs: 0 } });
+});
--- a/test/placer.test.ts
+++ b/test/placer.test.ts
@@ -8,6 +8,7 @@
 import * as meters from '../src/core/dispatch/load-meter.js';
 import * as placer from '../src/core/dispatch/placer.js';
 import * as probation from '../src/core/dispatch/probation.js';
+import * as retries from '../src/core/dispatch/retry-pauses.js';
 import * as time from '../stand-ins/fleet/virtual-clock.js';
 import * as workers from '../stand-ins/fleet/workers.js';
 
@@ -40,6 +41,7 @@
 		},
 		mayHaveUnreportedRun: () => false,
 		policyOf: () => fixtures.queue,
+		retryPauses: retries.SeparatePauses.create(),
 		runTimes: forecasts.RunTimes.create(),
 		estimates: interference.InterferenceModel.create(clock),
 		askAdviser: undefined,
