--- a/src/core/dispatch/overload-order.ts
+++ b/src/core/dispatch/overload-order.ts
@@ -37,13 +37,18 @@
 	usual: waitingOrder.WaitingOrder;
 }
 
+/** Bands before and after those of lateness, which are 0 to 2. */
+const passedOverBand = -1;
+const afterShortBand = 3;
+
+/** Above all costs and clock times. */
+const beforeAllCosts = 1e12;
+
 /** Where a step comes in its priority. */
 interface Rank {
 	rankedAt: number;
-	/** Comes after short ones; lateness: sort key of the steps that take turns. */
-	band: readonly [afterShort: number, lateness: number];
-	/** Whether it has waited so long that it goes first. */
-	isPassedOver: boolean;
+	/** Steps of one band take turns; the lower comes first: passed over, by lateness, long-running after short ones. */
+	band: number;
 	hasBegun: boolean;
 	/** What is left of the job, in core-milliseconds; the less, the longer the step has waited. */
 	cost: number;
@@ -53,8 +58,9 @@
 	waitingCoreMs: number;
 }
 
-interface RankedStep extends Rank {
+interface RankedStep {
 	waiting: waitingOrder.WaitingStep;
+	rank: Rank;
 }
 
 /** The order under overload. */
@@ -76,19 +82,17 @@
 	}
 
 	sort(steps: waitingOrder.WaitingStep[], now: number): waitingOrder.WaitingStep[] {
-		this.opts.usual.sort(steps, now);
 		const byPriority = groupBy(steps, ({ step }) => this.opts.priorityOf(step.job));
-		const sorted = [...byPriority].flatMap(([priority, group]) =>
-			this.overload.isOverloaded(priority, now) ? this.sortOverloaded(group, now) : group,
+		const groups = [...byPriority].sort(([a], [b]) => a - b);
+		const sorted = groups.flatMap(([priority, group]) =>
+			this.overload.isOverloaded(priority, now)
+				? this.sortOverloaded(group, now)
+				: this.opts.usual.sort(group, now),
 		);
 		steps.splice(0, steps.length, ...sorted);
 		return steps;
 	}
 
-	isTriedWithOthers({ job, spec }: jobs.StepInstance, now: number): boolean {
-		return spec.fills && this.overload.isOverloaded(this.opts.priorityOf(job), now);
-	}
-
 	notePlaced(task: jobs.Task, now: number): void {
 		const { step } = task;
 		if (!step.spec.fills) return;
@@ -103,19 +107,13 @@
 
 	/** Orders the steps of one priority. */
 	private sortOverloaded(steps: waitingOrder.WaitingStep[], now: number): waitingOrder.WaitingStep[] {
-		const ranked = steps.map((waiting) => ({ ...this.rankOf(waiting, now), waiting }));
-		const passedOver = ranked.filter((one) => one.isPassedOver).sort((a, b) => a.cost - b.cost);
-		const others = this.sortBands(
-			ranked.filter((one) => !one.isPassedOver),
-			now,
+		const ranked = steps.map((waiting) => ({ waiting, rank: this.rankOf(waiting, now) }));
+		const byBand = groupBy(ranked, ({ rank }) => rank.band);
+		const bands = [...byBand].sort(([a], [b]) => a - b);
+		const sorted = bands.flatMap(([band, group]) =>
+			band === passedOverBand ? group.sort(compareCost) : this.sortBand(group, now),
 		);
-		return [...passedOver, ...others].map(({ waiting }) => waiting);
-	}
-
-	private sortBands(steps: RankedStep[], now: number): RankedStep[] {
-		const byBand = groupBy(steps, ({ band }) => band.join(' '));
-		const bands = [...byBand.values()].sort((a, b) => compareBands(a[0], b[0]));
-		return bands.flatMap((band) => this.sortBand(band, now));
+		return sorted.map(({ waiting }) => waiting);
 	}
 
 	/** Orders the steps of one band: within each queue, then the queues by share. */
@@ -129,10 +127,10 @@
 	}
 
 	private sortQueue(queue: string, steps: RankedStep[]): RankedStep[] {
-		const sorted = steps.sort((a, b) => a.cost - b.cost);
-		const begun = sorted.filter(({ hasBegun }) => hasBegun);
-		const others = sorted.filter(({ hasBegun }) => !hasBegun);
-		return [...begun, ...this.turns.giveLargeTurns(queue, others, ({ jobCoreMs }) => jobCoreMs)];
+		const sorted = steps.sort(compareCost);
+		const begun = sorted.filter(({ rank }) => rank.hasBegun);
+		const others = sorted.filter(({ rank }) => !rank.hasBegun);
+		return [...begun, ...this.turns.giveLargeTurns(queue, others, ({ rank }) => rank.jobCoreMs)];
 	}
 
 	private rankOf(waiting: waitingOrder.WaitingStep, now: number): Rank {
@@ -149,21 +147,24 @@
 		const waitedMs = Math.max(...tasks.map((task) => waitingOrder.waitedMs(task, now)));
 		const leftMs = Math.max(0, maxPassedOverMs - waitedMs);
 		const isPassedOver = leftMs === 0 && !step.spec.lasting;
+		const cost = isPassedOver ? -waitedMs : (coreMs * leftMs) / maxPassedOverMs;
 		return {
 			rankedAt: now,
-			band: [
-				Number(waitingOrder.comesAfterShort(waiting, now)),
-				waitingOrder.latenessClass(step, now + chainMs * chainMargin),
-			],
-			isPassedOver,
-			// An overdue long-running step goes before short ones; several keep their order.
+			band: isPassedOver ? passedOverBand : this.bandOf(waiting, now + chainMs * chainMargin, now),
+			// An overdue long-running step goes before short ones, several of them by due time.
 			hasBegun: step.spec.lasting || this.hasBegun(step.job),
-			cost: step.spec.lasting ? -Infinity : isPassedOver ? -waitedMs : (coreMs * leftMs) / maxPassedOverMs,
+			cost: step.spec.lasting ? step.job.dueAt - beforeAllCosts : cost,
 			jobCoreMs: this.sizeOf(step),
 			waitingCoreMs: remaining.coreMsOf(step, tasks.length, this.opts.expectedRunMs),
 		};
 	}
 
+	/** The band of a step that may be completed at `finishAt` at the earliest. */
+	private bandOf(waiting: waitingOrder.WaitingStep, finishAt: number, now: number): number {
+		if (waitingOrder.comesAfterShort(waiting, now)) return afterShortBand;
+		return waitingOrder.latenessClass(waiting.step, finishAt);
+	}
+
 	private hasBegun(job: jobs.ActiveJob): boolean {
 		return job.state === 'running' || this.begun.has(job);
 	}
@@ -191,10 +192,10 @@
 	return groups;
 }
 
-function workOf({ waitingCoreMs }: RankedStep): number {
-	return waitingCoreMs;
+function workOf({ rank }: RankedStep): number {
+	return rank.waitingCoreMs;
 }
 
-function compareBands(a: RankedStep | undefined, b: RankedStep | undefined): number {
-	return waitingOrder.compareKeys(a?.band ?? [], b?.band ?? []);
+function compareCost(a: RankedStep, b: RankedStep): number {
+	return a.rank.cost - b.rank.cost;
 }
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -11,7 +11,6 @@
 import * as preemption from './preemption.js';
 import * as probation from './probation.js';
 import * as rounds from './placing-round.js';
-import * as retries from './retry-times.js';
 import * as timers from './round-timer.js';
 import * as reasons from './waiting-reason.js';
 import * as migration from './migration.js';
@@ -24,6 +23,7 @@
 import type * as interference from './interference.js';
 import type * as jobs from '../jobs/index.js';
 import type * as meters from './load-meter.js';
+import type * as retries from './retry-pauses.js';
 import type * as sessions from './worker-session.js';
 import type * as types from './types.js';
 
@@ -36,6 +36,7 @@
 	mayHaveUnreportedRun: (task: jobs.Task) => boolean;
 	policyOf: (job: jobs.ActiveJob) => jobs.QueuePolicy;
 	estimates: interference.InterferenceModel;
+	retryPauses: retries.RetryPauses;
 	/** Run times corrected by finished runs. */
 	runTimes: forecasts.RunTimes;
 	probations: probation.Probations;
@@ -63,7 +64,6 @@
 	private readonly stalledLog: stalled.StalledLog;
 	private readonly exemptions = exemptions.InterferenceExemptions.create();
 	private readonly order: waitingOrder.WaitingOrder;
-	private readonly retries: retries.RetryTimes;
 	private readonly rounds: timers.RoundTimer;
 	private readonly backlog: backlogs.PreemptibleBacklog;
 
@@ -78,7 +78,6 @@
 			},
 		});
 		this.order = this.createOrder();
-		this.retries = retries.RetryTimes.create(this.order);
 		this.backlog = backlogs.PreemptibleBacklog.create({
 			now: () => opts.clock.now(),
 			waiting: () => this.ready.steps().flatMap((step) => this.ready.tasksOf(step)),
@@ -239,15 +238,15 @@
 		const steps = this.startableSteps(isIncluded, now);
 		if (steps.length === 0) return;
 		const round = rounds.PlacingRound.create(this.opts.workers(), now);
-		this.retries.beginRound(now);
+		this.opts.retryPauses.beginRound(now);
 		for (const { step, tasks } of this.order.sort(steps, now)) {
 			// Leaves the rest to a later round, which orders the steps anew once starts may be sent.
 			if (this.opts.freeStartSlots() === 0) {
-				this.retries.noteInterrupted();
+				this.opts.retryPauses.interrupt();
 				return;
 			}
 			// The job ended when one of its tasks was abandoned during the checks above.
-			if (step.job.ended || this.retries.isSkipped(step, now)) continue;
+			if (step.job.ended || this.opts.retryPauses.isSkipped(step)) continue;
 			const firstUnplaced = this.placeStep(step, tasks, round);
 			if (firstUnplaced !== undefined) this.noteUnplaced(firstUnplaced, round);
 		}
@@ -270,7 +269,9 @@
 		isIncluded: (step: jobs.StepInstance) => boolean,
 		now: number,
 	): waitingOrder.WaitingStep[] {
-		const due = this.ready.steps().filter((step) => isIncluded(step) && this.retries.isDue(step, now));
+		const due = this.ready
+			.steps()
+			.filter((step) => isIncluded(step) && this.opts.retryPauses.isDue(step, now));
 		const all = due.map((step) => {
 			const tasks = this.ready.tasksOf(step).filter((task) => this.mayStart(task, now));
 			return { step, tasks };
@@ -330,7 +331,7 @@
 		// An overdue step is tried in every round: short tasks would take the workers kept free for it in between.
 		if (waitingOrder.isOverdue(task, now))
 			round.keepFreeFor(task.step, this.opts.policyOf(task.step.job).pool);
-		else this.retries.noteUnplaced(task.step, now);
+		else this.opts.retryPauses.pause(task.step, now);
 	}
 
 	/**
--- /dev/null
+++ b/src/core/dispatch/retry-pauses.ts
@@ -0,0 +1,124 @@
+/**
+ * When steps that found no worker are tried again.
+ *
+ * Load pattern: dozens of preemptible steps wait for capacity that becomes free bit by bit. If each step has a pause of its
+ * own, freed capacity goes to whichever step is due next, and waits are as good as random: in the replay of a burst 277 of 426
+ * jobs waited as forecast within a factor of 1.5, and 391 with a common pause.
+ */
+import * as settings from './settings.js';
+import type * as jobs from '../jobs/index.js';
+
+/** Pauses of the waiting steps. */
+export interface RetryPauses {
+	/** Begins a placing round. */
+	beginRound(now: number): void;
+	/** Whether a step may be tried in a round that begins now. */
+	isDue(step: jobs.StepInstance, now: number): boolean;
+	/** Whether a step is left to a later round, as enough steps before it found no worker in this one. */
+	isSkipped(step: jobs.StepInstance): boolean;
+	/** Notes that a step found no worker. */
+	pause(step: jobs.StepInstance, now: number): void;
+	/** Notes that a round ended before all steps were tried; the next one continues with those. */
+	interrupt(): void;
+}
+
+/**
+ * Interval between attempts to place the first of the steps that are tried together, in milliseconds. In replayed bursts, 100
+ * left capacity idle: one to two jobs fewer in a hundred were on time.
+ */
+const firstStepsRetryMs = 30;
+
+/** Number of steps without a worker after which such an attempt ends. */
+const maxUnplaced = 4;
+
+/** Each step has a pause of its own. */
+export class SeparatePauses implements RetryPauses {
+	private readonly retryAt = new WeakMap<jobs.StepInstance, number>();
+
+	private constructor() {
+		// Built by `create`, like every class here.
+	}
+
+	static create(): SeparatePauses {
+		return new SeparatePauses();
+	}
+
+	beginRound(): void {
+		// No step waits for others.
+	}
+
+	isDue(step: jobs.StepInstance, now: number): boolean {
+		return (this.retryAt.get(step) ?? 0) <= now;
+	}
+
+	isSkipped(): boolean {
+		return false;
+	}
+
+	interrupt(): void {
+		// Steps that were not tried have no pause.
+	}
+
+	pause(step: jobs.StepInstance, now: number): void {
+		this.retryAt.set(step, now + retryDelayMs(step));
+	}
+}
+
+/**
+ * Preemptible steps are tried together, in their order: the first ones often, all of them as often as other steps. One that
+ * needs a label waits for few workers: it has a pause of its own, as it says nothing about the others.
+ */
+export class CommonPauses implements RetryPauses {
+	private readonly separate = SeparatePauses.create();
+	/** Clock time before which the first steps, and all of them, are not tried again. */
+	private firstStepsAt = -Infinity;
+	private allStepsAt = -Infinity;
+	/** Number of steps that found no worker in this round; whether all of them are tried in it. */
+	private unplaced = 0;
+	private isForAll = true;
+
+	private constructor() {
+		// Built by `create`, like every class here.
+	}
+
+	static create(): CommonPauses {
+		return new CommonPauses();
+	}
+
+	beginRound(now: number): void {
+		this.unplaced = 0;
+		this.isForAll = this.allStepsAt <= now;
+	}
+
+	isDue(step: jobs.StepInstance, now: number): boolean {
+		return isShared(step) ? this.firstStepsAt <= now : this.separate.isDue(step, now);
+	}
+
+	isSkipped(step: jobs.StepInstance): boolean {
+		return !this.isForAll && this.unplaced >= maxUnplaced && isShared(step);
+	}
+
+	pause(step: jobs.StepInstance, now: number): void {
+		if (!isShared(step)) {
+			this.separate.pause(step, now);
+			return;
+		}
+		this.unplaced += 1;
+		this.firstStepsAt = now + firstStepsRetryMs;
+		if (this.isForAll) this.allStepsAt = now + retryDelayMs(step);
+	}
+
+	interrupt(): void {
+		this.firstStepsAt = -Infinity;
+		this.allStepsAt = -Infinity;
+	}
+}
+
+function isShared({ spec }: jobs.StepInstance): boolean {
+	return spec.fills && spec.requiredLabel === '';
+}
+
+/** Minimum time until a step that found no placement is tried again, in milliseconds. */
+function retryDelayMs(step: jobs.StepInstance): number {
+	return step.spec.lasting || step.spec.fills ? settings.lowUrgencyRetryMs : 0;
+}
--- a/src/core/dispatch/waiting-order.ts
+++ b/src/core/dispatch/waiting-order.ts
@@ -12,24 +12,10 @@
 export interface WaitingOrder {
 	/** Sorts steps in place, the one to place first at the front. `now`: clock time. */
 	sort: (steps: WaitingStep[], now: number) => WaitingStep[];
-	/**
-	 * Whether a step that found no placement is tried again only together with the others of its priority: whatever capacity
-	 * is freed in between is then given in this order too, and not to the step that happens to be tried next.
-	 */
-	isTriedWithOthers: (step: jobs.StepInstance, now: number) => boolean;
 	/** Notes that a task was given a placement. */
 	notePlaced: (task: jobs.Task, now: number) => void;
 }
 
-/** Sort keys are compared number by number, the most significant first. */
-export function compareKeys(a: readonly number[], b: readonly number[]): number {
-	for (const [index, value] of a.entries()) {
-		const difference = value - (b[index] ?? 0);
-		if (difference !== 0) return difference;
-	}
-	return 0;
-}
-
 /** Whether a step of long-running tasks comes after short ones: unless one of its tasks is overdue. */
 export function comesAfterShort({ step, tasks }: WaitingStep, now: number): boolean {
 	return step.spec.lasting && !tasks.some((task) => isOverdue(task, now));
