--- a/src/core/box/peer-protocol.ts
+++ b/src/core/box/peer-protocol.ts
@@ -31,6 +31,9 @@
 		prepared: z.optional(z.number()),
 		/** Version of the configuration in force there; absent: that box has none, or runs an older release. */
 		configuration: z.optional(z.number()),
+		/** What it refused since its last ping, and what it has booked; validated by the owner, so that the ping counts anyway. */
+		refused: z.optional(z.unknown()),
+		booked: z.optional(z.unknown()),
 	}),
 	/** That box has taken over from the one that gets this. */
 	z.object({
@@ -68,6 +71,8 @@
 	backlog?: admission.Backlog;
 	/** The owner's forecast, validated by the receiver; absent: nothing is decided by it, or an older release. */
 	forecast?: forecasts.Forecast;
+	/** Capacity into which the box may book refused callers, validated by the box; absent: nothing is shared. */
+	returns?: admission.SharedSeconds;
 	/** Leases at unresponsive workers; absent: no worker is unresponsive. */
 	silent?: UnresponsiveWorkers;
 	/** The configuration in force at the owner; absent: it has none, or runs an older release. */
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -12,6 +12,7 @@
 import * as meters from './load-meter.js';
 import * as freshness from './list-freshness.js';
 import * as locations from './task-locations.js';
+import * as options from './options.js';
 import * as outcomes from './outcomes.js';
 import * as placer from './placer.js';
 import * as pressure from './interference-control.js';
@@ -29,7 +30,6 @@
 import type * as fleet from '../fleet/types.js';
 import type * as forecasts from '../forecast/index.js';
 import type * as jobs from '../jobs/index.js';
-import type * as options from './options.js';
 import type * as learnedModels from './learned-models.js';
 import type * as ledger from '../ledger/index.js';
 import type * as limitTypes from './limit-types.js';
@@ -252,6 +252,7 @@
 			waitingOf: (step) => this.placer.waitingOf(step),
 			estimates: this.interferenceModel,
 			hasShares: this.opts.features?.waitingOrder === 'overload',
+			maxPreemptibleUse: options.maxPreemptibleUse(this.opts.features),
 		});
 	}
 
@@ -285,6 +286,7 @@
 			estimates: this.interferenceModel,
 			limit: this.limit,
 			runTimes: this.forecaster.runTimes,
+			retryPauses: options.createRetryPauses(this.opts.features),
 			probations: this.probations,
 			mayAct: () => this.opts.mayAct() && this.unread === undefined,
 			mayStartAgain: (task) => this.outcomes.mayStartAgain(task),
--- a/src/core/dispatch/due-time-order.ts
+++ b/src/core/dispatch/due-time-order.ts
@@ -15,12 +15,7 @@
 
 	sort(steps: waitingOrder.WaitingStep[], now: number): waitingOrder.WaitingStep[] {
 		const sortKeys = new Map(steps.map((one) => [one, this.sortKeyOf(one, now)]));
-		return steps.sort((a, b) => waitingOrder.compareKeys(sortKeys.get(a) ?? [], sortKeys.get(b) ?? []));
-	}
-
-	/** Each step is tried again at its own time. */
-	isTriedWithOthers(): boolean {
-		return false;
+		return steps.sort((a, b) => compareKeys(sortKeys.get(a) ?? [], sortKeys.get(b) ?? []));
 	}
 
 	notePlaced(): void {
@@ -39,3 +34,12 @@
 		];
 	}
 }
+
+/** Sort keys are compared number by number, the most significant first. */
+function compareKeys(a: readonly number[], b: readonly number[]): number {
+	for (const [index, value] of a.entries()) {
+		const difference = value - (b[index] ?? 0);
+		if (difference !== 0) return difference;
+	}
+	return 0;
+}
--- a/src/core/dispatch/fixed-limit.ts
+++ b/src/core/dispatch/fixed-limit.ts
@@ -23,7 +23,7 @@
  * A worker gets no preemptible task if its expected core use would exceed this part of its cores: interference beyond it is
  * unknown.
  */
-const maxExpectedUse = 1.3;
+export const maxExpectedUse = 1.3;
 
 /** The same limit on every worker. */
 export class FixedLimit implements limitTypes.PreemptibleLimit {
--- a/src/core/dispatch/waiting-steps.ts
+++ b/src/core/dispatch/waiting-steps.ts
@@ -7,7 +7,7 @@
 	waiting: number;
 	/** Number of those that are not long-running. Long-running tasks may wait as long as there is no free capacity. */
 	waitingShort: number;
-	/** Number of preemptible ones whose step found no worker that takes them. */
+	/** Number of preemptible ones. */
 	limitedTasks: number;
 }
 
