Forecast: summary by step made cheap, and its measurement

Cause: the forecast of 2,000 jobs of 40 tasks took 5.6 ms (median), over the 3 ms that an owner has for it twice a second.

--- a/dev/measure/main.ts
+++ b/dev/measure/main.ts
@@ -2,6 +2,7 @@
 import * as commit from './commit.js';
 import * as dispatchLoad from './dispatch-load.js';
 import * as entry from './entry.js';
+import * as forecast from './forecast.js';
 import * as placement from './placement.js';
 import * as recovery from './recovery.js';
 import * as slots from './slots.js';
@@ -10,6 +11,7 @@
 const measurements: Record<string, () => Promise<void>> = {
 	commit: commit.measureCommit,
 	entry: entry.measureEntry,
+	forecast: forecast.measureForecast,
 	load: dispatchLoad.measureDispatchLoad,
 	placement: placement.measurePlacement,
 	recovery: recovery.measureRecovery,
--- a/src/core/dispatch/work-summary.ts
+++ b/src/core/dispatch/work-summary.ts
@@ -35,7 +35,7 @@
 	estimates: Pick<interference.InterferenceModel, 'expectedUtilization'>;
 }
 
-/** What the summary needs of a step more than once. */
+/** What is known of a step with running tasks. */
 interface StepFacts {
 	kind: forecasts.WorkKind;
 	pool: string;
@@ -65,6 +65,8 @@
 	readonly running: forecasts.RunningWork[] = [];
 	private readonly facts = new Map<jobs.StepInstance, StepFacts>();
 	private readonly pools = new Map<string, PoolSums>();
+	private readonly imageFactors = new Map<string, number>();
+	private readonly queueFactors = new Map<string, number>();
 
 	private constructor(private readonly ctx: SummaryContext) {}
 
@@ -125,13 +127,13 @@
 	}
 
 	private addJob(job: jobs.ActiveJob): void {
-		const { name } = this.ctx.policyOf(job);
+		const policy = this.ctx.policyOf(job);
 		const dueInMs = job.dueAt - this.ctx.now;
-		const added = new Map<jobs.StepInstance, forecasts.StepWork>();
-		for (const step of job.steps) {
+		const indices: (number | undefined)[] = [];
+		for (const [position, step] of job.steps.entries()) {
 			if (step.unfinished === 0) continue;
 			if (step.spec.lasting) this.addLongRunning(step);
-			else this.addStep(step, name, dueInMs, added);
+			else indices[position] = this.addStep(step, policy, dueInMs, indices);
 		}
 	}
 
@@ -141,36 +143,66 @@
 		this.sumsOf(pool).inheritedLongRunningCores += (unfinished * spec.milliCores) / 1_000;
 	}
 
+	/** Adds a step if it has waiting tasks; returns its index. `indices`: those of the job's earlier steps, by position. */
 	private addStep(
 		step: jobs.StepInstance,
-		queue: string,
+		policy: jobs.QueuePolicy,
 		dueInMs: number,
-		added: Map<jobs.StepInstance, forecasts.StepWork>,
-	): void {
+		indices: readonly (number | undefined)[],
+	): number | undefined {
+		const { spec } = step;
 		const newest = step.tasks.at(-1);
 		const isBlocked = newest?.state === 'blocked';
 		const tasks = isBlocked ? step.unfinished : this.ctx.waitingOf(step);
-		if (tasks === 0) return;
-		const { kind, pool, priority, runMs } = this.factsOf(step);
-		const earlier = isBlocked ? earlierSteps(step) : [];
-		const work = {
-			kind,
-			pool,
-			priority,
-			queue,
-			dueInMs,
-			tasks,
-			cores: step.spec.milliCores / 1_000,
-			runMs,
-			readyInMs: earlier.reduce((most, one) => Math.max(most, this.facts.get(one)?.runningLeftMs ?? 0), 0),
-			after: earlier.flatMap((one) => added.get(one) ?? []),
-		};
-		added.set(step, work);
-		this.work.push(work);
+		if (tasks === 0) return undefined;
+		const { pool, priority, name: queue } = policy;
 		const sums = this.sumsOf(pool);
-		if (!step.spec.fills) this.addReservedTasks(sums, step, tasks);
+		if (!spec.fills) this.addReservedTasks(sums, step, tasks);
 		else if (newest?.state === 'ready' && this.ctx.now - newest.readyAt >= saturatedAfterMs)
 			sums.isSaturated = true;
+		return (
+			this.work.push({
+				kind: spec.fills ? 'preemptible' : 'reserved',
+				pool,
+				priority,
+				queue,
+				dueInMs,
+				tasks,
+				cores: spec.milliCores / 1_000,
+				runMs: this.expectedMs(queue, spec),
+				...(isBlocked ? this.earlierWork(step, indices) : { readyInMs: 0, after: [] }),
+			}) - 1
+		);
+	}
+
+	/** What a blocked step waits for. */
+	private earlierWork(
+		step: jobs.StepInstance,
+		indices: readonly (number | undefined)[],
+	): Pick<forecasts.StepWork, 'readyInMs' | 'after'> {
+		const { job, occurrence, spec } = step;
+		const base = occurrence * job.record.steps.length;
+		const after: number[] = [];
+		let readyInMs = 0;
+		for (const number of spec.after) {
+			const earlier = job.steps[base + number];
+			const index = indices[base + number];
+			if (index !== undefined) after.push(index);
+			if (earlier !== undefined) readyInMs = Math.max(readyInMs, this.facts.get(earlier)?.runningLeftMs ?? 0);
+		}
+		return { readyInMs, after };
+	}
+
+	/** Expected run time of a task. Tasks of one image or queue have one factor, so each is looked up once. */
+	private expectedMs(queue: string, spec: jobs.StepSpec): number {
+		const key = spec.image === '' ? queue : spec.image;
+		const known = spec.image === '' ? this.queueFactors : this.imageFactors;
+		let factor = known.get(key);
+		if (factor === undefined) {
+			factor = this.ctx.runTimes.factor(queue, spec);
+			known.set(key, factor);
+		}
+		return spec.estimateMs * factor;
 	}
 
 	private factsOf(step: jobs.StepInstance): StepFacts {
@@ -181,7 +213,7 @@
 			kind: step.spec.fills ? 'preemptible' : 'reserved',
 			pool,
 			priority,
-			runMs: this.ctx.runTimes.expectedMs(name, step.spec),
+			runMs: this.expectedMs(name, step.spec),
 			runningLeftMs: 0,
 		};
 		this.facts.set(step, facts);
@@ -238,13 +270,6 @@
 	}
 }
 
-/** The steps of the same occurrence that a step depends on. */
-function earlierSteps(step: jobs.StepInstance): jobs.StepInstance[] {
-	const { job, occurrence, spec } = step;
-	const base = occurrence * job.record.steps.length;
-	return spec.after.flatMap((number) => job.steps[base + number] ?? []);
-}
-
 /** Summarises the accepted work and the capacity. */
 export function summarise(ctx: SummaryContext): forecasts.WorkSnapshot {
 	const summary = Summary.create(ctx);
--- a/src/core/forecast/pool-layout.ts
+++ b/src/core/forecast/pool-layout.ts
@@ -8,8 +8,8 @@
 /** Resolution, in milliseconds: a tenth of the shortest usual run, and below the time between two forecasts. */
 const binMs = 50;
 
-/** How far work is laid out, in milliseconds. Nothing is accepted that would wait nearly as long. */
-export const horizonMs = 60_000;
+/** How far work is laid out, in milliseconds: three times the longest wait that is accepted. */
+export const horizonMs = 30_000;
 
 const binCount = horizonMs / binMs;
 
--- a/src/core/forecast/types.ts
+++ b/src/core/forecast/types.ts
@@ -57,8 +57,8 @@
 	runMs: number;
 	/** Earliest start, in milliseconds from now: the end of the running tasks that it depends on; 0: they have finished. */
 	readyInMs: number;
-	/** Steps with waiting tasks that have to finish before it. */
-	after: readonly StepWork[];
+	/** Steps with waiting tasks that have to finish before it: their indices in `WorkSnapshot.work`. */
+	after: readonly number[];
 }
 
 /** Short tasks that run and end at about the same time. */
--- a/src/core/forecast/waits.ts
+++ b/src/core/forecast/waits.ts
@@ -20,7 +20,7 @@
 
 /** The work that competes for the same cores. */
 interface CorePool extends types.ClassCapacity {
-	work: types.StepWork[];
+	work: sequences.PendingStep[];
 	running: types.RunningWork[];
 }
 
@@ -54,46 +54,40 @@
 }
 
 function groupByPool(snapshot: types.WorkSnapshot): CorePool[] {
-	const pools = new Map<string, CorePool>();
+	const pools = { reserved: new Map<string, CorePool>(), preemptible: new Map<string, CorePool>() };
 	for (const capacity of snapshot.capacity)
-		pools.set(poolKey(capacity), { ...capacity, work: [], running: [] });
-	for (const one of snapshot.work) pools.get(poolKey(one))?.work.push(one);
-	for (const one of snapshot.running) pools.get(poolKey(one))?.running.push(one);
-	return [...pools.values()];
-}
-
-function poolKey({ kind, pool }: Pick<types.ClassCapacity, 'kind' | 'pool'>): string {
-	return `${kind} ${pool}`;
+		pools[capacity.kind].set(capacity.pool, { ...capacity, work: [], running: [] });
+	for (const step of linkSteps(snapshot.work)) pools[step.work.kind].get(step.work.pool)?.work.push(step);
+	for (const one of snapshot.running) pools[one.kind].get(one.pool)?.running.push(one);
+	return [...pools.reserved.values(), ...pools.preemptible.values()];
 }
 
 function layOut(pool: CorePool): layouts.PoolLayout {
 	const layout = layouts.PoolLayout.create(pool.cores);
 	for (const one of pool.running) layout.addRunning(one);
-	const sorted = pool.work.sort((a, b) => a.dueInMs - b.dueInMs);
-	const pending = new Map(sorted.map((work) => [work, toPending(work)]));
-	for (const step of pending.values()) linkToEarlier(step, pending);
-	for (const step of pending.values()) layout.addWaiting(step);
+	for (const step of pool.work.sort((a, b) => a.work.dueInMs - b.work.dueInMs)) layout.addWaiting(step);
 	return layout;
 }
 
+/** Links steps to those that wait for them. The steps of one job may be of several kinds, but each pool is laid out alone. */
+function linkSteps(work: readonly types.StepWork[]): sequences.PendingStep[] {
+	const pending = work.map(toPending);
+	for (const step of pending) {
+		for (const index of step.work.after) {
+			const earlier = pending[index];
+			if (earlier?.work.kind !== step.work.kind) continue;
+			earlier.dependents.push(step);
+			step.blockedBy += 1;
+		}
+	}
+	return pending;
+}
+
 function toPending(work: types.StepWork): sequences.PendingStep {
 	const { tasks, cores, readyInMs } = work;
 	return { work, coresLeft: tasks * cores, blockedBy: 0, dependents: [], readyAtMs: readyInMs };
 }
 
-/** A step of another kind than the ones before it is taken as ready when they are: their end is laid out elsewhere. */
-function linkToEarlier(
-	step: sequences.PendingStep,
-	pending: ReadonlyMap<types.StepWork, sequences.PendingStep>,
-): void {
-	for (const one of step.work.after) {
-		const earlier = pending.get(one);
-		if (earlier === undefined) continue;
-		earlier.dependents.push(step);
-		step.blockedBy += 1;
-	}
-}
-
 function maxWaitMs({ points, lateWaitMs }: layouts.ClassWaits): number {
 	return Math.max(lateWaitMs, points.at(-1)?.[1] ?? 0);
 }
@@ -105,7 +99,7 @@
 	aheadMs: number,
 ): types.ClassForecast['queues'] {
 	const coreMs = new Map<string, number>();
-	for (const one of work) {
+	for (const { work: one } of work) {
 		if (one.priority !== priority) continue;
 		coreMs.set(one.queue, (coreMs.get(one.queue) ?? 0) + one.tasks * one.cores * one.runMs);
 	}
