--- a/dev/measure/main.ts
+++ b/dev/measure/main.ts
@@ -2,6 +2,7 @@
 import * as commit from './commit.js';
 import * as dispatchLoad from './dispatch-load.js';
 import * as entry from './entry.js';
+import * as forecast from './forecast.js';
 import * as placement from './placement.js';
 import * as preemptible from './preemptible.js';
 import * as recovery from './recovery.js';
@@ -11,6 +12,7 @@
 const measurements: Record<string, () => Promise<void>> = {
 	commit: commit.measureCommit,
 	entry: entry.measureEntry,
+	forecast: forecast.measureForecast,
 	load: dispatchLoad.measureDispatchLoad,
 	placement: placement.measurePlacement,
 	preemptible: preemptible.measurePreemptible,
