--- a/src/core/admission/return-shares.ts
+++ b/src/core/admission/return-shares.ts
@@ -71,22 +71,21 @@
 		this.sumUp();
 	}
 
-	/** Takes in what a box reported with its ping; `booked` replaces what it reported before. */
-	noteReport(box: string, refused: messages.RefusedWork = [], booked?: messages.SharedSeconds): void {
+	/**
+	 * Takes in what a box reported with its ping. `booked` replaces what it reported before; absent: it has booked nothing.
+	 */
+	noteReport(
+		box: string,
+		refused: messages.RefusedWork = [],
+		booked?: messages.SharedSeconds | 'unchanged',
+	): void {
 		const now = this.now();
 		const state = this.boxes.get(box) ?? createState(now);
 		this.boxes.set(box, state);
 		state.heardAt = now;
 		decayRefused(state, now);
 		for (const { kind, coreMs } of refused) state.refused[kind] += coreMs;
-		const reported = emptySeconds();
-		for (const { kind, coreMs } of booked?.shares ?? [])
-			addSeconds(reported[kind], secondOf(now + (booked?.fromMs ?? 0) + alignmentMs), coreMs);
-		for (const kind of messages.returnKinds) {
-			const left = withoutNewBookings(state.given[kind], state.booked[kind], reported[kind]);
-			state.given[kind] = replaceIn(this.given[kind], state.given[kind], left);
-			state.booked[kind] = replaceIn(this.booked[kind], state.booked[kind], reported[kind]);
-		}
+		if (booked !== 'unchanged') this.replaceBooked(state, booked);
 	}
 
 	/** The share of a box, which replaces its former one; undefined: nothing is shared yet. */
@@ -120,6 +119,17 @@
 		return this.boxes.size;
 	}
 
+	private replaceBooked(state: BoxState, booked?: messages.SharedSeconds): void {
+		const reported = emptySeconds();
+		const first = secondOf(this.now() + (booked?.fromMs ?? 0) + alignmentMs);
+		for (const { kind, coreMs } of booked?.shares ?? []) addSeconds(reported[kind], first, coreMs);
+		for (const kind of messages.returnKinds) {
+			const left = withoutNewBookings(state.given[kind], state.booked[kind], reported[kind]);
+			state.given[kind] = replaceIn(this.given[kind], state.given[kind], left);
+			state.booked[kind] = replaceIn(this.booked[kind], state.booked[kind], reported[kind]);
+		}
+	}
+
 	/** A box's part of a second, of what is neither booked nor given to another box. */
 	private shareOf({ given }: BoxState, kind: messages.ReturnKind, second: number, weight: number): number {
 		const unbooked = (this.free[kind].get(second) ?? 0) - (this.booked[kind].get(second) ?? 0);
--- a/src/core/box/returns-publisher.ts
+++ b/src/core/box/returns-publisher.ts
@@ -3,6 +3,7 @@
 import * as clocks from '../clock.js';
 import type * as dispatch from '../dispatch/index.js';
 import type * as events from '../events/index.js';
+import type * as results from '../result.js';
 
 /** Interval between computations, in milliseconds. */
 const intervalMs = 1_000;
@@ -12,7 +13,7 @@
 	clock: clocks.Clock;
 	events: events.EventLog;
 	epoch: number;
-	forecaster: dispatch.Forecaster;
+	forecaster: Pick<dispatch.Forecaster, 'latest'>;
 	/** Name and bookings of the owner's own box. */
 	box: string;
 	schedule: admission.ReturnSchedule;
@@ -34,16 +35,12 @@
 		return new ReturnsPublisher(opts);
 	}
 
-	/** Takes in the fields of a box's ping; one that is invalid is left out and logged. */
+	/** Takes in the fields of a box's ping; one that is invalid is logged, and what it said before stays. */
 	notePing(box: string, refused: unknown, booked: unknown): void {
-		const validRefused = refused === undefined ? undefined : admission.parseRefused(refused);
-		const validBooked = booked === undefined ? undefined : admission.parseSeconds(booked);
-		for (const one of [validRefused, validBooked])
-			if (one?.ok === false) this.opts.events.emit('returns.rejected', { box, reason: one.err });
 		this.shares.noteReport(
 			box,
-			validRefused?.ok === true ? validRefused.value : undefined,
-			validBooked?.ok === true ? validBooked.value : undefined,
+			this.validOr(box, undefined, refused, admission.parseRefused),
+			this.validOr(box, 'unchanged', booked, admission.parseSeconds),
 		);
 	}
 
@@ -56,6 +53,20 @@
 		this.timer.cancel();
 	}
 
+	/** A valid field; undefined: it is absent. */
+	private validOr<T, F>(
+		box: string,
+		ifInvalid: F,
+		value: unknown,
+		parse: (value: unknown) => results.Result<T, string>,
+	): T | F | undefined {
+		if (value === undefined) return undefined;
+		const parsed = parse(value);
+		if (parsed.ok) return parsed.value;
+		this.opts.events.emit('returns.rejected', { box, reason: parsed.err });
+		return ifInvalid;
+	}
+
 	private update(): void {
 		const { clock, events: log, epoch, forecaster, box, schedule } = this.opts;
 		const { latest } = forecaster;
--- a/test/scheduled-retries.test.ts
+++ b/test/scheduled-retries.test.ts
@@ -5,6 +5,7 @@
 import * as events from '../src/core/events/index.js';
 import * as fixtures from './fixtures/dispatching.js';
 import * as memory from '../stand-ins/fleet/memory-store.js';
+import * as publishers from '../src/core/box/returns-publisher.js';
 import * as results from '../src/core/result.js';
 import * as service from '../src/core/box/job-service.js';
 import * as time from '../stand-ins/fleet/virtual-clock.js';
@@ -210,3 +211,36 @@
 	// A booking counts once.
 	t.is((await submit('00000000000000a2')).type, 'overloaded');
 });
+
+test('a ping with an invalid field is logged and counts for the rest; its earlier bookings stay', async (t) => {
+	const clock = time.VirtualClock.create();
+	const log = events.EventLog.create('entry-1', clock);
+	const rejected: unknown[] = [];
+	log.observe((event) => {
+		if (event.name === 'returns.rejected') rejected.push(event.fields.box);
+	});
+	const schedule = admission.ReturnSchedule.create(
+		() => clock.now(),
+		() => 0,
+	);
+	const coreMs = Array.from({ length: 16 }, () => freePerS);
+	const free = [{ kind: 'preemptible' as const, pool: 'press', coreMs }];
+	const latest = { at: clock.now(), known: true, classes: [], free };
+	const publisher = publishers.ReturnsPublisher.create({
+		clock,
+		events: log,
+		epoch: 1,
+		forecaster: { latest },
+		box: 'entry-1',
+		schedule,
+	});
+	const booked = { fromMs: 0, shares: [{ kind: 'preemptible', coreMs: coreMs.map(() => freePerS / 2) }] };
+	publisher.notePing('entry-2', undefined, booked);
+	await clock.advance(1_100);
+	publisher.notePing('entry-2', [{ kind: 'preemptible', coreMs: -1 }], { ...booked, fromMs: NaN });
+	t.deepEqual(rejected, ['entry-2', 'entry-2']);
+	const given = publisher.answerFor('entry-2')?.shares.find(({ kind }) => kind === 'preemptible');
+	t.true((given?.coreMs[3] ?? 0) > 0, 'the box gets a share');
+	t.true((given?.coreMs[3] ?? 0) <= freePerS / 4, 'half of the capacity is still booked');
+	publisher.close();
+});
