--- a/test/forecast-owner.test.ts
+++ b/test/forecast-owner.test.ts
@@ -1,6 +1,10 @@
 /** The forecast of an owner: what it learns from runs, what a new owner knows at once, and how it reaches the other boxes. */
 import test from 'ava';
+import * as errors from '../src/core/dispatch/forecast-errors.js';
 import * as features from '../src/core/features/index.js';
+import * as jobs from '../src/core/jobs/index.js';
+import * as metrics from '../src/core/metrics/index.js';
+import * as publishers from '../src/core/box/forecast-publisher.js';
 import * as fixtures from './fixtures/dispatching.js';
 import * as realBoxes from './fixtures/real-boxes.js';
 
@@ -58,6 +62,52 @@
 	second.dispatcher.close();
 });
 
+test('the forecast is logged once a second while work waits, and compared with the real wait', async (t) => {
+	const { clock, takeOver, submit } = createEnvironment(1_000);
+	const owner = await takeOver();
+	await clock.advance(500);
+	const { forecaster } = owner.dispatcher;
+	const publisher = publishers.ForecastPublisher.create({
+		clock,
+		events: owner.events,
+		epoch: 1,
+		forecaster,
+	});
+	const wide = { ...step, estimateMs: 1_000 };
+	for (let index = 0; index < 3; index += 1)
+		await submit(owner, fixtures.job(`job${String(index)}`, [wide], { queue: wideQueue }));
+	await clock.advance(1_200);
+	t.is(publisher.current?.forecast, publisher.message);
+	t.true((publisher.current?.ageMs ?? Infinity) < 500);
+	await clock.advance(6_000);
+	const lines = owner.events.select((event) => event.name === 'forecast.published');
+	t.true(lines.length >= 1 && lines.length <= 3, `${String(lines.length)} lines`);
+	t.regex(String(lines[0]?.fields.waits), /^reserved\/2 \d+ ms, late \d+ ms on 320 cores$/);
+	publisher.close();
+	owner.dispatcher.close();
+	const recorded: [string, number][] = [];
+	const followed = errors.ForecastErrors.create((queue, ratio) => recorded.push([queue, ratio]));
+	const job = jobs.ActiveJob.create(fixtures.job('job', [step]), undefined, {
+		cancelled: false,
+		inherited: false,
+		workersStored: true,
+		now: 0,
+		age: 0,
+	});
+	const tasks = job.openNextOccurrence(0);
+	followed.follow(job, 3_000);
+	followed.settle();
+	t.deepEqual(recorded, [], 'its tasks still wait');
+	for (const task of tasks) Object.assign(task, { state: 'placed', waitedMs: 2_000 });
+	followed.settle();
+	followed.settle();
+	t.deepEqual(recorded, [['proofs', 1.5]]);
+	const registry = metrics.Metrics.create();
+	for (const [queue, ratio] of recorded) registry.recordRatio('forecast_error_ratio', 'queue', queue, ratio);
+	t.true(registry.text().includes('woodcross_forecast_error_ratio{queue="proofs",quantile="0.5"} 1.5'));
+	t.true(registry.text().includes('woodcross_forecast_error_ratio_count{queue="proofs"} 1'));
+});
+
 test('a box decides by the forecast of the owner, and logs its age', async (t) => {
 	process.env.WOODCROSS_ADMISSION = 'forecast';
 	const { startTwo } = await realBoxes.setUp(t);
