--- a/dev/measure/dispatch-load.ts
+++ b/dev/measure/dispatch-load.ts
@@ -43,7 +43,9 @@
 
 async function measureSize(name: string, workers: number): Promise<report.Row> {
 	const pattern = patterns.createPattern(name, workers, arrivalPeriodMs, seed);
-	const { clock, fleet, takeOver, submit } = dispatching.createEnvironment(pattern.plan);
+	const environment = dispatching.createEnvironment(pattern.plan);
+	const { clock, fleet, takeOver, submit } = environment;
+	environment.features = { ...dispatching.noFeatures, preemptibleLimit: limitFromEnvironment() };
 	const capacity = { milliCores: pattern.workerMilliCores, memoryMb: 128_000, accelerators: 0 };
 	for (let number = 1; number <= workers; number += 1) fleet.add(`w${String(number)}`, { capacity });
 	const owner = await takeOver();
@@ -91,6 +93,11 @@
 	};
 }
 
+/** The limit on preemptible work that `WOODCROSS_PREEMPTIBLE_LIMIT` names. */
+function limitFromEnvironment(): 'fixed' | 'adaptive' {
+	return process.env.WOODCROSS_PREEMPTIBLE_LIMIT === 'adaptive' ? 'adaptive' : 'fixed';
+}
+
 function splitInitial(arrivals: patterns.Arrival[]): [patterns.Arrival[], patterns.Arrival[]] {
 	return [arrivals.filter((arrival) => arrival.atMs === 0), arrivals.filter((one) => one.atMs > 0)];
 }
--- a/src/core/dispatch/fixed-limit.ts
+++ b/src/core/dispatch/fixed-limit.ts
@@ -28,6 +28,7 @@
 /** The same limit on every worker. */
 export class FixedLimit implements limitTypes.PreemptibleLimit {
 	private misses = 0;
+	private readonly slopeOf: overloads.SlopeOf = (serving, image) => this.estimates.slope(serving, image);
 
 	private constructor(private readonly estimates: interference.InterferenceModel) {}
 
@@ -56,7 +57,7 @@
 		const { now, tolerance, ignoreInterference } = check;
 		const violations = this.estimates.expectedViolations(worker, spec.image, coreShareOf(spec, worker));
 		if (!ignoreInterference && violations > tolerance) return Infinity;
-		if (!ignoreInterference && overloads.interferesWithOverloaded(spec.image, worker, this.estimates, now))
+		if (!ignoreInterference && overloads.interferesWithOverloaded(spec.image, worker, this.slopeOf, now))
 			return Infinity;
 		return violations * sloViolationWeight;
 	}
@@ -71,7 +72,7 @@
 		if (this.estimates.expectedUtilization(worker) + share > maxExpectedUse) return 'cores-in-use';
 		if (this.estimates.expectedViolations(worker, spec.image, share) > this.toleranceFor(task, now))
 			return 'harm';
-		return overloads.interferesWithOverloaded(spec.image, worker, this.estimates, now)
+		return overloads.interferesWithOverloaded(spec.image, worker, this.slopeOf, now)
 			? 'overloaded'
 			: undefined;
 	}
--- a/src/core/dispatch/image-model.ts
+++ b/src/core/dispatch/image-model.ts
@@ -27,10 +27,10 @@
 const maxIncrease = 1.5;
 
 /**
- * Standard deviation of one report's increase of the busy part, as a multiple of the load: the fit of a load leaves 0.03 to
- * 0.1 of a busy part unexplained, at loads of about a half.
+ * Standard deviation of one report's increase of the busy part, as a multiple of the load. The fit of a load leaves 0.03 to
+ * 0.1 of a busy part unexplained, and several tasks report together; a higher value keeps unknown pairs apart for too long.
  */
-const reportDeviation = 0.12;
+const reportDeviation = 0.08;
 
 /** Upper estimate of the slope of a pair that was never observed. */
 const initialUpperSlope = initialSlope + reportDeviation / Math.sqrt(initialWeight);
--- a/src/core/dispatch/preemptible-limit.ts
+++ b/src/core/dispatch/preemptible-limit.ts
@@ -7,6 +7,7 @@
  * over the target for seconds, so the limit aims at serving tasks that are under target for 97% of their time.
  */
 import * as interference from './interference.js';
+import type * as overloads from './recent-overloads.js';
 import type * as outlooks from './serving-outlook.js';
 
 /** A worker's limit. */
@@ -26,9 +27,6 @@
 	points: number;
 }
 
-/** Upper estimate of how much a neighbour image raises a serving image's busy part, for a whole worker. */
-export type UpperSlope = (serving: string, neighbour: string) => number;
-
 /** What a task would cause on a worker. */
 export interface Effect {
 	/** Highest share of the worker's cores in use, over the points. */
@@ -42,30 +40,33 @@
 }
 
 /**
- * First limit of a worker without data: the cores left at the contention threshold, and the margin at which a fifth of the
- * tasks exceed their targets (docs/decisions/0014-loads.md).
+ * First limit of a worker without data: the cores left at the contention threshold, and a margin at which a sixth of the tasks
+ * exceed their targets (docs/decisions/0014-loads.md).
  */
-export const initialLimit: WorkerLimit = { maxUse: interference.contentionThreshold, margin: 0.08 };
+export const initialLimit: WorkerLimit = { maxUse: interference.contentionThreshold, margin: 0.09 };
 
-/** Bounds of the limit. Interference beyond 1.3 of the cores in use is unknown; from a margin of 0.16 on none is expected. */
+/**
+ * Bounds of the limit. Interference beyond 1.3 of the cores in use is unknown. From a margin of 0.16 on no excess is expected;
+ * a worker whose tasks react more strongly than predicted needs more.
+ */
 const maxUseBounds = [interference.contentionThreshold, 1.3] as const;
-const marginBounds = [0, 0.2] as const;
+const marginBounds = [0, 0.3] as const;
 
 /** Rise of the use with a report: from the contention threshold to the upper bound in four seconds of full load. */
 const useStep = 0.04;
 
 /**
- * Change of the margin with a report and with a cut. A task that exceeds its target does so for two seconds, so with reports
- * every 0.4 s the two balance where one task of about five exceeds its target every 13 s: 3% of the tasks' time.
+ * Change of the margin with a report and with a cut. With reports every 0.4 s the two balance where the serving tasks of a
+ * worker, four to seven, have one excess of two seconds every 24 s: 1% to 2% of their time.
  */
 const marginStep = 0.001;
-const marginCut = 0.032;
+const marginCut = 0.06;
 
 /** Part of the use beyond the contention threshold that remains after a cut. */
 const useKept = 0.5;
 
-/** What a task adds to a busy part counts as nothing up to this value: a fifteenth of the prediction's usual error. */
-const negligible = 0.005;
+/** What a task adds to a busy part counts as nothing up to this value: a fifth of the prediction's usual error. */
+const negligible = 0.015;
 
 /** The limit after a report in which all serving tasks are under target although preemptible work was turned away. */
 export function raise(limit: WorkerLimit): WorkerLimit {
@@ -102,7 +103,7 @@
 }
 
 /** What a task would cause on a worker with this outlook, in time linear in its serving tasks. */
-export function effectOf(outlook: outlooks.WorkerOutlook, load: Load, upperSlope: UpperSlope): Effect {
+export function effectOf(outlook: outlooks.WorkerOutlook, load: Load, upperSlope: overloads.SlopeOf): Effect {
 	const effect: Effect = { use: 0, excess: -Infinity, violations: 0, added: 0 };
 	for (let i = 0; i < load.points; i += 1)
 		effect.use = Math.max(effect.use, (outlook.use[i] ?? 0) + load.share);
--- a/src/core/dispatch/preemptible-limits.ts
+++ b/src/core/dispatch/preemptible-limits.ts
@@ -18,7 +18,7 @@
 const violationWeight = 5;
 
 /** Score of what a task adds to busy parts: among workers within their limits, the one that it disturbs least comes first. */
-const addedWeight = 2;
+const addedWeight = 6;
 
 /**
  * After a cut, a worker's limit stays for this time, in milliseconds: a task that exceeds its target does so for two seconds
@@ -67,6 +67,8 @@
 	private readonly states = new WeakMap<sessions.WorkerSession, LimitState>();
 	private readonly imageLimits = new Map<string, limit.WorkerLimit>();
 	private readonly inputs = new WeakMap<types.Placement, PlacementInputs>();
+	private readonly upperSlope: overloads.SlopeOf = (serving, image) =>
+		this.opts.estimates.upperSlope(serving, image);
 	private cuts = 0;
 	private misses = 0;
 
@@ -188,9 +190,7 @@
 			share: coreShareOf(task, worker),
 			points: outlooks.pointsWithin(this.opts.expectedMs(task.step)),
 		};
-		return limit.effectOf(this.outlooks.of(worker), load, (serving, image) =>
-			this.opts.estimates.upperSlope(serving, image),
-		);
+		return limit.effectOf(this.outlooks.of(worker), load, this.upperSlope);
 	}
 
 	private obstacleOf(
@@ -203,8 +203,7 @@
 		if (effect.use > maxUse) return 'cores-in-use';
 		if (effect.excess > -margin) return 'harm';
 		const { image } = task.step.spec;
-		const { estimates } = this.opts;
-		return overloads.interferesWithOverloaded(image, worker, estimates, now) ? 'overloaded' : undefined;
+		return overloads.interferesWithOverloaded(image, worker, this.upperSlope, now) ? 'overloaded' : undefined;
 	}
 
 	private cut(worker: sessions.WorkerSession, state: LimitState, over: types.Placement): void {
--- a/src/core/dispatch/serving-outlook.ts
+++ b/src/core/dispatch/serving-outlook.ts
@@ -24,8 +24,11 @@
 /** Maximum age of a step's cached loads, in milliseconds. */
 const loadsMaxAgeMs = 100;
 
-/** A run that has taken as long as expected, or nearly so, is expected to take this part of its time longer. */
-const minRemainingFraction = 0.25;
+/**
+ * A run is expected to take at least this part of its expected time longer, however long it has run: run times vary by half
+ * of their mean and more.
+ */
+const minRemainingFraction = 0.6;
 
 /** Bounds of the time over which a task's effects are examined, in milliseconds. */
 const minExpectedMs = 1_000;
@@ -38,7 +41,7 @@
 export interface ServingOutlook {
 	image: string;
 	loads: readonly number[];
-	/** How much its neighbours raise its busy part, contention excluded. */
+	/** Upper estimate of how much its neighbours raise its busy part, contention excluded. */
 	interference: number[];
 	/** How much contention raises its busy part, per whole worker of cores in use beyond the contention threshold. */
 	contentionSlope: number;
@@ -109,7 +112,7 @@
 			const image = spec.fills ? spec.image : neighbours.otherTasks;
 			if (spec.fills) addUpTo(use, points, share);
 			for (const task of tasks)
-				addUpTo(task.interference, points, this.estimates.slope(task.image, image) * share);
+				addUpTo(task.interference, points, this.estimates.upperSlope(task.image, image) * share);
 		}
 		return { revision: session.revision, at: now, tasks, use };
 	}
