--- a/src/core/owner/ownership.ts
+++ b/src/core/owner/ownership.ts
@@ -4,19 +4,18 @@
  * next owner. Safety does not depend on this: the epoch ensures it, in the store and on every worker.
  */
 import * as clocks from '../clock.js';
+import * as handingOver from './handing-over.js';
 import * as leaseKeepers from './lease-keeper.js';
 import * as ledger from '../ledger/index.js';
-import * as outgoingHandovers from './outgoing-handover.js';
 import * as ownerRecords from './owner-record.js';
-import * as results from '../result.js';
 import * as settings from './settings.js';
 import * as strength from './strength.js';
 import * as successions from './succession.js';
+import * as takeovers from './takeover.js';
 import type * as candidates from './candidates.js';
 import type * as events from '../events/index.js';
-import type * as handovers from './handover.js';
+import type * as outgoingHandovers from './outgoing-handover.js';
 import type * as platform from '../platform/types.js';
-import type * as preparations from './preparation.js';
 
 /** Outcome of a ping of the owner. */
 export type PingOutcome = 'alive' | 'not-owner' | 'refused' | 'silent';
@@ -79,12 +78,6 @@
 /** How often a new owner repeats its message to the former one, at most. */
 const maxNotifications = 4;
 
-/** A takeover that succeeded. */
-interface Takeover {
-	owned: ledger.OwnerLedger;
-	contents: ledger.LedgerContents;
-}
-
 /** This box's part in the election of the owner. */
 export class Ownership {
 	/** The owner as last read, or this box while it is the owner; undefined: not known. */
@@ -105,12 +98,7 @@
 	private ownedSince = -Infinity;
 	/** Undefined where handovers are not confirmed. */
 	private readonly succession: successions.Succession | undefined;
-	/** The handover of the generation owned, or last owned. */
-	private outgoing: outgoingHandovers.OutgoingHandover | undefined;
-	/** Clock time at which this box found out that it was replaced, before its successor told it; undefined: it did not. */
-	private replacedAt: number | undefined;
-	/** Clock time at which a handover was last given up. */
-	private handoverGivenUpAt = -Infinity;
+	private readonly handingOver: handingOver.HandingOver | undefined;
 	/** A planned stop has begun: this box takes over no more, and goes on owning until it is replaced. */
 	private leaving = false;
 	/** This box has permission and is taking over. */
@@ -123,15 +111,19 @@
 	private onGivenUp: () => void = () => undefined;
 
 	private constructor(private readonly opts: OwnershipOptions) {
-		const { handover, store, clock, box, leaseMs } = opts;
-		if (handover !== undefined)
+		const { handover } = opts;
+		if (handover !== undefined) {
 			this.succession = successions.Succession.create({
-				store,
-				clock,
-				box,
-				leaseMs,
+				...opts,
 				pingNow: (address) => handover.pingNow(address),
 			});
+			this.handingOver = handingOver.HandingOver.create({
+				...opts,
+				...handover,
+				own: { zone: handover.zone, processor: opts.processor },
+				isStrongerBoxUp: () => opts.strongerBox() !== undefined,
+			});
+		}
 		void this.run();
 	}
 
@@ -164,7 +156,7 @@
 		if (this.ownerLedger === undefined) return;
 		const { generation } = this.ownerLedger;
 		this.opts.events.emit('owner.lost', { generation, reason });
-		this.replacedAt = this.opts.clock.now();
+		this.handingOver?.noteReplaced();
 		this.endOwnership(undefined);
 	}
 
@@ -179,7 +171,7 @@
 	noteTaken(owner: ledger.OwnerRecord): void {
 		const known = this.ownerLedger?.generation ?? this.owner?.generation ?? 0;
 		if (this.opts.handover === undefined) return;
-		this.logCompleted(owner);
+		this.handingOver?.noteNewOwner(owner);
 		if (owner.generation <= known) return;
 		if (this.ownerLedger !== undefined) this.endOwnership(owner);
 		this.owner = owner;
@@ -188,14 +180,14 @@
 
 	/** Whether a ping of this box is to be answered without holding it: it does not know yet that it is named. */
 	isAwaitedBy(box: string): boolean {
-		return this.ownerLedger !== undefined && this.outgoing?.isAwaitedBy(box) === true;
+		return this.ownerLedger !== undefined && this.handingOver?.isAwaitedBy(box) === true;
 	}
 
 	/** What this owner adds to its answer to a ping of a box that is prepared for the generation `prepared`. */
 	handoverReply(box: string, prepared: number | undefined): outgoingHandovers.HandoverReply {
 		if (this.ownerLedger === undefined) return {};
-		this.considerHandover(this.ownerLedger);
-		return this.outgoing?.replyTo(box, prepared) ?? {};
+		this.handingOver?.consider(this.ownerLedger.generation);
+		return this.handingOver?.replyTo(box, prepared) ?? {};
 	}
 
 	/** Planned stop: gives up ownership, at once or when a successor has taken over. */
@@ -221,8 +213,10 @@
 		this.leaving = true;
 		this.succession?.close();
 		const owned = this.ownerLedger;
+		// The owner may be about to permit this box to take over.
+		if (this.owner !== undefined && owned === undefined) void handover.pingNow(this.owner.peer);
 		if (owned === undefined && !this.isReplacing) return;
-		if (owned !== undefined) this.handOverToStop(owned);
+		if (owned !== undefined) this.handingOver?.noteStop(owned.generation);
 		await this.untilGivenUp(handover.keepForMs);
 		const stillOwned = this.currentLedger;
 		if (stillOwned === undefined) return;
@@ -323,7 +317,7 @@
 		const isVacant = owner === undefined || owner.generation === deadOwner?.generation;
 		if (isVacant && this.leaving) return settings.findRetryMs;
 		if (isVacant) return this.takeOver(deadOwner?.generation);
-		this.logCompleted(owner);
+		this.handingOver?.noteNewOwner(owner);
 		if (owner.generation !== this.lastFoundGeneration) {
 			this.lastFoundGeneration = owner.generation;
 			this.opts.events.emit('owner.found', { box: owner.box, generation: owner.generation });
@@ -366,7 +360,8 @@
 		if (!lease.ok) return settings.findRetryMs;
 		// The lease is renewed from here on, as reading many stored jobs may take longer than the lease.
 		this.keeper = this.createKeeper(lease.value);
-		const taken = await this.publishAndLoad(lease.value, replacedGeneration);
+		const context = this.takeoverContext(lease.value);
+		const taken = await takeovers.acquireAndLoad(context, replacedGeneration);
 		if (taken.ok && !this.isStopping()) {
 			this.becomeOwner(lease.value, taken.value);
 			return 0;
@@ -391,7 +386,7 @@
 		if (prepared === undefined) return 0;
 		this.isReplacing = true;
 		this.keeper = this.createKeeper(prepared.lease);
-		const taken = await this.replaceAndLoad(prepared);
+		const taken = await takeovers.replaceAndLoad(this.takeoverContext(prepared.lease), prepared);
 		this.isReplacing = false;
 		if (!taken.ok) {
 			this.onGivenUp();
@@ -400,28 +395,10 @@
 		this.becomeOwner(prepared.lease, taken.value);
 		// Only from here on: until then the former owner is the one that dispatches.
 		void this.notifyFormerOwner(prepared.address);
-		if (this.leaving) this.handOverToStop(taken.value.owned);
+		if (this.leaving) this.handingOver?.noteStop(taken.value.owned.generation);
 		return 0;
 	}
 
-	private async replaceAndLoad(
-		prepared: preparations.PreparedTakeover,
-	): Promise<results.Result<Takeover, string>> {
-		const { store, clock } = this.opts;
-		const owner = this.newOwner(prepared.lease);
-		const startedAt = clock.now();
-		const swap = (): ReturnType<typeof ledger.OwnerLedger.replace> =>
-			ledger.OwnerLedger.replace(store, () => clock.now(), owner, prepared.epoch);
-		let owned = await swap();
-		while (!owned.ok && !owned.err.isFinal && clock.now() - startedAt < settings.handoverConfirmMs) {
-			await clocks.sleep(clock, settings.successorRetryMs);
-			owned = await swap();
-		}
-		if (!owned.ok) return results.fail(owned.err.reason);
-		const { value } = owned;
-		return this.load(value, () => value.loadFrom(prepared.copy));
-	}
-
 	/** Tells the former owner, until it answers, so that it stops dispatching and sends the other boxes here. */
 	private async notifyFormerOwner(address: string): Promise<void> {
 		const { handover, clock } = this.opts;
@@ -437,56 +414,28 @@
 		return this.stopping || this.leaving;
 	}
 
-	/** Writes this box into the owner record and reads the ledger; fails if another box was first. */
-	private async publishAndLoad(
-		lease: string,
-		replacedGeneration: number | undefined,
-	): Promise<results.Result<Takeover, string>> {
-		const { store, clock } = this.opts;
-		const owner = this.newOwner(lease);
-		const owned = await ledger.OwnerLedger.acquire(store, () => clock.now(), owner, replacedGeneration);
-		if (!owned.ok) return owned;
-		return this.load(owned.value, () => owned.value.load());
-	}
-
-	private newOwner(lease: string): ledger.NewOwner {
-		const { box, peer, processor } = this.opts;
-		return { box, peer, lease, strongest: Math.max(processor, this.opts.highestKnownProcessor() ?? 0) };
-	}
-
-	/**
-	 * Reads the ledger. Where handovers are confirmed, retries while the store gives no answer and has not said that the
-	 * lease expired: another box would have to take over first and then read the same.
-	 */
-	private async load(
-		owned: ledger.OwnerLedger,
-		read: () => Promise<results.Result<ledger.LedgerContents, string>>,
-	): Promise<results.Result<Takeover, string>> {
-		let contents = await read();
-		while (!contents.ok && this.mayRetryRead()) {
-			await clocks.sleep(this.opts.clock, settings.findRetryMs);
-			const outcome = await owned.confirmEpoch();
-			if (outcome === 'superseded') return results.fail('the store names a newer generation');
-			if (outcome === 'committed') contents = await read();
-		}
-		return contents.ok ? results.ok({ owned, contents: contents.value }) : contents;
+	private takeoverContext(lease: string): takeovers.TakeoverContext {
+		const { store, clock, box, peer, processor } = this.opts;
+		const strongest = Math.max(processor, this.opts.highestKnownProcessor() ?? 0);
+		const owner = { box, peer, lease, strongest };
+		return { store, clock, owner, mayRetryRead: () => this.mayRetryRead() };
 	}
 
+	/** Where handovers are confirmed, a box keeps reading unless the store has said that the lease expired. */
 	private mayRetryRead(): boolean {
 		if (this.opts.handover === undefined || this.isLeaseExpired) return false;
 		return this.isReplacing || !this.isStopping();
 	}
 
 	/** This box is the owner from here on. */
-	private becomeOwner(lease: string, taken: Takeover): void {
+	private becomeOwner(lease: string, taken: takeovers.Takeover): void {
 		const { box, peer, clock, events, onAcquired } = this.opts;
 		const { owned, contents } = taken;
 		const { generation } = owned;
 		this.lease = lease;
 		this.ownerLedger = owned;
 		this.ownedSince = clock.now();
-		this.outgoing = undefined;
-		this.replacedAt = undefined;
+		this.handingOver?.noteAcquired();
 		this.succession?.abandon();
 		this.owner = { generation, box, peer };
 		this.reachable = true;
@@ -513,7 +462,7 @@
 	 * long to wait, in milliseconds.
 	 */
 	private async keep(owned: ledger.OwnerLedger): Promise<number> {
-		this.considerHandover(owned);
+		this.handingOver?.consider(owned.generation);
 		const stronger = this.opts.handover === undefined ? this.handoverTarget() : undefined;
 		if (stronger !== undefined) {
 			await this.handOver(owned, stronger);
@@ -531,72 +480,14 @@
 
 	/** The stronger box to hand over to now; undefined: none. */
 	private handoverTarget(): string | undefined {
-		const lastChangeAt = Math.max(this.ownedSince, this.handoverGivenUpAt);
-		if (this.opts.clock.now() - lastChangeAt < settings.minHandoverIntervalMs) return undefined;
+		if (this.opts.clock.now() - this.ownedSince < settings.minHandoverIntervalMs) return undefined;
 		return this.opts.strongerBox();
 	}
 
-	/** Begins a confirmed handover if there is a cause for one. */
-	private considerHandover(owned: ledger.OwnerLedger): void {
-		const { handover } = this.opts;
-		if (handover === undefined || this.outgoing !== undefined) return;
-		if (!handover.storeReachable()) this.beginHandover(owned, handover, 'store-lost');
-		else if (this.handoverTarget() !== undefined) this.beginHandover(owned, handover, 'stronger-box');
-	}
-
-	private handOverToStop(owned: ledger.OwnerLedger): void {
-		const { handover } = this.opts;
-		if (handover === undefined) return;
-		const outgoing = this.outgoing ?? this.beginHandover(owned, handover, 'planned-stop');
-		outgoing.noteStop();
-	}
-
-	private beginHandover(
-		owned: ledger.OwnerLedger,
-		handover: ConfirmedHandover,
-		cause: handovers.HandoverCause,
-	): outgoingHandovers.OutgoingHandover {
-		const { clock, events: log, processor } = this.opts;
-		const { candidates: pinging, answerPings, storeReachable, zone } = handover;
-		const outgoing: outgoingHandovers.OutgoingHandover = outgoingHandovers.OutgoingHandover.create({
-			clock,
-			events: log,
-			generation: owned.generation,
-			own: { zone, processor },
-			cause,
-			candidates: pinging,
-			answerPings,
-			isNeeded: () => outgoing.cause !== 'store-lost' || !storeReachable(),
-			onGivenUp: () => {
-				this.outgoing = undefined;
-				this.handoverGivenUpAt = clock.now();
-			},
-		});
-		this.outgoing = outgoing;
-		outgoing.advance();
-		return outgoing;
-	}
-
-	private logCompleted({ box, generation }: ledger.OwnerRecord): void {
-		const { outgoing, replacedAt } = this;
-		if (outgoing === undefined || generation <= outgoing.generation) return;
-		const now = this.opts.clock.now();
-		this.opts.events.emit('handover.completed', {
-			box,
-			generation,
-			cause: outgoing.cause,
-			gapMs: Math.round(now - (replacedAt ?? now)),
-			tookMs: Math.round(now - outgoing.startedAt),
-		});
-		outgoing.close();
-		this.outgoing = undefined;
-	}
-
 	/** Stops dispatching. `next`: the owner that replaced this one; undefined: not known. */
 	private endOwnership(next: ledger.OwnerRecord | undefined): void {
 		this.ownerLedger = undefined;
 		this.keeper?.close();
-		this.outgoing?.close();
 		this.owner = next;
 		this.reachable = false;
 		this.opts.onLost();
@@ -615,8 +506,7 @@
 	private async releaseOwnership(): Promise<void> {
 		this.ownerLedger = undefined;
 		this.keeper?.close();
-		this.outgoing?.close();
-		this.outgoing = undefined;
+		this.handingOver?.clear();
 		this.opts.onLost();
 		if (this.lease !== undefined) await this.opts.store.endLease(this.lease);
 	}
