Model of confirmed handovers among the checks; tests of its decisions and of the copy

The model has a mutant for each guard: permission, permission for one generation, changes read before acting, compare-and-swap, fenced writes, and the worker's fence.

--- a/spec/checks.ts
+++ b/spec/checks.ts
@@ -7,6 +7,7 @@
 import * as crashes from './crashes.js';
 import * as dispatch from './dispatch.js';
 import * as evacuations from './evacuations.js';
+import * as handover from './handover.js';
 import * as lease from './lease.js';
 import * as incarnations from './incarnations/index.js';
 import * as restarts from './restarts.js';
@@ -271,6 +272,32 @@
 	return [check('holds', evacuations.evacuationModel('evacuations', all)), ...mutants];
 }
 
+/** Bounds of the handover model: several successors of one owner, and several owners. */
+const handoverVariants = {
+	handover: { generations: 2, namings: 3, deaths: 1 },
+	'handover: three owners': { generations: 3, namings: 2, deaths: 1 },
+} satisfies Record<string, handover.HandoverBounds>;
+
+/** The variant in which the removal of a guard leads to a violation; guards not listed use the first one. */
+const handoverMutants: Partial<Record<keyof handover.HandoverGuards, keyof typeof handoverVariants>> = {
+	sameGeneration: 'handover: three owners',
+	compareAndSwap: 'handover: three owners',
+};
+
+function handoverChecks(): Check[] {
+	const all = handover.allHandoverGuards;
+	const holds = Object.entries(handoverVariants).map(([name, bounds]) =>
+		check('holds', handover.handoverModel(name, bounds, all)),
+	);
+	const names = Object.keys(all) as (keyof handover.HandoverGuards)[];
+	const mutants = names.map((guard) => {
+		const bounds = handoverVariants[handoverMutants[guard] ?? 'handover'];
+		const guards = { ...all, [guard]: false };
+		return check('wrong', handover.handoverModel(`handover without ${guard}`, bounds, guards));
+	});
+	return [...holds, ...mutants];
+}
+
 /** All checks, the longest first. */
 export const checks: Check[] = [
 	...dispatchChecks(),
@@ -281,4 +308,5 @@
 	...crashChecks(),
 	...restartChecks(),
 	...evacuationChecks(),
+	...handoverChecks(),
 ];
--- a/spec/handover.ts
+++ b/spec/handover.ts
@@ -33,10 +33,14 @@
 	fence: true,
 };
 
-/** Bounds: the highest generation, how often successors are named in all, and how many boxes die. */
-const maxGeneration = 3;
-const maxNamings = 3;
-const maxDeaths = 1;
+/** Bounds of an exploration. */
+export interface HandoverBounds {
+	/** The highest generation. */
+	generations: number;
+	/** How often successors are named in all. */
+	namings: number;
+	deaths: number;
+}
 
 /** A box while it takes itself for the owner. */
 interface Owner {
@@ -60,7 +64,7 @@
 	prepared: { generation: number; knowsEnd: boolean } | null;
 	/** The generation that it may replace, as the newest permission that arrived says; 0: none has. */
 	permission: number;
-	/** A permission in flight to it; 0: none. */
+	/** A permission in flight to it, which may never arrive; 0: none. */
 	permissionInFlight: number;
 }
 
@@ -110,7 +114,13 @@
 };
 
 /** Returns the model with the given guards. */
-export function handoverModel(name: string, guards: HandoverGuards): explore.Model<HandoverState> {
+export function handoverModel(
+	name: string,
+	bounds: HandoverBounds,
+	guards: HandoverGuards,
+): explore.Model<HandoverState> {
+	const { generations, namings, deaths } = bounds;
+
 	const steps = (state: HandoverState): { name: string; next: HandoverState }[] => {
 		const possibleSteps: { name: string; next: HandoverState }[] = [];
 		if (state.violation !== '') return possibleSteps;
@@ -133,11 +143,16 @@
 				dispatchSteps(state, index, box.owner, step);
 				ownerSteps(state, index, box.owner, step);
 			} else successorSteps(state, index, box, step);
-			step('dies', index, state.deaths < maxDeaths, (next, dying) => {
+			step('dies', index, state.deaths < deaths, (next, dying) => {
 				Object.assign(dying, { ...newBox(), alive: false });
 				next.deaths += 1;
 			});
 		}
+		if (state.worker.run === 'running')
+			possibleSteps.push({
+				name: 'the run ends',
+				next: { ...structuredClone(state), worker: { ...state.worker, run: 'ended' } },
+			});
 		return possibleSteps;
 	};
 
@@ -182,9 +197,6 @@
 			next.worker.run = 'idle';
 			if (box.owner !== null) box.owner.seen = 'idle';
 		});
-		step('sees the run end', index, state.worker.run === 'running', (next) => {
-			next.worker.run = 'ended';
-		});
 	};
 
 	const ownerSteps = (state: HandoverState, index: number, owner: Owner, step: Step): void => {
@@ -201,7 +213,7 @@
 		});
 		for (const [other, { alive }] of state.boxes.entries()) {
 			const mayName = owner.loaded && alive && other !== index && named !== other;
-			step(`names box ${String(other)}`, index, mayName && state.namings < maxNamings, (next, box) => {
+			step(`names box ${String(other)}`, index, mayName && state.namings < namings, (next, box) => {
 				const successor = next.boxes[other];
 				if (box.owner === null || successor === undefined) return;
 				box.owner.named = other;
@@ -233,9 +245,6 @@
 			successor.permission = successor.permissionInFlight;
 			successor.permissionInFlight = 0;
 		});
-		step('misses the permission', index, permissionInFlight > 0, (_next, successor) => {
-			successor.permissionInFlight = 0;
-		});
 		step('takes over', index, mayTakeOver(state, box), (next, successor) => {
 			if (successor.prepared === null) return;
 			const { generation, knowsEnd } = successor.prepared;
@@ -243,13 +252,13 @@
 			if (!isAllowed) next.violation = 'an owner is replaced that did not allow it';
 			become(next, index, newOwner(generation + 1, !guards.readChanges, knowsEnd));
 		});
-		step('wins an election', index, isVacant(state) && state.epoch < maxGeneration, (next) => {
+		step('wins an election', index, isVacant(state) && state.epoch < generations, (next) => {
 			become(next, index, newOwner(next.epoch + 1, false, false));
 		});
 	};
 
 	const mayTakeOver = (state: HandoverState, { prepared, permission }: Box): boolean => {
-		if (prepared === null || state.epoch >= maxGeneration) return false;
+		if (prepared === null || state.epoch >= generations) return false;
 		if (guards.compareAndSwap && prepared.generation !== state.epoch) return false;
 		if (!guards.permission) return true;
 		return guards.sameGeneration ? permission === prepared.generation : permission > 0;
@@ -268,11 +277,11 @@
 
 	return {
 		name,
-		bounds: `3 boxes, ${String(maxGeneration)} generations, ${String(maxNamings)} namings, ${String(maxDeaths)} death`,
+		bounds: `3 boxes, ${generations} generations, ${namings} namings, ${deaths} death`,
 		initial,
 		steps,
 		violation: (state) => (state.violation === '' ? undefined : state.violation),
 		isGoal: (state) => state.endStored,
-		isOutOfBounds: (state) => state.epoch >= maxGeneration,
+		isOutOfBounds: (state) => state.epoch >= generations,
 	};
 }
--- a/test/handover.test.ts
+++ b/test/handover.test.ts
@@ -145,6 +145,15 @@
 	}
 	t.deepEqual(all.owners(), ['c']);
 	t.true(longestPauseMs(all, from, all.clock.now()) < 1_000);
+	// At each worker, nothing of a replaced owner starts after the new owner's first command.
+	for (const worker of ['w1', 'w2']) {
+		const epochs = all.fleet.starts.filter((one) => one.worker === worker).map((one) => one.epoch);
+		t.deepEqual(
+			epochs,
+			[...epochs].sort((a, b) => a - b),
+		);
+		t.is(new Set(epochs).size, 3);
+	}
 });
 
 test('a box of an older release is not named, and finds the new owner in the store', async (t) => {
