--- a/test/forecast.test.ts
+++ b/test/forecast.test.ts
@@ -1,9 +1,13 @@
 /** The forecast of waits, its message, and the decision on a job by it. */
 import test from 'ava';
 import * as admission from '../src/core/admission/index.js';
+import * as contacts from '../src/core/platform/contact.js';
 import * as events from '../src/core/events/index.js';
 import * as forecasts from '../src/core/forecast/index.js';
+import * as memory from '../stand-ins/fleet/memory-store.js';
 import * as received from '../src/core/box/received-forecast.js';
+import * as results from '../src/core/result.js';
+import * as service from '../src/core/box/job-service.js';
 import * as time from '../stand-ins/fleet/virtual-clock.js';
 import * as wire from '../src/core/wire/frame.js';
 import * as fixtures from './fixtures/dispatching.js';
@@ -191,3 +195,38 @@
 	const limited = [{ ...known, lateWaitMs: 10_001, queues: [['proofs', 20_000]] as const }];
 	t.like(decide({ classes: limited }), { type: 'admit', forecast: { waitMs: 0 } });
 });
+
+test('a box refuses by the forecast and logs what it decided by; a stored job is never refused', async (t) => {
+	const clock = time.VirtualClock.create();
+	const store = memory.MemoryStore.create(clock);
+	const log = events.EventLog.create('entry-1', clock);
+	const known: { aged?: forecasts.AgedForecast } = {};
+	const box = service.JobService.create({
+		...contacts.monitorContact(store.view(), log, () => clock.now()),
+		clock,
+		events: log,
+		dispatcher: () => undefined,
+		callOwner: () => Promise.resolve(results.fail({ sent: false, reason: 'no owner is known' })),
+		ownerGeneration: () => 1,
+		// The backlog of all priorities would refuse every job.
+		backlog: () => [{ priority: 0, waitMs: 60_000 }],
+		admission: (record) => admission.decideByForecast(record, known.aged),
+		random: () => 0,
+		ownerReachesStore: () => false,
+	});
+	const steps = [fixtures.step({ estimateMs: 1_000, fills: true })];
+	const submit = async (id: string): Promise<service.Answer<'accepted'>> => {
+		const answer = box.submit(wideQueue, id, { text: '', steps });
+		await clock.advance(50);
+		return answer;
+	};
+	t.like(await submit('00000000000000a1'), { type: 'ok' });
+	const classes = forecast.classes.map((one) => ({ ...one, lateWaitMs: 12_000 }));
+	known.aged = { forecast: { ...forecast, classes }, ageMs: 300 };
+	t.like(await submit('00000000000000a2'), { type: 'overloaded', retryAfterS: 2 });
+	t.false(store.keys().some((key) => key.endsWith('a2')));
+	t.like(await submit('00000000000000a1'), { type: 'ok' });
+	const refusals = log.select((event) => event.name === 'job.turned-away').map((event) => event.fields);
+	t.is(refusals.length, 1);
+	t.like(refusals[0], { cause: 'long-wait', waitMs: 12_000, forecastFinishMs: 13_000, forecastAgeMs: 300 });
+});
