--- a/src/core/dispatch/preemptible-limits.ts
+++ b/src/core/dispatch/preemptible-limits.ts
@@ -18,7 +18,7 @@
 const violationWeight = 5;
 
 /** Score of what a task adds to busy parts: among workers within their limits, the one that it disturbs least comes first. */
-const addedWeight = 6;
+const addedWeight = 3;
 
 /**
  * After a cut, a worker's limit stays for this time, in milliseconds: a task that exceeds its target does so for two seconds
--- a/src/core/dispatch/serving-outlook.ts
+++ b/src/core/dispatch/serving-outlook.ts
@@ -30,9 +30,12 @@
  */
 const minRemainingFraction = 0.6;
 
-/** Bounds of the time over which a task's effects are examined, in milliseconds. */
+/** Run times vary by half of their mean, so the effects of a task are examined over this many times its expected run. */
+const longRunFactor = 1.4;
+
+/** Shortest expected run, and longest time over which a task's effects are examined, in milliseconds. */
 const minExpectedMs = 1_000;
-const maxExpectedMs = pointsMs[pointsMs.length - 1] ?? 6_000;
+const maxExaminedMs = pointsMs[pointsMs.length - 1] ?? 6_000;
 
 /** Expected time of one run, in milliseconds. */
 export type ExpectedMs = (step: jobs.StepInstance) => number;
@@ -64,9 +67,9 @@
 	loads: number[];
 }
 
-/** Number of points that the expected time of a run reaches, at least two. */
+/** Number of points that a run with this expected time, in milliseconds, may reach; at least two. */
 export function pointsWithin(expectedMs: number): number {
-	const bounded = Math.min(maxExpectedMs, Math.max(minExpectedMs, expectedMs));
+	const bounded = Math.min(maxExaminedMs, Math.max(minExpectedMs, expectedMs) * longRunFactor);
 	return pointsMs.findIndex((at) => at >= bounded) + 1;
 }
 
--- a/stand-ins/fleet/serving-load.ts
+++ b/stand-ins/fleet/serving-load.ts
@@ -152,7 +152,7 @@
 	}
 
 	/** Serving images are of two kinds: a preemptible image interferes with one of them, or with none. */
-	slope(serving: string, neighbour: string): number {
+	private slope(serving: string, neighbour: string): number {
 		const key = `${serving} ${neighbour}`;
 		const known = this.slopes.get(key);
 		if (known !== undefined) return known;
