Confirmed handover: ignore losses of the store shorter than 250 ms

A single call without an answer counts as lost contact, so an owner on a lossy link named a successor for each, which then read all records in vain.

--- a/src/core/box/box.ts
+++ b/src/core/box/box.ts
@@ -200,7 +200,7 @@
 			zone,
 			candidates: this.candidates,
 			keepForMs: bounds.graceMs - ownership.settings.releaseBeforeKillMs,
-			storeReachable: () => this.contact.reachable,
+			storeLostForMs: () => this.contact.lostForMs,
 			answerPings: () => {
 				this.heldPings.release();
 			},
--- a/src/core/owner/handing-over.ts
+++ b/src/core/owner/handing-over.ts
@@ -14,8 +14,8 @@
 	own: handovers.OwnBox;
 	/** The boxes that ping this one while it is the owner. */
 	candidates: candidates.Candidates;
-	/** Whether the store answers this box. */
-	storeReachable: () => boolean;
+	/** How long the store has been unresponsive to this box, in milliseconds; 0: it answers. */
+	storeLostForMs: () => number;
 	/** Answers the held pings of the other boxes. */
 	answerPings: () => void;
 	/** Whether a stronger box could dispatch in this one's place. */
@@ -94,19 +94,23 @@
 	}
 
 	private cause(): handovers.HandoverCause | undefined {
-		const { clock, storeReachable, isStrongerBoxUp } = this.opts;
-		if (!storeReachable()) return 'store-lost';
+		const { clock, isStrongerBoxUp } = this.opts;
+		if (this.hasLostStore()) return 'store-lost';
 		const isTooSoon = clock.now() - this.lastChangeAt < settings.minHandoverIntervalMs;
 		return !isTooSoon && isStrongerBoxUp() ? 'stronger-box' : undefined;
 	}
 
+	private hasLostStore(): boolean {
+		return this.opts.storeLostForMs() >= settings.minStoreLossMs;
+	}
+
 	private begin(generation: number, cause: handovers.HandoverCause): outgoingHandovers.OutgoingHandover {
-		const { clock, storeReachable } = this.opts;
+		const { clock } = this.opts;
 		const outgoing: outgoingHandovers.OutgoingHandover = outgoingHandovers.OutgoingHandover.create({
 			...this.opts,
 			generation,
 			cause,
-			isNeeded: () => outgoing.cause !== 'store-lost' || !storeReachable(),
+			isNeeded: () => outgoing.cause !== 'store-lost' || this.hasLostStore(),
 			onGivenUp: () => {
 				this.outgoing = undefined;
 				this.lastChangeAt = clock.now();
--- a/src/core/owner/ownership.ts
+++ b/src/core/owner/ownership.ts
@@ -28,8 +28,8 @@
 	candidates: candidates.Candidates;
 	/** How long after the begin of a planned stop ownership is released if nobody could take over, in milliseconds. */
 	keepForMs: number;
-	/** Whether the store answers this box. */
-	storeReachable: () => boolean;
+	/** How long the store has been unresponsive to this box, in milliseconds; 0: it answers. */
+	storeLostForMs: () => number;
 	/** Answers the held pings of the other boxes. */
 	answerPings: () => void;
 	/** Pings the owner at an address at once; the answer arrives by `noteReply`. */
--- a/src/core/owner/settings.ts
+++ b/src/core/owner/settings.ts
@@ -45,6 +45,12 @@
  */
 export const handoverConfirmMs = 1_500;
 
+/**
+ * An owner hands over for the loss of the store after this, in milliseconds. A single call without an answer also counts as
+ * a loss; an owner makes several calls a second, and the next one's answer ends it.
+ */
+export const minStoreLossMs = 250;
+
 /** How often an owner that hands over checks whether to name another box. */
 export const handoverTickMs = 100;
 
--- a/test/handover.test.ts
+++ b/test/handover.test.ts
@@ -106,6 +106,19 @@
 	t.true(longestPauseMs(all, from, all.clock.now()) < 1_000);
 });
 
+// Guards against a successor that reads all records each time a single call of the owner has no answer.
+test('an owner that loses the store for 200 ms names nobody', async (t) => {
+	const all = await boxes.HandoverBoxes.create();
+	for (let flaps = 0; flaps < 10; flaps += 1) {
+		all.get('a').storeFault = 'down';
+		await all.run(200);
+		all.get('a').storeFault = 'none';
+		await all.run(700);
+	}
+	t.deepEqual(all.logged('a', 'handover.started'), []);
+	t.deepEqual(all.owners(), ['a']);
+});
+
 test('a store that is slow for all boxes changes no owner', async (t) => {
 	const all = await boxes.HandoverBoxes.create();
 	for (const box of all.boxes.values()) box.storeDelayMs = 700;
