--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -49,7 +49,7 @@
 	private readonly starter: starter.Starter;
 	private readonly interferenceModel: interference.InterferenceModel;
 	/** The limit on preemptible work. */
-	private readonly limit: limitTypes.PreemptibleLimit;
+	readonly limit: limitTypes.PreemptibleLimit;
 	private readonly state: schedulingState.SchedulingState;
 	private readonly pressure: pressure.InterferenceControl;
 	private readonly outcomes: outcomes.Outcomes;
