Limit on preemptible work by due time; a takeover's contents are not kept

The order of a takeover held every record read at it. Change: a job that can wait for longer than one run is placed by the adaptive limit, one that can't by the fixed one. The order keeps priorities only. Not measured yet.

--- a/src/core/dispatch/create-limit.ts
+++ b/src/core/dispatch/create-limit.ts
@@ -1,7 +1,10 @@
 /** Creates the limit on preemptible work that the features in force name. */
 import * as adaptive from './preemptible-limits.js';
+import * as dueTime from './due-time-limit.js';
 import * as fixed from './fixed-limit.js';
+import * as remaining from './remaining-work.js';
 import type * as interference from './interference.js';
+import type * as jobs from '../jobs/index.js';
 import type * as limitTypes from './limit-types.js';
 import type * as options from './options.js';
 
@@ -10,14 +13,18 @@
 	opts: options.DispatcherOptions,
 	estimates: interference.InterferenceModel,
 ): limitTypes.PreemptibleLimit {
-	if (opts.features?.preemptibleLimit !== 'adaptive') return fixed.FixedLimit.create(estimates);
-	return adaptive.AdaptiveLimit.create({
-		...opts,
-		estimates,
-		expectedMs: ({ spec, job }) => {
-			if (spec.lasting) return Infinity;
-			const { queue } = job.record;
-			return opts.runTimes?.expectedMs(queue.name, spec) ?? spec.estimateMs;
-		},
+	const fixedLimit = fixed.FixedLimit.create(estimates);
+	if (opts.features?.preemptibleLimit !== 'adaptive') return fixedLimit;
+	const expectedMs = ({ spec, job }: jobs.StepInstance): number => {
+		if (spec.lasting) return Infinity;
+		const { queue } = job.record;
+		return opts.runTimes?.expectedMs(queue.name, spec) ?? spec.estimateMs;
+	};
+	return dueTime.DueTimeLimit.create({
+		now: () => opts.clock.now(),
+		patient: adaptive.AdaptiveLimit.create({ ...opts, estimates, expectedMs }),
+		pressing: fixedLimit,
+		expectedMs,
+		chainMs: (step) => remaining.remainingWork(step, expectedMs).chainMs,
 	});
 }
--- a/src/core/dispatch/prioritized-turns.ts
+++ b/src/core/dispatch/prioritized-turns.ts
@@ -14,7 +14,7 @@
 
 /** A turn ends after this multiple of the usual answer time, within these bounds in milliseconds. */
 const answerTimeFactor = 4;
-const minTurnMs = 25;
+const minTurnMs = 50;
 const maxTurnMs = 100;
 
 /** Answer time assumed before the first answer, in milliseconds: a round trip over the slowest known links. */
--- a/src/core/dispatch/takeover-order.ts
+++ b/src/core/dispatch/takeover-order.ts
@@ -41,14 +41,18 @@
 	/** Workers whose stored entry was closed: unresponsive, leaving or ended as of the last roster write. */
 	private readonly closedWorkers: ReadonlySet<string>;
 
-	private constructor(private readonly opts: TakeoverOrderOptions) {
-		const closed = opts.contents.roster.filter((entry) => entry.tasks !== undefined);
+	private constructor(
+		private readonly opts: Omit<TakeoverOrderOptions, 'contents'>,
+		contents: InheritedContents,
+	) {
+		const closed = contents.roster.filter((entry) => entry.tasks !== undefined);
 		this.closedWorkers = new Set(closed.map((entry) => entry.id));
-		for (const stored of opts.contents.jobs.values()) this.addJob(stored);
+		for (const stored of contents.jobs.values()) this.addJob(stored);
 	}
 
-	static create(opts: TakeoverOrderOptions): TakeoverOrder {
-		return new TakeoverOrder(opts);
+	/** Keeps nothing of the contents but priorities: they are megabytes, and the order is kept as long as the owner owns. */
+	static create({ contents, ...opts }: TakeoverOrderOptions): TakeoverOrder {
+		return new TakeoverOrder(opts, contents);
 	}
 
 	/** Whether a worker may not answer, as far as the previous owner reported or stored. */
