--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -379,9 +379,8 @@
 	}
 
 	private createReportContext(): reportHandling.ReportContext {
-		const { clock, calls } = this.opts;
 		return {
-			now: () => clock.now(),
+			now: () => this.opts.clock.now(),
 			findTask: (name) => this.registry.findTask(name),
 			findTaskOfRun: (name) => this.registry.findTaskOfRun(name),
 			sessionOf: (task) => this.placer.sessionOf(task),
@@ -389,7 +388,7 @@
 			log: this.reportLog,
 			stopOrphan: (session, task, run) => {
 				this.reportLog.orphanedRun(session, task, run);
-				void calls.stop(session.target, task, run, session.stamp().token);
+				void this.opts.calls.stop(session.target, task, run, session.stamp().token);
 			},
 			stop: (session, placement) => void this.starter.stop(session, placement),
 			finished: (task) => {
