--- a/src/core/dispatch/create-limit.ts
+++ b/src/core/dispatch/create-limit.ts
@@ -14,15 +14,18 @@
 	estimates: interference.InterferenceModel,
 ): limitTypes.PreemptibleLimit {
 	const fixedLimit = fixed.FixedLimit.create(estimates);
-	if (opts.features?.preemptibleLimit !== 'adaptive') return fixedLimit;
+	const { preemptibleLimit = 'fixed' } = opts.features ?? {};
+	if (preemptibleLimit === 'fixed') return fixedLimit;
 	const expectedMs = ({ spec, job }: jobs.StepInstance): number => {
 		if (spec.lasting) return Infinity;
 		const { queue } = job.record;
 		return opts.runTimes?.expectedMs(queue.name, spec) ?? spec.estimateMs;
 	};
+	const adaptiveLimit = adaptive.AdaptiveLimit.create({ ...opts, estimates, expectedMs });
+	if (preemptibleLimit === 'adaptive') return adaptiveLimit;
 	return dueTime.DueTimeLimit.create({
 		now: () => opts.clock.now(),
-		patient: adaptive.AdaptiveLimit.create({ ...opts, estimates, expectedMs }),
+		patient: adaptiveLimit,
 		pressing: fixedLimit,
 		expectedMs,
 		chainMs: (step) => remaining.remainingWork(step, expectedMs).chainMs,
--- a/src/core/dispatch/scheduling-state.ts
+++ b/src/core/dispatch/scheduling-state.ts
@@ -51,7 +51,7 @@
 	return (
 		admission === 'forecast' ||
 		waitingOrder === 'overload' ||
-		preemptibleLimit === 'adaptive' ||
+		preemptibleLimit !== 'fixed' ||
 		takeover === 'prioritized'
 	);
 }
--- a/src/core/features/features.ts
+++ b/src/core/features/features.ts
@@ -14,8 +14,8 @@
 	admission: 'backlog' | 'forecast';
 	/** Order of waiting steps while more work waits than can be placed. */
 	waitingOrder: 'due-time' | 'overload';
-	/** Limit of preemptible work beside serving tasks. */
-	preemptibleLimit: 'fixed' | 'adaptive';
+	/** Limit of preemptible work beside serving tasks; `due-time`: adaptive for jobs that can wait and be on time. */
+	preemptibleLimit: 'fixed' | 'adaptive' | 'due-time';
 	/** How an owner that stops by plan gives up ownership. */
 	handover: 'release' | 'confirmed';
 	/** In which order a new owner asks the workers for their first reports, and which of them it places on. */
@@ -46,7 +46,7 @@
 const environmentSchema = z.object({
 	WOODCROSS_ADMISSION: z._default(z.enum(['auto', 'backlog', 'forecast']), 'auto'),
 	WOODCROSS_WAITING_ORDER: z._default(z.enum(['auto', 'due-time', 'overload']), 'auto'),
-	WOODCROSS_PREEMPTIBLE_LIMIT: z._default(z.enum(['auto', 'fixed', 'adaptive']), 'auto'),
+	WOODCROSS_PREEMPTIBLE_LIMIT: z._default(z.enum(['auto', 'fixed', 'adaptive', 'due-time']), 'auto'),
 	WOODCROSS_HANDOVER: z._default(z.enum(['auto', 'release', 'confirmed']), 'auto'),
 	WOODCROSS_TAKEOVER: z._default(z.enum(['auto', 'roster-order', 'prioritized']), 'auto'),
 });
@@ -83,7 +83,7 @@
 		...(isWorkMobile(bounds) && {
 			admission: 'forecast',
 			waitingOrder: 'overload',
-			preemptibleLimit: 'adaptive',
+			preemptibleLimit: 'due-time',
 		}),
 		...(areLeasesShort(bounds) && { handover: 'confirmed', takeover: 'prioritized' }),
 	};
