Confirmed handover: bounds for a successor that can not read the changes

It read only the changes again, which may never arrive over a slow link as they grow; now it reads all records. A successor that begins to stop meanwhile gives up in time instead of outliving its grace period without dispatching.

--- a/src/core/owner/ownership.ts
+++ b/src/core/owner/ownership.ts
@@ -218,6 +218,8 @@
 		if (owned === undefined && !this.isReplacing) return;
 		if (owned !== undefined) this.handingOver?.noteStop(owned.generation);
 		await this.untilGivenUp(handover.keepForMs);
+		// A takeover that is not complete by now would outlive the process.
+		this.stopping = this.isReplacing;
 		const stillOwned = this.currentLedger;
 		if (stillOwned === undefined) return;
 		await this.releaseOwnership();
@@ -388,9 +390,9 @@
 		this.keeper = this.createKeeper(prepared.lease);
 		const taken = await takeovers.replaceAndLoad(this.takeoverContext(prepared.lease), prepared);
 		this.isReplacing = false;
-		if (!taken.ok) {
+		if (!taken.ok || this.stopping) {
 			this.onGivenUp();
-			return this.giveUpTakeover(prepared.lease, taken.err);
+			return this.giveUpTakeover(prepared.lease, taken.ok ? 'this box stops' : taken.err);
 		}
 		this.becomeOwner(prepared.lease, taken.value);
 		// Only from here on: until then the former owner is the one that dispatches.
@@ -424,7 +426,7 @@
 	/** Where handovers are confirmed, a box keeps reading unless the store has said that the lease expired. */
 	private mayRetryRead(): boolean {
 		if (this.opts.handover === undefined || this.isLeaseExpired) return false;
-		return this.isReplacing || !this.isStopping();
+		return this.isReplacing ? !this.stopping : !this.isStopping();
 	}
 
 	/** This box is the owner from here on. */
--- a/src/core/owner/takeover.ts
+++ b/src/core/owner/takeover.ts
@@ -50,25 +50,24 @@
 		owned = await swap();
 	}
 	if (!owned.ok) return results.fail(owned.err.reason);
-	const { value } = owned;
-	return load(context, value, () => value.loadFrom(prepared.copy));
+	return load(context, owned.value, () => owned.value.loadFrom(prepared.copy));
 }
 
 /**
  * Reads the ledger, again if the store gave no answer: otherwise another box would have to take over first and then read the
- * same.
+ * same. Then it reads all records, as the changes since a copy only grow, and may never arrive in time over a slow link.
  */
 async function load(
 	{ clock, mayRetryRead }: TakeoverContext,
 	owned: ledger.OwnerLedger,
-	read: () => Promise<results.Result<ledger.LedgerContents, string>>,
+	firstRead: () => Promise<results.Result<ledger.LedgerContents, string>>,
 ): Promise<results.Result<Takeover, string>> {
-	let contents = await read();
+	let contents = await firstRead();
 	while (!contents.ok && mayRetryRead()) {
 		await clocks.sleep(clock, settings.findRetryMs);
 		const outcome = await owned.confirmEpoch();
 		if (outcome === 'superseded') return results.fail('the store names a newer generation');
-		if (outcome === 'committed') contents = await read();
+		if (outcome === 'committed') contents = await owned.load();
 	}
 	return contents.ok ? results.ok({ owned, contents: contents.value }) : contents;
 }
--- a/test/handover.test.ts
+++ b/test/handover.test.ts
@@ -148,6 +148,48 @@
 	t.is(all.logged('b', 'owner.not-taken').length, 0);
 });
 
+test('a box that begins to stop while it takes over completes the takeover and hands over itself', async (t) => {
+	const all = await boxes.HandoverBoxes.create();
+	all.get('b').storeDelayMs = 100;
+	void all.stop('a');
+	while (!(await all.isOwnerRecorded('b'))) await all.clock.advance(1);
+	const stopped = all.stop('b');
+	await all.run(4_000);
+	await stopped;
+	t.deepEqual(all.owners(), ['c']);
+	t.is(all.logged('b', 'handover.completed').length, 1);
+});
+
+test('a box that begins to stop while it takes over gives up in time where it can not read the changes', async (t) => {
+	const all = await boxes.HandoverBoxes.create();
+	const b = all.get('b');
+	b.storeDelayMs = 50;
+	void all.stop('a');
+	while (b.election.prepared === undefined) await all.clock.advance(1);
+	b.losesReads = true;
+	while (!(await all.isOwnerRecorded('b'))) await all.clock.advance(1);
+	const stopped = all.stop('b');
+	await all.run(boxes.graceMs - 200);
+	await stopped;
+	t.is(all.logged('b', 'owner.taken').length, 0);
+	t.is(all.logged('b', 'owner.not-taken').length, 1);
+	t.deepEqual(all.owners(), ['c']);
+});
+
+test('a successor that can not read the changes since its copy reads all records', async (t) => {
+	const all = await boxes.HandoverBoxes.create();
+	const b = all.get('b');
+	b.storeDelayMs = 50;
+	void all.stop('a');
+	while (b.election.prepared === undefined) await all.clock.advance(1);
+	b.losesReads = true;
+	while (!(await all.isOwnerRecorded('b'))) await all.clock.advance(1);
+	await all.run(300);
+	b.losesReads = false;
+	await all.run(1_000);
+	t.deepEqual(all.owners(), ['b']);
+});
+
 test('boxes that stop one after the other hand over each time, and no task runs twice', async (t) => {
 	const all = await boxes.HandoverBoxes.create();
 	await all.submit(manyTasks);
