--- a/test/confirmed-handover.test.ts
+++ b/test/confirmed-handover.test.ts
@@ -22,7 +22,6 @@
 	owner.process.kill('SIGTERM');
 	const completed = await owner.waitForLine((line) => line.name === 'handover.completed');
 	t.is(completed.fields.gapMs, 0);
-	t.log(completed.fields);
 	const next = await taken;
 	const follower = next === other ? third : other;
 	await follower.waitForLine((line) => line.name === 'owner.found' && line.fields.generation === 2);
