Handover: fewer false causes, no handover that can name nobody

Change: the store counts as lost after 800 ms, above the interval of renewals; a handover for a stronger box ends when nobody can be named.

--- a/src/core/owner/outgoing-handover.ts
+++ b/src/core/owner/outgoing-handover.ts
@@ -77,13 +77,15 @@
 		}
 		const now = this.opts.clock.now();
 		const changes = this.handover.advance(now, this.opts.candidates.recent());
-		for (const change of changes) {
-			if (change.type === 'named') this.noteNamed(change.box);
-			else this.logFailure(change.box, change.reason);
-		}
-		const hasFailed = changes.some((change) => change.type === 'failed');
+		const failed = changes.filter((change) => change.type === 'failed');
+		for (const { box, reason } of failed) this.logFailure(box, reason);
 		// Nothing calls for haste: the owner works, and it will look for a stronger box again later.
-		if (hasFailed && this.cause === 'stronger-box') this.giveUp(undefined);
+		const isFutile = failed.length > 0 || this.handover.successor === undefined;
+		if (this.cause === 'stronger-box' && isFutile) {
+			this.giveUp(undefined);
+			return;
+		}
+		for (const change of changes) if (change.type === 'named') this.noteNamed(change.box);
 	}
 
 	/** Whether a ping of this box is to be answered without holding it. */
--- a/src/core/owner/ownership.ts
+++ b/src/core/owner/ownership.ts
@@ -222,8 +222,8 @@
 		this.stopping = this.isReplacing;
 		const stillOwned = this.currentLedger;
 		if (stillOwned === undefined) return;
-		await this.releaseOwnership();
 		this.owner = undefined;
+		await this.releaseOwnership();
 		this.opts.events.emit('owner.released', { generation: stillOwned.generation });
 	}
 
--- a/src/core/owner/settings.ts
+++ b/src/core/owner/settings.ts
@@ -47,9 +47,9 @@
 
 /**
  * An owner hands over for the loss of the store after this, in milliseconds. A single call without an answer also counts as
- * a loss; an owner makes several calls a second, and the next one's answer ends it.
+ * a loss, and a quiet owner makes its next call after up to `renewalIntervalMs`, whose answer ends the loss.
  */
-export const minStoreLossMs = 250;
+export const minStoreLossMs = 800;
 
 /** How often an owner that hands over checks whether to name another box. */
 export const handoverTickMs = 100;
