Forecast: count only waits for cores as saturation, with a floor of capacity

Any preemptible step whose newest task had waited for 500 ms made the cores in use the capacity of its pool. A label that one worker has, a task held back by the limit, or a new owner that few workers had answered gave a capacity of 1 to 28 cores in an idle fleet, and jobs were refused as too late.

Steps that wait for something other than cores are left out: gangs, a limit per worker, a label or size that fewer than half of the workers meet, suspects, pauses after a crash, inherited tasks, and starts that may not be sent. While a worker that counts is not reconciled, the expected spare cores are the capacity. In a saturated pool the capacity is at least the highest use of the last 3 s and a quarter of the spare cores, as tasks may also wait for memory or interference.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -249,7 +249,7 @@
 			jobs: () => this.registry.unfinished(),
 			workers: () => this.workers.all(),
 			policyOf: (job) => this.policyOf(job),
-			waitingOf: (step) => this.placer.waitingOf(step),
+			waiting: () => this.placer,
 			estimates: this.interferenceModel,
 			hasShares: this.opts.features?.waitingOrder === 'overload',
 			maxPreemptibleUse: options.maxPreemptibleUse(this.opts.features),
--- a/src/core/dispatch/forecaster.ts
+++ b/src/core/dispatch/forecaster.ts
@@ -2,6 +2,7 @@
 import * as admission from '../admission/index.js';
 import * as errors from './forecast-errors.js';
 import * as forecasts from '../forecast/index.js';
+import * as recentUse from './recent-use.js';
 import * as placements from './placements.js';
 import * as summaries from './work-summary.js';
 import type * as clocks from '../clock.js';
@@ -12,8 +13,10 @@
 /** What the forecaster reads of the dispatcher. */
 export interface ForecasterOptions extends Pick<
 	summaries.SummaryContext,
-	'policyOf' | 'waitingOf' | 'estimates' | 'maxPreemptibleUse'
+	'policyOf' | 'estimates' | 'maxPreemptibleUse'
 > {
+	/** The waiting tasks. */
+	waiting: () => Pick<summaries.SummaryContext, 'waitingOf' | 'lacksOnlyCapacity'>;
 	clock: clocks.Clock;
 	epoch: number;
 	jobs: () => Iterable<jobs.ActiveJob>;
@@ -30,6 +33,7 @@
 	latest: forecasts.OwnerForecast | undefined;
 	private readonly errors: errors.ForecastErrors;
 	private readonly startedAt: number;
+	private readonly preemptibleUse = recentUse.RecentUse.create();
 
 	private constructor(private readonly opts: ForecasterOptions) {
 		this.startedAt = opts.clock.now();
@@ -44,14 +48,19 @@
 	update(): forecasts.OwnerForecast {
 		const now = this.opts.clock.now();
 		this.errors.settle();
-		const snapshot = summaries.summarise({
+		const waiting = this.opts.waiting();
+		const { snapshot, preemptibleUse } = summaries.summarise({
 			...this.opts,
 			now,
+			waitingOf: (step) => waiting.waitingOf(step),
+			lacksOnlyCapacity: (task) => waiting.lacksOnlyCapacity(task),
+			recentPreemptibleCores: (pool) => this.preemptibleUse.highest(pool, now),
 			ownerAgeMs: now - this.startedAt,
 			jobs: this.opts.jobs(),
 			workers: this.opts.workers(),
 			runTimes: this.runTimes,
 		});
+		this.preemptibleUse.note(preemptibleUse, now);
 		this.latest = forecasts.forecastWaits(snapshot, now, this.opts.hasShares);
 		return this.latest;
 	}
--- a/src/core/dispatch/free-capacity.ts
+++ b/src/core/dispatch/free-capacity.ts
@@ -47,6 +47,14 @@
 	return fitsCapacity(step.spec, worker.used, capacity, reserveMilliCores);
 }
 
+/** Whether a worker could hold a task if it were empty. */
+export function couldHold(spec: jobs.StepSpec, { entry }: sessions.WorkerSession): boolean {
+	if (entry === undefined || (spec.requiredLabel !== '' && !entry.labels.includes(spec.requiredLabel)))
+		return false;
+	const none: fleet.Capacity = { milliCores: 0, memoryMb: 0, accelerators: 0 };
+	return fitsCapacity(spec, none, entry.capacity, 0);
+}
+
 /** Whether the reservations on a worker exceed its capacity, as that has shrunk since. */
 export function isOverCapacity({ used, entry }: sessions.WorkerSession): boolean {
 	if (entry === undefined) return false;
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -140,6 +140,16 @@
 		return this.ready.countOf(step);
 	}
 
+	/**
+	 * Whether nothing but free capacity keeps a waiting task from being started: it is not a suspect, and starts may be
+	 * sent.
+	 */
+	lacksOnlyCapacity(task: jobs.Task): boolean {
+		if (!this.opts.mayAct() || this.opts.freeStartSlots() === 0) return false;
+		if (this.opts.clock.now() < task.retryNotBefore) return false;
+		return this.startBlockedReason(task) === undefined && !this.opts.probations.isSuspect(task);
+	}
+
 	/** Worker on which a task is placed; undefined: it is not placed. */
 	sessionOf(task: jobs.Task): sessions.WorkerSession | undefined {
 		const session = this.sessionByTask.get(task);
--- a/src/core/dispatch/work-summary.ts
+++ b/src/core/dispatch/work-summary.ts
@@ -1,4 +1,5 @@
 /** Summarises what an owner has accepted and what its workers can run, by step, for the forecast. */
+import * as freeCapacity from './free-capacity.js';
 import type * as interference from './interference.js';
 import * as forecasts from '../forecast/index.js';
 import type * as jobs from '../jobs/index.js';
@@ -17,6 +18,15 @@
 /** A new owner counts workers that have not answered it yet for this long, in milliseconds. */
 const unheardCountsForMs = 3_000;
 
+/** A step shows that cores are scarce only if at least this part of the pool's workers can hold one of its tasks. */
+const usualWorkerPart = 0.5;
+
+/**
+ * Least part of the spare cores that counts as capacity. Tasks may wait for other reasons than cores, such as memory or
+ * interference; one waiting task beside one running task of a core gave a capacity of one core in an idle fleet.
+ */
+const minSparePart = 0.25;
+
 /** What the summary reads. */
 export interface SummaryContext {
 	now: number;
@@ -26,6 +36,10 @@
 	workers: readonly sessions.WorkerSession[];
 	policyOf: (job: jobs.ActiveJob) => jobs.QueuePolicy;
 	waitingOf: (step: jobs.StepInstance) => number;
+	/** Whether nothing but free capacity keeps a waiting task from being started. */
+	lacksOnlyCapacity: (task: jobs.Task) => boolean;
+	/** Most cores that preemptible tasks of a pool used in the last seconds. */
+	recentPreemptibleCores: (pool: string) => number;
 	runTimes: forecasts.RunTimes;
 	/**
 	 * Share of a worker's cores up to which preemptible tasks are placed there: the limit of the placer, or where that adapts,
@@ -49,9 +63,11 @@
 interface PoolSums {
 	/** Cores that preemptible tasks use. */
 	preemptibleCores: number;
-	/** Some preemptible tasks have waited for long. */
+	/** Some preemptible tasks have waited for long, for nothing but capacity. */
 	isSaturated: boolean;
 	workers: sessions.WorkerSession[];
+	/** Whether a usual worker can hold a task, by its requirements. */
+	holdable: Map<string, boolean>;
 	/** Tasks and their cores of short work that reserves cores. */
 	reservedTasks: number;
 	reservedTaskCores: number;
@@ -80,10 +96,15 @@
 	get capacity(): forecasts.ClassCapacity[] {
 		return [...this.pools].flatMap(([pool, sums]) => [
 			{ kind: 'reserved' as const, pool, cores: this.reservedCores(sums) },
-			{ kind: 'preemptible' as const, pool, cores: this.preemptibleCores(sums) },
+			{ kind: 'preemptible' as const, pool, cores: this.preemptibleCores(pool, sums) },
 		]);
 	}
 
+	/** Cores that preemptible tasks use, by pool. */
+	get preemptibleUse(): Map<string, number> {
+		return new Map([...this.pools].map(([pool, sums]) => [pool, sums.preemptibleCores]));
+	}
+
 	private addWorker(session: sessions.WorkerSession): void {
 		if (session.hasEnded) return;
 		if (session.entry !== undefined && this.takesWork(session))
@@ -158,8 +179,7 @@
 		const { pool, priority, name: queue } = policy;
 		const sums = this.sumsOf(pool);
 		if (!spec.fills) this.addReservedTasks(sums, step, tasks);
-		else if (newest?.state === 'ready' && this.ctx.now - newest.readyAt >= saturatedAfterMs)
-			sums.isSaturated = true;
+		else if (!sums.isSaturated) sums.isSaturated = this.showsSaturation(step, sums);
 		return (
 			this.work.push({
 				kind: spec.fills ? 'preemptible' : 'reserved',
@@ -175,6 +195,16 @@
 		);
 	}
 
+	/** Whether a preemptible step has waited for long although most workers could hold a task of it. */
+	private showsSaturation(step: jobs.StepInstance, sums: PoolSums): boolean {
+		const newest = step.tasks.at(-1);
+		if (newest?.state !== 'ready' || this.ctx.now - newest.readyAt < saturatedAfterMs) return false;
+		// A gang waits until all of its members fit, and a step with a limit per worker for more workers.
+		const { gang, maxPerWorker } = step.spec;
+		if (gang || maxPerWorker > 0 || !this.ctx.lacksOnlyCapacity(newest)) return false;
+		return isUsuallyHoldable(step, sums);
+	}
+
 	/** What a blocked step waits for. */
 	private earlierWork(
 		step: jobs.StepInstance,
@@ -227,6 +257,7 @@
 			preemptibleCores: 0,
 			isSaturated: false,
 			workers: [],
+			holdable: new Map(),
 			reservedTasks: 0,
 			reservedTaskCores: 0,
 			inheritedLongRunningCores: 0,
@@ -254,25 +285,53 @@
 		return isReconciled ? usable : Math.max(0, Math.min(usable, total - sums.inheritedLongRunningCores));
 	}
 
-	/** Cores for preemptible work: what it uses if more of it waits, else what the others are expected to leave it. */
-	private preemptibleCores({ isSaturated, preemptibleCores, workers }: PoolSums): number {
-		if (isSaturated && preemptibleCores > 0) return preemptibleCores;
+	/**
+	 * Cores for preemptible work: what it uses if more of it waits, else what the others are expected to leave it. Until all
+	 * workers have reported, runs that an earlier owner started are missing from its use.
+	 */
+	private preemptibleCores(pool: string, { isSaturated, preemptibleCores, workers }: PoolSums): number {
+		const spare = this.spareCores(workers);
+		if (!isSaturated || preemptibleCores === 0 || workers.some((one) => !one.isReconciled))
+			return Math.max(spare, preemptibleCores);
+		return Math.max(preemptibleCores, this.ctx.recentPreemptibleCores(pool), minSparePart * spare);
+	}
+
+	/** Cores that other work is expected to leave to preemptible tasks. */
+	private spareCores(workers: readonly sessions.WorkerSession[]): number {
 		let spare = 0;
 		for (const session of workers) {
 			const cores = (session.entry?.capacity.milliCores ?? 0) / 1_000;
 			const use = this.ctx.estimates.expectedUtilization(session) * cores;
-			spare += Math.max(
-				0,
-				this.ctx.maxPreemptibleUse * cores - (use - session.preemptibleMilliCores / 1_000),
-			);
+			const others = use - session.preemptibleMilliCores / 1_000;
+			spare += Math.max(0, this.ctx.maxPreemptibleUse * cores - others);
 		}
-		return Math.max(spare, preemptibleCores);
+		return spare;
+	}
+}
+
+/** Whether at least half of a pool's workers, if empty, could hold a task of a step. */
+function isUsuallyHoldable(step: jobs.StepInstance, { workers, holdable }: PoolSums): boolean {
+	const { requiredLabel, milliCores, memoryMb, accelerators } = step.spec;
+	const key = [requiredLabel, milliCores, memoryMb, accelerators].join(' ');
+	let known = holdable.get(key);
+	if (known === undefined) {
+		const count = workers.filter((one) => freeCapacity.couldHold(step.spec, one)).length;
+		known = count >= workers.length * usualWorkerPart;
+		holdable.set(key, known);
 	}
+	return known;
+}
+
+/** The summary, and the cores that preemptible tasks use, by pool. */
+export interface SummarisedWork {
+	snapshot: forecasts.WorkSnapshot;
+	preemptibleUse: ReadonlyMap<string, number>;
 }
 
 /** Summarises the accepted work and the capacity. */
-export function summarise(ctx: SummaryContext): forecasts.WorkSnapshot {
+export function summarise(ctx: SummaryContext): SummarisedWork {
 	const summary = Summary.create(ctx);
-	const { work, running, capacity } = summary;
-	return { known: ctx.workers.some((one) => one.entry !== undefined), work, running, capacity };
+	const { work, running, capacity, preemptibleUse } = summary;
+	const known = ctx.workers.some((one) => one.entry !== undefined);
+	return { snapshot: { known, work, running, capacity }, preemptibleUse };
 }
--- a/test/placer.test.ts
+++ b/test/placer.test.ts
@@ -82,3 +82,22 @@
 	t.true(fraction < 0.7, `rounds took ${fraction.toFixed(2)} of the time`);
 	slowPlacer.placer.close();
 });
+
+test('only a task that nothing but capacity keeps from being started shows that cores are scarce', (t) => {
+	const clock = time.VirtualClock.create();
+	const { placer } = createSlowPlacer(clock, 1);
+	const options = { cancelled: false, inherited: false, workersStored: true, now: clock.now(), age: 0 };
+	const taskOf = (more: Partial<jobs.JobRecord> = {}): jobs.Task => {
+		const record = fixtures.job('wide', [fixtures.step({ fills: true })], more);
+		const [task] = jobs.ActiveJob.create(record, undefined, options).openNextOccurrence(clock.now());
+		if (task === undefined) throw new Error('no task');
+		return task;
+	};
+	t.true(placer.lacksOnlyCapacity(taskOf()));
+	const paused = Object.assign(taskOf(), { retryNotBefore: clock.now() + 1_000 });
+	t.false(placer.lacksOnlyCapacity(paused), 'it waits after a crash');
+	const suspect = Object.assign(taskOf(), { crashes: { crashed: 2, blamed: 1 } });
+	t.false(placer.lacksOnlyCapacity(suspect), 'it waits for probation');
+	t.false(placer.lacksOnlyCapacity(taskOf({ acceptedUnder: epoch + 1 })), 'a later owner starts it');
+	placer.close();
+});
