--- a/src/core/dispatch/create-limit.ts
+++ b/src/core/dispatch/create-limit.ts
@@ -3,15 +3,17 @@
 import * as dueTime from './due-time-limit.js';
 import * as fixed from './fixed-limit.js';
 import * as remaining from './remaining-work.js';
+import type * as forecasts from '../forecast/index.js';
 import type * as interference from './interference.js';
 import type * as jobs from '../jobs/index.js';
 import type * as limitTypes from './limit-types.js';
 import type * as options from './options.js';
 
-/** Without run times, the callers' estimates count as they are. */
+/** Runs are expected to take the corrected times of `runTimes`. */
 export function createLimit(
 	opts: options.DispatcherOptions,
 	estimates: interference.InterferenceModel,
+	runTimes: Pick<forecasts.RunTimes, 'expectedMs'>,
 ): limitTypes.PreemptibleLimit {
 	const fixedLimit = fixed.FixedLimit.create(estimates);
 	const { preemptibleLimit = 'fixed' } = opts.features ?? {};
@@ -19,7 +21,7 @@
 	const expectedMs = ({ spec, job }: jobs.StepInstance): number => {
 		if (spec.lasting) return Infinity;
 		const { queue } = job.record;
-		return opts.runTimes?.expectedMs(queue.name, spec) ?? spec.estimateMs;
+		return runTimes.expectedMs(queue.name, spec);
 	};
 	const adaptiveLimit = adaptive.AdaptiveLimit.create({ ...opts, estimates, expectedMs });
 	if (preemptibleLimit === 'adaptive') return adaptiveLimit;
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -71,7 +71,7 @@
 		this.interferenceModel = interference.InterferenceModel.create(clock);
 		this.forecaster = this.createForecaster();
 		const { runTimes } = this.forecaster;
-		this.limit = createLimit.createLimit({ ...opts, runTimes }, this.interferenceModel);
+		this.limit = createLimit.createLimit(opts, this.interferenceModel, runTimes);
 		const { interferenceModel, limit } = this;
 		this.state = schedulingState.choose({ limits: limit, ...opts, interferenceModel, runTimes });
 		this.pressure = pressure.InterferenceControl.create(opts, this.interferenceModel, this.limit);
@@ -249,7 +249,7 @@
 			jobs: () => this.registry.unfinished(),
 			workers: () => this.workers.all(),
 			policyOf: (job) => this.policyOf(job),
-			waitingOf: (step) => this.placer.waitingOf(step),
+			waiting: () => this.placer,
 			estimates: this.interferenceModel,
 			hasShares: this.opts.features?.waitingOrder === 'overload',
 			maxPreemptibleUse: options.maxPreemptibleUse(this.opts.features),
--- a/test/forecast.test.ts
+++ b/test/forecast.test.ts
@@ -5,6 +5,7 @@
 import * as events from '../src/core/events/index.js';
 import * as forecasts from '../src/core/forecast/index.js';
 import * as memory from '../stand-ins/fleet/memory-store.js';
+import * as publishers from '../src/core/box/forecast-publisher.js';
 import * as received from '../src/core/box/received-forecast.js';
 import * as results from '../src/core/result.js';
 import * as service from '../src/core/box/job-service.js';
@@ -88,6 +89,27 @@
 	t.is(waits({ work: [work, next, other] })[0]?.points.find(([due]) => due === 40_000)?.[1], 1_000);
 });
 
+test('a step waits for earlier ones of the other kind', (t) => {
+	const preemptible = { ...work, kind: 'preemptible' as const };
+	const due = (found: forecasts.ClassForecast | undefined, dueInMs: number): number | undefined =>
+		found?.points.find(([at]) => at === dueInMs)?.[1];
+	const next = { ...preemptible, after: [0] };
+	const other = { ...preemptible, dueInMs: 40_000 };
+	// The preemptible cores are idle until the reserved step ends, so the other step is placed at once.
+	const after = waits({ work: [work, next, other] }).find((one) => one.kind === 'preemptible');
+	t.is(due(after, 40_000), 0);
+	const reservedNext = { ...work, after: [0] };
+	const reservedOther = { ...work, dueInMs: 40_000 };
+	const before = waits({ work: [preemptible, reservedNext, reservedOther] });
+	t.is(
+		due(
+			before.find((one) => one.kind === 'reserved'),
+			40_000,
+		),
+		0,
+	);
+});
+
 test('late work waits behind work that is on time, and a queue for no more than its own work by its share', (t) => {
 	const late = { ...work, dueInMs: -1 };
 	const [found] = waits({ work: [late, work, { ...work }] });
@@ -111,7 +133,8 @@
 	const factors = Object.fromEntries(
 		Array.from({ length: 60 }, (_, index) => [`image name-${String(index)}`, 1.3 + index / 100]),
 	);
-	const made = forecasts.toMessage(forecasts.forecastWaits(snapshot({ work: steps }), 0, false), 7, factors);
+	const whole = forecasts.forecastWaits(snapshot({ work: steps }), 0, false);
+	const { message: made } = forecasts.toMessage(whole, 7, factors);
 	const bytes = wire.encodeValue(made);
 	t.true(bytes.length <= forecasts.maxMessageBytes);
 	t.deepEqual(
@@ -122,6 +145,115 @@
 	t.deepEqual(decoded.ok && forecasts.parseForecast(decoded.value), { ok: true, value: made });
 });
 
+/** Checks that boxes accept a message as it is sent. */
+function isAccepted(made: forecasts.Forecast): boolean {
+	const decoded = wire.decodeValue(wire.encodeValue(made));
+	return decoded.ok && forecasts.parseForecast(decoded.value).ok;
+}
+
+const [knownClass] = forecast.classes;
+
+/** An owner's forecast with these classes, in several pools or in one. */
+function ownerForecast(
+	classes: Partial<forecasts.ClassForecast>[],
+	pools: string[] = ['press'],
+): forecasts.OwnerForecast {
+	if (knownClass === undefined) throw new Error('no class');
+	const free = pools.map((pool) => ({ kind: 'preemptible' as const, pool, coreMs: [] }));
+	return {
+		at: 0,
+		known: true,
+		classes: classes.map((one) => ({ ...knownClass, pool: 'press', ...one })),
+		free,
+	};
+}
+
+test('the message leaves out what boxes would reject, and keeps the rest', (t) => {
+	const long = 'x'.repeat(201);
+	const factors = { [`image ${long}`]: 2, 'image print': 2 };
+	const classes = [
+		{ priority: 0.5 },
+		{ priority: -1 },
+		{ priority: 1_001 },
+		{ priority: 1, queues: [[long, 100] as const] },
+		{ priority: 2, lateWaitMs: 105_600_000, queues: [['wide', 105_600_000] as const] },
+		{ priority: 3, points: [[1, 105_600_000] as const] },
+	];
+	const { message, reduction } = forecasts.toMessage(ownerForecast(classes), 7, factors);
+	t.true(isAccepted(message));
+	t.true(message.known);
+	t.deepEqual(message.factors, [['print', 2]]);
+	t.deepEqual(
+		message.classes.map((one) => [one.priority, one.lateWaitMs, one.queues]),
+		[
+			[1, 9_000, undefined],
+			[2, 3_600_000, [['wide', 3_600_000]]],
+			[3, 9_000, undefined],
+		],
+	);
+	t.deepEqual(message.classes.at(-1)?.points, [[1, 3_600_000]]);
+	t.deepEqual(reduction, { withoutQueues: 1, droppedClasses: 0, invalidClasses: 3 });
+	const inPools = ownerForecast([{ pool: long }, {}], [long, 'press']);
+	const named = forecasts.toMessage(inPools, 7, {}).message;
+	t.true(isAccepted(named));
+	t.deepEqual(
+		named.classes.map((one) => one.pool),
+		['press'],
+	);
+});
+
+test('a message that is too large loses the waits by queue, then the classes with the shortest waits', (t) => {
+	const pools = ['north', 'south', 'east', 'west'];
+	const queues = ['a', 'b', 'c', 'd'].map((queue) => [`queue-${queue}`, 5_000] as const);
+	const classesOf = (count: number): Partial<forecasts.ClassForecast>[] =>
+		pools.slice(0, 3).flatMap((pool) =>
+			Array.from({ length: count }, (_, priority) => ({
+				pool,
+				priority,
+				queues,
+				lateWaitMs: 1_000 * (priority + 1),
+				points: [[1_000, 500] as const],
+			})),
+		);
+	const some = forecasts.toMessage(ownerForecast(classesOf(2), pools), 7, {});
+	t.true(isAccepted(some.message));
+	t.is(some.message.classes.length, 6);
+	t.deepEqual(some.reduction, { withoutQueues: 6, droppedClasses: 0, invalidClasses: 0 });
+	const many = forecasts.toMessage(ownerForecast(classesOf(8), pools), 7, {});
+	t.true(wire.encodeValue(many.message).length <= forecasts.maxMessageBytes);
+	t.true(many.message.known);
+	t.true(many.reduction.droppedClasses > 0 && many.message.classes.length > 0);
+	t.is(many.reduction.droppedClasses + many.message.classes.length, 24);
+	const shortest = Math.min(...many.message.classes.map((one) => one.lateWaitMs));
+	t.true(shortest >= 5_000, `${String(shortest)} ms`);
+});
+
+test('what is left out of the message is logged, at most once in 10 s', async (t) => {
+	const clock = time.VirtualClock.create();
+	const log = events.EventLog.create('entry-1', clock);
+	const whole = ownerForecast([{ priority: 0.5 }, {}]);
+	const publisher = publishers.ForecastPublisher.create({
+		clock,
+		events: log,
+		epoch: 7,
+		forecaster: { update: () => whole, reducedMessage: () => forecasts.toMessage(whole, 7, {}) },
+	});
+	await clock.advance(9_900);
+	const lines = (): unknown[] =>
+		log.select((event) => event.name === 'forecast.reduced').map((event) => event.fields);
+	t.deepEqual(lines(), [{ epoch: 7, withoutQueues: 0, droppedClasses: 0, invalidClasses: 1 }]);
+	await clock.advance(1_000);
+	t.is(lines().length, 2);
+	publisher.close();
+});
+
+test('an object in place of a value is rejected, whatever members it has', (t) => {
+	t.deepEqual(forecasts.parseForecast({ ...forecast, generation: { toString: 1 } }), {
+		ok: false,
+		err: { field: 'generation', value: 'an object' },
+	});
+});
+
 test('a forecast with a wrong field is rejected as a whole, and the previous one is used until it is too old', async (t) => {
 	const clock = time.VirtualClock.create();
 	const log = events.EventLog.create('entry-1', clock);
@@ -150,6 +282,13 @@
 	t.deepEqual(box.current, { forecast, ageMs: 1_000 });
 	await clock.advance(4_000);
 	t.is(box.current, undefined);
+	box.note({ ...forecast, generation: 1e12 });
+	await clock.advance(4_999);
+	box.note({ ...forecast, generation: 4 });
+	t.is(box.current?.ageMs, 4_999);
+	await clock.advance(1);
+	box.note({ ...forecast, generation: 4 });
+	t.is(box.current?.ageMs, 0, 'a wrong generation does not keep out later forecasts for good');
 });
 
 test('a job is judged by its own chain: corrected run times, waits of its class, waves of a wide step', (t) => {
@@ -175,6 +314,7 @@
 		type: 'refuse',
 		cause: 'too-late',
 		limitMs: 22_500,
+		worthlessMs: 15_000,
 		forecast: { finishMs: 27_000 },
 	});
 	for (const open of [
@@ -230,3 +370,43 @@
 	t.is(refusals.length, 1);
 	t.like(refusals[0], { cause: 'long-wait', waitMs: 12_000, forecastFinishMs: 13_000, forecastAgeMs: 300 });
 });
+
+test('a queue without work of its own waits for the classes before its own', (t) => {
+	const [known] = forecast.classes;
+	if (known === undefined) throw new Error('no class');
+	const step = fixtures.step({ estimateMs: 1_000, fills: true });
+	const record = fixtures.job('a', [step], { queue: wideQueue });
+	const first = { ...known, priority: 1, lateWaitMs: 14_000 };
+	const own = { ...known, lateWaitMs: 20_000, queues: [['other', 18_000]] as const };
+	const decide = (classes: forecasts.ClassForecast[]): admission.Verdict =>
+		admission.decideByForecast(record, { forecast: { ...forecast, classes }, ageMs: 0 });
+	t.like(decide([first, own]), { type: 'refuse', waitMs: 14_000 });
+	t.like(decide([own]), { type: 'admit', forecast: { waitMs: 0 } });
+});
+
+test('a scheduled job is due after its planned time', (t) => {
+	const [known] = forecast.classes;
+	if (known === undefined) throw new Error('no class');
+	const points = [
+		[4_000, 0],
+		[8_000, 9_000],
+	] as const;
+	const aged = { forecast: { ...forecast, classes: [{ ...known, points }] }, ageMs: 0 };
+	const record = fixtures.job('a', [fixtures.step({ estimateMs: 1_000, fills: true })], { queue: wideQueue });
+	t.is(admission.forecastJob(record, aged).waitMs, 0);
+	const schedule = { times: 1, firstAt: 5_000, intervalMs: 0 };
+	// Due 8,000 ms from now, it is placed after 9,000 ms, which is 4,000 ms after its planned time.
+	t.is(admission.forecastJob({ ...record, schedule }, aged).waitMs, 4_000);
+});
+
+test('a refusal names the time after which the job is of no value', (t) => {
+	const reason = service.refusalReason({
+		type: 'refuse',
+		cause: 'too-late',
+		waitMs: 6_000,
+		limitMs: 22_500,
+		worthlessMs: 15_000,
+		forecast: { waitMs: 6_000, finishMs: 27_000, ageMs: 100 },
+	});
+	t.is(reason, 'the job would finish after 27000 ms, and is of no value after 15000 ms');
+});
