--- a/src/core/dispatch/preemptible-limits.ts
+++ b/src/core/dispatch/preemptible-limits.ts
@@ -42,6 +42,8 @@
 	hasTurnedAway: boolean;
 	/** Clock time of its last cut. */
 	cutAt: number;
+	/** Its newest outlook. */
+	outlook: outlooks.WorkerOutlook | undefined;
 }
 
 /** By what a task was placed, for the log in case that the placement proves wrong. */
@@ -86,11 +88,10 @@
 	}
 
 	usePenalty(task: jobs.Task, worker: sessions.WorkerSession, ignoreInterference: boolean): number {
-		const { use } = this.outlooks.of(worker);
-		const share = coreShareOf(task, worker);
-		const first = (use[0] ?? 0) + share;
-		if (ignoreInterference) return first;
 		const state = this.stateOf(worker);
+		const { use } = this.outlookOf(worker, state);
+		const first = (use[0] ?? 0) + coreShareOf(task, worker);
+		if (ignoreInterference) return first;
 		if (first <= state.limit.maxUse) return first;
 		state.hasTurnedAway = true;
 		return Infinity;
@@ -101,9 +102,11 @@
 		worker: sessions.WorkerSession,
 		check: limitTypes.InterferenceCheck,
 	): number {
-		const effect = this.effectOf(task, worker);
-		if (!check.ignoreInterference && this.obstacleOf(task, worker, effect, check.now) !== undefined) {
-			this.stateOf(worker).hasTurnedAway = true;
+		const state = this.stateOf(worker);
+		const effect = this.effectOf(task, worker, state);
+		const isLimited = !check.ignoreInterference;
+		if (isLimited && this.obstacleOf(task, worker, { state, effect, now: check.now }) !== undefined) {
+			state.hasTurnedAway = true;
 			return Infinity;
 		}
 		return effect.violations * violationWeight + effect.added * addedWeight;
@@ -114,16 +117,18 @@
 		worker: sessions.WorkerSession,
 		now: number,
 	): limitTypes.LimitObstacle | undefined {
-		return this.obstacleOf(task, worker, this.effectOf(task, worker), now);
+		const state = this.stateOf(worker);
+		return this.obstacleOf(task, worker, { state, effect: this.effectOf(task, worker, state), now });
 	}
 
 	notePlaced(worker: sessions.WorkerSession, place: types.Placement): void {
 		const expectedMs = this.opts.expectedMs(place.task.step);
 		const points = outlooks.pointsWithin(expectedMs);
-		const outlook = this.outlooks.of(worker);
+		const state = this.stateOf(worker);
+		const outlook = this.outlookOf(worker, state);
 		const use = Math.max(...outlook.use.slice(0, points));
 		const excess = Math.max(-1, ...outlook.tasks.map((one) => limit.highestExcess(one, outlook.use, points)));
-		this.inputs.set(place, { ...this.stateOf(worker).limit, use, excess, expectedMs });
+		this.inputs.set(place, { ...state.limit, use, excess, expectedMs });
 	}
 
 	noteReport(worker: sessions.WorkerSession): void {
@@ -162,8 +167,9 @@
 		this.misses = 0;
 		for (const worker of workers) {
 			const cores = (worker.entry?.capacity.milliCores ?? 0) / 1_000;
-			reading.limitCores += cores * this.stateOf(worker).limit.maxUse;
-			reading.usedCores += cores * (this.outlooks.of(worker).use[0] ?? 0);
+			const state = this.stateOf(worker);
+			reading.limitCores += cores * state.limit.maxUse;
+			reading.usedCores += cores * (this.outlookOf(worker, state).use[0] ?? 0);
 		}
 		return {
 			...reading,
@@ -184,22 +190,26 @@
 		return this.imageLimits.size;
 	}
 
-	private effectOf(task: jobs.Task, worker: sessions.WorkerSession): limit.Effect {
+	private outlookOf(worker: sessions.WorkerSession, state: LimitState): outlooks.WorkerOutlook {
+		state.outlook = this.outlooks.of(worker, state.outlook);
+		return state.outlook;
+	}
+
+	private effectOf(task: jobs.Task, worker: sessions.WorkerSession, state: LimitState): limit.Effect {
 		const load: limit.Load = {
 			image: task.step.spec.image,
 			share: coreShareOf(task, worker),
 			points: outlooks.pointsWithin(this.opts.expectedMs(task.step)),
 		};
-		return limit.effectOf(this.outlooks.of(worker), load, this.upperSlope);
+		return limit.effectOf(this.outlookOf(worker, state), load, this.upperSlope);
 	}
 
 	private obstacleOf(
 		task: jobs.Task,
 		worker: sessions.WorkerSession,
-		effect: limit.Effect,
-		now: number,
+		{ state, effect, now }: { state: LimitState; effect: limit.Effect; now: number },
 	): limitTypes.LimitObstacle | undefined {
-		const { maxUse, margin } = this.stateOf(worker).limit;
+		const { maxUse, margin } = state.limit;
 		if (effect.use > maxUse) return 'cores-in-use';
 		if (effect.excess > -margin) return 'harm';
 		const { image } = task.step.spec;
@@ -208,7 +218,7 @@
 
 	private cut(worker: sessions.WorkerSession, state: LimitState, over: types.Placement): void {
 		const now = this.opts.clock.now();
-		const use = this.outlooks.of(worker).use[0] ?? 0;
+		const use = this.outlookOf(worker, state).use[0] ?? 0;
 		const { image } = over.task.step.spec;
 		state.limit = limit.cut(state.limit, use);
 		state.cutAt = now;
@@ -234,7 +244,12 @@
 	private stateOf(worker: sessions.WorkerSession): LimitState {
 		const known = this.states.get(worker);
 		if (known !== undefined) return known;
-		const created = { limit: this.firstLimit(worker), hasTurnedAway: false, cutAt: -Infinity };
+		const created = {
+			limit: this.firstLimit(worker),
+			hasTurnedAway: false,
+			cutAt: -Infinity,
+			outlook: undefined,
+		};
 		// What runs there is known once the worker has reported.
 		if (worker.isReconciled) this.states.set(worker, created);
 		return created;
--- a/src/core/dispatch/serving-outlook.ts
+++ b/src/core/dispatch/serving-outlook.ts
@@ -75,7 +75,6 @@
 
 /** Outlooks of all workers of one owner. */
 export class Outlooks {
-	private readonly byWorker = new WeakMap<sessions.WorkerSession, WorkerOutlook>();
 	private readonly loadsByStep = new WeakMap<jobs.StepInstance, StepLoads>();
 
 	private constructor(
@@ -92,14 +91,11 @@
 		return new Outlooks(clock, estimates, expectedMs);
 	}
 
-	/** The outlook of a worker; not older than a quarter of a second, and of its newest placements. */
-	of(session: sessions.WorkerSession): WorkerOutlook {
-		const known = this.byWorker.get(session);
+	/** The outlook of a worker: `known` if it is not older than a quarter of a second and of the newest placements. */
+	of(session: sessions.WorkerSession, known: WorkerOutlook | undefined): WorkerOutlook {
 		const now = this.clock.now();
-		if (known?.revision === session.revision && now - known.at < outlookMaxAgeMs) return known;
-		const outlook = this.compute(session, now);
-		this.byWorker.set(session, outlook);
-		return outlook;
+		const isFresh = known?.revision === session.revision && now - known.at < outlookMaxAgeMs;
+		return isFresh ? known : this.compute(session, now);
 	}
 
 	private compute(session: sessions.WorkerSession, now: number): WorkerOutlook {
