Return times without a booking, bookings of failed writes, shares in all answers

Causes and changes: - Refused callers without a booking were told 2.0 to 3.0 s, rounded up: for a forecast that clears within 2 s, 999 of 1,000 were told 3 s. The times are now spread over whole seconds, at least three of them. - A job whose value had passed was told 1 s, so that the callers with the least to gain retried soonest. The time is cut by value only down to 2 s. - A job without work was booked at -Infinity and told 1 s. It is not booked. - A booking ended before the job was written; after a failed write the caller returned without one. It now ends when the job is accepted. - The shares in answers to pings that are not held were dropped, though the owner counts them as given.

--- a/src/core/admission/return-schedule.ts
+++ b/src/core/admission/return-schedule.ts
@@ -11,7 +11,7 @@
 const shareUsableMs = 1_500;
 
 /** Part of each second that is left to urgent jobs and to callers that were refused before. */
-const keptFraction = 0.2;
+const urgentFraction = 0.2;
 
 /** Refused jobs that are remembered, and for how long in milliseconds: callers give up after about half a minute. */
 const maxRemembered = 4_096;
@@ -21,10 +21,16 @@
 const earlyMs = 500;
 const lateMs = 2_500;
 
-/** Shortest and longest time to a return without a booking, in milliseconds, and the part by which it is spread. */
-const minUnbookedMs = 2_000;
-const maxUnbookedMs = 30_000;
+/** Shortest and longest time to a return without a booking, in seconds. */
+const minUnbookedS = 2;
+const maxUnbookedS = 30;
+
+/**
+ * Times to a return without a booking are spread over a part of the time until the forecast clears, and over a minimum number
+ * of seconds: mostly the forecast clears within two seconds, half of which is a single value of `Retry-After`.
+ */
 const spreadPart = 0.5;
+const minSpreadS = 3;
 
 /** A job that is refused. */
 export interface RefusedJob {
@@ -129,16 +135,20 @@
 		return used.length === 0 ? undefined : { fromMs: -beganAgoMs, shares: used };
 	}
 
-	/** Ends the booking of a job that was submitted again; true: it came in the second that it was booked into. */
-	takeBooking(id: string): boolean {
-		const known = this.remembered.get(id);
-		const booking = known?.booking;
-		if (known === undefined || booking === undefined) return false;
-		known.booking = undefined;
+	/** Whether a job that was submitted again comes in the second that it was booked into. Its booking stays. */
+	isInBookedSecond(id: string): boolean {
+		const booking = this.remembered.get(id)?.booking;
+		if (booking === undefined) return false;
 		const fromBookedMs = this.now() - booking.at;
 		return fromBookedMs >= -earlyMs && fromBookedMs < lateMs;
 	}
 
+	/** Ends the booking of a job that was accepted. */
+	endBooking(id: string): void {
+		const known = this.remembered.get(id);
+		if (known !== undefined) known.booking = undefined;
+	}
+
 	/** Decides when a refused caller should return. */
 	refuse(job: RefusedJob): ReturnTime {
 		const now = this.now();
@@ -147,7 +157,7 @@
 		// The last time at which it could still be of value, counted from the first refusal.
 		const latestAt = known.firstRefusedAt + Math.max(0, job.worthlessMs - job.criticalPathMs);
 		const isFirst = job.priority === 0 || known.refusedAt > known.firstRefusedAt;
-		known.booking = this.book(job, isFirst ? 0 : keptFraction, latestAt, now);
+		known.booking = this.book(job, isFirst ? 0 : urgentFraction, latestAt, now);
 		if (known.booking === undefined) return { retryAfterS: this.unbookedS(job, latestAt - now) };
 		const seconds = Math.max(1, Math.ceil((known.booking.at - now) / 1_000));
 		const bookedCoreMs = known.booking.taken.reduce((sum, one) => sum + one.coreMs, 0);
@@ -155,31 +165,47 @@
 	}
 
 	/** Books the first second by whose end there is capacity for all of a job's work. */
-	private book(job: RefusedJob, kept: number, latestAt: number, now: number): Booking | undefined {
-		if (now - this.sharedAt >= shareUsableMs) return undefined;
-		const ready = job.work.map(({ kind, coreMs }) => this.coveredAt(kind, coreMs, kept, now));
+	private book(
+		job: RefusedJob,
+		reservedFraction: number,
+		latestAt: number,
+		now: number,
+	): Booking | undefined {
+		// A job without work, whose tasks are estimated at 0 ms, needs no second.
+		if (job.work.length === 0 || now - this.sharedAt >= shareUsableMs) return undefined;
+		const ready = job.work.map(({ kind, coreMs }) => this.coveredAt(kind, coreMs, reservedFraction, now));
 		const at = Math.max(...ready);
 		if (!(at <= latestAt)) return undefined;
-		const taken = job.work.flatMap(({ kind, coreMs }) => this.take(kind, coreMs, kept, now));
+		const taken = job.work.flatMap(({ kind, coreMs }) => this.take(kind, coreMs, reservedFraction, now));
 		return { at, bookedAt: now, taken };
 	}
 
 	/** Beginning of the first second by whose end some work is covered; infinite: in none. */
-	private coveredAt(kind: messages.ReturnKind, coreMs: number, kept: number, now: number): number {
+	private coveredAt(
+		kind: messages.ReturnKind,
+		coreMs: number,
+		reservedFraction: number,
+		now: number,
+	): number {
 		let missing = coreMs;
 		for (const second of this.shares[kind]) {
 			if (second.at <= now) continue;
-			missing -= usable(second, kept);
+			missing -= usable(second, reservedFraction);
 			if (missing <= 0) return second.at;
 		}
 		return Infinity;
 	}
 
-	private take(kind: messages.ReturnKind, coreMs: number, kept: number, now: number): Booking['taken'] {
+	private take(
+		kind: messages.ReturnKind,
+		coreMs: number,
+		reservedFraction: number,
+		now: number,
+	): Booking['taken'] {
 		const taken: Booking['taken'] = [];
 		let missing = coreMs;
 		for (const second of this.shares[kind]) {
-			const part = second.at <= now ? 0 : Math.min(missing, usable(second, kept));
+			const part = second.at <= now ? 0 : Math.min(missing, usable(second, reservedFraction));
 			if (part <= 0) continue;
 			second.left -= part;
 			missing -= part;
@@ -196,13 +222,14 @@
 		}
 	}
 
-	/** Seconds until a caller without a booking should return: when the forecast clears, spread, but while it is of value. */
+	/** Seconds until a caller without a booking should return: when the forecast clears, spread, but while its job is of value. */
 	private unbookedS({ clearsInMs }: RefusedJob, valuableMs: number): number {
-		const clearedMs = Math.max(minUnbookedMs, clearsInMs);
-		const spreadMs = clearedMs * (1 + spreadPart * this.random());
-		const ms = Math.min(maxUnbookedMs, spreadMs);
-		// A later time would be one at which the job is of no value any more.
-		return Math.max(1, Math.min(Math.ceil(ms / 1_000), Math.floor(valuableMs / 1_000)));
+		const clearedS = Math.max(minUnbookedS, Math.ceil(clearsInMs / 1_000));
+		const widthS = Math.max(minSpreadS, clearedS * spreadPart);
+		const spreadS = Math.min(maxUnbookedS, clearedS + Math.floor(this.random() * widthS));
+		// Without a minimum, callers whose jobs are of no value any more would return soonest.
+		const valuableS = Math.floor(valuableMs / 1_000);
+		return valuableS < minUnbookedS ? spreadS : Math.min(spreadS, valuableS);
 	}
 
 	private remember(id: string, now: number): Remembered {
@@ -226,8 +253,8 @@
 }
 
 /** What a job may take of a second. */
-function usable({ whole, left }: Second, kept: number): number {
-	return Math.max(0, left - whole * kept);
+function usable({ whole, left }: Second, reservedFraction: number): number {
+	return Math.max(0, left - whole * reservedFraction);
 }
 
 /** A refused job as it is booked. `clearsInMs`: when the forecast has no wait for it any more, in milliseconds from now. */
--- a/src/core/box/job-service.ts
+++ b/src/core/box/job-service.ts
@@ -88,7 +88,7 @@
 		const record: jobs.JobRecord = { id, queue, acceptedAt, acceptedUnder, ...request };
 		const { events: log, clock } = this.opts;
 		const startedAt = clock.now();
-		const isBooked = this.opts.returns?.takeBooking(id) === true;
+		const isBooked = this.opts.returns?.isInBookedSecond(id) === true;
 		const verdict = this.decideBooked(record, isBooked);
 		const refusal = verdict.type === 'refuse' ? await this.refuse(record, verdict) : undefined;
 		if (refusal !== undefined) return refusal;
@@ -99,6 +99,8 @@
 			log.emit('job.refused', { job: id, queue: queue.name, outcome: type, reason, tookMs });
 			return this.answerWriteFailure(outcome, queue.priority);
 		}
+		// Only now: a caller whose write failed returns, and needs its booking then.
+		this.opts.returns?.endBooking(id);
 		const forecast = { ...forecastFields(verdict), ...(isBooked && { keptBooking: 1 }) };
 		log.emit('job.accepted', { job: id, queue: queue.name, outcome: outcome.type, tookMs, ...forecast });
 		// The stored record of a known job may differ from this one: it may name an earlier owner, which may have started
--- a/src/core/box/owner-pings.ts
+++ b/src/core/box/owner-pings.ts
@@ -17,7 +17,7 @@
 
 /** Options of `OwnerPings`. */
 export interface OwnerPingsOptions {
-	peers: wire.PeerClient<protocol.BoxReq>;
+	peers: Pick<wire.PeerClient<protocol.BoxReq>, 'call'>;
 	contact: contacts.StoreContact;
 	events: events.EventLog;
 	box: string;
@@ -97,8 +97,11 @@
 	async pingNow(address: string): Promise<void> {
 		const { permissionTimeoutMs } = ownership.settings;
 		const req = this.request(0);
+		const askedAt = this.opts.now();
 		const res = await this.opts.peers.call<protocol.PingReply>(address, req, permissionTimeoutMs);
-		if (res.ok && res.value.ok) this.opts.onReply(res.value.value, address);
+		if (!res.ok || !res.value.ok) return;
+		this.opts.onReply(res.value.value, address);
+		this.noteReturns(res.value.value, askedAt);
 	}
 
 	private applyReply(reply: protocol.PingReply, askedAt: number): void {
@@ -106,14 +109,17 @@
 		this.strongest = reply.strongest;
 		this.reportedBacklog = { backlog: reply.backlog ?? [], at: this.opts.now() };
 		this.forecast.note(reply.forecast);
-		this.noteReturns(reply.returns, askedAt);
+		this.noteReturns(reply, askedAt);
 		this.leaseExpiries.update(reply);
 	}
 
-	/** Takes in the share of this box; absent: the owner shares nothing, and the previous share lapses. */
-	private noteReturns(value: unknown, askedAt: number): void {
-		if (value === undefined || this.opts.returns === undefined) return;
-		const parsed = admission.parseSeconds(value);
+	/**
+	 * Takes in the share of this box, of every answer: the owner counts on the newest one only. Absent: the owner shares nothing,
+	 * and the previous share lapses.
+	 */
+	private noteReturns(reply: protocol.PingReply, askedAt: number): void {
+		if (reply.returns === undefined || this.opts.returns === undefined) return;
+		const parsed = admission.parseSeconds(reply.returns);
 		if (parsed.ok) this.opts.returns.noteShare(parsed.value, askedAt);
 		else this.opts.events.emit('returns.rejected', { box: this.opts.box, reason: parsed.err });
 	}
@@ -121,9 +127,12 @@
 	private async pingOnNewConnection(address: string): Promise<ownership.PingOutcome> {
 		const req = this.request(0);
 		const { pingTimeoutMs } = ownership.settings;
+		const askedAt = this.opts.now();
 		const res = await this.opts.peers.call<protocol.PingReply>(address, req, pingTimeoutMs);
-		if (res.ok) return res.value.ok && res.value.value.movedTo === undefined ? 'alive' : 'not-owner';
-		return res.err.cause === 'refused' ? 'refused' : 'silent';
+		if (!res.ok) return res.err.cause === 'refused' ? 'refused' : 'silent';
+		if (!res.value.ok || res.value.value.movedTo !== undefined) return 'not-owner';
+		this.noteReturns(res.value.value, askedAt);
+		return 'alive';
 	}
 
 	private request(waitMs: number): protocol.BoxReq {
--- a/test/burst-retries.test.ts
+++ b/test/burst-retries.test.ts
@@ -86,12 +86,13 @@
 		const ageMs = clock.now() - (forecaster.latest?.at ?? 0);
 		const forecast = forecaster.message();
 		const verdict = admission.decideByForecast(caller.record, forecast && { forecast, ageMs });
-		const isBooked = box.takeBooking(caller.record.id);
+		const isBooked = box.isInBookedSecond(caller.record.id);
 		if (verdict.type === 'refuse' && !(isBooked && verdict.cause === 'long-wait')) {
 			if (isBooked) outcome.refusedInBookedSecond += 1;
 			refuse(caller, box, at, verdict.waitMs - verdict.limitMs);
 			return;
 		}
+		box.endBooking(caller.record.id);
 		if (caller.attempts > 0) outcome.acceptedOnReturn += 1;
 		outcome.accepted.push(caller.record.id);
 		void submit(owner, caller.record);
--- a/test/scheduled-retries.test.ts
+++ b/test/scheduled-retries.test.ts
@@ -5,10 +5,12 @@
 import * as events from '../src/core/events/index.js';
 import * as fixtures from './fixtures/dispatching.js';
 import * as memory from '../stand-ins/fleet/memory-store.js';
+import * as pings from '../src/core/box/owner-pings.js';
 import * as publishers from '../src/core/box/returns-publisher.js';
 import * as results from '../src/core/result.js';
 import * as service from '../src/core/box/job-service.js';
 import * as time from '../stand-ins/fleet/virtual-clock.js';
+import type * as wire from '../src/core/wire/client.js';
 
 /** Work of each refused job, and capacity that becomes free in each second, in core-milliseconds. */
 const jobCoreMs = 200_000;
@@ -161,6 +163,43 @@
 	t.is(box?.refuse(refusedJob('large', large)).bookedS, undefined, 'its second would be too late');
 });
 
+/** What 1,000 callers are told that are refused without a booking, by time in seconds. */
+function tellUnbooked(more: Partial<admission.RefusedJob>): Map<number, number> {
+	const told = new Map<number, number>();
+	let draws = 0;
+	const box = admission.ReturnSchedule.create(
+		() => 0,
+		() => (draws++ % 1_000) / 1_000,
+	);
+	for (let number = 0; number < 1_000; number += 1) {
+		const { retryAfterS } = box.refuse(refusedJob(`job-${String(number)}`, more));
+		told.set(retryAfterS, (told.get(retryAfterS) ?? 0) + 1);
+	}
+	return told;
+}
+
+// Times of two to three seconds were rounded up, so that all callers were told three.
+for (const clearsInMs of [0, 500, 1_500, 2_000, 9_000])
+	test(`callers refused ${String(clearsInMs)} ms before the forecast clears do not all return together`, (t) => {
+		const told = tellUnbooked({ clearsInMs });
+		t.true(Math.max(...told.values()) <= 400, JSON.stringify([...told]));
+		t.true(Math.min(...told.keys()) >= Math.max(2, clearsInMs / 1_000));
+	});
+
+// The value of these jobs has passed, or passes within the shortest time; they were told one second.
+for (const worthlessMs of [0, 2_500, 3_999])
+	test(`callers whose jobs are of no value after ${String(worthlessMs)} ms do not return soonest`, (t) => {
+		const told = tellUnbooked({ clearsInMs: 8_000, worthlessMs, criticalPathMs: 2_000 });
+		t.true(Math.min(...told.keys()) >= 8, JSON.stringify([...told]));
+	});
+
+test('a job without work takes no second, and is not told to return in one second', async (t) => {
+	const { boxes, pass } = createExchange(1);
+	await pass(2_000);
+	const answer = boxes[0]?.refuse(refusedJob('empty', { work: [], clearsInMs: 4_000 }));
+	t.deepEqual(answer, { retryAfterS: 5 });
+});
+
 test('a share with an invalid number is rejected as a whole', (t) => {
 	const coreMs = Array.from({ length: 16 }, () => 1);
 	const share = (first: number, kind = 'reserved', rest = coreMs.slice(1)): unknown => ({
@@ -175,13 +214,17 @@
 	t.false(admission.parseRefused([{ kind: 'reserved', coreMs: -1 }]).ok);
 });
 
-test('a caller that returns in its booked second is not refused for the wait that its booking counted', async (t) => {
-	const { clock, boxes, pass } = createExchange(1);
-	await pass(2_000);
+/** Submits a job at a box that refuses for the forecast, and whose store fails as `fault` says; its contact is not lost. */
+function createRefusingService(
+	clock: time.VirtualClock,
+	returns: admission.ReturnSchedule | undefined,
+	fault: () => memory.StoreFault = () => 'none',
+): (id: string) => Promise<service.Answer<'accepted'>> {
 	const log = events.EventLog.create('entry-1', clock);
 	const store = memory.MemoryStore.create(clock);
 	const jobs = service.JobService.create({
 		...contacts.monitorContact(store.view(), log, () => clock.now()),
+		store: store.view(fault),
 		clock,
 		events: log,
 		dispatcher: () => undefined,
@@ -195,15 +238,21 @@
 			limitMs: 10_000,
 			forecast: { waitMs: 11_000, finishMs: 13_000, ageMs: 100 },
 		}),
-		...(boxes[0] !== undefined && { returns: boxes[0] }),
+		...(returns !== undefined && { returns }),
 		random: () => 0,
 		ownerReachesStore: () => false,
 	});
-	const submit = async (id: string): Promise<service.Answer<'accepted'>> => {
+	return async (id) => {
 		const answer = jobs.submit(fixtures.queue, id, { text: '', steps: [fixtures.step({ fills: true })] });
 		await clock.advance(100);
 		return answer;
 	};
+}
+
+test('a caller that returns in its booked second is not refused for the wait that its booking counted', async (t) => {
+	const { clock, boxes, pass } = createExchange(1);
+	await pass(2_000);
+	const submit = createRefusingService(clock, boxes[0]);
 	const refused = await submit('00000000000000a1');
 	t.is(refused.type, 'overloaded');
 	await clock.advance((refused.type === 'overloaded' ? refused.retryAfterS : 0) * 1_000);
@@ -212,6 +261,75 @@
 	t.is((await submit('00000000000000a2')).type, 'overloaded');
 });
 
+test('a caller whose write fails in its booked second keeps its booking for the next attempt', async (t) => {
+	const { clock, boxes, pass } = createExchange(1);
+	await pass(2_000);
+	let fault: memory.StoreFault = 'none';
+	const submit = createRefusingService(clock, boxes[0], () => fault);
+	const refused = await submit('00000000000000a1');
+	t.is(refused.type, 'overloaded');
+	await clock.advance((refused.type === 'overloaded' ? refused.retryAfterS : 0) * 1_000);
+	fault = 'down';
+	t.is((await submit('00000000000000a1')).type, 'unavailable');
+	t.not(boxes[0]?.booked(), undefined, 'the owner does not give its capacity to others');
+	fault = 'none';
+	t.is((await submit('00000000000000a1')).type, 'ok');
+	t.is(boxes[0]?.booked(), undefined);
+});
+
+/** Pings of a box whose calls are answered by `answer`. */
+function createPings(
+	clock: time.VirtualClock,
+	returns: admission.ReturnSchedule,
+	answer: () => ReturnType<pings.OwnerPingsOptions['peers']['call']>,
+): pings.OwnerPings {
+	const log = events.EventLog.create('entry-1', clock);
+	const store = memory.MemoryStore.create(clock);
+	return pings.OwnerPings.create({
+		...contacts.monitorContact(store.view(), log, () => clock.now()),
+		peers: { call: <T>() => answer() as Promise<wire.CallResult<T>> },
+		events: log,
+		box: 'entry-1',
+		processor: 1,
+		now: () => clock.now(),
+		returns,
+		configuration: () => 0,
+		onConfiguration: () => undefined,
+		handover: () => ({}),
+		onReply: () => undefined,
+	});
+}
+
+// The owner counts each share that it sends as given, in place of the one before.
+test('the shares in answers to pings that ask for a permission or follow a broken connection are used', async (t) => {
+	const clock = time.VirtualClock.create();
+	const coreMs = Array.from({ length: 16 }, () => freePerS);
+	const reply = {
+		generation: 1,
+		storeReachable: true,
+		strongest: 1,
+		returns: { fromMs: 0, shares: [{ kind: 'preemptible', coreMs }] },
+	};
+	for (const kind of ['permission', 'new-connection'] as const) {
+		const schedule = admission.ReturnSchedule.create(
+			() => clock.now(),
+			() => 0,
+		);
+		let isBroken = kind === 'new-connection';
+		const ping = createPings(clock, schedule, () => {
+			const wasBroken = isBroken;
+			isBroken = false;
+			return Promise.resolve(
+				wasBroken
+					? results.fail({ cause: 'broken' as const, effect: 'unknown' as const, reason: '' })
+					: results.ok(results.ok(reply)),
+			);
+		});
+		await (kind === 'permission' ? ping.pingNow('owner') : ping.ping('owner'));
+		t.is(schedule.refuse(refusedJob('job-1')).bookedS, 1, kind);
+	}
+});
+
 test('a ping with an invalid field is logged and counts for the rest; its earlier bookings stay', async (t) => {
 	const clock = time.VirtualClock.create();
 	const log = events.EventLog.create('entry-1', clock);
