Steps that fit on no worker no longer hold up the other preemptible ones

Four preemptible steps without a worker end an attempt. If these fit nowhere, or their pool is full, all others, also those of other pools, were tried once in 100 ms only; as steps that are passed over come first, this lasted.

A step of which nothing was placed in the last round over all steps, though something of a later one was, does not count any more. Steps for which there is no capacity in general still count.

--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -249,7 +249,9 @@
 			}
 			// The job ended when one of its tasks was abandoned during the checks above.
 			if (step.job.ended || this.opts.retryPauses.isSkipped(step)) continue;
+			const waitingBefore = this.ready.countOf(step);
 			const firstUnplaced = this.placeStep(step, tasks, round);
+			if (this.ready.countOf(step) < waitingBefore) this.opts.retryPauses.notePlaced(step);
 			if (firstUnplaced !== undefined) this.noteUnplaced(firstUnplaced, round);
 		}
 		const unplaced = steps.flatMap(({ tasks }) => tasks.filter((task) => this.mayPreemptFor(task)));
--- a/src/core/dispatch/retry-pauses.ts
+++ b/src/core/dispatch/retry-pauses.ts
@@ -16,6 +16,8 @@
 	isDue(step: jobs.StepInstance, now: number): boolean;
 	/** Whether a step is left to a later round, as enough steps before it found no worker in this one. */
 	isSkipped(step: jobs.StepInstance): boolean;
+	/** Notes that tasks of a step were placed; before `pause`, if others of it found no worker. */
+	notePlaced(step: jobs.StepInstance): void;
 	/** Notes that a step found no worker. */
 	pause(step: jobs.StepInstance, now: number): void;
 	/** Notes that a round ended before all steps were tried; the next one continues with those. */
@@ -59,6 +61,10 @@
 		// Steps that were not tried have no pause.
 	}
 
+	notePlaced(): void {
+		// No step waits for others.
+	}
+
 	pause(step: jobs.StepInstance, now: number): void {
 		this.retryAt.set(step, now + retryDelayMs(step));
 	}
@@ -76,6 +82,15 @@
 	/** Number of steps that found no worker in this round; whether all of them are tried in it. */
 	private unplaced = 0;
 	private isForAll = true;
+	/** Steps of which nothing was placed in this round, and the step of which something was placed last. */
+	private unfit: jobs.StepInstance[] = [];
+	private lastPlaced: jobs.StepInstance | undefined;
+	/**
+	 * Steps of which nothing was placed in the last round over all steps that placed anything, though something of a later one
+	 * was. They say nothing about later steps: four that fit on no worker, or of a full pool, held all others to one attempt per
+	 * 100 ms. Where capacity is short for all steps alike, all of them count: else each attempt would be one for all steps.
+	 */
+	private passedOver = new Set<jobs.StepInstance>();
 
 	private constructor() {
 		// Built by `create`, like every class here.
@@ -88,6 +103,8 @@
 	beginRound(now: number): void {
 		this.unplaced = 0;
 		this.isForAll = this.allStepsAt <= now;
+		this.unfit = [];
+		this.lastPlaced = undefined;
 	}
 
 	isDue(step: jobs.StepInstance, now: number): boolean {
@@ -98,12 +115,22 @@
 		return !this.isForAll && this.unplaced >= maxUnplaced && isShared(step);
 	}
 
+	notePlaced(step: jobs.StepInstance): void {
+		if (!isShared(step)) return;
+		if (this.isForAll && this.lastPlaced === undefined) this.passedOver = new Set();
+		this.lastPlaced = step;
+		if (!this.isForAll) return;
+		for (const one of this.unfit) this.passedOver.add(one);
+		this.unfit = [];
+	}
+
 	pause(step: jobs.StepInstance, now: number): void {
 		if (!isShared(step)) {
 			this.separate.pause(step, now);
 			return;
 		}
-		this.unplaced += 1;
+		if (step !== this.lastPlaced) this.unfit.push(step);
+		if (!this.passedOver.has(step)) this.unplaced += 1;
 		this.firstStepsAt = now + firstStepsRetryMs;
 		if (this.isForAll) this.allStepsAt = now + retryDelayMs(step);
 	}
