--- a/test/retry-pauses.test.ts
+++ b/test/retry-pauses.test.ts
@@ -63,3 +63,31 @@
 	t.is(runRound(pauses, steps, 100, new Set(steps)).length, steps.length);
 	t.is(runRound(pauses, steps, 130, new Set()).length, 4);
 });
+
+/** Time until a job of 200 tasks of 20 ms, eight at a time, has completed after `unfitCount` jobs that fit on no worker, in ms. */
+async function timeToComplete(unfitCount: number): Promise<number> {
+	const environment = fixtures.createEnvironment(() => ({ ms: 20, how: 'done' }));
+	environment.features = { ...fixtures.noFeatures, waitingOrder: 'overload' };
+	const { clock, fleet, takeOver, submit } = environment;
+	fleet.add('w1', { capacity: { milliCores: 16_000, memoryMb: 64_000, accelerators: 0 } });
+	const owner = await takeOver();
+	await clock.advance(1_200);
+	const submitStep = (id: string, spec: Partial<jobs.StepSpec>): Promise<unknown> =>
+		submit(owner, fixtures.job(id, [fixtures.step({ fills: true, estimateMs: 20, ...spec })]));
+	for (let number = 0; number < unfitCount; number += 1)
+		await submitStep(`unfit-${String(number)}`, { milliCores: 200_000 });
+	await submitStep('fits', { count: 200 });
+	const from = clock.now();
+	while (owner.dispatcher.stateOf('fits') !== 'completed' && clock.now() - from < 10_000)
+		await clock.advance(10);
+	owner.dispatcher.close();
+	return clock.now() - from;
+}
+
+test('a job is done nearly as fast behind jobs that fit on no worker', async (t) => {
+	const [alone, behind] = [await timeToComplete(0), await timeToComplete(6)];
+	t.log(`${String(alone)} ms alone, ${String(behind)} ms behind others`);
+	t.true(alone < 10_000);
+	// Up to 100 ms pass until the first round over all steps, which finds that the others fit nowhere.
+	t.true(behind <= 1.1 * alone + 100);
+});
