Names of the free seconds and of waiting preemptible tasks

The number of seconds for which capacity is forecast and shared out was stated twice; it is stated by the forecast.

--- a/src/core/admission/return-message.ts
+++ b/src/core/admission/return-message.ts
@@ -1,11 +1,12 @@
 /** Messages about the times at which refused callers may return: what boxes refused and booked, and what the owner gives them. */
 import * as zod from 'zod/mini';
+import * as forecasts from '../forecast/index.js';
 import * as results from '../result.js';
 
 const z = zod;
 
-/** Number of seconds for which capacity is shared out. */
-export const sharedSeconds = 16;
+/** Number of seconds for which capacity is shared out: all that the forecast gives. */
+export const sharedSeconds = forecasts.freeSeconds;
 
 /** Largest plausible number of core-milliseconds of a second; anything above is a fault of the sender. */
 const maxCoreMs = 1e9;
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -131,7 +131,7 @@
 		return {
 			waiting: this.ready.size,
 			waitingShort: this.ready.count((step) => !step.spec.lasting),
-			limitedTasks: this.ready.count((step) => step.spec.fills),
+			waitingPreemptible: this.ready.count((step) => step.spec.fills),
 		};
 	}
 
--- a/src/core/dispatch/waiting-steps.ts
+++ b/src/core/dispatch/waiting-steps.ts
@@ -8,7 +8,7 @@
 	/** Number of those that are not long-running. Long-running tasks may wait as long as there is no free capacity. */
 	waitingShort: number;
 	/** Number of preemptible ones. */
-	limitedTasks: number;
+	waitingPreemptible: number;
 }
 
 export class WaitingSteps {
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -139,7 +139,7 @@
 	'owner.load': {
 		id: 2114,
 		level: 'info',
-		text: "The owner's load in the last second: starts sent and answered, other commands, reports and their duration, tasks finished, runs abandoned, rounds of placement and their duration, processor time, waiting tasks, starts in flight and their limit, exits that workers still list.",
+		text: "The owner's load in the last second: starts sent and answered, other commands, reports and their duration, tasks finished, runs abandoned, rounds of placement and their duration, processor time, waiting tasks, of these the short and the preemptible ones, starts in flight and their limit, exits that workers still list.",
 	},
 	'forecast.published': {
 		id: 2115,
--- a/src/core/forecast/index.ts
+++ b/src/core/forecast/index.ts
@@ -4,5 +4,5 @@
 export { maxMessageBytes, parseForecast, toMessage } from './message.js';
 export type { RejectedField } from './message.js';
 export { slowestFactor } from './pool-layout.js';
-export { forecastWaits } from './waits.js';
+export { forecastWaits, freeSeconds } from './waits.js';
 export type * from './types.js';
--- a/src/core/forecast/waits.ts
+++ b/src/core/forecast/waits.ts
@@ -10,7 +10,7 @@
 import type * as types from './types.js';
 
 /** How far ahead the free capacity is given, in seconds. */
-const freeSeconds = 16;
+export const freeSeconds = 16;
 
 /** Maximum number of queues of a class whose own bounds are given. */
 const maxQueues = 4;
--- a/test/placer.test.ts
+++ b/test/placer.test.ts
@@ -82,3 +82,14 @@
 	t.true(fraction < 0.7, `rounds took ${fraction.toFixed(2)} of the time`);
 	slowPlacer.placer.close();
 });
+
+// A field of the load was named after a limit, though it counts tasks that no limit holds back, too.
+test('the load counts waiting preemptible tasks, limited or not', (t) => {
+	const clock = time.VirtualClock.create();
+	const { placer } = createSlowPlacer(clock, 0);
+	const steps = [fixtures.step({ count: 5 }), fixtures.step({ count: 3, fills: true })];
+	const options = { cancelled: false, inherited: false, workersStored: true, now: clock.now(), age: 0 };
+	const job = jobs.ActiveJob.create(fixtures.job('mixed', steps), undefined, options);
+	for (const task of job.openNextOccurrence(clock.now())) placer.add(task);
+	t.deepEqual(placer.waiting, { waiting: 8, waitingShort: 8, waitingPreemptible: 3 });
+});
