Forecast message: report only what boxes accept, and reduce it by parts

An image, queue or pool name over 200 characters, a priority that is fractional, negative or above 1,000, or a wait above an hour made every box reject every forecast. Such factors, waits by queue and classes are left out, and waits are clamped.

With several pools under load the message exceeded 600 bytes, became known: false without a log line, and nothing was refused. Now the waits by queue are left out first, then the classes with the shortest waits, and forecast.reduced says so at most once in 10 s.

A rejected value that is an object was converted to a string, which threw where its toString is no function. The exception was not caught in the loop that follows the owner. Objects are described by their type.

--- a/src/core/box/forecast-publisher.ts
+++ b/src/core/box/forecast-publisher.ts
@@ -11,12 +11,15 @@
 /** Minimum interval between log lines, in milliseconds. */
 const logIntervalMs = 1_000;
 
+/** Minimum interval between log lines on what does not fit into the message, in milliseconds: it may be so for long. */
+const reductionIntervalMs = 10_000;
+
 /** What the publisher uses. */
 export interface ForecastPublisherOptions {
 	clock: clocks.Clock;
 	events: events.EventLog;
 	epoch: number;
-	forecaster: dispatch.Forecaster;
+	forecaster: Pick<dispatch.Forecaster, 'update' | 'reducedMessage'>;
 }
 
 /** The published forecast of one owner. */
@@ -25,6 +28,7 @@
 	message: forecasts.Forecast | undefined;
 	private publishedAt = -Infinity;
 	private loggedAt = -Infinity;
+	private reductionLoggedAt = -Infinity;
 	private readonly timer: clocks.Timer;
 
 	private constructor(private readonly opts: ForecastPublisherOptions) {
@@ -51,11 +55,24 @@
 		const { clock, forecaster } = this.opts;
 		const startedAt = clock.now();
 		forecaster.update();
-		this.message = forecaster.message();
+		const reduced = forecaster.reducedMessage();
+		this.message = reduced?.message;
 		this.publishedAt = clock.now();
+		if (reduced !== undefined) this.logReduction(reduced.reduction);
 		if (this.message !== undefined) this.logIfDue(this.message, this.publishedAt - startedAt);
 	}
 
+	/** Logs what was left out of the message, every 10 s at most. */
+	private logReduction(reduction: forecasts.Reduction): void {
+		const { clock, events: log, epoch } = this.opts;
+		const { withoutQueues, droppedClasses, invalidClasses } = reduction;
+		const now = clock.now();
+		if (withoutQueues + droppedClasses + invalidClasses === 0) return;
+		if (now - this.reductionLoggedAt < reductionIntervalMs) return;
+		this.reductionLoggedAt = now;
+		log.emit('forecast.reduced', { epoch, withoutQueues, droppedClasses, invalidClasses });
+	}
+
 	/** Logs the forecast once a second while work waits. */
 	private logIfDue(message: forecasts.Forecast, tookMs: number): void {
 		const { clock, events: log, epoch } = this.opts;
--- a/src/core/dispatch/forecaster.ts
+++ b/src/core/dispatch/forecaster.ts
@@ -67,6 +67,11 @@
 
 	/** What the boxes are told of the newest forecast; undefined: there is none. */
 	message(): forecasts.Forecast | undefined {
+		return this.reducedMessage()?.message;
+	}
+
+	/** Same as `message`, with what had to be left out. */
+	reducedMessage(): forecasts.ReducedMessage | undefined {
 		if (this.latest === undefined) return undefined;
 		return forecasts.toMessage(this.latest, this.opts.epoch, this.runTimes.exportFactors());
 	}
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -146,6 +146,11 @@
 		level: 'info',
 		text: 'The forecast that the owner reports to the boxes, once a second while work waits: by kind and priority the longest wait of what is on time, the wait of what is late, and the cores; the size of the message and the time that the computation took.',
 	},
+	'forecast.reduced': {
+		id: 2129,
+		level: 'warn',
+		text: 'The forecast does not fit into its message, or has parts that the boxes would reject. The number of classes without the waits of their queues, of classes left out for the size, and of classes left out for their priority or pool name is given. At most once in 10 s.',
+	},
 	'forecast.rejected': {
 		id: 2116,
 		level: 'warn',
--- a/test/forecast.test.ts
+++ b/test/forecast.test.ts
@@ -3,6 +3,7 @@
 import * as admission from '../src/core/admission/index.js';
 import * as events from '../src/core/events/index.js';
 import * as forecasts from '../src/core/forecast/index.js';
+import * as publishers from '../src/core/box/forecast-publisher.js';
 import * as received from '../src/core/box/received-forecast.js';
 import * as time from '../stand-ins/fleet/virtual-clock.js';
 import * as wire from '../src/core/wire/frame.js';
@@ -107,7 +108,8 @@
 	const factors = Object.fromEntries(
 		Array.from({ length: 60 }, (_, index) => [`image name-${String(index)}`, 1.3 + index / 100]),
 	);
-	const made = forecasts.toMessage(forecasts.forecastWaits(snapshot({ work: steps }), 0, false), 7, factors);
+	const whole = forecasts.forecastWaits(snapshot({ work: steps }), 0, false);
+	const { message: made } = forecasts.toMessage(whole, 7, factors);
 	const bytes = wire.encodeValue(made);
 	t.true(bytes.length <= forecasts.maxMessageBytes);
 	t.deepEqual(
@@ -118,6 +120,115 @@
 	t.deepEqual(decoded.ok && forecasts.parseForecast(decoded.value), { ok: true, value: made });
 });
 
+/** Checks that boxes accept a message as it is sent. */
+function isAccepted(made: forecasts.Forecast): boolean {
+	const decoded = wire.decodeValue(wire.encodeValue(made));
+	return decoded.ok && forecasts.parseForecast(decoded.value).ok;
+}
+
+const [knownClass] = forecast.classes;
+
+/** An owner's forecast with these classes, in several pools or in one. */
+function ownerForecast(
+	classes: Partial<forecasts.ClassForecast>[],
+	pools: string[] = ['press'],
+): forecasts.OwnerForecast {
+	if (knownClass === undefined) throw new Error('no class');
+	const free = pools.map((pool) => ({ kind: 'preemptible' as const, pool, coreMs: [] }));
+	return {
+		at: 0,
+		known: true,
+		classes: classes.map((one) => ({ ...knownClass, pool: 'press', ...one })),
+		free,
+	};
+}
+
+test('the message leaves out what boxes would reject, and keeps the rest', (t) => {
+	const long = 'x'.repeat(201);
+	const factors = { [`image ${long}`]: 2, 'image print': 2 };
+	const classes = [
+		{ priority: 0.5 },
+		{ priority: -1 },
+		{ priority: 1_001 },
+		{ priority: 1, queues: [[long, 100] as const] },
+		{ priority: 2, lateWaitMs: 105_600_000, queues: [['wide', 105_600_000] as const] },
+		{ priority: 3, points: [[1, 105_600_000] as const] },
+	];
+	const { message, reduction } = forecasts.toMessage(ownerForecast(classes), 7, factors);
+	t.true(isAccepted(message));
+	t.true(message.known);
+	t.deepEqual(message.factors, [['print', 2]]);
+	t.deepEqual(
+		message.classes.map((one) => [one.priority, one.lateWaitMs, one.queues]),
+		[
+			[1, 9_000, undefined],
+			[2, 3_600_000, [['wide', 3_600_000]]],
+			[3, 9_000, undefined],
+		],
+	);
+	t.deepEqual(message.classes.at(-1)?.points, [[1, 3_600_000]]);
+	t.deepEqual(reduction, { withoutQueues: 1, droppedClasses: 0, invalidClasses: 3 });
+	const inPools = ownerForecast([{ pool: long }, {}], [long, 'press']);
+	const named = forecasts.toMessage(inPools, 7, {}).message;
+	t.true(isAccepted(named));
+	t.deepEqual(
+		named.classes.map((one) => one.pool),
+		['press'],
+	);
+});
+
+test('a message that is too large loses the waits by queue, then the classes with the shortest waits', (t) => {
+	const pools = ['north', 'south', 'east', 'west'];
+	const queues = ['a', 'b', 'c', 'd'].map((queue) => [`queue-${queue}`, 5_000] as const);
+	const classesOf = (count: number): Partial<forecasts.ClassForecast>[] =>
+		pools.slice(0, 3).flatMap((pool) =>
+			Array.from({ length: count }, (_, priority) => ({
+				pool,
+				priority,
+				queues,
+				lateWaitMs: 1_000 * (priority + 1),
+				points: [[1_000, 500] as const],
+			})),
+		);
+	const some = forecasts.toMessage(ownerForecast(classesOf(2), pools), 7, {});
+	t.true(isAccepted(some.message));
+	t.is(some.message.classes.length, 6);
+	t.deepEqual(some.reduction, { withoutQueues: 6, droppedClasses: 0, invalidClasses: 0 });
+	const many = forecasts.toMessage(ownerForecast(classesOf(8), pools), 7, {});
+	t.true(wire.encodeValue(many.message).length <= forecasts.maxMessageBytes);
+	t.true(many.message.known);
+	t.true(many.reduction.droppedClasses > 0 && many.message.classes.length > 0);
+	t.is(many.reduction.droppedClasses + many.message.classes.length, 24);
+	const shortest = Math.min(...many.message.classes.map((one) => one.lateWaitMs));
+	t.true(shortest >= 5_000, `${String(shortest)} ms`);
+});
+
+test('what is left out of the message is logged, at most once in 10 s', async (t) => {
+	const clock = time.VirtualClock.create();
+	const log = events.EventLog.create('entry-1', clock);
+	const whole = ownerForecast([{ priority: 0.5 }, {}]);
+	const publisher = publishers.ForecastPublisher.create({
+		clock,
+		events: log,
+		epoch: 7,
+		forecaster: { update: () => whole, reducedMessage: () => forecasts.toMessage(whole, 7, {}) },
+	});
+	await clock.advance(9_900);
+	const lines = (): unknown[] =>
+		log.select((event) => event.name === 'forecast.reduced').map((event) => event.fields);
+	t.deepEqual(lines(), [{ epoch: 7, withoutQueues: 0, droppedClasses: 0, invalidClasses: 1 }]);
+	await clock.advance(1_000);
+	t.is(lines().length, 2);
+	publisher.close();
+});
+
+test('an object in place of a value is rejected, whatever members it has', (t) => {
+	t.deepEqual(forecasts.parseForecast({ ...forecast, generation: { toString: 1 } }), {
+		ok: false,
+		err: { field: 'generation', value: 'an object' },
+	});
+});
+
 test('a forecast with a wrong field is rejected as a whole, and the previous one is used until it is too old', async (t) => {
 	const clock = time.VirtualClock.create();
 	const log = events.EventLog.create('entry-1', clock);
