Admission by forecast: mend waits, due times and refusal reasons

A queue that a class does not name was given no wait, even behind a saturated class of a lower priority number: its least wait is now that of the class before its own. The due time of a scheduled job lacked its planned time.

A refusal as too late gave 1.5 times the time after which the job is of no value; it now gives that time itself. The log line keeps the limit.

One forecast with a huge generation kept out all later ones for good: generations are compared only while the held forecast is under 5 s old.

Dependencies between kinds of work were ignored. A preemptible step now waits for a reserved one as laid out; a reserved step waits for a preemptible one by run times alone, as preemptible work is laid out later.

--- a/src/core/admission/forecast-admission.ts
+++ b/src/core/admission/forecast-admission.ts
@@ -36,9 +36,10 @@
 	if (record.steps.some((step) => step.lasting)) return { type: 'admit' };
 	const forecast = forecastJob(record, aged);
 	const { waitMs, finishMs } = forecast;
-	const latestFinishMs = jobs.deadlinesOf(record).worthlessMs * forecastErrorFactor;
-	if (finishMs > latestFinishMs)
-		return { type: 'refuse', cause: 'too-late', waitMs, limitMs: Math.round(latestFinishMs), forecast };
+	const worthlessMs = Math.round(jobs.deadlinesOf(record).worthlessMs);
+	const limitMs = Math.round(worthlessMs * forecastErrorFactor);
+	if (finishMs > limitMs)
+		return { type: 'refuse', cause: 'too-late', waitMs, limitMs, worthlessMs, forecast };
 	if (waitMs > decisions.maxWaitMs)
 		return { type: 'refuse', cause: 'long-wait', waitMs, limitMs: decisions.maxWaitMs, forecast };
 	return { type: 'admit', forecast };
@@ -51,14 +52,14 @@
 ): types.JobForecast {
 	const { schedule, acceptedAt, queue } = record;
 	const plannedInMs = schedule === undefined ? 0 : Math.max(0, schedule.firstAt - acceptedAt);
-	const dueInMs = jobs.deadlinesOf(record).dueMs + ageMs;
+	const dueInMs = plannedInMs + jobs.deadlinesOf(record).dueMs + ageMs;
 	const factors = new Map(forecast.factors);
 	const ends: number[] = [];
 	let waitMs = 0;
 	for (const step of record.steps) {
 		const readyMs = Math.max(0, ...step.after.map((number) => ends[number] ?? 0));
 		const found = findClass(forecast, queue, step);
-		const placedMs = found === undefined ? 0 : classWaitMs(found, queue, dueInMs) - plannedInMs;
+		const placedMs = found === undefined ? 0 : classWaitMs(forecast, found, queue, dueInMs) - plannedInMs;
 		const startMs = Math.max(readyMs, placedMs);
 		if (step.after.length === 0) waitMs = Math.max(waitMs, startMs);
 		const runMs = step.estimateMs * (factors.get(step.image) ?? defaultFactor);
@@ -75,9 +76,19 @@
 	step: jobs.StepSpec,
 ): forecasts.ClassForecast | undefined {
 	const kind = step.fills ? 'preemptible' : 'reserved';
+	return lastClass(forecast, kind, queue, (priority) => priority <= queue.priority);
+}
+
+/** The least urgent class of a kind in a queue's pool whose priority matches. */
+function lastClass(
+	forecast: forecasts.AgedForecast['forecast'],
+	kind: forecasts.WorkKind,
+	queue: jobs.QueuePolicy,
+	matches: (priority: number) => boolean,
+): forecasts.ClassForecast | undefined {
 	let found: forecasts.ClassForecast | undefined;
 	for (const one of forecast.classes) {
-		if (one.kind !== kind || one.priority > queue.priority) continue;
+		if (one.kind !== kind || !matches(one.priority)) continue;
 		if (one.pool !== undefined && one.pool !== queue.pool) continue;
 		if (found === undefined || one.priority > found.priority) found = one;
 	}
@@ -85,14 +96,27 @@
 }
 
 /** How long work of a queue waits that is due then. */
-function classWaitMs(one: forecasts.ClassForecast, queue: jobs.QueuePolicy, dueInMs: number): number {
+function classWaitMs(
+	forecast: forecasts.AgedForecast['forecast'],
+	one: forecasts.ClassForecast,
+	queue: jobs.QueuePolicy,
+	dueInMs: number,
+): number {
 	// All work of a more urgent class comes first.
-	if (one.priority < queue.priority) return Math.max(one.lateWaitMs, one.points.at(-1)?.[1] ?? 0);
+	if (one.priority < queue.priority) return longestWaitMs(one);
 	const waitMs = waitAt(one.points, dueInMs);
 	const orderedMs = waitMs * lateMargin > dueInMs ? Math.max(waitMs, one.lateWaitMs) : waitMs;
 	if (one.queues === undefined) return orderedMs;
 	const own = one.queues.find(([name]) => name === queue.name);
-	return Math.min(orderedMs, own?.[1] ?? 0);
+	if (own !== undefined) return Math.min(orderedMs, own[1]);
+	// The queue has no work that waits, but that of more urgent classes comes first.
+	const ahead = lastClass(forecast, one.kind, queue, (priority) => priority < queue.priority);
+	return ahead === undefined ? 0 : Math.min(orderedMs, longestWaitMs(ahead));
+}
+
+/** How long all work of a class takes to be placed. */
+function longestWaitMs({ lateWaitMs, points }: forecasts.ClassForecast): number {
+	return Math.max(lateWaitMs, points.at(-1)?.[1] ?? 0);
 }
 
 /** Reads a curve, with straight lines between its points. */
--- a/src/core/admission/types.ts
+++ b/src/core/admission/types.ts
@@ -29,9 +29,17 @@
 	| { type: 'admit'; forecast?: JobForecast }
 	/**
 	 * It would start or finish later than it may; nothing of it was stored or run. `limitMs` is a limit of the finish if the
-	 * cause is `too-late`, else of the wait. Without a cause it is the outstanding work.
+	 * cause is `too-late`, else of the wait. Without a cause it is the outstanding work. `worthlessMs`: when the job is of no
+	 * value any more, if the cause is `too-late`; the limit is later, as the forecast may be too high.
 	 */
-	| { type: 'refuse'; waitMs: number; limitMs: number; cause?: RefusalReason; forecast?: JobForecast };
+	| {
+			type: 'refuse';
+			waitMs: number;
+			limitMs: number;
+			cause?: RefusalReason;
+			worthlessMs?: number;
+			forecast?: JobForecast;
+	  };
 
 /** What a decision depends on. */
 export type DecidedJob = Pick<jobs.JobRecord, 'queue' | 'steps' | 'schedule' | 'acceptedAt'>;
--- a/src/core/box/job-service.ts
+++ b/src/core/box/job-service.ts
@@ -273,9 +273,9 @@
 }
 
 /** Why a job is refused, for people. */
-function refusalReason({ waitMs, limitMs, cause, forecast }: Refusal): string {
-	if (cause === 'too-late' && forecast !== undefined)
-		return `the job would finish after ${String(forecast.finishMs)} ms, and is of no value after ${String(limitMs)} ms`;
+export function refusalReason({ waitMs, limitMs, cause, worthlessMs, forecast }: Refusal): string {
+	if (cause === 'too-late' && forecast !== undefined && worthlessMs !== undefined)
+		return `the job would finish after ${String(forecast.finishMs)} ms, and is of no value after ${String(worthlessMs)} ms`;
 	if (cause === 'long-wait')
 		return `the job would wait for ${String(waitMs)} ms, and may wait for ${String(limitMs)} ms`;
 	return `outstanding work takes ${String(waitMs)} ms, and the job may wait for ${String(limitMs)} ms`;
--- a/src/core/box/received-forecast.ts
+++ b/src/core/box/received-forecast.ts
@@ -31,8 +31,10 @@
 			this.log.emit('forecast.rejected', { ...parsed.err });
 			return;
 		}
-		// A late answer of a replaced owner says nothing about the work of the next one.
-		if (parsed.value.generation < (this.received?.forecast.generation ?? 0)) return;
+		// A late answer of a replaced owner says nothing about the work of the next one. A forecast that is too old does not
+		// count: one with a wrong generation would keep out all later ones.
+		const heldGeneration = this.current === undefined ? 0 : (this.received?.forecast.generation ?? 0);
+		if (parsed.value.generation < heldGeneration) return;
 		this.received = { forecast: parsed.value, at: this.now() };
 	}
 }
--- a/src/core/forecast/pool-layout.ts
+++ b/src/core/forecast/pool-layout.ts
@@ -1,5 +1,5 @@
 /**
- * Lays the work of one kind in one pool out over the next minute, as a fluid: tasks share cores as if each could be split
+ * Lays the work of one kind in one pool out over the next 30 s, as a fluid: tasks share cores as if each could be split
  * between workers. With tens of workers or more the error is below that of the run times.
  */
 import * as sequences from './placing-sequence.js';
@@ -126,7 +126,8 @@
 		for (const dependent of step.dependents) {
 			dependent.blockedBy -= 1;
 			dependent.readyAtMs = Math.max(dependent.readyAtMs, endMs);
-			if (dependent.blockedBy === 0) this.makeReady(dependent);
+			// A step of another kind is added to the layout of its own pool later.
+			if (dependent.blockedBy === 0 && dependent.work.kind === step.work.kind) this.makeReady(dependent);
 		}
 	}
 
--- a/src/core/forecast/waits.ts
+++ b/src/core/forecast/waits.ts
@@ -69,20 +69,33 @@
 	return layout;
 }
 
-/** Links steps to those that wait for them. The steps of one job may be of several kinds, but each pool is laid out alone. */
+/** Links steps to those that wait for them. A step comes after those that it depends on. */
 function linkSteps(work: readonly types.StepWork[]): sequences.PendingStep[] {
 	const pending = work.map(toPending);
-	for (const step of pending) {
-		for (const index of step.work.after) {
-			const earlier = pending[index];
-			if (earlier?.work.kind !== step.work.kind) continue;
-			earlier.dependents.push(step);
-			step.blockedBy += 1;
+	const earliestEndsMs: number[] = [];
+	for (const [index, step] of pending.entries()) {
+		const { after, readyInMs, runMs } = step.work;
+		const readyMs = Math.max(readyInMs, ...after.map((number) => earliestEndsMs[number] ?? 0));
+		earliestEndsMs[index] = readyMs + runMs;
+		for (const number of after) {
+			const earlier = pending[number];
+			if (earlier !== undefined) link(earlier, step, earliestEndsMs[number] ?? 0);
 		}
 	}
 	return pending;
 }
 
+/** Makes `step` wait for `earlier`, which ends after `earliestEndMs` if it need not wait. */
+function link(earlier: sequences.PendingStep, step: sequences.PendingStep, earliestEndMs: number): void {
+	// Preemptible work is laid out after reserved work, so its waits are not known when the reserved step is placed.
+	if (earlier.work.kind === 'preemptible' && step.work.kind === 'reserved') {
+		step.readyAtMs = Math.max(step.readyAtMs, earliestEndMs);
+		return;
+	}
+	earlier.dependents.push(step);
+	step.blockedBy += 1;
+}
+
 function toPending(work: types.StepWork): sequences.PendingStep {
 	const { tasks, cores, readyInMs } = work;
 	return { work, coresLeft: tasks * cores, blockedBy: 0, dependents: [], readyAtMs: readyInMs };
--- a/test/forecast.test.ts
+++ b/test/forecast.test.ts
@@ -7,6 +7,7 @@
 import * as received from '../src/core/box/received-forecast.js';
 import * as time from '../stand-ins/fleet/virtual-clock.js';
 import * as wire from '../src/core/wire/frame.js';
+import * as service from '../src/core/box/job-service.js';
 import * as fixtures from './fixtures/dispatching.js';
 import type * as jobs from '../src/core/jobs/index.js';
 
@@ -85,6 +86,27 @@
 	t.is(waits({ work: [work, next, other] })[0]?.points.find(([due]) => due === 40_000)?.[1], 1_000);
 });
 
+test('a step waits for earlier ones of the other kind', (t) => {
+	const preemptible = { ...work, kind: 'preemptible' as const };
+	const due = (found: forecasts.ClassForecast | undefined, dueInMs: number): number | undefined =>
+		found?.points.find(([at]) => at === dueInMs)?.[1];
+	const next = { ...preemptible, after: [0] };
+	const other = { ...preemptible, dueInMs: 40_000 };
+	// The preemptible cores are idle until the reserved step ends, so the other step is placed at once.
+	const after = waits({ work: [work, next, other] }).find((one) => one.kind === 'preemptible');
+	t.is(due(after, 40_000), 0);
+	const reservedNext = { ...work, after: [0] };
+	const reservedOther = { ...work, dueInMs: 40_000 };
+	const before = waits({ work: [preemptible, reservedNext, reservedOther] });
+	t.is(
+		due(
+			before.find((one) => one.kind === 'reserved'),
+			40_000,
+		),
+		0,
+	);
+});
+
 test('late work waits behind work that is on time, and a queue for no more than its own work by its share', (t) => {
 	const late = { ...work, dueInMs: -1 };
 	const [found] = waits({ work: [late, work, { ...work }] });
@@ -257,6 +279,13 @@
 	t.deepEqual(box.current, { forecast, ageMs: 1_000 });
 	await clock.advance(4_000);
 	t.is(box.current, undefined);
+	box.note({ ...forecast, generation: 1e12 });
+	await clock.advance(4_999);
+	box.note({ ...forecast, generation: 4 });
+	t.is(box.current?.ageMs, 4_999);
+	await clock.advance(1);
+	box.note({ ...forecast, generation: 4 });
+	t.is(box.current?.ageMs, 0, 'a wrong generation does not keep out later forecasts for good');
 });
 
 test('a job is judged by its own chain: corrected run times, waits of its class, waves of a wide step', (t) => {
@@ -282,6 +311,7 @@
 		type: 'refuse',
 		cause: 'too-late',
 		limitMs: 22_500,
+		worthlessMs: 15_000,
 		forecast: { finishMs: 27_000 },
 	});
 	for (const open of [
@@ -302,3 +332,43 @@
 	const limited = [{ ...known, lateWaitMs: 10_001, queues: [['proofs', 20_000]] as const }];
 	t.like(decide({ classes: limited }), { type: 'admit', forecast: { waitMs: 0 } });
 });
+
+test('a queue without work of its own waits for the classes before its own', (t) => {
+	const [known] = forecast.classes;
+	if (known === undefined) throw new Error('no class');
+	const step = fixtures.step({ estimateMs: 1_000, fills: true });
+	const record = fixtures.job('a', [step], { queue: wideQueue });
+	const first = { ...known, priority: 1, lateWaitMs: 14_000 };
+	const own = { ...known, lateWaitMs: 20_000, queues: [['other', 18_000]] as const };
+	const decide = (classes: forecasts.ClassForecast[]): admission.Verdict =>
+		admission.decideByForecast(record, { forecast: { ...forecast, classes }, ageMs: 0 });
+	t.like(decide([first, own]), { type: 'refuse', waitMs: 14_000 });
+	t.like(decide([own]), { type: 'admit', forecast: { waitMs: 0 } });
+});
+
+test('a scheduled job is due after its planned time', (t) => {
+	const [known] = forecast.classes;
+	if (known === undefined) throw new Error('no class');
+	const points = [
+		[4_000, 0],
+		[8_000, 9_000],
+	] as const;
+	const aged = { forecast: { ...forecast, classes: [{ ...known, points }] }, ageMs: 0 };
+	const record = fixtures.job('a', [fixtures.step({ estimateMs: 1_000, fills: true })], { queue: wideQueue });
+	t.is(admission.forecastJob(record, aged).waitMs, 0);
+	const schedule = { times: 1, firstAt: 5_000, intervalMs: 0 };
+	// Due 8,000 ms from now, it is placed after 9,000 ms, which is 4,000 ms after its planned time.
+	t.is(admission.forecastJob({ ...record, schedule }, aged).waitMs, 4_000);
+});
+
+test('a refusal names the time after which the job is of no value', (t) => {
+	const reason = service.refusalReason({
+		type: 'refuse',
+		cause: 'too-late',
+		waitMs: 6_000,
+		limitMs: 22_500,
+		worthlessMs: 15_000,
+		forecast: { waitMs: 6_000, finishMs: 27_000, ageMs: 100 },
+	});
+	t.is(reason, 'the job would finish after 27000 ms, and is of no value after 15000 ms');
+});
