Forecast: remove an unused option and a repeated constant

DispatcherOptions.runTimes was always overridden by the dispatcher. The share of cores at which an adaptive limit starts repeated the contention threshold, and is now read from the limit.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -71,7 +71,7 @@
 		this.interferenceModel = interference.InterferenceModel.create(clock);
 		this.forecaster = this.createForecaster();
 		const { runTimes } = this.forecaster;
-		this.limit = createLimit.createLimit({ ...opts, runTimes }, this.interferenceModel);
+		this.limit = createLimit.createLimit(opts, this.interferenceModel, runTimes);
 		const { interferenceModel, limit } = this;
 		this.state = schedulingState.choose({ limits: limit, ...opts, interferenceModel, runTimes });
 		this.pressure = pressure.InterferenceControl.create(opts, this.interferenceModel, this.limit);
--- a/src/core/dispatch/options.ts
+++ b/src/core/dispatch/options.ts
@@ -1,9 +1,9 @@
 /** The options of a dispatcher, and the load that it reports. */
 import * as fixedLimit from './fixed-limit.js';
+import * as preemptibleLimit from './preemptible-limit.js';
 import * as retries from './retry-pauses.js';
 import type * as features from '../features/index.js';
 import type * as fleet from '../fleet/types.js';
-import type * as forecast from '../forecast/index.js';
 import type * as ledger from '../ledger/index.js';
 import type * as limitTypes from './limit-types.js';
 import type * as meters from './load-meter.js';
@@ -48,8 +48,6 @@
 	limits?: schedulingState.LimitKeeper;
 	/** The optional features that are in force; absent: none. */
 	features?: features.Features;
-	/** Run times corrected by observations; absent: the callers' estimates count. */
-	runTimes?: Pick<forecast.RunTimes, 'expectedMs'>;
 }
 
 /** A forecast holds only if steps are placed in their order. */
@@ -58,12 +56,11 @@
 	return isOrdered ? retries.CommonPauses.create() : retries.SeparatePauses.create();
 }
 
-/** Where the limit of preemptible work adapts, it starts at the contention threshold of `interference.ts`. */
-const initialAdaptiveUse = 0.9;
-
 /** Share of a worker's cores up to which preemptible tasks are expected to be placed there. */
 export function maxPreemptibleUse(inForce: features.Features | undefined): number {
-	return inForce?.preemptibleLimit === 'adaptive' ? initialAdaptiveUse : fixedLimit.maxExpectedUse;
+	return inForce?.preemptibleLimit === 'adaptive'
+		? preemptibleLimit.initialLimit.maxUse
+		: fixedLimit.maxExpectedUse;
 }
 
 /** An owner's load. */
--- a/src/core/forecast/run-times.ts
+++ b/src/core/forecast/run-times.ts
@@ -44,7 +44,7 @@
 		const key = keyOf(queue, step);
 		const { ratios, runs } = this.observed.get(key) ?? { ratios: estimateWeight, runs: estimateWeight };
 		const ratio = clampFactor(tookMs / step.estimateMs);
-		// Set anew, so that the keys stay in the order of their last finished run.
+		// Re-inserted, so that the keys stay in the order of their last finished run.
 		this.observed.delete(key);
 		this.observed.set(key, {
 			ratios: ratios * observationDecay + ratio,
