--- a/test/forecast-capacity.test.ts
+++ b/test/forecast-capacity.test.ts
@@ -64,7 +64,7 @@
 		await submit(owner, wideJob('running', [small]));
 		await submit(owner, wideJob('held-back', [{ ...wideStep, ...more }]));
 		await clock.advance(3_000);
-		t.true(owner.dispatcher.load().limitedTasks > 0, 'tasks wait');
+		t.true(owner.dispatcher.load().waitingPreemptible > 0, 'tasks wait');
 		t.is(decide(owner).type, 'admit');
 		owner.dispatcher.close();
 	});
@@ -76,7 +76,7 @@
 	const large = { ...wideStep, count: 42, milliCores: 100, memoryMb: 200_000, estimateMs: 200 };
 	await submit(owner, wideJob('large', [large]));
 	await clock.advance(3_000);
-	t.is(owner.dispatcher.load().limitedTasks, 2);
+	t.is(owner.dispatcher.load().waitingPreemptible, 2);
 	await submit(owner, wideJob('wide', [{ ...wideStep, memoryMb: 250_000, count: 60 }]));
 	const { classes } = owner.dispatcher.forecaster.update();
 	const [found] = classes;
--- a/test/preemptible-limit.test.ts
+++ b/test/preemptible-limit.test.ts
@@ -148,7 +148,7 @@
 	const w1 = environment.fleet.workers.get('w1');
 	if (w1 === undefined) throw new Error('no worker');
 	const coresBefore = owner.dispatcher.load().limitCores;
-	t.true(owner.dispatcher.load().limitedTasks > 0);
+	t.true(owner.dispatcher.load().waitingPreemptible > 0);
 	w1.fault = 'silent';
 	await environment.clock.advance(1_500);
 	t.is(owner.dispatcher.load().limitCores, coresBefore);
