--- a/test/placer.test.ts
+++ b/test/placer.test.ts
@@ -1,4 +1,4 @@
-/** Placement rounds: the fraction of processor time that they may take. */
+/** Placement rounds: the fraction of processor time that they may take; and why tasks wait. */
 import test from 'ava';
 import * as events from '../src/core/events/index.js';
 import * as fixtures from './fixtures/dispatching.js';
@@ -19,6 +19,7 @@
 function createSlowPlacer(
 	clock: time.VirtualClock,
 	scanMs: number,
+	more: Partial<placer.PlacerOptions> = {},
 ): { placer: placer.Placer; spentMs: () => number } {
 	let spentMs = 0;
 	const estimates = interference.InterferenceModel.create(clock);
@@ -60,6 +61,7 @@
 		meter: meters.LoadMeter.create(),
 		freeStartSlots: () => Infinity,
 		stopFor: () => undefined,
+		...more,
 	});
 	return { placer: created, spentMs: () => spentMs };
 }
@@ -100,4 +102,16 @@
 	t.false(placer.lacksOnlyCapacity(suspect), 'it waits for probation');
 	t.false(placer.lacksOnlyCapacity(taskOf({ acceptedUnder: epoch + 1 })), 'a later owner starts it');
 	placer.close();
+	const inherited = taskOf();
+	Object.assign(inherited.step.job, { inherited: true });
+	const others: [string, Partial<placer.PlacerOptions>][] = [
+		['no start may be sent', { freeStartSlots: () => 0 }],
+		['the owner may not act', { mayAct: () => false }],
+		['it may run on a worker that has not reported', { mayHaveUnreportedRun: () => true }],
+	];
+	for (const [reason, more] of others) {
+		const other = createSlowPlacer(clock, 1, more).placer;
+		t.false(other.lacksOnlyCapacity(inherited), reason);
+		other.close();
+	}
 });
