--- a/src/core/features/features.ts
+++ b/src/core/features/features.ts
@@ -76,14 +76,16 @@
 	return given === 'auto' ? automatic : given;
 }
 
-/** The features that a deployment's bounds call for. */
+/**
+ * The features that a deployment's bounds call for. No bound tells how near to its capacity a fleet is run, on which it
+ * depends whether preemptible work that is held back is caught up later, so the limit on it is fixed unless asked for.
+ */
 function automaticFeatures(bounds: FeatureBounds): Features {
 	return {
 		...defaultFeatures,
 		...(isWorkMobile(bounds) && {
 			admission: 'forecast',
 			waitingOrder: 'overload',
-			preemptibleLimit: 'due-time',
 		}),
 		...(areLeasesShort(bounds) && { handover: 'confirmed', takeover: 'prioritized' }),
 	};
--- a/test/features.test.ts
+++ b/test/features.test.ts
@@ -19,7 +19,7 @@
 }
 
 test('features for mobile work need runs that are cheap to move and as fast anywhere', (t) => {
-	const expected = { admission: 'forecast', waitingOrder: 'overload', preemptibleLimit: 'due-time' };
+	const expected = { admission: 'forecast', waitingOrder: 'overload' };
 	t.like(inForce({}, mobileWork), expected);
 	const unlike: Partial<features.FeatureBounds>[] = [
 		{ stopMs: 900 },
@@ -30,11 +30,13 @@
 		{ farFactor: undefined },
 	];
 	for (const difference of unlike)
-		t.like(inForce({}, { ...mobileWork, ...difference }), {
-			admission: 'backlog',
-			waitingOrder: 'due-time',
-			preemptibleLimit: 'fixed',
-		});
+		t.like(inForce({}, { ...mobileWork, ...difference }), { admission: 'backlog', waitingOrder: 'due-time' });
+});
+
+test('the limit on preemptible work is fixed unless another one is asked for', (t) => {
+	t.like(inForce({}, mobileWork), { preemptibleLimit: 'fixed' });
+	for (const preemptibleLimit of ['adaptive', 'due-time'] as const)
+		t.like(inForce({ WOODCROSS_PREEMPTIBLE_LIMIT: preemptibleLimit }, mobileWork), { preemptibleLimit });
 });
 
 test('features for changes of owner need leases that end within the grace time of a planned stop', (t) => {
