--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -28,7 +28,6 @@
 import * as watch from './run-watch.js';
 import * as workerPool from './worker-pool.js';
 import type * as fleet from '../fleet/types.js';
-import type * as forecasts from '../forecast/index.js';
 import type * as jobs from '../jobs/index.js';
 import type * as learnedModels from './learned-models.js';
 import type * as ledger from '../ledger/index.js';
@@ -156,11 +155,6 @@
 		return this.registry.pendingOf(queue);
 	}
 
-	/** Run times corrected by finished runs. */
-	get runTimes(): forecasts.RunTimes {
-		return this.forecaster.runTimes;
-	}
-
 	/** Applies the platform's list of workers, in part or whole. */
 	setWorkers(entries: Iterable<fleet.WorkerEntry>, removed: Iterable<string>, whole: boolean): void {
 		this.workers.setWorkers(entries, removed, whole);
--- a/test/takeover-under-load.test.ts
+++ b/test/takeover-under-load.test.ts
@@ -83,7 +83,7 @@
 	const { env, owner } = burst;
 	for (let passed = 0; passed < ms; passed += 100) {
 		if (isLoaded && passed % submitIntervalMs === 0) submitBoth(burst);
-		owner.dispatcher.runTimes.noteFinished('proofs', wideStep, 2_200);
+		owner.dispatcher.forecaster.runTimes.noteFinished('proofs', wideStep, 2_200);
 		if (passed % pingIntervalMs === 0) publishLeaseEnds(burst);
 		if (passed % storeIntervalMs === 0) void storeState(owner);
 		await env.clock.advance(100);
@@ -145,7 +145,7 @@
 	burst.owner.dispatcher.close();
 	await replaceOwner(burst);
 	const { owner, restoredLimits } = burst;
-	t.true(owner.dispatcher.runTimes.factor('proofs', wideStep) > 1.2);
+	t.true(owner.dispatcher.forecaster.runTimes.factor('proofs', wideStep) > 1.2);
 	t.deepEqual(restoredLimits, [{ serving: { maxUse: 1.1, margin: 0.05 } }]);
 	await goOn(burst, 3_000);
 	const waitedMs = longestUrgentWaitMs(burst, lostAt - 1_000, Infinity);
