--- a/src/core/admission/forecast-admission.ts
+++ b/src/core/admission/forecast-admission.ts
@@ -18,8 +18,7 @@
 
 /**
  * Work that would be placed just before its due time is taken to be late: a forecast that is too low by a tenth makes it so,
- * and it then waits behind all that is on time. Without this, in a replay of a burst of five times the usual rate, jobs that
- * were forecast to wait for less than 10 s waited for up to 19 s.
+ * and it then waits behind all that is on time, far longer than forecast.
  */
 const lateMargin = 1.1;
 
--- a/src/core/admission/return-schedule.ts
+++ b/src/core/admission/return-schedule.ts
@@ -234,7 +234,7 @@
 
 	private remember(id: string, now: number): Remembered {
 		const { firstRefusedAt = now } = this.remembered.get(id) ?? {};
-		// Set anew, so that the entries stay in the order of their last refusal.
+		// Re-inserted, so that the entries stay in the order of their last refusal.
 		this.remembered.delete(id);
 		const entry: Remembered = { firstRefusedAt, refusedAt: now, booking: undefined };
 		this.remembered.set(id, entry);
--- a/src/core/dispatch/overload-order.ts
+++ b/src/core/dispatch/overload-order.ts
@@ -19,8 +19,8 @@
 export const maxPassedOverMs = 8_000;
 
 /**
- * A step takes as long as its longest task. In replayed bursts with run times that vary by a quarter, 1.2 instead of 1 kept one
- * to two jobs more in a hundred on time.
+ * A step takes as long as its longest task. Without a margin, jobs
+ * count as on time that miss their due time by a little.
  */
 const chainMargin = 1.2;
 
@@ -29,7 +29,7 @@
 
 /**
  * Ranks expire in so many groups, evenly spread over that time. If those of a burst expired together, one round in several would
- * compute them all: with 800 steps the longest of 200 rounds took 9 to 15 ms, and takes 5 to 8 ms with groups.
+ * compute them all.
  */
 const rankGroups = 8;
 
--- a/src/core/dispatch/retry-pauses.ts
+++ b/src/core/dispatch/retry-pauses.ts
@@ -2,8 +2,8 @@
  * When steps that found no worker are tried again.
  *
  * Load pattern: dozens of preemptible steps wait for capacity that becomes free bit by bit. If each step has a pause of its
- * own, freed capacity goes to whichever step is due next, and waits are as good as random: in the replay of a burst
- * (`forecast-burst.test.ts`) 311 of 426 jobs waited as forecast within a factor of 1.5, and 403 with a common pause.
+ * own, freed capacity goes to whichever step is due next, so waits are as good as random
+ * and can't be forecast.
  */
 import * as settings from './settings.js';
 import type * as jobs from '../jobs/index.js';
@@ -25,8 +25,8 @@
 }
 
 /**
- * Interval between attempts to place the first of the steps that are tried together, in milliseconds. In replayed bursts, 100
- * left capacity idle: one to two jobs fewer in a hundred were on time.
+ * Interval between attempts to place the first of the steps that are tried together, in milliseconds. With
+ * the usual pause, capacity that becomes free in between is left idle.
  */
 const firstStepsRetryMs = 30;
 
--- a/src/core/dispatch/work-summary.ts
+++ b/src/core/dispatch/work-summary.ts
@@ -23,7 +23,7 @@
 
 /**
  * Least part of the spare cores that counts as capacity. Tasks may wait for other reasons than cores, such as memory or
- * interference; one waiting task beside one running task of a core gave a capacity of one core in an idle fleet.
+ * interference; the cores in use say nothing of the capacity then.
  */
 const minSparePart = 0.25;
 
--- a/src/core/forecast/pool-layout.ts
+++ b/src/core/forecast/pool-layout.ts
@@ -14,9 +14,7 @@
 const binCount = horizonMs / binMs;
 
 /**
- * When the step after one with several tasks is taken to start, over the mean run time: it waits for the slowest task. By the
- * replay of a burst with run times spread by half (`forecast-burst.test.ts`): of 426 waits 379 were within a factor of 1.5 of
- * the forecast with 1.0, 403 with 1.1, 390 with 1.2, 365 with 1.4.
+ * When the step after one with several tasks is taken to start, over the mean run time: it waits for the slowest task.
  */
 export const slowestFactor = 1.1;
 
