One share of a worker's cores; a takeover's checks once; two comments

Cause: three modules computed the share of a worker's cores that a task asks for; two takeover tests ended with the same checks; two comments told what once was. Change: neighbours.coreShareOf serves all three, one function has the checks with their bounds as before.

--- a/src/core/dispatch/fixed-limit.ts
+++ b/src/core/dispatch/fixed-limit.ts
@@ -1,4 +1,5 @@
 /** The fixed limit on preemptible work: bounds of the cores in use and of the SLO violations expected for the next moment. */
+import * as neighbours from './neighbours.js';
 import * as overloads from './recent-overloads.js';
 import * as waitingOrder from './waiting-order.js';
 import type * as interference from './interference.js';
@@ -44,7 +45,7 @@
 	}
 
 	usePenalty(task: jobs.Task, worker: sessions.WorkerSession, ignoreInterference: boolean): number {
-		const use = this.estimates.expectedUtilization(worker) + coreShareOf(task.step.spec, worker);
+		const use = this.estimates.expectedUtilization(worker) + neighbours.coreShareOf(task.step.spec, worker);
 		return use > maxExpectedUse && !ignoreInterference ? Infinity : use;
 	}
 
@@ -55,7 +56,11 @@
 	): number {
 		const { spec } = task.step;
 		const { now, tolerance, ignoreInterference } = check;
-		const violations = this.estimates.expectedViolations(worker, spec.image, coreShareOf(spec, worker));
+		const violations = this.estimates.expectedViolations(
+			worker,
+			spec.image,
+			neighbours.coreShareOf(spec, worker),
+		);
 		if (!ignoreInterference && violations > tolerance) return Infinity;
 		if (!ignoreInterference && overloads.interferesWithOverloaded(spec.image, worker, this.slopeOf, now))
 			return Infinity;
@@ -68,7 +73,7 @@
 		now: number,
 	): limitTypes.LimitObstacle | undefined {
 		const { spec } = task.step;
-		const share = coreShareOf(spec, worker);
+		const share = neighbours.coreShareOf(spec, worker);
 		if (this.estimates.expectedUtilization(worker) + share > maxExpectedUse) return 'cores-in-use';
 		if (this.estimates.expectedViolations(worker, spec.image, share) > this.toleranceFor(task, now))
 			return 'harm';
@@ -112,8 +117,3 @@
 		return 0;
 	}
 }
-
-/** Share of a worker's cores that a task asks for. */
-function coreShareOf(spec: jobs.StepSpec, worker: sessions.WorkerSession): number {
-	return spec.milliCores / (worker.entry?.capacity.milliCores ?? 1);
-}
--- a/src/core/dispatch/neighbours.ts
+++ b/src/core/dispatch/neighbours.ts
@@ -1,4 +1,5 @@
 /** The neighbours of serving tasks on a worker, and the share of the worker that they use, by image. */
+import type * as jobs from '../jobs/index.js';
 import type * as sessions from './worker-session.js';
 import type * as types from './types.js';
 
@@ -48,6 +49,11 @@
 	return place.task.step.spec.targetMs > 0;
 }
 
+/** Share of a worker's cores that a task of a step asks for. */
+export function coreShareOf({ milliCores }: jobs.StepSpec, session: sessions.WorkerSession): number {
+	return milliCores / (session.entry?.capacity.milliCores ?? 1);
+}
+
 /** Share of the worker that a placement uses at its pace. */
 function shareOf(session: sessions.WorkerSession, place: types.Placement): number {
 	const capacity = session.entry?.capacity.milliCores ?? 1;
--- a/src/core/dispatch/preemptible-limits.ts
+++ b/src/core/dispatch/preemptible-limits.ts
@@ -90,7 +90,7 @@
 	usePenalty(task: jobs.Task, worker: sessions.WorkerSession, ignoreInterference: boolean): number {
 		const state = this.stateOf(worker);
 		const { use } = this.outlookOf(worker, state);
-		const first = (use[0] ?? 0) + coreShareOf(task, worker);
+		const first = (use[0] ?? 0) + neighbours.coreShareOf(task.step.spec, worker);
 		if (ignoreInterference) return first;
 		if (first <= state.limit.maxUse) return first;
 		state.hasTurnedAway = true;
@@ -202,7 +202,7 @@
 	private effectOf(task: jobs.Task, worker: sessions.WorkerSession, state: LimitState): limit.Effect {
 		const load: limit.Load = {
 			image: task.step.spec.image,
-			share: coreShareOf(task, worker),
+			share: neighbours.coreShareOf(task.step.spec, worker),
 			points: outlooks.pointsWithin(this.opts.expectedMs(task.step)),
 		};
 		return limit.effectOf(this.outlookOf(worker, state), load, this.upperSlope);
@@ -285,11 +285,6 @@
 	return worker.preemptibleMilliCores > 0 || now - worker.preemptibleLoadReducedAt < causeMs;
 }
 
-/** Share of a worker's cores that a task asks for. */
-function coreShareOf(task: jobs.Task, worker: sessions.WorkerSession): number {
-	return task.step.spec.milliCores / (worker.entry?.capacity.milliCores ?? 1);
-}
-
 function toHundredths(value: number): number {
 	return Math.round(value * 100) / 100;
 }
--- a/src/core/dispatch/retry-pauses.ts
+++ b/src/core/dispatch/retry-pauses.ts
@@ -2,8 +2,8 @@
  * When steps that found no worker are tried again.
  *
  * Load pattern: dozens of preemptible steps wait for capacity that becomes free bit by bit. If each step has a pause of its
- * own, freed capacity goes to whichever step is due next, so waits are as good as random
- * and can't be forecast.
+ * own, freed capacity goes to whichever step is due next, so waits are random and can't
+ * be forecast.
  */
 import * as settings from './settings.js';
 import type * as jobs from '../jobs/index.js';
@@ -25,8 +25,8 @@
 }
 
 /**
- * Interval between attempts to place the first of the steps that are tried together, in milliseconds. With
- * the usual pause, capacity that becomes free in between is left idle.
+ * Interval between attempts to place the first of the steps that are tried together, in milliseconds. With the
+ * usual pause, capacity that becomes free in between is left idle.
  */
 const firstStepsRetryMs = 30;
 
@@ -87,8 +87,7 @@
 	private lastPlaced: jobs.StepInstance | undefined;
 	/**
 	 * Steps of which nothing was placed in the last round over all steps that placed anything, though something of a later one
-	 * was. They say nothing about later steps: four that fit on no worker, or of a full pool, held all others to one attempt per
-	 * 100 ms. Where capacity is short for all steps alike, all of them count: else each attempt would be one for all steps.
+	 * was. They say nothing about later steps: a few that fit on no worker, or of a full pool, would hold all others back. Where capacity is short for all steps alike, all of them count: else each attempt would be one for all steps.
 	 */
 	private passedOver = new Set<jobs.StepInstance>();
 
--- a/src/core/dispatch/serving-outlook.ts
+++ b/src/core/dispatch/serving-outlook.ts
@@ -102,11 +102,10 @@
 		const served = neighbours.servingPlacements(session);
 		const tasks = served.map((place) => this.describeTask(place, now));
 		const use = this.reservedUse(session, now);
-		const capacity = session.entry?.capacity.milliCores ?? 1;
 		for (const place of session.placements.values()) {
 			const { spec } = place.task.step;
 			if (spec.targetMs > 0) continue;
-			const share = spec.milliCores / capacity;
+			const share = neighbours.coreShareOf(spec, session);
 			const points = spec.fills ? this.pointsOfRun(place, now) : pointsMs.length;
 			const image = spec.fills ? spec.image : neighbours.otherTasks;
 			if (spec.fills) addUpTo(use, points, share);
--- a/test/takeover-under-load.test.ts
+++ b/test/takeover-under-load.test.ts
@@ -2,7 +2,7 @@
  * An owner is lost in a burst: what the next one knows at once, how long urgent work waits, that no accepted job is lost, and
  * that no task has two runs.
  */
-import test from 'ava';
+import test, { type ExecutionContext } from 'ava';
 import * as features from '../src/core/features/index.js';
 import * as fixtures from './fixtures/dispatching.js';
 import * as ledger from '../src/core/ledger/index.js';
@@ -138,6 +138,19 @@
 	return [...burst.submittedAt.keys()].filter((id) => burst.owner.dispatcher.stateOf(id) !== 'completed');
 }
 
+/** New urgent work waits for less than two seconds; every job ends, and none of their tasks was started twice. */
+async function checkAfterTakeover(t: ExecutionContext, burst: Burst, ownedAt: number): Promise<void> {
+	// What the previous owner may have started on unresponsive workers waits for them.
+	const waitedMs = longestUrgentWaitMs(burst, ownedAt, Infinity);
+	const inheritedMs = longestUrgentWaitMs(burst, 0, ownedAt);
+	t.log(
+		`new urgent work waited up to ${waitedMs.toFixed(0)} ms, inherited up to ${inheritedMs.toFixed(0)} ms`,
+	);
+	t.true(waitedMs < 2_000, String(waitedMs));
+	t.deepEqual(await unfinishedJobs(burst), []);
+	t.deepEqual(burst.startedTwice, []);
+}
+
 test('the owner is lost in the third second of a burst', async (t) => {
 	const burst = await startBurst();
 	await goOn(burst, 2_500);
@@ -167,15 +180,7 @@
 	await goOn(burst, 5_000);
 	isCut = false;
 	await goOn(burst, 3_000);
-	// What the previous owner may have started on the unresponsive workers waits for them.
-	const waitedMs = longestUrgentWaitMs(burst, ownedAt, Infinity);
-	const inheritedMs = longestUrgentWaitMs(burst, 0, ownedAt);
-	t.log(
-		`new urgent work waited up to ${waitedMs.toFixed(0)} ms, inherited up to ${inheritedMs.toFixed(0)} ms`,
-	);
-	t.true(waitedMs < 2_000, String(waitedMs));
-	t.deepEqual(await unfinishedJobs(burst), []);
-	t.deepEqual(burst.startedTwice, []);
+	await checkAfterTakeover(t, burst, ownedAt);
 	burst.owner.dispatcher.close();
 });
 
@@ -196,14 +201,7 @@
 	await goOn(burst, 6_000);
 	isCut = false;
 	await goOn(burst, 1_000);
-	const waitedMs = longestUrgentWaitMs(burst, ownedAt, Infinity);
-	const inheritedMs = longestUrgentWaitMs(burst, 0, ownedAt);
-	t.log(
-		`new urgent work waited up to ${waitedMs.toFixed(0)} ms, inherited up to ${inheritedMs.toFixed(0)} ms`,
-	);
-	t.true(waitedMs < 2_000, String(waitedMs));
-	t.deepEqual(await unfinishedJobs(burst), []);
-	t.deepEqual(burst.startedTwice, []);
+	await checkAfterTakeover(t, burst, ownedAt);
 	t.true(former.isFenced());
 	burst.owner.dispatcher.close();
 });
