--- a/review/lib/clients.mjs
+++ b/review/lib/clients.mjs
@@ -25,11 +25,10 @@
 	}
 
 	/**
-	 * Submits a job under a new id until it is accepted or refused for good.
+	 * Submits a job until it is accepted or refused for good.
 	 * @param {object} job
 	 */
-	async submit(job) {
-		const id = this.#newId();
+	async submit(job, id = this.newId()) {
 		for (let tries = 0; tries < maxTries; tries += 1) {
 			const status = await this.call('POST', id, job);
 			this.options.record(`client POST ${id} answered ${status}`);
@@ -63,7 +62,8 @@
 		});
 	}
 
-	#newId() {
+	/** A new id of a job. */
+	newId() {
 		const half = () => Math.floor(this.options.random() * 0x1_0000_0000);
 		return `${half().toString(16).padStart(8, '0')}${half().toString(16).padStart(8, '0')}`;
 	}
