Review: the scripts' shared files lie in review/ itself

A folder in review/ is a case, and review/lib was none: its six modules for the scripts of both cases now lie beside review/build.sh. Their text is unchanged but for the path of the project's root and the imports.

--- a/review/1/script.mjs
+++ b/review/1/script.mjs
@@ -5,11 +5,11 @@
 import * as path from 'node:path';
 import process from 'node:process';
 import { setTimeout } from 'node:timers';
-import * as boxes from '../lib/boxes.mjs';
-import { Clients } from '../lib/clients.mjs';
-import { GreyWorker } from '../lib/grey-worker.mjs';
-import { LossyLink } from '../lib/lossy-link.mjs';
-import { Record, seededRandom } from '../lib/record.mjs';
+import * as boxes from '../boxes.mjs';
+import { Clients } from '../clients.mjs';
+import { GreyWorker } from '../grey-worker.mjs';
+import { LossyLink } from '../lossy-link.mjs';
+import { Record, seededRandom } from '../record.mjs';
 import { UsersPlatform } from '../../dist/stand-ins/users-platform/server.js';
 
 const exitHeld = 0;
--- a/review/lib/boxes.mjs
+++ b/review/boxes.mjs
@@ -8,7 +8,7 @@
 import { clearTimeout, setTimeout } from 'node:timers';
 
 /** Root of the repository, at which the platform starts the program. */
-export const root = path.resolve(import.meta.dirname, '../..');
+export const root = path.resolve(import.meta.dirname, '..');
 
 /** Zones of the boxes, as on the site carpati-prog. */
 export const zones = ['brasov-a', 'sibiu-b', 'mures-c'];
