--- a/src/core/dispatch/call-repeater.ts
+++ b/src/core/dispatch/call-repeater.ts
@@ -189,21 +189,40 @@
 	}
 }
 
-/** Wraps calls so that they are repeated if they are overtaken; `onRepeat`: called for each repeat. */
+/** Callbacks on repeats. */
+export interface RepeatHandlers {
+	/** A call is repeated. */
+	onRepeat: () => void;
+	/** A start is repeated. `copies`: number of copies sent, this one included. */
+	onStartRepeated: (at: fleet.WorkerTarget, command: fleet.StartCommand, copies: number) => void;
+}
+
+/** Wraps calls so that they are repeated if they are overtaken. */
 export function repeatCalls(
 	calls: fleet.WorkerCalls,
 	clock: clocks.Clock,
-	onRepeat: () => void,
+	handlers: RepeatHandlers,
 ): fleet.WorkerCalls {
-	const repeater = CallRepeater.create({ clock, renew: calls.renew, onRepeat });
-	const command = <T>(
-		at: fleet.WorkerTarget,
-		send: () => fleet.WorkerResult<T>,
-		mayRepeat?: () => boolean,
-	): fleet.WorkerResult<T> => repeater.run({ at, kind: 'order', waitMs: 0, send, resend: send, mayRepeat });
+	const repeater = CallRepeater.create({ clock, renew: calls.renew, onRepeat: handlers.onRepeat });
+	const command = <T>(at: fleet.WorkerTarget, send: () => fleet.WorkerResult<T>): fleet.WorkerResult<T> =>
+		repeater.run({ at, kind: 'order', waitMs: 0, send, resend: send });
 	return {
 		...calls,
-		start: (at, req) => command(at, () => calls.start(at, req), req.mayRetry),
+		start: (at, req) => {
+			let copies = 1;
+			return repeater.run({
+				at,
+				kind: 'order',
+				waitMs: 0,
+				send: () => calls.start(at, req),
+				resend: () => {
+					copies += 1;
+					handlers.onStartRepeated(at, req, copies);
+					return calls.start(at, req);
+				},
+				mayRepeat: req.mayRetry,
+			});
+		},
 		stop: (at, task, run, token) => command(at, () => calls.stop(at, task, run, token)),
 		pace: (at, task, run, percent, token) => command(at, () => calls.pace(at, task, run, percent, token)),
 		requestReport: (at, req) =>
--- a/src/core/dispatch/counted-calls.ts
+++ b/src/core/dispatch/counted-calls.ts
@@ -1,17 +1,24 @@
 /** Counts calls to workers by kind. */
 import * as callRepeater from './call-repeater.js';
-import type * as clocks from '../clock.js';
 import type * as fleet from '../fleet/types.js';
 import type * as meters from './load-meter.js';
+import type * as types from './types.js';
 
-/** Wraps calls so that they are repeated if they are overtaken, and so that `meter` counts the repeats and what is sent. */
+/**
+ * Wraps calls so that they are repeated if they are overtaken, and so that `meter` counts the repeats and what is sent.
+ * Repeated starts are logged.
+ */
 export function repeatAndCount(
-	calls: fleet.WorkerCalls,
-	clock: clocks.Clock,
+	{ calls, clock, events }: Pick<types.DispatchDeps, 'calls' | 'clock' | 'events'>,
 	meter: meters.LoadMeter,
 ): fleet.WorkerCalls {
-	const repeated = callRepeater.repeatCalls(calls, clock, () => {
-		meter.count('repeats');
+	const repeated = callRepeater.repeatCalls(calls, clock, {
+		onRepeat: () => {
+			meter.count('repeats');
+		},
+		onStartRepeated: ({ id: worker }, { task, run }, copies) => {
+			events.emit('start.repeated', { task, run, worker, copies });
+		},
 	});
 	return countCalls(repeated, meter);
 }
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -103,7 +103,7 @@
 		models?: learnedModels.LearnedModels,
 	): Dispatcher {
 		const meter = meters.LoadMeter.create();
-		const calls = countedCalls.repeatAndCount(opts.calls, opts.clock, meter);
+		const calls = countedCalls.repeatAndCount(opts, meter);
 		const takeover = takeovers.choose(opts, contents);
 		const dispatcher = new Dispatcher({ ...opts, calls, takeover }, meter, contents);
 		dispatcher.state.adopt(models);
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -280,6 +280,11 @@
 		level: 'warn',
 		text: 'A start was not carried out; the reason is given, and the task is placed again.',
 	},
+	'start.repeated': {
+		id: 3129,
+		level: 'info',
+		text: 'A start without an answer was sent once more while the earlier copies may still be in flight; the number of copies is given.',
+	},
 	'task.paced': {
 		id: 3111,
 		level: 'info',
