A refusal of one copy of a start proves nothing of the others

Cause: a start that is unanswered for 150 ms is sent once more over a new connection. CallRepeater handed on whatever the first copy brought, also a refusal while a repeat was on its way; Starter took the refusal of its first attempt for proof that the run will never start, freed the placement and queued the task again, without a stop.

Change: a refusal of the first copy counts as one only if every other copy was refused before it. Otherwise the call is 'in doubt': its start is attempted again, which finds the run if it is there, or stopped; the placement is freed only by the worker's report. A run that was refused as stale is stopped at once, as it may have ended there already. The slot of the start is freed as before, by the first copy's answer.

The same rule holds for every call that is repeated: stops, pace commands and polls see the reason of the refusal and go on as before.

Test: every pair of fates of two copies (arrival, answer, refusal), runs of 150 and 1,500 ms.

--- a/src/core/dispatch/call-repeater.ts
+++ b/src/core/dispatch/call-repeater.ts
@@ -9,6 +9,7 @@
  */
 import * as delays from './answer-delays.js';
 import * as failures from '../fleet/failures.js';
+import * as results from '../result.js';
 import type * as clocks from '../clock.js';
 import type * as fleet from '../fleet/types.js';
 
@@ -68,6 +69,8 @@
 	/** Clock time by which its answer is due. */
 	dueAt: number;
 	repeats: number;
+	/** Number of repeats that were certainly not carried out. */
+	refusedRepeats: number;
 	/** Fires at the next check. */
 	timer?: clocks.Timer;
 	/** Completes the call; only the first outcome counts. */
@@ -100,7 +103,11 @@
 		return new CallRepeater(deps);
 	}
 
-	/** Sends a call. The outcome is that of the first attempt, unless a repeat succeeds before it. */
+	/**
+	 * Sends a call. The outcome is that of the first attempt, unless a repeat succeeds before it. A refusal of the first
+	 * attempt counts as such only if all repeats were refused before it: it says nothing about the others, which may pass it
+	 * on their way.
+	 */
 	run<T>(call: RepeatableCall<T>): fleet.WorkerResult<T> {
 		const dueAt = this.deps.clock.now() + call.waitMs;
 		return new Promise((resolve) => {
@@ -108,6 +115,7 @@
 				call,
 				dueAt,
 				repeats: 0,
+				refusedRepeats: 0,
 				complete: (res) => {
 					pending.timer?.cancel();
 					resolve(res);
@@ -116,7 +124,7 @@
 			this.recheckAfter(pending, call.waitMs + repeatAfterMs);
 			void call.send().then((res) => {
 				this.noteAnswer(call, res, dueAt);
-				pending.complete(res);
+				pending.complete(outcomeOf(pending, res));
 			});
 		});
 	}
@@ -141,6 +149,7 @@
 		this.recheckAfter(pending, repeatAfterMs * 2 ** pending.repeats);
 		void this.repeat(pending.call, reason).then((res) => {
 			if (res.ok) pending.complete(res);
+			else if (failures.isNotCarriedOut(res.err)) pending.refusedRepeats += 1;
 		});
 	}
 
@@ -189,6 +198,15 @@
 	}
 }
 
+/** The outcome of a call whose first attempt ended as given. */
+function outcomeOf<T>(
+	{ repeats, refusedRepeats }: PendingCall<T>,
+	first: Awaited<fleet.WorkerResult<T>>,
+): Awaited<fleet.WorkerResult<T>> {
+	if (first.ok || !failures.isNotCarriedOut(first.err) || refusedRepeats === repeats) return first;
+	return results.fail({ kind: 'in-doubt', refusal: first.err });
+}
+
 /** Callbacks on repeats. */
 export interface RepeatHandlers {
 	/** A call is repeated. */
--- a/src/core/dispatch/starter.ts
+++ b/src/core/dispatch/starter.ts
@@ -1,5 +1,6 @@
 /** Sends starts and stops, and follows each until its outcome is known. */
 import * as clocks from '../clock.js';
+import * as failures from '../fleet/failures.js';
 import * as freeCapacity from './free-capacity.js';
 import * as settings from './settings.js';
 import * as windows from './start-window.js';
@@ -123,16 +124,18 @@
 				this.markStarted(session, placement);
 				return;
 			}
+			const { err } = res;
 			const isFirst = tries === 0;
 			// Another incarnation refused the start, so it did not crash the incarnation for which it was meant.
-			if (isFirst && res.err.kind === 'other-life') placement.startSentAt = undefined;
-			if (session.ended(res.err, target, stamp)) return;
-			if (res.err.kind !== 'no-answer') {
-				// After an attempt without an answer, no refusal proves that the run is not there or will not arrive.
-				if (!isFirst) break;
-				this.handleNotStarted(session, placement, res.err);
+			if (isFirst && err.kind === 'other-life') placement.startSentAt = undefined;
+			if (session.ended(err, target, stamp)) return;
+			// After an attempt without an answer, no refusal proves that the run is not there or will not arrive.
+			if (isFirst && failures.isNotCarriedOut(err)) {
+				this.handleNotStarted(session, placement, err);
 				return;
 			}
+			if (err.kind === 'in-doubt') this.logInDoubt(session, placement, err.refusal);
+			if (!mayTakeNextAttempt(err)) break;
 			await clocks.sleep(this.deps.clock, settings.commandRetryMs);
 			if (!isStartPending(session, placement)) return;
 			if (this.startObstacle(session, placement) !== undefined) break;
@@ -203,6 +206,19 @@
 		this.meter.count('answers');
 	}
 
+	private logInDoubt(
+		session: sessions.WorkerSession,
+		{ task, run }: types.Placement,
+		refusal: fleet.WorkerFailure,
+	): void {
+		this.deps.events.emit('start.in-doubt', {
+			task: task.name,
+			run,
+			worker: session.id,
+			reason: refusal.kind,
+		});
+	}
+
 	private markStarted(session: sessions.WorkerSession, placement: types.Placement): void {
 		if (placement.phase === 'starting') placement.phase = 'running';
 		placement.confirmedAt = this.deps.clock.now();
@@ -220,6 +236,12 @@
 	}
 }
 
+/** Whether another attempt may find the run there, or start it. */
+function mayTakeNextAttempt(err: fleet.WorkerFailure): boolean {
+	if (err.kind === 'no-answer') return true;
+	return err.kind === 'in-doubt' && (err.refusal.kind === 'refused' || err.refusal.kind === 'no-room');
+}
+
 /** Whether a start is still wanted and not known to have been carried out. */
 function isStartPending(session: sessions.WorkerSession, placement: types.Placement): boolean {
 	return placement.phase === 'starting' && isPlaced(session, placement);
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -379,7 +379,8 @@
 	}
 
 	/** Handles a failed call to `at` that was sent under `stamp`. Returns whether the session is over. */
-	ended(err: fleet.WorkerFailure, at: fleet.WorkerTarget, stamp: fencing.TokenStamp): boolean {
+	ended(failure: fleet.WorkerFailure, at: fleet.WorkerTarget, stamp: fencing.TokenStamp): boolean {
+		const err = failures.reasonOf(failure);
 		if (failures.isUnanswered(err)) this.noteFailedCall(err);
 		// Under an older token, a newer command of this same owner may have caused the refusal.
 		const isReplaced = err.kind === 'fenced' && stamp.isNewest;
@@ -531,7 +532,7 @@
 			// connections.
 			const isFirstFailure = failures.isUnanswered(res.err) && this.firstFailureAt === undefined;
 			if (this.ended(res.err, target, stamp)) return;
-			if (res.err.kind !== 'fenced' && !isFirstFailure)
+			if (failures.reasonOf(res.err).kind !== 'fenced' && !isFirstFailure)
 				await clocks.sleep(this.deps.clock, settings.pollRetryMs);
 		}
 	}
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -285,6 +285,11 @@
 		level: 'info',
 		text: 'A start without an answer was sent once more while the earlier copies may still be in flight; the number of copies is given.',
 	},
+	'start.in-doubt': {
+		id: 3130,
+		level: 'warn',
+		text: 'One copy of a start was refused, and another one may have been carried out, or may be later. The start is sent again or stopped, and its task is not placed elsewhere before it is known which.',
+	},
 	'task.paced': {
 		id: 3111,
 		level: 'info',
--- a/src/core/fleet/types.ts
+++ b/src/core/fleet/types.ts
@@ -105,7 +105,12 @@
 	/** Nothing listens at the address. */
 	| { kind: 'unreachable' }
 	/** The call may have been carried out, or may be later. */
-	| { kind: 'no-answer'; reason: string };
+	| { kind: 'no-answer'; reason: string }
+	/**
+	 * One copy of the call was refused. Another one was not, so the call may have been carried out, or may be later.
+	 * `refusal`: why the one was refused.
+	 */
+	| { kind: 'in-doubt'; refusal: WorkerFailure };
 
 /** The worker's clock, which is part of every answer. */
 export interface ClockReading {
--- a/stand-ins/fleet/types.ts
+++ b/stand-ins/fleet/types.ts
@@ -57,3 +57,16 @@
 	/** A worker dropped an exit that a box had acknowledged. */
 	acknowledged: (end: fleet.RunExit) => void;
 }
+
+/** Kinds of calls to workers. */
+export type CallName = 'start' | 'stop' | 'pace' | 'report';
+
+/** What becomes of one call. */
+export interface CallFate {
+	/** Time until the call arrives at the worker, in milliseconds. It may be carried out after its caller has timed out. */
+	arrivesAfterMs: number;
+	/** Time from the worker's answer until it arrives, in milliseconds; `lost`: it never does. */
+	answersAfterMs: number | 'lost';
+	/** The worker refuses the call as unhealthy, and does nothing. */
+	isRefused: boolean;
+}
--- a/stand-ins/fleet/workers.ts
+++ b/stand-ins/fleet/workers.ts
@@ -9,7 +9,7 @@
 import type * as fleet from '../../src/core/fleet/types.js';
 import type * as types from './types.js';
 
-export type { Crash, CrashRecord, FleetJournal, RunPlan, StartRecord } from './types.js';
+export type { CallFate, CallName, Crash, CrashRecord, FleetJournal, RunPlan, StartRecord } from './types.js';
 
 /**
  * What happens to calls. `silent`: not carried out, not answered. `lost`: carried out, not answered. `late`: not answered,
@@ -365,6 +365,8 @@
 	};
 	/** Called when crashes change the platform's list; gets the new entries and the names of the removed workers. */
 	onEntriesChanged: (added: fleet.WorkerEntry[], removed: string[]) => void = () => undefined;
+	/** What becomes of a call to a worker; undefined: it arrives and is answered at once. */
+	fateOf: (worker: string, call: types.CallName) => types.CallFate | undefined = () => undefined;
 	/** Number of workers that have restarted under their old names. */
 	private restarts = 0;
 	/**
@@ -479,6 +481,29 @@
 
 	/** The calls of one box. `isCut`: whether its calls to a worker are cut off. */
 	calls(isCut: IsCut = () => false): fleet.WorkerCalls {
+		const calls = this.directCalls(isCut);
+		const deliver = <T>(
+			at: fleet.WorkerTarget,
+			call: types.CallName,
+			send: () => fleet.WorkerResult<T>,
+			waitMs = 0,
+		): fleet.WorkerResult<T> => {
+			const fate = this.fateOf(incarnations.nameOf(at.id), call);
+			return fate === undefined ? send() : this.deliver(fate, callTimeoutMs + waitMs, send);
+		};
+		return {
+			...calls,
+			start: (at, command) => deliver(at, 'start', () => calls.start(at, command)),
+			stop: (at, task, run, token) => deliver(at, 'stop', () => calls.stop(at, task, run, token)),
+			pace: (at, task, run, percent, token) =>
+				deliver(at, 'pace', () => calls.pace(at, task, run, percent, token)),
+			requestReport: (at, request) =>
+				deliver(at, 'report', () => calls.requestReport(at, request), request.waitMs),
+		};
+	}
+
+	/** The calls of one box as they arrive. */
+	private directCalls(isCut: IsCut): fleet.WorkerCalls {
 		const call = <T>(at: fleet.WorkerTarget, operation: WorkerOperation<T>): fleet.WorkerResult<T> =>
 			this.execute(at, isCut, operation);
 		return {
@@ -531,6 +556,24 @@
 		return results.fail(noAnswer);
 	}
 
+	/** Delivers a call as `fate` says. `send`: sends it from the moment of its arrival on. */
+	private async deliver<T>(
+		{ arrivesAfterMs, answersAfterMs, isRefused }: types.CallFate,
+		timeoutMs: number,
+		send: () => fleet.WorkerResult<T>,
+	): fleet.WorkerResult<T> {
+		const answering = this.sleep(arrivesAfterMs).then(() =>
+			isRefused ? results.fail<fleet.WorkerFailure>({ kind: 'refused', status: 503 }) : send(),
+		);
+		const timingOut = this.sleep(timeoutMs).then(() => results.fail(noAnswer));
+		if (answersAfterMs === 'lost') return timingOut;
+		const answered = answering.then(async (res) => {
+			await this.sleep(answersAfterMs);
+			return res;
+		});
+		return Promise.race([answered, timingOut]);
+	}
+
 	/** A call that gets no answer. */
 	private async timeOut(): fleet.WorkerResult<never> {
 		await this.sleep(callTimeoutMs);
