An owner that was closed or suspended takes no more machines down

Cause: a check of a wave goes on after each wait: for the list, for the report of its state, for the answer to each command. Upkeep.close ended the timer of the next check alone, and a command asked only whether the epoch had been confirmed within 3 s (mayAct), which also holds for a box that was suspended for 2.5 s and replaced meanwhile.

Change: a closed Upkeep sends nothing more, and each machine of a check needs a confirmation of the epoch by the store that was asked for less than 500 ms ago; a read of the store is made for it where no write has shown it. After that no wait precedes the command.

Tests: closed beside an unanswered command, suspended in the read of the list. On the code before (trial, with mayAct in place of the new options) the first sent commands for m2 and m3, the second for m1. The test of an owner that may have been replaced has the new options for mayAct; what it asks is the same.

--- a/src/core/box/owner-role.ts
+++ b/src/core/box/owner-role.ts
@@ -283,7 +283,8 @@
 			machines: adapter.machines,
 			holder: settings.box,
 			epoch: this.ownerLedger.generation,
-			mayAct: () => this.mayAct(),
+			epochConfirmedAt: () => this.ownerLedger.epochConfirmedAt,
+			confirmEpoch: () => this.ownerLedger.confirmEpoch(),
 			vacate: (worker) => this.dispatcher.vacate(worker),
 			reopen: (worker) => {
 				this.dispatcher.reopen(worker);
--- a/src/core/upkeep/upkeep.ts
+++ b/src/core/upkeep/upkeep.ts
@@ -2,6 +2,9 @@
  * Carries out waves of upkeep. A machine's worker first gets no new work, and what runs there is migrated; then the machine
  * is taken down. A machine that is no longer listed needs no upkeep. A command without an answer is sent again; the platform
  * treats it as done if it was.
+ *
+ * Not every platform rejects the commands of a replaced owner, so a command is sent only right after the store has confirmed
+ * that this owner is still in place. Ownership may end, and the process may be suspended, at each wait.
  */
 import * as clocks from '../clock.js';
 import type * as events from '../events/index.js';
@@ -17,6 +20,9 @@
  */
 const maxMigrationMs = 2_500;
 
+/** Maximum age of the confirmation of the epoch at a command, in milliseconds: a slow answer of the store. */
+const maxConfirmationAgeMs = 500;
+
 /** Options of `Upkeep`. */
 export interface UpkeepOptions {
 	clock: clocks.Clock;
@@ -25,8 +31,10 @@
 	/** Who sends the commands, and under which epoch. */
 	holder: string;
 	epoch: number;
-	/** Whether machines may be taken down: the epoch was confirmed lately. */
-	mayAct: () => boolean;
+	/** Clock time at which the newest call that confirmed the epoch was sent. */
+	epochConfirmedAt: () => number;
+	/** Asks the store whether the epoch is still in force. */
+	confirmEpoch: () => Promise<unknown>;
 	/** Closes a worker to new work and migrates what runs there; `protected`: something there must stay for now. */
 	vacate: (worker: string) => 'empty' | 'moving' | 'protected';
 	/** Opens a worker again. */
@@ -56,6 +64,7 @@
 export class Upkeep {
 	private readonly waves = new Map<number, OpenWave>();
 	private readonly timer: clocks.Timer;
+	private isClosed = false;
 
 	private constructor(private readonly opts: UpkeepOptions) {
 		this.timer = clocks.every(opts.clock, checkIntervalMs, () => this.checkWaves());
@@ -72,7 +81,9 @@
 		this.waves.set(wave.number, { wave, begun: new Set(), leaving: new Map(), reported: undefined });
 	}
 
+	/** Sends no more commands, also those of a check that is under way. */
 	close(): void {
+		this.isClosed = true;
 		this.timer.cancel();
 	}
 
@@ -85,7 +96,10 @@
 			return;
 		}
 		const byName = new Map(list.value.map((machine) => [machine.name, machine]));
-		for (const one of open) await this.advance(one, byName);
+		for (const one of open) {
+			if (this.isClosed) return;
+			await this.advance(one, byName);
+		}
 	}
 
 	/** Drains further machines, and takes down those that are ready. */
@@ -96,6 +110,7 @@
 		const listed = wave.machines.filter((name) => machines.has(name));
 		this.startDraining(open, listed, machines);
 		for (const [name, one] of [...leaving]) {
+			if (!(await this.isStillOwner())) return;
 			const machine = machines.get(name);
 			if (machine === undefined) {
 				leaving.delete(name);
@@ -127,11 +142,19 @@
 		}
 	}
 
+	/** Whether this owner is still in place, as the store has just confirmed. */
+	private async isStillOwner(): Promise<boolean> {
+		if (!this.isConfirmed()) await this.opts.confirmEpoch();
+		return !this.isClosed && this.isConfirmed();
+	}
+
+	private isConfirmed(): boolean {
+		return clocks.isFresh(this.opts.clock, this.opts.epochConfirmedAt(), maxConfirmationAgeMs);
+	}
+
 	/** Sends the command for a machine's upkeep. */
 	private async startUpkeep(open: OpenWave, name: string, one: DrainingMachine): Promise<void> {
-		const { machines, holder, epoch, mayAct } = this.opts;
-		// Not every platform rejects the commands of a replaced owner.
-		if (!mayAct()) return;
+		const { machines, holder, epoch } = this.opts;
 		const outcome = await machines.upkeep(name, open.wave.number, holder, epoch);
 		this.opts.events.emit('machine.upkeep', { machine: name, wave: open.wave.number, outcome });
 		if (outcome === 'fenced') {
--- a/test/upkeep.test.ts
+++ b/test/upkeep.test.ts
@@ -1,5 +1,6 @@
 /** Waves of upkeep, gangs and advice, in memory. */
 import test from 'ava';
+import * as clocks from '../src/core/clock.js';
 import * as advice from '../src/core/dispatch/advice.js';
 import * as jobs from '../src/core/jobs/index.js';
 import * as events from '../src/core/events/index.js';
@@ -54,7 +55,8 @@
 		machines: machines.calls,
 		holder: 'entry-1',
 		epoch: 1,
-		mayAct: () => true,
+		epochConfirmedAt: () => clock.now(),
+		confirmEpoch: () => Promise.resolve(),
 		reopen: () => undefined,
 		onFenced: () => undefined,
 		...hooks,
@@ -177,17 +179,81 @@
 test('an owner that may have been replaced takes no machine down', async (t) => {
 	const clock = time.VirtualClock.create();
 	const machines = createMachines(clock, ['m1', 'm2']);
-	let mayAct = false;
+	let isConfirmed = false;
 	const running = createUpkeep(clock, machines, {
 		vacate: () => 'empty',
 		report: () => Promise.resolve(true),
-		mayAct: () => mayAct,
+		epochConfirmedAt: () => (isConfirmed ? clock.now() : -Infinity),
 	});
 	running.add({ number: 1, machines: ['m1', 'm2'], withinMs: 10_000, maximum: 2 });
 	await clock.advance(3_000);
 	t.deepEqual(machines.takenDown, []);
-	mayAct = true;
+	isConfirmed = true;
 	await clock.advance(3_000);
 	t.deepEqual(machines.takenDown, ['m1', 'm2']);
 	running.close();
 });
+
+/** Machines whose commands are recorded in `commands` and get no answer for the timeout of a call. */
+function createSilentMachines(clock: time.VirtualClock, names: string[], commands: string[]): Machines {
+	const machines = createMachines(clock, names);
+	machines.calls.upkeep = async (name) => {
+		commands.push(name);
+		await clocks.sleep(clock, 1_500);
+		return 'unknown';
+	};
+	return machines;
+}
+
+// Guards against commands of a replaced owner, which a platform that checks no fencing tokens carries out.
+test('an owner that is closed while a command is unanswered takes no other machine down', async (t) => {
+	const clock = time.VirtualClock.create();
+	const commands: string[] = [];
+	const machines = createSilentMachines(clock, ['m1', 'm2', 'm3'], commands);
+	const vacated: string[] = [];
+	const running = createUpkeep(clock, machines, {
+		vacate: (worker) => {
+			vacated.push(worker);
+			return 'empty';
+		},
+		report: () => Promise.resolve(true),
+	});
+	running.add({ number: 1, machines: ['m1', 'm2', 'm3'], withinMs: 20_000, maximum: 3 });
+	while (commands.length === 0) await clock.advance(10);
+	await clock.advance(50);
+	running.close();
+	await clock.advance(10_000);
+	t.deepEqual(commands, ['m1']);
+	t.deepEqual(vacated, ['w-m1']);
+});
+
+// Guards against commands that a box sends as it wakes, before it learns that it was replaced meanwhile.
+test('an owner that was suspended in a check takes no machine down before the store confirms its epoch', async (t) => {
+	const clock = time.VirtualClock.create();
+	const commands: string[] = [];
+	const machines = createSilentMachines(clock, ['m1'], commands);
+	const { list } = machines.calls;
+	// The answer is read as the box wakes.
+	machines.calls.list = async () => {
+		await clocks.sleep(clock, 2_000);
+		return list();
+	};
+	let isReplaced = true;
+	let confirmedAt = clock.now();
+	const running = createUpkeep(clock, machines, {
+		vacate: () => 'empty',
+		report: () => Promise.resolve(true),
+		epochConfirmedAt: () => confirmedAt,
+		confirmEpoch: () => {
+			if (!isReplaced) confirmedAt = clock.now();
+			return Promise.resolve();
+		},
+	});
+	running.add({ number: 1, machines: ['m1'], withinMs: 20_000, maximum: 1 });
+	await clock.advance(4_000);
+	t.deepEqual(commands, []);
+	isReplaced = false;
+	await clock.advance(4_000);
+	t.deepEqual(commands, ['m1']);
+	running.close();
+});
