A successor waits before its first command to a machine

Operators could see: a machine that gets the last command of a former owner, sent in time and slow on its way, after one of its successor with a higher token (ONE), or commands of two owners within lease_ms.

Cause: a new owner sent commands to machines from its first check on, while a command of its predecessor may be in flight for its timeout, 1.5 s; the platform need not check fencing tokens.

Change: machines are vacated from the start, and get their first command lease_ms after the takeover (the bound of the settings; without it 3 s, the time for which an owner may act on its confirmed epoch).

Test: a command of the former owner arrives 1.4 s after it was sent.

--- a/src/core/box/owner-role.ts
+++ b/src/core/box/owner-role.ts
@@ -283,6 +283,7 @@
 			machines: adapter.machines,
 			holder: settings.box,
 			epoch: this.ownerLedger.generation,
+			holdMs: settings.bounds.ownerTurnMs ?? dispatch.settings.renewalHorizonMs,
 			epochConfirmedAt: () => this.ownerLedger.epochConfirmedAt,
 			confirmEpoch: () => this.ownerLedger.confirmEpoch(),
 			vacate: (worker) => this.dispatcher.vacate(worker),
--- a/src/core/box/settings.ts
+++ b/src/core/box/settings.ts
@@ -46,6 +46,8 @@
 	stopMs?: number;
 	/** Factor by which a run takes longer away from its data; absent: it is not stated. */
 	farFactor?: number;
+	/** Least time between the commands of two owners to one machine; absent: it is not stated. */
+	ownerTurnMs?: number;
 	/** A zone's workers are sent nothing more this long after its evacuation was stored; absent: zones are not evacuated. */
 	evacuateMs?: number;
 }
--- a/src/core/upkeep/upkeep.ts
+++ b/src/core/upkeep/upkeep.ts
@@ -31,6 +31,8 @@
 	/** Who sends the commands, and under which epoch. */
 	holder: string;
 	epoch: number;
+	/** Commands of the previous owner may be in flight for this long after the takeover, in milliseconds. */
+	holdMs: number;
 	/** Clock time at which the newest call that confirmed the epoch was sent. */
 	epochConfirmedAt: () => number;
 	/** Asks the store whether the epoch is still in force. */
@@ -65,8 +67,11 @@
 	private readonly waves = new Map<number, OpenWave>();
 	private readonly timer: clocks.Timer;
 	private isClosed = false;
+	/** Clock time from which commands may be sent. */
+	private readonly commandsFrom: number;
 
 	private constructor(private readonly opts: UpkeepOptions) {
+		this.commandsFrom = opts.clock.now() + opts.holdMs;
 		this.timer = clocks.every(opts.clock, checkIntervalMs, () => this.checkWaves());
 	}
 
@@ -119,7 +124,7 @@
 			// Its worker may have restarted meanwhile, with new work.
 			one.worker = machine.worker;
 			const state = one.worker === '' ? 'empty' : this.opts.vacate(one.worker);
-			if (state === 'protected') continue;
+			if (state === 'protected' || this.opts.clock.now() < this.commandsFrom) continue;
 			if (state === 'moving' && this.opts.clock.now() - one.since < maxMigrationMs) continue;
 			await this.startUpkeep(open, name, one);
 		}
--- a/test/upkeep.test.ts
+++ b/test/upkeep.test.ts
@@ -55,6 +55,7 @@
 		machines: machines.calls,
 		holder: 'entry-1',
 		epoch: 1,
+		holdMs: 0,
 		epochConfirmedAt: () => clock.now(),
 		confirmEpoch: () => Promise.resolve(),
 		reopen: () => undefined,
@@ -257,3 +258,36 @@
 	t.deepEqual(commands, ['m1']);
 	running.close();
 });
+
+// Guards against a machine that gets the last command of a former owner after one of its successor.
+test('a successor sends machines nothing while commands of the former owner may be in flight', async (t) => {
+	const clock = time.VirtualClock.create();
+	const machines = createMachines(clock, ['m1', 'm2']);
+	const arrived: number[] = [];
+	machines.calls.upkeep = async (_name, _wave, _holder, epoch) => {
+		// The former owner's link is slow.
+		await clocks.sleep(clock, epoch === 1 ? 1_400 : 2);
+		arrived.push(epoch);
+		return 'busy';
+	};
+	const createOwner = (epoch: number): upkeep.Upkeep =>
+		createUpkeep(clock, machines, {
+			vacate: () => 'empty',
+			report: () => Promise.resolve(true),
+			epoch,
+			holdMs: epoch === 1 ? 0 : 3_000,
+		});
+	const wave: upkeep.Wave = { number: 1, machines: ['m1', 'm2'], withinMs: 20_000, maximum: 2 };
+	const former = createOwner(1);
+	former.add(wave);
+	await clock.advance(750);
+	former.close();
+	const successor = createOwner(2);
+	successor.add(wave);
+	await clock.advance(2_990);
+	t.deepEqual(arrived, [1]);
+	await clock.advance(2_000);
+	t.true(arrived.length > 1);
+	t.deepEqual(arrived, arrived.toSorted());
+	successor.close();
+});
