An owner that is closed repeats no calls

Cause: CallRepeater goes on for a call that is unanswered when its owner steps down: with nothing answered any more, stops and pace commands are repeated as probes for up to a second. Only starts asked whether they are still wanted.

Change: a closed dispatcher's calls are not repeated.

--- a/src/core/dispatch/call-repeater.ts
+++ b/src/core/dispatch/call-repeater.ts
@@ -83,6 +83,8 @@
 	renew: (at: fleet.WorkerTarget) => void;
 	/** Called for each repeat. */
 	onRepeat: () => void;
+	/** Whether the owner sends nothing more, so that its calls in flight are not repeated. */
+	isClosed: () => boolean;
 }
 
 /** Sends the calls of one owner, and repeats those that are overdue. */
@@ -140,6 +142,7 @@
 
 	/** Repeats a call if there is a reason to, and schedules the next check. */
 	private recheck<T>(pending: PendingCall<T>): void {
+		if (this.deps.isClosed()) return;
 		const reason = this.reasonToRepeat(pending);
 		if (reason === undefined) {
 			this.recheckAfter(pending, recheckIntervalMs);
@@ -207,10 +210,8 @@
 	return results.fail({ kind: 'in-doubt', refusal: first.err });
 }
 
-/** Callbacks on repeats. */
-export interface RepeatHandlers {
-	/** A call is repeated. */
-	onRepeat: () => void;
+/** What repeats depend on, and callbacks on them. */
+export interface RepeatHandlers extends Pick<RepeaterDeps, 'onRepeat' | 'isClosed'> {
 	/** A start is repeated. `copies`: number of copies sent, this one included. */
 	onStartRepeated: (at: fleet.WorkerTarget, command: fleet.StartCommand, copies: number) => void;
 }
@@ -221,7 +222,7 @@
 	clock: clocks.Clock,
 	handlers: RepeatHandlers,
 ): fleet.WorkerCalls {
-	const repeater = CallRepeater.create({ clock, renew: calls.renew, onRepeat: handlers.onRepeat });
+	const repeater = CallRepeater.create({ ...handlers, clock, renew: calls.renew });
 	const command = <T>(at: fleet.WorkerTarget, send: () => fleet.WorkerResult<T>): fleet.WorkerResult<T> =>
 		repeater.run({ at, kind: 'order', waitMs: 0, send, resend: send });
 	return {
--- a/src/core/dispatch/counted-calls.ts
+++ b/src/core/dispatch/counted-calls.ts
@@ -6,13 +6,15 @@
 
 /**
  * Wraps calls so that they are repeated if they are overtaken, and so that `meter` counts the repeats and what is sent.
- * Repeated starts are logged.
+ * Repeated starts are logged. `isClosed`: whether the owner sends nothing more.
  */
 export function repeatAndCount(
 	{ calls, clock, events }: Pick<types.DispatchDeps, 'calls' | 'clock' | 'events'>,
 	meter: meters.LoadMeter,
+	isClosed: () => boolean,
 ): fleet.WorkerCalls {
 	const repeated = callRepeater.repeatCalls(calls, clock, {
+		isClosed,
 		onRepeat: () => {
 			meter.count('repeats');
 		},
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -59,6 +59,7 @@
 	private readonly reportLog: reportLog.ReportLog;
 	private readonly listFreshness: freshness.ListFreshness;
 	private readonly evacuations: evacuations.ZoneEvacuations;
+	private isClosed = false;
 
 	private constructor(
 		private readonly opts: options.DispatcherOptions & { takeover: takeovers.TakeoverPolicy },
@@ -103,9 +104,9 @@
 		models?: learnedModels.LearnedModels,
 	): Dispatcher {
 		const meter = meters.LoadMeter.create();
-		const calls = countedCalls.repeatAndCount(opts, meter);
+		const calls = countedCalls.repeatAndCount(opts, meter, () => dispatcher.isClosed);
 		const takeover = takeovers.choose(opts, contents);
-		const dispatcher = new Dispatcher({ ...opts, calls, takeover }, meter, contents);
+		const dispatcher: Dispatcher = new Dispatcher({ ...opts, calls, takeover }, meter, contents);
 		dispatcher.state.adopt(models);
 		for (const unreadable of contents.unreadable) dispatcher.skipUnreadable(unreadable);
 		for (const stored of contents.jobs.values()) dispatcher.addStored(stored);
@@ -223,6 +224,7 @@
 
 	/** Sends no more commands. Runs continue under their leases until another owner takes over. */
 	close(): void {
+		this.isClosed = true;
 		this.tickTimer.cancel();
 		this.placer.close();
 		this.progress.close();
