A closed session stops no more runs whose start had no answer

Operators could see: a run that a successor has adopted is stopped by its former owner.

Cause: the stops of a worker's unconfirmed runs are sent one after the other, each after the answer to the one before, and none asked whether the session was over by then.

Change: no stop is sent once the session is over.

Test: three starts without an answer, the owner closed while the first stop is under way. Before, the other two were sent; after, none.

--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -614,6 +614,7 @@
 
 	/** Stops a run whose start may still be in flight. Returns whether the stop was answered. */
 	private async stopUnconfirmedRun({ task, run }: unconfirmed.UnconfirmedRun): Promise<boolean> {
+		if (this.isSessionOver) return false;
 		const { target } = this;
 		const stamp = this.stamp();
 		const res = await this.deps.calls.stop(target, task, run, stamp.token);
--- a/test/closed-owner.test.ts
+++ b/test/closed-owner.test.ts
@@ -26,3 +26,21 @@
 	await clock.advance(5_000);
 	t.deepEqual(sent, []);
 });
+
+// Guards against stops of a former owner that reach runs which its successor has adopted.
+test('an owner that is closed sends no further stops of runs whose start had no answer', async (t) => {
+	const { environment, owner, w1 } = await fixtures.leaveStartUnanswered(fixtures.step({ count: 3 }));
+	const { clock, fleet } = environment;
+	await clock.advance(12_000);
+	let stops = 0;
+	fleet.fateOf = (_worker, call) => {
+		if (call !== 'stop') return undefined;
+		stops += 1;
+		return { arrivesAfterMs: 2, answersAfterMs: 100, isRefused: false };
+	};
+	w1.fault = 'none';
+	while (stops === 0) await clock.advance(10);
+	owner.dispatcher.close();
+	await clock.advance(5_000);
+	t.is(stops, 1);
+});
