An owner that stops while it renews its lease leaves no record behind

Callers saw: nobody dispatches for up to 2 s after a planned stop.

Cause: an owner whose lease expired in an outage takes a new lease and writes its record again, in two steps. Stopped in between, it ended the old lease alone; the record was written all the same, or had been, and named a box that had given up ownership until the new lease expired.

Change: once ownership has ended, the new lease is ended too, and the record is not written any more.

Test: a stop every 50 ms of the renewal, store writes of 100 ms.

--- a/src/core/owner/ownership.ts
+++ b/src/core/owner/ownership.ts
@@ -518,11 +518,16 @@
 	 * Returns the new lease; undefined: this failed.
 	 */
 	private async renew(owned: ledger.OwnerLedger): Promise<string | undefined> {
-		const lease = await this.opts.store.grantLease(this.opts.leaseMs);
-		if (!lease.ok || this.ownerLedger !== owned) return undefined;
-		const { box, peer } = this.opts;
-		const outcome = await owned.republishOwner({ box, peer, lease: lease.value });
-		if (this.ownerLedger !== owned) return undefined;
+		const { store, leaseMs, box, peer } = this.opts;
+		const lease = await store.grantLease(leaseMs);
+		if (!lease.ok) return undefined;
+		const isOwner = (): boolean => this.ownerLedger === owned;
+		const outcome = isOwner() ? await owned.republishOwner({ box, peer, lease: lease.value }) : undefined;
+		if (!isOwner()) {
+			// Otherwise the record would name this box until the lease expires.
+			void store.endLease(lease.value);
+			return undefined;
+		}
 		if (outcome === 'superseded') this.lose('another box took over after the lease lapsed');
 		if (outcome !== 'committed') return undefined;
 		this.lease = lease.value;
--- a/test/ownership.test.ts
+++ b/test/ownership.test.ts
@@ -251,3 +251,24 @@
 	await boxes.clock.advance(20_000);
 	t.deepEqual(boxes.owners, ['slow-1']);
 });
+
+// Guards against an owner record that names a box which has given up ownership.
+test('an owner that stops while it renews an expired lease is replaced at once', async (t) => {
+	const replacedAfterMs: number[] = [];
+	for (let stopsAfterMs = 0; stopsAfterMs <= 900; stopsAfterMs += 50) {
+		const { boxes, owner } = await TestBoxes.withOwner('weak-1', weak);
+		const next = boxes.start('weak-2', weak);
+		await boxes.clock.advance(1_000);
+		owner.cannotReachStore = true;
+		await boxes.clock.advance(2_500);
+		owner.cannotReachStore = false;
+		boxes.store.writeMs = 100;
+		await boxes.clock.advance(stopsAfterMs);
+		const stoppedAt = boxes.clock.now();
+		void owner.election.release();
+		while (!next.isOwner) await boxes.clock.advance(10);
+		replacedAfterMs.push(boxes.clock.now() - stoppedAt);
+	}
+	// A grant, a takeover and the end of the lease, 100 ms each, and the time until the other box looks.
+	t.true(Math.max(...replacedAfterMs) < 1_000, replacedAfterMs.join(' '));
+});
