A record that an owner publishes is not undone by an earlier write

Operators saw: a wave of upkeep whose state stays 'running' for good, though every machine had its upkeep and 'completed' had been stored.

Cause: OwnerLedger.publish depended on the epoch alone. A write that had no answer was repeated and followed by newer ones, and the store carried the first one out seconds later, as its condition still held. A completed wave is not reported again.

Change: a published record is written on the version that this owner last wrote or read of it, like progress and the roster. An unknown version is read first, which costs one read for each record and owner.

Test: the first report of a wave is stored 3 s after its caller gave up. Before, 'running' is left; after, 'completed'.

--- a/src/core/ledger/owner-ledger.ts
+++ b/src/core/ledger/owner-ledger.ts
@@ -88,6 +88,8 @@
 	/** Clock time at which the latest call was sent that showed this epoch to be in force. */
 	epochConfirmedAt: number;
 	private readonly progressVersions = new Map<string, number>();
+	/** Versions of the records that this owner publishes, as it last wrote or read them. */
+	private readonly publishedVersions = new Map<string, number>();
 	/** Version of the stored roster as this owner last wrote or read it. */
 	rosterVersion = 0;
 
@@ -258,12 +260,27 @@
 		return res.outcome;
 	}
 
-	/** Writes a record for others to read, if this epoch is in force. */
+	/**
+	 * Writes a record for others to read, if this epoch is in force. An earlier write of this owner that had no answer, and is
+	 * carried out late, can't overwrite it.
+	 */
 	async publish(key: string, value: Uint8Array): Promise<WriteOutcome> {
-		const res = await this.commit([], [{ key, value }], []);
+		const known = await this.publishedVersion(key);
+		if (!known.ok) return 'failed';
+		const res = await this.commit([{ key, version: known.value }], [{ key, value }], []);
+		if (res.outcome === 'committed') this.publishedVersions.set(key, res.version);
+		if (res.outcome === 'conflict') this.publishedVersions.set(key, versionIn(res.current, key));
 		return res.outcome;
 	}
 
+	/** Version of a published record; reads it from the store if it is not known. */
+	private async publishedVersion(key: string): Promise<results.Result<number, platform.StoreFailure>> {
+		const known = this.publishedVersions.get(key);
+		if (known !== undefined) return results.ok(known);
+		const stored = await this.store.get(key);
+		return stored.ok ? results.ok(stored.value?.version ?? 0) : stored;
+	}
+
 	/** Deletes all records of jobs that ended long ago. */
 	async deleteJobs(ids: string[]): Promise<WriteOutcome> {
 		const removes = ids.flatMap((id) => [keys.jobKey(id), keys.cancelKey(id), keys.progressKey(id)]);
--- a/test/upkeep.test.ts
+++ b/test/upkeep.test.ts
@@ -8,6 +8,7 @@
 import * as time from '../stand-ins/fleet/virtual-clock.js';
 import * as upkeep from '../src/core/upkeep/index.js';
 import * as fixtures from './fixtures/dispatching.js';
+import type * as memory from '../stand-ins/fleet/memory-store.js';
 import type * as fleet from '../src/core/fleet/types.js';
 
 interface Machines {
@@ -291,3 +292,27 @@
 	t.deepEqual(arrived, arrived.toSorted());
 	successor.close();
 });
+
+// Guards against a completed wave that is shown as running for good.
+test('a report on a wave that is stored late does not undo a later one', async (t) => {
+	const { clock, store, takeOver } = fixtures.createEnvironment(() => ({ ms: 100, how: 'done' }));
+	let fault: memory.StoreFault = 'none';
+	const owner = await takeOver(undefined, () => fault);
+	const machines = createMachines(clock, ['m1']);
+	const key = 'status/wave/1';
+	const running = createUpkeep(clock, machines, {
+		vacate: () => 'empty',
+		report: async (_wave, state) => (await owner.ledger.publish(key, Buffer.from(state))) === 'committed',
+	});
+	fault = 'late';
+	running.add({ number: 1, machines: ['m1'], withinMs: 20_000, maximum: 1 });
+	await clock.advance(1_000);
+	fault = 'none';
+	await clock.advance(20_000);
+	const reading = store.view().get(key);
+	await clock.advance(10);
+	const stored = await reading;
+	t.is(stored.ok ? stored.value?.value.toString() : undefined, 'completed');
+	running.close();
+	owner.dispatcher.close();
+});
