A refusal of a late command does not replace the owner

Callers saw: dispatching pauses for a takeover though nothing was wrong with the owner.

Cause: a worker that has seen a higher token refuses a command. Whether that token was a newer owner's was told by the moment at which the command was sent: its token was the newest then. A command that is slow on its way, and reaches the worker's next incarnation after a poll of the session with that one, was refused for a token of the same owner, which stepped down.

Change: the token is compared as the answer arrives. A newer owner is found by the next command: a refused session takes a new token.

Test: a stop arrives 600 ms after it was sent; its worker has restarted under its name and answered by then. Before, the owner stepped down.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -387,7 +387,7 @@
 			log: this.reportLog,
 			stopOrphan: (session, task, run) => {
 				this.reportLog.orphanedRun(session, task, run);
-				void this.opts.calls.stop(session.target, task, run, session.stamp().token);
+				void this.opts.calls.stop(session.target, task, run, session.token);
 			},
 			stop: (session, placement) => void this.starter.stop(session, placement),
 			finished: (task) => {
--- a/src/core/dispatch/fencing-tokens.ts
+++ b/src/core/dispatch/fencing-tokens.ts
@@ -7,13 +7,6 @@
 /** Number of tokens in one epoch; those of the next epoch are higher. */
 const tokensPerEpoch = 2 ** 32;
 
-/** A token as of the sending of a command. */
-export interface TokenStamp {
-	token: number;
-	/** Whether no higher token had been issued: a worker that refuses the command has then seen a newer owner's token. */
-	isNewest: boolean;
-}
-
 /** The tokens of one owner. */
 export class FencingTokens {
 	private lastIssued: number;
@@ -37,9 +30,12 @@
 		return this.lastIssued;
 	}
 
-	/** The token for a command that is sent at this moment, and whether it is the newest. */
-	stamp(token: number): TokenStamp {
-		return { token, isNewest: token === this.lastIssued };
+	/**
+	 * Whether no higher token has been issued. A worker that refuses a command under such a token has seen a newer owner's;
+	 * otherwise it may have seen a later command of this one, which passed the refused one on its way.
+	 */
+	isNewest(token: number): boolean {
+		return token === this.lastIssued;
 	}
 }
 
--- a/src/core/dispatch/pace-commands.ts
+++ b/src/core/dispatch/pace-commands.ts
@@ -57,14 +57,13 @@
 		percent: number,
 		before: number,
 	): Promise<void> {
-		const { target } = session;
-		const stamp = session.stamp();
+		const { target, token } = session;
 		const commandedAt = this.deps.clock.now();
 		place.paceCommandSentAt = commandedAt;
-		const res = await this.deps.calls.pace(target, place.task.name, place.run, percent, stamp.token);
+		const res = await this.deps.calls.pace(target, place.task.name, place.run, percent, token);
 		if (res.ok) return;
 		this.log.unanswered(session, place, percent, res.err.kind);
-		session.ended(res.err, target, stamp);
+		session.ended(res.err, target, token);
 		// A later command has an answer of its own.
 		if (place.paceCommandSentAt !== commandedAt) return;
 		// The worker may be at either pace; the next report leads to a new decision.
--- a/src/core/dispatch/starter.ts
+++ b/src/core/dispatch/starter.ts
@@ -104,13 +104,12 @@
 		placement.startSentAt = this.deps.clock.now();
 		session.lastStartSentAt = placement.startSentAt;
 		for (let tries = 0; tries < settings.maxStartAttempts; tries += 1) {
-			const { target } = session;
-			const stamp = session.stamp();
+			const { target, token } = session;
 			const res = await this.deps.calls.start(target, {
 				task: placement.task.name,
 				run: placement.run,
 				text: placement.task.step.job.record.text,
-				token: stamp.token,
+				token,
 				leaseUntil,
 				checkpoint: placement.task.checkpoint,
 				ticket,
@@ -128,7 +127,7 @@
 			const isFirst = tries === 0;
 			// Another incarnation refused the start, so it did not crash the incarnation for which it was meant.
 			if (isFirst && err.kind === 'other-life') placement.startSentAt = undefined;
-			if (session.ended(err, target, stamp)) return;
+			if (session.ended(err, target, token)) return;
 			// After an attempt without an answer, no refusal proves that the run is not there or will not arrive.
 			if (isFirst && failures.isNotCarriedOut(err)) {
 				this.handleNotStarted(session, placement, err);
@@ -180,15 +179,14 @@
 		placement.phase = 'stopping';
 		while (isPlaced(session, placement)) {
 			const { task, run } = placement;
-			const { target } = session;
-			const stamp = session.stamp();
-			const res = await this.deps.calls.stop(target, task.name, run, stamp.token);
+			const { target, token } = session;
+			const res = await this.deps.calls.stop(target, task.name, run, token);
 			if (res.ok) {
 				session.noteAnswer(res.value);
 				placement.stopConfirmedAt = this.deps.clock.now();
 				return;
 			}
-			if (session.ended(res.err, target, stamp)) return;
+			if (session.ended(res.err, target, token)) return;
 			await clocks.sleep(this.deps.clock, settings.commandRetryMs);
 		}
 	}
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -7,7 +7,6 @@
 import * as clocks from '../clock.js';
 import * as unconfirmed from './unconfirmed-runs.js';
 import * as failures from '../fleet/failures.js';
-import * as fencing from './fencing-tokens.js';
 import * as health from './worker-health.js';
 import * as leases from './worker-lease.js';
 import * as exits from './unacknowledged-exits.js';
@@ -86,8 +85,7 @@
 	 * that incarnation is processed.
 	 */
 	private superseded = false;
-	/** The fencing token of commands to it. */
-	private token: number;
+	private currentToken: number;
 	private readonly createdAt: number;
 	/** Whether a report was processed under the current token, and no higher token had been seen there. */
 	hasReportedUnderToken = false;
@@ -128,7 +126,7 @@
 		unconfirmedRuns: readonly unconfirmed.UnconfirmedRun[],
 	) {
 		this.createdAt = deps.clock.now();
-		this.token = deps.tokens.next();
+		this.currentToken = deps.tokens.next();
 		this.health = health.WorkerHealth.create({ ...deps, worker: target.id });
 		this.lease = leases.WorkerLease.create(deps, inheritedLeasesEndAt);
 		this.responsiveness = responsiveness.WorkerResponsiveness.create(deps.clock);
@@ -158,14 +156,14 @@
 		return this.target.id;
 	}
 
-	/** The token for a command that is sent at this moment, and whether it is the newest. */
-	stamp(): fencing.TokenStamp {
-		return this.deps.tokens.stamp(this.token);
+	/** The fencing token of commands to it. */
+	get token(): number {
+		return this.currentToken;
 	}
 
 	/** Takes a token above all that were issued. */
 	renewToken(): void {
-		this.token = this.deps.tokens.next();
+		this.currentToken = this.deps.tokens.next();
 	}
 
 	/**
@@ -179,7 +177,7 @@
 
 	/** Whether commands to it carry a lower token than those to another session. */
 	hasLowerTokenThan(other: WorkerSession): boolean {
-		return this.token < other.token;
+		return this.currentToken < other.currentToken;
 	}
 
 	/** Time until every lease there has expired, in milliseconds. */
@@ -378,12 +376,12 @@
 		if (entry.address !== this.target.address) this.target = { id: this.id, address: entry.address };
 	}
 
-	/** Handles a failed call to `at` that was sent under `stamp`. Returns whether the session is over. */
-	ended(failure: fleet.WorkerFailure, at: fleet.WorkerTarget, stamp: fencing.TokenStamp): boolean {
+	/** Handles a failed call to `at` that was sent under `token`. Returns whether the session is over. */
+	ended(failure: fleet.WorkerFailure, at: fleet.WorkerTarget, token: number): boolean {
 		const err = failures.reasonOf(failure);
 		if (failures.isUnanswered(err)) this.noteFailedCall(err);
-		// Under an older token, a newer command of this same owner may have caused the refusal.
-		const isReplaced = err.kind === 'fenced' && stamp.isNewest;
+		// The token is compared as the answer arrives: it may have been the newest as the command was sent.
+		const isReplaced = err.kind === 'fenced' && this.deps.tokens.isNewest(token);
 		if (isReplaced) this.deps.onFenced();
 		else if (err.kind === 'fenced' && !this.isSessionOver) this.renewTokenAndAwaitReport();
 		// If the worker has moved to another address, a worker of another name at the old one proves nothing.
@@ -394,11 +392,10 @@
 
 	/** Checks whether this incarnation still answers. The call runs beside the pending poll, which may wait for seconds. */
 	async checkIncarnation(): Promise<void> {
-		const { target, deps } = this;
-		const stamp = this.stamp();
-		const res = await deps.calls.requestReport(target, { token: stamp.token, acknowledgeUpTo: 0, waitMs: 0 });
+		const { target, deps, token } = this;
+		const res = await deps.calls.requestReport(target, { token, acknowledgeUpTo: 0, waitMs: 0 });
 		if (this.isSessionOver) return;
-		if (!res.ok) this.ended(res.err, target, stamp);
+		if (!res.ok) this.ended(res.err, target, token);
 		else if (!this.isFromThisIncarnation(res.value)) this.supersede(res.value);
 	}
 
@@ -491,15 +488,14 @@
 		let endTurn: types.EndTurn | undefined = await this.deps.firstReportTurns.acquire(this.id);
 		while (!this.isSessionOver) {
 			const sentAt = this.deps.clock.now();
-			const { target } = this;
-			const stamp = this.stamp();
+			const { target, token } = this;
 			const others = this.handlers.otherIncarnations(this);
 			const waitMs = this.waitMs();
 			const poll = { at: sentAt, waitMs };
 			const acknowledgeUpTo = this.acknowledgeableUpTo();
 			this.unacknowledgedExits.noteAcknowledging(acknowledgeUpTo);
 			const res = await this.deps.calls.requestReport(target, {
-				token: stamp.token,
+				token,
 				acknowledgeUpTo,
 				leaseUntil: this.wasLastPollUnanswered ? undefined : this.grantLease(),
 				waitMs,
@@ -531,7 +527,7 @@
 			// Polls again at once after the first failure, to learn whether a worker that ceases to answer still accepts
 			// connections.
 			const isFirstFailure = failures.isUnanswered(res.err) && this.firstFailureAt === undefined;
-			if (this.ended(res.err, target, stamp)) return;
+			if (this.ended(res.err, target, token)) return;
 			if (failures.reasonOf(res.err).kind !== 'fenced' && !isFirstFailure)
 				await clocks.sleep(this.deps.clock, settings.pollRetryMs);
 		}
@@ -615,10 +611,9 @@
 	/** Stops a run whose start may still be in flight. Returns whether the stop was answered. */
 	private async stopUnconfirmedRun({ task, run }: unconfirmed.UnconfirmedRun): Promise<boolean> {
 		if (this.isSessionOver) return false;
-		const { target } = this;
-		const stamp = this.stamp();
-		const res = await this.deps.calls.stop(target, task, run, stamp.token);
-		if (!res.ok) this.ended(res.err, target, stamp);
+		const { target, token } = this;
+		const res = await this.deps.calls.stop(target, task, run, token);
+		if (!res.ok) this.ended(res.err, target, token);
 		return res.ok;
 	}
 
--- a/test/restarted-workers.test.ts
+++ b/test/restarted-workers.test.ts
@@ -299,3 +299,27 @@
 	const tasks = starts.map((one) => one.task).filter((task) => task.startsWith(after));
 	t.deepEqual(tasks.sort(), [`${after}.0.0.0`, `${after}.0.0.1`]);
 });
+
+// Guards against an owner that steps down because a worker has seen a later command of its own.
+test('a command that reaches the next incarnation late, after newer ones, does not replace the owner', async (t) => {
+	const { clock, fleet, takeOver, submit } = fixtures.createEnvironment(() => ({
+		ms: 'endless',
+		how: 'done',
+	}));
+	const w1 = fleet.add('w1', {}, 1);
+	const owner = await takeOver();
+	fleet.onEntriesChanged = (added, removed) => {
+		owner.dispatcher.setWorkers(added, removed, false);
+	};
+	await submit(owner, fixtures.job('job1', [fixtures.step()]));
+	await clock.advance(1_200);
+	fleet.fateOf = (_worker, call) =>
+		call === 'stop' ? { arrivesAfterMs: 600, answersAfterMs: 2, isRefused: false } : undefined;
+	owner.dispatcher.cancelJob('job1');
+	await clock.advance(50);
+	fleet.fateOf = () => undefined;
+	fleet.crashAndRecover(w1, { downMs: 50, unresponsive: false, keepsName: true });
+	await clock.advance(10_000);
+	t.false(owner.isFenced());
+	owner.dispatcher.close();
+});
