--- a/spec/checks.ts
+++ b/spec/checks.ts
@@ -4,6 +4,7 @@
  */
 import * as claim from './claim.js';
 import * as config from './config.js';
+import * as copies from './copies.js';
 import * as crashes from './crashes.js';
 import * as dispatch from './dispatch.js';
 import * as evacuations from './evacuations.js';
@@ -264,6 +265,14 @@
 	return [check('holds', restarts.restartModel('restarts', restarts.noRestartFaults)), ...mutants];
 }
 
+function copyChecks(): Check[] {
+	const all = copies.allCopyGuards;
+	const mutants = Object.keys(all).map((guard) =>
+		check('wrong', copies.copyModel(`copies without ${guard}`, { ...all, [guard]: false })),
+	);
+	return [check('holds', copies.copyModel('copies', all)), ...mutants];
+}
+
 function evacuationChecks(): Check[] {
 	const all = evacuations.allEvacuationGuards;
 	const mutants = Object.keys(all).map((guard) =>
@@ -307,6 +316,7 @@
 	...configChecks(),
 	...crashChecks(),
 	...restartChecks(),
+	...copyChecks(),
 	...evacuationChecks(),
 	...handoverChecks(),
 ];
