A timeout dates a worker's silence to the call that was due

Callers could see: a sound job shown as failed, with 'it brought them down', though no worker crashed under its task (the symptom of soak).

Cause: a worker counted as lost from the moment at which a call to it failed. A timeout comes a second after the answer was due; a start that was sent in the last 50 ms of that second, to a worker that had been silent since, counted as a whole crash, and the crash was attributed to it as the run that had been sent last. Two of them end the job.

Change: a call that fails 200 ms or more after its answer was due shows that the worker had ceased to answer by then, or by its last answer. What was sent later, and had no answer, counts as no crash, and such a loss is attributed to no run. A broken connection shows the moment, as before.

Test: a start at each of 111 moments after its worker fell silent, which is gone later.

--- a/src/core/dispatch/crash-attribution.ts
+++ b/src/core/dispatch/crash-attribution.ts
@@ -47,8 +47,10 @@
 	noteContactLost(session: sessions.WorkerSession): void {
 		const now = this.clock.now();
 		const { id: worker, firstFailureAt: at = now } = session;
+		// A timeout does not tell the moment of a crash, so it singles out no run.
+		const suspects = session.isFailureTimeKnown ? suspectsOn(session, at) : [];
 		this.contactLosses = this.contactLosses.filter((one) => now - one.at < retentionMs);
-		this.contactLosses.push({ worker, at, suspects: suspectsOn(session, at) });
+		this.contactLosses.push({ worker, at, suspects });
 	}
 
 	/** Runs to which a worker's crash is attributed. Only the last time that the worker stopped answering counts. */
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -387,7 +387,8 @@
 			log: this.reportLog,
 			stopOrphan: (session, task, run) => {
 				this.reportLog.orphanedRun(session, task, run);
-				void this.opts.calls.stop(session.target, task, run, session.token);
+				const call = session.newCall();
+				void this.opts.calls.stop(call.target, task, run, call.token);
 			},
 			stop: (session, placement) => void this.starter.stop(session, placement),
 			finished: (task) => {
--- a/src/core/dispatch/outcomes.ts
+++ b/src/core/dispatch/outcomes.ts
@@ -220,13 +220,13 @@
 /** Whether a run that was lost with its worker may have crashed it. */
 function mayHaveCausedCrash(session: sessions.WorkerSession, placement: types.Placement): boolean {
 	const { startSentAt, confirmedAt } = placement;
-	const { firstFailureAt = Infinity } = session;
+	const { silentSince = Infinity } = session;
 	// A planned end of the worker was caused by no run, and a start that was never sent caused nothing.
 	if (startSentAt === undefined || session.hasPlannedEnd) return false;
 	// The worker had stopped answering before the start was sent.
-	if (firstFailureAt <= startSentAt) return false;
+	if (silentSince <= startSentAt) return false;
 	// The start was not carried out if it went unanswered for longer than this.
-	if (confirmedAt === 0) return firstFailureAt - startSentAt <= maxStartAnswerMs;
+	if (confirmedAt === 0) return silentSince - startSentAt <= maxStartAnswerMs;
 	// A run that has worked this long clears its task of suspicion, so it did not cause the crash itself.
 	return session.lastAnsweredAt - confirmedAt < jobs.maxTimeToClearMs;
 }
--- a/src/core/dispatch/pace-commands.ts
+++ b/src/core/dispatch/pace-commands.ts
@@ -57,13 +57,13 @@
 		percent: number,
 		before: number,
 	): Promise<void> {
-		const { target, token } = session;
+		const call = session.newCall();
 		const commandedAt = this.deps.clock.now();
 		place.paceCommandSentAt = commandedAt;
-		const res = await this.deps.calls.pace(target, place.task.name, place.run, percent, token);
+		const res = await this.deps.calls.pace(call.target, place.task.name, place.run, percent, call.token);
 		if (res.ok) return;
 		this.log.unanswered(session, place, percent, res.err.kind);
-		session.ended(res.err, target, token);
+		session.ended(res.err, call);
 		// A later command has an answer of its own.
 		if (place.paceCommandSentAt !== commandedAt) return;
 		// The worker may be at either pace; the next report leads to a new decision.
--- a/src/core/dispatch/starter.ts
+++ b/src/core/dispatch/starter.ts
@@ -104,12 +104,12 @@
 		placement.startSentAt = this.deps.clock.now();
 		session.lastStartSentAt = placement.startSentAt;
 		for (let tries = 0; tries < settings.maxStartAttempts; tries += 1) {
-			const { target, token } = session;
-			const res = await this.deps.calls.start(target, {
+			const call = session.newCall();
+			const res = await this.deps.calls.start(call.target, {
 				task: placement.task.name,
 				run: placement.run,
 				text: placement.task.step.job.record.text,
-				token,
+				token: call.token,
 				leaseUntil,
 				checkpoint: placement.task.checkpoint,
 				ticket,
@@ -127,7 +127,7 @@
 			const isFirst = tries === 0;
 			// Another incarnation refused the start, so it did not crash the incarnation for which it was meant.
 			if (isFirst && err.kind === 'other-life') placement.startSentAt = undefined;
-			if (session.ended(err, target, token)) return;
+			if (session.ended(err, call)) return;
 			// After an attempt without an answer, no refusal proves that the run is not there or will not arrive.
 			if (isFirst && failures.isNotCarriedOut(err)) {
 				this.handleNotStarted(session, placement, err);
@@ -179,14 +179,14 @@
 		placement.phase = 'stopping';
 		while (isPlaced(session, placement)) {
 			const { task, run } = placement;
-			const { target, token } = session;
-			const res = await this.deps.calls.stop(target, task.name, run, token);
+			const call = session.newCall();
+			const res = await this.deps.calls.stop(call.target, task.name, run, call.token);
 			if (res.ok) {
 				session.noteAnswer(res.value);
 				placement.stopConfirmedAt = this.deps.clock.now();
 				return;
 			}
-			if (session.ended(res.err, target, token)) return;
+			if (session.ended(res.err, call)) return;
 			await clocks.sleep(this.deps.clock, settings.commandRetryMs);
 		}
 	}
--- a/src/core/dispatch/worker-responsiveness.ts
+++ b/src/core/dispatch/worker-responsiveness.ts
@@ -11,14 +11,24 @@
  */
 const hungAfterMs = 200;
 
+/**
+ * A call that fails this long after its answer was due shows that the worker had ceased to answer before, not when, in
+ * milliseconds. A broken connection shows at once.
+ */
+const overdueAfterMs = 200;
+
 /** How responsive one worker is. */
 export class WorkerResponsiveness {
 	/** Clock time of the first failed call since the last answer; undefined: none has failed. */
 	private failure: number | undefined;
+	/** Clock time by which it had ceased to answer; undefined: no call has failed since the last answer. */
+	private silentBy: number | undefined;
 	/** Clock time at which the worker accepted a connection for the pending poll; undefined: it has not. */
 	private connectedAt: number | undefined;
 	/** Whether an earlier poll since the last answer was left unanswered on a connection that the worker had accepted. */
 	private hasHung = false;
+	/** Clock time of the last answer; `-Infinity`: there was none. */
+	private answeredAt = -Infinity;
 
 	private constructor(private readonly clock: clocks.Clock) {}
 
@@ -31,6 +41,16 @@
 		return this.failure;
 	}
 
+	/** Clock time by which it had ceased to answer; undefined: no call has failed since the last answer. */
+	get silentSince(): number | undefined {
+		return this.silentBy;
+	}
+
+	/** Whether it ceased to answer at the moment of the first failed call, rather than some time before. */
+	get isFailureTimeKnown(): boolean {
+		return this.failure === this.silentBy;
+	}
+
 	/** Whether it has accepted a connection since its last answer and left the poll on it unanswered. */
 	get isHanging(): boolean {
 		return this.hasHung || this.isPollHanging;
@@ -40,10 +60,12 @@
 		return this.connectedAt !== undefined && this.clock.now() - this.connectedAt > hungAfterMs;
 	}
 
-	/** Notes a failed call. Returns whether it is the first since the last answer. */
-	noteFailure(): boolean {
+	/** Notes a failed call, whose answer was due at `dueAt`. Returns whether it is the first since the last answer. */
+	noteFailure(dueAt: number): boolean {
 		if (this.failure !== undefined) return false;
-		this.failure = this.clock.now();
+		const now = this.clock.now();
+		this.failure = now;
+		this.silentBy = now - dueAt >= overdueAfterMs ? Math.max(dueAt, this.answeredAt) : now;
 		return true;
 	}
 
@@ -60,7 +82,9 @@
 
 	/** Notes an answer. */
 	noteAnswer(): void {
+		this.answeredAt = this.clock.now();
 		this.failure = undefined;
+		this.silentBy = undefined;
 		this.connectedAt = undefined;
 		this.hasHung = false;
 	}
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -18,6 +18,15 @@
 import type * as jobs from '../jobs/index.js';
 import type * as types from './types.js';
 
+/** A call as it is sent. */
+export interface SentCall {
+	target: fleet.WorkerTarget;
+	/** The fencing token that it carries. */
+	token: number;
+	/** Clock time at which its answer is due. */
+	dueAt: number;
+}
+
 /** A worker under this owner's epoch. */
 export class WorkerSession {
 	readonly placements = new Map<string, types.Placement>();
@@ -85,7 +94,8 @@
 	 * that incarnation is processed.
 	 */
 	private superseded = false;
-	private currentToken: number;
+	/** The fencing token of commands to it. */
+	private token: number;
 	private readonly createdAt: number;
 	/** Whether a report was processed under the current token, and no higher token had been seen there. */
 	hasReportedUnderToken = false;
@@ -126,7 +136,7 @@
 		unconfirmedRuns: readonly unconfirmed.UnconfirmedRun[],
 	) {
 		this.createdAt = deps.clock.now();
-		this.currentToken = deps.tokens.next();
+		this.token = deps.tokens.next();
 		this.health = health.WorkerHealth.create({ ...deps, worker: target.id });
 		this.lease = leases.WorkerLease.create(deps, inheritedLeasesEndAt);
 		this.responsiveness = responsiveness.WorkerResponsiveness.create(deps.clock);
@@ -156,14 +166,14 @@
 		return this.target.id;
 	}
 
-	/** The fencing token of commands to it. */
-	get token(): number {
-		return this.currentToken;
+	/** A call to be sent now. `waitMs`: how long its answer may wait at the worker, in milliseconds. */
+	newCall(waitMs = 0): SentCall {
+		return { target: this.target, token: this.token, dueAt: this.deps.clock.now() + waitMs };
 	}
 
 	/** Takes a token above all that were issued. */
 	renewToken(): void {
-		this.currentToken = this.deps.tokens.next();
+		this.token = this.deps.tokens.next();
 	}
 
 	/**
@@ -177,7 +187,7 @@
 
 	/** Whether commands to it carry a lower token than those to another session. */
 	hasLowerTokenThan(other: WorkerSession): boolean {
-		return this.currentToken < other.currentToken;
+		return this.token < other.token;
 	}
 
 	/** Time until every lease there has expired, in milliseconds. */
@@ -190,6 +200,16 @@
 		return this.responsiveness.firstFailureAt;
 	}
 
+	/** Clock time by which it had ceased to answer; undefined: no call has failed since the last answer. */
+	get silentSince(): number | undefined {
+		return this.responsiveness.silentSince;
+	}
+
+	/** Whether it ceased to answer at the moment of the first failed call, rather than some time before. */
+	get isFailureTimeKnown(): boolean {
+		return this.responsiveness.isFailureTimeKnown;
+	}
+
 	/** Whether it still accepted connections after it had ceased to answer, so it did not crash at that moment. */
 	get isHanging(): boolean {
 		return this.responsiveness.isHanging;
@@ -365,8 +385,8 @@
 	 * Handles a call that was not answered. A crash breaks connections, so the first failure is closest to the time of the
 	 * crash.
 	 */
-	private noteFailedCall(err: fleet.WorkerFailure): void {
-		if (this.responsiveness.noteFailure()) this.handlers.onUnanswered(this, err);
+	private noteFailedCall(err: fleet.WorkerFailure, dueAt: number): void {
+		if (this.responsiveness.noteFailure(dueAt)) this.handlers.onUnanswered(this, err);
 	}
 
 	/** Updates the worker's entry from the platform's list. */
@@ -376,26 +396,27 @@
 		if (entry.address !== this.target.address) this.target = { id: this.id, address: entry.address };
 	}
 
-	/** Handles a failed call to `at` that was sent under `token`. Returns whether the session is over. */
-	ended(failure: fleet.WorkerFailure, at: fleet.WorkerTarget, token: number): boolean {
+	/** Handles a failed call. Returns whether the session is over. */
+	ended(failure: fleet.WorkerFailure, { target, token, dueAt }: SentCall): boolean {
 		const err = failures.reasonOf(failure);
-		if (failures.isUnanswered(err)) this.noteFailedCall(err);
+		if (failures.isUnanswered(err)) this.noteFailedCall(err, dueAt);
 		// The token is compared as the answer arrives: it may have been the newest as the command was sent.
 		const isReplaced = err.kind === 'fenced' && this.deps.tokens.isNewest(token);
 		if (isReplaced) this.deps.onFenced();
 		else if (err.kind === 'fenced' && !this.isSessionOver) this.renewTokenAndAwaitReport();
 		// If the worker has moved to another address, a worker of another name at the old one proves nothing.
-		if (err.kind === 'other-life' && at.address === this.target.address)
+		if (err.kind === 'other-life' && target.address === this.target.address)
 			this.end('another life of the worker answers at its address');
 		return this.isSessionOver || isReplaced;
 	}
 
 	/** Checks whether this incarnation still answers. The call runs beside the pending poll, which may wait for seconds. */
 	async checkIncarnation(): Promise<void> {
-		const { target, deps, token } = this;
-		const res = await deps.calls.requestReport(target, { token, acknowledgeUpTo: 0, waitMs: 0 });
+		const call = this.newCall();
+		const { target, token } = call;
+		const res = await this.deps.calls.requestReport(target, { token, acknowledgeUpTo: 0, waitMs: 0 });
 		if (this.isSessionOver) return;
-		if (!res.ok) this.ended(res.err, target, token);
+		if (!res.ok) this.ended(res.err, call);
 		else if (!this.isFromThisIncarnation(res.value)) this.supersede(res.value);
 	}
 
@@ -488,14 +509,14 @@
 		let endTurn: types.EndTurn | undefined = await this.deps.firstReportTurns.acquire(this.id);
 		while (!this.isSessionOver) {
 			const sentAt = this.deps.clock.now();
-			const { target, token } = this;
 			const others = this.handlers.otherIncarnations(this);
 			const waitMs = this.waitMs();
+			const call = this.newCall(waitMs);
 			const poll = { at: sentAt, waitMs };
 			const acknowledgeUpTo = this.acknowledgeableUpTo();
 			this.unacknowledgedExits.noteAcknowledging(acknowledgeUpTo);
-			const res = await this.deps.calls.requestReport(target, {
-				token,
+			const res = await this.deps.calls.requestReport(call.target, {
+				token: call.token,
 				acknowledgeUpTo,
 				leaseUntil: this.wasLastPollUnanswered ? undefined : this.grantLease(),
 				waitMs,
@@ -527,7 +548,7 @@
 			// Polls again at once after the first failure, to learn whether a worker that ceases to answer still accepts
 			// connections.
 			const isFirstFailure = failures.isUnanswered(res.err) && this.firstFailureAt === undefined;
-			if (this.ended(res.err, target, token)) return;
+			if (this.ended(res.err, call)) return;
 			if (failures.reasonOf(res.err).kind !== 'fenced' && !isFirstFailure)
 				await clocks.sleep(this.deps.clock, settings.pollRetryMs);
 		}
@@ -611,9 +632,9 @@
 	/** Stops a run whose start may still be in flight. Returns whether the stop was answered. */
 	private async stopUnconfirmedRun({ task, run }: unconfirmed.UnconfirmedRun): Promise<boolean> {
 		if (this.isSessionOver) return false;
-		const { target, token } = this;
-		const res = await this.deps.calls.stop(target, task, run, token);
-		if (!res.ok) this.ended(res.err, target, token);
+		const call = this.newCall();
+		const res = await this.deps.calls.stop(call.target, task, run, call.token);
+		if (!res.ok) this.ended(res.err, call);
 		return res.ok;
 	}
 
--- /dev/null
+++ b/test/silent-before-crash.test.ts
@@ -0,0 +1,36 @@
+/** Workers that fall silent and crash later: what counts against the tasks whose starts were sent to them meanwhile. */
+import test from 'ava';
+import * as fixtures from './fixtures/dispatching.js';
+
+/** Interval between the tried moments of a start after its worker fell silent, and the last of them, in milliseconds. */
+const stepMs = 20;
+const lastMs = 2_200;
+
+/** Events that count a crash against a task of which no run was on the crashed worker. */
+async function crashesCounted(startsAfterMs: number): Promise<string[]> {
+	const { clock, fleet, takeOver, submit } = fixtures.createEnvironment(() => ({ ms: 300, how: 'done' }));
+	const silent = fleet.add('silent', { labels: ['odd'] });
+	const owner = await takeOver();
+	fleet.onEntriesChanged = (added, removed) => {
+		owner.dispatcher.setWorkers(added, removed, false);
+	};
+	await clock.advance(1_500);
+	silent.fault = 'silent';
+	await clock.advance(startsAfterMs);
+	await submit(owner, fixtures.job('job1', [fixtures.step({ requiredLabel: 'odd' })]));
+	await clock.advance(1_500);
+	fleet.crashAndRecover(silent, { downMs: 500, unresponsive: true });
+	await clock.advance(15_000);
+	owner.dispatcher.close();
+	return owner.events
+		.select(({ name }) => name === 'task.crashed')
+		.map(({ fields }) => `${String(startsAfterMs)} ms: ${JSON.stringify(fields)}`);
+}
+
+// Guards against sound jobs that are shown as failed because their starts were sent to workers that had fallen silent.
+test('a start that is sent after its worker fell silent counts as no crash, whenever the owner notices', async (t) => {
+	const counted: string[] = [];
+	for (let startsAfterMs = 0; startsAfterMs <= lastMs; startsAfterMs += stepMs)
+		counted.push(...(await crashesCounted(startsAfterMs)));
+	t.deepEqual(counted, []);
+});
--- a/test/worker-responsiveness.test.ts
+++ b/test/worker-responsiveness.test.ts
@@ -21,8 +21,8 @@
 	responsiveness.noteConnected();
 	await clock.advance(1_000);
 	t.false(responsiveness.isHanging, 'connections opened before a call failed prove nothing');
-	t.true(responsiveness.noteFailure());
-	t.false(responsiveness.noteFailure());
+	t.true(responsiveness.noteFailure(clock.now()));
+	t.false(responsiveness.noteFailure(clock.now()));
 	await clock.advance(1_000);
 	t.false(responsiveness.isHanging, 'it may have crashed at that moment');
 	responsiveness.noteConnected();
@@ -30,7 +30,7 @@
 	await clock.advance(300);
 	t.true(responsiveness.isHanging);
 	responsiveness.noteAnswer();
-	responsiveness.noteFailure();
+	responsiveness.noteFailure(clock.now());
 	responsiveness.noteConnected();
 	responsiveness.notePollFailed();
 	await clock.advance(1_000);
@@ -44,6 +44,25 @@
 	t.is(responsiveness.firstFailureAt, undefined);
 });
 
+test('a call that times out shows that a worker had ceased to answer by the time its answer was due', async (t) => {
+	const clock = time.VirtualClock.create();
+	const responsiveness = workerResponsiveness.WorkerResponsiveness.create(clock);
+	const startedAt = clock.now();
+	await clock.advance(1_000);
+	responsiveness.noteFailure(startedAt);
+	t.is(responsiveness.silentSince, startedAt);
+	t.false(responsiveness.isFailureTimeKnown);
+	responsiveness.noteAnswer();
+	t.is(responsiveness.silentSince, undefined);
+	await clock.advance(1_000);
+	responsiveness.noteFailure(startedAt + 500);
+	t.is(responsiveness.silentSince, startedAt + 1_000, 'it answered another call after that');
+	responsiveness.noteAnswer();
+	responsiveness.noteFailure(clock.now() - 50);
+	t.is(responsiveness.silentSince, clock.now(), 'a broken connection shows the moment');
+	t.true(responsiveness.isFailureTimeKnown);
+});
+
 test('a worker that refuses polls is not polled again and again without a pause', async (t) => {
 	const { clock, fleet, takeOver } = fixtures.createEnvironment(() => ({ ms: 100, how: 'done' }));
 	const w1 = fleet.add('w1');
