A gang is stopped whole where the start of one member is given up

Callers could see: a gang whose members wait for one that never comes, up to the time limit of the gang, and end 'alone' (GANG).

Cause: a refused start stops the rest of its gang; one that was given up without an answer, or in doubt, only stopped its own run. With refusals in doubt that is no longer the rare case.

Change: giving a start up stops the other members, too.

Test: the starts on one of two workers are never answered. Before, the other member's run 1 goes on by itself; after, both run under a later number.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -268,6 +268,9 @@
 			onNotStarted: (session, placement, err) => {
 				this.outcomes.notStarted(session, placement, err);
 			},
+			onGivenUp: ({ task }) => {
+				this.outcomes.startGivenUp(task);
+			},
 		});
 	}
 
--- a/src/core/dispatch/outcomes.ts
+++ b/src/core/dispatch/outcomes.ts
@@ -67,6 +67,11 @@
 		this.stopGang(task);
 	}
 
+	/** A start was given up, and its run is being stopped. Its task is placed again once the run is known to be gone. */
+	startGivenUp(task: jobs.Task): void {
+		this.stopGang(task);
+	}
+
 	/** A start was withdrawn before it was sent, because its placement is no longer valid. */
 	withdrawn(session: sessions.WorkerSession, placement: types.Placement, reason: string): void {
 		const { task, run } = placement;
--- a/src/core/dispatch/starter.ts
+++ b/src/core/dispatch/starter.ts
@@ -31,6 +31,8 @@
 		placement: types.Placement,
 		err: fleet.WorkerFailure,
 	) => void;
+	/** A start is given up without knowing whether its run is there; the run is being stopped. */
+	onGivenUp: (placement: types.Placement) => void;
 }
 
 /** What a starter depends on. */
@@ -140,7 +142,9 @@
 			if (this.startObstacle(session, placement) !== undefined) break;
 		}
 		// The run may be there or arrive later; an acknowledged stop makes sure that it does not run.
-		await this.stop(session, placement);
+		const stopping = this.stop(session, placement);
+		this.handlers.onGivenUp(placement);
+		await stopping;
 	}
 
 	/**
--- a/test/repeated-starts.test.ts
+++ b/test/repeated-starts.test.ts
@@ -92,3 +92,31 @@
 		t.true(repeats > fates.length, `${String(repeats)} repeats`);
 		t.deepEqual(broken, []);
 	});
+
+// Guards against members of a gang that wait for one whose start was given up.
+test('a gang is stopped whole if the start of one member is given up', async (t) => {
+	const { clock, fleet, takeOver, submit } = fixtures.createEnvironment(() => ({
+		ms: 'endless',
+		how: 'done',
+	}));
+	fleet.add('sound');
+	fleet.add('faulty');
+	const owner = await takeOver();
+	await clock.advance(1_200);
+	let isFaulty = true;
+	fleet.fateOf = (worker, call) =>
+		isFaulty && worker === 'faulty' && call === 'start'
+			? { arrivesAfterMs: 2, answersAfterMs: 'lost', isRefused: true }
+			: undefined;
+	await submit(owner, fixtures.job('gang', [fixtures.step({ count: 2, gang: true, maxPerWorker: 1 })]));
+	await clock.advance(4_000);
+	isFaulty = false;
+	await clock.advance(4_000);
+	const runs = [...fleet.workers.values()].flatMap((worker) =>
+		[...worker.running.values()].map(({ run }) => run),
+	);
+	t.is(runs.length, 2);
+	t.is(new Set(runs).size, 1);
+	t.true((runs[0] ?? 0) > 1);
+	owner.dispatcher.close();
+});
