--- a/test/lossy-calls.test.ts
+++ b/test/lossy-calls.test.ts
@@ -1,6 +1,7 @@
 /**
  * Workers behind lossy links that refuse some calls and carry others out seconds late, beside changes of the owner: whatever
  * the order in which copies of calls arrive and are answered, a task has one run at a time and none after one was done.
+ * `LOSSY_SEED` and `LOSSY_SEEDS` in the environment choose other seeds than the few that are always played.
  */
 import process from 'node:process';
 import test from 'ava';
