Soak: say which workers crashed under a job that is shown as failed

The violation now lists the crashes of workers that ran the job's tasks, and the logs of a seed hold all crashes (crashes.json), by the stand-ins' own account.

--- a/dev/soak/callers.ts
+++ b/dev/soak/callers.ts
@@ -94,8 +94,7 @@
 		if (state === 'completed') checker.noteReportedCompleted(job);
 		if (state === 'completed' || state === 'cancelled' || job.cancelled) return;
 		if (state === 'failed') {
-			if (!checker.mayFail(job)) checker.reportViolation('lost', `${job.id} is shown as failed`);
-			job.failed = true;
+			checker.noteReportedFailed(job);
 			return;
 		}
 	}
--- a/dev/soak/invariant-checker.ts
+++ b/dev/soak/invariant-checker.ts
@@ -59,6 +59,15 @@
 	milliCores: number;
 }
 
+/** A crash of a worker. */
+interface WorkerCrash {
+	/** Seconds from the start of the soak. */
+	at: number;
+	worker: string;
+	/** The tasks that ran there. */
+	tasks: string[];
+}
+
 /** Records and checks everything that callers and workers see. */
 export class InvariantChecker implements workers.FleetJournal {
 	readonly violations: Violation[] = [];
@@ -81,6 +90,8 @@
 	 * `crashesBeforeStartLimit` crashes.
 	 */
 	private readonly crashes = new Map<string, { count: number; startsAfterLimit: number }>();
+	/** All crashes of workers, oldest first. */
+	readonly workerCrashes: WorkerCrash[] = [];
 	starts = 0;
 	/** When a run last started or exited, in seconds from the start of the soak. */
 	anyProgressAt = 0;
@@ -106,8 +117,23 @@
 		return this.hasCrashingJobs && Math.max(...crashCounts) >= crashing.crashesBeforeAbandoning;
 	}
 
+	/** Records that a job is shown as failed. */
+	noteReportedFailed(job: SoakJob): void {
+		job.failed = true;
+		if (this.mayFail(job)) return;
+		const crashes = this.workerCrashes
+			.map((crash) => ({ ...crash, tasks: crash.tasks.filter((task) => task.startsWith(`${job.id}.`)) }))
+			.filter(({ tasks }) => tasks.length > 0)
+			.map(({ at, worker, tasks }) => `${worker} at ${at} s under ${tasks.join(' ')}`);
+		this.reportViolation(
+			'lost',
+			`${job.id} is shown as failed, workers crashed: ${crashes.join(', ') || 'none'}`,
+		);
+	}
+
 	/** Records that a worker crashed while these tasks ran there. */
-	crashed(tasks: string[]): void {
+	crashed(worker: string, tasks: string[]): void {
+		this.workerCrashes.push({ at: this.now(), worker, tasks });
 		for (const task of tasks) {
 			const known = this.crashes.get(task) ?? { count: 0, startsAfterLimit: 0 };
 			this.crashes.set(task, { ...known, count: known.count + 1 });
--- a/dev/soak/soak.ts
+++ b/dev/soak/soak.ts
@@ -114,8 +114,7 @@
 	]);
 	checkTimer.cancel();
 	checker.checkAtEnd();
-	if (opts.keep || checker.violations.length > 0)
-		writeLogs(opts, environment, faultLines, checker.violations);
+	if (opts.keep || checker.violations.length > 0) writeLogs(opts, environment, faultLines, checker);
 	await environment.close();
 	reports.printSummary(opts.seed, faultLines, checker, seconds());
 	if (checker.violations.length > 0) reports.explain(environment, faultLines, checker.violations);
@@ -145,17 +144,18 @@
 	};
 }
 
-/** Writes the boxes' logs, the faults and the broken promises to a folder. */
+/** Writes the boxes' logs, the faults, the crashes of workers and the broken promises to a folder. */
 function writeLogs(
 	opts: SoakOptions,
 	environment: environments.Environment,
 	faultLines: string[],
-	broken: checkers.Violation[],
+	{ violations, workerCrashes }: checkers.InvariantChecker,
 ): void {
 	const folder = `${opts.logs}/seed-${opts.seed}`;
 	fs.mkdirSync(folder, { recursive: true });
 	fs.writeFileSync(`${folder}/faults.txt`, `${faultLines.join('\n')}\n`);
-	fs.writeFileSync(`${folder}/broken.json`, JSON.stringify(broken, undefined, '\t'));
+	fs.writeFileSync(`${folder}/broken.json`, JSON.stringify(violations, undefined, '\t'));
+	fs.writeFileSync(`${folder}/crashes.json`, JSON.stringify(workerCrashes, undefined, '\t'));
 	for (const box of environment.boxes) {
 		const logLines = box.lines.flat().map((line) => JSON.stringify(line));
 		fs.writeFileSync(`${folder}/${box.name}.jsonl`, `${logLines.join('\n')}\n`);
--- a/stand-ins/fleet/types.ts
+++ b/stand-ins/fleet/types.ts
@@ -53,7 +53,7 @@
 	/** A run exited. */
 	ended: (end: fleet.RunExit) => void;
 	/** A worker crashed while these tasks ran there; absent: crashes are not reported. */
-	crashed?: (tasks: string[]) => void;
+	crashed?: (worker: string, tasks: string[]) => void;
 	/** A worker dropped an exit that a box had acknowledged. */
 	acknowledged: (end: fleet.RunExit) => void;
 }
--- a/stand-ins/fleet/workers.ts
+++ b/stand-ins/fleet/workers.ts
@@ -462,7 +462,7 @@
 	}
 
 	private remove(worker: FakeWorker): void {
-		this.opts.journal?.crashed?.([...worker.running.keys()]);
+		this.opts.journal?.crashed?.(worker.name, [...worker.running.keys()]);
 		worker.terminate();
 		if (this.workers.get(worker.name) === worker) this.workers.delete(worker.name);
 	}
--- a/test/restarted-workers.test.ts
+++ b/test/restarted-workers.test.ts
@@ -43,7 +43,7 @@
 				this.running.add(task);
 			},
 			ended: ({ task }) => void this.running.delete(task),
-			crashed: (tasks) => {
+			crashed: (_, tasks) => {
 				for (const task of tasks) this.running.delete(task);
 			},
 			acknowledged: ({ task, how }: fleetTypes.RunExit) => {
