A start without an answer is not blamed for the crash of its worker

Cause: a run whose start was sent up to 150 ms before its worker stopped answering was blamed for the crash, also if the start had no answer. Such a start was on its way as the worker crashed, or met a connection whose end had not been noticed yet. Two such starts of one task failed its job.

The new test brings it about in memory: 'failed' with no crash under the task before, 'completed' now.

Changed: only runs that are known to have arrived are suspected. The crash still counts, so a task whose starts are never answered is abandoned after its fourth crash.

--- a/src/core/dispatch/crash-attribution.ts
+++ b/src/core/dispatch/crash-attribution.ts
@@ -67,14 +67,17 @@
 }
 
 /**
- * The runs that were sent shortly before a worker stopped answering. Nothing is started beside a run on probation, so such a
- * run is the only suspect. Other runs of a task that is already under suspicion are left out: its first suspicion may have
- * been shared with others, and a second one would rest on it.
+ * The runs that were sent shortly before a worker stopped answering, and are known to have arrived. A start without an answer
+ * may have been on its way as the worker crashed. Nothing is started beside a run on probation, so such a run is the only
+ * suspect. Other runs of a task that is already under suspicion are left out: its first suspicion may have been shared with
+ * others, and a second one would rest on it.
  */
 function suspectsOn(session: sessions.WorkerSession, at: number): types.Placement[] {
 	const { placements, runOnProbation } = session;
 	const places = [...placements.values()];
-	const recent = places.filter((placement) => at - (placement.startSentAt ?? -Infinity) <= suspectWindowMs);
+	const recent = places.filter(
+		({ startSentAt = -Infinity, confirmedAt }) => at - startSentAt <= suspectWindowMs && confirmedAt > 0,
+	);
 	if (runOnProbation !== undefined && recent.includes(runOnProbation)) return [runOnProbation];
 	return recent.filter(({ task }) => (task.crashes?.blamed ?? 0) === 0);
 }
--- a/test/silent-before-crash.test.ts
+++ b/test/silent-before-crash.test.ts
@@ -6,6 +6,9 @@
 const stepMs = 20;
 const lastMs = 2_200;
 
+/** Time from when a start is sent until its worker crashes, in milliseconds. */
+const crashAfterMs = 10;
+
 /** Events that count a crash against a task of which no run was on the crashed worker. */
 async function crashesCounted(startsAfterMs: number): Promise<string[]> {
 	const { clock, fleet, takeOver, submit } = fixtures.createEnvironment(() => ({ ms: 300, how: 'done' }));
@@ -35,6 +38,33 @@
 	t.deepEqual(counted, []);
 });
 
+// Guards against sound jobs that are shown as failed because their starts were on the way to workers that crashed.
+test('a task is not blamed for crashes of workers that its starts did not reach', async (t) => {
+	const { clock, fleet, takeOver, submit } = fixtures.createEnvironment(() => ({ ms: 300, how: 'done' }));
+	fleet.add('crashing', { labels: ['odd'] });
+	const owner = await takeOver();
+	fleet.onEntriesChanged = (added, removed) => {
+		owner.dispatcher.setWorkers(added, removed, false);
+	};
+	await clock.advance(1_500);
+	fleet.fateOf = (name, call) => {
+		const worker = fleet.workers.get(name);
+		if (call !== 'start' || worker === undefined || fleet.crashes.length >= 2) return undefined;
+		clock.after(crashAfterMs, () => {
+			fleet.crashAndRecover(worker, { downMs: 500, unresponsive: false });
+		});
+		return { arrivesAfterMs: 2 * crashAfterMs, answersAfterMs: 'lost', isRefused: false };
+	};
+	await submit(owner, fixtures.job('job1', [fixtures.step({ requiredLabel: 'odd' })]));
+	await clock.advance(15_000);
+	t.deepEqual(
+		fleet.crashes.map(({ tasks }) => tasks),
+		[[], []],
+	);
+	t.is(owner.dispatcher.stateOf('job1'), 'completed');
+	owner.dispatcher.close();
+});
+
 // Guards against sound jobs that are shown as failed because their runs exited on workers that hung before they crashed.
 test('a job is completed though its worker hangs until it restarts, while each of its first runs exits', async (t) => {
 	const environment = fixtures.createEnvironment(() => ({ ms: 300, how: 'done' }));
