A cancellation depends on the record of the job that it cancels

What callers would see: a job handed in again under the id of an earlier one, long after that had ended, shown as cancelled though nobody cancelled it.

Cause: the write of a cancellation depended only on there being none. One that the store carried out seconds after its caller had timed out could come after the job's records were deleted; its key then stayed for good, and the next job of this id began as cancelled.

Changed: the write depends on the version of the job's record that the box read. A conflict tells whether the job was cancelled before, was deleted or was replaced; in the last case nothing is stored and the caller is told to come again.

Before: both new tests fail ('cancelled' in place of 'pending', and of 'no-such-job'). After: they pass.

--- a/src/core/ledger/requests.ts
+++ b/src/core/ledger/requests.ts
@@ -34,11 +34,20 @@
 	if (job.value === undefined) return { type: 'no-such-job' };
 	const key = keys.cancelKey(id);
 	const res = await store.commit({
-		expected: [{ key, version: 0 }],
+		expected: [
+			{ key, version: 0 },
+			// A late repetition must not cancel a later job of this id.
+			{ key: job.value.key, version: job.value.version },
+		],
 		writes: [{ key, value: new Uint8Array(0) }],
 		removes: [],
 	});
-	return res.ok ? { type: 'cancelled' } : toWriteFailure(res.err);
+	if (!res.ok) return toWriteFailure(res.err);
+	const outcome = res.value;
+	if (outcome.type !== 'conflict' || outcome.current.some((item) => item.key === key))
+		return { type: 'cancelled' };
+	const isDeleted = outcome.current.length === 0;
+	return isDeleted ? { type: 'no-such-job' } : { type: 'not-stored', reason: 'the job was replaced' };
 }
 
 /** Whether the job's record is stored, that is, the job was accepted before. */
