A start whose answer is not due yet is not blamed for the crash of its worker

A start that goes unanswered for longer than starts usually take has arrived as far as one can tell, and may have crashed its worker at once; one that has not been on its way for so long may not have arrived. The usual time is that of RFC 6298 (smoothed delay and four variations) over the starts of this owner, so it follows the load and the links.

The new test ('failed' with no crash under the task) fails without the condition and passes with it.

--- a/src/core/dispatch/crash-attribution.ts
+++ b/src/core/dispatch/crash-attribution.ts
@@ -3,6 +3,7 @@
  * known closely. A run that was sent just before is suspected, and one that had worked for a while is not. Workers that
  * crash at the same moment have a common cause outside their runs, unless one step was started on all of them just before.
  */
+import * as delays from './answer-delays.js';
 import type * as clocks from '../clock.js';
 import type * as jobs from '../jobs/index.js';
 import type * as sessions from './worker-session.js';
@@ -36,6 +37,8 @@
 export class CrashAttribution {
 	/** Oldest first. */
 	private contactLosses: ContactLoss[] = [];
+	/** Times from when starts are sent until they are answered. */
+	private readonly startDelays = delays.AnswerDelays.create();
 
 	private constructor(private readonly clock: clocks.Clock) {}
 
@@ -43,12 +46,17 @@
 		return new CrashAttribution(clock);
 	}
 
+	/** Records that a start was answered. */
+	noteStarted({ startSentAt, confirmedAt }: types.Placement): void {
+		if (startSentAt !== undefined) this.startDelays.addSample(confirmedAt - startSentAt);
+	}
+
 	/** Records that a worker stopped answering. */
 	noteContactLost(session: sessions.WorkerSession): void {
 		const now = this.clock.now();
 		const { id: worker, firstFailureAt: at = now } = session;
 		// A timeout does not tell the moment of a crash, so it singles out no run.
-		const suspects = session.isFailureTimeKnown ? suspectsOn(session, at) : [];
+		const suspects = session.isFailureTimeKnown ? this.suspectsOn(session, at) : [];
 		this.contactLosses = this.contactLosses.filter((one) => now - one.at < retentionMs);
 		this.contactLosses.push({ worker, at, suspects });
 	}
@@ -64,20 +72,20 @@
 			simultaneous.every((one) => one.suspects.some((placement) => placement.task.step === step));
 		return new Set(contactLoss.suspects.filter((placement) => isSuspectOnAll(placement.task.step)));
 	}
-}
 
-/**
- * The runs that were sent shortly before a worker stopped answering, and are known to have arrived. A start without an answer
- * may have been on its way as the worker crashed. Nothing is started beside a run on probation, so such a run is the only
- * suspect. Other runs of a task that is already under suspicion are left out: its first suspicion may have been shared with
- * others, and a second one would rest on it.
- */
-function suspectsOn(session: sessions.WorkerSession, at: number): types.Placement[] {
-	const { placements, runOnProbation } = session;
-	const places = [...placements.values()];
-	const recent = places.filter(
-		({ startSentAt = -Infinity, confirmedAt }) => at - startSentAt <= suspectWindowMs && confirmedAt > 0,
-	);
-	if (runOnProbation !== undefined && recent.includes(runOnProbation)) return [runOnProbation];
-	return recent.filter(({ task }) => (task.crashes?.blamed ?? 0) === 0);
+	/**
+	 * The runs that were sent shortly before a worker stopped answering, unless an answer to their start was not due yet: the
+	 * start may not have arrived. Nothing is started beside a run on probation, so such a run is the only suspect. Other runs
+	 * of a task that is already under suspicion are left out: its first suspicion may have been shared with others, and a
+	 * second one would rest on it.
+	 */
+	private suspectsOn({ placements, runOnProbation }: sessions.WorkerSession, at: number): types.Placement[] {
+		const recent = [...placements.values()].filter(({ startSentAt = -Infinity, confirmedAt }) => {
+			const sentForMs = at - startSentAt;
+			const hasArrived = confirmedAt > 0 || sentForMs > this.startDelays.usualDelayMs;
+			return hasArrived && sentForMs <= suspectWindowMs;
+		});
+		if (runOnProbation !== undefined && recent.includes(runOnProbation)) return [runOnProbation];
+		return recent.filter(({ task }) => (task.crashes?.blamed ?? 0) === 0);
+	}
 }
--- a/test/silent-before-crash.test.ts
+++ b/test/silent-before-crash.test.ts
@@ -6,6 +6,9 @@
 const stepMs = 20;
 const lastMs = 2_200;
 
+/** Time until a start arrives, and until its answer is back, in milliseconds. */
+const transitMs = 20;
+
 /** Time from when a start is sent until its worker crashes, in milliseconds. */
 const crashAfterMs = 10;
 
@@ -47,14 +50,24 @@
 		owner.dispatcher.setWorkers(added, removed, false);
 	};
 	await clock.advance(1_500);
+	let isCrashing = false;
 	fleet.fateOf = (name, call) => {
 		const worker = fleet.workers.get(name);
-		if (call !== 'start' || worker === undefined || fleet.crashes.length >= 2) return undefined;
-		clock.after(crashAfterMs, () => {
-			fleet.crashAndRecover(worker, { downMs: 500, unresponsive: false });
-		});
-		return { arrivesAfterMs: 2 * crashAfterMs, answersAfterMs: 'lost', isRefused: false };
+		if (call !== 'start' || worker === undefined) return undefined;
+		const crashes = isCrashing && fleet.crashes.length < 2;
+		if (crashes)
+			clock.after(crashAfterMs, () => {
+				fleet.crashAndRecover(worker, { downMs: 500, unresponsive: false });
+			});
+		return {
+			arrivesAfterMs: transitMs,
+			answersAfterMs: crashes ? 'lost' : transitMs,
+			isRefused: false,
+		};
 	};
+	await submit(owner, fixtures.job('job0', [fixtures.step({ count: 20, requiredLabel: 'odd' })]));
+	await clock.advance(2_000);
+	isCrashing = true;
 	await submit(owner, fixtures.job('job1', [fixtures.step({ requiredLabel: 'odd' })]));
 	await clock.advance(15_000);
 	t.deepEqual(
