--- a/src/core/dispatch/outcomes.ts
+++ b/src/core/dispatch/outcomes.ts
@@ -146,11 +146,8 @@
 		const { job } = task.step;
 		if (job.ended || task.state === 'finished') return;
 		const crashes = (task.crashes ??= jobs.CrashHistory.create());
-		const { firstFailureAt } = session;
-		// A crash breaks connections and a machine without power is down for longer than a call waits, so a worker that
-		// restarted before any call failed had hung, and the run may have exited there.
-		if (session.isHanging || firstFailureAt === undefined) crashes.notePossibleCrash(run);
-		else crashes.noteCrash(run, isBlamed, firstFailureAt - startSentAt);
+		if (session.isHanging) crashes.notePossibleCrash(run);
+		else crashes.noteCrash(run, isBlamed, (session.firstFailureAt ?? Infinity) - startSentAt);
 		this.opts.probations.noteCrash(task, placement.onProbation);
 		this.opts.progress.mark(job);
 		const { crashed, blamed, lost } = crashes;
