--- a/test/silent-before-crash.test.ts
+++ b/test/silent-before-crash.test.ts
@@ -77,3 +77,34 @@
 	t.is(owner.dispatcher.stateOf('job1'), 'completed');
 	owner.dispatcher.close();
 });
+
+// Guards against sound jobs that are shown as failed because their runs exited on workers that hung before they crashed.
+test('a job is completed though its worker hangs until it restarts, while each of its first runs exits', async (t) => {
+	const environment = fixtures.createEnvironment(() => ({ ms: 300, how: 'done' }));
+	const { clock, fleet, takeOver, submit } = environment;
+	fleet.add('hanging', { labels: ['odd'] }, 1);
+	const owner = await takeOver();
+	fleet.onEntriesChanged = (added, removed) => {
+		owner.dispatcher.setWorkers(added, removed, false);
+	};
+	await clock.advance(1_500);
+	fleet.fateOf = (name, call) => {
+		const worker = fleet.workers.get(name);
+		if (call !== 'start' || worker === undefined || fleet.crashes.length >= 4) return undefined;
+		clock.after(100, () => {
+			worker.fault = 'late';
+		});
+		clock.after(500, () => {
+			fleet.crashAndRecover(worker, { downMs: 100, unresponsive: false, keepsName: true });
+		});
+		return undefined;
+	};
+	await submit(owner, fixtures.job('job1', [fixtures.step({ requiredLabel: 'odd' })]));
+	await clock.advance(30_000);
+	t.deepEqual(
+		fleet.crashes.map(({ tasks }) => tasks),
+		[[], [], [], []],
+	);
+	t.is(owner.dispatcher.stateOf('job1'), 'completed');
+	owner.dispatcher.close();
+});
