Read again: four models collect their steps in one way

copies, crashes, evacuations and restarts each had the same function that copies a state, changes it and adds a step. explore.collectSteps serves all four. States, steps and traces are checked against expected.json by the model check.

--- a/spec/copies.ts
+++ b/spec/copies.ts
@@ -4,7 +4,7 @@
  * answer may be lost or arrive after others. The guarantees: the task never runs twice at once, and is not started after a
  * run of it has finished.
  */
-import type * as explore from './explore.js';
+import * as explore from './explore.js';
 
 /** What makes the protocol safe, one part each. `spec/expected.json` contains these names. */
 export interface CopyGuards {
@@ -157,13 +157,7 @@
 }
 
 function stepsOf(state: CopyState, guards: CopyGuards): { name: string; next: CopyState }[] {
-	const possibleSteps: { name: string; next: CopyState }[] = [];
-	const step = (name: string, isPossible: boolean, act: (next: CopyState) => void): void => {
-		if (!isPossible) return;
-		const next = structuredClone(state);
-		act(next);
-		possibleSteps.push({ name, next });
-	};
+	const { possibleSteps, step } = explore.collectSteps(state);
 	/** A step with what the owner waits for. */
 	const startStep = (
 		name: string,
--- a/spec/crashes.ts
+++ b/spec/crashes.ts
@@ -6,7 +6,7 @@
  */
 import * as crashing from '../dev/soak/crashing.js';
 import * as jobs from '../src/core/jobs/index.js';
-import type * as explore from './explore.js';
+import * as explore from './explore.js';
 
 /** The guards of the protocol, which has them all; each mutant leaves one out. `spec/expected.json` contains these names. */
 export interface CrashGuards {
@@ -143,13 +143,7 @@
 	};
 
 	const steps = (state: CrashState): { name: string; next: CrashState }[] => {
-		const possibleSteps: { name: string; next: CrashState }[] = [];
-		const step = (label: string, isPossible: boolean, act: (next: CrashState) => void): void => {
-			if (!isPossible) return;
-			const next = structuredClone(state);
-			act(next);
-			possibleSteps.push({ name: label, next });
-		};
+		const { possibleSteps, step } = explore.collectSteps(state);
 		const { phase } = state;
 		step('the owner places the task', phase === 'waiting', placeTask);
 		step('its history is stored', JSON.stringify(state.known) !== JSON.stringify(state.stored), storeHistory);
--- a/spec/evacuations.ts
+++ b/spec/evacuations.ts
@@ -3,7 +3,7 @@
  * are in flight, or get lost and are sent again. The guarantee: once an evacuation has been stored for longer than its
  * bound, and until it is revoked, nothing starts in the zone.
  */
-import type * as explore from './explore.js';
+import * as explore from './explore.js';
 
 /** The guards of the protocol, which has them all; each mutant leaves one out. `spec/expected.json` contains these names. */
 export interface EvacuationGuards {
@@ -109,13 +109,7 @@
 	};
 
 	const steps = (state: EvacuationState): { name: string; next: EvacuationState }[] => {
-		const possibleSteps: { name: string; next: EvacuationState }[] = [];
-		const step = (label: string, isPossible: boolean, act: (next: EvacuationState) => void): void => {
-			if (!isPossible) return;
-			const next = structuredClone(state);
-			act(next);
-			possibleSteps.push({ name: label, next });
-		};
+		const { possibleSteps, step } = explore.collectSteps(state);
 		const { ticksSinceEvacuation, pendingStart } = state;
 		const isInFlight = typeof pendingStart === 'number';
 		const mayEvacuate = ticksSinceEvacuation === null && state.evacuations < maxEvacuations;
--- a/spec/explore.ts
+++ b/spec/explore.ts
@@ -20,6 +20,26 @@
 	isOutOfBounds?: (state: S) => boolean;
 }
 
+/** The steps that are possible in a state, and a function that adds one if it is: `act` changes a copy of the state. */
+export interface StepCollector<S> {
+	possibleSteps: { name: string; next: S }[];
+	step: (name: string, isPossible: boolean, act: (next: S) => void) => void;
+}
+
+/** Collects the steps of a state. */
+export function collectSteps<S>(state: S): StepCollector<S> {
+	const possibleSteps: StepCollector<S>['possibleSteps'] = [];
+	return {
+		possibleSteps,
+		step: (name, isPossible, act) => {
+			if (!isPossible) return;
+			const next = structuredClone(state);
+			act(next);
+			possibleSteps.push({ name, next });
+		},
+	};
+}
+
 /** Result of an exploration. */
 export type Verdict =
 	| { kind: 'holds'; states: number; steps: number; stuck: number }
--- a/spec/restarts.ts
+++ b/spec/restarts.ts
@@ -3,7 +3,7 @@
  * carried out late, by whichever incarnation has the name then. The guarantees: the task never runs twice at once, and is
  * not started after an exit of it was acknowledged by the owner.
  */
-import type * as explore from './explore.js';
+import * as explore from './explore.js';
 
 /** Faults that a mutant may have, one each; the protocol has none. `spec/expected.json` contains these names. */
 export interface RestartFaults {
@@ -254,13 +254,7 @@
 }
 
 function stepsOf(state: RestartState, faults: RestartFaults): { name: string; next: RestartState }[] {
-	const possibleSteps: { name: string; next: RestartState }[] = [];
-	const step = (name: string, isPossible: boolean, act: (next: RestartState) => void): void => {
-		if (!isPossible) return;
-		const next = structuredClone(state);
-		act(next);
-		possibleSteps.push({ name, next });
-	};
+	const { possibleSteps, step } = explore.collectSteps(state);
 	const { worker, placed } = state;
 	step('the worker crashes', worker.alive && worker.incarnation === 1, (next) => {
 		Object.assign(next.worker, { alive: false, running: 0, listedRun: 0 });
