Read again: one way to write a record at the version last known

saveProgress, saveRoster and publish each wrote under the version that this owner knew and noted the new one from a commit or a conflict, with a map, a field and another map. One map by key and one method serve all three; the roster's version is read from it. Behaviour as before.

--- a/src/core/ledger/owner-ledger.ts
+++ b/src/core/ledger/owner-ledger.ts
@@ -87,11 +87,8 @@
 export class OwnerLedger {
 	/** Clock time at which the latest call was sent that showed this epoch to be in force. */
 	epochConfirmedAt: number;
-	private readonly progressVersions = new Map<string, number>();
-	/** Versions of the records that this owner publishes, as it last wrote or read them. */
-	private readonly publishedVersions = new Map<string, number>();
-	/** Version of the stored roster as this owner last wrote or read it. */
-	rosterVersion = 0;
+	/** Versions of the records that this owner writes, by key, as it last wrote or read them. */
+	private readonly recordVersions = new Map<string, number>();
 
 	private constructor(
 		private readonly store: platform.RecordStore,
@@ -104,6 +101,11 @@
 		this.epochConfirmedAt = sentAt;
 	}
 
+	/** Version of the stored roster as this owner last wrote or read it. */
+	get rosterVersion(): number {
+		return this.recordVersions.get(keys.rosterKey) ?? 0;
+	}
+
 	/**
 	 * Takes over: increments the epoch and names the new owner. Fails if another box was first, or if an owner other than
 	 * that of generation `replaces` is named.
@@ -216,10 +218,10 @@
 
 	/** Decodes the contents and notes the versions on which this owner's writes depend. */
 	private adopt(read: ReadRecords): LedgerContents {
-		this.rosterVersion = read.roster?.version ?? 0;
+		this.recordVersions.set(keys.rosterKey, read.roster?.version ?? 0);
 		const entries = read.roster && records.decodeRoster(read.roster.value);
 		const { jobsById, unreadable } = collectJobs(read.jobItems);
-		for (const [id, job] of jobsById) this.progressVersions.set(id, job.progressVersion);
+		for (const [id, job] of jobsById) this.recordVersions.set(keys.progressKey(id), job.progressVersion);
 		return {
 			jobs: jobsById,
 			unreadable,
@@ -236,28 +238,12 @@
 			key: keys.progressKey(id),
 			value: wire.encodeValue(progress),
 		}));
-		const expected = [...batch.keys()].map((id) => ({
-			key: keys.progressKey(id),
-			version: this.progressVersions.get(id) ?? 0,
-		}));
-		const res = await this.commit(expected, writes, []);
-		if (res.outcome === 'committed')
-			for (const id of batch.keys()) this.progressVersions.set(id, res.version);
-		// An earlier write of this owner that had no answer took effect after all: go on from its version.
-		if (res.outcome === 'conflict')
-			for (const id of batch.keys())
-				this.progressVersions.set(id, versionIn(res.current, keys.progressKey(id)));
-		return res.outcome;
+		return this.replace(writes);
 	}
 
 	/** Stores the workers that may hold runs. Must be done before the first start on a new worker. */
 	async saveRoster(roster: types.RosterEntry[]): Promise<WriteOutcome> {
-		const expected = [{ key: keys.rosterKey, version: this.rosterVersion }];
-		const writes = [{ key: keys.rosterKey, value: wire.encodeValue(roster) }];
-		const res = await this.commit(expected, writes, []);
-		if (res.outcome === 'committed') this.rosterVersion = res.version;
-		if (res.outcome === 'conflict') this.rosterVersion = versionIn(res.current, keys.rosterKey);
-		return res.outcome;
+		return this.replace([{ key: keys.rosterKey, value: wire.encodeValue(roster) }]);
 	}
 
 	/**
@@ -265,27 +251,31 @@
 	 * carried out late, can't overwrite it.
 	 */
 	async publish(key: string, value: Uint8Array): Promise<WriteOutcome> {
-		const known = await this.publishedVersion(key);
-		if (!known.ok) return 'failed';
-		const res = await this.commit([{ key, version: known.value }], [{ key, value }], []);
-		if (res.outcome === 'committed') this.publishedVersions.set(key, res.version);
-		if (res.outcome === 'conflict') this.publishedVersions.set(key, versionIn(res.current, key));
-		return res.outcome;
+		if (!this.recordVersions.has(key)) {
+			const stored = await this.store.get(key);
+			if (!stored.ok) return 'failed';
+			this.recordVersions.set(key, stored.value?.version ?? 0);
+		}
+		return this.replace([{ key, value }]);
 	}
 
-	/** Version of a published record; reads it from the store if it is not known. */
-	private async publishedVersion(key: string): Promise<results.Result<number, platform.StoreFailure>> {
-		const known = this.publishedVersions.get(key);
-		if (known !== undefined) return results.ok(known);
-		const stored = await this.store.get(key);
-		return stored.ok ? results.ok(stored.value?.version ?? 0) : stored;
+	/** Writes records if they still have the versions that this owner last wrote or read. */
+	private async replace(writes: { key: string; value: Uint8Array }[]): Promise<WriteOutcome> {
+		const expected = writes.map(({ key }) => ({ key, version: this.recordVersions.get(key) ?? 0 }));
+		const res = await this.commit(expected, writes, []);
+		for (const { key } of writes) {
+			if (res.outcome === 'committed') this.recordVersions.set(key, res.version);
+			// An earlier write of this owner that had no answer took effect after all: go on from its version.
+			if (res.outcome === 'conflict') this.recordVersions.set(key, versionIn(res.current, key));
+		}
+		return res.outcome;
 	}
 
 	/** Deletes all records of jobs that ended long ago. */
 	async deleteJobs(ids: string[]): Promise<WriteOutcome> {
 		const removes = ids.flatMap((id) => [keys.jobKey(id), keys.cancelKey(id), keys.progressKey(id)]);
 		const res = await this.commit([], [], removes);
-		if (res.outcome === 'committed') for (const id of ids) this.progressVersions.delete(id);
+		if (res.outcome === 'committed') for (const id of ids) this.recordVersions.delete(keys.progressKey(id));
 		return res.outcome;
 	}
 
