Read again: one time of the last answer, one way to send commands

The time of a worker's last answer was kept by its session and by its responsiveness; the session asks the latter now. Behaviour as before.

--- a/src/core/dispatch/call-repeater.ts
+++ b/src/core/dispatch/call-repeater.ts
@@ -223,16 +223,16 @@
 	handlers: RepeatHandlers,
 ): fleet.WorkerCalls {
 	const repeater = CallRepeater.create({ ...handlers, clock, renew: calls.renew });
-	const command = <T>(at: fleet.WorkerTarget, send: () => fleet.WorkerResult<T>): fleet.WorkerResult<T> =>
-		repeater.run({ at, kind: 'order', waitMs: 0, send, resend: send });
+	const command = <T>(
+		at: fleet.WorkerTarget,
+		send: () => fleet.WorkerResult<T>,
+		repeating: Partial<RepeatableCall<T>> = {},
+	): fleet.WorkerResult<T> =>
+		repeater.run({ at, kind: 'order', waitMs: 0, send, resend: send, ...repeating });
 	return {
 		...calls,
 		start: (at, req) =>
-			repeater.run({
-				at,
-				kind: 'order',
-				waitMs: 0,
-				send: () => calls.start(at, req),
+			command(at, () => calls.start(at, req), {
 				resend: (copies) => {
 					handlers.onStartRepeated(at, req, copies);
 					return calls.start(at, req);
--- a/src/core/dispatch/crash-attribution.ts
+++ b/src/core/dispatch/crash-attribution.ts
@@ -47,7 +47,7 @@
 	}
 
 	/** Records that a start was answered. */
-	noteStarted({ startSentAt, confirmedAt }: types.Placement): void {
+	noteStartAnswered({ startSentAt, confirmedAt }: types.Placement): void {
 		if (startSentAt !== undefined) this.startDelays.addSample(confirmedAt - startSentAt);
 	}
 
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -263,7 +263,7 @@
 				this.outcomes.withdrawn(session, placement, reason);
 			},
 			onStarted: (placement) => {
-				this.crashAttribution.noteStarted(placement);
+				this.crashAttribution.noteStartAnswered(placement);
 				this.outcomes.started(placement.task.step.job);
 			},
 			onNotStarted: (session, placement, err) => {
--- a/src/core/dispatch/worker-responsiveness.ts
+++ b/src/core/dispatch/worker-responsiveness.ts
@@ -19,6 +19,8 @@
 
 /** How responsive one worker is. */
 export class WorkerResponsiveness {
+	/** Clock time of the last answer; `-Infinity`: there was none. */
+	lastAnsweredAt = -Infinity;
 	/** Clock time of the first failed call since the last answer; undefined: none has failed. */
 	private failure: number | undefined;
 	/** Clock time by which it had ceased to answer; undefined: no call has failed since the last answer. */
@@ -27,8 +29,6 @@
 	private connectedAt: number | undefined;
 	/** Whether an earlier poll since the last answer was left unanswered on a connection that the worker had accepted. */
 	private hasHung = false;
-	/** Clock time of the last answer; `-Infinity`: there was none. */
-	private answeredAt = -Infinity;
 
 	private constructor(private readonly clock: clocks.Clock) {}
 
@@ -65,7 +65,7 @@
 		if (this.failure !== undefined) return false;
 		const now = this.clock.now();
 		this.failure = now;
-		this.silentBy = now - dueAt >= overdueAfterMs ? Math.max(dueAt, this.answeredAt) : now;
+		this.silentBy = now - dueAt >= overdueAfterMs ? Math.max(dueAt, this.lastAnsweredAt) : now;
 		return true;
 	}
 
@@ -82,7 +82,7 @@
 
 	/** Notes an answer. */
 	noteAnswer(): void {
-		this.answeredAt = this.clock.now();
+		this.lastAnsweredAt = this.clock.now();
 		this.failure = undefined;
 		this.silentBy = undefined;
 		this.connectedAt = undefined;
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -60,8 +60,6 @@
 	isBeingVacated = false;
 	/** Whether the newest list of workers no longer has it. */
 	isUnlisted = false;
-	/** Clock time of the last answer; `-Infinity`: it has not answered this owner. */
-	lastAnsweredAt = -Infinity;
 	readonly health: health.WorkerHealth;
 	/** Exits that it lists and that have not been acknowledged to it. */
 	readonly unacknowledgedExits: exits.UnacknowledgedExits;
@@ -195,6 +193,11 @@
 		return this.lease.leftMs;
 	}
 
+	/** Clock time of the last answer; `-Infinity`: it has not answered this owner. */
+	get lastAnsweredAt(): number {
+		return this.responsiveness.lastAnsweredAt;
+	}
+
 	/** Clock time of the first failed call since the last answer; undefined: none has failed. */
 	get firstFailureAt(): number | undefined {
 		return this.responsiveness.firstFailureAt;
@@ -376,7 +379,6 @@
 
 	/** Notes an answer, which carries the worker's clock. */
 	noteAnswer(reading: fleet.ClockReading): void {
-		this.lastAnsweredAt = this.deps.clock.now();
 		this.responsiveness.noteAnswer();
 		this.lease.noteClock(reading);
 	}
