Read again: the soak counts crashes from its list of them

The checker kept a count of crashes for each task beside the list of crashes that it writes to the logs; the count is taken from the list now. The stand-in's undelivered answers time out by timeOut, like others.

--- a/dev/soak/invariant-checker.ts
+++ b/dev/soak/invariant-checker.ts
@@ -85,11 +85,8 @@
 	capacityOf: (worker: string) => number = () => Infinity;
 	/** Whether a task may start on a worker now: the worker's zone may be evacuated. */
 	mayStartAt: (worker: string) => boolean = () => true;
-	/**
-	 * For each task, the number of workers that crashed under it, and the number of its starts after
-	 * `crashesBeforeStartLimit` crashes.
-	 */
-	private readonly crashes = new Map<string, { count: number; startsAfterLimit: number }>();
+	/** For each task, the number of its starts after `crashesBeforeStartLimit` workers had crashed under it. */
+	private readonly startsAfterLimit = new Map<string, number>();
 	/** All crashes of workers, oldest first. */
 	readonly workerCrashes: WorkerCrash[] = [];
 	starts = 0;
@@ -113,7 +110,7 @@
 
 	/** Whether a job may be shown as failed: enough workers crashed under one of its tasks. */
 	mayFail(job: SoakJob): boolean {
-		const crashCounts = taskNames(job).map((name) => this.crashes.get(name)?.count ?? 0);
+		const crashCounts = taskNames(job).map((name) => this.crashCountOf(name));
 		return this.hasCrashingJobs && Math.max(...crashCounts) >= crashing.crashesBeforeAbandoning;
 	}
 
@@ -134,10 +131,11 @@
 	/** Records that a worker crashed while these tasks ran there. */
 	crashed(worker: string, tasks: string[]): void {
 		this.workerCrashes.push({ at: this.now(), worker, tasks });
-		for (const task of tasks) {
-			const known = this.crashes.get(task) ?? { count: 0, startsAfterLimit: 0 };
-			this.crashes.set(task, { ...known, count: known.count + 1 });
-		}
+	}
+
+	/** Number of workers that crashed under a task. */
+	private crashCountOf(task: string): number {
+		return this.workerCrashes.filter(({ tasks }) => tasks.includes(task)).length;
 	}
 
 	/** Records a job that a caller is about to submit. */
@@ -262,12 +260,13 @@
 	}
 
 	private checkCrashes(task: string): void {
-		const known = this.crashes.get(task);
-		const isCrashing = this.hasCrashingJobs && crashing.crashMsOf(task) !== undefined;
-		if (!isCrashing || known === undefined || known.count < crashing.crashesBeforeStartLimit) return;
-		known.startsAfterLimit += 1;
-		if (known.startsAfterLimit > crashing.maxStartsAfterCrashes)
-			this.reportViolation('crashes', `${task} is started after ${known.count} workers went down under it`);
+		if (!this.hasCrashingJobs || crashing.crashMsOf(task) === undefined) return;
+		const count = this.crashCountOf(task);
+		if (count < crashing.crashesBeforeStartLimit) return;
+		const starts = (this.startsAfterLimit.get(task) ?? 0) + 1;
+		this.startsAfterLimit.set(task, starts);
+		if (starts > crashing.maxStartsAfterCrashes)
+			this.reportViolation('crashes', `${task} is started after ${count} workers went down under it`);
 	}
 
 	private checkOrder(start: workers.StartRecord, job: SoakJob, preceding: number): void {
--- a/stand-ins/fleet/workers.ts
+++ b/stand-ins/fleet/workers.ts
@@ -565,7 +565,7 @@
 		const answering = this.sleep(arrivesAfterMs).then(() =>
 			isRefused ? results.fail<fleet.WorkerFailure>({ kind: 'refused', status: 503 }) : send(),
 		);
-		const timingOut = this.sleep(timeoutMs).then(() => results.fail(noAnswer));
+		const timingOut = this.timeOut(timeoutMs);
 		if (answersAfterMs === 'lost') return timingOut;
 		const answered = answering.then(async (res) => {
 			await this.sleep(answersAfterMs);
@@ -575,8 +575,8 @@
 	}
 
 	/** A call that gets no answer. */
-	private async timeOut(): fleet.WorkerResult<never> {
-		await this.sleep(callTimeoutMs);
+	private async timeOut(ms = callTimeoutMs): fleet.WorkerResult<never> {
+		await this.sleep(ms);
 		return results.fail(noAnswer);
 	}
 
