--- a/test/crashing-tasks.test.ts
+++ b/test/crashing-tasks.test.ts
@@ -53,9 +53,7 @@
 
 	static async start(environment: fixtures.TestEnvironment): Promise<OwnerSuccession> {
 		const succession = new OwnerSuccession(environment, await environment.takeOver());
-		environment.fleet.onEntriesChanged = (added, removed) => {
-			succession.owner.dispatcher.setWorkers(added, removed, false);
-		};
+		fixtures.followEntries(environment.fleet, () => succession.owner);
 		await environment.clock.advance(1_200);
 		return succession;
 	}
@@ -264,9 +262,7 @@
 	const environment = createCrashEnvironment(10, 500);
 	const { clock, fleet } = environment;
 	let owner = await environment.takeOver();
-	fleet.onEntriesChanged = (added, removed) => {
-		owner.dispatcher.setWorkers(added, removed, false);
-	};
+	fixtures.followEntries(fleet, () => owner);
 	const placedCount = (): number => owner.events.select((event) => event.name === 'task.placed').length;
 	await clock.advance(1_200);
 	await environment.submit(owner, fixtures.job('sound', [fixtures.step()]));
--- a/test/lossy-calls.test.ts
+++ b/test/lossy-calls.test.ts
@@ -27,7 +27,7 @@
 const settleMs = 30_000;
 
 /** Records broken rules. */
-class RunChecker {
+class RunChecker implements types.FleetJournal {
 	readonly broken: string[] = [];
 	private readonly running = new Map<string, Map<number, string>>();
 	private readonly done = new Map<string, { run: number; isNoted: boolean }>();
@@ -65,17 +65,7 @@
 	const checker = new RunChecker();
 	const { clock, store, fleet, takeOver, submit } = fixtures.createEnvironment(
 		(task) => ({ ms: 50 + (random.hash(task) % 1_500), how: 'done' }),
-		{
-			started: (start) => {
-				checker.started(start);
-			},
-			ended: (end) => {
-				checker.ended(end);
-			},
-			acknowledged: (end) => {
-				checker.acknowledged(end);
-			},
-		},
+		checker,
 	);
 	for (let number = 0; number < workerCount; number += 1) fleet.add(`w${String(number)}`);
 	const lossMs = (): number => {
--- a/test/restarted-workers.test.ts
+++ b/test/restarted-workers.test.ts
@@ -69,9 +69,7 @@
 	for (let index = 0; index < workerCount; index += 1)
 		environment.fleet.add(`w${String(index)}`, {}, index + 1);
 	let owner = await environment.takeOver();
-	environment.fleet.onEntriesChanged = (added, removed) => {
-		owner.dispatcher.setWorkers(added, removed, false);
-	};
+	fixtures.followEntries(environment.fleet, () => owner);
 	await environment.clock.advance(1_200);
 	const replaceOwner = async (): Promise<void> => {
 		owner.dispatcher.close();
@@ -205,9 +203,7 @@
 	const { clock, fleet, takeOver, submit } = fixtures.createEnvironment(() => ({ ms: 500, how: 'done' }));
 	const w1 = fleet.add('w1', {}, 1);
 	const owner = await takeOver();
-	fleet.onEntriesChanged = (added, removed) => {
-		owner.dispatcher.setWorkers(added, removed, false);
-	};
+	fixtures.followEntries(fleet, () => owner);
 	owner.dispatcher.setWorkers([{ ...w1.entry, draining: true, remainingMs: 500 }], [], false);
 	await clock.advance(1_000);
 	fleet.crashAndRecover(w1, { downMs: 500, unresponsive: false, keepsName: true });
@@ -226,9 +222,7 @@
 	const { clock, fleet, takeOver, submit } = fixtures.createEnvironment(() => ({ ms: 500, how: 'done' }));
 	const w1 = fleet.add('w1', {}, 1);
 	const owner = await takeOver();
-	fleet.onEntriesChanged = (added, removed) => {
-		owner.dispatcher.setWorkers(added, removed, false);
-	};
+	fixtures.followEntries(fleet, () => owner);
 	await clock.advance(1_200);
 	t.is(owner.dispatcher.vacate('w1'), 'empty');
 	fleet.crashAndRecover(w1, { downMs: 500, unresponsive: false, keepsName: true });
@@ -308,9 +302,7 @@
 	}));
 	const w1 = fleet.add('w1', {}, 1);
 	const owner = await takeOver();
-	fleet.onEntriesChanged = (added, removed) => {
-		owner.dispatcher.setWorkers(added, removed, false);
-	};
+	fixtures.followEntries(fleet, () => owner);
 	await submit(owner, fixtures.job('job1', [fixtures.step()]));
 	await clock.advance(1_200);
 	fleet.fateOf = (_worker, call) =>
--- a/test/silent-before-crash.test.ts
+++ b/test/silent-before-crash.test.ts
@@ -1,6 +1,8 @@
 /** Workers that fall silent or crash: what counts against the tasks whose starts were sent to them meanwhile. */
 import test from 'ava';
 import * as fixtures from './fixtures/dispatching.js';
+import type * as jobs from '../src/core/jobs/index.js';
+import type * as workers from '../stand-ins/fleet/workers.js';
 
 /** Interval between the tried moments of a start after its worker fell silent, and the last of them, in milliseconds. */
 const stepMs = 20;
@@ -12,20 +14,30 @@
 /** Time from when a start is sent until its worker crashes, in milliseconds. */
 const crashAfterMs = 10;
 
+/** An owner with one worker, which alone may run the tasks of `oddStep`. `born`: the start time that the worker reports. */
+async function setUp(
+	born?: number,
+): Promise<fixtures.TestEnvironment & { owner: fixtures.TestOwner; worker: workers.FakeWorker }> {
+	const environment = fixtures.createEnvironment(() => ({ ms: 300, how: 'done' }));
+	const worker = environment.fleet.add('odd', { labels: ['odd'] }, born);
+	const owner = await environment.takeOver();
+	fixtures.followEntries(environment.fleet, () => owner);
+	await environment.clock.advance(1_500);
+	return { ...environment, owner, worker };
+}
+
+function oddStep(more: Partial<jobs.StepSpec> = {}): jobs.StepSpec {
+	return fixtures.step({ requiredLabel: 'odd', ...more });
+}
+
 /** Events that count a crash against a task of which no run was on the crashed worker. */
 async function crashesCounted(startsAfterMs: number): Promise<string[]> {
-	const { clock, fleet, takeOver, submit } = fixtures.createEnvironment(() => ({ ms: 300, how: 'done' }));
-	const silent = fleet.add('silent', { labels: ['odd'] });
-	const owner = await takeOver();
-	fleet.onEntriesChanged = (added, removed) => {
-		owner.dispatcher.setWorkers(added, removed, false);
-	};
-	await clock.advance(1_500);
-	silent.fault = 'silent';
+	const { clock, fleet, submit, owner, worker } = await setUp();
+	worker.fault = 'silent';
 	await clock.advance(startsAfterMs);
-	await submit(owner, fixtures.job('job1', [fixtures.step({ requiredLabel: 'odd' })]));
+	await submit(owner, fixtures.job('job1', [oddStep()]));
 	await clock.advance(1_500);
-	fleet.crashAndRecover(silent, { downMs: 500, unresponsive: true });
+	fleet.crashAndRecover(worker, { downMs: 500, unresponsive: true });
 	await clock.advance(15_000);
 	owner.dispatcher.close();
 	return owner.events
@@ -43,13 +55,7 @@
 
 // Guards against sound jobs that are shown as failed because their starts were on the way to workers that crashed.
 test('a task is not blamed for crashes of workers that its starts did not reach', async (t) => {
-	const { clock, fleet, takeOver, submit } = fixtures.createEnvironment(() => ({ ms: 300, how: 'done' }));
-	fleet.add('crashing', { labels: ['odd'] });
-	const owner = await takeOver();
-	fleet.onEntriesChanged = (added, removed) => {
-		owner.dispatcher.setWorkers(added, removed, false);
-	};
-	await clock.advance(1_500);
+	const { clock, fleet, submit, owner } = await setUp();
 	let isCrashing = false;
 	fleet.fateOf = (name, call) => {
 		const worker = fleet.workers.get(name);
@@ -65,10 +71,10 @@
 			isRefused: false,
 		};
 	};
-	await submit(owner, fixtures.job('job0', [fixtures.step({ count: 20, requiredLabel: 'odd' })]));
+	await submit(owner, fixtures.job('job0', [oddStep({ count: 20 })]));
 	await clock.advance(2_000);
 	isCrashing = true;
-	await submit(owner, fixtures.job('job1', [fixtures.step({ requiredLabel: 'odd' })]));
+	await submit(owner, fixtures.job('job1', [oddStep()]));
 	await clock.advance(15_000);
 	t.deepEqual(
 		fleet.crashes.map(({ tasks }) => tasks),
@@ -80,14 +86,7 @@
 
 // Guards against sound jobs that are shown as failed because their runs exited on workers that hung before they crashed.
 test('a job is completed though its worker hangs until it restarts, while each of its first runs exits', async (t) => {
-	const environment = fixtures.createEnvironment(() => ({ ms: 300, how: 'done' }));
-	const { clock, fleet, takeOver, submit } = environment;
-	fleet.add('hanging', { labels: ['odd'] }, 1);
-	const owner = await takeOver();
-	fleet.onEntriesChanged = (added, removed) => {
-		owner.dispatcher.setWorkers(added, removed, false);
-	};
-	await clock.advance(1_500);
+	const { clock, fleet, submit, owner } = await setUp(1);
 	fleet.fateOf = (name, call) => {
 		const worker = fleet.workers.get(name);
 		if (call !== 'start' || worker === undefined || fleet.crashes.length >= 4) return undefined;
@@ -99,7 +98,7 @@
 		});
 		return undefined;
 	};
-	await submit(owner, fixtures.job('job1', [fixtures.step({ requiredLabel: 'odd' })]));
+	await submit(owner, fixtures.job('job1', [oddStep()]));
 	await clock.advance(30_000);
 	t.deepEqual(
 		fleet.crashes.map(({ tasks }) => tasks),
