Starts do not extend the lease of a worker that may be lost

Cause: each start granted a lease of full length. A worker that crashes gets starts until it has given no answer for 2.2 s, so with short work waiting, the time by which its tasks have ended went on moving away, by up to those 2.2 s.

Change: a start carries the expiry of the worker's newest lease if 3 s are left of it.

--- a/src/core/dispatch/settings.ts
+++ b/src/core/dispatch/settings.ts
@@ -9,7 +9,11 @@
  */
 export const leaseSpanMs = 6_300;
 
-/** Nothing is started if a lease that is granted with it ends sooner than this. */
+/**
+ * Nothing is started if its lease would end sooner than this. A start carries the expiry of the worker's newest lease if
+ * that much is left of it, and extends nothing: until the polls to a lost worker time out, starts would go on postponing the
+ * time by which its tasks have ended.
+ */
 export const minStartLeaseMs = 3_000;
 
 /** Fraction by which a worker's clock may run slower than the owner's, as its platform states. */
--- a/src/core/dispatch/starter.ts
+++ b/src/core/dispatch/starter.ts
@@ -97,7 +97,7 @@
 			return;
 		}
 		// One lease for all attempts: each grant delays the time by which an unresponsive worker's tasks have ended.
-		const leaseUntil = session.grantLease();
+		const leaseUntil = session.grantLeaseForStart();
 		if (leaseUntil === undefined) {
 			this.handleNotStarted(session, placement, { kind: 'too-late' });
 			return;
--- a/src/core/dispatch/worker-lease.ts
+++ b/src/core/dispatch/worker-lease.ts
@@ -22,6 +22,8 @@
 	private clockReading: { clockMs: number; at: number } | undefined;
 	/** Clock time at which the newest lease was granted; `-Infinity`: none was. */
 	grantedAt = -Infinity;
+	/** Expiry of the newest lease, on the worker's clock and, if that is as fast, on the owner's; undefined: none was granted. */
+	private newest: { clockMs: number; endsAt: number } | undefined;
 
 	private constructor(
 		private readonly deps: LeaseDeps,
@@ -79,8 +81,16 @@
 		// Assumes the slowest rate that the worker's clock may have, so that the lease never exceeds its limit.
 		const workerNow = this.clockReading.clockMs + (now - this.clockReading.at) * (1 - settings.maxClockDrift);
 		const leaseMs = this.grantableMs;
+		this.newest = { clockMs: workerNow + leaseMs, endsAt: now + leaseMs };
 		this.assumeLease(leaseMs);
-		return workerNow + leaseMs;
+		return this.newest.clockMs;
+	}
+
+	/** Expiry to send with a start, as `grant` returns it: that of the newest lease, unless it ends soon. */
+	grantForStart(): number | undefined {
+		const { newest, denial } = this;
+		const isLong = newest !== undefined && newest.endsAt - this.deps.clock.now() >= settings.minStartLeaseMs;
+		return isLong && denial === undefined ? newest.clockMs : this.grant();
 	}
 
 	/** Assumes that the longest lease was granted just now: a command for another incarnation may have done so. */
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -358,6 +358,11 @@
 		return this.isLeaseBlocked ? undefined : this.lease.grant();
 	}
 
+	/** The same for a start; it extends the worker's newest lease only if that ends soon. */
+	grantLeaseForStart(): number | undefined {
+		return this.isLeaseBlocked ? undefined : this.lease.grantForStart();
+	}
+
 	/** Time since the newest lease was granted, in whole milliseconds; undefined: none was. */
 	get leaseAgeMs(): number | undefined {
 		const { grantedAt } = this.lease;
