A long-running task whose worker was lost is as urgent as its time without a run

Cause: a task was overdue, and was placed before short work on a worker kept free for it, 3 s after it had become ready. A task that loses its worker becomes ready only when that worker's leases are over, so the two waits followed one another: 6.4 s and 3 s.

Change: the wait of a task that lasts counts from its worker's last answer; if that worker never answered this owner, the task is overdue at once. This concerns the order of placing alone; nothing is taken for over sooner.

--- a/src/core/dispatch/outcomes.ts
+++ b/src/core/dispatch/outcomes.ts
@@ -88,7 +88,7 @@
 			const { task } = placement;
 			if (mayHaveCausedCrash(session, placement)) this.noteCrash(session, placement, blamed.has(placement));
 			else this.exitedWithoutCrash(task, placement.run);
-			this.opts.placer.add(task);
+			this.opts.placer.add(task, idleSince(session, task));
 			this.stopGang(task);
 		}
 	}
@@ -106,11 +106,16 @@
 	lostBeforeFirstReport(session: sessions.WorkerSession): Set<jobs.ActiveJob> {
 		const affectedJobs = new Set<jobs.ActiveJob>();
 		const mayHaveCrashedHere = (task: jobs.Task): boolean => locations.mayHaveCrashedOn(session, task);
+		const overdueSince = this.opts.clock.now() - settings.longRunningOverdueMs;
 		for (const job of this.opts.registry.unfinishedInherited())
 			for (const step of job.steps)
-				for (const task of step.tasks)
+				for (const task of step.tasks) {
+					// It has had no run since before the takeover.
+					if (step.spec.lasting && mayHaveCrashedHere(task))
+						task.readyAt = Math.min(task.readyAt, overdueSince);
 					if (this.resolveTryOn(session.id, task) || this.noteUnreportedCrash(task, mayHaveCrashedHere))
 						affectedJobs.add(job);
+				}
 		for (const job of affectedJobs) this.opts.progress.mark(job);
 		return affectedJobs;
 	}
@@ -235,3 +240,11 @@
 	// A run that has worked this long clears its task of suspicion, so it did not cause the crash itself.
 	return session.lastAnsweredAt - confirmedAt < jobs.maxTimeToClearMs;
 }
+
+/**
+ * Clock time from which a task has had no run, as far as is known, after its worker was lost: the worker's leases had to
+ * expire first. Undefined: only long-running tasks are more urgent for it.
+ */
+function idleSince({ lastAnsweredAt }: sessions.WorkerSession, task: jobs.Task): number | undefined {
+	return task.step.spec.lasting && lastAnsweredAt > -Infinity ? lastAnsweredAt : undefined;
+}
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -105,11 +105,14 @@
 		return new Placer(opts);
 	}
 
-	/** Enqueues a task that may be started. */
-	add(task: jobs.Task): void {
+	/**
+	 * Enqueues a task that may be started. `idleSince`: clock time from which it has had no run, if that was not known by then;
+	 * it is as urgent as a task that has waited since.
+	 */
+	add(task: jobs.Task, idleSince = Infinity): void {
 		if (task.state === 'finished' || task.step.job.ended) return;
 		const now = this.opts.clock.now();
-		task.readyAt = now;
+		task.readyAt = Math.min(now, idleSince);
 		task.waitingSince = now - task.waitedMs;
 		this.enqueue(task);
 	}
