Model of stored heartbeats that bound an owner's leases

Cause: a successor waits for the horizon and the longest lease, counted from its takeover, which is longer than tasks that last may be without a run. It is to wait for the span of the last stored heartbeat instead, counted from when that was sent. A wrong bound lets a task run twice, so the protocol is explored before it is relied on.

Ruled out: a variant of spec/dispatch.ts. Its roster, exits and statements don't matter here and would multiply the states.

Promises: never two runs at once, every state can reach a run, and the task can be started once the span of the last heartbeat is over if its owner and worker died in one moment.

Found: with an owner of an older version between two that send heartbeats, the record left by the first was taken for good, though the older owner grants leases that no heartbeat bounds; the task ran twice. Guard ownerVersions: the epoch record says since which generation all owners send heartbeats.

--- a/spec/checks.ts
+++ b/spec/checks.ts
@@ -9,6 +9,7 @@
 import * as dispatch from './dispatch.js';
 import * as evacuations from './evacuations.js';
 import * as handover from './handover.js';
+import * as heartbeats from './heartbeats.js';
 import * as lease from './lease.js';
 import * as incarnations from './incarnations/index.js';
 import * as restarts from './restarts.js';
@@ -307,6 +308,54 @@
 	return [...holds, ...mutants];
 }
 
+const baseHeartbeatBounds: heartbeats.HeartbeatBounds = {
+	versions: ['current', 'current', 'current'],
+	heartbeats: 1,
+	suspensions: false,
+	deaths: false,
+	cutOff: false,
+};
+
+/** Variants of the heartbeat model. */
+const heartbeatVariants = {
+	heartbeats: { ...baseHeartbeatBounds, versions: ['current', 'current'], heartbeats: 2, suspensions: true },
+	'heartbeats: three each': {
+		...baseHeartbeatBounds,
+		versions: ['current', 'current'],
+		heartbeats: 3,
+		suspensions: true,
+	},
+	'heartbeats: three owners': { ...baseHeartbeatBounds, suspensions: true },
+	'heartbeats: three owners, two each': { ...baseHeartbeatBounds, heartbeats: 2 },
+	'heartbeats: older version first': { ...baseHeartbeatBounds, versions: ['older', 'current', 'current'] },
+	'heartbeats: older version between': { ...baseHeartbeatBounds, versions: ['current', 'older', 'current'] },
+	'heartbeats: deaths': { ...baseHeartbeatBounds, deaths: true },
+	'heartbeats: worker cut off': { ...baseHeartbeatBounds, cutOff: true },
+} satisfies Record<string, heartbeats.HeartbeatBounds>;
+
+/** The variant in which the removal of a guard leads to a violation; guards not listed use the first one. */
+const heartbeatMutants: Partial<Record<keyof heartbeats.HeartbeatGuards, keyof typeof heartbeatVariants>> = {
+	sameGeneration: 'heartbeats: three owners',
+	coverInherited: 'heartbeats: older version first',
+	ownerVersions: 'heartbeats: older version between',
+	confirmWaited: 'heartbeats: three owners',
+	knownCount: 'heartbeats: deaths',
+};
+
+function heartbeatChecks(): Check[] {
+	const all = heartbeats.allHeartbeatGuards;
+	const holds = Object.entries(heartbeatVariants).map(([name, bounds]) =>
+		check('holds', heartbeats.heartbeatModel(name, bounds, all)),
+	);
+	const names = Object.keys(all) as (keyof heartbeats.HeartbeatGuards)[];
+	const mutants = names.map((guard) => {
+		const bounds = heartbeatVariants[heartbeatMutants[guard] ?? 'heartbeats'];
+		const guards = { ...all, [guard]: false };
+		return check('wrong', heartbeats.heartbeatModel(`heartbeats without ${guard}`, bounds, guards));
+	});
+	return [...holds, ...mutants];
+}
+
 /** All checks, the longest first. */
 export const checks: Check[] = [
 	...dispatchChecks(),
@@ -319,4 +368,5 @@
 	...copyChecks(),
 	...evacuationChecks(),
 	...handoverChecks(),
+	...heartbeatChecks(),
 ];
