A gang's wait for one rack counts from the member that has waited longest

Cause: it counted from the first member's readiness, so a gang that lost another member began its wait anew. The members' times without a run are theirs now.

--- a/src/core/dispatch/gangs.ts
+++ b/src/core/dispatch/gangs.ts
@@ -32,7 +32,7 @@
 		const places = tryReserve(step, run, { ...ctx, workers: onRack });
 		if (places !== undefined) return places;
 	}
-	const waitedMs = ctx.now - (step.tasks[0]?.readyAt ?? ctx.now);
+	const waitedMs = ctx.now - Math.min(...step.tasks.map((task) => task.readyAt));
 	return waitedMs < singleRackTimeoutMs ? undefined : tryReserve(step, run, { ...ctx, workers });
 }
 
