A run on probation on a lost worker does not hold back a long-running step

Cause: of a step on probation one run may be tested at a time, and a run on a worker that had lost power counted until that worker's leases were over: 7,987 ms after that loss with leases of 7,500 ms, where seven seconds are allowed.

Change: for steps of long-running tasks such runs do not count, as they do not count for the pool either.

--- a/src/core/dispatch/probation.ts
+++ b/src/core/dispatch/probation.ts
@@ -87,9 +87,11 @@
 	mayStartOnProbation(step: jobs.StepInstance, workers: number): boolean {
 		const withProbation = this.opts.workers().filter((one) => one.runOnProbation !== undefined);
 		// A worker that stopped answering tests nothing any more, and it may take long until it is proved dead.
-		const responsive = withProbation.filter((one) => one.firstFailureAt === undefined).length;
-		if (responsive >= this.maxConcurrent(workers)) return false;
-		const ofStep = withProbation.filter((one) => one.runOnProbation?.task.step === step).length;
+		const responsive = withProbation.filter((one) => one.firstFailureAt === undefined);
+		if (responsive.length >= this.maxConcurrent(workers)) return false;
+		// Short tasks wait for that proof, which limits the crashes of a step; a long-running one would be idle for too long.
+		const counted = step.spec.lasting ? responsive : withProbation;
+		const ofStep = counted.filter((one) => one.runOnProbation?.task.step === step).length;
 		return ofStep <= (this.steps.get(step)?.passed ?? 0) * extraPerPass;
 	}
 
