An event may have another level than the one of its row

Cause: the level of a line was that of its event's row, so a line that is worth a warning only beyond a bound needed two events for one decision, and a search for the task had to know both.

Change: `emit` takes a level, and an event carries its own. The row's level stays the usual one. The JSON lines are the same: the level stood last, and does.

--- a/src/core/events/index.ts
+++ b/src/core/events/index.ts
@@ -33,6 +33,7 @@
 	/** Name of the process that recorded it. */
 	process: string;
 	fields: EventFields;
+	level: catalogue.EventLevel;
 }
 
 /** How events are printed. */
@@ -68,13 +69,23 @@
 		return new EventLog(process, clock, format, minLevel);
 	}
 
-	/** Records an event, and prints it if its level is at least the minimum. */
-	emit(name: catalogue.EventName, fields: EventFields = {}): void {
+	/**
+	 * Records an event, and prints it if its level is at least the minimum. `level`: that of this event, if it differs from
+	 * the usual one.
+	 */
+	emit(name: catalogue.EventName, fields: EventFields = {}, level?: catalogue.EventLevel): void {
 		const row = catalogue.eventCatalogue[name];
-		const event: LoggedEvent = { id: row.id, name, stamp: this.clock.tick(), process: this.process, fields };
+		const event: LoggedEvent = {
+			id: row.id,
+			name,
+			stamp: this.clock.tick(),
+			process: this.process,
+			fields,
+			level: level ?? row.level,
+		};
 		this.addToRing(event);
 		for (const observer of this.observers) observer(event);
-		this.print(event, row.level);
+		this.print(event);
 	}
 
 	/** Calls `observer` with every later event. */
@@ -97,14 +108,14 @@
 		this.start = (this.start + 1) % ringSize;
 	}
 
-	private print(event: LoggedEvent, level: catalogue.EventLevel): void {
+	private print(event: LoggedEvent): void {
 		if (this.format === 'silent') return;
-		if (levels.indexOf(level) < levels.indexOf(this.minLevel)) return;
+		if (levels.indexOf(event.level) < levels.indexOf(this.minLevel)) return;
 		if (this.format === 'json') {
-			lines.writeLine({ ...event, level });
+			lines.writeLine(event);
 			return;
 		}
-		void printPretty(level, event);
+		void printPretty(event);
 	}
 }
 
@@ -118,7 +129,7 @@
 }
 
 /** Loads consola only when it prints to a terminal, since loading it slows the start. */
-async function printPretty(level: catalogue.EventLevel, event: LoggedEvent): Promise<void> {
+async function printPretty(event: LoggedEvent): Promise<void> {
 	const { consola } = await import('consola');
-	consola[level](formatEvent(event));
+	consola[event.level](formatEvent(event));
 }
