Log how long a long-running task had no run, and why, at each restart

Cause: the log had the loss of a run (3106) and the next placement (3101), whose wait begins at the loss. How long the task had no run before the loss was proved, and how much of that was the takeover, the lease, capacity or the start, had to be put together by hand from lines of several boxes, and no metric told of it.

Change: 3131 `task.resumed`, one line a restart of a long-running task: both workers, the time without a run in whole milliseconds, how its beginning is known, and its phases. The histogram `without_run` goes the way of those of exits; `resumed_late` counts the restarts above the bound. What was `RecordTime` of exits is one of several times now.

A start in vain between two runs belongs to the one time without a run. Runs that a successor finds, and first runs, are not restarts.

Ruled out: an event of its own above the bound, as a search would have to know both; the time of the lease's end as the beginning, as the bound counts from the run.

Not told: the restart of a task that was proved lost under an earlier owner, unless it left a checkpoint or a worker crashed under it. The store doesn't keep that it ran.

--- a/src/cli/box/metrics.ts
+++ b/src/cli/box/metrics.ts
@@ -6,6 +6,7 @@
 import * as listening from './listening.js';
 import type * as boxes from '../../core/box/box.js';
 import type * as events from '../../core/events/index.js';
+import type * as metrics from '../../core/metrics/index.js';
 
 /** Metrics are served from this long after the start, in milliseconds. */
 export const startDelayMs = 3_000;
@@ -24,8 +25,24 @@
 
 /** Serves the metrics at `address` (`host:port`) under every path. */
 export async function serveMetrics(box: boxes.Box, log: events.EventLog, address: string): Promise<void> {
-	const metrics = await import('../../core/metrics/index.js');
-	const registry = metrics.Metrics.create();
+	const { Metrics } = await import('../../core/metrics/index.js');
+	const registry = Metrics.create();
+	collectMetrics(registry, box, log);
+	const server = http.createServer((_req, res) => {
+		res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(registry.text(boxGauges(box)));
+	});
+	server.on('error', (err) => {
+		log.emit('figures.unserved', { reason: err.message });
+	});
+	server.listen(listening.toListenOptions(address));
+}
+
+/** Records what a box measures, and counts the events that it logs. */
+export function collectMetrics(
+	registry: metrics.Metrics,
+	box: Pick<boxes.Box, 'recordTime' | 'recordForecastError'>,
+	log: events.EventLog,
+): void {
 	box.recordTime = (name, ms) => {
 		registry.recordLatency(name, ms);
 	};
@@ -36,6 +53,7 @@
 	log.observe((event) => {
 		if (event.name === 'limit.changed')
 			registry.count(`limit_cuts_${cutImageOf(String(event.fields.image), cutImages)}`);
+		if (event.name === 'task.resumed' && event.fields.overMs !== undefined) registry.count('resumed_late');
 		if (event.name === 'job.turned-away') registry.count(`refused_${metricPart(event.fields.cause)}`);
 		countReturn(registry, event.name, event.fields);
 		registry.count(`event_${event.name.replace(/[.-]/g, '_')}`);
@@ -43,13 +61,6 @@
 		const ms = event.fields.gapMs ?? event.fields.waitedMs ?? event.fields.ageMs ?? event.fields.tookMs;
 		if (name !== undefined && typeof ms === 'number') registry.recordLatency(name, ms);
 	});
-	const server = http.createServer((_req, res) => {
-		res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(registry.text(boxGauges(box)));
-	});
-	server.on('error', (err) => {
-		log.emit('figures.unserved', { reason: err.message });
-	});
-	server.listen(listening.toListenOptions(address));
 }
 
 /** The image as part of a counter's name; `other` once `known` is full. */
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -19,6 +19,7 @@
 import * as probation from './probation.js';
 import * as reportLog from './report-log.js';
 import * as saver from './progress-saver.js';
+import * as runGaps from './run-gaps.js';
 import * as schedulingState from './scheduling-state.js';
 import * as settings from './settings.js';
 import * as starter from './starter.js';
@@ -57,6 +58,7 @@
 	private readonly tickTimer: clocks.Timer;
 	private readonly reportContext: reportHandling.ReportContext;
 	private readonly reportLog: reportLog.ReportLog;
+	private readonly runGaps: runGaps.RunGaps;
 	private readonly listFreshness: freshness.ListFreshness;
 	private readonly evacuations: evacuations.ZoneEvacuations;
 	private isClosed = false;
@@ -76,6 +78,7 @@
 		this.state = schedulingState.choose({ limits: limit, ...opts, interferenceModel, runTimes });
 		this.pressure = pressure.InterferenceControl.create(opts, this.interferenceModel, this.limit);
 		this.progress = saver.createForOwner(opts);
+		this.runGaps = this.createRunGaps();
 		this.listFreshness = freshness.ListFreshness.create(clock, opts.readList);
 		this.evacuations = evacuations.ZoneEvacuations.create(clock, opts.maxEvacuationAgeMs);
 		this.crashAttribution = crashAttribution.CrashAttribution.create(clock);
@@ -264,6 +267,7 @@
 			},
 			onStarted: (placement) => {
 				this.crashAttribution.noteStartAnswered(placement);
+				this.runGaps.noteStarted(placement);
 				this.outcomes.started(placement.task.step.job);
 			},
 			onNotStarted: (session, placement, err) => {
@@ -303,11 +307,18 @@
 		return jobRegistry.JobRegistry.create({
 			...this.opts,
 			onReady: (task) => {
+				this.runGaps.noteReady(task);
 				this.placer.add(task);
 			},
 		});
 	}
 
+	private createRunGaps(): runGaps.RunGaps {
+		const { maxWithoutRunMs } = settings;
+		const mayHaveUnreportedRun = (task: jobs.Task): boolean => this.locations.mayHaveUnreportedRun(task);
+		return runGaps.RunGaps.create({ ...this.opts, maxWithoutRunMs, mayHaveUnreportedRun });
+	}
+
 	private createOutcomes(): outcomes.Outcomes {
 		return outcomes.Outcomes.create({
 			...this.opts,
@@ -411,7 +422,11 @@
 			abandoned: () => {
 				this.meter.count('abandoned');
 			},
-			requeue: (task) => {
+			confirmed: (placement) => {
+				this.runGaps.noteStarted(placement);
+			},
+			requeue: (task, session) => {
+				this.runGaps.noteExited(session, task);
 				this.placer.add(task);
 			},
 		};
@@ -446,7 +461,7 @@
 		this.pressure.controlWorker(session);
 		this.probations.checkRuns(session);
 		// Until its last exit is listed, runs there may have exited without this owner knowing.
-		if (!report.hasMoreExits) this.workers.noteReconciled(session);
+		if (!report.hasMoreExits) this.noteReconciled(session);
 		this.placer.requestRound();
 		return { type: 'taken', stored: this.noteStored(session, unstored, upTo) };
 	}
@@ -465,8 +480,9 @@
 		const { lost, carriedOver } = loss;
 		this.reportLog.lost(session, loss);
 		this.locations.noteLost(session);
+		this.runGaps.noteLost(session, lost);
 		this.outcomes.lost(session, lost);
-		this.workers.noteReconciled(session);
+		this.noteReconciled(session);
 		// The stored worker of a migrated long-running task has changed.
 		for (const { task } of carriedOver) if (task.step.spec.lasting) this.progress.mark(task.step.job, true);
 		// Until these jobs are stored, the roster keeps naming the worker: otherwise a successor would not know that the
@@ -482,7 +498,15 @@
 		this.placer.requestRound();
 	}
 
+	/** Notes that a worker has reported, or is proved to run nothing. */
+	private noteReconciled(session: sessions.WorkerSession): void {
+		this.workers.noteReconciled(session);
+		this.runGaps.noteReconciled(session.id);
+		if (this.workers.isReconciled) this.runGaps.noteReconciled('');
+	}
+
 	private adopt(session: sessions.WorkerSession, task: jobs.Task, run: number): types.Placement {
+		this.runGaps.noteFound(task);
 		this.outcomes.started(task.step.job);
 		return this.placer.adopt(session, task, run);
 	}
--- a/src/core/dispatch/index.ts
+++ b/src/core/dispatch/index.ts
@@ -5,5 +5,5 @@
 export type { RecordForecastError } from './forecast-errors.js';
 export type { LearnedModels } from './learned-models.js';
 export type { LimitKeeper } from './scheduling-state.js';
-export type { ExitTime, RecordTime } from './unacknowledged-exits.js';
+export type { MeasuredTime, RecordTime } from './types.js';
 export * as settings from './settings.js';
--- a/src/core/dispatch/options.ts
+++ b/src/core/dispatch/options.ts
@@ -35,6 +35,10 @@
 	 * not known of any.
 	 */
 	unresponsiveWorkers?: ReadonlySet<string>;
+	/**
+	 * Clock time at which the previous owner last answered this box. Only the log depends on it; absent: it is not known.
+	 */
+	previousOwnerHeardAt?: number;
 	/** Longest time that interference of preemptible tasks may keep a serving task over its target, in milliseconds. */
 	maxSloViolationMs: number;
 	/** How long a restore from a checkpoint takes, in milliseconds; absent: it is not known, and counts as 0. */
--- a/src/core/dispatch/report-handling.ts
+++ b/src/core/dispatch/report-handling.ts
@@ -26,8 +26,10 @@
 	exitedWithoutCrash: (task: jobs.Task, run: number) => void;
 	/** A run exited and neither finished nor failed. */
 	abandoned: () => void;
-	/** The task runs nowhere and may be started again. */
-	requeue: (task: jobs.Task) => void;
+	/** A placed run is known to be on its worker. */
+	confirmed: (placement: types.Placement) => void;
+	/** The task runs nowhere, as a worker's report has shown, and may be started again. */
+	requeue: (task: jobs.Task, session: sessions.WorkerSession) => void;
 	log: reportLog.ReportLog;
 }
 
@@ -126,7 +128,7 @@
 	}
 	if (exit.checkpoint !== '') task.checkpoint = exit.checkpoint;
 	const otherSession = ctx.sessionOf(task);
-	if (otherSession === undefined) ctx.requeue(task);
+	if (otherSession === undefined) ctx.requeue(task, session);
 }
 
 function finishTask(ctx: ReportContext, task: jobs.Task): void {
@@ -179,7 +181,10 @@
 	placement.percent = running.percent;
 	placement.reading = running.reading;
 	if (placement.phase === 'starting') placement.phase = 'running';
-	if (placement.confirmedAt === 0) placement.confirmedAt = now;
+	if (placement.confirmedAt === 0) {
+		placement.confirmedAt = now;
+		ctx.confirmed(placement);
+	}
 	if (running.checkpoint !== '') task.checkpoint = running.checkpoint;
 }
 
@@ -239,5 +244,5 @@
 	session.free(placement);
 	if (isTaskOver(placement.task)) return;
 	ctx.exitedWithoutCrash(placement.task, placement.run);
-	ctx.requeue(placement.task);
+	ctx.requeue(placement.task, session);
 }
--- a/src/core/dispatch/settings.ts
+++ b/src/core/dispatch/settings.ts
@@ -127,3 +127,9 @@
 /** A step is logged as stalled if one of its tasks has waited for the first time, and again after each further interval. */
 export const stalledAfterMs = 3_000;
 export const stalledLogIntervalMs = 3_000;
+
+/**
+ * Longest time from the end of a long-running task's last run to the start of its next one. A longer time is logged as a
+ * warning.
+ */
+export const maxWithoutRunMs = 9_000;
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -56,6 +56,12 @@
 /** A list of the platform that has not been read recently: the workers, or the evacuated zones. */
 export type UnreadList = 'list-unread' | 'evacuations-unread';
 
+/** Measured times. `without_run`: that of a long-running task, from its last run to the start of the next one. */
+export type MeasuredTime = exits.ExitTime | 'without_run';
+
+/** Records a time, in milliseconds. */
+export type RecordTime = (name: MeasuredTime, ms: number) => void;
+
 /** What the dispatcher needs from its surroundings. */
 export interface DispatchDeps {
 	clock: clocks.Clock;
@@ -75,8 +81,8 @@
 	onFenced: () => void;
 	/** Records by queue how far forecasts were off; absent: nothing is recorded. */
 	recordForecastError?: forecastErrors.RecordForecastError;
-	/** Records how long exits waited; absent: nothing is recorded. */
-	recordTime?: exits.RecordTime;
+	/** Records how long exits waited, and how long long-running tasks had no run; absent: nothing is recorded. */
+	recordTime?: RecordTime;
 }
 
 /** Ends a worker's turn. `isAnswered`: whether the worker answered; false: the call failed. */
--- a/src/core/dispatch/unacknowledged-exits.ts
+++ b/src/core/dispatch/unacknowledged-exits.ts
@@ -4,8 +4,8 @@
 /** Measured times of an exit, both from when its worker was first seen to list it. */
 export type ExitTime = 'end_stored' | 'end_forgotten';
 
-/** Records a time, in milliseconds. */
-export type RecordTime = (name: ExitTime, ms: number) => void;
+/** Records the time of an exit, in milliseconds. */
+export type RecordExitTime = (name: ExitTime, ms: number) => void;
 
 interface UnacknowledgedExit {
 	seq: number;
@@ -23,9 +23,9 @@
 	/** The pending poll acknowledges exits up to this sequence number. */
 	private acknowledgingUpTo = 0;
 
-	private constructor(private readonly record: RecordTime) {}
+	private constructor(private readonly record: RecordExitTime) {}
 
-	static create(record: RecordTime): UnacknowledgedExits {
+	static create(record: RecordExitTime): UnacknowledgedExits {
 		return new UnacknowledgedExits(record);
 	}
 
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -268,6 +268,11 @@
 		level: 'error',
 		text: 'A task is not started again because too many workers crashed under it, and its job has failed. Operators should check what it runs.',
 	},
+	'task.resumed': {
+		id: 3131,
+		level: 'info',
+		text: 'A long-running task runs again after a time without a run; a warning if that took longer than it may, with `overMs`. Given are both workers, how the beginning of that time is known (`since`), and its phases as far as known: until this owner took over (0: it was the owner), until the former run was proved to be over, until a worker had capacity, until the start was answered.',
+	},
 	'task.stopped': { id: 3107, level: 'info', text: 'A cancelled task is confirmed as stopped.' },
 	'run.ended': { id: 3108, level: 'info', text: 'A worker lists the exit of a run; its outcome is given.' },
 	'run.stray': {
