Log long-running tasks that have had no run for too long, and what they wait for

Cause: 3120 tells of steps that wait for a worker. A task whose worker does not answer is placed, so it is in no such line for as long as the lease lasts, and an inherited one is there without the worker that it waits for.

Change: 3132 `task.without-run`, every 3 s while a task has had no run for longer than the bound, for the eight tasks with the longest times: the reason that 3120 computes, or the worker and the time until its lease is over. Workers are looked at from their first failed call until they answer or end, so that a check costs nothing for those that answer.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -27,6 +27,7 @@
 import * as unknownJobs from './unknown-jobs.js';
 import * as vacating from './vacating.js';
 import * as watch from './run-watch.js';
+import * as withoutRunLog from './without-run-log.js';
 import * as workerPool from './worker-pool.js';
 import type * as fleet from '../fleet/types.js';
 import type * as jobs from '../jobs/index.js';
@@ -59,6 +60,7 @@
 	private readonly reportContext: reportHandling.ReportContext;
 	private readonly reportLog: reportLog.ReportLog;
 	private readonly runGaps: runGaps.RunGaps;
+	private readonly withoutRunLog: withoutRunLog.WithoutRunLog;
 	private readonly listFreshness: freshness.ListFreshness;
 	private readonly evacuations: evacuations.ZoneEvacuations;
 	private isClosed = false;
@@ -95,6 +97,7 @@
 			progress: this.progress,
 			workersStoredSince: contents.workersStoredSince,
 		});
+		this.withoutRunLog = this.createWithoutRunLog();
 		this.tickTimer = clocks.every(clock, settings.tickMs, () => {
 			this.tick();
 		});
@@ -319,6 +322,17 @@
 		return runGaps.RunGaps.create({ ...this.opts, maxWithoutRunMs, mayHaveUnreportedRun });
 	}
 
+	private createWithoutRunLog(): withoutRunLog.WithoutRunLog {
+		return withoutRunLog.WithoutRunLog.create({
+			...this.opts,
+			gaps: this.runGaps,
+			maxWithoutRunMs: settings.maxWithoutRunMs,
+			sessionOf: (task) => this.placer.sessionOf(task),
+			worker: (id) => this.workers.get(id),
+			explain: (task) => this.placer.explain(task),
+		});
+	}
+
 	private createOutcomes(): outcomes.Outcomes {
 		return outcomes.Outcomes.create({
 			...this.opts,
@@ -374,6 +388,7 @@
 			onUnanswered: (from, err) => {
 				this.crashAttribution.noteContactLost(from);
 				this.reportLog.unanswered(from, err);
+				this.withoutRunLog.noteUnanswered(from);
 			},
 			onLost: (from, loss) => {
 				this.onLost(from, loss);
@@ -526,6 +541,7 @@
 			this.opts.events.emit('zone.emptied', { zone });
 		this.registry.tick();
 		this.placer.logStalled();
+		this.withoutRunLog.logIfDue();
 		this.placer.requestRound();
 	}
 }
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -216,7 +216,7 @@
 	}
 
 	/** Why a task waits, also if no placing round considers it. */
-	private explain(task: jobs.Task): waiting.WaitingReason {
+	explain(task: jobs.Task): waiting.WaitingReason {
 		const now = this.opts.clock.now();
 		const { step } = task;
 		if (!this.opts.mayAct()) return { reason: 'may-not-act' };
--- a/src/core/dispatch/settings.ts
+++ b/src/core/dispatch/settings.ts
@@ -130,6 +130,9 @@
 
 /**
  * Longest time from the end of a long-running task's last run to the start of its next one. A longer time is logged as a
- * warning.
+ * warning, and repeatedly while it lasts.
  */
 export const maxWithoutRunMs = 9_000;
+
+/** Interval between the log lines on long-running tasks that have had no run for longer. */
+export const withoutRunLogIntervalMs = 3_000;
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -273,6 +273,11 @@
 		level: 'info',
 		text: 'A long-running task runs again after a time without a run; a warning if that took longer than it may, with `overMs`. Given are both workers, how the beginning of that time is known (`since`), and its phases as far as known: until this owner took over (0: it was the owner), until the former run was proved to be over, until a worker had capacity, until the start was answered.',
 	},
+	'task.without-run': {
+		id: 3132,
+		level: 'warn',
+		text: 'A long-running task has had no run for longer than it may; logged every few seconds for those with the longest time. Given are how the beginning of that time is known, what the task waits for, with the worker and the time until its lease is over where it waits for that, and the number of such tasks.',
+	},
 	'task.stopped': { id: 3107, level: 'info', text: 'A cancelled task is confirmed as stopped.' },
 	'run.ended': { id: 3108, level: 'info', text: 'A worker lists the exit of a run; its outcome is given.' },
 	'run.stray': {
