takeover.waiting tells how many long-running tasks wait

Cause: 2112 names workers and the longest lease, not whether a long-running task waits, which is what the wait costs most.

Change: `longRunning`, left out where none does. One pass over the unproved inherited long-running tasks a second, kept by worker, so a report removes its worker's by one look-up. The longest lease is found in one pass too, without a copy of the workers as arguments of a call.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -402,7 +402,15 @@
 		const tokens = fencing.FencingTokens.create(epoch, onFenced);
 		const isEvacuated = (zone: string): boolean => this.evacuations.has(zone);
 		return workerPool.WorkerPool.create(
-			{ ...this.opts, tokens, isEvacuated, firstReportTurns: takeover.turns, handlers, onWorkersAvailable },
+			{
+				...this.opts,
+				tokens,
+				isEvacuated,
+				firstReportTurns: takeover.turns,
+				handlers,
+				onWorkersAvailable,
+				longRunningAwaited: () => this.runGaps.awaitingProof,
+			},
 			roster,
 		);
 	}
--- a/src/core/dispatch/run-gaps.ts
+++ b/src/core/dispatch/run-gaps.ts
@@ -72,6 +72,14 @@
 		return this.gaps.has(task);
 	}
 
+	/** Number of inherited long-running tasks that wait for a worker to answer, or for its lease to expire. */
+	get awaitingProof(): number {
+		let count = 0;
+		for (const gaps of this.unproved.values())
+			for (const gap of gaps) if (this.gaps.get(gap.task) === gap && !needsNoRun(gap.task)) count += 1;
+		return count;
+	}
+
 	/**
 	 * Notes that a task may be started for the first time under this owner. Of a task without a worker in the store it is not
 	 * known whether it ran before, unless a worker crashed under it or it left a checkpoint.
--- a/src/core/dispatch/worker-pool.ts
+++ b/src/core/dispatch/worker-pool.ts
@@ -29,6 +29,8 @@
 	handlers: types.ReportHandlers;
 	/** Called when more workers may take work. */
 	onWorkersAvailable: () => void;
+	/** Number of inherited long-running tasks that wait for workers of earlier owners; absent: it is not logged. */
+	longRunningAwaited?: () => number;
 	/** Clock time by which all leases at a worker have expired, by worker, where the previous owner published it. */
 	leaseEnds: ReadonlyMap<string, number>;
 }
@@ -246,12 +248,15 @@
 		if (this.isReconciled || now < this.nextWaitingLogAt) return;
 		this.nextWaitingLogAt = now + waitingLogIntervalMs;
 		const ids = [...this.unreconciled].slice(0, maxNamedWorkers).map((session) => session.id);
-		const leftMs = Math.max(...[...this.unreconciled].map((session) => session.leaseLeftMs));
+		let leftMs = 0;
+		for (const session of this.unreconciled) leftMs = Math.max(leftMs, session.leaseLeftMs);
+		const longRunning = this.opts.longRunningAwaited?.() ?? 0;
 		events.emit('takeover.waiting', {
 			epoch,
 			workers: this.unreconciled.size,
 			named: ids.join(' '),
 			leftMs: Math.round(leftMs),
+			...(longRunning > 0 && { longRunning }),
 		});
 	}
 
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -179,7 +179,7 @@
 	'takeover.waiting': {
 		id: 2112,
 		level: 'info',
-		text: 'Inherited tasks still wait for these workers to answer, or for their leases to expire; logged once per second.',
+		text: 'Inherited tasks still wait for these workers to answer, or for their leases to expire; logged once per second. The longest time until a lease is over and the number of long-running tasks that wait, if any do, are given.',
 	},
 	'learnt.adopted': {
 		id: 2110,
