Pass on to the dispatcher when the previous owner was last heard

Cause: for a task whose worker has not answered a new owner, the log could count the time without a run only from the takeover, so the time without an owner was missing.

Change: a box notes when an owner last answered its ping, or when it ceased to be the owner itself, and gives that to its dispatcher. Only the log depends on it.

--- a/src/core/box/box.ts
+++ b/src/core/box/box.ts
@@ -33,7 +33,7 @@
 	private configuration!: configurations.ConfigurationFollower;
 	private ownership!: ownership.Ownership;
 	private server!: wire.PeerServer<protocol.BoxReq>;
-	/** Records how long exits wait while this box is the owner; does nothing until it is set. */
+	/** Records times of exits and of long-running tasks while this box is the owner; does nothing until it is set. */
 	recordTime: dispatch.RecordTime = () => undefined;
 	/** Records how far forecasts were off while this box is the owner; does nothing until it is set. */
 	recordForecastError: dispatch.RecordForecastError = () => undefined;
@@ -292,6 +292,7 @@
 				events: this.events,
 				table: () => this.queues,
 				returns: this.returns,
+				previousOwnerHeardAt: this.pings.ownerHeardAt,
 				recordTime: (name, ms) => {
 					this.recordTime(name, ms);
 				},
@@ -313,6 +314,7 @@
 	private endOwnerRole(): void {
 		// What this owner knows of the boxes counts in the next race to become the owner.
 		this.pings.strongest = this.candidates.strongest(this.settings.processor);
+		this.pings.ownerHeardAt = this.clock.now();
 		this.role?.close();
 		this.role = undefined;
 		this.heldPings.release();
--- a/src/core/box/owner-pings.ts
+++ b/src/core/box/owner-pings.ts
@@ -52,6 +52,8 @@
 	storeReachable = false;
 	/** The highest processor of all boxes, in cores, as the owner last reported; undefined: not known yet. */
 	strongest: number | undefined;
+	/** Clock time at which the owner last answered a ping, or this box ceased to be the owner; undefined: neither happened. */
+	ownerHeardAt: number | undefined;
 	/** Lease expiries at unresponsive workers, as the owner last reported. */
 	readonly leaseExpiries: leaseExpiries.LeaseExpiries;
 	/** The forecast that the owner last reported. */
@@ -105,6 +107,7 @@
 	}
 
 	private applyReply(reply: protocol.PingReply, askedAt: number): void {
+		this.ownerHeardAt = this.opts.now();
 		this.storeReachable = reply.storeReachable;
 		this.strongest = reply.strongest;
 		this.reportedBacklog = { backlog: reply.backlog ?? [], at: this.opts.now() };
--- a/src/core/box/owner-role.ts
+++ b/src/core/box/owner-role.ts
@@ -51,7 +51,9 @@
 	table: () => queues.QueueTable | undefined;
 	/** Called when a newer owner was seen. */
 	onFenced: (reason: string) => void;
-	/** Records how long exits waited. */
+	/** Clock time at which the previous owner last answered this box; undefined: it is not known. */
+	previousOwnerHeardAt: number | undefined;
+	/** Records times of exits and of long-running tasks. */
 	recordTime: dispatch.RecordTime;
 	/** Books refused callers of this box; undefined: they are not booked. */
 	returns: admission.ReturnSchedule | undefined;
@@ -224,6 +226,7 @@
 				restoreMs: settings.bounds.restoreMs,
 				maxEvacuationAgeMs: maxEvacuationListAgeMs(settings.bounds.evacuateMs),
 				features: settings.features,
+				previousOwnerHeardAt: this.deps.previousOwnerHeardAt,
 				recordTime: this.deps.recordTime,
 				recordForecastError: this.deps.recordForecastError,
 				leaseEnds: leaseExpiries,
