--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -19,6 +19,7 @@
 import * as probation from './probation.js';
 import * as reportLog from './report-log.js';
 import * as saver from './progress-saver.js';
+import * as runGaps from './run-gaps.js';
 import * as schedulingState from './scheduling-state.js';
 import * as settings from './settings.js';
 import * as starter from './starter.js';
@@ -26,6 +27,7 @@
 import * as unknownJobs from './unknown-jobs.js';
 import * as vacating from './vacating.js';
 import * as watch from './run-watch.js';
+import * as withoutRunLog from './without-run-log.js';
 import * as workerPool from './worker-pool.js';
 import type * as fleet from '../fleet/types.js';
 import type * as jobs from '../jobs/index.js';
@@ -57,6 +59,8 @@
 	private readonly tickTimer: clocks.Timer;
 	private readonly reportContext: reportHandling.ReportContext;
 	private readonly reportLog: reportLog.ReportLog;
+	private readonly runGaps: runGaps.RunGaps;
+	private readonly withoutRunLog: withoutRunLog.WithoutRunLog;
 	private readonly listFreshness: freshness.ListFreshness;
 	private readonly evacuations: evacuations.ZoneEvacuations;
 	private isClosed = false;
@@ -76,6 +80,7 @@
 		this.state = schedulingState.choose({ limits: limit, ...opts, interferenceModel, runTimes });
 		this.pressure = pressure.InterferenceControl.create(opts, this.interferenceModel, this.limit);
 		this.progress = saver.createForOwner(opts);
+		this.runGaps = this.createRunGaps();
 		this.listFreshness = freshness.ListFreshness.create(clock, opts.readList);
 		this.evacuations = evacuations.ZoneEvacuations.create(clock, opts.maxEvacuationAgeMs);
 		this.crashAttribution = crashAttribution.CrashAttribution.create(clock);
@@ -92,6 +97,7 @@
 			progress: this.progress,
 			workersStoredSince: contents.workersStoredSince,
 		});
+		this.withoutRunLog = this.createWithoutRunLog();
 		this.tickTimer = clocks.every(clock, settings.tickMs, () => {
 			this.tick();
 		});
@@ -264,6 +270,7 @@
 			},
 			onStarted: (placement) => {
 				this.crashAttribution.noteStartAnswered(placement);
+				this.runGaps.noteStarted(placement);
 				this.outcomes.started(placement.task.step.job);
 			},
 			onNotStarted: (session, placement, err) => {
@@ -303,11 +310,29 @@
 		return jobRegistry.JobRegistry.create({
 			...this.opts,
 			onReady: (task) => {
+				this.runGaps.noteReady(task);
 				this.placer.add(task);
 			},
 		});
 	}
 
+	private createRunGaps(): runGaps.RunGaps {
+		const { maxWithoutRunMs } = settings;
+		const mayHaveUnreportedRun = (task: jobs.Task): boolean => this.locations.mayHaveUnreportedRun(task);
+		return runGaps.RunGaps.create({ ...this.opts, maxWithoutRunMs, mayHaveUnreportedRun });
+	}
+
+	private createWithoutRunLog(): withoutRunLog.WithoutRunLog {
+		return withoutRunLog.WithoutRunLog.create({
+			...this.opts,
+			gaps: this.runGaps,
+			maxWithoutRunMs: settings.maxWithoutRunMs,
+			sessionOf: (task) => this.placer.sessionOf(task),
+			worker: (id) => this.workers.get(id),
+			explain: (task) => this.placer.explain(task),
+		});
+	}
+
 	private createOutcomes(): outcomes.Outcomes {
 		return outcomes.Outcomes.create({
 			...this.opts,
@@ -363,6 +388,7 @@
 			onUnanswered: (from, err) => {
 				this.crashAttribution.noteContactLost(from);
 				this.reportLog.unanswered(from, err);
+				this.withoutRunLog.noteUnanswered(from);
 			},
 			onLost: (from, loss) => {
 				this.onLost(from, loss);
@@ -376,7 +402,15 @@
 		const tokens = fencing.FencingTokens.create(epoch, onFenced);
 		const isEvacuated = (zone: string): boolean => this.evacuations.has(zone);
 		return workerPool.WorkerPool.create(
-			{ ...this.opts, tokens, isEvacuated, firstReportTurns: takeover.turns, handlers, onWorkersAvailable },
+			{
+				...this.opts,
+				tokens,
+				isEvacuated,
+				firstReportTurns: takeover.turns,
+				handlers,
+				onWorkersAvailable,
+				longRunningAwaited: () => this.runGaps.awaitingProof,
+			},
 			roster,
 		);
 	}
@@ -411,7 +445,11 @@
 			abandoned: () => {
 				this.meter.count('abandoned');
 			},
-			requeue: (task) => {
+			confirmed: (placement) => {
+				this.runGaps.noteStarted(placement);
+			},
+			requeue: (task, session) => {
+				this.runGaps.noteExited(session, task);
 				this.placer.add(task);
 			},
 		};
@@ -446,7 +484,7 @@
 		this.pressure.controlWorker(session);
 		this.probations.checkRuns(session);
 		// Until its last exit is listed, runs there may have exited without this owner knowing.
-		if (!report.hasMoreExits) this.workers.noteReconciled(session);
+		if (!report.hasMoreExits) this.noteReconciled(session);
 		this.placer.requestRound();
 		return { type: 'taken', stored: this.noteStored(session, unstored, upTo) };
 	}
@@ -465,8 +503,9 @@
 		const { lost, carriedOver } = loss;
 		this.reportLog.lost(session, loss);
 		this.locations.noteLost(session);
+		this.runGaps.noteLost(session, lost);
 		this.outcomes.lost(session, lost);
-		this.workers.noteReconciled(session);
+		this.noteReconciled(session);
 		// The stored worker of a migrated long-running task has changed.
 		for (const { task } of carriedOver) if (task.step.spec.lasting) this.progress.mark(task.step.job, true);
 		// Until these jobs are stored, the roster keeps naming the worker: otherwise a successor would not know that the
@@ -482,7 +521,15 @@
 		this.placer.requestRound();
 	}
 
+	/** Notes that a worker has reported, or is proved to run nothing. */
+	private noteReconciled(session: sessions.WorkerSession): void {
+		this.workers.noteReconciled(session);
+		this.runGaps.noteReconciled(session.id);
+		if (this.workers.isReconciled) this.runGaps.noteReconciled('');
+	}
+
 	private adopt(session: sessions.WorkerSession, task: jobs.Task, run: number): types.Placement {
+		this.runGaps.noteFound(task);
 		this.outcomes.started(task.step.job);
 		return this.placer.adopt(session, task, run);
 	}
@@ -502,6 +549,7 @@
 			this.opts.events.emit('zone.emptied', { zone });
 		this.registry.tick();
 		this.placer.logStalled();
+		this.withoutRunLog.logIfDue();
 		this.placer.requestRound();
 	}
 }
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -184,7 +184,7 @@
 	'takeover.waiting': {
 		id: 2112,
 		level: 'info',
-		text: 'Inherited tasks still wait for these workers to answer, or for their leases to expire; logged once per second.',
+		text: 'Inherited tasks still wait for these workers to answer, or for their leases to expire; logged once per second. The longest time until a lease is over and the number of long-running tasks that wait, if any do, are given.',
 	},
 	'learnt.adopted': {
 		id: 2110,
@@ -273,6 +273,16 @@
 		level: 'error',
 		text: 'A task is not started again because too many workers crashed under it, and its job has failed. Operators should check what it runs.',
 	},
+	'task.resumed': {
+		id: 3131,
+		level: 'info',
+		text: 'A long-running task runs again after a time without a run; a warning if that took longer than it may, with `overMs`. Given are both workers, how the beginning of that time is known (`since`), and its phases as far as known: until this owner took over (0: it was the owner), until the former run was proved to be over, until a worker had capacity, until the start was answered.',
+	},
+	'task.without-run': {
+		id: 3132,
+		level: 'warn',
+		text: 'A long-running task has had no run for longer than it may; logged every few seconds for those with the longest time. Given are how the beginning of that time is known, what the task waits for, with the worker and the time until its lease is over where it waits for that, and the number of such tasks.',
+	},
 	'task.stopped': { id: 3107, level: 'info', text: 'A cancelled task is confirmed as stopped.' },
 	'run.ended': { id: 3108, level: 'info', text: 'A worker lists the exit of a run; its outcome is given.' },
 	'run.stray': {
