Stand-ins: the longest lease of the workers is settable

The stand-in of the users' platform and the settings file of a box took hold_max_ms as 10,000. Sites have 10,000 or 6,000, and waits after a lost worker depend on it. A worker that was cut off from the store can be listed anew.

--- a/stand-ins/users-platform/server.ts
+++ b/stand-ins/users-platform/server.ts
@@ -29,10 +29,14 @@
 	journal?: workers.FleetJournal;
 	/** Interval at which workers rewrite their entries, in milliseconds; absent: they don't. */
 	heartbeatMs?: number;
+	/**
+	 * Longest lease of the workers, in milliseconds; absent: 10,000. It has to equal `hold_max_ms` in the boxes' settings
+	 * (`box-process.ts`).
+	 */
+	maxLeaseMs?: number;
 }
 
-/** Longest lease of the workers, in milliseconds; equals `hold_max_ms` in the boxes' settings (`box-process.ts`). */
-const maxLeaseMs = 10_000;
+const defaultMaxLeaseMs = 10_000;
 
 /** Capacity of a worker unless it is resized, in thousandths of a core. */
 export const workerMilliCores = 32_000;
@@ -56,7 +60,11 @@
 	private readonly servers: http.Server[] = [];
 
 	private constructor(opts: UsersPlatformOptions) {
-		this.fleet = workers.FakeFleet.create({ clock: clocks.systemClock, maxLeaseMs, ...opts });
+		this.fleet = workers.FakeFleet.create({
+			clock: clocks.systemClock,
+			...opts,
+			maxLeaseMs: opts.maxLeaseMs ?? defaultMaxLeaseMs,
+		});
 		this.listing = listings.WorkerListing.create(this.store, opts.heartbeatMs);
 	}
 
@@ -132,11 +140,16 @@
 		this.listing.update(id, createEntry(listedAs, milliCores));
 	}
 
-	/** Stops the heartbeats of a worker that has crashed. */
+	/** Stops the heartbeats of a worker that has crashed, or is cut off from the store. */
 	stopHeartbeats(id: string): void {
 		this.listing.stopHeartbeats(id);
 	}
 
+	/** Lists a worker anew that was cut off from the store. `born`: the start time that it reports. */
+	resumeHeartbeats(id: string, listedAs: string, born?: number): void {
+		this.listing.add(id, { ...createEntry(listedAs, workerMilliCores), born });
+	}
+
 	/** Writes the operators' configuration, with one queue at `host` for each path prefix. */
 	writeConfiguration(version: number, host: string, prefixes = ['/jobs/']): void {
 		const configuration = { version, ...createConfiguration(host, prefixes) };
