Soak: long-running tasks, and how long each has no run

Cause: the soak had no tasks that last, so a wait after a lost worker that exceeds the users' bound (3 s without a run, from 6 s after the last run) showed in none of its seeds.

Set of faults 9: six long-running jobs beside little short work on ten workers. In series, with at least 8 s of calm between them, workers crash for good, refused or silent, or are cut off and run on; about then the owner is killed (also the next ones), paused, stopped, turned away by the store, or the store is silent or refuses. Leases of 10,000 ms on even seeds and 6,000 ms on odd ones. The other sets draw the same random numbers as before.

Two promises, by what workers carry out. "lasting" is the users' rule with its calm. "lasting-bound" is 9 s in any case, unless the store answered no box at a time less than 3.5 s before they were over. The set is checked to leave each waiting task capacity twice over ("lasting-room").

Ruled out: faults of owners at any time of a series.

--- a/dev/soak/box-faults.ts
+++ b/dev/soak/box-faults.ts
@@ -73,7 +73,15 @@
 /** Stops a box as planned and starts it again. Kills it if the stop takes longer than its grace. */
 export async function stop(environment: environments.Environment, nextRandom: () => number): Promise<string> {
 	const box = pickFaultFree(environment, nextRandom);
-	if (box?.process === undefined) return notInjected;
+	return box === undefined ? notInjected : stopBox(environment, box);
+}
+
+/** As `stop`, for a given box. */
+export async function stopBox(
+	environment: environments.Environment,
+	box: environments.SoakBox,
+): Promise<string> {
+	if (box.process === undefined) return notInjected;
 	const running = box.process;
 	box.stopping = running;
 	box.plannedStopUntil = environment.now() + stopGraceMs;
@@ -103,7 +111,16 @@
 	durationMs: number,
 ): Promise<string> {
 	const box = pickFaultFree(environment, nextRandom);
-	if (box?.process === undefined) return notInjected;
+	return box === undefined ? notInjected : pauseBox(environment, box, durationMs);
+}
+
+/** As `pause`, for a given box. */
+export async function pauseBox(
+	environment: environments.Environment,
+	box: environments.SoakBox,
+	durationMs: number,
+): Promise<string> {
+	if (box.process === undefined) return notInjected;
 	const { process: paused } = box.process;
 	environment.noteFault(box, durationMs + startupMs);
 	paused.kill('SIGSTOP');
@@ -122,13 +139,16 @@
 }
 
 /** Kills a box's process and starts another after a delay. */
-async function restart(environment: environments.Environment, box: environments.SoakBox): Promise<void> {
+export async function restart(
+	environment: environments.Environment,
+	box: environments.SoakBox,
+): Promise<void> {
 	environment.noteFault(box, restartDelayMs + startupMs);
 	await box.process?.kill();
 	await environment.sleep(restartDelayMs);
 	await environment.startBox(box);
 }
 
-function isFaultFree(environment: environments.Environment, box: environments.SoakBox): boolean {
+export function isFaultFree(environment: environments.Environment, box: environments.SoakBox): boolean {
 	return box.process !== undefined && Math.max(box.faultUntil, box.plannedStopUntil) < environment.now();
 }
--- a/dev/soak/callers.ts
+++ b/dev/soak/callers.ts
@@ -9,6 +9,13 @@
 const submissionIntervalMs = 250;
 const pollIntervalMs = 200;
 
+/** Bounds of the steps of a job, in tasks, and of a task's demand, in thousandths of a core. */
+const usualSizes = { maxTasks: 6, maxMilliCores: 12_000 };
+
+/** Beside long-running tasks there is little short work, so that these always find capacity. */
+const lightSizes = { maxTasks: 2, maxMilliCores: 2_000 };
+const lightIntervalMs = 1_000;
+
 /** Number of attempts to submit a job after which a caller gives up, if all of them were turned away. */
 const maxTries = 8;
 
@@ -37,9 +44,10 @@
 export async function call(opts: CallersOptions): Promise<void> {
 	const client = boxClients.BoxClient.create(opts);
 	const followed: Promise<void>[] = [];
+	const isLight = environments.hasLastingTasks(opts.environment.faults);
 	while (opts.environment.now() < opts.until) {
 		followed.push(followJob(opts, client));
-		await opts.environment.sleep(submissionIntervalMs);
+		await opts.environment.sleep(isLight ? lightIntervalMs : submissionIntervalMs);
 	}
 	await Promise.all(followed);
 	await client.close();
@@ -81,7 +89,8 @@
 /** Submits one job and polls it until it ends. */
 async function followJob(opts: CallersOptions, client: boxClients.BoxClient): Promise<void> {
 	const { environment, checker, nextRandom } = opts;
-	const job = makeJob(nextRandom);
+	const isLight = environments.hasLastingTasks(environment.faults);
+	const job = makeJob(nextRandom, isLight ? lightSizes : usualSizes);
 	const isToCancel = nextRandom() < cancelledFraction;
 	checker.noteSubmission(job);
 	if (!(await submitJob(opts, client, job))) return;
@@ -101,7 +110,7 @@
 }
 
 /** Submits a job, and repeats this while it may not be stored. False: the caller gave up. */
-async function submitJob(
+export async function submitJob(
 	opts: CallersOptions,
 	client: boxClients.BoxClient,
 	job: checkers.SoakJob,
@@ -133,19 +142,25 @@
 		count: step.tasks,
 		cpu: step.milliCores,
 		mem_mb: 100,
-		estimate_ms: 200,
+		...(job.lasting === undefined ? { estimate_ms: 200 } : { long_running: true }),
 		...(step.after.length > 0 && { after: step.after }),
+		...(step.maxPerWorker !== undefined && { anti_affinity: step.maxPerWorker }),
 	}));
 }
 
 /** Makes a job of one to three steps in sequence. */
-function makeJob(nextRandom: () => number): checkers.SoakJob {
-	const id = crypto.randomBytes(8).toString('hex');
+function makeJob(nextRandom: () => number, sizes: typeof usualSizes): checkers.SoakJob {
 	const steps = Array.from({ length: random.randomInteger(nextRandom, 1, 3) }, (_, number) => ({
-		tasks: random.randomInteger(nextRandom, 1, 6),
-		milliCores: random.randomInteger(nextRandom, 500, 12_000),
+		tasks: random.randomInteger(nextRandom, 1, sizes.maxTasks),
+		milliCores: random.randomInteger(nextRandom, 500, sizes.maxMilliCores),
 		after: number === 0 ? [] : [number - 1],
 	}));
+	return newJob(steps);
+}
+
+/** A job that was not submitted yet. */
+export function newJob(steps: checkers.SoakStep[]): checkers.SoakJob {
+	const id = crypto.randomBytes(8).toString('hex');
 	const times = { sentAt: 0, acceptedAt: 0, lastProgressAt: 0 };
 	return {
 		id,
--- a/dev/soak/environment.ts
+++ b/dev/soak/environment.ts
@@ -2,6 +2,7 @@
 import * as boxes from '../../stand-ins/box-process.js';
 import * as clocks from '../../src/core/clock.js';
 import * as crashing from './crashing.js';
+import * as faultTimes from './fault-times.js';
 import * as fleets from '../../stand-ins/fleet/workers.js';
 import * as linking from './links.js';
 import * as proxies from '../../stand-ins/proxy/index.js';
@@ -41,6 +42,10 @@
 const maxClockStepMs = 5_000;
 const setBackFraction = 0.3;
 
+/** In the set with long-running tasks, this fraction of the workers has the slowest clock that is stated for them. */
+const slowClockFraction = 0.3;
+const slowestClockRate = 0.98;
+
 /**
  * A command that a worker leaves unanswered is carried out within this time, in milliseconds. No capacity is promised to
  * such commands.
@@ -58,17 +63,24 @@
  * 7: planned stops, one box after another, and few other faults. Some callers have a network delay and leave
  *    connections idle.
  * 8: as 7, without tasks that crash their workers.
+ * 9: long-running tasks, and series of faults with calm between them: workers that crash for good or are cut off while they
+ *    run on, beside faults of the owner and of the store.
  */
-export type FaultSet = 1 | 2 | 3 | 4 | 5 | 6 | 7 | 8;
+export type FaultSet = 1 | 2 | 3 | 4 | 5 | 6 | 7 | 8 | 9;
 
 /** Whether a set has tasks that crash their workers. */
 export function hasCrashingTasks(faults: FaultSet): boolean {
-	return faults >= 4 && faults !== 8;
+	return faults >= 4 && faults <= 7;
 }
 
 /** Whether a set has delayed callers. */
 export function hasDelayedCallers(faults: FaultSet): boolean {
-	return faults >= 7;
+	return faults === 7 || faults === 8;
+}
+
+/** Whether a set has long-running tasks. */
+export function hasLastingTasks(faults: FaultSet): boolean {
+	return faults === 9;
 }
 
 /** A change of a queue. */
@@ -119,6 +131,8 @@
 	born: number | undefined;
 	/** Clock time until which the worker may carry out commands late. */
 	lateCommandsUntil: number;
+	/** Whether no box reaches it. */
+	isCutOff: boolean;
 }
 
 /** Options of an environment. */
@@ -130,6 +144,8 @@
 	faults: FaultSet;
 	/** Decides the ids and start times of workers' incarnations. */
 	nextRandom: () => number;
+	/** Longest lease of a worker, in milliseconds. */
+	holdMaxMs: number;
 }
 
 /** All processes and servers that a soak starts. */
@@ -138,6 +154,8 @@
 	readonly workers: SoakWorker[] = [];
 	/** Links from boxes to workers and to each other. */
 	readonly links: linking.Links;
+	/** The faults of the set with long-running tasks. */
+	readonly faultTimes: faultTimes.FaultTimes;
 	/** Prefixes of paths that have a queue, the newest last. */
 	prefixes = [firstQueue];
 	version = 1;
@@ -154,13 +172,14 @@
 		private readonly opts: EnvironmentOptions,
 	) {
 		this.links = linking.Links.create(boxNames(opts.boxes));
+		this.faultTimes = faultTimes.FaultTimes.create(opts.checker.now);
 	}
 
 	static async create(opts: EnvironmentOptions): Promise<Environment> {
-		const { checker, plan } = opts;
+		const { checker, plan, holdMaxMs: maxLeaseMs } = opts;
 		const heartbeatOptions = opts.faults === 1 ? {} : { heartbeatMs: heartbeatIntervalMs };
 		const environment = new Environment(
-			users.UsersPlatform.create({ plan, journal: checker, ...heartbeatOptions }),
+			users.UsersPlatform.create({ plan, journal: checker, maxLeaseMs, ...heartbeatOptions }),
 			opts,
 		);
 		checker.running = () => environment.running();
@@ -195,7 +214,12 @@
 
 	/** Starts a process for a box that has none. */
 	async startBox(box: SoakBox): Promise<void> {
-		const newProcess = await boxes.BoxProcess.create(box.name, box.store.address);
+		const newProcess = await boxes.BoxProcess.create(
+			box.name,
+			box.store.address,
+			undefined,
+			this.opts.holdMaxMs,
+		);
 		box.processCount += 1;
 		box.process = newProcess;
 		box.lines.push(newProcess.lines);
@@ -221,12 +245,17 @@
 
 	/** The box that became the owner last, according to the boxes' logs. Undefined: there is none, or it has no process. */
 	owner(): SoakBox | undefined {
-		const generations = this.boxes.map((box) => Math.max(0, ...box.lines.flat().map(generationTaken)));
+		const generations = this.boxes.map((box) => newestGeneration(box));
 		const newest = Math.max(...generations);
 		const owner = newest === 0 ? undefined : this.boxes[generations.indexOf(newest)];
 		return owner?.process === undefined ? undefined : owner;
 	}
 
+	/** The newest generation of owners, according to the boxes' logs. 0: there was no owner yet. */
+	generation(): number {
+		return Math.max(...this.boxes.map((box) => newestGeneration(box)));
+	}
+
 	/** Whether a box has been without a fault for a while, and the store too. */
 	isStable(box: SoakBox): boolean {
 		const until = Math.max(box.faultUntil, this.storeFaultUntil, box.plannedStopUntil);
@@ -260,6 +289,54 @@
 		});
 	}
 
+	/**
+	 * Crashes a worker with what runs there. Nothing is ever started again at its address. `unresponsive`: connections to it
+	 * are accepted and get no answer. Otherwise they are refused.
+	 */
+	removeWorker(worker: SoakWorker, unresponsive: boolean): void {
+		const incarnation = this.platform.fleet.workers.get(worker.id);
+		this.workers.splice(this.workers.indexOf(worker), 1);
+		for (const { proxy } of this.links.to(worker.address))
+			if (unresponsive) proxy.addFault({ kind: 'freeze' });
+			else proxy.close();
+		if (incarnation !== undefined) this.platform.fleet.takeDown(incarnation, unresponsive);
+		this.platform.stopHeartbeats(worker.id);
+	}
+
+	/** Adds a worker under a new id at a new address. Returns the id. */
+	async joinWorker(): Promise<string> {
+		const id = this.newId();
+		if (!this.isClosing) await this.addWorker(id);
+		return id;
+	}
+
+	/** Cuts a worker off from all boxes, and from the store if `fromStore`, for `durationMs` milliseconds. It runs on. */
+	async cutOffWorker(
+		worker: SoakWorker,
+		mode: proxies.ProxyMode,
+		fromStore: boolean,
+		durationMs: number,
+	): Promise<void> {
+		worker.isCutOff = true;
+		if (fromStore) this.platform.stopHeartbeats(worker.id);
+		const undos = this.links.to(worker.address).map(({ proxy }) => proxy.addFault(mode));
+		await this.sleep(durationMs);
+		for (const undo of undos) undo();
+		worker.isCutOff = false;
+		if (fromStore && this.workers.includes(worker))
+			this.platform.resumeHeartbeats(worker.id, worker.address, worker.born);
+	}
+
+	/** The workers that are up and not cut off, with what they have left. */
+	usableWorkers(): { id: string; freeMilliCores: number }[] {
+		return this.workers
+			.filter((worker) => !worker.isCutOff)
+			.map(({ id }) => ({
+				id,
+				freeMilliCores: users.workerMilliCores - this.opts.checker.usedMilliCores(id),
+			}));
+	}
+
 	private restoreWorker(worker: SoakWorker): void {
 		if (worker.born === undefined) this.replaceWorker(worker);
 		else this.restartWorker(worker, worker.born);
@@ -369,8 +446,12 @@
 			incarnationCount: 1,
 			reducedCapacity: undefined,
 			lateCommandsUntil: 0,
+			isCutOff: false,
 			born,
 		});
+		const incarnation = this.platform.fleet.workers.get(id);
+		if (incarnation !== undefined && hasLastingTasks(this.opts.faults))
+			incarnation.clockRate = this.opts.nextRandom() < slowClockFraction ? slowestClockRate : 1;
 	}
 
 	/** Returns the id of a new incarnation, which may sort before or after the id of the previous one. */
@@ -395,6 +476,11 @@
 	return line.name === 'owner.taken' ? Number(line.fields.generation) : 0;
 }
 
+/** The newest generation in which a box became the owner. 0: it never was. */
+function newestGeneration(box: SoakBox): number {
+	return Math.max(0, ...box.lines.flat().map(generationTaken));
+}
+
 /** A box without a process. */
 function newBox(name: string, store: proxies.FaultProxy): SoakBox {
 	const noProcess = { process: undefined, stopping: undefined, processCount: 0, lines: [] };
--- a/dev/soak/faults.ts
+++ b/dev/soak/faults.ts
@@ -2,9 +2,11 @@
  * Faults that are injected from outside the processes, in an order that the seed decides. They overlap and come in series.
  */
 import * as boxFaults from './box-faults.js';
+import * as lastingFaults from './lasting-faults.js';
 import * as linkFaults from './link-faults.js';
 import * as random from '../random.js';
 import * as workerFaults from './worker-faults.js';
+import type * as lasting from './lasting-tasks.js';
 import type * as workers from '../../stand-ins/fleet/workers.js';
 import * as environments from './environment.js';
 
@@ -117,15 +119,26 @@
 	6: { ...fourthFaults, ...workerFaults.restartFaults, 'zone-evacuated': workerFaults.evacuateZone },
 	7: plannedStopFaults,
 	8: plannedStopFaults,
+	// Its faults come in series of their own.
+	9: {},
 };
 
-/** Injects faults until `until` (clock time). Resolves once the last fault has ended. */
+/**
+ * Injects faults until `until` (clock time). Resolves once the last fault has ended. `lastingTasks`: the long-running tasks, in
+ * the set that has them.
+ */
 export async function inject(
 	environment: environments.Environment,
 	nextRandom: () => number,
 	until: number,
 	logFault: (line: string) => void,
+	lastingTasks?: lasting.LastingTasks,
 ): Promise<void> {
+	if (lastingTasks !== undefined) {
+		const isLoaded = (worker: environments.SoakWorker): boolean => lastingTasks.hasRunOn(worker.id);
+		await lastingFaults.inject({ environment, nextRandom, isLoaded, logFault }, until);
+		return;
+	}
 	const pendingFaults: Promise<void>[] = [];
 	const faults = faultSets[environment.faults];
 	while (environment.now() < until) {
--- a/dev/soak/invariant-checker.ts
+++ b/dev/soak/invariant-checker.ts
@@ -1,6 +1,7 @@
 /** Checks what must hold under any fault, from what callers see and what workers carry out. */
 import * as crashing from './crashing.js';
 import * as jobs from '../../src/core/jobs/index.js';
+import * as lastingTasks from './lasting-tasks.js';
 import type * as fleet from '../../src/core/fleet/types.js';
 import type * as workers from '../../stand-ins/fleet/workers.js';
 
@@ -21,7 +22,10 @@
 		| 'crashes'
 		| 'cut'
 		| 'configuration'
-		| 'process-ended';
+		| 'process-ended'
+		| 'lasting'
+		| 'lasting-bound'
+		| 'lasting-room';
 	detail: string;
 }
 
@@ -30,6 +34,8 @@
 	tasks: number;
 	milliCores: number;
 	after: number[];
+	/** Maximum number of its tasks on one worker; absent: no limit. */
+	maxPerWorker?: number;
 }
 
 /** What a caller knows of a job. */
@@ -43,6 +49,8 @@
 	cancelled: boolean;
 	completed: boolean;
 	failed: boolean;
+	/** Its tasks run until it is cancelled; absent: they exit by themselves. */
+	lasting?: true;
 	/**
 	 * Times in seconds, as the checker counts them: when the job was first sent, when it was accepted, and when one of its
 	 * runs last started or exited.
@@ -83,6 +91,8 @@
 	onStart: (job: SoakJob, milliCores: number) => void = () => undefined;
 	/** The capacity of a worker now, in thousandths of a core. */
 	capacityOf: (worker: string) => number = () => Infinity;
+	/** Is told what happens to the runs of long-running tasks. Undefined: there are none. */
+	lastingTasks: lastingTasks.LastingTasks | undefined;
 	/** Whether a task may start on a worker now: the worker's zone may be evacuated. */
 	mayStartAt: (worker: string) => boolean = () => true;
 	/** For each task, the number of its starts after `crashesBeforeStartLimit` workers had crashed under it. */
@@ -131,6 +141,7 @@
 	/** Records that a worker crashed while these tasks ran there. */
 	crashed(worker: string, tasks: string[]): void {
 		this.workerCrashes.push({ at: this.now(), worker, tasks });
+		this.lastingTasks?.crashed(worker, tasks);
 	}
 
 	/** Number of workers that crashed under a task. */
@@ -153,7 +164,7 @@
 	/** Jobs that have to complete and have not. */
 	open(): SoakJob[] {
 		const open = this.all().filter((job) => job.accepted && !job.cancelled && !job.completed && !job.failed);
-		return open.filter((job) => !this.isCrashing(job));
+		return open.filter((job) => !this.isCrashing(job) && job.lasting === undefined);
 	}
 
 	/** Tasks of a job that are not done. */
@@ -178,9 +189,11 @@
 		return Math.min(...waiting.map((task) => task.milliCores));
 	}
 
-	/** Total demand of all runs, in thousandths of a core. */
-	usedMilliCores(): number {
-		return this.running().reduce((sum, one) => sum + this.milliCoresOf(one.task), 0);
+	/** Total demand of all runs, or of those on one worker, in thousandths of a core. */
+	usedMilliCores(worker?: string): number {
+		return this.running()
+			.filter((one) => worker === undefined || one.worker === worker)
+			.reduce((sum, one) => sum + this.milliCoresOf(one.task), 0);
 	}
 
 	/** All jobs that were submitted. */
@@ -205,6 +218,7 @@
 			return;
 		}
 		this.startedJobs.add(job.id);
+		this.lastingTasks?.started(start);
 		this.checkCrashes(start.task);
 		this.noteProgress(job);
 		this.checkStart(start, job, parsed.step);
@@ -216,6 +230,7 @@
 		const job = parsed && this.jobs.get(parsed.job);
 		if (job !== undefined) this.noteProgress(job);
 		if (end.how === 'done') this.done.add(end.task);
+		this.lastingTasks?.ended(end);
 	}
 
 	acknowledged(end: fleet.RunExit): void {
@@ -224,6 +239,8 @@
 
 	/** Checks what can be checked only once nothing changes any more. */
 	checkAtEnd(): void {
+		for (const gap of this.lastingTasks?.judgedGaps() ?? [])
+			for (const promise of gap.broken) this.reportViolation(promise, lastingTasks.describe(gap));
 		for (const job of this.jobs.values()) {
 			const isRefused = !job.accepted && !job.mayBeAccepted;
 			if (isRefused && this.startedJobs.has(job.id)) this.reportViolation('refused-ran', job.id);
@@ -281,7 +298,7 @@
 }
 
 /** Names of the tasks of a job, or of one of its steps. */
-function taskNames(job: SoakJob, onlyStep?: number): string[] {
+export function taskNames(job: SoakJob, onlyStep?: number): string[] {
 	return job.steps.flatMap((step, number) =>
 		onlyStep === undefined || onlyStep === number
 			? Array.from({ length: step.tasks }, (_, index) => `${job.id}.0.${number}.${index}`)
--- a/dev/soak/main.ts
+++ b/dev/soak/main.ts
@@ -5,9 +5,10 @@
 import * as childProcess from 'node:child_process';
 import * as cmd from 'cmd-ts';
 import * as fs from 'node:fs';
+import * as environments from './environment.js';
+import * as lastingReports from './lasting-report.js';
 import * as soak from './soak.js';
 import * as workQueue from '../for-each-concurrently.js';
-import type * as environments from './environment.js';
 
 /** A seed that once failed, and the cause. CI runs it again. */
 interface KnownSeed {
@@ -27,6 +28,17 @@
 /** Settings for a seed that never failed. */
 const defaultSettings: Required<SeedSettings> = { seconds: 15, faults: 6 };
 
+/** How many workers and callers a soak has. */
+interface Population {
+	workers: number;
+	callers: number;
+}
+
+const defaultPopulation: Population = { workers: 6, callers: 4 };
+
+/** With long-running tasks: enough workers and little enough short work for these tasks to find capacity at any time. */
+const lastingPopulation: Population = { workers: 10, callers: 2 };
+
 /** Exit status of a soak that is ended by a signal. */
 const exitStatusOnSignal = 2;
 
@@ -80,11 +92,12 @@
 
 /** Runs one seed in its own process. Returns whether it kept all promises. */
 function runInProcess(opts: soak.SoakOptions): Promise<boolean> {
-	const { keep, faults, ...numbers } = opts;
+	const { keep, faults, holdMaxMs, ...numbers } = opts;
 	const flags = Object.entries({ ...numbers, faults }).flatMap(([name, value]) => [
 		`--${name}`,
 		String(value),
 	]);
+	if (holdMaxMs !== undefined) flags.push('--hold-max-ms', String(holdMaxMs));
 	const args = [process.argv[1] ?? '', ...flags, ...(keep ? ['--keep'] : [])];
 	return new Promise((resolve) => {
 		const child = childProcess.spawn(process.execPath, args, { stdio: ['ignore', 'inherit', 'inherit'] });
@@ -108,10 +121,10 @@
 } as const;
 
 const faultsArg = {
-	type: cmd.oneOf(['1', '2', '3', '4', '5', '6', '7', '8']),
+	type: cmd.oneOf(['1', '2', '3', '4', '5', '6', '7', '8', '9']),
 	long: 'faults',
 	description:
-		'set of faults, 1 to 5 earlier ones, 7 and 8 planned stops; absent: as recorded for a known seed, else 6',
+		'set of faults, 1 to 5 earlier ones, 7 and 8 planned stops, 9 long-running tasks; absent: as recorded for a known seed, else 6',
 } as const;
 
 const command = cmd.command({
@@ -130,13 +143,22 @@
 		}),
 		known: cmd.flag({ long: 'known', description: 'first run the seeds that once failed' }),
 		boxes: cmd.option({ type: cmd.number, long: 'boxes', defaultValue: () => 4 }),
-		workers: cmd.option({ type: cmd.number, long: 'workers', defaultValue: () => 6 }),
-		callers: cmd.option({ type: cmd.number, long: 'callers', defaultValue: () => 4 }),
+		workers: cmd.option({ type: cmd.optional(cmd.number), long: 'workers' }),
+		callers: cmd.option({ type: cmd.optional(cmd.number), long: 'callers' }),
+		holdMaxMs: cmd.option({
+			type: cmd.optional(cmd.number),
+			long: 'hold-max-ms',
+			description: 'longest lease of a worker; absent: 10,000, with faults 9 by the seed 10,000 or 6,000',
+		}),
 		keep: cmd.flag({ long: 'keep', description: 'also keep the logs of seeds that break no promise' }),
 		logs: cmd.option({ type: cmd.string, long: 'logs', defaultValue: () => 'target/soak' }),
 	},
 	handler: async (parsedArgs) => {
-		const { atOnce, seeds, known: includeKnown, seconds, faults, ...sizes } = parsedArgs;
+		const { atOnce, seeds, known: includeKnown, seconds, faults, workers, callers, ...sizes } = parsedArgs;
+		const populationFor = (faultSet: environments.FaultSet): Population => {
+			const defaults = environments.hasLastingTasks(faultSet) ? lastingPopulation : defaultPopulation;
+			return { workers: workers ?? defaults.workers, callers: callers ?? defaults.callers };
+		};
 		const requested: SeedSettings = { seconds, faults: faults && (Number(faults) as environments.FaultSet) };
 		const known = knownSeeds();
 		const newSeeds = Array.from({ length: seeds }, (_, number): soak.SoakOptions => {
@@ -147,11 +169,18 @@
 				seconds: requested.seconds ?? defaults.seconds,
 				faults: requested.faults ?? defaults.faults,
 			};
-			return { ...sizes, seed, ...settings };
+			return { ...sizes, seed, ...settings, ...populationFor(settings.faults) };
 		});
 		const repeated = includeKnown ? withoutKnownFailures(known) : [];
-		const all = [...repeated.map((one) => ({ ...sizes, seed: one.seed, ...settingsOf(one) })), ...newSeeds];
+		const repeatedSeeds = repeated.map((one) => {
+			const settings = settingsOf(one);
+			return { ...sizes, seed: one.seed, ...settings, ...populationFor(settings.faults) };
+		});
+		const all = [...repeatedSeeds, ...newSeeds];
+		const observed = all.filter((one) => environments.hasLastingTasks(one.faults));
+		lastingReports.clear(observed);
 		const broken = atOnce > 1 ? await runConcurrently(all, atOnce) : await runInSequence(all);
+		if (observed.length > 1) lastingReports.printSummary(observed);
 		process.exitCode = broken === 0 ? 0 : 1;
 	},
 });
--- a/dev/soak/report.ts
+++ b/dev/soak/report.ts
@@ -9,6 +9,9 @@
 /** Maximum number of subjects of broken promises whose log lines are printed. */
 const maxSubjects = 5;
 
+/** Maximum number of broken promises about long-running tasks that are printed of each kind: many tasks share a cause. */
+const maxLastingLines = 6;
+
 /** Prints a summary and each broken promise. */
 export function printSummary(
 	seed: number,
@@ -22,7 +25,16 @@
 		`seed ${seed}: ${faults.length} faults, ${all.length} jobs, ${completed} completed, ` +
 			`${checker.starts} starts, ${checker.violations.length} broken promises in ${seconds} s\n`,
 	);
-	for (const one of checker.violations) process.stdout.write(`  ${one.at} s ${one.promise}: ${one.detail}\n`);
+	const counts = new Map<string, number>();
+	for (const one of checker.violations) {
+		const count = (counts.get(one.promise) ?? 0) + 1;
+		counts.set(one.promise, count);
+		if (count <= maxLastingLines || !one.promise.startsWith('lasting'))
+			process.stdout.write(`  ${one.at} s ${one.promise}: ${one.detail}\n`);
+	}
+	for (const [promise, count] of counts)
+		if (count > maxLastingLines && promise.startsWith('lasting'))
+			process.stdout.write(`  ${count} times ${promise} in all\n`);
 }
 
 /** Prints the faults, and the boxes' log lines about the subjects of the first broken promises. */
--- a/dev/soak/soak.ts
+++ b/dev/soak/soak.ts
@@ -1,11 +1,15 @@
 /** Runs one randomized soak: boxes as processes, injected faults, callers, and a checker of what callers and workers see. */
 import * as fs from 'node:fs';
+import * as boxes from '../../stand-ins/box-process.js';
 import * as callers from './callers.js';
 import * as clocks from '../../src/core/clock.js';
 import * as crashing from './crashing.js';
 import * as delayedCallers from './delayed-callers.js';
 import * as faults from './faults.js';
 import * as checkers from './invariant-checker.js';
+import * as lastingJobs from './lasting-jobs.js';
+import * as lastingReports from './lasting-report.js';
+import * as lastingTasks from './lasting-tasks.js';
 import * as lostJobs from './lost-jobs.js';
 import * as random from '../random.js';
 import * as reports from './report.js';
@@ -24,6 +28,7 @@
 	6: { shortest: 50, longest: 500 },
 	7: { shortest: 50, longest: 500 },
 	8: { shortest: 50, longest: 500 },
+	9: { shortest: 50, longest: 500 },
 };
 
 /**
@@ -36,6 +41,9 @@
 /** Interval between checks for lost jobs, in milliseconds. */
 const checkIntervalMs = 200;
 
+/** How long long-running tasks have to begin again after the last fault, in milliseconds. */
+const lastingTimeoutMs = 25_000;
+
 /** Number of delayed callers in the sets of planned stops. */
 const delayedCallersCount = 24;
 
@@ -56,26 +64,43 @@
 	/** Whether the logs are kept also if no promise was broken. */
 	keep: boolean;
 	faults: environments.FaultSet;
+	/**
+	 * Longest lease of a worker, in milliseconds. Undefined: 10,000, and in the set with long-running tasks one of those that
+	 * sites have, by the seed.
+	 */
+	holdMaxMs: number | undefined;
 }
 
+/** Longest leases of workers that sites have, in milliseconds. */
+const holdMaxMsBySeed = [10_000, 6_000];
+
 /** Runs one seed. Returns the promises that it broke. */
 export async function runSeed(opts: SoakOptions): Promise<checkers.Violation[]> {
 	const startedAt = clocks.systemClock.now();
 	const seconds = (): number => Math.round((clocks.systemClock.now() - startedAt) / 10) / 100;
 	const nextRandom = random.seededRandom(opts.seed);
 	const checker = checkers.InvariantChecker.create(seconds, environments.hasCrashingTasks(opts.faults));
-	const plan = plannerFor(opts.faults);
+	const finitePlan = plannerFor(opts.faults);
+	const plan = (task: string, run: number): workers.RunPlan =>
+		checker.lastingTasks?.has(task) === true ? { ms: 'endless', how: 'failed' } : finitePlan(task, run);
+	const holdMaxMs = holdMaxMsOf(opts);
+	const startedUnixMs = Date.now();
 	const environment = await environments.Environment.create({
 		...opts,
+		holdMaxMs,
 		checker,
 		plan,
 		nextRandom: random.seededRandom(opts.seed + 2),
 	});
+	const observed = environments.hasLastingTasks(opts.faults)
+		? lastingTasks.LastingTasks.create({ checker, faults: environment.faultTimes })
+		: undefined;
+	checker.lastingTasks = observed;
 	const until = clocks.systemClock.now() + opts.seconds * 1_000;
 	const detector = lostJobs.LostJobDetector.create({
 		checker,
 		milliCores: opts.workers * users.workerMilliCores,
-		workMs: (task) => plan(task, 1).ms,
+		workMs: (task) => finitePlan(task, 1).ms,
 	});
 	const isWaitOver = (): boolean => detector.isWaitOver;
 	const callersOptions: callers.CallersOptions = {
@@ -90,12 +115,15 @@
 		faultLines.push(`${seconds()} s: ${line}`);
 	};
 	const callersDone = Array.from({ length: opts.callers }, () => callers.call(callersOptions));
-	const injectionDone = faults.inject(environment, nextRandom, until, logFault).then(() => {
+	const injectionDone = faults.inject(environment, nextRandom, until, logFault, observed).then(() => {
 		detector.noteFaultsOver();
+		return observed && waitUntilRunning(observed);
 	});
 	const checkTimer = clocks.every(clocks.systemClock, checkIntervalMs, () => {
 		detector.check();
+		observed?.checkCapacity(environment.usableWorkers());
 	});
+	const lastingDone = observed && lastingJobs.run({ ...callersOptions, lastingTasks: observed });
 	const delayedCallersDone = Array.from(
 		{ length: environments.hasDelayedCallers(opts.faults) ? delayedCallersCount : 0 },
 		(_, number) =>
@@ -108,19 +136,40 @@
 	);
 	await Promise.all([
 		injectionDone,
+		lastingDone,
 		callers.watchConfiguration(callersOptions),
 		...callersDone,
 		...delayedCallersDone,
 	]);
 	checkTimer.cancel();
 	checker.checkAtEnd();
+	const gaps = observed
+		?.judgedGaps()
+		.map((gap) => lastingReports.explainGap(gap, environment, startedUnixMs));
+	if (gaps !== undefined) lastingReports.write(opts, { seed: opts.seed, holdMaxMs, gaps });
 	if (opts.keep || checker.violations.length > 0) writeLogs(opts, environment, faultLines, checker);
 	await environment.close();
 	reports.printSummary(opts.seed, faultLines, checker, seconds());
+	if (gaps !== undefined) lastingReports.printLongest(holdMaxMs, gaps);
 	if (checker.violations.length > 0) reports.explain(environment, faultLines, checker.violations);
 	return checker.violations;
 }
 
+/** Longest lease of a worker in a soak, in milliseconds. */
+function holdMaxMsOf({ seed, faults: faultSet, holdMaxMs }: SoakOptions): number {
+	const bySeed = environments.hasLastingTasks(faultSet)
+		? holdMaxMsBySeed[seed % holdMaxMsBySeed.length]
+		: undefined;
+	return holdMaxMs ?? bySeed ?? boxes.defaultHoldMaxMs;
+}
+
+/** Resolves once all long-running tasks run, or have had time enough for it. */
+async function waitUntilRunning(observed: lastingTasks.LastingTasks): Promise<void> {
+	const until = clocks.systemClock.now() + lastingTimeoutMs;
+	while (!observed.areAllRunning() && clocks.systemClock.now() < until)
+		await clocks.sleep(clocks.systemClock, checkIntervalMs);
+}
+
 /** Plan of a run that exits by itself. */
 type FinitePlan = workers.RunPlan & { ms: number };
 
