Soak: note stalls of its own process

Change: the soak watches its own process. What the boxes logged about the times without a run is gathered once at the end, not for each of them.

--- a/dev/soak/fault-times.ts
+++ b/dev/soak/fault-times.ts
@@ -36,6 +36,14 @@
 		};
 	}
 
+	/** Records that all stand-ins, the store among them, have answered nobody for the given time until now, in seconds. */
+	noteStall(seconds: number): void {
+		const to = this.now();
+		const fault = { from: to - seconds, to };
+		this.all.push(fault);
+		this.storeOutages.push(fault);
+	}
+
 	/** As `begin`, for a fault under which the store answers no box. */
 	beginStoreOutage(): () => void {
 		const fault = { from: this.now(), to: Infinity };
--- a/dev/soak/lasting-report.ts
+++ b/dev/soak/lasting-report.ts
@@ -29,16 +29,28 @@
 	seed: number;
 }
 
-/** Adds to a gap what the boxes logged. `startedUnixMs`: start of the soak, in Unix milliseconds. */
-export function explainGap(
-	gap: lastingTasks.JudgedGap,
+/** A line of a box's log, with its time in seconds. */
+interface BoxLine {
+	line: boxes.LogLine;
+	box: string;
+	at: number;
+}
+
+/** Adds to each gap what the boxes logged. `startedUnixMs`: start of the soak, in Unix milliseconds. */
+export function explainGaps(
+	gaps: readonly lastingTasks.JudgedGap[],
 	environment: Pick<environments.Environment, 'boxes'>,
 	startedUnixMs: number,
-): ExplainedGap {
+): ExplainedGap[] {
 	const secondsOf = (line: boxes.LogLine): number => (line.stamp.ms - startedUnixMs) / 1_000;
 	const lines = environment.boxes
 		.flatMap((box) => box.lines.flat().map((line) => ({ line, box: box.name, at: secondsOf(line) })))
+		.filter(({ line }) => line.name === 'owner.taken' || line.name === 'worker.lost')
 		.sort((a, b) => a.at - b.at);
+	return gaps.map((gap) => explainGap(gap, lines));
+}
+
+function explainGap(gap: lastingTasks.JudgedGap, lines: readonly BoxLine[]): ExplainedGap {
 	const taken = lines.filter(({ line }) => line.name === 'owner.taken');
 	const owners = [
 		...taken.filter(({ at }) => at <= gap.from).slice(-1),
--- a/dev/soak/soak.ts
+++ b/dev/soak/soak.ts
@@ -13,6 +13,7 @@
 import * as lostJobs from './lost-jobs.js';
 import * as random from '../random.js';
 import * as reports from './report.js';
+import * as stalls from './stalls.js';
 import * as users from '../../stand-ins/users-platform/server.js';
 import * as environments from './environment.js';
 import type * as workers from '../../stand-ins/fleet/workers.js';
@@ -123,6 +124,12 @@
 		detector.check();
 		observed?.checkCapacity(environment.usableWorkers());
 	});
+	const stallWatch =
+		observed &&
+		stalls.watch(({ stalledMs, processorMs }) => {
+			environment.faultTimes.noteStall(stalledMs / 1_000);
+			logFault(`the soak itself stalled for ${stalledMs} ms, with ${processorMs} ms of processor`);
+		});
 	const lastingDone = observed && lastingJobs.run({ ...callersOptions, lastingTasks: observed });
 	const delayedCallersDone = Array.from(
 		{ length: environments.hasDelayedCallers(opts.faults) ? delayedCallersCount : 0 },
@@ -142,10 +149,9 @@
 		...delayedCallersDone,
 	]);
 	checkTimer.cancel();
+	stallWatch?.cancel();
 	checker.checkAtEnd();
-	const gaps = observed
-		?.judgedGaps()
-		.map((gap) => lastingReports.explainGap(gap, environment, startedUnixMs));
+	const gaps = observed && lastingReports.explainGaps(observed.judgedGaps(), environment, startedUnixMs);
 	if (gaps !== undefined) lastingReports.write(opts, { seed: opts.seed, holdMaxMs, gaps });
 	if (opts.keep || checker.violations.length > 0) writeLogs(opts, environment, faultLines, checker);
 	await environment.close();
--- a/test/soak-lasting-tasks.test.ts
+++ b/test/soak-lasting-tasks.test.ts
@@ -138,6 +138,20 @@
 	}
 });
 
+test('a stall of the soak itself counts as a fault under which the store answered no box', (t) => {
+	const { faults, at, start, broken } = makeCrashed();
+	at(28);
+	faults.noteStall(1.5);
+	t.deepEqual(faultTimes.calmStretches(faults.all), [
+		{ from: 0, to: 20 },
+		{ from: 20, to: 26.5 },
+		{ from: 28, to: Infinity },
+	]);
+	at(34.9);
+	start(2, 'w2');
+	t.deepEqual(broken(), []);
+});
+
 test('a store that went away after the nine seconds, or before the crash alone, excuses nothing', (t) => {
 	for (const [from, to] of [
 		[10, 20],
