Heartbeats after the review: late answers, the takeover's time, bounded memory

A late answer to a heartbeat of a closed role ended the role that the box had acquired since. The fallback counted from the end of the reading of the ledger, which may be repeated for seconds, where the answer to the takeover is a bound already. Numbers of heartbeats that were never seen again were remembered for good. The generation in answers to pings is that of the role whose heartbeat they report.

test/review-heartbeats "an answer to a heartbeat of a former role ..." failed before.

--- a/src/core/box/box.ts
+++ b/src/core/box/box.ts
@@ -315,7 +315,7 @@
 
 	/** What this box knows of the leases that earlier owners granted. `last`: their last stored heartbeat. */
 	private inheritedLeases(
-		{ generation, rosterVersion }: ledger.OwnerLedger,
+		{ generation, rosterVersion, takenOverAt }: ledger.OwnerLedger,
 		last: ledger.HeartbeatRecord | undefined,
 	): ownerRole.InheritedLeases {
 		const { heartbeats, leaseExpiries } = this.pings;
@@ -323,7 +323,7 @@
 		// Generations in between, if there are any, stored no heartbeat, so they granted no lease.
 		const next = last === undefined ? generation : last.generation + 1;
 		return {
-			...heartbeats.leasesEndAfter({ generation, last, maxLeaseMs }),
+			...heartbeats.leasesEndAfter({ generation, last, takenOverAt, maxLeaseMs }),
 			expiries: leaseExpiries.validFor(next, rosterVersion),
 			unresponsiveWorkers: leaseExpiries.unresponsiveBefore(next),
 		};
@@ -399,7 +399,7 @@
 		{ candidate, prepared }: protocol.PingReq,
 	): protocol.PingReply {
 		return {
-			generation: this.ownership.currentLedger?.generation ?? 0,
+			generation: role.generation,
 			strongest: this.candidates.strongest(this.settings.processor),
 			storeReachable: this.contact.reachable,
 			backlog: role.backlog,
--- a/src/core/heartbeats/observed-heartbeats.ts
+++ b/src/core/heartbeats/observed-heartbeats.ts
@@ -13,6 +13,8 @@
 	generation: number;
 	/** The heartbeat that the new owner read under its own epoch; undefined: none was stored. */
 	last: ledger.HeartbeatRecord | undefined;
+	/** Clock time by which the new owner had taken over. */
+	takenOverAt: number;
 	/** The longest lease that workers accept, in milliseconds. */
 	maxLeaseMs: number;
 }
@@ -38,20 +40,21 @@
 		// Counted from the arrival of the answer, and with the slower clock: never earlier than it was sent.
 		const sentBy = this.now() - ageMs * (1 - dispatch.maxClockDrift);
 		this.sentBy.set(count, Math.min(sentBy, this.sentBy.get(count) ?? Infinity));
-		this.sentBy.delete(count - maxRemembered);
+		for (const one of this.sentBy.keys()) if (one <= count - maxRemembered) this.sentBy.delete(one);
 	}
 
 	/**
 	 * When every lease of owners before a new one has ended. Called after the new owner has read the last heartbeat: no
 	 * earlier owner can have stored another since.
 	 */
-	leasesEndAfter({ generation, last, maxLeaseMs }: InheritedLeasesOptions): types.InheritedLeaseEnd {
+	leasesEndAfter(opts: InheritedLeasesOptions): types.InheritedLeaseEnd {
+		const { generation, last, takenOverAt, maxLeaseMs } = opts;
 		if (generation === 1) return { endsAt: -Infinity, basis: 'heartbeat' };
 		if (last?.leasesEndWithinMs === undefined)
-			return { endsAt: this.now() + settings.longestWaitMs(maxLeaseMs), basis: 'longest-lease' };
+			return { endsAt: takenOverAt + settings.longestWaitMs(maxLeaseMs), basis: 'longest-lease' };
 		const spanMs = settings.longestSpanMs(last.leasesEndWithinMs);
 		const sentBy = last.generation === this.generation ? this.sentByOf(last.count) : undefined;
-		if (sentBy === undefined) return { endsAt: this.now() + spanMs, basis: 'takeover' };
+		if (sentBy === undefined) return { endsAt: takenOverAt + spanMs, basis: 'takeover' };
 		return { endsAt: sentBy + spanMs, basis: 'heartbeat' };
 	}
 
--- a/src/core/heartbeats/owner-heartbeats.ts
+++ b/src/core/heartbeats/owner-heartbeats.ts
@@ -65,7 +65,12 @@
 	/** The newest heartbeat. */
 	get newest(): types.SentHeartbeat {
 		const { count } = this;
-		return { count, ageMs: this.opts.clock.now() - (this.sentAt.get(count) ?? -Infinity) };
+		return { count, ageMs: this.opts.clock.now() - (this.sentAt.get(count) ?? Infinity) };
+	}
+
+	/** A method, as the compiler assumes that the field can't change during an `await`. */
+	private isClosed(): boolean {
+		return this.closed;
 	}
 
 	/** Sends on a schedule of its own: a heartbeat without an answer must not delay the next one. */
@@ -85,6 +90,7 @@
 		const sending = store({ generation, count: this.count, leasesEndWithinMs: this.statedSpanAt(now) });
 		onSent();
 		const { outcome, stored } = await sending;
+		if (this.isClosed()) return;
 		if (outcome === 'superseded') onFenced();
 		// After a conflict this is an earlier heartbeat, which was stored without an answer.
 		const storedAt = stored?.generation === generation ? this.sentAt.get(stored.count) : undefined;
--- a/src/core/ledger/owner-ledger.ts
+++ b/src/core/ledger/owner-ledger.ts
@@ -102,6 +102,8 @@
 export class OwnerLedger {
 	/** Clock time at which the latest call was sent that showed this epoch to be in force. */
 	epochConfirmedAt: number;
+	/** Clock time by which it had taken over. */
+	readonly takenOverAt: number;
 	/** Versions of the records that this owner writes, by key, as it last wrote or read them. */
 	private readonly recordVersions = new Map<string, number>();
 
@@ -115,6 +117,7 @@
 		sentAt: number,
 	) {
 		this.epochConfirmedAt = sentAt;
+		this.takenOverAt = now();
 	}
 
 	/** Version of the stored roster as this owner last wrote or read it. */
