Workers that restart under their names keep the bound of the longest lease

Cause, found by the review: such a worker's next incarnation carries out commands to the one before, on a clock that begins anew, so any expiry is far ahead of it and it grants itself the longest lease from the arrival of the command. Workers of the users' platform get a new id after a crash.

Change: for names with a known start every lease counts as the longest one, each start grants one, and successors wait as before. A start reuses no expiry from before a suspension. Lease ends go out one second after a failed call, not 300 ms: a retransmission is no loss.

--- a/src/core/box/owner-role.ts
+++ b/src/core/box/owner-role.ts
@@ -245,6 +245,7 @@
 				recordTime: this.deps.recordTime,
 				recordForecastError: this.deps.recordForecastError,
 				inheritedLeasesEndAt: inherited.endsAt,
+				longestLeasesEndAt: inherited.longestEndAt,
 				leaseEnds: inherited.expiries,
 				unresponsiveWorkers: inherited.unresponsiveWorkers,
 			},
--- a/src/core/dispatch/options.ts
+++ b/src/core/dispatch/options.ts
@@ -30,6 +30,8 @@
 	keepStateMs: number;
 	/** Clock time by which all leases of earlier owners have expired; `-Infinity`: there are none. */
 	inheritedLeasesEndAt: number;
+	/** The same for workers that restart under their names, which grant themselves the longest lease. */
+	longestLeasesEndAt: number;
 	/** Clock time by which all leases at a worker have expired, by worker, where the previous owner published it. */
 	leaseEnds: ReadonlyMap<string, number>;
 	/**
--- a/src/core/dispatch/settings.ts
+++ b/src/core/dispatch/settings.ts
@@ -49,7 +49,7 @@
  * not count.
  */
 export const publishLeaseEndAfterMs = 2_200;
-export const publishLeaseEndAfterFailureMs = 300;
+export const publishLeaseEndAfterFailureMs = 1_000;
 
 /** How long a worker that refused a start gets no new work. */
 export const refusalBackoffMs = 500;
--- a/src/core/dispatch/worker-lease.ts
+++ b/src/core/dispatch/worker-lease.ts
@@ -28,14 +28,16 @@
 	private constructor(
 		private readonly deps: LeaseDeps,
 		private latestEndAt: number,
+		private readonly keepsName: boolean,
 	) {}
 
 	/**
-	 * `inheritedLeasesEndAt`: clock time by which leases granted by earlier owners have expired; `-Infinity`: there are
-	 * none.
+	 * `inheritedLeasesEndAt`: clock time by which leases granted by earlier owners have expired; `-Infinity`: there are none.
+	 * `keepsName`: the worker's next incarnation carries out commands to this one, on a clock that begins anew, and may grant
+	 * itself the longest lease for any of them.
 	 */
-	static create(deps: LeaseDeps, inheritedLeasesEndAt: number): WorkerLease {
-		return new WorkerLease(deps, inheritedLeasesEndAt);
+	static create(deps: LeaseDeps, inheritedLeasesEndAt: number, keepsName: boolean): WorkerLease {
+		return new WorkerLease(deps, inheritedLeasesEndAt, keepsName);
 	}
 
 	/** Clock time by which every lease has expired; `-Infinity`: none was ever granted. */
@@ -89,7 +91,12 @@
 	/** Expiry to send with a start, as `grant` returns it: that of the newest lease, unless it ends soon. */
 	grantForStart(): number | undefined {
 		const { newest, denial } = this;
-		const isLong = newest !== undefined && newest.endsAt - this.deps.clock.now() >= settings.minStartLeaseMs;
+		const { clock } = this.deps;
+		const isLong =
+			!this.keepsName &&
+			newest !== undefined &&
+			newest.endsAt - clock.now() >= settings.minStartLeaseMs &&
+			this.grantedAt > clock.resumedAt();
 		return isLong && denial === undefined ? newest.clockMs : this.grant();
 	}
 
@@ -100,7 +107,8 @@
 
 	/** Notes a lease of this duration, as the worker counts. */
 	private assumeLease(leaseMs: number): void {
-		const longestMs = leaseMs / (1 - settings.maxClockDrift) + settings.leaseMarginMs;
+		const workerMs = this.keepsName ? this.deps.maxLeaseMs : leaseMs;
+		const longestMs = workerMs / (1 - settings.maxClockDrift) + settings.leaseMarginMs;
 		this.latestEndAt = Math.max(this.latestEndAt, this.deps.clock.now() + longestMs);
 	}
 }
--- a/src/core/dispatch/worker-pool.ts
+++ b/src/core/dispatch/worker-pool.ts
@@ -31,6 +31,8 @@
 	onWorkersAvailable: () => void;
 	/** Clock time by which all leases of earlier owners have expired; `-Infinity`: there are none. */
 	inheritedLeasesEndAt: number;
+	/** The same for workers that restart under their names, which grant themselves the longest lease. */
+	longestLeasesEndAt: number;
 	/** Number of inherited long-running tasks that wait for workers of earlier owners; absent: it is not logged. */
 	longRunningAwaited?: () => number;
 	/** Clock time by which all leases at a worker have expired, by worker, where the previous owner published it. */
@@ -79,7 +81,10 @@
 		const pool = new WorkerPool(opts);
 		for (const entry of opts.takeover?.sortRoster(roster) ?? roster) {
 			const isEmpty = entry.tasks?.length === 0;
-			const leasesEndAt = Math.min(opts.inheritedLeasesEndAt, opts.leaseEnds.get(entry.id) ?? Infinity);
+			const inheritedLeasesEndAt = incarnations.isStartKnown(entry.id)
+				? opts.longestLeasesEndAt
+				: opts.inheritedLeasesEndAt;
+			const leasesEndAt = Math.min(inheritedLeasesEndAt, opts.leaseEnds.get(entry.id) ?? Infinity);
 			const session = pool.open(entry, undefined, isEmpty ? -Infinity : leasesEndAt);
 			session.hasOpenRosterEntry = entry.tasks === undefined;
 			session.rosteredTasks = entry.tasks && new Set(entry.tasks);
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -136,7 +136,7 @@
 		this.createdAt = deps.clock.now();
 		this.token = deps.tokens.next();
 		this.health = health.WorkerHealth.create({ ...deps, worker: target.id });
-		this.lease = leases.WorkerLease.create(deps, inheritedLeasesEndAt);
+		this.lease = leases.WorkerLease.create(deps, inheritedLeasesEndAt, incarnations.isStartKnown(target.id));
 		this.responsiveness = responsiveness.WorkerResponsiveness.create(deps.clock);
 		this.unconfirmedRuns = unconfirmed.UnconfirmedRuns.create(unconfirmedRuns);
 		this.unacknowledgedExits = exits.UnacknowledgedExits.create(deps.recordTime ?? (() => undefined));
--- a/src/core/heartbeats/observed-heartbeats.ts
+++ b/src/core/heartbeats/observed-heartbeats.ts
@@ -49,13 +49,14 @@
 	 */
 	leasesEndAfter(opts: InheritedLeasesOptions): types.InheritedLeaseEnd {
 		const { generation, last, takenOverAt, maxLeaseMs } = opts;
-		if (generation === 1) return { endsAt: -Infinity, basis: 'heartbeat' };
+		if (generation === 1) return { endsAt: -Infinity, longestEndAt: -Infinity, basis: 'heartbeat' };
+		const longestEndAt = takenOverAt + settings.longestWaitMs(maxLeaseMs);
 		if (last?.leasesEndWithinMs === undefined)
-			return { endsAt: takenOverAt + settings.longestWaitMs(maxLeaseMs), basis: 'longest-lease' };
+			return { endsAt: longestEndAt, longestEndAt, basis: 'longest-lease' };
 		const spanMs = settings.longestSpanMs(last.leasesEndWithinMs);
 		const sentBy = last.generation === this.generation ? this.sentByOf(last.count) : undefined;
-		if (sentBy === undefined) return { endsAt: takenOverAt + spanMs, basis: 'takeover' };
-		return { endsAt: sentBy + spanMs, basis: 'heartbeat' };
+		if (sentBy === undefined) return { endsAt: takenOverAt + spanMs, longestEndAt, basis: 'takeover' };
+		return { endsAt: sentBy + spanMs, longestEndAt, basis: 'heartbeat' };
 	}
 
 	/** Clock time by which a heartbeat had been sent: before those with a higher number. Undefined: it is not known. */
--- a/src/core/heartbeats/types.ts
+++ b/src/core/heartbeats/types.ts
@@ -21,5 +21,7 @@
 export interface InheritedLeaseEnd {
 	/** Clock time; `-Infinity`: there was no earlier owner. */
 	endsAt: number;
+	/** The same where workers grant themselves the longest lease for any command. */
+	longestEndAt: number;
 	basis: LeaseEndBasis;
 }
--- a/test/roster.test.ts
+++ b/test/roster.test.ts
@@ -30,6 +30,7 @@
 			mayAct: () => true,
 			leasesEndBy: () => Infinity,
 			inheritedLeasesEndAt: clock.now() + 10_000,
+			longestLeasesEndAt: clock.now() + 10_000,
 			epochConfirmedAt: () => clock.now(),
 			confirmEpoch: () => Promise.resolve(),
 			onFenced: () => undefined,
