--- a/dev/soak/environment.ts
+++ b/dev/soak/environment.ts
@@ -83,6 +83,11 @@
 	return faults === 9;
 }
 
+/** Whether workers restart under their names and tell when they started. Lost workers of set 9 do not come back. */
+function tellsStart(faults: FaultSet): boolean {
+	return faults >= 5 && faults !== 9;
+}
+
 /** A change of a queue. */
 export interface QueueChange {
 	prefix: string;
@@ -434,7 +439,7 @@
 	}
 
 	private async addWorker(id: string): Promise<void> {
-		const born = this.opts.faults >= 5 ? fleets.initialBornMs : undefined;
+		const born = tellsStart(this.opts.faults) ? fleets.initialBornMs : undefined;
 		const listedAs = async (listening: string): Promise<string> => {
 			await this.links.addLinks(listening);
 			return listening;
