--- a/src/core/box/box.ts
+++ b/src/core/box/box.ts
@@ -308,27 +308,11 @@
 			},
 			owned,
 			contents,
-			this.inheritedLeases(owned, contents.lastHeartbeat),
+			this.pings.inheritedLeases(owned, contents.lastHeartbeat, this.settings.bounds.maxLeaseMs),
 		);
 		for (const wave of this.waves.values()) this.role.addWave(wave);
 	}
 
-	/** What this box knows of the leases that earlier owners granted. `last`: their last stored heartbeat. */
-	private inheritedLeases(
-		{ generation, rosterVersion, takenOverAt }: ledger.OwnerLedger,
-		last: ledger.HeartbeatRecord | undefined,
-	): ownerRole.InheritedLeases {
-		const { heartbeats, leaseExpiries } = this.pings;
-		const { maxLeaseMs } = this.settings.bounds;
-		// Generations in between, if there are any, stored no heartbeat, so they granted no lease.
-		const next = last === undefined ? generation : last.generation + 1;
-		return {
-			...heartbeats.leasesEndAfter({ generation, last, takenOverAt, maxLeaseMs }),
-			expiries: leaseExpiries.validFor(next, rosterVersion),
-			unresponsiveWorkers: leaseExpiries.unresponsiveBefore(next),
-		};
-	}
-
 	private endOwnerRole(): void {
 		// What this owner knows of the boxes counts in the next race to become the owner.
 		this.pings.strongest = this.candidates.strongest(this.settings.processor);
--- a/src/core/box/owner-pings.ts
+++ b/src/core/box/owner-pings.ts
@@ -5,6 +5,7 @@
 import * as receivedForecast from './received-forecast.js';
 import * as admission from '../admission/index.js';
 import type * as events from '../events/index.js';
+import type * as ledger from '../ledger/index.js';
 import type * as contacts from '../platform/contact.js';
 import type * as protocol from './peer-protocol.js';
 import type * as sharing from './configuration-sharing.js';
@@ -38,6 +39,14 @@
 	onReply: (reply: ownership.OwnerReply, address: string) => void;
 }
 
+/** What a new owner knows of the leases of earlier ones. */
+export interface InheritedLeases extends heartbeats.InheritedLeaseEnd {
+	/** Clock time by which all leases at a worker have expired, where the previous owner reported it, by worker id. */
+	expiries: ReadonlyMap<string, number>;
+	/** Workers that it reported as unresponsive, by id. */
+	unresponsiveWorkers: ReadonlySet<string>;
+}
+
 /** What a box reports to the owner for handovers. */
 export interface ReportedForHandover {
 	zone?: string;
@@ -110,6 +119,25 @@
 		this.noteReturns(res.value.value, askedAt);
 	}
 
+	/**
+	 * What this box knows of the leases of earlier owners when it has become the owner. `last`: their last stored heartbeat;
+	 * `maxLeaseMs`: the longest lease that workers accept, in milliseconds.
+	 */
+	inheritedLeases(
+		owned: Pick<ledger.OwnerLedger, 'generation' | 'rosterVersion' | 'takenOverAt'>,
+		last: ledger.HeartbeatRecord | undefined,
+		maxLeaseMs: number,
+	): InheritedLeases {
+		const { generation, rosterVersion, takenOverAt } = owned;
+		// Generations in between, if there are any, stored no heartbeat, so they granted no lease.
+		const next = last === undefined ? generation : last.generation + 1;
+		return {
+			...this.heartbeats.leasesEndAfter({ generation, last, takenOverAt, maxLeaseMs }),
+			expiries: this.leaseExpiries.validFor(next, rosterVersion),
+			unresponsiveWorkers: this.leaseExpiries.unresponsiveBefore(next),
+		};
+	}
+
 	private applyReply(reply: protocol.PingReply, askedAt: number): void {
 		this.ownerHeardAt = this.opts.now();
 		this.storeReachable = reply.storeReachable;
--- a/src/core/box/owner-role.ts
+++ b/src/core/box/owner-role.ts
@@ -14,6 +14,7 @@
 import * as wire from '../wire/frame.js';
 import * as workerList from './worker-list.js';
 import type * as adapters from './platform-adapter.js';
+import type * as ownerPings from './owner-pings.js';
 import type * as boxSettings from './settings.js';
 import type * as protocol from './peer-protocol.js';
 import type * as events from '../events/index.js';
@@ -64,14 +65,6 @@
 	onHeartbeat: () => void;
 }
 
-/** What a new owner knows of the leases of earlier ones. */
-export interface InheritedLeases extends heartbeats.InheritedLeaseEnd {
-	/** Clock time by which all leases at a worker have expired, where the previous owner reported it, by worker id. */
-	expiries: ReadonlyMap<string, number>;
-	/** Workers that it reported as unresponsive, by id. */
-	unresponsiveWorkers: ReadonlySet<string>;
-}
-
 /** An owner's load in one second, times in whole milliseconds. */
 export interface OwnerLoad extends dispatch.DispatchLoad {
 	/** Processor time that the whole box used. */
@@ -106,7 +99,7 @@
 		private readonly deps: OwnerRoleDeps,
 		private readonly ownerLedger: ledger.OwnerLedger,
 		contents: ledger.LedgerContents,
-		inherited: InheritedLeases,
+		inherited: ownerPings.InheritedLeases,
 	) {
 		this.heartbeats = this.createHeartbeats(inherited);
 		this.dispatcher = this.createDispatcher(contents, inherited);
@@ -139,7 +132,7 @@
 		deps: OwnerRoleDeps,
 		owned: ledger.OwnerLedger,
 		contents: ledger.LedgerContents,
-		inherited: InheritedLeases,
+		inherited: ownerPings.InheritedLeases,
 	): OwnerRole {
 		return new OwnerRole(deps, owned, contents, inherited);
 	}
@@ -209,7 +202,10 @@
 			this.deps.events.emit('learnt.unstored', { epoch: this.ownerLedger.generation, reason: outcome });
 	}
 
-	private createDispatcher(contents: ledger.LedgerContents, inherited: InheritedLeases): dispatch.Dispatcher {
+	private createDispatcher(
+		contents: ledger.LedgerContents,
+		inherited: ownerPings.InheritedLeases,
+	): dispatch.Dispatcher {
 		const { clock, events: log, settings, adapter, table, onFenced } = this.deps;
 		const { ownerLedger } = this;
 		return dispatch.Dispatcher.create(
@@ -244,8 +240,7 @@
 				previousOwnerHeardAt: this.deps.previousOwnerHeardAt,
 				recordTime: this.deps.recordTime,
 				recordForecastError: this.deps.recordForecastError,
-				inheritedLeasesEndAt: inherited.endsAt,
-				longestLeasesEndAt: inherited.longestEndAt,
+				inheritedLeases: inherited,
 				leaseEnds: inherited.expiries,
 				unresponsiveWorkers: inherited.unresponsiveWorkers,
 			},
@@ -254,7 +249,7 @@
 		);
 	}
 
-	private createHeartbeats({ endsAt, basis }: InheritedLeases): heartbeats.OwnerHeartbeats {
+	private createHeartbeats({ endsAt, basis }: ownerPings.InheritedLeases): heartbeats.OwnerHeartbeats {
 		const { clock, events: log, onFenced, onHeartbeat } = this.deps;
 		const { ownerLedger } = this;
 		const { generation } = ownerLedger;
@@ -290,16 +285,12 @@
 		return returnsPublisher.ReturnsPublisher.create({ clock, events: log, epoch, forecaster, box, schedule });
 	}
 
-	/**
-	 * Whether the epoch was confirmed lately, and after the machine was last suspended, and leases that are granted now do not
-	 * end soon.
-	 */
+	/** Whether the epoch and a heartbeat were confirmed lately, and after the machine was last suspended. */
 	private mayAct(): boolean {
-		const { clock } = this.deps;
-		const { renewalHorizonMs, minStartLeaseMs } = dispatch.settings;
+		const { renewalHorizonMs } = dispatch.settings;
+		const { epochConfirmedAt } = this.ownerLedger;
 		return (
-			clocks.isFresh(clock, this.ownerLedger.epochConfirmedAt, renewalHorizonMs) &&
-			this.heartbeats.leasesEndBy - clock.now() >= minStartLeaseMs
+			this.heartbeats.allowsStarts && clocks.isFresh(this.deps.clock, epochConfirmedAt, renewalHorizonMs)
 		);
 	}
 
--- a/src/core/dispatch/options.ts
+++ b/src/core/dispatch/options.ts
@@ -4,6 +4,7 @@
 import * as retries from './retry-pauses.js';
 import type * as features from '../features/index.js';
 import type * as fleet from '../fleet/types.js';
+import type * as heartbeats from '../heartbeats/index.js';
 import type * as ledger from '../ledger/index.js';
 import type * as limitTypes from './limit-types.js';
 import type * as meters from './load-meter.js';
@@ -28,10 +29,8 @@
 	askAdviser?: fleet.AskAdviser;
 	/** How long the state of a finished job is kept, in milliseconds. */
 	keepStateMs: number;
-	/** Clock time by which all leases of earlier owners have expired; `-Infinity`: there are none. */
-	inheritedLeasesEndAt: number;
-	/** The same for workers that restart under their names, which grant themselves the longest lease. */
-	longestLeasesEndAt: number;
+	/** When all leases of earlier owners have expired. */
+	inheritedLeases: heartbeats.InheritedLeaseEnd;
 	/** Clock time by which all leases at a worker have expired, by worker, where the previous owner published it. */
 	leaseEnds: ReadonlyMap<string, number>;
 	/**
--- a/src/core/dispatch/worker-pool.ts
+++ b/src/core/dispatch/worker-pool.ts
@@ -8,6 +8,7 @@
 import * as settings from './settings.js';
 import type * as unconfirmed from './unconfirmed-runs.js';
 import type * as fleet from '../fleet/types.js';
+import type * as heartbeats from '../heartbeats/index.js';
 import type * as ledger from '../ledger/index.js';
 import type * as types from './types.js';
 
@@ -29,10 +30,8 @@
 	handlers: types.ReportHandlers;
 	/** Called when more workers may take work. */
 	onWorkersAvailable: () => void;
-	/** Clock time by which all leases of earlier owners have expired; `-Infinity`: there are none. */
-	inheritedLeasesEndAt: number;
-	/** The same for workers that restart under their names, which grant themselves the longest lease. */
-	longestLeasesEndAt: number;
+	/** When all leases of earlier owners have expired. */
+	inheritedLeases: heartbeats.InheritedLeaseEnd;
 	/** Number of inherited long-running tasks that wait for workers of earlier owners; absent: it is not logged. */
 	longRunningAwaited?: () => number;
 	/** Clock time by which all leases at a worker have expired, by worker, where the previous owner published it. */
@@ -81,10 +80,9 @@
 		const pool = new WorkerPool(opts);
 		for (const entry of opts.takeover?.sortRoster(roster) ?? roster) {
 			const isEmpty = entry.tasks?.length === 0;
-			const inheritedLeasesEndAt = incarnations.isStartKnown(entry.id)
-				? opts.longestLeasesEndAt
-				: opts.inheritedLeasesEndAt;
-			const leasesEndAt = Math.min(inheritedLeasesEndAt, opts.leaseEnds.get(entry.id) ?? Infinity);
+			const { endsAt, longestEndAt } = opts.inheritedLeases;
+			const inheritedEndAt = incarnations.isStartKnown(entry.id) ? longestEndAt : endsAt;
+			const leasesEndAt = Math.min(inheritedEndAt, opts.leaseEnds.get(entry.id) ?? Infinity);
 			const session = pool.open(entry, undefined, isEmpty ? -Infinity : leasesEndAt);
 			session.hasOpenRosterEntry = entry.tasks === undefined;
 			session.rosteredTasks = entry.tasks && new Set(entry.tasks);
--- a/src/core/heartbeats/owner-heartbeats.ts
+++ b/src/core/heartbeats/owner-heartbeats.ts
@@ -62,6 +62,11 @@
 		return this.basedOn + dispatch.leaseSpanMs;
 	}
 
+	/** Whether a lease that is granted now lasts long enough to start anything with it. */
+	get allowsStarts(): boolean {
+		return this.leasesEndBy - this.opts.clock.now() >= dispatch.minStartLeaseMs;
+	}
+
 	/** The newest heartbeat. */
 	get newest(): types.SentHeartbeat {
 		const { count } = this;
--- a/src/core/heartbeats/types.ts
+++ b/src/core/heartbeats/types.ts
@@ -21,7 +21,7 @@
 export interface InheritedLeaseEnd {
 	/** Clock time; `-Infinity`: there was no earlier owner. */
 	endsAt: number;
-	/** The same where workers grant themselves the longest lease for any command. */
+	/** The same for workers that restart under their names, which may grant themselves the longest lease for any command. */
 	longestEndAt: number;
 	basis: LeaseEndBasis;
 }
--- a/test/roster.test.ts
+++ b/test/roster.test.ts
@@ -29,8 +29,11 @@
 			epoch: 1,
 			mayAct: () => true,
 			leasesEndBy: () => Infinity,
-			inheritedLeasesEndAt: clock.now() + 10_000,
-			longestLeasesEndAt: clock.now() + 10_000,
+			inheritedLeases: {
+				endsAt: clock.now() + 10_000,
+				longestEndAt: clock.now() + 10_000,
+				basis: 'takeover',
+			},
 			epochConfirmedAt: () => clock.now(),
 			confirmEpoch: () => Promise.resolve(),
 			onFenced: () => undefined,
