--- a/src/core/dispatch/outcomes.ts
+++ b/src/core/dispatch/outcomes.ts
@@ -110,7 +110,7 @@
 		for (const job of this.opts.registry.unfinishedInherited())
 			for (const step of job.steps)
 				for (const task of step.tasks) {
-					// It has had no run since before the takeover.
+					// It has been without a run since before the takeover.
 					if (step.spec.lasting && mayHaveCrashedHere(task))
 						task.readyAt = Math.min(task.readyAt, overdueSince);
 					if (this.resolveTryOn(session.id, task) || this.noteUnreportedCrash(task, mayHaveCrashedHere))
@@ -242,8 +242,8 @@
 }
 
 /**
- * Clock time from which a task has had no run, as far as is known, after its worker was lost: the worker's leases had to
- * expire first. Undefined: only long-running tasks are more urgent for it.
+ * Clock time since which a task of a lost worker may have had no run, as the worker's leases had to expire first. Undefined:
+ * only long-running tasks become more urgent by that time.
  */
 function idleSince({ lastAnsweredAt }: sessions.WorkerSession, task: jobs.Task): number | undefined {
 	return task.step.spec.lasting && lastAnsweredAt > -Infinity ? lastAnsweredAt : undefined;
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -105,10 +105,7 @@
 		return new Placer(opts);
 	}
 
-	/**
-	 * Enqueues a task that may be started. `idleSince`: clock time from which it has had no run, if that was not known by then;
-	 * it is as urgent as a task that has waited since.
-	 */
+	/** Enqueues a task that may be started, as if it had waited since the clock time `idleSince` if that is earlier. */
 	add(task: jobs.Task, idleSince = Infinity): void {
 		if (task.state === 'finished' || task.step.job.ended) return;
 		const now = this.opts.clock.now();
--- a/src/core/dispatch/probation.ts
+++ b/src/core/dispatch/probation.ts
@@ -89,7 +89,7 @@
 		// A worker that stopped answering tests nothing any more, and it may take long until it is proved dead.
 		const responsive = withProbation.filter((one) => one.firstFailureAt === undefined);
 		if (responsive.length >= this.maxConcurrent(workers)) return false;
-		// Short tasks wait for that proof, which limits the crashes of a step; a long-running one would be idle for too long.
+		// For short tasks they count until then, which limits the crashes of a step. A long-running task must not wait so long.
 		const counted = step.spec.lasting ? responsive : withProbation;
 		const ofStep = counted.filter((one) => one.runOnProbation?.task.step === step).length;
 		return ofStep <= (this.steps.get(step)?.passed ?? 0) * extraPerPass;
--- a/src/core/dispatch/run-gaps.ts
+++ b/src/core/dispatch/run-gaps.ts
@@ -1,6 +1,6 @@
 /**
- * The times in which long-running tasks have no run: each begins when the former worker last could have run the task, as far
- * as this owner knows, and ends when the start of the next run is known to have been carried out. Logged when it ends.
+ * Measures and logs how long long-running tasks have no run: from the time until which the former worker may have run the
+ * task, as far as this owner knows, to the answer that confirms the next start.
  */
 import * as settings from './settings.js';
 import type * as clocks from '../clock.js';
@@ -10,10 +10,9 @@
 import type * as types from './types.js';
 
 /**
- * How the time of the last run is known. `exit`: a report listed its exit, and the worker had answered until then; `answer`:
- * the last answer of its worker, after which it may have run on for as long as its lease; `previous-owner`: the worker has
- * not answered this owner, and this is when the previous owner last answered this box; `takeover`: the same, and nothing is
- * known of the time before the takeover, so the time without a run may be longer.
+ * What the time of the last run is based on. `exit`: the worker reported the exit. `answer`: the worker's last answer; the
+ * run may have lasted until its lease expired. `previous-owner`: the worker has not answered this owner; the time at which
+ * the previous owner last answered this box. `takeover`: the worker has not answered, and no earlier time is known.
  */
 export type LastRunSource = 'exit' | 'answer' | 'previous-owner' | 'takeover';
 
@@ -22,7 +21,7 @@
 	readonly task: jobs.Task;
 	/** Worker of the last run, by id; empty: it is not known. */
 	readonly worker: string;
-	/** Clock time at which that worker last could have run the task, as far as this owner knows. */
+	/** Clock time until which that worker may have run the task, as far as this owner knows. */
 	readonly lastRunAt: number;
 	readonly source: LastRunSource;
 	/** Clock time at which the last run was proved to be over; undefined: it is not. */
@@ -166,13 +165,13 @@
 		return source === 'takeover' ? undefined : Math.round(Math.max(0, this.tookOverAt - lastRunAt));
 	}
 
-	/** Begins a gap, or notes that the last start before its end was in vain. */
+	/** Begins a gap. In a gap under way, notes that the newest start has failed. */
 	private begin(task: jobs.Task, { id: worker }: LostWorker, lastRunAt: number, source: LastRunSource): void {
 		if (!task.step.spec.lasting || needsNoRun(task)) return;
 		const provedAt = this.opts.clock.now();
 		const gap = this.gaps.get(task);
 		if (gap === undefined) this.gaps.set(task, { task, worker, lastRunAt, source, provedAt });
-		// A worker may list an exit when the task has been waiting for capacity for long, as it is proved to be over.
+		// A late exit of an earlier run changes nothing for a task that already waits for capacity.
 		else if (gap.provedAt !== undefined && task.state !== 'ready') gap.provedAt = provedAt;
 	}
 }
--- a/src/core/dispatch/settings.ts
+++ b/src/core/dispatch/settings.ts
@@ -4,15 +4,14 @@
 export const renewalHorizonMs = 3_000;
 
 /**
- * No lease ends later than this after the owner's heartbeat on which it is based was sent, as the worker counts. Users allow
- * a long-running task nine seconds without a run: this span, what the clocks and timers add, and a start.
+ * No lease ends later than this after the owner's heartbeat on which it is based was sent, on the worker's clock. Together
+ * with clock drift and a start it has to stay under `maxWithoutRunMs`.
  */
 export const leaseSpanMs = 6_300;
 
 /**
- * Nothing is started if its lease would end sooner than this. A start carries the expiry of the worker's newest lease if
- * that much is left of it, and extends nothing: until the polls to a lost worker time out, starts would go on postponing the
- * time by which its tasks have ended.
+ * Shortest lease with which a task is started. A start carries the expiry of the worker's newest lease if this much is left
+ * of it. Starts that extended leases would postpone the time by which the tasks of a lost worker have ended.
  */
 export const minStartLeaseMs = 3_000;
 
@@ -44,11 +43,12 @@
 export const unresponsiveAfterMs = 2_200;
 
 /**
- * After this time without an answer, or since the first call that failed, the expiry of a worker's leases is published to
- * the other boxes. From then on the worker gets a lease only after a write to the store, so connections that are reset do
- * not count.
+ * After this time without an answer, the expiry of a worker's leases is published to the other boxes. From then on the
+ * worker gets a lease only after a write to the store.
  */
 export const publishLeaseEndAfterMs = 2_200;
+
+/** The same after a call that failed. Longer than a retransmission takes, as each publication costs a write. */
 export const publishLeaseEndAfterFailureMs = 1_000;
 
 /** How long a worker that refused a start gets no new work. */
@@ -140,11 +140,8 @@
 export const stalledAfterMs = 3_000;
 export const stalledLogIntervalMs = 3_000;
 
-/**
- * Longest time from the end of a long-running task's last run to the start of its next one. A longer time is logged as a
- * warning, and repeatedly while it lasts.
- */
+/** Longest time that users allow between two runs of a long-running task. A longer one is logged as a warning. */
 export const maxWithoutRunMs = 9_000;
 
-/** Interval between the log lines on long-running tasks that have had no run for longer. */
+/** Interval between the log lines on long-running tasks that exceed it. */
 export const withoutRunLogIntervalMs = 3_000;
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -56,7 +56,7 @@
 /** A list of the platform that has not been read recently: the workers, or the evacuated zones. */
 export type UnreadList = 'list-unread' | 'evacuations-unread';
 
-/** Measured times. `without_run`: that of a long-running task, from its last run to the start of the next one. */
+/** Measured times. `without_run`: from the last run of a long-running task to the start of the next one. */
 export type MeasuredTime = exits.ExitTime | 'without_run';
 
 /** Records a time, in milliseconds. */
@@ -73,12 +73,9 @@
 	epoch: number;
 	/** Whether leases may be renewed and tasks started: the epoch was confirmed recently. */
 	mayAct: () => boolean;
-	/**
-	 * Clock time by which every lease that is granted now has to end, if the worker's clock is as fast as the owner's;
-	 * `-Infinity`: none may be granted.
-	 */
+	/** Clock time by which every lease that is granted now has to end; `-Infinity`: none may be granted. */
 	leasesEndBy: () => number;
-	/** Resolves when the first lease may be granted; absent: one may from the begin. */
+	/** Resolves when the first lease may be granted; absent: one may be granted at once. */
 	firstLeaseAllowed?: Promise<void>;
 	/** Clock time at which the newest call that confirmed the epoch was sent. */
 	epochConfirmedAt: () => number;
--- a/src/core/dispatch/without-run-log.ts
+++ b/src/core/dispatch/without-run-log.ts
@@ -35,7 +35,7 @@
 
 export class WithoutRunLog {
 	private nextCheckAt = -Infinity;
-	/** Workers that have left a call unanswered. What is placed there may not run, though that is not proved. */
+	/** Workers that have left a call unanswered. Their tasks may have ended, which is not proved yet. */
 	private readonly unanswered = new Set<sessions.WorkerSession>();
 
 	private constructor(private readonly opts: WithoutRunLogOptions) {}
@@ -101,7 +101,7 @@
 	}
 }
 
-/** What a task waits for that is placed on a worker: to learn whether it runs there, or that it does not. */
+/** What a placed task waits for: proof that it runs on its worker, or that it does not. */
 function awaitedAt(session: sessions.WorkerSession, task: jobs.Task): Awaited {
 	const { id: worker } = session;
 	if (session.answering) {
--- a/src/core/dispatch/worker-lease.ts
+++ b/src/core/dispatch/worker-lease.ts
@@ -22,7 +22,7 @@
 	private clockReading: { clockMs: number; at: number } | undefined;
 	/** Clock time at which the newest lease was granted; `-Infinity`: none was. */
 	grantedAt = -Infinity;
-	/** Expiry of the newest lease, on the worker's clock and, if that is as fast, on the owner's; undefined: none was granted. */
+	/** Expiry of the newest lease on the worker's clock, and estimated on the owner's; undefined: none was granted. */
 	private newest: { clockMs: number; endsAt: number } | undefined;
 
 	private constructor(
@@ -33,8 +33,8 @@
 
 	/**
 	 * `inheritedLeasesEndAt`: clock time by which leases granted by earlier owners have expired; `-Infinity`: there are none.
-	 * `keepsName`: the worker's next incarnation carries out commands to this one, on a clock that begins anew, and may grant
-	 * itself the longest lease for any of them.
+	 * `keepsName`: the worker may restart under its name. The next incarnation then carries out commands to this one, with a
+	 * new clock, and may take the longest lease for any of them.
 	 */
 	static create(deps: LeaseDeps, inheritedLeasesEndAt: number, keepsName: boolean): WorkerLease {
 		return new WorkerLease(deps, inheritedLeasesEndAt, keepsName);
@@ -66,7 +66,7 @@
 		return this.grantableMs > 0 && this.deps.mayAct() ? undefined : 'may-not-act';
 	}
 
-	/** Duration of a lease that is granted now, as the worker counts, in milliseconds; not above 0: none may be granted. */
+	/** Duration of a lease that is granted now, in milliseconds on the worker's clock; 0 or less: none may be granted. */
 	private get grantableMs(): number {
 		const { clock, leasesEndBy, maxLeaseMs } = this.deps;
 		return Math.min(maxLeaseMs, leasesEndBy() - clock.now());
@@ -88,7 +88,7 @@
 		return this.newest.clockMs;
 	}
 
-	/** Expiry to send with a start, as `grant` returns it: that of the newest lease, unless it ends soon. */
+	/** Returns the expiry to send with a start: that of the newest lease, or of a new one if it ends soon. */
 	grantForStart(): number | undefined {
 		const { newest, denial } = this;
 		const { clock } = this.deps;
@@ -105,7 +105,7 @@
 		this.assumeLease(Math.min(this.deps.maxLeaseMs, settings.leaseSpanMs));
 	}
 
-	/** Notes a lease of this duration, as the worker counts. */
+	/** Notes a lease of this duration, in milliseconds on the worker's clock. */
 	private assumeLease(leaseMs: number): void {
 		const workerMs = this.keepsName ? this.deps.maxLeaseMs : leaseMs;
 		const longestMs = workerMs / (1 - settings.maxClockDrift) + settings.leaseMarginMs;
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -358,7 +358,7 @@
 		return this.isLeaseBlocked ? undefined : this.lease.grant();
 	}
 
-	/** The same for a start; it extends the worker's newest lease only if that ends soon. */
+	/** The same for a start, which extends the newest lease only if it ends soon. */
 	grantLeaseForStart(): number | undefined {
 		return this.isLeaseBlocked ? undefined : this.lease.grantForStart();
 	}
@@ -566,8 +566,8 @@
 	}
 
 	/**
-	 * Before the first poll that may carry a lease: resolves when leases may be granted, or after a tick. The worker's leases
-	 * may be about to expire.
+	 * Waits until the first lease may be granted, for a tick at most: leases of earlier owners may be about to expire, and the
+	 * next poll may wait for an exit.
 	 */
 	private async untilFirstLease(): Promise<void> {
 		const { clock, firstLeaseAllowed } = this.deps;
@@ -597,7 +597,7 @@
 		// Polls without a wait, to learn at once whether the worker answers again, and then its clock, without which it gets
 		// no lease.
 		if (!this.lease.isClockKnown || this.wasLastPollUnanswered) return 0;
-		// A longer wait would delay the first lease of a new owner, or of one that was suspended.
+		// No lease may be granted yet by a new owner, or after a suspension.
 		if (this.deps.leasesEndBy() === -Infinity) return settings.tickMs;
 		if (this.isLeaseBlocked || this.runOnProbation !== undefined) return settings.tickMs;
 		return this.preemptibleMilliCores > 0 ? settings.preemptiblePollWaitMs : settings.pollWaitMs;
--- a/src/core/heartbeats/index.ts
+++ b/src/core/heartbeats/index.ts
@@ -1,6 +1,6 @@
 /**
- * Heartbeats of the owner, on which the leases that it grants depend. The store shows a successor which of them was the last
- * one, and the boxes know when it was sent, so a successor knows when every earlier lease has ended.
+ * Heartbeats of the owner, which bound the leases that it grants. A successor reads the last one in the store, and knows
+ * from the owner's answers to pings when it was sent, so it knows when every earlier lease has expired.
  */
 export { ObservedHeartbeats } from './observed-heartbeats.js';
 export { OwnerHeartbeats } from './owner-heartbeats.js';
--- a/src/core/heartbeats/observed-heartbeats.ts
+++ b/src/core/heartbeats/observed-heartbeats.ts
@@ -4,10 +4,10 @@
 import type * as ledger from '../ledger/index.js';
 import type * as types from './types.js';
 
-/** Number of heartbeats that are remembered. The stored one is among the last that were sent, unless the store is away. */
+/** Number of heartbeats that are remembered. In a long outage of the store, more may be sent after the last stored one. */
 const maxRemembered = 128;
 
-/** Options for when every earlier lease ends. */
+/** Options of `ObservedHeartbeats.leasesEndAfter`. */
 export interface InheritedLeasesOptions {
 	/** The new owner's generation. */
 	generation: number;
@@ -22,7 +22,7 @@
 /** The heartbeats of the newest owner that this box has pinged. */
 export class ObservedHeartbeats {
 	private generation = 0;
-	/** Clock time of this box by which each heartbeat had been sent, by number, rising. */
+	/** Clock time of this box by which each heartbeat had been sent, by number. */
 	private readonly sentBy = new Map<number, number>();
 
 	private constructor(private readonly now: () => number) {}
@@ -37,7 +37,7 @@
 		if (generation < this.generation) return;
 		if (generation > this.generation) this.sentBy.clear();
 		this.generation = generation;
-		// Counted from the arrival of the answer, and with the slower clock: never earlier than it was sent.
+		// Counts back from the arrival of the answer at the slowest rate, so that the time is never too early.
 		const sentBy = this.now() - ageMs * (1 - dispatch.maxClockDrift);
 		this.sentBy.set(count, Math.min(sentBy, this.sentBy.get(count) ?? Infinity));
 		for (const one of this.sentBy.keys()) if (one <= count - maxRemembered) this.sentBy.delete(one);
@@ -59,7 +59,7 @@
 		return { endsAt: sentBy + spanMs, longestEndAt, basis: 'heartbeat' };
 	}
 
-	/** Clock time by which a heartbeat had been sent: before those with a higher number. Undefined: it is not known. */
+	/** Clock time by which a heartbeat had been sent, by its own report or a later one's; undefined: it is not known. */
 	private sentByOf(count: number): number | undefined {
 		const later = [...this.sentBy].filter(([one]) => one >= count).map(([, sentBy]) => sentBy);
 		return later.length === 0 ? undefined : Math.min(...later);
--- a/src/core/heartbeats/owner-heartbeats.ts
+++ b/src/core/heartbeats/owner-heartbeats.ts
@@ -1,4 +1,4 @@
-/** The owner's side: stores a heartbeat at intervals, and bounds the leases that may be granted by the last one stored. */
+/** Stores the owner's heartbeats, and computes from the newest stored one when leases have to end. */
 import * as dispatch from '../dispatch/settings.js';
 import * as settings from './settings.js';
 import type * as clocks from '../clock.js';
@@ -54,8 +54,8 @@
 	}
 
 	/**
-	 * Clock time by which every lease that is granted now has to end, if the worker's clock is as fast as the owner's;
-	 * `-Infinity`: none may be granted. A suspension does not count in the clock, so what was stored before it is no basis.
+	 * Clock time by which every lease that is granted now has to end; `-Infinity`: none may be granted. The clock stands still
+	 * during a suspension, so heartbeats from before it do not count.
 	 */
 	get leasesEndBy(): number {
 		if (this.closed || this.basedOn <= this.opts.clock.resumedAt()) return -Infinity;
@@ -78,7 +78,7 @@
 		return this.closed;
 	}
 
-	/** Sends on a schedule of its own: a heartbeat without an answer must not delay the next one. */
+	/** Sends a heartbeat and schedules the next one, which does not wait for the answer. */
 	private beat(): void {
 		this.timer = this.opts.clock.after(settings.intervalMs, () => {
 			this.beat();
@@ -104,7 +104,7 @@
 		this.resolveFirst();
 	}
 
-	/** The span to state: only if it covers the leases of earlier owners as well. */
+	/** The span to store: absent while leases of earlier owners may outlast it. */
 	private statedSpanAt(now: number): number | undefined {
 		const { leaseSpanMs } = dispatch;
 		const endsAt = now + settings.longestSpanMs(leaseSpanMs);
--- a/src/core/heartbeats/settings.ts
+++ b/src/core/heartbeats/settings.ts
@@ -5,9 +5,8 @@
 export const intervalMs = 500;
 
 /**
- * Longest time from the sending of a heartbeat to the end of a lease that is based on it, by the clock of another box, if
- * the lease ends within `spanMs` as the worker counts. A worker's clock may be slower than the owner's, and the owner's slower than
- * the other box's.
+ * Converts the time from the sending of a heartbeat to the end of a lease from the worker's clock to another box's, at most:
+ * the worker's clock may be slower than the owner's, and the owner's slower than the other box's.
  */
 export function longestSpanMs(spanMs: number): number {
 	const { maxClockDrift, leaseMarginMs } = dispatch;
--- a/src/core/heartbeats/types.ts
+++ b/src/core/heartbeats/types.ts
@@ -12,9 +12,9 @@
 export type LeaseEndBasis =
 	/** By the time at which the last stored heartbeat was sent. */
 	| 'heartbeat'
-	/** By the time of the takeover: this box has not learned when that heartbeat was sent. */
+	/** By the time of the takeover: this box does not know when that heartbeat was sent. */
 	| 'takeover'
-	/** By the longest lease after the takeover: no heartbeat states that it covers all leases. */
+	/** By the takeover and the longest lease: no stored heartbeat covers all leases. */
 	| 'longest-lease';
 
 /** When every lease that earlier owners granted has ended. */
--- a/src/core/ledger/keys.ts
+++ b/src/core/ledger/keys.ts
@@ -15,7 +15,7 @@
 /** Names the owner. The key is bound to the owner's lease and is deleted with it. */
 export const ownerKey = `${rootPrefix}owner`;
 
-/** The newest heartbeat of an owner. It outlives the owner, so that its successor knows when the owner's leases end. */
+/** The last heartbeat of an owner. It is kept after the owner's end, for its successor. */
 export const heartbeatKey = `${rootPrefix}heartbeat`;
 
 /** Workers on which an owner may have started runs. */
@@ -26,6 +26,7 @@
 
 const acceptedPrefix = `${requestPrefix}job/`;
 const cancelPrefix = `${requestPrefix}cancel/`;
+/** Prefix of the stored progress of jobs. */
 export const progressPrefix = `${jobsPrefix}progress/`;
 
 export function jobKey(id: string): string {
--- a/src/core/ledger/owner-ledger.ts
+++ b/src/core/ledger/owner-ledger.ts
@@ -41,8 +41,8 @@
 	/** Every owner of this or a later generation has stored the workers of its long-running tasks. */
 	workersStoredSince: number;
 	/**
-	 * The last heartbeat of earlier owners; undefined: none was stored, or an owner of an older version, which stores none,
-	 * came later.
+	 * The last heartbeat of earlier owners; undefined: there is none, or an owner of an older version, which stores none,
+	 * followed.
 	 */
 	lastHeartbeat: types.HeartbeatRecord | undefined;
 	/** Store revision from which to follow the requests. */
@@ -102,7 +102,7 @@
 export class OwnerLedger {
 	/** Clock time at which the latest call was sent that showed this epoch to be in force. */
 	epochConfirmedAt: number;
-	/** Clock time by which it had taken over. */
+	/** Clock time by which the takeover had taken effect. */
 	readonly takenOverAt: number;
 	/** Versions of the records that this owner writes, by key, as it last wrote or read them. */
 	private readonly recordVersions = new Map<string, number>();
@@ -283,8 +283,8 @@
 	}
 
 	/**
-	 * Stores a heartbeat in place of the one before. An earlier heartbeat that is carried out late can't replace it. Must be
-	 * called only after the contents were read, as the heartbeat of an earlier owner is overwritten.
+	 * Replaces the stored heartbeat. An earlier one whose write is carried out late can't replace it. Must be called only after
+	 * the contents were read, as this overwrites the heartbeat of an earlier owner.
 	 */
 	async storeHeartbeat(heartbeat: types.HeartbeatRecord): Promise<HeartbeatOutcome> {
 		const res = await this.replaceRecords([{ key: keys.heartbeatKey, value: wire.encodeValue(heartbeat) }]);
--- a/src/core/ledger/types.ts
+++ b/src/core/ledger/types.ts
@@ -37,8 +37,8 @@
 	/** Number of the heartbeat, from 1 for each owner. */
 	count: number;
 	/**
-	 * Every lease that this owner or an earlier one granted before the next heartbeat is stored ends within this time after
-	 * this heartbeat was sent, in milliseconds as the worker's clock counts; absent: that is not known.
+	 * Every lease that this owner or an earlier one grants until the next heartbeat is stored ends within this time after this
+	 * heartbeat was sent, in milliseconds on the worker's clock; absent: leases of earlier owners may end later.
 	 */
 	leasesEndWithinMs?: number;
 }
