An entry whose address cannot be called names no worker to use

What callers saw: another writer put one entry into the list of workers whose address was none (127.0.0.1:81610). Each box that dispatched ended by an unhandled ERR_INVALID_URL, then the one that took over from it, as long as the entry was there. Jobs that had been accepted were not completed, and callers got no answers.

Cause, in two parts. The check of an address was a pattern that also accepts ports above 65535 and hosts that no URL may contain (256.1.1.1, 1.2.3.4.5, 08). And the HTTP client, whose callers rely on a failure as a value, threw from inside its promise when it built the URL: the call rejected, nobody handles a rejection of it, and an unhandled one ends the process.

Change: addresses of others are checked by the URL parser itself, and another spelling of an IPv4 address (127.1) is refused, as it would count as a second address. The client answers every call with a result; an address that cannot be used is a call that was not sent.

Tests: the three new ones of addresses fail before (the entry is accepted, the call rejects, the box ends) and pass after; the one of a header passed before.

--- a/test/kept-connections.test.ts
+++ b/test/kept-connections.test.ts
@@ -131,3 +131,30 @@
 	t.true((await store.list('a/')).ok);
 	t.false((await store.list('a/')).ok, 'after an answer, the short timeout applies again');
 });
+
+// Guards against the end of a process by a rejected call that nobody handles.
+test('a call to an address that cannot be used fails as a call that was not sent', async (t) => {
+	const calls = client.JsonClient.create();
+	for (const address of ['127.0.0.1:81610', '256.1.1.1:80', 'no address', '']) {
+		const res = await calls.send(address, { method: 'GET', path: '/', timeoutMs });
+		t.deepEqual(
+			res.ok ? undefined : { ...res.err, reason: '' },
+			{ sent: false, refused: false, reason: '' },
+			address,
+		);
+	}
+});
+
+test('a call with a header that cannot be sent fails as a call that was not sent', async (t) => {
+	const address = await serve(t, (_req, res) => {
+		res.end('{}');
+	});
+	const headers = { 'target-instance': 'a\nb' };
+	const res = await client.JsonClient.create().send(address, {
+		method: 'GET',
+		path: '/',
+		headers,
+		timeoutMs,
+	});
+	t.false(res.ok);
+});
--- a/test/worker-entries.test.ts
+++ b/test/worker-entries.test.ts
@@ -51,6 +51,43 @@
 	t.is(workerEntries.decodeWorker('servers/w1', new Uint8Array(0)), undefined);
 });
 
+/** Addresses of the right shape to which no connection can be opened, or that are another spelling of an address. */
+const uncallableAddresses = [
+	'127.0.0.1:81610',
+	'127.0.0.1:0',
+	'256.1.1.1:80',
+	'1.2.3.4.5:80',
+	'08:30',
+	'127.1:80',
+	'xn--a.example:80',
+];
+
+// Guards against the end of each box that dispatches, one after another, by an error for an invalid URL.
+test('an entry whose address cannot be called names no worker to use', (t) => {
+	for (const address of uncallableAddresses)
+		t.is(
+			workerEntries.decodeWorker('servers/w1', encodeJson({ ...validEntry, address })),
+			undefined,
+			address,
+		);
+	for (const address of ['10.0.0.1:80', '10.0.0.1:65535', 'Worker-1.rack_2.example:8080'])
+		t.truthy(workerEntries.decodeWorker('servers/w1', encodeJson({ ...validEntry, address })), address);
+});
+
+// The same failure over a real box: its process goes on, and its other workers are used.
+test('over a real box: an entry whose address cannot be called leaves the box and the other workers in service', async (t) => {
+	const { platform, start } = await realBoxes.setUp(t);
+	const box = await start('entry-1');
+	await box.waitForLine((line) => line.name === 'owner.taken');
+	for (const [index, address] of uncallableAddresses.entries())
+		platform.store.put(`servers/foreign-${String(index)}`, encodeJson({ ...validEntry, address }));
+	await box.waitForLine((line) => line.name === 'wire.rejected');
+	const job = '00000000000000a1';
+	await realBoxes.call(box.callers, 'POST', job, realBoxes.jobBody);
+	await realBoxes.waitUntilEnded(box, job);
+	t.is(box.lines.filter((line) => line.name === 'wire.rejected').length, uncallableAddresses.length);
+});
+
 test('an entry that becomes unreadable counts as absent, in a change and in a list alike, and is told of once', async (t) => {
 	const clock = time.VirtualClock.create();
 	const store = memory.MemoryStore.create(clock);
