A worker whose report cannot be processed counts as one that does not answer

An error while a report was processed rejected the session's loop, which nobody handles, and ended the process; the successor, asked the same worker, would have ended next. Fuzzed reports of the form that the decoder lets pass found no such error today, so this is a barrier, not the mend of a fault that was seen.

Change: such a report is a poll without an answer. The worker gets no lease and no work, its runs are presumed lost when their lease is over, and the owner and the other workers go on. worker.report-unusable names the error and its place, once until a report can be processed again.

--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -14,6 +14,7 @@
 import * as placements from './placements.js';
 import * as settings from './settings.js';
 import * as responsiveness from './worker-responsiveness.js';
+import * as results from '../result.js';
 import type * as fleet from '../fleet/types.js';
 import type * as jobs from '../jobs/index.js';
 import type * as types from './types.js';
@@ -123,6 +124,8 @@
 	isLeaseWithheld = false;
 	/** Whether the last poll was not answered. A lease sent with the next one could never be proved to have expired. */
 	private wasLastPollUnanswered = false;
+	/** Whether the last report could not be processed. Such a worker counts as one that does not answer. */
+	private wasLastReportUnusable = false;
 
 	private constructor(
 		/** Where commands to it are sent. */
@@ -542,25 +545,30 @@
 			endTurn?.(res.ok);
 			endTurn = undefined;
 			if (this.isSessionOverNow()) return;
-			this.wasLastPollUnanswered = !res.ok;
 			if (res.ok && !this.isFromThisIncarnation(res.value)) {
 				this.supersede(res.value);
 				return;
 			}
+			let failure = res.ok ? undefined : res.err;
 			if (res.ok) {
 				this.reportDelayMs = Math.max(0, this.deps.clock.now() - poll.at - poll.waitMs);
 				this.unansweredBeforeReportMs = Math.max(0, poll.at - this.nextPollDueAt);
 				this.unacknowledgedExits.noteAcknowledged(acknowledgeUpTo, sentAt);
-				await this.takeReport(res.value, sentAt, others);
+				const taken = this.tryTakeReport(res.value, sentAt, others);
+				if (!taken.ok) failure = taken.err;
+				else await this.afterReport(taken.value);
+			}
+			this.wasLastPollUnanswered = failure !== undefined;
+			if (failure === undefined) {
 				this.nextPollDueAt = this.deps.clock.now();
 				continue;
 			}
 			this.responsiveness.notePollFailed();
 			// Polls again at once after the first failure, to learn whether a worker that ceases to answer still accepts
 			// connections.
-			const isFirstFailure = failures.isUnanswered(res.err) && this.firstFailureAt === undefined;
-			if (this.ended(res.err, call)) return;
-			if (failures.reasonOf(res.err).kind !== 'fenced' && !isFirstFailure)
+			const isFirstFailure = failures.isUnanswered(failure) && this.firstFailureAt === undefined;
+			if (this.ended(failure, call)) return;
+			if (failures.reasonOf(failure).kind !== 'fenced' && !isFirstFailure)
 				await clocks.sleep(this.deps.clock, settings.pollRetryMs);
 		}
 	}
@@ -603,27 +611,58 @@
 		return this.preemptibleMilliCores > 0 ? settings.preemptiblePollWaitMs : settings.pollWaitMs;
 	}
 
+	/**
+	 * Processes a report. One whose processing throws counts as an unanswered poll: the worker gets no lease and no work, and
+	 * its runs are presumed lost once their lease has expired. The owner and the other workers are not affected.
+	 */
+	private tryTakeReport(
+		report: fleet.WorkerReport,
+		sentAt: number,
+		others: readonly WorkerSession[],
+	): results.Result<types.ReportOutcome, fleet.WorkerFailure> {
+		const reportBefore = this.lastReport;
+		try {
+			const outcome = this.takeReport(report, sentAt, others);
+			if (this.wasLastReportUnusable) this.noteAnswer(report);
+			this.wasLastReportUnusable = false;
+			return results.ok(outcome);
+		} catch (err) {
+			this.lastReport = reportBefore;
+			const reason = `its report can't be processed: ${String(err)}`;
+			if (!this.wasLastReportUnusable)
+				this.deps.events.emit('worker.report-unusable', { worker: this.id, reason, stack: stackOf(err) });
+			this.wasLastReportUnusable = true;
+			return results.fail({ kind: 'no-answer', reason });
+		}
+	}
+
 	/** `others`: sessions with other incarnations of the same name that were known when the poll was sent. */
-	private async takeReport(
+	private takeReport(
 		report: fleet.WorkerReport,
 		sentAt: number,
 		others: readonly WorkerSession[],
-	): Promise<void> {
+	): types.ReportOutcome {
 		if (!this.answering)
 			this.deps.events.emit('worker.reached', { worker: this.id, clockMs: report.clockMs });
 		this.logLapsedLeases(report);
-		this.noteAnswer(report);
+		if (!this.wasLastReportUnusable) this.noteAnswer(report);
 		this.lastReport = report;
 		this.lastReportAt = this.deps.clock.now();
 		this.unacknowledgedExits.noteReported(report.ended, this.lastReportAt);
 		const outcome = this.handlers.onReport(this, { report, sentAt, others });
+		if (outcome.type === 'put-off') return outcome;
+		if (!this.hasReportedUnderToken) this.lease.assumeLongestLease();
+		this.hasReportedUnderToken = true;
+		if (!report.hasMoreExits) this.isReconciled = true;
+		return outcome;
+	}
+
+	/** Waits until the next poll is due. */
+	private async afterReport(outcome: types.ReportOutcome): Promise<void> {
 		if (outcome.type === 'put-off') {
 			await clocks.sleep(this.deps.clock, settings.deferredReportRetryMs);
 			return;
 		}
-		if (!this.hasReportedUnderToken) this.lease.assumeLongestLease();
-		this.hasReportedUnderToken = true;
-		if (!report.hasMoreExits) this.isReconciled = true;
 		// Runs beside the polls: an unanswered stop takes its whole timeout, and no exit could be acknowledged after that.
 		void this.stopUnconfirmedRuns();
 		// Stored exits can be acknowledged only right after an answer, so waiting for the other exits must not delay that.
@@ -668,6 +707,11 @@
 	}
 }
 
+/** The first lines of an error's stack, which name the code at fault. */
+function stackOf(err: unknown): string | undefined {
+	return err instanceof Error ? err.stack?.split('\n').slice(1, 4).join(' ').trim() : undefined;
+}
+
 function runKey(task: string, run: number): string {
 	return `${task}#${String(run)}`;
 }
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -404,6 +404,11 @@
 		level: 'warn',
 		text: 'A worker with tasks stops answering. How the first call failed, the time since its last report, what was started there last and how long before are given.',
 	},
+	'worker.report-unusable': {
+		id: 3215,
+		level: 'error',
+		text: "A worker's report could not be processed, which is a fault of this program or of the worker. The worker counts as one that does not answer until a report can be processed. Logged once per worker until then, with the error and its place.",
+	},
 	'worker.draining': {
 		id: 3206,
 		level: 'info',
