An unexpected error in a request of a caller or a peer is answered, not fatal

A peer's job was taken in whatever its form: one without steps would have ended the dispatcher, or been stored.

Change: a caller gets 504, as it is not known what was done, and asks again; a peer gets no answer, which it counts the same way. request.unhandled names the error and its place. A peer's job needs the fields from which tasks are created.

--- a/src/cli/box/main.ts
+++ b/src/cli/box/main.ts
@@ -6,6 +6,7 @@
 import * as adapters from '../../../platform/adapter.js';
 import * as boxes from '../../core/box/box.js';
 import * as clock from '../../core/clock.js';
+import * as errorStacks from '../../core/errors/stacks.js';
 import * as events from '../../core/events/index.js';
 import * as metrics from './metrics.js';
 import * as ingress from '../../../platform/ingress.js';
@@ -48,7 +49,9 @@
 const log = events.EventLog.create(settings.box, clock.systemClock, 'json');
 const box = await boxes.Box.create(settings, adapters.createAdapter(settings, log), clock.systemClock, log);
 const readiness = await listening.listen(ingress.serveReadiness(box), settings.readiness);
-const callersServer = ingress.serveCallers(box);
+const callersServer = ingress.serveCallers(box, (err) => {
+	log.emit('request.unhandled', { reason: String(err), stack: errorStacks.placeOf(err) });
+});
 const callers = await listening.listen(callersServer, settings.callers);
 log.emit('process.started', { callers, readiness, peer: box.peerAddress });
 
--- a/src/core/box/peer-protocol.ts
+++ b/src/core/box/peer-protocol.ts
@@ -1,17 +1,16 @@
 /** Requests between boxes. The owner answers them; any other box answers that it is not the owner. */
 import * as zod from 'zod/mini';
+import * as ledger from '../ledger/index.js';
 import * as results from '../result.js';
 import type * as admission from '../admission/index.js';
 import type * as heartbeats from '../heartbeats/index.js';
 import type * as forecasts from '../forecast/index.js';
 import type * as sharing from './configuration-sharing.js';
 import type * as jobs from '../jobs/index.js';
-import type * as ledger from '../ledger/index.js';
 
 const z = zod;
 
-/** Written by a box, so its form is trusted. */
-const record = z.custom<jobs.JobRecord>((value: unknown) => typeof value === 'object' && value !== null);
+const record = z.custom<jobs.JobRecord>((value: unknown) => ledger.isJobRecord(value));
 
 const request = z.discriminatedUnion('type', [
 	/** Held for `waitMs`, so that a broken connection is noticed at once. */
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -5,6 +5,7 @@
  */
 import * as availability from './worker-availability.js';
 import * as clocks from '../clock.js';
+import * as errorStacks from '../errors/stacks.js';
 import * as unconfirmed from './unconfirmed-runs.js';
 import * as failures from '../fleet/failures.js';
 import * as health from './worker-health.js';
@@ -630,7 +631,11 @@
 			this.lastReport = reportBefore;
 			const reason = `its report can't be processed: ${String(err)}`;
 			if (!this.wasLastReportUnusable)
-				this.deps.events.emit('worker.report-unusable', { worker: this.id, reason, stack: stackOf(err) });
+				this.deps.events.emit('worker.report-unusable', {
+					worker: this.id,
+					reason,
+					stack: errorStacks.placeOf(err),
+				});
 			this.wasLastReportUnusable = true;
 			return results.fail({ kind: 'no-answer', reason });
 		}
@@ -707,11 +712,6 @@
 	}
 }
 
-/** The first lines of an error's stack, which name the code at fault. */
-function stackOf(err: unknown): string | undefined {
-	return err instanceof Error ? err.stack?.split('\n').slice(1, 4).join(' ').trim() : undefined;
-}
-
 function runKey(task: string, run: number): string {
 	return `${task}#${String(run)}`;
 }
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -454,6 +454,11 @@
 		level: 'warn',
 		text: 'A request failed after it was sent to a backend server.',
 	},
+	'request.unhandled': {
+		id: 4004,
+		level: 'error',
+		text: 'The handling of a request of a caller or of another process failed unexpectedly, which is a fault of this program. The error and its place are given. A caller is told that the outcome is not known; another process gets no answer.',
+	},
 	'request.retried': {
 		id: 4003,
 		level: 'debug',
--- a/src/core/ledger/index.ts
+++ b/src/core/ledger/index.ts
@@ -6,7 +6,7 @@
 export { accept, cancel, isJobStored, isWriteFailure, readJob, toJobView } from './requests.js';
 export { maxProgressPerWrite, OwnerLedger } from './owner-ledger.js';
 export { RecordCopy } from './record-copy.js';
-export { decodeEpoch, decodeJob, decodeOwner } from './records.js';
+export { decodeEpoch, decodeJob, decodeOwner, isJobRecord } from './records.js';
 export type {
 	HeartbeatOutcome,
 	LedgerContents,
--- a/src/core/ledger/records.ts
+++ b/src/core/ledger/records.ts
@@ -28,6 +28,11 @@
 	checkpoints: z.record(z.string(), z.string()),
 });
 
+/** Whether a value has the fields of an accepted job from which its tasks are created. */
+export function isJobRecord(value: unknown): value is jobs.JobRecord {
+	return jobSchema.safeParse(value).success;
+}
+
 /** Decodes an accepted job; the error says why it can't be run. */
 export function decodeJob(bytes: Uint8Array): results.Result<jobs.JobRecord, string> {
 	const decoded = decodeWithSchema(bytes, jobSchema);
--- a/src/core/wire/server.ts
+++ b/src/core/wire/server.ts
@@ -2,6 +2,7 @@
 import * as net from 'node:net';
 import * as frames from './frame.js';
 import * as envelopes from './envelope.js';
+import * as errorStacks from '../errors/stacks.js';
 import type * as errors from '../errors/index.js';
 import type * as events from '../events/index.js';
 import type * as results from '../result.js';
@@ -100,7 +101,14 @@
 	}
 
 	private async answer(socket: net.Socket, id: number, req: Req): Promise<void> {
-		const body = await this.handler(req);
+		let body: results.Result<unknown, errors.Failure>;
+		try {
+			body = await this.handler(req);
+		} catch (err) {
+			// Any answer would state what became of the request, which is not known. The peer's other requests are answered.
+			this.log.emit('request.unhandled', { reason: String(err), stack: errorStacks.placeOf(err) });
+			return;
+		}
 		if (socket.destroyed) return;
 		const env: envelopes.Envelope = { id, stamp: this.log.clock.tick(), kind: 'res', body };
 		socket.write(frames.encodeFrame(env));
--- a/test/listening.test.ts
+++ b/test/listening.test.ts
@@ -106,7 +106,7 @@
 			isConfigurationInDoubt: false,
 			service: unusedService,
 		};
-		const server = ingress.serveCallers(target);
+		const server = ingress.serveCallers(target, t.log);
 		const address = await listening.listen(server, '127.0.0.1:0');
 		// The end of the stream reaches a distant caller after it has sent the request.
 		const caller = net.connect({ ...listening.toListenOptions(address), allowHalfOpen: true });
@@ -130,6 +130,30 @@
 	});
 }
 
+// Guards against the end of a process by an unhandled error in the handling of what a caller sends.
+test('a request whose handling fails unexpectedly is answered, and the next one over its connection is served', async (t) => {
+	const seen: unknown[] = [];
+	const target = {
+		leaving: false,
+		get queues(): undefined {
+			if (seen.length === 0) throw new TypeError('a fault');
+			return undefined;
+		},
+		isConfigurationInDoubt: false,
+		service: unusedService,
+	};
+	const server = ingress.serveCallers(target, (err) => seen.push(String(err)));
+	const address = await listening.listen(server, '127.0.0.1:0');
+	const caller = net.connect(listening.toListenOptions(address));
+	const all = readAll(caller);
+	caller.write(request);
+	await new Promise((resolve) => caller.once('data', resolve));
+	caller.end(request);
+	t.regex(await all, /^HTTP\/1.1 504 [^]*AcceptanceUnknown[^]*HTTP\/1.1 503 /);
+	t.deepEqual(seen, ['TypeError: a fault']);
+	server.close();
+});
+
 test('closing an address answers the request that has arrived on an idle connection and is not read yet', async (t) => {
 	const server = http.createServer((_req, res) => {
 		res.writeHead(200, { connection: server.listening ? 'keep-alive' : 'close' }).end('done');
@@ -147,7 +171,7 @@
 
 test('a request over an idle connection is not cut off when its box closes its address', async (t) => {
 	const target = { leaving: false, queues: undefined, isConfigurationInDoubt: false, service: unusedService };
-	const server = ingress.serveCallers(target);
+	const server = ingress.serveCallers(target, t.log);
 	const address = await listening.listen(server, '127.0.0.1:0');
 	const caller = net.connect(listening.toListenOptions(address));
 	const all = readAll(caller);
@@ -176,7 +200,7 @@
 			isConfigurationInDoubt: true,
 			service: unusedService,
 		};
-		const server = ingress.serveCallers(target);
+		const server = ingress.serveCallers(target, t.log);
 		const address = await listening.listen(server, '127.0.0.1:0');
 		const caller = net.connect(listening.toListenOptions(address));
 		const answered = readAll(caller);
--- a/test/peer-links.test.ts
+++ b/test/peer-links.test.ts
@@ -1,5 +1,6 @@
 /** Connections between boxes: a call that times out, next to calls that do not. */
 import test from 'ava';
+import * as protocol from '../src/core/box/peer-protocol.js';
 import * as events from '../src/core/events/index.js';
 import * as results from '../src/core/result.js';
 import * as time from '../stand-ins/fleet/virtual-clock.js';
@@ -60,3 +61,40 @@
 	client.close();
 	await server.close();
 });
+
+// Guards against the end of a process by an unhandled error in the handling of what another process sends.
+test('an error in the handling of a request leaves the other requests of its connection answered', async (t) => {
+	const clock = time.VirtualClock.create();
+	const log = events.EventLog.create('peer', clock);
+	const server = await wire.PeerServer.create(
+		'127.0.0.1',
+		0,
+		log,
+		(body) => results.ok(String(body)),
+		(req) =>
+			req === 'bad' ? Promise.reject(new TypeError('bad request')) : Promise.resolve(results.ok(req)),
+	);
+	const client = wire.PeerClient.create<string>(clock, events.EventLog.create('client', clock));
+	const bad = client.call(server.address, 'bad', 500);
+	t.deepEqual(await client.call(server.address, 'good', 500), results.ok(results.ok('good')));
+	await clock.advance(500);
+	const outcome = await bad;
+	t.is(outcome.ok ? undefined : outcome.err.effect, 'unknown');
+	t.is(log.select((event) => event.name === 'request.unhandled').length, 1);
+	client.close();
+	await server.close();
+});
+
+for (const [what, record] of [
+	['no steps', { id: 'a', queue: { name: 'q', pool: 'p' }, acceptedAt: 0 }],
+	[
+		'a queue without a pool',
+		{ id: 'a', queue: { name: 'q' }, steps: [{ count: 1, after: [] }], acceptedAt: 0 },
+	],
+] as const) {
+	// Guards against jobs of other processes that end the dispatcher, or are stored and end each one.
+	test(`a request of a peer whose job has ${what} is rejected`, (t) => {
+		t.false(protocol.parseBoxReq({ type: 'job.stored', record }).ok);
+		t.false(protocol.parseBoxReq({ type: 'job.accept', record }).ok);
+	});
+}
--- a/test/stale-configuration.test.ts
+++ b/test/stale-configuration.test.ts
@@ -16,12 +16,15 @@
 	const decoded = configuration.decodeConfiguration(value);
 	if (!decoded.ok) throw new Error(decoded.err);
 	const pending = () => Promise.resolve({ type: 'ok' as const, value: 0 });
-	const server = ingress.serveCallers({
-		leaving: false,
-		queues: queues.QueueTable.create(decoded.value),
-		isConfigurationInDoubt,
-		service: { pending } as unknown as service.JobService,
-	});
+	const server = ingress.serveCallers(
+		{
+			leaving: false,
+			queues: queues.QueueTable.create(decoded.value),
+			isConfigurationInDoubt,
+			service: { pending } as unknown as service.JobService,
+		},
+		console.error,
+	);
 	const address = await listening.listen(server, '127.0.0.1:0');
 	const res = await undici.request(`http://${address}${path}`, { headers: { host: knownRoute.host } });
 	await res.body.dump();
