An unusable entry of the list of workers is logged once, under a name of its own

A writer that writes its unusable entry at every heartbeat brought a line at every write, under the name of a closed connection. Now a key is logged once until its entry can be read or is gone; worker.entry-unusable is counted like each event. The test's entry is written again, which brought two lines before.

--- a/src/core/box/worker-list.ts
+++ b/src/core/box/worker-list.ts
@@ -29,15 +29,15 @@
  */
 export function followWorkers(opts: WorkerListOptions): followers.RecordFollower {
 	const { workerPrefix, decodeWorker } = opts.adapter;
-	/** Version of the entry last found unreadable, by key: each version is logged once, however often it is read. */
-	const unreadableVersions = new Map<string, number>();
+	/** Keys of the entries that can't be read. Each is logged once until it can be read, however often it is written. */
+	const unreadableKeys = new Set<string>();
 	const decodeEntry = (key: string, value: Uint8Array | undefined, version: number): ListedWorker => {
 		const entry = value && decodeWorker(key, value);
+		if (value === undefined || entry !== undefined) unreadableKeys.delete(key);
 		if (entry !== undefined) return { type: 'listed', entry };
-		if (value === undefined) unreadableVersions.delete(key);
-		else if (unreadableVersions.get(key) !== version) {
-			unreadableVersions.set(key, version);
-			opts.events.emit('wire.rejected', { reason: `worker entry ${key}`, version });
+		if (value !== undefined && !unreadableKeys.has(key)) {
+			unreadableKeys.add(key);
+			opts.events.emit('worker.entry-unusable', { worker: key.slice(workerPrefix.length), version });
 		}
 		return { type: 'absent', name: key.slice(workerPrefix.length) };
 	};
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -404,6 +404,11 @@
 		level: 'warn',
 		text: 'A worker with tasks stops answering. How the first call failed, the time since its last report, what was started there last and how long before are given.',
 	},
+	'worker.entry-unusable': {
+		id: 3216,
+		level: 'warn',
+		text: "An entry in the platform's list of workers describes no worker that can be used, so it counts as absent. Logged once until it can be read, however often it is written.",
+	},
 	'worker.report-unusable': {
 		id: 3215,
 		level: 'error',
--- a/test/worker-entries.test.ts
+++ b/test/worker-entries.test.ts
@@ -81,11 +81,11 @@
 	await box.waitForLine((line) => line.name === 'owner.taken');
 	for (const [index, address] of uncallableAddresses.entries())
 		platform.store.put(`servers/foreign-${String(index)}`, encodeJson({ ...validEntry, address }));
-	await box.waitForLine((line) => line.name === 'wire.rejected');
+	await box.waitForLine((line) => line.name === 'worker.entry-unusable');
 	const job = '00000000000000a1';
 	await realBoxes.call(box.callers, 'POST', job, realBoxes.jobBody);
 	await realBoxes.waitUntilEnded(box, job);
-	t.is(box.lines.filter((line) => line.name === 'wire.rejected').length, uncallableAddresses.length);
+	t.is(box.lines.filter((line) => line.name === 'worker.entry-unusable').length, uncallableAddresses.length);
 });
 
 test('an entry that becomes unreadable counts as absent, in a change and in a list alike, and is told of once', async (t) => {
@@ -108,6 +108,9 @@
 	await clock.advance(1_000);
 	store.put('servers/w1', Buffer.from('{'));
 	await clock.advance(1_000);
+	// Its writer goes on writing it, as each worker does with its own.
+	store.put('servers/w1', Buffer.from('{"seq_no":2}'));
+	await clock.advance(1_000);
 	// The history is gone, so the list is read again, with that entry in it.
 	store.forget();
 	await clock.advance(3_000);
@@ -116,7 +119,9 @@
 	store.remove('servers/w1');
 	await clock.advance(1_000);
 	follower.close();
-	const rejected = log.select((event) => event.name === 'wire.rejected').map((event) => event.fields.reason);
+	const rejected = log
+		.select((event) => event.name === 'worker.entry-unusable')
+		.map((event) => event.fields.worker);
 	t.snapshot({ told, rejected });
 });
 
@@ -132,7 +137,7 @@
 	const entry = platform.store.keys().find((key) => key.startsWith('servers/')) ?? '';
 	const before = await platform.store.view().get(entry);
 	platform.store.put(entry, Buffer.from([0xff]));
-	await box.waitForLine((line) => line.name === 'wire.rejected');
+	await box.waitForLine((line) => line.name === 'worker.entry-unusable');
 	await realBoxes.call(box.callers, 'POST', second, realBoxes.jobBody);
 	void realBoxes.waitUntilEnded(box, first).then(endFirst);
 	await firstEnds;
@@ -141,7 +146,7 @@
 	t.is(box.lines.filter((line) => line.name === 'worker.lost').length, 0);
 	platform.store.put(entry, before.ok && before.value !== undefined ? before.value.value : new Uint8Array(0));
 	await realBoxes.waitUntilEnded(box, second);
-	t.is(box.lines.filter((line) => line.name === 'wire.rejected').length, 1);
+	t.is(box.lines.filter((line) => line.name === 'worker.entry-unusable').length, 1);
 });
 
 test('an entry names one life of a worker, by its name and its start', (t) => {
