A cancellation of a job that is not stored keeps its late writes from being done

Cause: a cancellation that found no job answered from that absence and left nothing behind. A submission's write depends on the absence of the job's record and progress alone, so one without an answer that the store carries out seconds later took effect, and so did one that another box, or the owner for another box, had yet to send.

Change: before such a cancellation is acknowledged, a tombstone of the job is stored, on condition that the job is not. Each write of a job depends on there being none: whatever was sent before fails, from each box and after a takeover. If the job was stored meanwhile, it is cancelled like any other. While the tombstone may not be stored, the cancellation is not acknowledged. A submission that comes later is refused (503, with the time until the tombstone expires).

Tombstones lie outside of the prefix that a takeover reads. A submission costs no further call.

Ruled out: a version that all submissions depend on, which every cancellation raises (each submission under way would be refused with it); a write by the box whose submission had no answer (the store may be away until after the cancellation, at another box).

--- a/src/core/box/box.ts
+++ b/src/core/box/box.ts
@@ -341,7 +341,7 @@
 			case 'job.accept':
 				return results.ok(await ledger.accept(this.store, req.record));
 			case 'job.cancel':
-				return results.ok(await ledger.cancel(this.store, req.job));
+				return results.ok(await this.service.cancelForPeer(req.job));
 			case 'job.state':
 				return results.ok({ ...dispatcher.viewOf(req.job) });
 			case 'queue.pending':
--- a/src/core/box/job-service.ts
+++ b/src/core/box/job-service.ts
@@ -19,6 +19,12 @@
 /** Timeout of a call to the store, in milliseconds; its client gives up then. */
 const storeTimeoutMs = 1_000;
 
+/** `retry-after` for a submission of a job that was cancelled before it was stored, in seconds. */
+const cancelledRetryS = ledger.tombstoneMs / 1_000;
+
+/** `retry-after` for a cancellation that is refused as there were too many, in seconds. */
+const limitedRetryS = 1;
+
 /** Longest time to an answer, in milliseconds: a write by this box, then one through the owner. */
 export const maxAnswerMs = storeTimeoutMs + relayTimeoutMs;
 
@@ -68,8 +74,10 @@
 /** Serves requests of callers about jobs. */
 export class JobService {
 	private readonly decide: admission.AdmissionRule;
+	private readonly cancellations: ledger.Cancellations;
 
 	private constructor(private readonly opts: JobServiceOptions) {
+		this.cancellations = ledger.Cancellations.create(opts);
 		this.decide = opts.admission ?? ((record) => admission.decide(record, opts.backlog()));
 	}
 
@@ -99,6 +107,11 @@
 			log.emit('job.refused', { job: id, queue: queue.name, outcome: type, reason, tookMs });
 			return this.answerWriteFailure(outcome, queue.priority);
 		}
+		if (outcome.type === 'cancelled') {
+			const reason = 'the job was cancelled before it was stored';
+			log.emit('job.refused', { job: id, queue: queue.name, outcome: outcome.type, reason, tookMs });
+			return { type: 'unavailable', reason, retryAfterS: cancelledRetryS };
+		}
 		// Only now: a caller whose write failed returns, and needs its booking then.
 		this.opts.returns?.endBooking(id);
 		const forecast = { ...forecastFields(verdict), ...(isBooked && { keptBooking: 1 }) };
@@ -131,13 +144,19 @@
 
 	/** Cancels a job. The cancellation takes effect once it is stored. */
 	async cancel(id: string): Promise<Answer<'cancelled'>> {
-		const outcome = await this.storeCancel(id);
+		const outcome = await this.storeCancelWithinLimits(id);
 		this.opts.events.emit('job.cancel', {
 			job: id,
 			outcome: outcome.type,
 			reason: 'reason' in outcome ? outcome.reason : undefined,
 		});
 		if (outcome.type === 'no-such-job') return { type: 'no-such-job' };
+		if (outcome.type === 'limited')
+			return {
+				type: 'unavailable',
+				reason: 'too many cancellations of unknown jobs',
+				retryAfterS: limitedRetryS,
+			};
 		if (ledger.isWriteFailure(outcome)) return this.answerWriteFailure(outcome);
 		this.notifyOwner({ type: 'job.cancelled', job: id }, (localDispatcher) => {
 			localDispatcher.cancelJob(id);
@@ -218,8 +237,31 @@
 		return this.write(writeDirectly, { type: 'job.accept', record });
 	}
 
+	/** Stores a cancellation for another box, whose writes the store does not take. */
+	cancelForPeer(id: string): Promise<ledger.CancelOutcome> {
+		return this.cancellations.cancel(id);
+	}
+
+	/**
+	 * While cancellations of jobs that are not stored are limited, the owner is asked for the job first: a refusal must not
+	 * cost a read of the store, which others need.
+	 */
+	private async storeCancelWithinLimits(id: string): Promise<ledger.CancelOutcome> {
+		const isRefused = this.cancellations.isLimited && (await this.isUnknownToOwner(id));
+		return isRefused ? { type: 'limited' } : this.storeCancel(id);
+	}
+
+	/** Whether the owner answers and does not know the job. */
+	private async isUnknownToOwner(id: string): Promise<boolean> {
+		const localDispatcher = this.opts.dispatcher();
+		if (localDispatcher !== undefined) return localDispatcher.viewOf(id) === undefined;
+		const req = { type: 'job.state' as const, job: id };
+		const res = await this.opts.callOwner<protocol.StateReply>(req, ownerTimeoutMs);
+		return res.ok && res.value.state === undefined;
+	}
+
 	private storeCancel(id: string): Promise<ledger.CancelOutcome> {
-		const writeDirectly = (): Promise<ledger.CancelOutcome> => ledger.cancel(this.opts.store, id);
+		const writeDirectly = (): Promise<ledger.CancelOutcome> => this.cancellations.cancel(id);
 		return this.write(writeDirectly, { type: 'job.cancel', job: id });
 	}
 
--- a/src/core/ledger/index.ts
+++ b/src/core/ledger/index.ts
@@ -4,6 +4,8 @@
  */
 export * as keys from './keys.js';
 export { accept, cancel, isJobStored, isWriteFailure, readJob, toJobView } from './requests.js';
+export { Cancellations } from './cancellations.js';
+export { tombstoneMs } from './tombstones.js';
 export { maxProgressPerWrite, OwnerLedger } from './owner-ledger.js';
 export { RecordCopy } from './record-copy.js';
 export { decodeEpoch, decodeJob, decodeOwner, isJobRecord } from './records.js';
--- a/src/core/ledger/keys.ts
+++ b/src/core/ledger/keys.ts
@@ -1,6 +1,6 @@
 /** Keys of the records that the boxes keep in the platform's store. */
 
-/** Prefix of all the keys below. */
+/** Prefix of all the keys below but the tombstones. */
 export const rootPrefix = 'woodcross/';
 
 /** Prefix of all records that concern jobs. */
@@ -29,10 +29,18 @@
 /** Prefix of the stored progress of jobs. */
 export const progressPrefix = `${jobsPrefix}progress/`;
 
+/** Prefix of tombstones. No owner reads them, so it lies beside the prefix of the records that a takeover reads. */
+const tombstonePrefix = 'woodcross-tombstones/';
+
 export function jobKey(id: string): string {
 	return acceptedPrefix + id;
 }
 
+/** Key that is present while a job that was cancelled before it was stored must not be stored. */
+export function tombstoneKey(id: string): string {
+	return tombstonePrefix + id;
+}
+
 export function cancelKey(id: string): string {
 	return cancelPrefix + id;
 }
--- a/src/core/ledger/requests.ts
+++ b/src/core/ledger/requests.ts
@@ -7,26 +7,34 @@
 import type * as platform from '../platform/types.js';
 import type * as types from './types.js';
 
-/** Stores a job unless its id is known. Submitting the same id again changes nothing. */
+/**
+ * Stores a job unless its id is known, or was cancelled before it was stored. Submitting the same id again changes nothing.
+ */
 export async function accept(
 	store: platform.RecordStore,
 	record: jobs.JobRecord,
 ): Promise<types.AcceptOutcome> {
 	const key = keys.jobKey(record.id);
+	const tombstoneKey = keys.tombstoneKey(record.id);
 	const res = await store.commit({
 		// A late repetition must not bring back a job whose record has been deleted.
 		expected: [
 			{ key, version: 0 },
 			{ key: keys.progressKey(record.id), version: 0 },
+			// The job's cancellation was acknowledged while an earlier copy of this write may have been on its way.
+			{ key: tombstoneKey, version: 0 },
 		],
 		writes: [{ key, value: wire.encodeValue(record) }],
 		removes: [],
 	});
-	if (res.ok) return { type: res.value.type === 'committed' ? 'accepted' : 'known' };
-	return toWriteFailure(res.err);
+	if (!res.ok) return toWriteFailure(res.err);
+	if (res.value.type === 'committed') return { type: 'accepted' };
+	const present = res.value.type === 'conflict' ? res.value.current.map((item) => item.key) : [];
+	const isBuried = present.length > 0 && present.every((one) => one === tombstoneKey);
+	return { type: isBuried ? 'cancelled' : 'known' };
 }
 
-/** Stores a request to cancel a job. */
+/** Stores a request to cancel a job that is stored. */
 export async function cancel(store: platform.RecordStore, id: string): Promise<types.CancelOutcome> {
 	const job = await store.get(keys.jobKey(id));
 	// Nothing has been written yet.
--- a/src/core/ledger/types.ts
+++ b/src/core/ledger/types.ts
@@ -74,8 +74,14 @@
  */
 export type WriteFailure = { type: 'not-stored'; reason: string } | { type: 'unknown'; reason: string };
 
-/** Outcome of submitting a job. `known`: the job was stored already. */
-export type AcceptOutcome = { type: 'accepted' } | { type: 'known' } | WriteFailure;
+/**
+ * Outcome of submitting a job. `known`: the job was stored already. `cancelled`: it was cancelled before it was stored, so it
+ * is not stored, and never will be by this request.
+ */
+export type AcceptOutcome = { type: 'accepted' } | { type: 'known' } | { type: 'cancelled' } | WriteFailure;
 
-/** Outcome of a cancellation. */
-export type CancelOutcome = { type: 'cancelled' } | { type: 'no-such-job' } | WriteFailure;
+/**
+ * Outcome of a cancellation. `limited`: nothing was stored, as too many jobs that are not stored were to be cancelled lately.
+ */
+export type CancelOutcome =
+	{ type: 'cancelled' } | { type: 'no-such-job' } | { type: 'limited' } | WriteFailure;
