A cancellation that reaches the owner before its job is kept for it

Notifications of two boxes may pass each other: if the store ceased to answer the owner then, a job whose cancellation had been acknowledged was started and ran until the store came back. Found by reading.

Change: the owner keeps such cancellations for 60 s, 1,000 at most; until then it has read job and cancellation from the store.

Test: fails before (the job is pending and three runs are started), passes now.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -4,6 +4,7 @@
 import * as countedCalls from './counted-calls.js';
 import * as reportHandling from './report-handling.js';
 import * as evacuations from './zone-evacuations.js';
+import * as expiring from '../expiring-set.js';
 import * as fencing from './fencing-tokens.js';
 import * as forecasting from './forecaster.js';
 import * as createLimit from './create-limit.js';
@@ -37,6 +38,13 @@
 import type * as sessions from './worker-session.js';
 import type * as types from './types.js';
 
+/**
+ * How long a cancellation of a job that is not known yet is kept, in milliseconds, and how many of them. The job is read
+ * from the store as soon as that answers, its cancellation included.
+ */
+const keepEarlyCancellationMs = 60_000;
+const maxEarlyCancellations = 1_000;
+
 /** Dispatches all jobs under one epoch. */
 export class Dispatcher {
 	/** The forecast of accepted work; computed when `update` is called. */
@@ -63,6 +71,8 @@
 	private readonly withoutRunLog: withoutRunLog.WithoutRunLog;
 	private readonly listFreshness: freshness.ListFreshness;
 	private readonly evacuations: evacuations.ZoneEvacuations;
+	/** Jobs whose cancellation was notified before the job. */
+	private readonly earlyCancellations: expiring.ExpiringSet;
 	private isClosed = false;
 
 	private constructor(
@@ -83,6 +93,10 @@
 		this.runGaps = this.createRunGaps();
 		this.listFreshness = freshness.ListFreshness.create(clock, opts.readList);
 		this.evacuations = evacuations.ZoneEvacuations.create(clock, opts.maxEvacuationAgeMs);
+		this.earlyCancellations = expiring.ExpiringSet.create(clock, {
+			keepMs: keepEarlyCancellationMs,
+			maxSize: maxEarlyCancellations,
+		});
 		this.crashAttribution = crashAttribution.CrashAttribution.create(clock);
 		this.probations = this.createProbations();
 		this.starter = this.createStarter();
@@ -126,8 +140,10 @@
 		// epoch.
 		const inherited = record.acceptedUnder !== this.opts.epoch;
 		const workersStored = this.locations.areWorkersStored(record);
-		const job = this.registry.add(record, undefined, { cancelled: false, inherited, workersStored });
-		if (!inherited) this.forecaster.noteAccepted(job);
+		const cancelled = this.earlyCancellations.has(record.id);
+		const job = this.registry.add(record, undefined, { cancelled, inherited, workersStored });
+		if (cancelled) this.outcomes.endJob(job, 'cancelled');
+		else if (!inherited) this.forecaster.noteAccepted(job);
 	}
 
 	/**
@@ -142,6 +158,8 @@
 	/** Applies a stored cancellation. */
 	cancelJob(id: string): void {
 		const job = this.registry.get(id);
+		// Notifications of other boxes may pass each other, and the store may not answer for long after that.
+		if (job === undefined) this.earlyCancellations.add(id);
 		if (job === undefined || job.ended) return;
 		job.cancelled = true;
 		this.outcomes.endJob(job, 'cancelled');
--- a/test/cancelled-runs.test.ts
+++ b/test/cancelled-runs.test.ts
@@ -28,6 +28,23 @@
 	owner.dispatcher.close();
 });
 
+// Guards against runs of a cancelled job for as long as the store does not answer the owner.
+test('a job whose cancellation reaches the owner first is not started while the store is away', async (t) => {
+	let fault: 'none' | 'down' = 'none';
+	const { clock, fleet, takeOver, submit } = fixtures.createEnvironment(() => longPlan);
+	const w1 = fleet.add('w1');
+	const owner = await takeOver(undefined, () => fault);
+	await clock.advance(1_200);
+	fault = 'down';
+	owner.dispatcher.cancelJob('job1');
+	await submit(owner, fixtures.job('job1', [fixtures.step({ count: 3 })]));
+	t.is(owner.dispatcher.stateOf('job1'), 'cancelled');
+	await clock.advance(1_000);
+	t.is(w1.running.size, 0);
+	t.is(fleet.starts.length, 0);
+	owner.dispatcher.close();
+});
+
 test('a run that a replaced owner started is stopped by its successor if the job was cancelled meanwhile', async (t) => {
 	const { clock, store, fleet, takeOver, submit } = fixtures.createEnvironment(() => longPlan);
 	const w1 = fleet.add('w1');
