Crashes are attributed though they coincide or their starts were sent late

One of the causes is that tasks which crash their workers are not named after the second crash, and take down a dozen sound tasks with each of the next ones.

Cause: tasks on probation that are placed in one round crash their workers in one moment, and a crash beside another counts as having a common cause, so they excused each other. And a run is a suspect if it was sent 150 ms before; an owner short of processor time sends starts that arrive 300 to 800 ms later.

Change: a crash whose only suspect is a run on probation has a cause of its own, and excuses no other. A run counts as begun when its start was answered, or when starts of this owner usually are; so on an owner with time the window is the one before. worker.unanswered says by what a crash would be attributed.

--- a/src/core/dispatch/crash-attribution.ts
+++ b/src/core/dispatch/crash-attribution.ts
@@ -10,9 +10,8 @@
 import type * as types from './types.js';
 
 /**
- * A run that was sent at most this long before its worker stopped answering may have crashed it, in milliseconds: the time
- * for the start to arrive plus an immediate crash. A run that takes longer to crash its worker also takes down neighbours
- * that were started meanwhile, so no run can be singled out.
+ * A run that began at most this long before its worker stopped answering may have crashed it, in milliseconds. A run that
+ * takes longer to crash its worker also takes down neighbours that were started meanwhile, so no run can be singled out.
  */
 export const suspectWindowMs = 150;
 
@@ -31,6 +30,17 @@
 	at: number;
 	/** Runs that may have crashed it. */
 	suspects: types.Placement[];
+	/** Whether the only suspect is a run on probation, which is a cause of its own. */
+	hasOwnCause: boolean;
+}
+
+/** What is known as a worker stops answering, for the log. */
+export interface CrashEvidence {
+	/** Number of runs that may have crashed it. */
+	suspects: number;
+	/** Number of other workers that stopped answering at the same moment. */
+	simultaneous: number;
+	isMomentKnown: boolean;
 }
 
 /** Records which workers stopped answering, and attributes their crashes. */
@@ -52,38 +62,51 @@
 	}
 
 	/** Records that a worker stopped answering. */
-	noteContactLost(session: sessions.WorkerSession): void {
+	noteContactLost(session: sessions.WorkerSession): CrashEvidence {
 		const now = this.clock.now();
 		const { id: worker, firstFailureAt: at = now } = session;
 		// A timeout does not tell the moment of a crash, so it singles out no run.
 		const suspects = session.isFailureTimeKnown ? this.suspectsOn(session, at) : [];
 		this.contactLosses = this.contactLosses.filter((one) => now - one.at < retentionMs);
-		this.contactLosses.push({ worker, at, suspects });
+		const [suspect] = suspects;
+		const hasOwnCause = suspects.length === 1 && suspect === session.runOnProbation;
+		const contactLoss = { worker, at, suspects, hasOwnCause };
+		this.contactLosses.push(contactLoss);
+		const simultaneous = this.simultaneousWith(contactLoss).length;
+		return { suspects: suspects.length, simultaneous, isMomentKnown: session.isFailureTimeKnown };
 	}
 
 	/** Runs to which a worker's crash is attributed. Only the last time that the worker stopped answering counts. */
 	blamed(worker: string): Set<types.Placement> {
 		const contactLoss = this.contactLosses.findLast((one) => one.worker === worker);
 		if (contactLoss === undefined) return new Set();
-		const simultaneous = this.contactLosses.filter(
-			(one) => one.worker !== worker && Math.abs(one.at - contactLoss.at) <= commonCauseMs,
-		);
+		const simultaneous = this.simultaneousWith(contactLoss);
 		const isSuspectOnAll = (step: jobs.StepInstance): boolean =>
 			simultaneous.every((one) => one.suspects.some((placement) => placement.task.step === step));
 		return new Set(contactLoss.suspects.filter((placement) => isSuspectOnAll(placement.task.step)));
 	}
 
+	/** Other workers that stopped answering at the same moment, and not for a cause of their own. */
+	private simultaneousWith({ worker, at }: ContactLoss): ContactLoss[] {
+		return this.contactLosses.filter(
+			(one) => one.worker !== worker && !one.hasOwnCause && Math.abs(one.at - at) <= commonCauseMs,
+		);
+	}
+
 	/**
-	 * The runs that were sent shortly before a worker stopped answering, unless an answer to their start was not due yet: the
-	 * start may not have arrived. Nothing is started beside a run on probation, so such a run is the only suspect. Other runs
-	 * of a task that is already under suspicion are left out: its first suspicion may have been shared with others, and a
-	 * second one would rest on it.
+	 * The runs that began shortly before a worker stopped answering. A start may be on its way for long, so a run counts as
+	 * begun when its start was answered. One without an answer counts from the time by which starts are usually answered, and
+	 * not before: it may not have arrived. Nothing is started beside a run on probation, so such a run is the only suspect.
+	 * Other runs of a task that is already under suspicion are left out: its first suspicion may have been shared with others,
+	 * and a second one would rest on it.
 	 */
 	private suspectsOn({ placements, runOnProbation }: sessions.WorkerSession, at: number): types.Placement[] {
 		const recent = [...placements.values()].filter(({ startSentAt = -Infinity, confirmedAt }) => {
-			const sentForMs = at - startSentAt;
-			const hasArrived = confirmedAt > 0 || sentForMs > this.startDelays.usualDelayMs;
-			return hasArrived && sentForMs <= suspectWindowMs;
+			// It was not sent, or was found there by this owner and began before.
+			if (startSentAt === -Infinity) return false;
+			const usuallyBegunBy = startSentAt + this.startDelays.usualDelayMs;
+			const begunBy = confirmedAt > 0 ? Math.min(confirmedAt, usuallyBegunBy) : usuallyBegunBy;
+			return begunBy <= at && at - begunBy <= suspectWindowMs;
 		});
 		if (runOnProbation !== undefined && recent.includes(runOnProbation)) return [runOnProbation];
 		return recent.filter(({ task }) => (task.crashes?.blamed ?? 0) === 0);
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -404,8 +404,8 @@
 		const handlers: types.ReportHandlers = {
 			onReport: (from, asked) => this.onReport(from, asked),
 			onUnanswered: (from, err) => {
-				this.crashAttribution.noteContactLost(from);
-				this.reportLog.unanswered(from, err);
+				const evidence = this.crashAttribution.noteContactLost(from);
+				this.reportLog.unanswered(from, err, evidence);
 				this.withoutRunLog.noteUnanswered(from);
 			},
 			onLost: (from, loss) => {
--- a/src/core/dispatch/report-log.ts
+++ b/src/core/dispatch/report-log.ts
@@ -1,4 +1,5 @@
 /** Log lines about what a worker's report shows, and about what its unresponsiveness or its end proves. */
+import type * as crashAttribution from './crash-attribution.js';
 import type * as events from '../events/index.js';
 import type * as fleet from '../fleet/types.js';
 import type * as sessions from './worker-session.js';
@@ -60,7 +61,11 @@
 	}
 
 	/** Logs that a worker with placements has ceased to answer: what was placed there last, and how long before. */
-	unanswered(session: sessions.WorkerSession, err: fleet.WorkerFailure): void {
+	unanswered(
+		session: sessions.WorkerSession,
+		err: fleet.WorkerFailure,
+		evidence: crashAttribution.CrashEvidence,
+	): void {
 		const { firstFailureAt, placements } = session;
 		if (firstFailureAt === undefined || placements.size === 0) return;
 		const newest = [...placements.values()].reduce((a, b) => (a.placedAt > b.placedAt ? a : b));
@@ -72,6 +77,10 @@
 			tasks: placements.size,
 			newest: newest.task.name,
 			newestMs: Math.round(firstFailureAt - newest.placedAt),
+			suspects: evidence.suspects,
+			simultaneous: evidence.simultaneous,
+			moment: evidence.isMomentKnown ? 'known' : 'unknown',
+			probation: session.runOnProbation?.task.name,
 		});
 	}
 
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -402,7 +402,7 @@
 	'worker.unanswered': {
 		id: 3207,
 		level: 'warn',
-		text: 'A worker with tasks stops answering. How the first call failed, the time since its last report, what was started there last and how long before are given.',
+		text: 'A worker with tasks stops answering. How the first call failed, the time since its last report, what was started there last and how long before are given; and what its crash would be attributed by: the number of runs that began just before, that of other workers that ceased to answer at the same moment, whether that moment is known, and the run on probation there.',
 	},
 	'worker.entry-unusable': {
 		id: 3216,
