A worker does not count as hung because its next incarnation's answer is read late

Cause: a worker counts as hung, and its crash half, if it accepted a connection after its first failed call and left the poll on it unanswered for 200 ms. An owner short of processor time reads the refusal of the next incarnation, which accepted that connection, later than that.

Change: an answer of another incarnation takes back that the connection was the worker's. What it left unanswered before still counts.

Test: new one in worker-responsiveness, for a method that was not there.

--- a/src/core/dispatch/worker-responsiveness.ts
+++ b/src/core/dispatch/worker-responsiveness.ts
@@ -80,6 +80,14 @@
 		this.connectedAt = undefined;
 	}
 
+	/**
+	 * Notes that another incarnation answered in its place. The connection of the pending poll was accepted by that one, and
+	 * a late answer on it shows a delay of this box or of the link.
+	 */
+	noteReplaced(): void {
+		this.connectedAt = undefined;
+	}
+
 	/** Notes an answer. */
 	noteAnswer(): void {
 		this.lastAnsweredAt = this.clock.now();
--- a/src/core/dispatch/worker-session.ts
+++ b/src/core/dispatch/worker-session.ts
@@ -419,8 +419,10 @@
 		if (isReplaced) this.deps.onFenced();
 		else if (err.kind === 'fenced' && !this.isSessionOver) this.renewTokenAndAwaitReport();
 		// If the worker has moved to another address, a worker of another name at the old one proves nothing.
-		if (err.kind === 'other-life' && target.address === this.target.address)
+		if (err.kind === 'other-life' && target.address === this.target.address) {
+			this.responsiveness.noteReplaced();
 			this.end('another life of the worker answers at its address');
+		}
 		return this.isSessionOver || isReplaced;
 	}
 
@@ -564,6 +566,7 @@
 				this.nextPollDueAt = this.deps.clock.now();
 				continue;
 			}
+			if (failures.reasonOf(failure).kind === 'other-life') this.responsiveness.noteReplaced();
 			this.responsiveness.notePollFailed();
 			// Polls again at once after the first failure, to learn whether a worker that ceases to answer still accepts
 			// connections.
--- a/test/worker-responsiveness.test.ts
+++ b/test/worker-responsiveness.test.ts
@@ -44,6 +44,24 @@
 	t.is(responsiveness.firstFailureAt, undefined);
 });
 
+// Guards against crashes that count half, and starts beyond their limit: an owner short of processor time reads late that
+// another incarnation answers.
+test('a worker does not count as hung because the answer of its next incarnation is read late', async (t) => {
+	const clock = time.VirtualClock.create();
+	const responsiveness = workerResponsiveness.WorkerResponsiveness.create(clock);
+	responsiveness.noteFailure(clock.now());
+	responsiveness.noteConnected();
+	await clock.advance(1_000);
+	responsiveness.noteReplaced();
+	responsiveness.notePollFailed();
+	t.false(responsiveness.isHanging);
+	responsiveness.noteConnected();
+	await clock.advance(1_000);
+	responsiveness.notePollFailed();
+	responsiveness.noteReplaced();
+	t.true(responsiveness.isHanging, 'it had hung before that');
+});
+
 test('a call that times out shows that a worker had ceased to answer by the time its answer was due', async (t) => {
 	const clock = time.VirtualClock.create();
 	const responsiveness = workerResponsiveness.WorkerResponsiveness.create(clock);
