A crash counts although its start was on its way for longer than 50 ms

A run whose start is not answered counted as not carried out if its worker fell silent more than 50 ms after the start was sent.

Change: the limit is at least the time that starts of this owner usually take (RFC 6298), which the attribution of crashes uses as well.

Test: new one in crash-attribution, starts that arrive after 300 ms and are never answered; before, the job is not shown as failed.

--- a/src/core/dispatch/crash-attribution.ts
+++ b/src/core/dispatch/crash-attribution.ts
@@ -61,6 +61,11 @@
 		if (startSentAt !== undefined) this.startDelays.addSample(confirmedAt - startSentAt);
 	}
 
+	/** Time within which starts of this owner are usually answered, in milliseconds. */
+	get usualStartDelayMs(): number {
+		return this.startDelays.usualDelayMs;
+	}
+
 	/** Records that a worker stopped answering. */
 	noteContactLost(session: sessions.WorkerSession): CrashEvidence {
 		const now = this.clock.now();
--- a/src/core/dispatch/outcomes.ts
+++ b/src/core/dispatch/outcomes.ts
@@ -33,7 +33,10 @@
 	tryOutcomeOn: (worker: string) => jobs.TryOutcome;
 }
 
-/** A worker that carries out a start answers within this many milliseconds, unless the start crashes it first. */
+/**
+ * A worker that carries out a start answers within this many milliseconds, or within the time that starts of this owner
+ * usually take, unless the start crashes it first.
+ */
 const maxStartAnswerMs = 50;
 
 /** Stands for the run of an earlier owner whose number is not known. */
@@ -86,7 +89,8 @@
 		const blamed = this.opts.crashAttribution.blamed(session.id);
 		for (const placement of placements) {
 			const { task } = placement;
-			if (mayHaveCausedCrash(session, placement)) this.noteCrash(session, placement, blamed.has(placement));
+			if (this.mayHaveCausedCrash(session, placement))
+				this.noteCrash(session, placement, blamed.has(placement));
 			else this.exitedWithoutCrash(task, placement.run);
 			this.opts.placer.add(task, idleSince(session, task));
 			this.stopGang(task);
@@ -145,6 +149,21 @@
 		return true;
 	}
 
+	/** Whether a run that was lost with its worker may have crashed it. */
+	private mayHaveCausedCrash(session: sessions.WorkerSession, placement: types.Placement): boolean {
+		const { startSentAt, confirmedAt } = placement;
+		const { silentSince = Infinity } = session;
+		// A planned end of the worker was caused by no run, and a start that was never sent caused nothing.
+		if (startSentAt === undefined || session.hasPlannedEnd) return false;
+		// The worker had stopped answering before the start was sent.
+		if (silentSince <= startSentAt) return false;
+		// The start was not carried out if it went unanswered for longer than this.
+		const { usualStartDelayMs } = this.opts.crashAttribution;
+		if (confirmedAt === 0) return silentSince - startSentAt <= Math.max(maxStartAnswerMs, usualStartDelayMs);
+		// A run that has worked this long clears its task of suspicion, so it did not cause the crash itself.
+		return session.lastAnsweredAt - confirmedAt < jobs.maxTimeToClearMs;
+	}
+
 	/** Records that a worker crashed under a run. */
 	private noteCrash(session: sessions.WorkerSession, placement: types.Placement, isBlamed: boolean): void {
 		const { task, run, startSentAt = -Infinity } = placement;
@@ -227,20 +246,6 @@
 	}
 }
 
-/** Whether a run that was lost with its worker may have crashed it. */
-function mayHaveCausedCrash(session: sessions.WorkerSession, placement: types.Placement): boolean {
-	const { startSentAt, confirmedAt } = placement;
-	const { silentSince = Infinity } = session;
-	// A planned end of the worker was caused by no run, and a start that was never sent caused nothing.
-	if (startSentAt === undefined || session.hasPlannedEnd) return false;
-	// The worker had stopped answering before the start was sent.
-	if (silentSince <= startSentAt) return false;
-	// The start was not carried out if it went unanswered for longer than this.
-	if (confirmedAt === 0) return silentSince - startSentAt <= maxStartAnswerMs;
-	// A run that has worked this long clears its task of suspicion, so it did not cause the crash itself.
-	return session.lastAnsweredAt - confirmedAt < jobs.maxTimeToClearMs;
-}
-
 /**
  * Clock time since which a task of a lost worker may have had no run, as the worker's leases had to expire first. Undefined:
  * only long-running tasks become more urgent by that time.
--- a/test/crash-attribution.test.ts
+++ b/test/crash-attribution.test.ts
@@ -1,6 +1,8 @@
 /** Which runs the crash of a worker is attributed to. */
 import test from 'ava';
 import * as attribution from '../src/core/dispatch/crash-attribution.js';
+import * as fixtures from './fixtures/dispatching.js';
+import * as crashes from './fixtures/crashes.js';
 import * as time from '../stand-ins/fleet/virtual-clock.js';
 import type * as jobs from '../src/core/jobs/index.js';
 import type * as sessions from '../src/core/dispatch/worker-session.js';
@@ -72,3 +74,35 @@
 	const adopted = runOf('a', -Infinity, now - 15);
 	t.deepEqual(blamedBy([brokenAt('w1', now, [adopted])], slowDelayMs), { w1: [] });
 });
+
+/** Time until a start arrives at its worker, until it crashes it, and until it would be answered, in milliseconds. */
+const transitMs = 300;
+const crashAfterMs = 10;
+const answerMs = 30;
+
+// Guards against tasks that are started without limit, as their crashes don't count: starts arrive late at their workers, and
+// the answer of each is lost in the crash.
+test('crashes under starts that arrive late and are never answered count', async (t) => {
+	const environment = fixtures.createEnvironment((task) =>
+		task.startsWith('bad') ? { ms: 'endless', how: 'done', crashAfterMs } : { ms: 300, how: 'done' },
+	);
+	const { clock, fleet } = environment;
+	for (let index = 0; index < 4; index += 1) fleet.add(`w${String(index)}`);
+	fleet.onCrash = (worker) => {
+		fleet.crashAndRecover(worker, { downMs: 500, unresponsive: false });
+	};
+	let answersAfterMs: number | 'lost' = answerMs;
+	fleet.fateOf = (_worker, call) =>
+		call === 'start' ? { arrivesAfterMs: transitMs, answersAfterMs, isRefused: false } : undefined;
+	const owner = await environment.takeOver();
+	fixtures.followEntries(fleet, () => owner);
+	await clock.advance(1_500);
+	await environment.submit(owner, fixtures.job('sound', [fixtures.step({ count: 20 })]));
+	await clock.advance(2_000);
+	answersAfterMs = 'lost';
+	await environment.submit(owner, fixtures.job('bad', [fixtures.step()]));
+	await clock.advance(60_000);
+	t.is(owner.dispatcher.stateOf('bad'), 'failed');
+	t.true(crashes.crashCountsOf(environment, 'bad.0.0.0').crashes <= 4);
+	owner.die();
+});
