A counted start that was refused or withdrawn is taken out of the store

Cause: once a worker has crashed under a task, each start is stored before it is sent. A start that was refused or withdrawn was forgotten by the owner and not in the store. If its worker was lost later, the next owner took it for a crash; so the count grew with the number of changes of owner.

Change: the job is stored again when such a start turns out not to have been carried out.

Test: new one in crashes-at-takeovers, fails before (the refused start is stored).

--- a/src/core/dispatch/outcomes.ts
+++ b/src/core/dispatch/outcomes.ts
@@ -64,7 +64,7 @@
 			worker: session.id,
 			reason: err.kind,
 		});
-		task.crashes?.noteNotStarted(run);
+		this.noteNeverStarted(task, run);
 		if (err.kind !== 'stale-run') session.health.backOff(settings.refusalBackoffMs);
 		this.opts.placer.requeue(task);
 		this.stopGang(task);
@@ -79,11 +79,21 @@
 	withdrawn(session: sessions.WorkerSession, placement: types.Placement, reason: string): void {
 		const { task, run } = placement;
 		this.opts.events.emit('start.withdrawn', { task: task.name, run, worker: session.id, reason });
-		task.crashes?.noteNotStarted(run);
+		this.noteNeverStarted(task, run);
 		this.opts.placer.requeue(task);
 		this.stopGang(task);
 	}
 
+	/**
+	 * Removes a start that was counted in the store before it was sent. Otherwise the next owner would take it for a run that
+	 * crashed its worker, if that is lost.
+	 */
+	private noteNeverStarted({ crashes, step }: jobs.Task, run: number): void {
+		if (crashes?.wasTried(run) !== true) return;
+		crashes.noteNotStarted(run);
+		this.opts.progress.mark(step.job);
+	}
+
 	/** Runs were lost with their worker, or may have been. */
 	lost(session: sessions.WorkerSession, placements: readonly types.Placement[]): void {
 		const blamed = this.opts.crashAttribution.blamed(session.id);
--- a/src/core/jobs/crash-history.ts
+++ b/src/core/jobs/crash-history.ts
@@ -170,6 +170,11 @@
 		}
 	}
 
+	/** Whether a run is counted as one that may have been started. */
+	wasTried(run: number): boolean {
+		return this.tries.has(run);
+	}
+
 	/** Whether an earlier owner may have started a run on that worker. */
 	wasTriedOn(worker: string): boolean {
 		return [...this.tries.values()].includes(worker);
