A change of owner keeps what is known of crashes and probations

If the owner was replaced in between, its successor knew of no suspect, and each such task crashed one more worker. It also began with no passed probation and no suspect of any step, so a step with many suspects went back to one at a time, and one whose tasks crash their workers was no longer suspected as a whole.

Change: as a worker ceases to answer, the runs that its crash would be attributed to are stored; a successor attributes the crash if the worker is lost. The number of passed probations is stored by step, and the suspects of a step are restored from their histories. One write of a few jobs for each crash.

Tests: two new ones in crashes-at-takeovers; without the stored suspects a task crashes three workers, not two.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -406,6 +406,7 @@
 			onUnanswered: (from, err) => {
 				const evidence = this.crashAttribution.noteContactLost(from);
 				this.reportLog.unanswered(from, err, evidence);
+				this.outcomes.contactLost(from);
 				this.withoutRunLog.noteUnanswered(from);
 			},
 			onLost: (from, loss) => {
--- a/src/core/dispatch/outcomes.ts
+++ b/src/core/dispatch/outcomes.ts
@@ -94,6 +94,16 @@
 		this.opts.progress.mark(step.job);
 	}
 
+	/** A worker ceased to answer, and has crashed if that is proved later: stores which runs may have caused it. */
+	contactLost(session: sessions.WorkerSession): void {
+		for (const { task, run } of this.opts.crashAttribution.blamed(session.id)) {
+			if (task.step.job.ended || task.state === 'finished') continue;
+			task.crashes ??= jobs.CrashHistory.create();
+			task.crashes.noteSuspected(run, session.id);
+			this.opts.progress.mark(task.step.job);
+		}
+	}
+
 	/** Runs were lost with their worker, or may have been. */
 	lost(session: sessions.WorkerSession, placements: readonly types.Placement[]): void {
 		const blamed = this.opts.crashAttribution.blamed(session.id);
--- a/src/core/dispatch/probation.ts
+++ b/src/core/dispatch/probation.ts
@@ -48,15 +48,10 @@
 	onChanged: (job: jobs.ActiveJob) => void;
 }
 
-/** The suspected tasks of a step, and how many of its runs have passed. */
-interface StepProbation {
-	suspects: Set<jobs.Task>;
-	passed: number;
-}
-
 /** Tasks under suspicion, and the runs on probation that test them. */
 export class Probations {
-	private readonly steps = new WeakMap<jobs.StepInstance, StepProbation>();
+	/** The tasks of each step to which a crash is attributed. */
+	private readonly suspects = new WeakMap<jobs.StepInstance, Set<jobs.Task>>();
 	/** Runs that have passed since a run on probation last crashed its worker. */
 	private consecutivePasses = 0;
 
@@ -71,7 +66,7 @@
 		const { crashed = 0, blamed = 0 } = task.crashes ?? {};
 		if (onProbation) this.consecutivePasses = 0;
 		task.retryNotBefore = this.opts.clock.now() + crashBackoffMs * (crashed - 1);
-		if (blamed > 0) this.recordOf(task.step).suspects.add(task);
+		if (blamed > 0) this.suspectsOf(task.step).add(task);
 	}
 
 	/** Whether a task is to be started on probation. Gangs never are: their members need each other. */
@@ -79,8 +74,8 @@
 		if (task.step.spec.gang) return false;
 		const { crashed = 0, blamed = 0 } = task.crashes ?? {};
 		if (blamed > 0 || crashed > 1) return true;
-		const record = this.steps.get(task.step);
-		return record?.passed === 0 && record.suspects.size >= suspectStepThreshold;
+		const { step } = task;
+		return step.passedProbations === 0 && this.suspectsOf(step).size >= suspectStepThreshold;
 	}
 
 	/** Whether one more run of the step may be on probation, in a pool with `workers` open workers. */
@@ -92,7 +87,7 @@
 		// For short tasks they count until then, which limits the crashes of a step. A long-running task must not wait so long.
 		const counted = step.spec.lasting ? responsive : withProbation;
 		const ofStep = counted.filter((one) => one.runOnProbation?.task.step === step).length;
-		return ofStep <= (this.steps.get(step)?.passed ?? 0) * extraPerPass;
+		return ofStep <= step.passedProbations * extraPerPass;
 	}
 
 	/** Maximum number of runs on probation at the same time, in a pool with `workers` open workers. */
@@ -146,10 +141,9 @@
 
 	private notePassed(place: types.Placement, reason: string): void {
 		const { task, run } = place;
-		const record = this.recordOf(task.step);
-		record.passed += 1;
+		task.step.passedProbations += 1;
 		this.consecutivePasses += 1;
-		record.suspects.delete(task);
+		this.suspectsOf(task.step).delete(task);
 		task.crashes?.clearAttribution();
 		this.opts.events.emit('task.cleared', { task: task.name, run, reason });
 		this.opts.onChanged(task.step.job);
@@ -160,10 +154,13 @@
 		this.notePassed(place, 'at work');
 	}
 
-	private recordOf(step: jobs.StepInstance): StepProbation {
-		const known = this.steps.get(step) ?? { suspects: new Set(), passed: 0 };
-		this.steps.set(step, known);
-		return known;
+	/** The suspects of a step, those of earlier owners included. */
+	private suspectsOf(step: jobs.StepInstance): Set<jobs.Task> {
+		const known = this.suspects.get(step);
+		if (known !== undefined) return known;
+		const restored = new Set(step.tasks.filter((task) => (task.crashes?.blamed ?? 0) > 0));
+		this.suspects.set(step, restored);
+		return restored;
 	}
 }
 
--- a/src/core/jobs/active-job.ts
+++ b/src/core/jobs/active-job.ts
@@ -43,6 +43,8 @@
 	readonly tasks: Task[];
 	/** Number of tasks that have not finished. */
 	unfinished: number;
+	/** Number of runs of suspected tasks that did not crash their workers. */
+	passedProbations: number;
 }
 
 /** State of the owner and of the job from which an `ActiveJob` is created. */
@@ -190,7 +192,10 @@
 		const checkpoints: types.ProgressRecord['checkpoints'] = {};
 		const crashed: Record<string, crashes.StoredCrashes> = {};
 		const workers: Record<string, string> = {};
+		const passed: Record<string, number> = {};
 		for (const step of this.steps) {
+			const { passedProbations } = step;
+			if (passedProbations > 0) passed[stepKey(step.occurrence, step.number)] = passedProbations;
 			const done = step.tasks.filter((task) => task.state === 'finished').map((task) => task.index);
 			if (done.length > 0)
 				finished[stepKey(step.occurrence, step.number)] = step.unfinished === 0 ? 'all' : done;
@@ -208,6 +213,7 @@
 			failures,
 			checkpoints,
 			...(Object.keys(crashed).length > 0 && { crashes: crashed }),
+			...(Object.keys(passed).length > 0 && { passed }),
 			...(this.failure !== '' && { failure: this.failure }),
 			endedAt: this.endedAt,
 		};
@@ -230,8 +236,17 @@
 	}
 
 	private createStep(occurrence: number, number: number, spec: types.StepSpec): StepInstance {
-		const step: StepInstance = { job: this, occurrence, number, spec, tasks: [], unfinished: spec.count };
-		const done = this.progress?.finished[stepKey(occurrence, number)];
+		const key = stepKey(occurrence, number);
+		const step: StepInstance = {
+			job: this,
+			occurrence,
+			number,
+			spec,
+			tasks: [],
+			unfinished: spec.count,
+			passedProbations: this.progress?.passed?.[key] ?? 0,
+		};
+		const done = this.progress?.finished[key];
 		for (let index = 0; index < spec.count; index += 1) {
 			const task = this.createTask(step, index);
 			if (done === 'all' || done?.includes(index)) {
--- a/src/core/jobs/crash-history.ts
+++ b/src/core/jobs/crash-history.ts
@@ -42,6 +42,8 @@
 	tries: number[];
 	/** Runs that may have exited before their worker crashed; absent: there are none. */
 	doubtful?: number[];
+	/** The runs of `tries` whose worker ceased to answer just after their start; absent: there are none. */
+	suspected?: number[];
 	/** Workers of `tries`, by run; absent: an older version stored the history. */
 	triedOn?: Record<string, string>;
 }
@@ -59,6 +61,8 @@
 	private readonly attributedRuns: Set<number>;
 	/** Runs whose start was stored before it was sent, and the worker of each; empty: the worker is not known. */
 	private readonly tries: Map<number, string>;
+	/** The runs of `tries` to which a crash of their worker would be attributed. */
+	private readonly suspectedRuns: Set<number>;
 	private readonly possiblyCrashedRuns: Set<number>;
 	/** Longest time from a run's start to its crash, in milliseconds; infinite: it is not known for every crash. */
 	private latestCrashMs: number;
@@ -67,6 +71,7 @@
 		this.crashedRuns = new Set(stored.crashed);
 		this.attributedRuns = new Set(stored.blamed);
 		this.tries = new Map(stored.tries.map((run) => [run, stored.triedOn?.[String(run)] ?? '']));
+		this.suspectedRuns = new Set(stored.suspected);
 		this.possiblyCrashedRuns = new Set(stored.doubtful);
 		this.latestCrashMs = stored.crashed.length > 0 ? Infinity : 0;
 	}
@@ -137,9 +142,19 @@
 		this.tries.set(run, worker);
 	}
 
+	/**
+	 * Notes that a worker ceased to answer just after the start of a run: if it turns out to have crashed, the crash is
+	 * attributed to this run. Until that is proved, another owner may take over.
+	 */
+	noteSuspected(run: number, worker: string): void {
+		this.noteTry(run, worker);
+		this.suspectedRuns.add(run);
+	}
+
 	/** Notes that a run was never started. */
 	noteNotStarted(run: number): void {
 		this.tries.delete(run);
+		this.suspectedRuns.delete(run);
 	}
 
 	/** Notes that a run exited and its worker is alive, also if the run was presumed crashed before. */
@@ -152,6 +167,7 @@
 
 	/** Removes a stored start whose outcome is known. Where starts are limited it stays, and goes on counting. */
 	private removeTry(run: number): void {
+		this.suspectedRuns.delete(run);
 		if (!this.isStartLimited) this.tries.delete(run);
 	}
 
@@ -164,7 +180,7 @@
 			// Starts are limited from here on, and each goes on counting.
 			if (this.isStartLimited) return;
 			const outcome = outcomeOf(worker);
-			if (outcome === 'crashed') this.noteCrash(run, false);
+			if (outcome === 'crashed') this.noteCrash(run, this.suspectedRuns.has(run));
 			if (outcome === 'in-doubt') this.notePossibleCrash(run);
 			if (outcome === 'not-started') this.noteNotStarted(run);
 		}
@@ -191,6 +207,7 @@
 			blamed: [...this.attributedRuns],
 			tries: [...this.tries.keys()],
 			...(this.tries.size > 0 && { triedOn: Object.fromEntries(this.tries) }),
+			...(this.suspectedRuns.size > 0 && { suspected: [...this.suspectedRuns] }),
 			...(this.possiblyCrashedRuns.size > 0 && { doubtful: [...this.possiblyCrashedRuns] }),
 		};
 	}
--- a/src/core/jobs/types.ts
+++ b/src/core/jobs/types.ts
@@ -108,6 +108,11 @@
 	checkpoints: Record<string, string>;
 	/** Crash histories by `occurrence.step.index`, of tasks whose workers crashed; absent: there are none. */
 	crashes?: Record<string, crashes.StoredCrashes>;
+	/**
+	 * Number of runs of suspected tasks that did not crash their workers, by `occurrence.step`; absent: there are none, or an
+	 * older version stored the record.
+	 */
+	passed?: Record<string, number>;
 	/** Why the job failed, for people; absent: it has not failed, or an older version stored the record. */
 	failure?: string;
 	/** When the job reached its final state; 0 before. */
--- a/test/crashes-at-takeovers.test.ts
+++ b/test/crashes-at-takeovers.test.ts
@@ -1,11 +1,14 @@
 /** What a change of owner must not forget of crashes, and of starts that crashed nothing. */
 import test from 'ava';
+import * as crashes from './fixtures/crashes.js';
 import * as fixtures from './fixtures/dispatching.js';
-import type * as jobs from '../src/core/jobs/index.js';
+import * as jobs from '../src/core/jobs/index.js';
 import * as ledger from '../src/core/ledger/index.js';
+import * as probation from '../src/core/dispatch/probation.js';
 import type * as workers from '../stand-ins/fleet/workers.js';
 
 const firstContactMs = 1_200;
+const crashAfterMs = 10;
 
 /** Time from a crash until the worker's next incarnation proves it, in milliseconds. */
 const downMs = 3_000;
@@ -42,6 +45,19 @@
 	return read.ok ? read.value?.progress : undefined;
 }
 
+// Guards against crashes that are blamed on no task, as the owner is replaced before they are proved: each such task crashes
+// one more worker at each change of owner.
+test('a crash that is not proved yet is attributed by the next owner', async (t) => {
+	const env = await setUp(() => ({ ms: 'endless', how: 'done', crashAfterMs }));
+	await env.submit(env.owner(), fixtures.job('bad', [fixtures.step()]));
+	await env.clock.advance(500);
+	await env.replaceOwner();
+	await env.clock.advance(30_000);
+	t.is(env.owner().dispatcher.stateOf('bad'), 'failed');
+	t.is(crashes.crashCountsOf(env, 'bad.0.0.0').crashes, 2);
+	env.owner().die();
+});
+
 // Guards against sound jobs that are shown as failed, as starts that were refused count as crashes after changes of owner.
 test('a start that was counted and then refused is not left in the store', async (t) => {
 	const env = await setUp(() => ({ ms: 60_000, how: 'done' }));
@@ -62,3 +78,38 @@
 	t.deepEqual({ tries, crashed }, { tries: [], crashed: [1] });
 	env.owner().die();
 });
+
+// Guards against steps whose suspects start anew with one run at a time under each owner, and against steps of crashing tasks
+// that are no longer suspected as a whole.
+test('a step keeps its passed probations and its suspects under the next owner', (t) => {
+	const start = { cancelled: false, inherited: true, workersStored: true, now: 0, age: 0 };
+	const record = fixtures.job('job1', [fixtures.step({ count: 4 })]);
+	const first = jobs.ActiveJob.create(record, undefined, start);
+	first.openNextOccurrence(0);
+	const blame = (job: jobs.ActiveJob): void => {
+		for (const index of [0, 1]) {
+			const task = job.findTask(0, 0, index);
+			if (task === undefined) continue;
+			task.crashes = jobs.CrashHistory.create();
+			task.crashes.noteCrash(1, true);
+		}
+	};
+	blame(first);
+	const restore = (): jobs.StepInstance | undefined => {
+		const next = jobs.ActiveJob.create(record, first.toProgress(), start);
+		next.openNextOccurrence(0);
+		return next.steps[0];
+	};
+	const probations = probation.Probations.create({} as probation.ProbationOptions);
+	const isSuspect = (step: jobs.StepInstance | undefined, index: number): boolean => {
+		const task = step?.tasks[index];
+		return task !== undefined && probations.isSuspect(task);
+	};
+	t.true(isSuspect(restore(), 3), 'two tasks of its step crashed workers');
+	const [step] = first.steps;
+	if (step !== undefined) step.passedProbations = 2;
+	const restored = restore();
+	t.is(restored?.passedProbations, 2);
+	t.false(isSuspect(restored, 3));
+	t.true(isSuspect(restored, 0));
+});
