--- a/src/core/dispatch/outcomes.ts
+++ b/src/core/dispatch/outcomes.ts
@@ -39,9 +39,6 @@
  */
 const maxStartAnswerMs = 50;
 
-/** Stands for the run of an earlier owner whose number is not known. */
-const unknownRunNumber = 0;
-
 /** Applies outcomes of runs to jobs and to the other tasks of a gang. */
 export class Outcomes {
 	private constructor(private readonly opts: OutcomesOptions) {}
@@ -165,7 +162,7 @@
 		if (task.state === 'finished' || task.crashes !== undefined) return false;
 		if (!mayHave(task)) return false;
 		task.crashes = jobs.CrashHistory.create();
-		task.crashes.noteCrash(unknownRunNumber, false);
+		task.crashes.noteUnreportedCrash();
 		return true;
 	}
 
--- a/src/core/dispatch/probation.ts
+++ b/src/core/dispatch/probation.ts
@@ -72,8 +72,8 @@
 	/** Whether a task is to be started on probation. Gangs never are: their members need each other. */
 	isSuspect(task: jobs.Task): boolean {
 		if (task.step.spec.gang) return false;
-		const { crashed = 0, blamed = 0 } = task.crashes ?? {};
-		if (blamed > 0 || crashed > 1) return true;
+		const { observed = 0, blamed = 0 } = task.crashes ?? {};
+		if (blamed > 0 || observed > 1) return true;
 		const { step } = task;
 		return step.passedProbations === 0 && this.suspectsOf(step).size >= suspectStepThreshold;
 	}
--- a/src/core/jobs/crash-history.ts
+++ b/src/core/jobs/crash-history.ts
@@ -32,6 +32,9 @@
 const clearMarginMs = 1_000;
 export const maxTimeToClearMs = 5_000;
 
+/** Stands for the run of an earlier owner whose number is not known. */
+const unknownRun = 0;
+
 /** A crash history as stored. */
 export interface StoredCrashes {
 	/** Runs under which a worker crashed, or may have. */
@@ -85,6 +88,14 @@
 		return this.crashedRuns.size + Math.floor(this.possiblyCrashedRuns.size / possibleCrashesPerCrash);
 	}
 
+	/**
+	 * Number of crashes of workers on which the task is known to have run. Where a worker was lost with whatever an earlier
+	 * owner had started there, a crash counts for each task that may have been among it, and few of them were.
+	 */
+	get observed(): number {
+		return this.crashed - Number(this.crashedRuns.has(unknownRun));
+	}
+
 	/** Number of crashes, possible ones included. */
 	get lost(): number {
 		return this.crashedRuns.size + this.possiblyCrashedRuns.size;
@@ -131,6 +142,11 @@
 		if (isAttributed) this.attributedRuns.add(run);
 	}
 
+	/** Notes that a worker may have crashed under a run of an earlier owner that was never reported to this one. */
+	noteUnreportedCrash(): void {
+		this.noteCrash(unknownRun, false);
+	}
+
 	/** Notes that a worker crashed after it had become unresponsive: the run may have exited unreported before the crash. */
 	notePossibleCrash(run: number): void {
 		this.removeTry(run);
--- a/test/crashes-at-takeovers.test.ts
+++ b/test/crashes-at-takeovers.test.ts
@@ -113,3 +113,12 @@
 	t.false(isSuspect(restored, 3));
 	t.true(isSuspect(restored, 0));
 });
+
+// Guards against suspicion of all tasks that wait: a worker that is lost as the owner changes may have run any of them.
+test('a crash under a run that nobody reported counts towards the limit and raises no suspicion', (t) => {
+	const history = jobs.CrashHistory.create();
+	history.noteUnreportedCrash();
+	history.noteCrash(1, false);
+	const { crashed, observed } = jobs.CrashHistory.create(history.toStored());
+	t.deepEqual({ crashed, observed }, { crashed: 2, observed: 1 });
+});
