Suspects get their turn in the order in which their jobs are due

Cause: suspects of all jobs share a tenth of the workers. Whose turn it is followed the order of the waiting steps, in which late jobs come last, so suspects of earlier jobs waited for as long as later ones brought new ones. And the share grew only with runs that pass one after the other, which tasks that crash their workers interrupt all the time.

Change: suspects are placed by their jobs' due times, late or not, after overdue long-running tasks. One that has waited for a second may be tried beyond the share, up to the upper bound there was, if its job has no other run on probation and none that crashed its worker. So one bad job crashes no more workers at a time than before.

--- a/src/core/dispatch/due-time-order.ts
+++ b/src/core/dispatch/due-time-order.ts
@@ -3,6 +3,7 @@
  * passed before late ones, then by due time. Sorted by due time alone, a queue that has fallen behind would make every job
  * late in turn.
  */
+import * as sortKeys from './sort-keys.js';
 import * as waitingOrder from './waiting-order.js';
 import type * as jobs from '../jobs/index.js';
 
@@ -14,8 +15,8 @@
 	}
 
 	sort(steps: waitingOrder.WaitingStep[], now: number): waitingOrder.WaitingStep[] {
-		const sortKeys = new Map(steps.map((one) => [one, this.sortKeyOf(one, now)]));
-		return steps.sort((a, b) => compareKeys(sortKeys.get(a) ?? [], sortKeys.get(b) ?? []));
+		const keys = new Map(steps.map((one) => [one, this.sortKeyOf(one, now)]));
+		return steps.sort((a, b) => sortKeys.compare(keys.get(a) ?? [], keys.get(b) ?? []));
 	}
 
 	notePlaced(): void {
@@ -34,12 +35,3 @@
 		];
 	}
 }
-
-/** Sort keys are compared number by number, the most significant first. */
-function compareKeys(a: readonly number[], b: readonly number[]): number {
-	for (const [index, value] of a.entries()) {
-		const difference = value - (b[index] ?? 0);
-		if (difference !== 0) return difference;
-	}
-	return 0;
-}
--- a/src/core/dispatch/placer.ts
+++ b/src/core/dispatch/placer.ts
@@ -227,7 +227,7 @@
 		const round = rounds.PlacingRound.create(this.opts.workers(), now);
 		const ctx = this.eligibleWorkers.contextFor(step, round);
 		const isSuspectTask = this.opts.probations.isSuspect(task);
-		if (isSuspectTask && !this.opts.probations.mayStartOnProbation(step, ctx.workers.length))
+		if (isSuspectTask && !this.opts.probations.mayStartOnProbation(task, ctx.workers.length))
 			return { reason: 'other-suspects' };
 		if (this.eligibleWorkers.lacksTicket(step, round)) return { reason: 'no-ticket' };
 		return reasons.unplacedReason(task, ctx);
@@ -251,6 +251,7 @@
 		if (steps.length === 0) return;
 		const round = rounds.PlacingRound.create(this.opts.workers(), now);
 		this.opts.retryPauses.beginRound(now);
+		this.placeSuspects(steps, round);
 		for (const { step, tasks } of this.order.sort(steps, now)) {
 			// Leaves the rest to a later round, which orders the steps anew once starts may be sent.
 			if (this.opts.freeStartSlots() === 0) {
@@ -303,17 +304,33 @@
 	): jobs.Task | undefined {
 		if (step.spec.gang) return this.placeGang(step, round) ? undefined : tasks[0];
 		const ctx = this.eligibleWorkers.contextRequestingAdvice(step, round);
-		// Suspects wait for each other; the rest of the step does not wait for them.
-		let mayPlaceSuspects = true;
-		for (const task of probation.sortBySuspicion(tasks)) {
+		for (const task of tasks) {
 			if (this.opts.freeStartSlots() === 0) return undefined;
-			if (this.opts.probations.isSuspect(task))
-				mayPlaceSuspects = mayPlaceSuspects && this.placeOnProbation(task, ctx);
-			else if (!this.placeBest(task, ctx, round)) return task;
+			if (this.opts.probations.isSuspect(task)) continue;
+			if (!this.placeBest(task, ctx, round)) return task;
 		}
 		return undefined;
 	}
 
+	/**
+	 * Places suspects on probation in their own order: in that of the steps, those of earlier jobs, which are late, would wait
+	 * for as long as later jobs bring new ones.
+	 */
+	private placeSuspects(steps: waitingOrder.WaitingStep[], round: rounds.PlacingRound): void {
+		const suspects = steps.flatMap(({ tasks }) =>
+			tasks.filter((task) => this.opts.probations.isSuspect(task) && !task.step.job.ended),
+		);
+		const stepsWithoutTurn = new Set<jobs.StepInstance>();
+		for (const task of probation.sortByTurn(suspects, round.now)) {
+			const { step } = task;
+			if (this.opts.freeStartSlots() === 0) return;
+			if (stepsWithoutTurn.has(step) || this.opts.retryPauses.isSkipped(step)) continue;
+			const ctx = this.eligibleWorkers.contextRequestingAdvice(step, round);
+			if (this.placeOnProbation(task, ctx)) this.opts.retryPauses.notePlaced(step);
+			else stepsWithoutTurn.add(step);
+		}
+	}
+
 	private placeBest(task: jobs.Task, ctx: placement.PlacementContext, round: rounds.PlacingRound): boolean {
 		return this.startAllPlaced(this.reservePlacement(task, round.choose(task, ctx)));
 	}
@@ -321,7 +338,7 @@
 	/** Places a suspect on probation, if one more run may be on probation and a worker takes the task. */
 	private placeOnProbation(task: jobs.Task, ctx: placement.PlacementContext): boolean {
 		const { probations } = this.opts;
-		if (!probations.mayStartOnProbation(task.step, ctx.workers.length)) {
+		if (!probations.mayStartOnProbation(task, ctx.workers.length)) {
 			this.waitingLog.note(task, () => ({ reason: 'other-suspects' }));
 			return false;
 		}
--- a/src/core/dispatch/probation.ts
+++ b/src/core/dispatch/probation.ts
@@ -6,6 +6,8 @@
  */
 import * as clocks from '../clock.js';
 import * as placement from './placement.js';
+import * as sortKeys from './sort-keys.js';
+import * as waitingOrder from './waiting-order.js';
 import type * as events from '../events/index.js';
 import type * as jobs from '../jobs/index.js';
 import type * as sessions from './worker-session.js';
@@ -26,6 +28,13 @@
  */
 const maxShare = 0.5;
 
+/**
+ * A suspect that has waited for this long, in milliseconds, may be tried beyond the current share, up to the upper bound, if
+ * its job has no other run on probation and none that crashed its worker. Otherwise suspects of sound jobs would wait for as
+ * long as others keep crashing workers.
+ */
+const maxTurnWaitMs = 1_000;
+
 /** Maximum number of a step's runs on probation at the same time: one, plus this many for each that has passed. */
 const extraPerPass = 2;
 
@@ -52,6 +61,8 @@
 export class Probations {
 	/** The tasks of each step to which a crash is attributed. */
 	private readonly suspects = new WeakMap<jobs.StepInstance, Set<jobs.Task>>();
+	/** Jobs of which a run on probation has crashed its worker. */
+	private readonly crashingJobs = new WeakSet<jobs.ActiveJob>();
 	/** Runs that have passed since a run on probation last crashed its worker. */
 	private consecutivePasses = 0;
 
@@ -64,7 +75,10 @@
 	/** Records that a worker crashed under a task. From its second crash on, the task's next start is delayed. */
 	noteCrash(task: jobs.Task, onProbation: boolean): void {
 		const { crashed = 0, blamed = 0 } = task.crashes ?? {};
-		if (onProbation) this.consecutivePasses = 0;
+		if (onProbation) {
+			this.consecutivePasses = 0;
+			this.crashingJobs.add(task.step.job);
+		}
 		task.retryNotBefore = this.opts.clock.now() + crashBackoffMs * (crashed - 1);
 		if (blamed > 0) this.suspectsOf(task.step).add(task);
 	}
@@ -78,18 +92,27 @@
 		return step.passedProbations === 0 && this.suspectsOf(step).size >= suspectStepThreshold;
 	}
 
-	/** Whether one more run of the step may be on probation, in a pool with `workers` open workers. */
-	mayStartOnProbation(step: jobs.StepInstance, workers: number): boolean {
+	/** Whether one more run of a suspect's step may be on probation, in a pool with `workers` open workers. */
+	mayStartOnProbation(task: jobs.Task, workers: number): boolean {
+		const { step } = task;
 		const withProbation = this.opts.workers().filter((one) => one.runOnProbation !== undefined);
 		// A worker that stopped answering tests nothing any more, and it may take long until it is proved dead.
 		const responsive = withProbation.filter((one) => one.firstFailureAt === undefined);
-		if (responsive.length >= this.maxConcurrent(workers)) return false;
+		if (responsive.length >= this.maxConcurrent(workers)) {
+			if (responsive.length >= Math.floor(workers * maxShare) || !this.isOverdue(task)) return false;
+			if (withProbation.some((one) => one.runOnProbation?.task.step.job === step.job)) return false;
+		}
 		// For short tasks they count until then, which limits the crashes of a step. A long-running task must not wait so long.
 		const counted = step.spec.lasting ? responsive : withProbation;
 		const ofStep = counted.filter((one) => one.runOnProbation?.task.step === step).length;
 		return ofStep <= step.passedProbations * extraPerPass;
 	}
 
+	private isOverdue(task: jobs.Task): boolean {
+		const hasWaitedLong = this.opts.clock.now() - task.readyAt >= maxTurnWaitMs;
+		return hasWaitedLong && !this.crashingJobs.has(task.step.job);
+	}
+
 	/** Maximum number of runs on probation at the same time, in a pool with `workers` open workers. */
 	private maxConcurrent(workers: number): number {
 		const initial = Math.max(1, Math.floor(workers * initialShare));
@@ -164,10 +187,23 @@
 	}
 }
 
-/** Sorts a step's tasks by suspicion, the most suspect first: one more crash under that one decides most. */
-export function sortBySuspicion(tasks: jobs.Task[]): jobs.Task[] {
-	if (tasks.every((task) => task.crashes === undefined)) return tasks;
-	return [...tasks].sort((a, b) => suspicionOf(b) - suspicionOf(a));
+/**
+ * Sorts the suspects of several steps in the order of their turns: steps with overdue long-running tasks first, then those of
+ * the job that is due first, whether or not it is late. So no suspect waits behind those of jobs that come later. Of one step
+ * the most suspect task comes first: one more crash under that one decides most.
+ */
+export function sortByTurn(suspects: jobs.Task[], now: number): jobs.Task[] {
+	const overdueSteps = new Set(
+		suspects.filter((task) => waitingOrder.isOverdue(task, now)).map(({ step }) => step),
+	);
+	const keyOf = (task: jobs.Task): number[] => [
+		Number(!overdueSteps.has(task.step)),
+		task.step.job.dueAt,
+		task.step.number,
+		-suspicionOf(task),
+	];
+	const keys = new Map(suspects.map((task) => [task, keyOf(task)]));
+	return [...suspects].sort((a, b) => sortKeys.compare(keys.get(a) ?? [], keys.get(b) ?? []));
 }
 
 function suspicionOf({ crashes }: jobs.Task): number {
