--- a/src/core/dispatch/crash-attribution.ts
+++ b/src/core/dispatch/crash-attribution.ts
@@ -1,7 +1,8 @@
 /**
  * Attributes a worker's crash to the runs that may have caused it. A crash breaks the worker's connections, so its time is
- * known closely. A run that was sent just before is suspected, and one that had worked for a while is not. Workers that
- * crash at the same moment have a common cause outside their runs, unless one step was started on all of them just before.
+ * known closely. A run that began just before is suspected, and one that had worked for a while is not. Workers that crash at
+ * the same moment have a common cause outside their runs, unless one step was started on all of them just before, or the
+ * others had a run on probation, which is a cause of its own.
  */
 import * as delays from './answer-delays.js';
 import type * as clocks from '../clock.js';
