Read again: one look-up at the owner, one form of failed writes, less code

The service asked the owner for a job in two places: both now use one look-up, which keeps "the owner does not know it" apart from "the owner did not answer". Tombstones turned a failed call of the store into an outcome a second time; they use what submissions use. Taking a counted start out of a crash history tells whether it was there, in place of a second call that asks. A set that nothing deletes from has no delete; its test keeps its assertions, with the same values.

Behaviour as before.

--- a/src/core/box/job-service.ts
+++ b/src/core/box/job-service.ts
@@ -2,13 +2,13 @@
 import * as admission from '../admission/index.js';
 import * as ledger from '../ledger/index.js';
 import * as protocol from './peer-protocol.js';
+import * as results from '../result.js';
 import type * as clocks from '../clock.js';
 import type * as dispatch from '../dispatch/index.js';
 import type * as events from '../events/index.js';
 import type * as jobs from '../jobs/index.js';
 import type * as platform from '../platform/types.js';
 import type * as contacts from '../platform/contact.js';
-import type * as results from '../result.js';
 
 /** Timeout of a call to the owner other than a write, in milliseconds; peers are 3 ms away. */
 const ownerTimeoutMs = 500;
@@ -253,11 +253,8 @@
 
 	/** Whether the owner answers and does not know the job. */
 	private async isUnknownToOwner(id: string): Promise<boolean> {
-		const localDispatcher = this.opts.dispatcher();
-		if (localDispatcher !== undefined) return localDispatcher.viewOf(id) === undefined;
-		const req = { type: 'job.state' as const, job: id };
-		const res = await this.opts.callOwner<protocol.StateReply>(req, ownerTimeoutMs);
-		return res.ok && res.value.state === undefined;
+		const res = await this.lookUpAtOwner(id);
+		return res.ok && res.value === undefined;
 	}
 
 	private storeCancel(id: string): Promise<ledger.CancelOutcome> {
@@ -287,12 +284,19 @@
 	}
 
 	private async viewFromOwner(id: string): Promise<jobs.JobView | undefined> {
+		const res = await this.lookUpAtOwner(id);
+		return res.ok ? res.value : undefined;
+	}
+
+	/** The state of a job according to the owner; undefined: the owner does not know the job. */
+	private async lookUpAtOwner(id: string): Promise<results.Result<jobs.JobView | undefined, OwnerFailure>> {
 		const localDispatcher = this.opts.dispatcher();
-		if (localDispatcher !== undefined) return localDispatcher.viewOf(id);
+		if (localDispatcher !== undefined) return results.ok(localDispatcher.viewOf(id));
 		const req = { type: 'job.state' as const, job: id };
 		const res = await this.opts.callOwner<protocol.StateReply>(req, ownerTimeoutMs);
-		if (!res.ok || res.value.state === undefined) return undefined;
-		return { ...res.value, state: res.value.state };
+		if (!res.ok) return res;
+		const { state } = res.value;
+		return results.ok(state === undefined ? undefined : { ...res.value, state });
 	}
 
 	/** Notifies the owner of what was stored, so that it need not wait until it reads it. A failure does no harm. */
--- a/src/core/dispatch/outcomes.ts
+++ b/src/core/dispatch/outcomes.ts
@@ -86,9 +86,7 @@
 	 * crashed its worker, if that is lost.
 	 */
 	private noteNeverStarted({ crashes, step }: jobs.Task, run: number): void {
-		if (crashes?.wasTried(run) !== true) return;
-		crashes.noteNotStarted(run);
-		this.opts.progress.mark(step.job);
+		if (crashes?.noteNotStarted(run) === true) this.opts.progress.mark(step.job);
 	}
 
 	/** A worker ceased to answer, and has crashed if that is proved later: stores which runs may have caused it. */
--- a/src/core/expiring-set.ts
+++ b/src/core/expiring-set.ts
@@ -38,10 +38,6 @@
 		this.dropOld();
 	}
 
-	delete(entry: string): void {
-		this.expiresAt.delete(entry);
-	}
-
 	private dropOld(): void {
 		const now = this.clock.now();
 		for (const [entry, at] of this.expiresAt) {
--- a/src/core/jobs/crash-history.ts
+++ b/src/core/jobs/crash-history.ts
@@ -167,10 +167,10 @@
 		this.suspectedRuns.add(run);
 	}
 
-	/** Notes that a run was never started. */
-	noteNotStarted(run: number): void {
-		this.tries.delete(run);
+	/** Notes that a run was never started. Returns whether it was counted as one that may have been. */
+	noteNotStarted(run: number): boolean {
 		this.suspectedRuns.delete(run);
+		return this.tries.delete(run);
 	}
 
 	/** Notes that a run exited and its worker is alive, also if the run was presumed crashed before. */
@@ -202,11 +202,6 @@
 		}
 	}
 
-	/** Whether a run is counted as one that may have been started. */
-	wasTried(run: number): boolean {
-		return this.tries.has(run);
-	}
-
 	/** Whether an earlier owner may have started a run on that worker. */
 	wasTriedOn(worker: string): boolean {
 		return [...this.tries.values()].includes(worker);
--- a/src/core/ledger/requests.ts
+++ b/src/core/ledger/requests.ts
@@ -112,7 +112,7 @@
 }
 
 /** Outcome of a failed write: it was not done, or it is not known whether it was. */
-function toWriteFailure(err: platform.StoreFailure): types.WriteFailure {
+export function toWriteFailure(err: platform.StoreFailure): types.WriteFailure {
 	const { effect, reason } = err;
 	return effect === 'none' ? { type: 'not-stored', reason } : { type: 'unknown', reason };
 }
--- a/src/core/ledger/tombstones.ts
+++ b/src/core/ledger/tombstones.ts
@@ -9,6 +9,7 @@
 import * as clocks from '../clock.js';
 import * as expiring from '../expiring-set.js';
 import * as keys from './keys.js';
+import * as requests from './requests.js';
 import type * as platform from '../platform/types.js';
 import type * as types from './types.js';
 
@@ -129,9 +130,7 @@
 			removes: [],
 		});
 		if (!res.ok) {
-			const { effect, reason } = res.err;
-			const type = effect === 'none' ? 'not-stored' : 'unknown';
-			for (const request of batch) this.complete(request, { type, reason });
+			for (const request of batch) this.complete(request, requests.toWriteFailure(res.err));
 			return;
 		}
 		const outcome = res.value;
--- a/test/expiring-set.test.ts
+++ b/test/expiring-set.test.ts
@@ -11,7 +11,6 @@
 	t.deepEqual(presentOf(), ['b', 'c', 'd']);
 	await clock.advance(60);
 	set.add('b');
-	set.delete('c');
 	await clock.advance(60);
 	t.deepEqual(presentOf(), ['b']);
 	t.is(set.size, 1);
